Workspace, base package and the contracts between packages

Cause: nothing existed; five package groups have to be worked on side by side. Change: npm workspaces by concern, strict TypeScript with project references, gts formatter and linter, layers.json as the one table of allowed imports (enforced by the linter and by the references), base (errors, clocks, random, checks, logs, metrics), and one contracts file per package. A test runner that fails on no tests and passes over only what KNOWN-RED.txt lists. Ruled out: one tsconfig for all (would not stop an upward import at build time); gts's own config file for eslint (names no project for typed rules).

--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,2 @@
+/** Bulkheads, importance, customer fairness, limits, deadlines, retry budgets. */
+export * from './contracts.js';
--- /dev/null
+++ b/packages/base/src/clock.ts
@@ -0,0 +1,95 @@
+/** Time as the decisions see it, so that tests can drive it. */
+import {toDisposable, type Disposable} from './disposables.js';
+import {ServingError} from './errors.js';
+
+export interface Clock {
+  /** Monotonic milliseconds from an arbitrary start; never goes back. */
+  now(): number;
+  /** Wall-clock milliseconds since 1970; may jump. */
+  wall(): number;
+  /** Calls back once after the delay in milliseconds, unless disposed before. */
+  after(delayMs: number, callback: () => void): Disposable;
+}
+
+/**
+ * The clock of the running process.
+ *
+ * Timers do not keep the process alive: what serves holds sockets, and a
+ * process with nothing but timers left is finished.
+ *
+ * @example
+ * const clock = systemClock();
+ * const start = clock.now();
+ */
+export function systemClock(): Clock {
+  return {
+    now: () => performance.now(),
+    wall: () => Date.now(),
+    after(delayMs, callback) {
+      const timer = setTimeout(callback, Math.max(0, delayMs));
+      timer.unref();
+      return toDisposable(() => clearTimeout(timer));
+    },
+  };
+}
+
+/**
+ * Calls back every interval until disposed; the next call is planned after the
+ * previous returned, so a slow callback never piles up.
+ *
+ * @example
+ * store.add(every(clock, 500, sendHeartbeats));
+ */
+export function every(
+  clock: Clock,
+  intervalMs: number,
+  callback: () => void,
+): Disposable {
+  let timer = clock.after(intervalMs, tick);
+  let isDisposed = false;
+  function tick() {
+    try {
+      callback();
+    } finally {
+      if (!isDisposed) {
+        timer = clock.after(intervalMs, tick);
+      }
+    }
+  }
+  return toDisposable(() => {
+    isDisposed = true;
+    timer.dispose();
+  });
+}
+
+/**
+ * Waits on the given clock; rejects with `cancelled` when the signal aborts.
+ *
+ * @example
+ * await sleep(clock, 200, signal);
+ */
+export function sleep(
+  clock: Clock,
+  delayMs: number,
+  signal?: AbortSignal,
+): Promise<void> {
+  return new Promise((resolve, reject) => {
+    if (signal?.aborted) {
+      reject(cancelledError());
+      return;
+    }
+    const timer = clock.after(delayMs, () => {
+      signal?.removeEventListener('abort', onAbort);
+      resolve();
+    });
+    function onAbort() {
+      timer.dispose();
+      reject(cancelledError());
+    }
+    signal?.addEventListener('abort', onAbort, {once: true});
+  });
+}
+
+function cancelledError(): ServingError {
+  return new ServingError('cancelled', 'the wait was cancelled');
+}
--- /dev/null
+++ b/packages/base/src/index.ts
@@ -0,0 +1,12 @@
+/** Errors, clock, random numbers, disposables, events, checks, logs, metrics and hashing. */
+export * from './clock.js';
+export * from './decisionLog.js';
+export * from './disposables.js';
+export * from './errors.js';
+export * from './events.js';
+export * from './hashing.js';
+export * from './logger.js';
+export * from './metrics.js';
+export * from './random.js';
+export * from './shapes.js';
+export * from './virtualClock.js';
--- /dev/null
+++ b/packages/base/src/random.ts
@@ -0,0 +1,48 @@
+/** Seeded random numbers, so that a run can be repeated from its seed. */
+import prand from 'pure-rand';
+
+export interface Random {
+  /** Uniform in [0, 1). */
+  next(): number;
+  /** Uniform integer from `low` to `high`, both included. */
+  integer(low: number, high: number): number;
+  /** One of the items; undefined for an empty list. */
+  pick<T>(items: readonly T[]): T | undefined;
+  /** Exponentially distributed with the given mean. */
+  exponential(mean: number): number;
+  /** True with the given probability. */
+  chance(probability: number): boolean;
+}
+
+const TWO_TO_32 = 0x1_0000_0000;
+
+/**
+ * Makes a generator whose sequence depends on the seed alone.
+ *
+ * @example
+ * const random = seededRandom(42);
+ * random.integer(1, 6);
+ */
+export function seededRandom(seed: number): Random {
+  const generator = prand.xoroshiro128plus(seed | 0);
+  function next(): number {
+    return (generator.unsafeNext() >>> 0) / TWO_TO_32;
+  }
+  return {
+    next,
+    integer: (low, high) => low + Math.floor(next() * (high - low + 1)),
+    pick: items => items[Math.floor(next() * items.length)],
+    exponential: mean => -Math.log(1 - next()) * mean,
+    chance: probability => next() < probability,
+  };
+}
+
+/**
+ * Makes a generator with a seed of its own for every process.
+ *
+ * @example
+ * const random = processRandom();
+ */
+export function processRandom(): Random {
+  return seededRandom((Math.random() * TWO_TO_32) | 0);
+}
--- /dev/null
+++ b/packages/base/src/shapes.ts
@@ -0,0 +1,54 @@
+/** Checks of values from outside against a schema, with every fault named. */
+import type {z} from 'zod';
+import {ServingError, type ErrorKind, type Fault} from './errors.js';
+
+/**
+ * Checks a value against a schema and returns it typed.
+ * Throws a `ServingError` of the given kind that lists every fault with its path.
+ *
+ * @example
+ * const settings = checkShape(entrySettings, JSON.parse(text), 'bad-settings');
+ */
+export function checkShape<T extends z.ZodType>(
+  schema: T,
+  value: unknown,
+  kind: ErrorKind,
+  what = 'value',
+): z.output<T> {
+  const result = schema.safeParse(value);
+  if (result.success) {
+    return result.data;
+  }
+  const faults = result.error.issues.map(toFault);
+  const lines = faults.map(fault => `${fault.path || what}: ${fault.expected}`);
+  throw new ServingError(kind, `invalid ${what}: ${lines.join('; ')}`, {
+    faults,
+  });
+}
+
+/**
+ * Parses JSON text; a syntax error becomes a `ServingError` of the given kind.
+ *
+ * @example
+ * const body = parseJson(text, 'bad-request', 'body');
+ */
+export function parseJson(
+  text: string,
+  kind: ErrorKind,
+  what = 'value',
+): unknown {
+  try {
+    return JSON.parse(text);
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    throw new ServingError(kind, `${what} is not JSON: ${reason}`, {
+      faults: [{path: '', expected: 'JSON text'}],
+      cause: error,
+    });
+  }
+}
+
+function toFault(issue: z.core.$ZodIssue): Fault {
+  const path = issue.path.map(String).join('.');
+  return {path, expected: issue.message};
+}
--- /dev/null
+++ b/packages/base/src/test/virtualClock.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {every, sleep, virtualClock} from '../index.js';
+
+describe('virtual clock', () => {
+  it('runs timers in order of their due time', async () => {
+    const clock = virtualClock();
+    const seen: string[] = [];
+    clock.after(20, () => seen.push('late'));
+    clock.after(10, () => seen.push('early'));
+    await clock.advance(30);
+    assert.deepEqual(seen, ['early', 'late']);
+    assert.equal(clock.now(), 30);
+  });
+
+  it('keeps a repeating timer going until it is disposed', async () => {
+    const clock = virtualClock();
+    let beats = 0;
+    const timer = every(clock, 10, () => (beats += 1));
+    await clock.advance(35);
+    timer.dispose();
+    await clock.advance(100);
+    assert.equal(beats, 3);
+  });
+
+  it('rejects a sleep whose signal aborts', async () => {
+    const clock = virtualClock();
+    const stop = new AbortController();
+    const waiting = sleep(clock, 1000, stop.signal);
+    stop.abort();
+    await assert.rejects(waiting, {kind: 'cancelled'});
+  });
+});
--- /dev/null
+++ b/packages/duties/src/index.ts
@@ -0,0 +1,2 @@
+/** Leases and fencing numbers. */
+export * from './contracts.js';
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,2 @@
+/** Hosts per failure domain and machine class, repair. */
+export * from './contracts.js';
--- /dev/null
+++ b/packages/members/src/index.ts
@@ -0,0 +1,2 @@
+/** Entry membership, heartbeats, leaving, lookup answers. */
+export * from './contracts.js';
--- /dev/null
+++ b/packages/moves/src/index.ts
@@ -0,0 +1,2 @@
+/** Version moves: shares, judging, deadline, taking back. */
+export * from './contracts.js';
--- /dev/null
+++ b/packages/orders/src/index.ts
@@ -0,0 +1,2 @@
+/** The ledger that runs non-idempotent calls at most once. */
+export * from './contracts.js';
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,2 @@
+/** Typed clients for the platform. */
+export * from './contracts.js';
--- /dev/null
+++ b/packages/protocol/src/messages/endpointMessages.ts
@@ -0,0 +1,11 @@
+/** Messages by which entries tell each other about endpoints. */
+
+export interface EndpointMessages {
+  /** The sender has learnt that an endpoint or its host leaves. */
+  endpointLeaving: {
+    readonly endpoints: readonly string[];
+    readonly host: string;
+    /** Wall-clock milliseconds by which the host is gone; 0 when not known. */
+    readonly goneAt: number;
+  };
+}
--- /dev/null
+++ b/packages/records/src/index.ts
@@ -0,0 +1,2 @@
+/** Record kinds and schemas, acceptance, the configuration in force. */
+export * from './contracts.js';
--- /dev/null
+++ b/packages/routing/src/contracts.ts
@@ -0,0 +1,59 @@
+/** Which endpoint serves a request. */
+import type {CacheEvent, LoadReport} from '@skylarkfield/endpoints';
+
+/** An endpoint as routing sees it. */
+export interface Candidate {
+  readonly id: string;
+  readonly service: string;
+  readonly version: string;
+  readonly failureDomain: string;
+  readonly host: string;
+  readonly type: 'model' | 'plain';
+}
+
+/** A request that needs an endpoint. */
+export interface Journey {
+  readonly service: string;
+  readonly version: string;
+  /** Hashes of the prompt's blocks; empty for plain services. */
+  readonly blocks: readonly string[];
+  readonly promptTokens: number;
+  readonly expectedTokens: number;
+  /** Endpoints already tried in vain for this request. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+export interface Choice {
+  readonly endpoint: string;
+  /** Prompt tokens believed to be cached there. */
+  readonly cachedTokens: number;
+  /** Tells the router how the attempt went; exactly once. */
+  finish(result: AttemptResult): void;
+}
+
+export interface AttemptResult {
+  readonly outcome:
+    | 'ok'
+    | 'failed'
+    | 'unreachable'
+    | 'overloaded'
+    | 'cancelled';
+  readonly latencyMs: number;
+  /** What the engine said it found cached, if it said so. */
+  readonly cachedTokens?: number;
+}
+
+export interface Router {
+  /** The whole list of endpoints, as the host list gives it. */
+  setEndpoints(endpoints: readonly Candidate[]): void;
+  /** The endpoint gets no new work from now on; works before the endpoint is listed too. */
+  markLeaving(endpoint: string): void;
+  /** Chooses; undefined when no endpoint may take the request. */
+  choose(journey: Journey): Choice | undefined;
+  reportLoad(endpoint: string, report: LoadReport): void;
+  /** Cache events in the order of arrival; returns the sequence to ask from next (-1: resync). */
+  reportCache(endpoint: string, events: readonly CacheEvent[]): number;
+  /** Sum of the slots of a service's usable endpoints. */
+  slots(service: string): number;
+  dump(): unknown;
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,2 @@
+/** Which endpoint serves a request. */
+export * from './contracts.js';
--- /dev/null
+++ b/packages/streams/src/contracts.ts
@@ -0,0 +1,72 @@
+/** Answers of model engines: attempts, correlation, resume. */
+import type {Engine} from '@skylarkfield/endpoints';
+
+/** One token for the caller. */
+export interface StreamToken {
+  readonly index: number;
+  readonly text: string;
+}
+
+export interface StreamSummary {
+  readonly reason: 'stop' | 'length';
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
+  readonly generatedTokens: number;
+  /** Attempts made, 1 when nothing failed. */
+  readonly attempts: number;
+  /** Prompt and answer tokens computed again because an attempt was lost. */
+  readonly recomputedTokens: number;
+}
+
+/** Where an attempt runs. */
+export interface StreamPlace {
+  readonly endpoint: string;
+  readonly url: string;
+  readonly engine: Engine;
+  /** Fires when the endpoint has been told that it leaves: hand the stream over. */
+  readonly leaving: AbortSignal;
+  finish(result: {
+    readonly outcome:
+      | 'ok'
+      | 'failed'
+      | 'unreachable'
+      | 'overloaded'
+      | 'cancelled';
+    readonly latencyMs: number;
+    readonly cachedTokens?: number;
+  }): void;
+}
+
+export interface StreamRequest {
+  readonly id: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly urgency: number;
+  readonly seed: number;
+  /** Monotonic milliseconds by which the first token has to come. */
+  readonly firstTokenDeadline: number;
+  /** Monotonic milliseconds by which the answer has to end. */
+  readonly deadline: number;
+}
+
+export interface StreamRunner {
+  /**
+   * Runs a request to its end, over as many attempts as it takes.
+   * `place` gives an endpoint that is not excluded, or throws;
+   * `mayRetry` takes from the retry budget.
+   * Each token reaches `deliver` once and in order; a promise it returns holds the stream back.
+   */
+  run(
+    request: StreamRequest,
+    hooks: {
+      place(
+        excluded: ReadonlySet<string>,
+        delivered: readonly string[],
+      ): StreamPlace;
+      mayRetry(): boolean;
+      deliver(token: StreamToken): void | Promise<void>;
+    },
+    signal: AbortSignal,
+  ): Promise<StreamSummary>;
+  dump(): unknown;
+}
--- /dev/null
+++ b/packages/streams/src/index.ts
@@ -0,0 +1,2 @@
+/** Attempts, correlation and resume of token streams. */
+export * from './contracts.js';
