Inner network over WebSockets and memory, membership of entries

Cause: orders, records, moves and the entry need peers to talk to, and callers need to know which entries there are.

protocol: codec (msgpackr with record structures, so that lists of like items carry their field names once), dispatcher with asks whose run state is true (not-run only when nothing was sent), WebSocket network with a robot3 machine per link, inner port with the key compared in constant time, limits on size, rate, handshakes, buffers and silence, TLS material that is read again on renewal; a memory network with the same codec. robot3 is a new dependency of protocol (already in the workspace). Contract additions: setAddressBook, dial, receivers of broadcast, and the kinds ask throws; messages memberProbe, memberWord, membersWanted.

members: a robot3 machine per member, silence detection that needs another member's word, refutation by sequence, gossip on heartbeats with a bound, reconciliation by bucket hashes, wake guard, member objects with one sweeper, neighbours on rings beyond 24 members, lookup order.

--- /dev/null
+++ b/packages/members/src/reconciler.ts
@@ -0,0 +1,70 @@
+/**
+ * Mends what gossip missed: two entries compare one hash with every heartbeat,
+ * and one that differs for long fetches just the buckets that differ.
+ */
+import type {Clock} from '@skylarkfield/base';
+import type {
+  MemberNews,
+  MembersGiven,
+  PeerNetwork,
+} from '@skylarkfield/protocol';
+import type {MemberTable} from './memberTable.js';
+import type {MemberTiming} from './timing.js';
+
+export interface Reconciler {
+  /** Compares a peer's digest with ours. */
+  compare(peer: string, digest: number | undefined): void;
+  /** Fetches all that the peer knows otherwise. */
+  fetch(peer: string): Promise<void>;
+  /** Fetches made so far. */
+  count(): number;
+}
+
+/**
+ * Makes the reconciler of one entry.
+ *
+ * @example
+ * reconciler.compare(from, heartbeat.digest);
+ */
+export function createReconciler(options: {
+  readonly table: MemberTable;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly timing: MemberTiming;
+  own(): MemberNews;
+  learn(news: MemberNews): void;
+}): Reconciler {
+  const {table, network, clock, timing} = options;
+  let differsSince: number | undefined;
+  let fetches = 0;
+
+  async function fetch(peer: string): Promise<void> {
+    fetches += 1;
+    const buckets = table.bucketsWith(options.own());
+    const given = await network
+      .ask(peer, 'membersWanted', {buckets}, timing.probeMs)
+      .catch(() => undefined);
+    for (const news of (given as MembersGiven | undefined)?.news ?? []) {
+      options.learn(news);
+    }
+  }
+
+  return {
+    compare(peer, digest) {
+      const isSame = digest === table.digestWith(options.own());
+      if (digest === undefined || isSame) {
+        differsSince = undefined;
+        return;
+      }
+      const now = clock.now();
+      differsSince ??= now;
+      if (now - differsSince < timing.reconcileMs) {
+        return;
+      }
+      differsSince = now;
+      void fetch(peer);
+    },
+    fetch,
+    count: () => fetches,
+  };
+}
--- /dev/null
+++ b/packages/members/src/test/membership.test.ts
@@ -0,0 +1,151 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createCluster, type Cluster} from './cluster.js';
+
+const SETTLE_MS = 10_000;
+const LOSE_MS = 15_000;
+
+/** Every running entry lists exactly these. */
+function assertAllList(cluster: Cluster, expected: readonly string[]) {
+  for (const id of cluster.running.keys()) {
+    assert.deepEqual(cluster.liveAt(id), [...expected].sort(), `seen by ${id}`);
+  }
+}
+
+async function settledCluster(count: number) {
+  const cluster = createCluster();
+  const ids = cluster.startMany(count);
+  await cluster.clock.advance(SETTLE_MS);
+  assertAllList(cluster, ids);
+  return {cluster, ids};
+}
+
+describe('membership', () => {
+  for (const count of [1, 2, 7, 40]) {
+    it(`lists all of ${count} that start at once`, async () => {
+      await settledCluster(count);
+    });
+  }
+
+  it('counts a killed entry as gone, after another one confirmed it', async () => {
+    // An entry's host is taken without notice: its peers hear nothing more.
+    // While they list it, callers are sent to an address that doesn't answer.
+    const {cluster, ids} = await settledCluster(7);
+    cluster.crash('m3');
+    await cluster.clock.advance(LOSE_MS);
+    assertAllList(
+      cluster,
+      ids.filter(id => id !== 'm3'),
+    );
+  });
+
+  it('keeps an entry listed that one peer alone cannot hear', async () => {
+    // A broken way from m1 to m2 only: m2 hears nothing of m1, all others do.
+    // Without another's word m2 would send its callers away from a healthy entry.
+    const {cluster, ids} = await settledCluster(7);
+    cluster.net.cut('m1', 'm2');
+    for (let second = 0; second < 60; second++) {
+      await cluster.clock.advance(1_000);
+      const gone = cluster.running
+        .get('m2')!
+        .members()
+        .every(member => member.id !== 'm1');
+      assert.equal(gone, false);
+    }
+    cluster.net.healAll();
+    await cluster.clock.advance(SETTLE_MS);
+    assertAllList(cluster, ids);
+  });
+
+  it('stops listing a leaving entry before leave() resolves', async () => {
+    // A planned stop: whoever still lists the entry sends it callers that it
+    // has to turn away.
+    const {cluster, ids} = await settledCluster(7);
+    const rest = ids.filter(id => id !== 'm3');
+    let resolved = false;
+    const leaving = cluster.running
+      .get('m3')!
+      .leave()
+      .then(() => (resolved = true));
+    for (let ms = 0; !resolved && ms < 1_000; ms++) {
+      await cluster.clock.advance(1);
+    }
+    await leaving;
+    assert.ok(cluster.clock.now() < SETTLE_MS + 100, 'acknowledged at once');
+    assertAllList(cluster, rest);
+    assert.ok(!cluster.platform.names().includes('m3'));
+  });
+
+  it('takes a restarted entry for a new one at once', async () => {
+    // The process dies and comes back under the same id within a second; its
+    // peers must not mistake the new one for the silent old one.
+    const {cluster, ids} = await settledCluster(7);
+    cluster.crash('m3');
+    cluster.start('m3');
+    await cluster.clock.advance(SETTLE_MS);
+    assertAllList(cluster, ids);
+    const seen = cluster.running.get('m0')!.members();
+    const again = seen.find(member => member.id === 'm3');
+    assert.equal(again?.incarnation, 8);
+  });
+
+  it('is not current after a pause until a peer has answered', async () => {
+    // The process is stopped for a minute and goes on as if nothing had
+    // happened. Others have taken over what it held: acting before it has
+    // heard from them would do things twice.
+    const {cluster, ids} = await settledCluster(7);
+    const paused = cluster.running.get('m3')!;
+    cluster.net.pause('m3');
+    await cluster.clock.advance(60_000);
+    assert.ok(!cluster.liveAt('m0').includes('m3'), 'others count it as gone');
+    assert.equal(paused.isCurrent(), false);
+    cluster.net.resume('m3');
+    assert.equal(paused.isCurrent(), false, 'what waited proves nothing');
+    await cluster.clock.advance(SETTLE_MS);
+    assert.equal(paused.isCurrent(), true);
+    assertAllList(cluster, ids);
+  });
+
+  it('finds both sides of a long cut again', async () => {
+    // Two regions lose each other: each side counts the other as gone, removes
+    // its objects and goes on. When the cut heals both must list all again.
+    const {cluster, ids} = await settledCluster(7);
+    const left = ids.slice(0, 3);
+    const right = ids.slice(3);
+    left.forEach(id => cluster.cutOff(id, right));
+    await cluster.clock.advance(200_000);
+    assert.deepEqual(cluster.liveAt('m0'), left);
+    assert.deepEqual(cluster.liveAt('m6'), right);
+    cluster.net.healAll();
+    await cluster.clock.advance(60_000);
+    assertAllList(cluster, ids);
+  });
+
+  it('joins through a seed while the platform is down', async () => {
+    // The platform is out for an hour and a host is replaced meanwhile: the new
+    // process can't read who is there and would otherwise serve nobody.
+    const {cluster, ids} = await settledCluster(7);
+    cluster.platform.setDown(true);
+    cluster.start('m7', ['m0']);
+    cluster.crash('m1');
+    await cluster.clock.advance(LOSE_MS);
+    const expected = [...ids, 'm7'].filter(id => id !== 'm1');
+    assertAllList(cluster, expected);
+    cluster.platform.setDown(false);
+    await cluster.clock.advance(60_000);
+    assert.ok(cluster.platform.names().includes('m7'));
+  });
+
+  it('removes the objects of the dead with few calls', async () => {
+    // Without removal each new process would try ever more dead addresses; if
+    // every entry removed them, the platform would get a storm of calls.
+    const {cluster, ids} = await settledCluster(12);
+    const dead = ids.slice(0, 4);
+    dead.forEach(id => cluster.crash(id));
+    const before = cluster.platform.calls();
+    await cluster.clock.advance(240_000);
+    assert.deepEqual(cluster.platform.names().sort(), ids.slice(4).sort());
+    const calls = cluster.platform.calls() - before;
+    assert.ok(calls <= 12, `${calls} calls`);
+  });
+});
--- a/packages/protocol/src/contracts.ts
+++ b/packages/protocol/src/contracts.ts
@@ -48,15 +48,35 @@
 export interface PeerNetwork extends Disposable {
   /** The peers to stay connected to; others are closed. */
   setPeers(peers: readonly PeerAddress[]): void;
+  /**
+   * Peers that are connected to only when something is sent to them: with many
+   * entries, `setPeers` names the few neighbours and this names all.
+   */
+  setAddressBook(peers: readonly PeerAddress[]): void;
+  /**
+   * Connects to an address whose id is not known, for joining through a seed;
+   * resolves with the id. Throws `interrupted` when nobody fit answers.
+   */
+  dial(url: string): Promise<string>;
   /** Ids with an open connection now. */
   connected(): readonly string[];
   /** Sends without waiting; false when there is no open connection. */
   send<T extends MessageType>(to: string, type: T, body: Messages[T]): boolean;
-  /** Sends to every connected peer; returns how many. */
-  broadcast<T extends MessageType>(type: T, body: Messages[T]): number;
   /**
-   * Sends a message and waits for the answering body.
-   * Throws `protocol-violation`, `deadline-exceeded` or `cancelled`.
+   * Sends to every connected peer, or to those given; returns how many. With
+   * many entries the connected ones are the neighbours: who hears news passes
+   * it on once.
+   */
+  broadcast<T extends MessageType>(
+    type: T,
+    body: Messages[T],
+    to?: readonly string[],
+  ): number;
+  /**
+   * Sends a message and waits for the answering body; connects first to a peer
+   * of the address book. Throws `protocol-violation`, `deadline-exceeded` (may
+   * have run), `interrupted` (`not-run` when nothing was sent), `cancelled`, or
+   * the kind and run state that the peer's handler threw.
    */
   ask<T extends MessageType>(
     to: string,
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,5 +1,10 @@
 /** The inner protocol between entries. */
 export * from './contracts.js';
+export * from './codec.js';
+export * from './memoryNetwork.js';
+export * from './peerNetwork.js';
+export * from './innerTls.js';
+export * from './limits.js';
 export * from './messages/memberMessages.js';
 export * from './messages/recordMessages.js';
 export * from './messages/orderMessages.js';
--- a/packages/protocol/src/messages/memberMessages.ts
+++ b/packages/protocol/src/messages/memberMessages.ts
@@ -22,7 +22,36 @@
     readonly sequence: number;
     readonly load: number;
     readonly news: readonly MemberNews[];
+    /** Hash of all members the sender knows; a lasting difference is reconciled. */
+    readonly digest?: number;
   };
-  /** Sent once, to all peers, before a stopping entry does anything else. */
+  /** Sent before a stopping entry does anything else; asked, so that it is acknowledged. */
   leaving: {readonly news: MemberNews};
+  /**
+   * Asks a member for its own news, right now; carries what the asker believes
+   * of it, so that it can refute. Answered with `MemberProof`.
+   */
+  memberProbe: {readonly from: MemberNews; readonly believed?: MemberNews};
+  /** Asks whether the receiver has heard a silent member; answered with `MemberWord`. */
+  memberWord: {readonly id: string; readonly incarnation: number};
+  /** Asks for the members of those buckets that differ; answered with `MembersGiven`. */
+  membersWanted: {readonly buckets: readonly number[]};
+}
+
+/** A member's answer to a probe. */
+export interface MemberProof {
+  readonly news: MemberNews;
+  /** What the answering one believed of the asker when that was not `live`. */
+  readonly believed?: MemberNews;
+}
+
+/** What a member has heard of another one itself. */
+export interface MemberWord {
+  /** Milliseconds since it heard that incarnation or a later one; -1 for never. */
+  readonly heardAgoMs: number;
+}
+
+/** Answer to `membersWanted`. */
+export interface MembersGiven {
+  readonly news: readonly MemberNews[];
 }
--- /dev/null
+++ b/packages/protocol/src/test/peers.ts
@@ -0,0 +1,42 @@
+/** Networks over real sockets on loopback. */
+import {seededRandom, silentLogger, systemClock} from '@skylarkfield/base';
+import {
+  createPeerNetwork,
+  type ListeningNetwork,
+  type NetworkLimits,
+  type PeerAddress,
+  type RenewedTls,
+} from '../index.js';
+
+export const KEY = 'inner key of the tests';
+
+export interface TestPeer {
+  readonly network: ListeningNetwork;
+  readonly address: PeerAddress;
+}
+
+export async function startPeer(
+  id: string,
+  options: {
+    readonly key?: string;
+    readonly limits?: Partial<NetworkLimits>;
+    readonly tls?: RenewedTls;
+    readonly port?: number;
+  } = {},
+): Promise<TestPeer> {
+  const network = createPeerNetwork({
+    self: {id, incarnation: 1},
+    clock: systemClock(),
+    random: seededRandom(1),
+    log: silentLogger(),
+    key: KEY,
+    ...options,
+  });
+  const {port} = await network.listen({
+    host: '127.0.0.1',
+    port: options.port ?? 0,
+  });
+  const scheme = options.tls ? 'wss' : 'ws';
+  const url = `${scheme}://127.0.0.1:${port}`;
+  return {network, address: {id, incarnation: 1, url}};
+}
