Platform client, its in-process fake and HTTP stand-in; record schemas

The client works over any transport, so that the fake and HTTP differ only in the wire and one fault table runs against both. A write whose reply was lost is read back by its write id; when others have replaced the object since, the changes after the version it started from tell whether it took effect, and without that history the outcome is reported as unknown.

Ruled out: answering unknown whenever the object has moved on (true, but most lost replies could be resolved), and trusting a read that shows the old version (the write may still be under way: it is sent again under the same id and condition instead).

A stand-in that is down first dropped connections. The client then rightly says outcome-unknown for writes, so the state that means 'without effect' is now a 503; lost replies stay a switch of their own.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,2 +1,9 @@
 /** Typed clients for the platform. */
 export * from './contracts.js';
+export * from './httpCloud.js';
+export * from './httpHostList.js';
+export * from './httpObjectStore.js';
+export * from './httpWeightStore.js';
+export * from './memoryPlatform.js';
+export * from './objectStore.js';
+export * from './objectTable.js';
