--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,2 +1,3 @@
 /** Bulkheads, importance, customer fairness, limits, deadlines, retry budgets. */
 export * from './contracts.js';
+export * from './admission.js';
--- /dev/null
+++ b/packages/bench/src/commandLine.ts
@@ -0,0 +1,60 @@
+/** The command line of the bench: `NAME [--seed N] [--seconds N] [--out FILE]` or `--list`. */
+import {parseArgs} from 'node:util';
+
+export interface BenchCommand {
+  readonly name: string | undefined;
+  readonly isList: boolean;
+  readonly seed: number;
+  readonly seconds: number | undefined;
+  readonly outFile: string | undefined;
+}
+
+export const USAGE =
+  'usage: npm run bench -- NAME [--seed N] [--seconds N] [--out FILE]\n' +
+  '       npm run bench -- --list';
+
+/** Seeds from 1 to 999 are for tuning, those from 1000 on for reports. */
+const DEFAULT_SEED = 1000;
+
+/**
+ * Reads the arguments; throws an error that says what is wrong with them.
+ *
+ * @example
+ * const command = readCommand(process.argv.slice(2));
+ */
+export function readCommand(args: readonly string[]): BenchCommand {
+  const {values, positionals} = parseArgs({
+    args: [...args],
+    allowPositionals: true,
+    options: {
+      list: {type: 'boolean', default: false},
+      seed: {type: 'string'},
+      seconds: {type: 'string'},
+      out: {type: 'string'},
+    },
+  });
+  if (positionals.length > 1) {
+    throw new Error(`one measurement at a time, not ${positionals.join(', ')}`);
+  }
+  return {
+    name: positionals[0],
+    isList: values.list,
+    seed: readNumber('seed', values.seed) ?? DEFAULT_SEED,
+    seconds: readNumber('seconds', values.seconds),
+    outFile: values.out,
+  };
+}
+
+function readNumber(
+  name: string,
+  text: string | undefined,
+): number | undefined {
+  if (text === undefined) {
+    return undefined;
+  }
+  const value = Number(text);
+  if (!Number.isFinite(value) || value <= 0) {
+    throw new Error(`--${name} has to be a number above 0, not ${text}`);
+  }
+  return value;
+}
--- /dev/null
+++ b/packages/bench/src/measurements.ts
@@ -0,0 +1,124 @@
+/** The table of measurements, and how one is loaded by name. */
+
+export interface MeasureOptions {
+  /** Seed of every random number of the run. */
+  readonly seed: number;
+  /** Wanted length of the run in seconds; each measurement has its own default. */
+  readonly seconds?: number;
+}
+
+export type Measure = (options: MeasureOptions) => Promise<object>;
+
+export type MeasurementName =
+  | 'overhead'
+  | 'isolation'
+  | 'overload'
+  | 'routing'
+  | 'reclaim'
+  | 'moves'
+  | 'fleet'
+  | 'orders'
+  | 'spread'
+  | 'slopes';
+
+interface Measurement {
+  /** Module beside this one, loaded only when it is asked for. */
+  readonly module: string;
+  /** The function that the module exports. */
+  readonly exported: string;
+  readonly about: string;
+}
+
+/** Every measurement by name. */
+export const measurements: Readonly<Record<MeasurementName, Measurement>> = {
+  overhead: {
+    module: './overhead.js',
+    exported: 'measureOverhead',
+    about: 'time per request against calling the endpoint directly',
+  },
+  isolation: {
+    module: './isolation.js',
+    exported: 'measureIsolation',
+    about: 'other services while one hangs, slows, fails or is flooded',
+  },
+  overload: {
+    module: './overload.js',
+    exported: 'measureOverload',
+    about: 'goodput by importance at 1x, 2x and 5x of capacity',
+  },
+  routing: {
+    module: './routing.js',
+    exported: 'measureRouting',
+    about: 'tokens recomputed and first-token latency by routing policy',
+  },
+  reclaim: {
+    module: './reclaim.js',
+    exported: 'measureReclaim',
+    about: 'streams while a failure domain of engines is reclaimed',
+  },
+  moves: {
+    module: './moves.js',
+    exported: 'measureMoves',
+    about: 'good versions moved in, bad versions taken back',
+  },
+  fleet: {
+    module: './fleet.js',
+    exported: 'measureFleet',
+    about: 'cost of a priced day at the latency target',
+  },
+  orders: {
+    module: './orders.js',
+    exported: 'measureOrders',
+    about: 'platform writes and added latency as orders grow',
+  },
+  spread: {
+    module: './spread.js',
+    exported: 'measureSpread',
+    about: 'time until a configuration is in force as entries grow',
+  },
+  slopes: {
+    module: './slopes.js',
+    exported: 'measureSlopes',
+    about: 'control traffic, processor time and memory as the fleet grows',
+  },
+};
+
+/** Why a measurement cannot be run. */
+export type Unavailable = 'unknown name' | 'not written yet';
+
+export type Loaded =
+  | {readonly type: 'found'; readonly measure: Measure}
+  | {readonly type: 'unavailable'; readonly reason: Unavailable};
+
+/**
+ * Loads a measurement by name.
+ *
+ * @example
+ * const loaded = await loadMeasurement('isolation');
+ */
+export async function loadMeasurement(name: string): Promise<Loaded> {
+  if (!Object.hasOwn(measurements, name)) {
+    return {type: 'unavailable', reason: 'unknown name'};
+  }
+  const {module, exported} = measurements[name as MeasurementName];
+  const url = new URL(module, import.meta.url).href;
+  try {
+    const content = (await import(url)) as Record<string, Measure | undefined>;
+    const measure = content[exported];
+    if (measure === undefined) {
+      return {type: 'unavailable', reason: 'not written yet'};
+    }
+    return {type: 'found', measure};
+  } catch (error) {
+    if (isMissingModule(error, url)) {
+      return {type: 'unavailable', reason: 'not written yet'};
+    }
+    throw error;
+  }
+}
+
+/** True only for the measurement's own module: a missing dependency of it is a real error. */
+function isMissingModule(error: unknown, url: string): boolean {
+  const {code, url: missing} = error as {code?: string; url?: string};
+  return code === 'ERR_MODULE_NOT_FOUND' && missing === url;
+}
