Engine model, its HTTP stand-in and client; thin router and stream runner

The parts that others need to wire the entry: an engine simulation driven by a clock (continuous batching, limited prefix cache with late and lossy events, urgency, lagging load reports, KV export and import, fencing), the same over HTTP with fault switches, a client with true run states, a router by least outstanding and a runner that goes on from the delivered position.

Contract of endpoints extended: a start event, and cachedTokens counts tokens of the delivered answer too, so that work done again can be counted.

--- a/packages/endpoints/src/contracts.ts
+++ b/packages/endpoints/src/contracts.ts
@@ -18,6 +18,14 @@
 
 /** What an engine sends while it generates. */
 export type GenerationEvent =
+  | {
+      /** The engine has begun with the prompt; comes at most once, before the first token. */
+      readonly type: 'start';
+      readonly attempt: string;
+      readonly promptTokens: number;
+      /** Tokens of the prompt and of the delivered answer that need no computing. */
+      readonly cachedTokens: number;
+    }
   | {
       readonly type: 'token';
       readonly attempt: string;
@@ -30,8 +38,9 @@
       readonly attempt: string;
       readonly reason: 'stop' | 'length';
       readonly promptTokens: number;
-      /** Prompt tokens that were found in the engine's prefix cache. */
+      /** Tokens of the prompt and of the delivered answer that needed no computing. */
       readonly cachedTokens: number;
+      /** Length of the whole answer, the delivered tokens included. */
       readonly generatedTokens: number;
     };
 
--- a/packages/endpoints/src/promptBlocks.ts
+++ b/packages/endpoints/src/promptBlocks.ts
@@ -23,10 +23,24 @@
  * const blocks = promptBlocks(promptTokens(prompt));
  */
 export function promptBlocks(tokens: readonly string[]): string[] {
-  const blocks: string[] = [];
-  let chain = '';
+  return extendBlocks([], tokens);
+}
+
+/**
+ * Hashes of the full blocks of a longer text whose first blocks are known
+ * already, so that a growing history is not hashed from its start each time.
+ *
+ * @example
+ * const blocks = extendBlocks(promptBlocks(tokens), [...tokens, ...answer]);
+ */
+export function extendBlocks(
+  known: readonly string[],
+  tokens: readonly string[],
+): string[] {
+  const blocks = [...known];
+  let chain = blocks.at(-1) ?? '';
   for (
-    let start = 0;
+    let start = known.length * BLOCK_TOKENS;
     start + BLOCK_TOKENS <= tokens.length;
     start += BLOCK_TOKENS
   ) {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,2 +1,3 @@
 /** Which endpoint serves a request. */
 export * from './contracts.js';
+export * from './router.js';
--- /dev/null
+++ b/packages/standins/src/engine/engineStandin.ts
@@ -0,0 +1,303 @@
+/** An engine model behind HTTP, with control routes that switch its faults. */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {
+  ServingError,
+  checkShape,
+  errorAnswers,
+  parseJson,
+  processRandom,
+  systemClock,
+  toServingError,
+  type Random,
+} from '@skylarkfield/base';
+import type {EndpointOrder, Generation} from '@skylarkfield/endpoints';
+import polka from 'polka';
+import type {EngineCosts} from './engineCosts.js';
+import type {EngineFault} from './engineFaults.js';
+import {createEngineModel, type EngineModel} from './engineModel.js';
+import {
+  attemptShape,
+  exportedShape,
+  faultsShape,
+  fromShape,
+  generationShape,
+  orderShape,
+} from './engineRequestShapes.js';
+
+export interface EngineStandinOptions {
+  /** 0 takes any free port. */
+  readonly port: number;
+  readonly host: string;
+  readonly service: string;
+  readonly version: string;
+  readonly role?: string;
+  readonly checksFencing?: boolean;
+  readonly costs?: Partial<EngineCosts>;
+  readonly faults?: readonly EngineFault[];
+  readonly random?: Random;
+}
+
+export interface EngineStandin {
+  readonly url: string;
+  readonly port: number;
+  readonly model: EngineModel;
+  /** Switches faults, as the control route does. */
+  setFaults(faults: readonly EngineFault[]): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/** The largest body taken, in bytes. */
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+type Handler = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => Promise<void>;
+
+/**
+ * Starts an engine stand-in. `POST /control/faults` takes a list of faults and
+ * `GET /control/totals` tells what work was done.
+ *
+ * @example
+ * const engine = await startEngineStandin({port: 0, host: '127.0.0.1', service: 'match', version: 'v1'});
+ * await engine.stop();
+ */
+export async function startEngineStandin(
+  options: EngineStandinOptions,
+): Promise<EngineStandin> {
+  const clock = systemClock();
+  const model = createEngineModel({
+    ...options,
+    clock,
+    random: options.random ?? processRandom(),
+  });
+  const sockets = new Set<Socket>();
+  const app = polka();
+  const server = createServer((request, response) => {
+    void app.handler(request as never, response as never);
+  });
+  server.on('connection', socket => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
+  let isListening = false;
+  let port = options.port;
+
+  async function listen() {
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, options.host, resolve);
+    });
+    port = (server.address() as AddressInfo).port;
+    isListening = true;
+  }
+
+  async function close() {
+    if (!isListening) {
+      return;
+    }
+    isListening = false;
+    const closed = new Promise(resolve => server.close(resolve));
+    sockets.forEach(socket => socket.destroy());
+    await closed;
+  }
+
+  async function setFaults(faults: readonly EngineFault[]) {
+    model.setFaults(faults);
+    if (model.hasFault('down')) {
+      await close();
+    } else if (!isListening) {
+      await listen();
+    }
+  }
+
+  function route(
+    method: 'get' | 'post',
+    path: string,
+    handler: Handler,
+    isControl = false,
+  ) {
+    app[method](path, (request, response) => {
+      // A paused engine takes the connection and never answers.
+      if (!isControl && model.hasFault('pause')) {
+        return;
+      }
+      handler(request, response).catch(error => sendError(response, error));
+    });
+  }
+
+  route('post', '/v1/generate', async (request, response) => {
+    const generation = checkShape(
+      generationShape,
+      await readBody(request),
+      'bad-request',
+    );
+    stream(model, generation as Generation, response);
+  });
+  route('post', '/v1/cancel', async (request, response) => {
+    const body = checkShape(
+      attemptShape,
+      await readBody(request),
+      'bad-request',
+    );
+    model.cancel(body.attempt);
+    sendJson(response, {});
+  });
+  route('get', '/v1/load', async (_request, response) =>
+    sendJson(response, model.load()),
+  );
+  route('get', '/v1/cache-events', async (request, response) => {
+    const url = new URL(request.url ?? '/', 'http://engine');
+    const after = Number(url.searchParams.get('after') ?? '-1');
+    sendJson(response, model.cacheEvents(after));
+  });
+  route('post', '/v1/export', async (request, response) => {
+    const body = checkShape(
+      attemptShape,
+      await readBody(request),
+      'bad-request',
+    );
+    const exported = model.exportCache(body.attempt);
+    if (exported === undefined) {
+      throw new ServingError('not-found', 'nothing to export');
+    }
+    const {handle, tokens, bytes} = exported;
+    sendJson(response, {handle, tokens, bytes});
+  });
+  route('get', '/v1/exports/:handle', async (request, response) => {
+    const handle = (request.url ?? '').split('/').at(-1) ?? '';
+    const exported = model.exported(decodeURIComponent(handle));
+    if (exported === undefined) {
+      throw new ServingError('not-found', 'no such export');
+    }
+    sendJson(response, exported);
+  });
+  route('post', '/v1/import', async (request, response) => {
+    const from = checkShape(fromShape, await readBody(request), 'bad-request');
+    const exported = await fetchExport(from);
+    await new Promise(resolve =>
+      setTimeout(resolve, model.importDelayMs(exported)),
+    );
+    model.importCache(exported);
+    const {handle, tokens, bytes} = exported;
+    sendJson(response, {handle, tokens, bytes});
+  });
+  route('post', '/v1/order', async (request, response) => {
+    const order = checkShape(
+      orderShape,
+      await readBody(request),
+      'bad-request',
+    );
+    model.order(order as EndpointOrder);
+    sendJson(response, {});
+  });
+  route('get', '/v1/running', async (_request, response) =>
+    sendJson(response, model.running()),
+  );
+  route(
+    'post',
+    '/control/faults',
+    async (request, response) => {
+      const body = checkShape(
+        faultsShape,
+        await readBody(request),
+        'bad-request',
+      );
+      sendJson(response, {});
+      await setFaults(body as EngineFault[]);
+    },
+    true,
+  );
+  route(
+    'get',
+    '/control/totals',
+    async (_request, response) => sendJson(response, model.totals()),
+    true,
+  );
+
+  await listen();
+  await setFaults(options.faults ?? []);
+  return {
+    url: `http://${options.host}:${port}`,
+    port,
+    model,
+    setFaults,
+    async stop() {
+      model.dispose();
+      await close();
+    },
+  };
+}
+
+/** Sends an answer as server-sent events; a caller that goes cancels it. */
+function stream(
+  model: EngineModel,
+  generation: Generation,
+  response: ServerResponse,
+) {
+  let isStarted = false;
+  response.once('close', () => model.cancel(generation.attempt));
+  model.submit(generation, {
+    event(event) {
+      if (!isStarted) {
+        isStarted = true;
+        response.writeHead(200, {'content-type': 'text/event-stream'});
+      }
+      response.write(`data: ${JSON.stringify(event)}\n\n`);
+      if (event.type === 'end') {
+        response.end();
+      }
+    },
+    fail(error) {
+      if (isStarted) {
+        response.destroy();
+      } else {
+        sendError(response, error);
+      }
+    },
+  });
+}
+
+async function fetchExport(from: {url: string; handle: string}) {
+  try {
+    const path = `${from.url}/v1/exports/${encodeURIComponent(from.handle)}`;
+    const reply = await fetch(path);
+    return exportedShape.parse(await reply.json());
+  } catch (error) {
+    throw new ServingError('endpoint-failed', 'the export is out of reach', {
+      cause: error,
+    });
+  }
+}
+
+async function readBody(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of request) {
+    chunks.push(chunk as Buffer);
+    size += (chunk as Buffer).length;
+    if (size > MAX_BODY_BYTES) {
+      throw new ServingError('too-large', 'the body is too large');
+    }
+  }
+  return parseJson(Buffer.concat(chunks).toString(), 'bad-request', 'body');
+}
+
+function sendJson(response: ServerResponse, value: unknown, status = 200) {
+  response.writeHead(status, {'content-type': 'application/json'});
+  response.end(JSON.stringify(value));
+}
+
+function sendError(response: ServerResponse, error: unknown) {
+  const {kind, message} = toServingError(error);
+  if (response.headersSent || response.destroyed) {
+    response.destroy();
+    return;
+  }
+  sendJson(response, {kind, title: message}, errorAnswers[kind].status);
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+/** Stand-ins for the platform, model engines and plain services. */
+export * from './engine/index.js';
--- /dev/null
+++ b/packages/standins/src/test/engineModel.test.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {seededRandom, virtualClock} from '@skylarkfield/base';
+import type {Generation, GenerationEvent} from '@skylarkfield/endpoints';
+import {answerTokens, createEngineModel} from '../index.js';
+
+function words(count: number, name = 'w'): string {
+  return Array.from({length: count}, (_, i) => `${name}${i}`).join(' ');
+}
+
+function generation(overrides: Partial<Generation>): Generation {
+  return {
+    attempt: 'a1',
+    prompt: words(40),
+    maxTokens: 20,
+    urgency: 3,
+    delivered: [],
+    seed: 7,
+    ...overrides,
+  };
+}
+
+function setUp(costs = {}) {
+  const clock = virtualClock();
+  const random = seededRandom(1);
+  const model = createEngineModel({clock, random, version: 'v1', costs});
+  const events: GenerationEvent[] = [];
+  const errors: string[] = [];
+  const sink = {
+    event: (event: GenerationEvent) => void events.push(event),
+    fail: (error: {kind: string}) => void errors.push(error.kind),
+  };
+  const text = () =>
+    events.map(event => (event.type === 'token' ? event.text : '')).join('');
+  return {clock, model, events, errors, sink, text};
+}
+
+describe('engine model', () => {
+  it('goes on alike when an answer is resumed', async () => {
+    const {clock, model, events, sink, text} = setUp();
+    const whole = answerTokens(words(40), 7, 20);
+    model.submit(generation({delivered: whole.slice(0, 5)}), sink);
+    await clock.advance(5000);
+    assert.equal(text(), whole.slice(5).join(''));
+    assert.equal(events.at(-1)?.type, 'end');
+  });
+
+  it('computes only what its prefix cache lacks', async () => {
+    const {clock, model, events, sink} = setUp();
+    model.submit(generation({}), sink);
+    await clock.advance(5000);
+    model.submit(generation({attempt: 'a2', prompt: words(90)}), sink);
+    await clock.advance(5000);
+    const starts = events.filter(event => event.type === 'start');
+    assert.deepEqual(
+      starts.map(event => event.cachedTokens),
+      [0, 32],
+    );
+  });
+
+  it('serves the more urgent of two waiting requests first', async () => {
+    const {clock, model, events, sink} = setUp({slots: 1});
+    model.submit(generation({attempt: 'first'}), sink);
+    model.submit(generation({attempt: 'later', urgency: 6}), sink);
+    model.submit(generation({attempt: 'urgent', urgency: 0}), sink);
+    await clock.advance(60_000);
+    const starts = events.filter(event => event.type === 'start');
+    assert.deepEqual(
+      starts.map(event => event.attempt),
+      ['first', 'urgent', 'later'],
+    );
+  });
+
+  it('publishes load late', async () => {
+    const {clock, model, sink} = setUp({
+      reportIntervalMs: 100,
+      reportLagMs: 300,
+    });
+    model.load();
+    await clock.advance(100);
+    model.submit(generation({maxTokens: 400}), sink);
+    const counted = () => model.load().attempts;
+    assert.deepEqual(counted(), []);
+    await clock.advance(310);
+    assert.deepEqual(counted(), ['a1']);
+  });
+
+  it('hands its cache over, so that the other computes only the rest', async () => {
+    const source = setUp();
+    const target = setUp();
+    source.model.submit(generation({maxTokens: 400}), source.sink);
+    await source.clock.advance(200);
+    const exported = source.model.exportCache('a1');
+    assert.ok(exported);
+    target.model.importCache(exported);
+    const delivered = source.events.flatMap(event =>
+      event.type === 'token' ? [event.text] : [],
+    );
+    target.model.submit(
+      generation({attempt: 'a2', delivered, importedCache: exported.handle}),
+      target.sink,
+    );
+    await target.clock.advance(200);
+    const [start] = target.events;
+    assert.ok(start?.type === 'start');
+    assert.equal(start.cachedTokens, 40 + delivered.length - 1);
+  });
+
+  it('refuses an old fencing number only when it checks', () => {
+    for (const checksFencing of [true, false]) {
+      const clock = virtualClock();
+      const random = seededRandom(1);
+      const model = createEngineModel({
+        clock,
+        random,
+        version: 'v1',
+        checksFencing,
+      });
+      const order = (fencing: number) =>
+        model.order({
+          id: `o${fencing}`,
+          type: 'set-role',
+          target: `role-${fencing}`,
+          fencing,
+          expiresAt: clock.wall() + 1000,
+        });
+      order(5);
+      if (checksFencing) {
+        assert.throws(() => order(4), {kind: 'fenced'});
+      } else {
+        order(4);
+      }
+      assert.equal(model.running().role, checksFencing ? 'role-5' : 'role-4');
+    }
+  });
+});
