Plain service client that knows whether a call may have run, and its stand-in

Cause: callers of bookings and kit orders are promised that 'not run' is true, so the client has to know whether any byte of a call left the process.

Change: a call counts as sent from undici's request start on; before it every failure is endpoint-unavailable (not run), after it outcome-unknown. undici starts a call anew when it takes its first connection for idle; that second start is refused. Own retries are off, replies, connections and silence are bounded, connection headers are removed. The stand-in counts runs per key or body id, lags its load report and has switchable faults.

Ruled out: taking a reset of a pooled connection for not run. Nothing proves that the endpoint did not read the call before it closed.

Seen with a guard taken out: without the started mark 7 tests fail (every cut after the call was read says not run); without holding back a call cancelled in the wait for a connection, '/second' still went out in the test for it. The refusal of a second start has no test that fails without it: the idle close of undici could not be provoked from outside.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './service/index.js';
--- /dev/null
+++ b/packages/standins/src/service/index.ts
@@ -0,0 +1,3 @@
+/** The stand-in for plain services. */
+export * from './serviceFaults.js';
+export * from './serviceStandin.js';
