Let the test for a call held back fail instead of hang

With the server answering every path but the first, the run without the guard fails on the list of paths seen.

--- a/packages/endpoints/src/test/plainService.test.ts
+++ b/packages/endpoints/src/test/plainService.test.ts
@@ -182,7 +182,7 @@
     const seen: string[] = [];
     const answer: RequestListener = (request, response) => {
       seen.push(request.url ?? '');
-      if (request.url === '/third') {
+      if (request.url !== '/first') {
         response.end();
       }
     };
