--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -5,3 +5,9 @@
 export * from './eventQueue.js';
 export * from './httpEngine.js';
 export * from './sendErrors.js';
+export {
+  createHttpPlainService,
+  type HttpPlainService,
+  type HttpPlainServiceOptions,
+} from './plainService.js';
+export {passedHeaders, type RawHeaders} from './plainServiceHeaders.js';
