Admission: fair queue, deadlines, adaptive limit, shares over entries, retry budget

Cause: the thin admission had one queue by urgency and nothing else: a large customer could take all places, requests were run that could no longer be answered in time, and every entry used the whole of a service's concurrency. Change: start-time fair queueing by cost within an urgency; displacement of the least important, else of the customer that holds more than its part; refusal at once when the expected wait (drain rate by the time permits are held, with what more important work comes in taken off) goes past the deadline, and again at the moment it comes out of reach; limits that follow latency (fixed, AIMD and gradient, to be weighed by measurement); an even part of the concurrency for each entry with idle places lent by what the endpoints report; a retry budget of a tenth; a robot3 machine for the state. `setReportedSlots` takes an optional third value, the requests that the endpoints have from all entries; without it entries keep to even parts. Ruled out: forgetting a service's latency by time, since nothing shows that the old figure is wrong; instead one request is always let through when nothing is in flight.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -1,4 +1,4 @@
-/** The bulkheads of all services. */
+/** The bulkheads of all services at one entry. */
 import {
   ServingError,
   type Clock,
@@ -6,14 +6,21 @@
   type Random,
 } from '@skylarkfield/base';
 import {createBulkhead, type Bulkhead} from './bulkhead.js';
+import type {LimitPolicy} from './concurrencyLimit.js';
 import type {Admission} from './contracts.js';
 
 export interface AdmissionOptions {
   readonly clock: Clock;
   readonly random: Random;
   readonly decisions: DecisionLog;
+  /** How limits adapt; `aimd` unless a measurement compares others. */
+  readonly limitPolicy?: LimitPolicy;
 }
 
+/** Weight of a customer whose record says nothing, and the least that counts. */
+const DEFAULT_WEIGHT = 1;
+const LEAST_WEIGHT = 0.001;
+
 /**
  * Makes the admission of one entry.
  *
@@ -22,8 +29,11 @@
  * admission.setService('booking', service);
  * const permit = await admission.admit(ask, signal);
  */
-export function createAdmission({clock}: AdmissionOptions): Admission {
+export function createAdmission(options: AdmissionOptions): Admission {
   const bulkheads = new Map<string, Bulkhead>();
+  const weights = new Map<string, number>();
+  let entryCount = 1;
+
   return {
     async admit(ask, signal) {
       const bulkhead = bulkheads.get(ask.service);
@@ -32,23 +42,49 @@
       }
       return bulkhead.admit(ask, signal);
     },
-    tryRetry: service => bulkheads.has(service),
+    tryRetry: service => bulkheads.get(service)?.tryRetry() ?? false,
     setService(name, service) {
       if (service === undefined) {
         bulkheads.get(name)?.close();
         bulkheads.delete(name);
         return;
       }
-      let bulkhead = bulkheads.get(name);
-      if (bulkhead === undefined) {
-        bulkhead = createBulkhead(name, clock);
-        bulkheads.set(name, bulkhead);
+      const known = bulkheads.get(name);
+      if (known !== undefined) {
+        known.configure(service);
+        return;
+      }
+      const bulkhead = createBulkhead({
+        clock: options.clock,
+        random: options.random,
+        decisions: options.decisions,
+        limitPolicy: options.limitPolicy ?? 'aimd',
+        service,
+        entryCount,
+        weightOf: customer => weights.get(customer) ?? DEFAULT_WEIGHT,
+      });
+      bulkheads.set(name, bulkhead);
+    },
+    setCustomerWeight(customer, weight) {
+      if (weight === undefined) {
+        weights.delete(customer);
+        return;
       }
-      bulkhead.configure(service.concurrency, service.queue);
+      weights.set(customer, Math.max(LEAST_WEIGHT, weight));
+    },
+    setEntryCount(count) {
+      entryCount = Math.max(1, count);
+      for (const bulkhead of bulkheads.values()) {
+        bulkhead.setEntryCount(entryCount);
+      }
+    },
+    setReportedSlots(service, slots, busy) {
+      bulkheads.get(service)?.reportSlots(slots, busy);
     },
-    setCustomerWeight() {},
-    setEntryCount() {},
-    setReportedSlots() {},
-    dump: () => [...bulkheads.values()].map(bulkhead => bulkhead.dump()),
+    dump: () => ({
+      entryCount,
+      customerWeights: Object.fromEntries(weights),
+      services: [...bulkheads.values()].map(bulkhead => bulkhead.dump()),
+    }),
   };
 }
--- a/packages/admission/src/contracts.ts
+++ b/packages/admission/src/contracts.ts
@@ -42,7 +42,11 @@
   setCustomerWeight(customer: string, weight: number | undefined): void;
   /** How many live entries share the service's capacity. */
   setEntryCount(count: number): void;
-  /** Capacity in requests at once that the service's endpoints report together. */
-  setReportedSlots(service: string, slots: number): void;
+  /**
+   * Capacity in requests at once that the service's endpoints report together,
+   * and how many requests (of all entries) they have, running and waiting.
+   * Without `busy` each entry keeps to an even part.
+   */
+  setReportedSlots(service: string, slots: number, busy?: number): void;
   dump(): unknown;
 }
--- /dev/null
+++ b/packages/admission/src/test/fixtures.ts
@@ -0,0 +1,57 @@
+/** What the tests of admission share. */
+import {
+  decisionLog,
+  seededRandom,
+  silentLogger,
+  virtualClock,
+} from '@skylarkfield/base';
+import type {Service} from '@skylarkfield/records';
+import {createAdmission, type Ask, type Permit} from '../index.js';
+
+export const booking: Service = {
+  name: 'booking',
+  type: 'plain',
+  version: 'v1',
+  routes: [],
+  targetMs: 100,
+  timeoutMs: 1000,
+  concurrency: 1,
+  queue: 1,
+  fleet: {minReplicas: 1, maxReplicas: 1, machineClass: 'small', weights: ''},
+};
+
+export const ok = {outcome: 'ok', latencyMs: 10} as const;
+
+/** An admission on a virtual clock with one service of the given changes. */
+export function setUp(change: Partial<Service> = {}) {
+  const clock = virtualClock();
+  const decisions = decisionLog(clock, silentLogger());
+  const admission = createAdmission({
+    clock,
+    random: seededRandom(1),
+    decisions,
+  });
+  admission.setService('booking', {...booking, ...change});
+  function ask(
+    wanted: Partial<Ask> = {},
+    signal: AbortSignal = new AbortController().signal,
+  ): Promise<Permit> {
+    const defaults = {
+      service: 'booking',
+      customer: 'namu',
+      urgency: 3,
+      cost: 1,
+    };
+    const deadline = clock.now() + 1000;
+    return admission.admit({...defaults, deadline, ...wanted}, signal);
+  }
+  /** Admits and releases requests that take the given time each. */
+  async function warmUp(count: number, latencyMs: number) {
+    for (let done = 0; done < count; done++) {
+      const permit = await ask({deadline: Infinity});
+      await clock.advance(latencyMs);
+      permit.release({outcome: 'ok', latencyMs});
+    }
+  }
+  return {clock, admission, decisions, ask, warmUp};
+}
