--- a/packages/orders/src/contracts.ts
+++ b/packages/orders/src/contracts.ts
@@ -37,13 +37,20 @@
 }
 
 /**
- * Sends one call to an endpoint. Throws `endpoint-unavailable` only when no
- * byte of it was sent (certainly not run), `outcome-unknown` otherwise.
+ * Sends one call to an endpoint, after waiting for capacity as long as it takes.
+ *
+ * `begin` is called synchronously right before the call goes to an endpoint.
+ * When it returns false the order was given up or handed over meanwhile: the
+ * call must not be sent, and `cancelled` (not run) is thrown.
+ *
+ * Throws `endpoint-unavailable` only when no byte of the call was sent
+ * (certainly not run), `outcome-unknown` once any may have been.
  */
 export type Dispatch = (
   service: string,
   call: OrderCall,
   signal: AbortSignal,
+  begin: () => boolean,
 ) => Promise<OrderReply>;
 
 export interface Ledger extends Disposable {
--- /dev/null
+++ b/packages/orders/src/flight.ts
@@ -0,0 +1,211 @@
+/** One order that this process works on, from the queue for its claim to its end. */
+import {ServingError, type Clock, type RunState} from '@skylarkfield/base';
+import {createMachine, interpret, state, transition} from 'robot3';
+import type {OrderCall, OrderReply} from './contracts.js';
+
+/** What a claim needs of an order. */
+export interface OrderRequest {
+  readonly id: string;
+  readonly print: string;
+  readonly service: string;
+  readonly call: OrderCall;
+  /** Monotonic milliseconds of this process by which it has to be answered. */
+  readonly deadline: number;
+  /** Claims for this id that are void: never sent, never will be. */
+  readonly released: readonly string[];
+}
+
+/** How an order ended in this process. */
+export type FlightResult =
+  | {
+      readonly type: 'reply';
+      readonly reply: OrderReply;
+      readonly isReplay: boolean;
+    }
+  | {readonly type: 'error'; readonly error: ServingError}
+  /** Not sent here and never will be: it has to be brought to the shard's owner. */
+  | {
+      readonly type: 'moved';
+      /** The shard's new owner, if known. */
+      readonly member: string | undefined;
+      /** The void claim. */
+      readonly token: string;
+    };
+
+/**
+ * `queued`: waits for the next write. `committing`: its claim is being written.
+ * `claimed`: the claim is in the ledger, nothing has been sent. `handing`: its
+ * hand-over is being written, so it may neither be sent nor called not run.
+ * `sent`: the call has gone to an endpoint. `ended`: settled, given up or moved.
+ */
+export type FlightState =
+  | 'queued'
+  | 'committing'
+  | 'claimed'
+  | 'handing'
+  | 'sent'
+  | 'ended';
+
+type FlightEvent =
+  | 'commit'
+  | 'claim'
+  | 'hold'
+  | 'unhold'
+  | 'send'
+  | 'unsend'
+  | 'end';
+
+export interface Flight {
+  readonly request: OrderRequest;
+  readonly shard: number;
+  readonly done: Promise<FlightResult>;
+  /** The claim's token, once it has one. */
+  token: string;
+  state(): FlightState;
+  /** True once it has ended by being handed over. */
+  isMoved(): boolean;
+  /** Moves on; false when the state does not allow it. */
+  tell(event: FlightEvent): boolean;
+  /** Ends with a result; later results are dropped. */
+  end(result: FlightResult): void;
+  /**
+   * Waits for the end. A waiter that leaves early gets `deadline-exceeded` or
+   * `cancelled`; the last one to leave an unsent order gives it up, so that
+   * the answer `not-run` is true.
+   */
+  join(deadline: number, signal: AbortSignal): Promise<FlightResult>;
+  /** Fires once when the order was given up or moved before it was sent. */
+  readonly stopped: AbortSignal;
+}
+
+/** States and transitions of an order; nothing is sent but from `claimed`, and nothing unsent is given up after `send`. */
+const flightMachine = createMachine({
+  queued: state(transition('commit', 'committing'), transition('end', 'ended')),
+  committing: state(transition('claim', 'claimed'), transition('end', 'ended')),
+  claimed: state(
+    transition('send', 'sent'),
+    transition('hold', 'handing'),
+    transition('end', 'ended'),
+  ),
+  handing: state(transition('unhold', 'claimed'), transition('end', 'ended')),
+  sent: state(transition('unsend', 'claimed'), transition('end', 'ended')),
+  ended: state(),
+});
+
+/**
+ * Makes the flight of one order.
+ *
+ * @example
+ * const flight = createFlight(request, 3, clock);
+ * const result = await flight.join(request.deadline, signal);
+ */
+export function createFlight(
+  request: OrderRequest,
+  shard: number,
+  clock: Clock,
+  owner: 'caller' | 'ledger' = 'caller',
+): Flight {
+  const service = interpret(flightMachine, () => undefined);
+  const stop = new AbortController();
+  // An order from the ledger is nobody's to give up: it runs also when no caller waits for it.
+  let waiters = owner === 'ledger' ? 1 : 0;
+  let isMoved = false;
+  let finish: (result: FlightResult) => void = () => undefined;
+  const done = new Promise<FlightResult>(resolve => (finish = resolve));
+
+  function current(): FlightState {
+    return service.machine.current as FlightState;
+  }
+
+  function tell(event: FlightEvent): boolean {
+    const before = current();
+    service.send(event);
+    return current() !== before;
+  }
+
+  function end(result: FlightResult): void {
+    const wasSent = current() === 'sent';
+    if (!tell('end')) {
+      return;
+    }
+    isMoved = result.type === 'moved';
+    finish(result);
+    if (!wasSent) {
+      stop.abort();
+    }
+  }
+
+  /** What a waiter that leaves is told; gives the order up when it may. */
+  function leave(kind: 'deadline-exceeded' | 'cancelled'): ServingError {
+    waiters -= 1;
+    const mayGiveUp = waiters === 0 && unsentStates.has(current());
+    const run: RunState = mayGiveUp ? 'not-run' : 'may-have-run';
+    const error = new ServingError(kind, leaveReasons[kind], {run});
+    if (run === 'not-run') {
+      end({type: 'error', error});
+    }
+    return error;
+  }
+
+  function join(deadline: number, signal: AbortSignal): Promise<FlightResult> {
+    if (current() === 'ended') {
+      return done;
+    }
+    waiters += 1;
+    return new Promise((resolve, reject) => {
+      const timer = clock.after(deadline - clock.now(), () =>
+        quit('deadline-exceeded'),
+      );
+      const onAbort = () => quit('cancelled');
+      signal.addEventListener('abort', onAbort, {once: true});
+      let isOver = false;
+      function settle(): boolean {
+        const isFirst = !isOver;
+        isOver = true;
+        timer.dispose();
+        signal.removeEventListener('abort', onAbort);
+        return isFirst;
+      }
+      function quit(kind: 'deadline-exceeded' | 'cancelled'): void {
+        // An order that has just ended is answered with its end, not with the waiter's leaving.
+        if (current() !== 'ended' && settle()) {
+          reject(leave(kind));
+        }
+      }
+      void done.then(result => {
+        if (settle()) {
+          waiters -= 1;
+          resolve(result);
+        }
+      });
+      if (signal.aborted) {
+        onAbort();
+      }
+    });
+  }
+
+  return {
+    request,
+    shard,
+    done,
+    token: '',
+    state: current,
+    isMoved: () => isMoved,
+    tell,
+    end,
+    join,
+    stopped: stop.signal,
+  };
+}
+
+/** States from which an order can be given up so that it certainly never runs. */
+const unsentStates: ReadonlySet<FlightState> = new Set([
+  'queued',
+  'committing',
+  'claimed',
+]);
+
+const leaveReasons = {
+  'deadline-exceeded': 'the deadline passed before the order was answered',
+  cancelled: 'the caller gave the order up',
+};
--- /dev/null
+++ b/packages/orders/src/handOver.ts
@@ -0,0 +1,74 @@
+/** Hands the orders that were not sent yet over to a shard's next owner. */
+import type {Clock} from '@skylarkfield/base';
+import type {Flight} from './flight.js';
+import type {Shard} from './shard.js';
+import {storeOrder, type LedgerEntry} from './shardRecord.js';
+
+export interface HandOver {
+  /** Gives a shard up; true when it is free for its next owner. */
+  release(shard: Shard, successor: string | undefined): Promise<boolean>;
+}
+
+/**
+ * Makes the hand-over of one process.
+ *
+ * An order must be barred from being sent here before the mark in the ledger is
+ * written, and stays barred until it is certain that the mark was not written:
+ * the next owner may run it from the moment the mark is there. Else a lost
+ * reply to the mark would double the order.
+ *
+ * @example
+ * await handOver.release(shard, 'a2');
+ */
+export function createHandOver(options: {
+  readonly clock: Clock;
+  /** The largest body that goes into the ledger. */
+  readonly maxBytes: number;
+  readonly flights: () => readonly Flight[];
+  /** Goes on with an order whose hand-over was not written. */
+  readonly rerun: (flight: Flight) => void;
+}): HandOver {
+  /** Marks an order in the table; returns the claim as it was. */
+  function mark(shard: Shard, flight: Flight): LedgerEntry | undefined {
+    const {id, service, call, deadline} = flight.request;
+    const entry = shard.table.get(id);
+    if (entry?.token !== flight.token) {
+      return undefined;
+    }
+    if (call.body.byteLength > options.maxBytes) {
+      // The claim is voided; the order goes to the next owner over the inner protocol.
+      shard.table.remove(id);
+      return entry;
+    }
+    const runBefore = options.clock.wall() + deadline - options.clock.now();
+    const order = storeOrder(service, call, runBefore);
+    shard.table.put({...entry, state: 'waiting', order});
+    return entry;
+  }
+
+  return {
+    async release(shard, successor) {
+      const held: Array<{flight: Flight; claim: LedgerEntry | undefined}> = [];
+      const result = await shard.release(() => {
+        for (const flight of options.flights()) {
+          if (flight.shard === shard.index && flight.tell('hold')) {
+            held.push({flight, claim: mark(shard, flight)});
+          }
+        }
+      });
+      for (const {flight, claim} of held) {
+        if (result === 'released') {
+          const {token} = flight;
+          flight.end({type: 'moved', member: successor, token});
+          continue;
+        }
+        if (claim !== undefined) {
+          shard.table.put(claim);
+        }
+        flight.tell('unhold');
+        options.rerun(flight);
+      }
+      return result === 'released';
+    },
+  };
+}
--- a/packages/orders/src/index.ts
+++ b/packages/orders/src/index.ts
@@ -1,2 +1,10 @@
 /** The ledger that runs non-idempotent calls at most once. */
 export * from './contracts.js';
+export {
+  createLedger,
+  defaultLedgerSettings,
+  type LedgerOptions,
+  type LedgerSettings,
+} from './ledger.js';
+export {LEDGER_KIND} from './shardRecord.js';
+export type {OrderNetwork} from './orderRoute.js';
--- /dev/null
+++ b/packages/orders/src/ledger.ts
@@ -0,0 +1,447 @@
+/** The ledger of one process: orders in, hand-over on leaving, messages between entries. */
+import {
+  disposableStore,
+  every,
+  rendezvousOrder,
+  ServingError,
+  type Clock,
+  type DecisionLog,
+  type Random,
+} from '@skylarkfield/base';
+import type {ObjectStore} from '@skylarkfield/platform';
+import type {
+  ClaimOutcome,
+  ForwardAnswer,
+  OrderMessages,
+} from '@skylarkfield/protocol';
+import type {Dispatch, Ledger, Order, OrderAnswer} from './contracts.js';
+import type {Flight, OrderRequest} from './flight.js';
+import {createHandOver} from './handOver.js';
+import {createLateOutcomes} from './lateOutcomes.js';
+import {claimOutcome, createLocalOrders} from './localOrders.js';
+import {toForwardAnswer} from './orderAnswers.js';
+import {orderId, orderPrint, shardOf, uniqueText} from './orderIdentity.js';
+import {createOrderRoute, type OrderNetwork} from './orderRoute.js';
+import {createOrderRunner} from './orderRunner.js';
+import {createShard, type Shard} from './shard.js';
+import type {LedgerEntry} from './shardRecord.js';
+
+export interface LedgerOptions {
+  readonly store: ObjectStore;
+  readonly network: OrderNetwork;
+  readonly dispatch: Dispatch;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Id of this entry among its peers. */
+  readonly member: string;
+  /** Ids of the entries that take new work, this one included. */
+  readonly liveMembers: () => readonly string[];
+  readonly decisions?: DecisionLog;
+  readonly settings?: Partial<LedgerSettings>;
+}
+
+export interface LedgerSettings {
+  /** The same in every entry and for good: it decides which shard holds a key. */
+  readonly shardCount: number;
+  /** The least time between two writes of one shard. */
+  readonly writeGapMs: number;
+  /** How long an outcome may wait for a write. */
+  readonly outcomeDelayMs: number;
+  /** How long a key is remembered after its order has ended. */
+  readonly dedupeWindowMs: number;
+  /** How long a deposed owner leaves a shard to its new one. */
+  readonly holdOffMs: number;
+  /** Size of a shard above which new orders are refused. */
+  readonly maxShardBytes: number;
+  /** The largest reply that is kept for retries. */
+  readonly maxReplyBytes: number;
+  /** The largest body that is handed over in the ledger; larger ones go to the next owner directly. */
+  readonly maxHandOverBytes: number;
+  /** How long a sent call may outlive its deadline, so that its outcome gets known. */
+  readonly graceMs: number;
+  /** Attempts under one claim while nothing was sent. */
+  readonly maxAttempts: number;
+  /** Least wait that is asked of callers while the platform is down. */
+  readonly retryAfterMs: number;
+}
+
+/** What a ledger does when nothing is set. */
+export const defaultLedgerSettings: LedgerSettings = {
+  shardCount: 8,
+  writeGapMs: 40,
+  outcomeDelayMs: 200,
+  dedupeWindowMs: 3_600_000,
+  holdOffMs: 3_000,
+  maxShardBytes: 262_144,
+  maxReplyBytes: 4_096,
+  maxHandOverBytes: 16_384,
+  graceMs: 30_000,
+  maxAttempts: 4,
+  retryAfterMs: 1_000,
+};
+
+const LATE_CHECK_MS = 250;
+const LATE_KEPT_MS = 120_000;
+const MAX_LATE_HOPS = 5;
+const ASK_TIMEOUT_MS = 2_000;
+const REMEMBERED_FORWARDS = 5_000;
+/** A forwarded order that lay unread for this much longer than its deadline is dropped. */
+const STALE_ALLOWANCE_MS = 60_000;
+
+/**
+ * Makes the ledger of one process.
+ *
+ * @example
+ * const ledger = createLedger({store, network, dispatch, clock, random, member: 'a1', liveMembers});
+ * const answer = await ledger.submit(order, signal);
+ */
+export function createLedger(options: LedgerOptions): Ledger {
+  const {store, network, clock, random, member} = options;
+  const settings = {...defaultLedgerSettings, ...options.settings};
+  const instance = `${member}#${uniqueText(random)}`;
+  const owned = disposableStore();
+  const late = createLateOutcomes();
+  const forwards = new Map<string, Promise<ForwardAnswer>>();
+  /** Answers that callers of this entry wait for. */
+  const open = new Set<Promise<unknown>>();
+  let isLeaving = false;
+  let isAlive = true;
+
+  const shards: readonly Shard[] = Array.from(
+    {length: settings.shardCount},
+    (_, index) =>
+      owned.add(
+        createShard({
+          index,
+          store,
+          clock,
+          decisions: options.decisions,
+          member,
+          instance,
+          gapMs: settings.writeGapMs,
+          lazyMs: settings.outcomeDelayMs,
+          windowMs: settings.dedupeWindowMs,
+          holdOffMs: settings.holdOffMs,
+          isReachable: other => route.isReachable(other),
+          onDidClaim: flight => runner.run(flight),
+          onDidTake: entries => takeUp(index, entries),
+        }),
+      ),
+  );
+  const orders = createLocalOrders({
+    ...settings,
+    store,
+    clock,
+    random,
+    shards,
+    askClaimer,
+  });
+  const runner = createOrderRunner({
+    ...settings,
+    dispatch: options.dispatch,
+    clock,
+    random,
+    isAlive: () => isAlive,
+    onDidFinish: (flight, outcome) =>
+      noteOutcome(flight.shard, claimOutcome(flight, outcome), 0),
+  });
+  const route = createOrderRoute({
+    network,
+    clock,
+    random,
+    member,
+    liveMembers: options.liveMembers,
+    isLeaving: () => isLeaving,
+    workHere: orders.work,
+  });
+  const handOver = createHandOver({
+    clock,
+    maxBytes: settings.maxHandOverBytes,
+    flights: orders.flights,
+    rerun: runner.run,
+  });
+
+  function noteOutcome(
+    shard: number,
+    outcome: ClaimOutcome,
+    hops: number,
+  ): void {
+    if (orders.note(shards[shard] as Shard, outcome)) {
+      return;
+    }
+    const keepUntil = clock.now() + LATE_KEPT_MS;
+    late.add({shard, outcome, hops, keepUntil});
+  }
+
+  /** Takes up what waits in a shard just taken over, and what is known here of its claims. */
+  function takeUp(index: number, entries: readonly LedgerEntry[]): void {
+    const shard = shards[index] as Shard;
+    for (const {outcome} of late.ofShard(index, clock.now())) {
+      orders.note(shard, outcome);
+      late.remove(outcome.id, outcome.token);
+    }
+    for (const flight of orders.adopt(shard, entries)) {
+      void followAdopted(flight);
+    }
+  }
+
+  /** An order from the ledger has no caller here: when the shard is lost, it is brought to the next owner. */
+  async function followAdopted(flight: Flight): Promise<void> {
+    const result = await flight.done;
+    if (result.type === 'moved' && isAlive) {
+      const released = [result.token];
+      const request = {...flight.request, released};
+      await route.run(flight.shard, request, neverAborted());
+    }
+  }
+
+  async function askClaimer(
+    entry: LedgerEntry,
+    deadline: number,
+  ): Promise<ClaimOutcome | undefined> {
+    const {id, token} = entry;
+    if (entry.member === member || !route.isReachable(entry.member)) {
+      return late.find(id, token);
+    }
+    try {
+      const answer = await route.askWhileLive(
+        entry.member,
+        timeoutMs =>
+          network.ask(
+            entry.member,
+            'orderOutcomeWanted',
+            {id, token},
+            timeoutMs,
+          ),
+        deadline,
+      );
+      return (answer ?? undefined) as ClaimOutcome | undefined;
+    } catch {
+      return undefined;
+    }
+  }
+
+  async function sendLate(): Promise<void> {
+    for (const index of late.shards()) {
+      const waiting = late.ofShard(index, clock.now());
+      const target = preferredOwner(index);
+      if (waiting.length === 0 || target === undefined) {
+        continue;
+      }
+      if (target === member) {
+        await shards[index]?.own().catch(() => undefined);
+        continue;
+      }
+      const hops = Math.max(...waiting.map(({hops}) => hops)) + 1;
+      const outcomes = waiting.map(({outcome}) => outcome);
+      try {
+        const body = {shard: index, hops, outcomes};
+        await network.ask(target, 'orderOutcomes', body, ASK_TIMEOUT_MS);
+        outcomes.forEach(({id, token}) => late.remove(id, token));
+      } catch {
+        // It stays, and goes again at the next check.
+      }
+    }
+  }
+
+  function preferredOwner(index: number): string | undefined {
+    const known = options
+      .liveMembers()
+      .filter(other => other === member || route.isReachable(other));
+    return rendezvousOrder(`ledger/${index}`, known)[0];
+  }
+
+  // What peers ask.
+
+  function handleForward(
+    body: OrderMessages['orderForward'],
+  ): Promise<ForwardAnswer> {
+    // A second delivery must not run what the first was refused for.
+    const earlier = forwards.get(body.attempt);
+    if (earlier !== undefined) {
+      return earlier;
+    }
+    const answer = workForwarded(body);
+    forwards.set(body.attempt, answer);
+    const [oldest] = forwards.keys();
+    if (forwards.size > REMEMBERED_FORWARDS && oldest !== undefined) {
+      forwards.delete(oldest);
+    }
+    return answer;
+  }
+
+  async function workForwarded(
+    body: OrderMessages['orderForward'],
+  ): Promise<ForwardAnswer> {
+    const {id, print, service, call, leftMs, released} = body;
+    const age = clock.wall() - body.sentAtWall;
+    if (age > leftMs + STALE_ALLOWANCE_MS) {
+      return refused('deadline-exceeded', 'the order lay unread too long');
+    }
+    if (isLeaving) {
+      return refused('leaving', 'this entry is leaving');
+    }
+    const deadline = clock.now() + leftMs;
+    const request = {id, print, service, call, deadline, released};
+    const result = await orders.work(request, neverAborted());
+    if (result.type === 'unanswered') {
+      return refused('not-ready', 'no entry could take the order now');
+    }
+    return toForwardAnswer(result, member);
+  }
+
+  async function outcomeOf(
+    id: string,
+    token: string,
+  ): Promise<ClaimOutcome | undefined> {
+    const flight = orders.flight(id);
+    if (flight?.token === token) {
+      await flight.done;
+    }
+    return late.find(id, token);
+  }
+
+  async function takeOutcomes(
+    body: OrderMessages['orderOutcomes'],
+  ): Promise<void> {
+    const shard = shards[body.shard];
+    if (shard === undefined || body.hops > MAX_LATE_HOPS) {
+      return;
+    }
+    await shard.own().catch(() => undefined);
+    for (const outcome of body.outcomes) {
+      noteOutcome(body.shard, outcome, body.hops);
+    }
+  }
+
+  owned.add(
+    network.onDidReceive('orderForward', (_from, body) => handleForward(body)),
+  );
+  owned.add(
+    network.onDidReceive('orderOutcomeWanted', (_from, {id, token}) =>
+      outcomeOf(id, token),
+    ),
+  );
+  owned.add(
+    network.onDidReceive('orderOutcomes', async (_from, body) => {
+      await takeOutcomes(body);
+      return true;
+    }),
+  );
+  owned.add(
+    network.onDidReceive('orderHandOver', async (_from, {shard}) => {
+      if (!isLeaving) {
+        await shards[shard]?.own().catch(() => undefined);
+      }
+      return true;
+    }),
+  );
+  owned.add(every(clock, LATE_CHECK_MS, () => void sendLate()));
+  owned.add(
+    store.onDidChangeState(state => {
+      if (state !== 'down') {
+        return;
+      }
+      const error = new ServingError(
+        'platform-unavailable',
+        'orders cannot be kept safe while the platform is down',
+        {retryAfterMs: settings.retryAfterMs},
+      );
+      shards.forEach(shard => shard.refuseUnclaimed(error));
+    }),
+  );
+
+  async function submit(
+    order: Order,
+    signal: AbortSignal,
+  ): Promise<OrderAnswer> {
+    if (isLeaving || !isAlive) {
+      throw new ServingError('leaving', 'this entry is leaving');
+    }
+    const isUnrecognisable = order.key === undefined;
+    const id =
+      order.key === undefined
+        ? uniqueText(random)
+        : orderId(order.customer, order.key);
+    const request: OrderRequest = {
+      id,
+      print: orderPrint(order),
+      service: order.service,
+      call: order.call,
+      deadline: order.deadline,
+      released: [],
+    };
+    const result = await untilAnswered(request, signal);
+    if (result.type === 'error') {
+      throw result.error;
+    }
+    const {reply, isReplay} = result;
+    return {reply, isReplay, isUnrecognisable};
+  }
+
+  async function untilAnswered(request: OrderRequest, signal: AbortSignal) {
+    const shard = shardOf(request.id, settings.shardCount);
+    const answer = route.run(shard, request, signal);
+    open.add(answer);
+    try {
+      return await answer;
+    } finally {
+      open.delete(answer);
+    }
+  }
+
+  async function leave(): Promise<void> {
+    isLeaving = true;
+    await Promise.all(
+      shards.map(async shard => {
+        const successor = route.successor(shard.index);
+        const isReleased = await handOver.release(shard, successor);
+        if (isReleased && successor !== undefined) {
+          const body = {shard: shard.index, epoch: 0};
+          await network
+            .ask(successor, 'orderHandOver', body, ASK_TIMEOUT_MS)
+            .catch(() => undefined);
+        }
+      }),
+    );
+    await Promise.all(orders.flights().map(flight => flight.done));
+    await Promise.allSettled(open);
+    await sendLate();
+  }
+
+  return {
+    submit,
+    leave,
+    dump: () => ({
+      isLeaving,
+      shards: shards.map(shard => shard.dump()),
+      flights: countStates(orders.flights()),
+      lateOutcomes: late.size,
+    }),
+    dispose() {
+      isAlive = false;
+      owned.dispose();
+    },
+  };
+}
+
+function refused(
+  kind: 'deadline-exceeded' | 'leaving' | 'not-ready',
+  message: string,
+): ForwardAnswer {
+  return {type: 'error', kind, message, run: 'not-run'};
+}
+
+/** A signal of its own for each call: a shared one would gather listeners. */
+function neverAborted(): AbortSignal {
+  return new AbortController().signal;
+}
+
+function countStates(flights: readonly Flight[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const flight of flights) {
+    const name = flight.state();
+    counts[name] = (counts[name] ?? 0) + 1;
+  }
+  return counts;
+}
--- /dev/null
+++ b/packages/orders/src/localOrders.ts
@@ -0,0 +1,339 @@
+/** Orders in the shards that this process owns: look-up, new claims, outcomes. */
+import {
+  isServingError,
+  ServingError,
+  toServingError,
+  type Clock,
+  type Random,
+} from '@skylarkfield/base';
+import type {ObjectStore} from '@skylarkfield/platform';
+import type {ClaimOutcome} from '@skylarkfield/protocol';
+import type {OrderReply} from './contracts.js';
+import {createFlight, type Flight, type OrderRequest} from './flight.js';
+import {shardOf} from './orderIdentity.js';
+import type {OrderResult} from './orderAnswers.js';
+import type {RunOutcome} from './orderRunner.js';
+import type {Shard} from './shard.js';
+import {
+  readCall,
+  readReply,
+  storeReply,
+  type LedgerEntry,
+} from './shardRecord.js';
+
+export interface LocalOrders {
+  /** Works on an order if its shard is or can be owned here. */
+  work(request: OrderRequest, signal: AbortSignal): Promise<OrderResult>;
+  /** Takes up the orders that wait in a shard just taken over. */
+  adopt(shard: Shard, entries: readonly LedgerEntry[]): readonly Flight[];
+  /** Notes how a claim ended; false when its shard is not owned here. */
+  note(shard: Shard, outcome: ClaimOutcome): boolean;
+  /** The flight of an order in this process. */
+  flight(id: string): Flight | undefined;
+  flights(): readonly Flight[];
+}
+
+export interface LocalOrdersOptions {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly shards: readonly Shard[];
+  readonly maxReplyBytes: number;
+  readonly maxShardBytes: number;
+  readonly retryAfterMs: number;
+  /** Asks the entry that made a claim how it ended. */
+  readonly askClaimer: (
+    entry: LedgerEntry,
+    deadline: number,
+  ) => Promise<ClaimOutcome | undefined>;
+}
+
+const MAX_EXPIRY_WAIT_MS = 60_000;
+
+/**
+ * Makes the orders of one process.
+ *
+ * @example
+ * const result = await orders.work(request, signal);
+ */
+export function createLocalOrders(options: LocalOrdersOptions): LocalOrders {
+  const {store, clock, shards} = options;
+  const flights = new Map<string, Flight>();
+
+  function addFlight(flight: Flight): void {
+    flights.set(flight.request.id, flight);
+    void flight.done.then(() => {
+      if (flights.get(flight.request.id) === flight) {
+        flights.delete(flight.request.id);
+      }
+    });
+  }
+
+  function shardFor(id: string): Shard {
+    return shards[shardOf(id, shards.length)] as Shard;
+  }
+
+  async function work(
+    request: OrderRequest,
+    signal: AbortSignal,
+  ): Promise<OrderResult> {
+    const shard = shardFor(request.id);
+    const running = flights.get(request.id);
+    if (running !== undefined) {
+      return joinFlight(running, request, signal);
+    }
+    let ownership;
+    try {
+      ownership = await shard.own();
+    } catch (error) {
+      return refusal(withRetryAfter(toServingError(error)));
+    }
+    if (ownership.type === 'elsewhere') {
+      return ownership;
+    }
+    return workOwned(shard, request, signal);
+  }
+
+  async function workOwned(
+    shard: Shard,
+    request: OrderRequest,
+    signal: AbortSignal,
+  ): Promise<OrderResult> {
+    // Another copy of the order may have come while the shard was taken over.
+    const running = flights.get(request.id);
+    if (running !== undefined) {
+      return joinFlight(running, request, signal);
+    }
+    dropReleased(shard, request);
+    const entry = shard.table.get(request.id);
+    if (entry !== undefined) {
+      return answerKnown(shard, entry, request);
+    }
+    const error = refuseNew(shard);
+    if (error !== undefined) {
+      return refusal(error);
+    }
+    const flight = createFlight(request, shard.index, clock);
+    addFlight(flight);
+    const result = joinFlight(flight, request, signal);
+    shard.enqueue(flight);
+    return result;
+  }
+
+  /** Voids the claims that their maker holds void, so that the order can be claimed anew. */
+  function dropReleased(shard: Shard, request: OrderRequest): void {
+    for (const token of request.released) {
+      note(shard, {state: 'released', id: request.id, token});
+    }
+  }
+
+  function refuseNew(shard: Shard): ServingError | undefined {
+    if (store.state() === 'down') {
+      return withRetryAfter(
+        new ServingError(
+          'platform-unavailable',
+          'orders cannot be kept safe while the platform is down',
+        ),
+      );
+    }
+    if (shard.table.bytes < options.maxShardBytes) {
+      return undefined;
+    }
+    return new ServingError('overloaded', 'the order ledger is full', {
+      run: 'not-run',
+      retryAfterMs: Math.min(MAX_EXPIRY_WAIT_MS, shard.table.untilExpiry()),
+    });
+  }
+
+  /** Callers that come back all at once would be the next outage: the wait is spread. */
+  function withRetryAfter(error: ServingError): ServingError {
+    if (error.retryAfterMs !== undefined) {
+      return error;
+    }
+    const retryAfterMs = options.retryAfterMs * (1 + options.random.next());
+    return new ServingError(error.kind, error.message, {
+      run: error.run,
+      retryAfterMs: Math.round(retryAfterMs),
+      cause: error,
+    });
+  }
+
+  async function joinFlight(
+    flight: Flight,
+    request: OrderRequest,
+    signal: AbortSignal,
+  ): Promise<OrderResult> {
+    if (flight.request.print !== request.print) {
+      return refusal(keyConflict());
+    }
+    try {
+      const result = await flight.join(request.deadline, signal);
+      const isFirst = flight.request === request;
+      return result.type === 'reply' && !isFirst
+        ? {...result, isReplay: true}
+        : result;
+    } catch (error) {
+      return refusal(toServingError(error));
+    }
+  }
+
+  async function answerKnown(
+    shard: Shard,
+    entry: LedgerEntry,
+    request: OrderRequest,
+  ): Promise<OrderResult> {
+    if (entry.print !== request.print) {
+      return refusal(keyConflict());
+    }
+    if (entry.state !== 'claimed') {
+      return knownAnswer(entry);
+    }
+    const outcome = await options.askClaimer(entry, request.deadline);
+    if (outcome !== undefined) {
+      note(shard, outcome);
+    }
+    const now = shard.isOwned() ? shard.table.get(request.id) : undefined;
+    if (now === undefined && outcome?.state === 'released') {
+      // The claim was void, nothing has been sent: the caller may try again.
+      return refusal(
+        new ServingError('endpoint-unavailable', 'the order was not sent', {
+          run: 'not-run',
+          retryAfterMs: 0,
+        }),
+      );
+    }
+    return knownAnswer(now ?? entry);
+  }
+
+  function adopt(
+    shard: Shard,
+    entries: readonly LedgerEntry[],
+  ): readonly Flight[] {
+    const adopted: Flight[] = [];
+    for (const entry of entries) {
+      if (entry.state !== 'waiting' || entry.order === undefined) {
+        continue;
+      }
+      const leftMs = entry.order.runBefore - clock.wall();
+      const flight = createFlight(
+        {
+          id: entry.id,
+          print: entry.print,
+          service: entry.order.service,
+          call: readCall(entry.order),
+          deadline: clock.now() + leftMs,
+          released: [],
+        },
+        shard.index,
+        clock,
+        'ledger',
+      );
+      addFlight(flight);
+      shard.enqueue(flight);
+      adopted.push(flight);
+    }
+    return adopted;
+  }
+
+  function note(shard: Shard, outcome: ClaimOutcome): boolean {
+    if (!shard.isOwned()) {
+      return false;
+    }
+    const entry = shard.table.get(outcome.id);
+    // Another claim for the key, or one that was handed over, is not this outcome's to change.
+    if (entry?.token !== outcome.token || entry.state === 'waiting') {
+      return true;
+    }
+    if (entry.state === 'settled') {
+      return true;
+    }
+    applyOutcome(shard, entry, outcome);
+    shard.touch();
+    return true;
+  }
+
+  function applyOutcome(
+    shard: Shard,
+    entry: LedgerEntry,
+    outcome: ClaimOutcome,
+  ): void {
+    if (outcome.state !== 'settled') {
+      settleWithoutReply[outcome.state](shard, entry);
+      return;
+    }
+    const isFull = shard.table.bytes > 2 * options.maxShardBytes;
+    const maxBytes = isFull ? 0 : options.maxReplyBytes;
+    const reply = storeReply(outcome.reply, maxBytes);
+    shard.table.put({...entry, state: 'settled', reply});
+  }
+
+  return {
+    work,
+    adopt,
+    note,
+    flight: id => flights.get(id),
+    flights: () => [...flights.values()],
+  };
+}
+
+/**
+ * Turns the outcome of a run into the message about its claim.
+ *
+ * @example
+ * orders.note(shard, claimOutcome(flight, {state: 'unknown'}));
+ */
+export function claimOutcome(
+  flight: Flight,
+  outcome: RunOutcome,
+): ClaimOutcome {
+  const {id} = flight.request;
+  const {token} = flight;
+  if (outcome.state === 'settled') {
+    return {state: 'settled', id, token, reply: outcome.reply};
+  }
+  return {state: outcome.state, id, token};
+}
+
+const settleWithoutReply = {
+  released: (shard: Shard, entry: LedgerEntry) => shard.table.remove(entry.id),
+  unknown: (shard: Shard, entry: LedgerEntry) =>
+    shard.table.put({...entry, state: 'unknown'}),
+};
+
+function knownAnswer(entry: LedgerEntry): OrderResult {
+  if (entry.state === 'settled' && entry.reply !== undefined) {
+    const {status, headers, body} = readReply(entry.reply);
+    if (body === undefined) {
+      return refusal(
+        unknownOutcome(
+          `the order has run and was answered with status ${status}, but its reply was too large to be kept`,
+        ),
+      );
+    }
+    const reply: OrderReply = {status, headers, body};
+    return {type: 'reply', reply, isReplay: true};
+  }
+  return refusal(
+    unknownOutcome('the order was claimed and may have run; its reply is lost'),
+  );
+}
+
+function unknownOutcome(message: string): ServingError {
+  return new ServingError('outcome-unknown', message, {run: 'may-have-run'});
+}
+
+function keyConflict(): ServingError {
+  return new ServingError(
+    'key-conflict',
+    'the idempotency key was used with another request',
+  );
+}
+
+function refusal(error: ServingError): OrderResult {
+  return {type: 'error', error};
+}
+
+/** Tells whether an error says that the entry asked took nothing on. */
+export function isTurnedAway(error: ServingError): boolean {
+  return isServingError(error, 'leaving') || isServingError(error, 'not-ready');
+}
--- /dev/null
+++ b/packages/orders/src/orderAnswers.ts
@@ -0,0 +1,56 @@
+/** How an order's end travels between entries. */
+import {ServingError} from '@skylarkfield/base';
+import type {ForwardAnswer} from '@skylarkfield/protocol';
+import type {FlightResult} from './flight.js';
+
+/** An order's end, or who can work on it. */
+export type OrderResult =
+  | FlightResult
+  | {readonly type: 'elsewhere'; readonly member: string}
+  /** The entry asked may have done anything. */
+  | {readonly type: 'unanswered'};
+
+/**
+ * Turns a result into the message that answers a forwarded order.
+ *
+ * @example
+ * return toForwardAnswer(await orders.work(request), flight.token);
+ */
+export function toForwardAnswer(
+  result: Exclude<OrderResult, {type: 'unanswered'}>,
+  fallbackMember: string,
+): ForwardAnswer {
+  if (result.type === 'reply') {
+    return result;
+  }
+  if (result.type === 'error') {
+    const {kind, message, run, retryAfterMs} = result.error;
+    return {type: 'error', kind, message, run, retryAfterMs};
+  }
+  return {
+    type: 'elsewhere',
+    member: result.member ?? fallbackMember,
+    released: result.type === 'moved' ? result.token : undefined,
+  };
+}
+
+/**
+ * Reads the message that answers a forwarded order.
+ *
+ * @example
+ * const result = readForwardAnswer(await network.ask(...));
+ */
+export function readForwardAnswer(answer: ForwardAnswer): OrderResult {
+  if (answer.type === 'reply') {
+    return answer;
+  }
+  if (answer.type === 'error') {
+    const {kind, message, run, retryAfterMs} = answer;
+    const error = new ServingError(kind, message, {run, retryAfterMs});
+    return {type: 'error', error};
+  }
+  if (answer.released !== undefined) {
+    return {type: 'moved', member: answer.member, token: answer.released};
+  }
+  return {type: 'elsewhere', member: answer.member};
+}
--- /dev/null
+++ b/packages/orders/src/orderRoute.ts
@@ -0,0 +1,258 @@
+/** Brings an order to the owner of its shard, wherever that is, and never calls `not-run` what a silent owner may run. */
+import {
+  rendezvousOrder,
+  ServingError,
+  type Clock,
+  type Disposable,
+  type Random,
+} from '@skylarkfield/base';
+import type {ForwardAnswer, PeerNetwork} from '@skylarkfield/protocol';
+import type {FlightResult, OrderRequest} from './flight.js';
+import {isTurnedAway} from './localOrders.js';
+import {readForwardAnswer, type OrderResult} from './orderAnswers.js';
+import {uniqueText} from './orderIdentity.js';
+
+export interface OrderRoute {
+  /** Works on an order wherever its shard is owned. */
+  run(
+    shard: number,
+    request: OrderRequest,
+    signal: AbortSignal,
+  ): Promise<Exclude<FlightResult, {type: 'moved'}>>;
+  /** Asks a peer; rejects as soon as it is not live any more. */
+  askWhileLive<T>(
+    member: string,
+    ask: (timeoutMs: number) => Promise<T>,
+    deadline: number,
+  ): Promise<T>;
+  /** The entry that should own a shard, another than this if there is one. */
+  successor(shard: number): string | undefined;
+  isReachable(member: string): boolean;
+}
+
+/** What the ledger needs of the inner protocol. */
+export type OrderNetwork = Pick<
+  PeerNetwork,
+  'ask' | 'connected' | 'onDidReceive'
+>;
+
+export interface OrderRouteOptions {
+  readonly network: OrderNetwork;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly member: string;
+  /** Ids of the entries that take new work, this one included. */
+  readonly liveMembers: () => readonly string[];
+  readonly isLeaving: () => boolean;
+  readonly workHere: (
+    request: OrderRequest,
+    signal: AbortSignal,
+  ) => Promise<OrderResult>;
+}
+
+const MAX_HOPS = 12;
+const LIVENESS_CHECK_MS = 200;
+const RETRY_PAUSE_MS = 50;
+
+/**
+ * Makes the route of one process.
+ *
+ * @example
+ * const result = await route.run(shard, request, signal);
+ */
+export function createOrderRoute(options: OrderRouteOptions): OrderRoute {
+  const {network, clock, random, member, liveMembers} = options;
+
+  function isReachable(other: string): boolean {
+    return liveMembers().includes(other) && network.connected().includes(other);
+  }
+
+  function askWhileLive<T>(
+    other: string,
+    ask: (timeoutMs: number) => Promise<T>,
+    deadline: number,
+  ): Promise<T> {
+    const timeoutMs = Math.max(1, deadline - clock.now());
+    return new Promise((resolve, reject) => {
+      let timer: Disposable | undefined;
+      function check() {
+        if (!isReachable(other)) {
+          reject(silentPeer(other));
+          return;
+        }
+        timer = clock.after(LIVENESS_CHECK_MS, check);
+      }
+      check();
+      ask(timeoutMs)
+        .then(resolve, reject)
+        .finally(() => timer?.dispose());
+    });
+  }
+
+  async function forward(
+    other: string,
+    request: OrderRequest,
+  ): Promise<OrderResult> {
+    const {id, print, service, call, deadline, released} = request;
+    const body = {
+      id,
+      print,
+      attempt: uniqueText(random),
+      service,
+      call,
+      leftMs: Math.max(0, deadline - clock.now()),
+      sentAtWall: clock.wall(),
+      released,
+    };
+    try {
+      const answer = await askWhileLive(
+        other,
+        timeoutMs => network.ask(other, 'orderForward', body, timeoutMs),
+        deadline,
+      );
+      return readForwardAnswer(answer as ForwardAnswer);
+    } catch {
+      return {type: 'unanswered'};
+    }
+  }
+
+  function candidates(shard: number): readonly string[] {
+    const others = liveMembers().filter(
+      other => other === member || isReachable(other),
+    );
+    return rendezvousOrder(placeName(shard), [...new Set([...others, member])]);
+  }
+
+  function nextTarget(
+    shard: number,
+    hint: string | undefined,
+    tried: ReadonlySet<string>,
+  ): string | undefined {
+    if (hint !== undefined && !tried.has(hint)) {
+      if (hint === member || isReachable(hint)) {
+        return hint;
+      }
+    }
+    return candidates(shard).find(
+      other => !tried.has(other) && !(other === member && options.isLeaving()),
+    );
+  }
+
+  async function run(
+    shard: number,
+    request: OrderRequest,
+    signal: AbortSignal,
+  ): Promise<Exclude<FlightResult, {type: 'moved'}>> {
+    const released = [...request.released];
+    const tried = new Set<string>();
+    let hint: string | undefined;
+    let isUnanswered = false;
+
+    function refuse(error: ServingError): FlightResult & {type: 'error'} {
+      // A silent owner may still wake and run the order, so it can't be called not run.
+      const mayRun = isUnanswered && error.run === 'not-run';
+      return {
+        type: 'error',
+        error:
+          mayRun && error.kind !== 'key-conflict' ? silentOwner(error) : error,
+      };
+    }
+
+    for (let hop = 0; hop < MAX_HOPS; hop++) {
+      if (signal.aborted || clock.now() >= request.deadline) {
+        break;
+      }
+      const target = nextTarget(shard, hint, tried);
+      if (target === undefined) {
+        break;
+      }
+      const attempt = {...request, released};
+      const result =
+        target === member
+          ? await options.workHere(attempt, signal)
+          : await raceAbort(forward(target, attempt), signal);
+      hint = undefined;
+      if (result.type === 'reply') {
+        return result;
+      }
+      if (result.type === 'error') {
+        if (target === member || !isTurnedAway(result.error)) {
+          return refuse(result.error);
+        }
+        tried.add(target);
+        continue;
+      }
+      if (result.type === 'unanswered') {
+        isUnanswered = true;
+        tried.add(target);
+        continue;
+      }
+      hint = result.member;
+      if (result.type === 'moved') {
+        released.push(result.token);
+      }
+      if (hint === target || hint === undefined) {
+        await pause();
+      }
+    }
+    return refuse(outOfWays(signal, request.deadline <= clock.now()));
+  }
+
+  function pause(): Promise<void> {
+    return new Promise(resolve => clock.after(RETRY_PAUSE_MS, resolve));
+  }
+
+  return {
+    run,
+    askWhileLive,
+    isReachable,
+    successor: shard => candidates(shard).find(other => other !== member),
+  };
+}
+
+/** Name under which a shard is placed among the entries. */
+function placeName(shard: number): string {
+  return `ledger/${shard}`;
+}
+
+function raceAbort(
+  forwarded: Promise<OrderResult>,
+  signal: AbortSignal,
+): Promise<OrderResult> {
+  return new Promise((resolve, reject) => {
+    const onAbort = () => resolve({type: 'unanswered'});
+    signal.addEventListener('abort', onAbort, {once: true});
+    forwarded
+      .then(resolve, reject)
+      .finally(() => signal.removeEventListener('abort', onAbort));
+  });
+}
+
+function outOfWays(signal: AbortSignal, isLate: boolean): ServingError {
+  if (signal.aborted) {
+    return new ServingError('cancelled', 'the caller gave the order up', {
+      run: 'not-run',
+    });
+  }
+  if (isLate) {
+    return new ServingError('deadline-exceeded', 'the deadline passed', {
+      run: 'not-run',
+    });
+  }
+  return new ServingError('not-ready', 'no entry could take the order now', {
+    run: 'not-run',
+    retryAfterMs: 1_000,
+  });
+}
+
+function silentOwner(cause: ServingError): ServingError {
+  return new ServingError(
+    'outcome-unknown',
+    `an entry that was given the order did not answer: ${cause.message}`,
+    {run: 'may-have-run', retryAfterMs: cause.retryAfterMs, cause},
+  );
+}
+
+function silentPeer(other: string): ServingError {
+  return new ServingError('interrupted', `${other} is not reachable any more`);
+}
--- /dev/null
+++ b/packages/orders/src/test/simulatedProcess.ts
@@ -0,0 +1,165 @@
+/** One simulated process: a clock, a network and a store that stand still while it is paused and end with it. */
+import {toDisposable, type Clock, type Random} from '@skylarkfield/base';
+import type {ObjectStore} from '@skylarkfield/platform';
+import type {OrderNetwork} from '../index.js';
+
+type Handler = (from: string, body: never) => unknown;
+
+export interface SimulatedProcess {
+  readonly id: string;
+  readonly clock: Clock;
+  readonly handlers: Map<string, Handler>;
+  isAlive: boolean;
+  isPaused: boolean;
+  /** Runs an action now, after the pause, or never when the process has ended. */
+  run(action: () => void): void;
+  /** Resolves while the process runs; never when it has ended. */
+  whenRunning(): Promise<void>;
+  resume(): void;
+}
+
+/** Makes a process on the world's clock. */
+export function createProcess(id: string, world: Clock): SimulatedProcess {
+  const waiting: Array<() => void> = [];
+  const process: SimulatedProcess = {
+    id,
+    handlers: new Map(),
+    isAlive: true,
+    isPaused: false,
+    clock: {
+      now: () => world.now(),
+      wall: () => world.wall(),
+      after(delayMs, callback) {
+        let isCancelled = false;
+        const timer = world.after(delayMs, () =>
+          process.run(() => {
+            if (!isCancelled) {
+              callback();
+            }
+          }),
+        );
+        return toDisposable(() => {
+          isCancelled = true;
+          timer.dispose();
+        });
+      },
+    },
+    run(action) {
+      if (process.isPaused) {
+        waiting.push(action);
+        return;
+      }
+      if (process.isAlive) {
+        action();
+      }
+    },
+    whenRunning: () => new Promise<void>(resolve => process.run(resolve)),
+    resume() {
+      process.isPaused = false;
+      for (const action of waiting.splice(0)) {
+        process.run(action);
+      }
+    },
+  };
+  return process;
+}
+
+/** A store whose answers wait while the process is paused. */
+export function pausedStore(
+  store: ObjectStore,
+  process: SimulatedProcess,
+): ObjectStore {
+  async function gated<T>(call: Promise<T>): Promise<T> {
+    try {
+      return await call;
+    } finally {
+      await process.whenRunning();
+    }
+  }
+  return {
+    ...store,
+    get: (kind, name) => gated(store.get(kind, name)),
+    put: (kind, name, value, condition) =>
+      // The platform keeps a copy, as it would over the wire.
+      gated(store.put(kind, name, structuredClone(value), condition)),
+  };
+}
+
+export interface SimulatedNetwork {
+  connect(process: SimulatedProcess): OrderNetwork;
+  readonly processes: Map<string, SimulatedProcess>;
+  /** Messages from one to the other are lost. */
+  readonly cuts: Set<string>;
+  /** Share of the asks that are delivered twice, the second time late. */
+  duplicated: number;
+  lost: number;
+}
+
+const DELAY_MS = 2;
+const LATE_MS = 3_000;
+
+/** Makes the network between simulated processes. */
+export function createSimulatedNetwork(
+  clock: Clock,
+  random: Random,
+): SimulatedNetwork {
+  const processes = new Map<string, SimulatedProcess>();
+  const cuts = new Set<string>();
+  const network: SimulatedNetwork = {
+    processes,
+    cuts,
+    duplicated: 0,
+    lost: 0,
+    connect,
+  };
+
+  function carry(from: string, to: string, action: () => void): void {
+    if (cuts.has(`${from}>${to}`) || random.chance(network.lost)) {
+      return;
+    }
+    const target = processes.get(to);
+    clock.after(DELAY_MS * random.next(), () => target?.run(action));
+  }
+
+  async function answer(
+    from: string,
+    to: string,
+    type: string,
+    body: unknown,
+  ): Promise<unknown> {
+    const handler = processes.get(to)?.handlers.get(type);
+    return handler?.(from, structuredClone(body) as never);
+  }
+
+  function connect(process: SimulatedProcess): OrderNetwork {
+    processes.set(process.id, process);
+    return {
+      connected: () =>
+        [...processes.values()]
+          .filter(other => other.isAlive && other !== process)
+          .map(other => other.id),
+      onDidReceive(type, handler) {
+        process.handlers.set(type, handler as unknown as Handler);
+        return toDisposable(() => process.handlers.delete(type));
+      },
+      ask: (to, type, body, timeoutMs) =>
+        new Promise((resolve, reject) => {
+          process.clock.after(timeoutMs, () => reject(new Error('timeout')));
+          const deliver = () =>
+            carry(process.id, to, () => {
+              answer(process.id, to, type, body).then(
+                result =>
+                  carry(to, process.id, () => resolve(structuredClone(result))),
+                () => undefined,
+              );
+            });
+          deliver();
+          if (random.chance(network.duplicated)) {
+            clock.after(LATE_MS * random.next(), deliver);
+          }
+        }),
+    };
+  }
+
+  return network;
+}
--- /dev/null
+++ b/packages/orders/src/test/world.ts
@@ -0,0 +1,287 @@
+/** Several ledgers over one memory platform and network, with an oracle that counts runs and checks every answer. */
+import assert from 'node:assert/strict';
+import {
+  seededRandom,
+  ServingError,
+  sleep,
+  toServingError,
+  virtualClock,
+  type Clock,
+  type RunState,
+} from '@skylarkfield/base';
+import {memoryPlatform, type MemoryClient} from '@skylarkfield/platform';
+import {
+  createLedger,
+  type Dispatch,
+  type Ledger,
+  type LedgerSettings,
+} from '../index.js';
+import {
+  createProcess,
+  createSimulatedNetwork,
+  pausedStore,
+  type SimulatedProcess,
+} from './simulatedProcess.js';
+
+/** One request of a caller and what it was answered. */
+export interface Submitted {
+  readonly key: string | undefined;
+  /** What the order is about; a key may be used with two of them. */
+  readonly subject: string;
+  readonly at: number;
+  /** Undefined until answered; stays so when its entry crashed. */
+  answer?: {
+    readonly kind: string;
+    readonly run: RunState | 'ran';
+    readonly body?: string;
+    readonly isReplay?: boolean;
+    readonly retryAfterMs?: number;
+  };
+}
+
+/** One run at the service. */
+export interface Run {
+  readonly subject: string;
+  readonly at: number;
+  readonly body: string;
+}
+
+export interface Entry {
+  readonly id: string;
+  readonly process: SimulatedProcess;
+  readonly ledger: Ledger;
+  readonly client: MemoryClient;
+  /** Entries that this one takes for gone. */
+  readonly suspects: Set<string>;
+  isLeaving: boolean;
+}
+
+/** How the service behaves; shares of the calls. */
+export interface ServiceFaults {
+  refused: number;
+  lostAfter: number;
+  lostBefore: number;
+  waitMs: number;
+  workMs: number;
+}
+
+export interface World {
+  readonly clock: ReturnType<typeof virtualClock>;
+  readonly platform: ReturnType<typeof memoryPlatform>;
+  readonly network: ReturnType<typeof createSimulatedNetwork>;
+  readonly entries: Map<string, Entry>;
+  readonly submitted: readonly Submitted[];
+  readonly runs: readonly Run[];
+  readonly service: ServiceFaults;
+  start(id: string): Entry;
+  crash(id: string): void;
+  pause(id: string): void;
+  resume(id: string): void;
+  leave(id: string): Promise<void>;
+  submit(
+    id: string,
+    key: string | undefined,
+    subject?: string,
+    timeoutMs?: number,
+  ): Submitted;
+  /** Checks all that has been answered so far. */
+  check(): void;
+  dispose(): void;
+}
+
+export const TIMEOUT_MS = 5_000;
+
+const testSettings: Partial<LedgerSettings> = {
+  shardCount: 2,
+  writeGapMs: 10,
+  outcomeDelayMs: 20,
+  holdOffMs: 300,
+  graceMs: 500,
+};
+
+/** Makes a world without entries. */
+export function createWorld(
+  seed: number,
+  settings: Partial<LedgerSettings> = {},
+): World {
+  const clock = virtualClock();
+  const random = seededRandom(seed);
+  const platform = memoryPlatform({clock, random});
+  platform.faults.setSlow(4);
+  const network = createSimulatedNetwork(clock, random);
+  const entries = new Map<string, Entry>();
+  const submitted: Submitted[] = [];
+  const runs: Run[] = [];
+  const service: ServiceFaults = {
+    refused: 0,
+    lostAfter: 0,
+    lostBefore: 0,
+    waitMs: 10,
+    workMs: 30,
+  };
+
+  function dispatchOf(process: SimulatedProcess): Dispatch {
+    return async (_service, call, signal, begin) => {
+      await sleep(process.clock, service.waitMs * random.next(), signal);
+      if (!begin()) {
+        throw new ServingError('cancelled', 'given up', {run: 'not-run'});
+      }
+      if (random.chance(service.refused)) {
+        throw new ServingError('endpoint-unavailable', 'refused');
+      }
+      const isLostBefore = random.chance(service.lostBefore);
+      const isLostAfter = random.chance(service.lostAfter);
+      const subject = new TextDecoder().decode(call.body);
+      const body = `run ${runs.length} of ${subject}`;
+      if (!isLostBefore) {
+        runs.push({subject, at: clock.now(), body});
+      }
+      await wait(clock, service.workMs * random.next());
+      await process.whenRunning();
+      if (isLostBefore || isLostAfter) {
+        throw new ServingError('outcome-unknown', 'cut off');
+      }
+      return {status: 201, headers: {}, body: new TextEncoder().encode(body)};
+    };
+  }
+
+  function start(id: string): Entry {
+    crash(id);
+    const process = createProcess(id, clock);
+    const client = platform.client(id);
+    const suspects = new Set<string>();
+    const ledger = createLedger({
+      store: pausedStore(client, process),
+      network: network.connect(process),
+      dispatch: dispatchOf(process),
+      clock: process.clock,
+      random: seededRandom(random.integer(0, 1_000_000_000)),
+      member: id,
+      liveMembers: () =>
+        [...entries.values()]
+          .filter(other => other.process.isAlive && !other.isLeaving)
+          .filter(other => !suspects.has(other.id))
+          .map(other => other.id),
+      settings: {...testSettings, ...settings},
+    });
+    const entry = {id, process, ledger, client, suspects, isLeaving: false};
+    entries.set(id, entry);
+    return entry;
+  }
+
+  function crash(id: string): void {
+    const entry = entries.get(id);
+    if (entry !== undefined) {
+      entry.process.isAlive = false;
+      entry.ledger.dispose();
+    }
+  }
+
+  function entryOf(id: string): Entry {
+    const entry = entries.get(id);
+    assert.ok(entry, `no entry ${id}`);
+    return entry;
+  }
+
+  function submit(
+    id: string,
+    key: string | undefined,
+    subject = key ?? `unnamed ${submitted.length}`,
+    timeoutMs = TIMEOUT_MS,
+  ): Submitted {
+    const {ledger, process} = entryOf(id);
+    const request: Submitted = {key, subject, at: clock.now()};
+    submitted.push(request);
+    const order = {
+      customer: 'chain',
+      service: 'ordering',
+      key,
+      fingerprint: subject,
+      call: {
+        method: 'POST',
+        path: '/orders',
+        headers: {},
+        body: new TextEncoder().encode(subject),
+      },
+      deadline: clock.now() + timeoutMs,
+    };
+    process.run(() => {
+      ledger.submit(order, new AbortController().signal).then(
+        ({reply, isReplay}) => {
+          const body = new TextDecoder().decode(reply.body);
+          request.answer = {kind: 'reply', run: 'ran', body, isReplay};
+        },
+        (error: unknown) => {
+          const {kind, run, retryAfterMs} = toServingError(error);
+          request.answer = {kind, run, retryAfterMs};
+        },
+      );
+    });
+    return request;
+  }
+
+  async function leave(id: string): Promise<void> {
+    const entry = entryOf(id);
+    entry.isLeaving = true;
+    await entry.ledger.leave();
+    crash(id);
+  }
+
+  function check(): void {
+    checkRuns(runs, submitted);
+    checkAnswers(runs, submitted);
+  }
+
+  return {
+    clock,
+    platform,
+    network,
+    entries,
+    submitted,
+    runs,
+    service,
+    start,
+    crash,
+    pause(id) {
+      entryOf(id).process.isPaused = true;
+    },
+    resume: id => entryOf(id).process.resume(),
+    leave,
+    submit,
+    check,
+    dispose() {
+      for (const id of entries.keys()) {
+        crash(id);
+      }
+    },
+  };
+}
+
+/** At most one run for each order, and none whose callers were all told `not-run`. */
+function checkRuns(runs: readonly Run[], submitted: readonly Submitted[]) {
+  const seen = new Map<string, Run>();
+  for (const run of runs) {
+    const causes = submitted.filter(({subject}) => subject === run.subject);
+    const key = causes[0]?.key ?? run.subject;
+    assert.equal(seen.get(key), undefined, `${key} ran twice`);
+    seen.set(key, run);
+    assert.ok(
+      causes.some(({at, answer}) => at <= run.at && answer?.run !== 'not-run'),
+      `${run.subject} ran at ${run.at}, but all its callers were told not-run`,
+    );
+  }
+}
+
+/** Every reply comes from the run of its own order. */
+function checkAnswers(runs: readonly Run[], submitted: readonly Submitted[]) {
+  for (const {subject, answer} of submitted) {
+    if (answer?.body !== undefined) {
+      const run = runs.find(({body}) => body === answer.body);
+      assert.equal(run?.subject, subject, `crossed answer for ${subject}`);
+    }
+  }
+}
+
+function wait(clock: Clock, delayMs: number): Promise<void> {
+  return new Promise(resolve => clock.after(delayMs, resolve));
+}
