Leaving endpoints by notice, list or peer; readers; lookup tests

Cause: an endpoint that leaves must get no new work within seconds, whoever hears of it first, and the lagging list must not bring it back.

Each endpoint is remembered with its host; a notice covers the whole host, also endpoints listed later; whoever hears news first passes it on, and a peer that has just connected is told the last two minutes. Memory is bounded (4,000 hosts, forgotten 15 minutes after they should be gone). isReader() names two entries per failure domain to watch something for all. Contract addition: endpointLeaving.isWhole (optional).

Not covered: an endpoint that stops and starts again on the same host within 15 minutes under the same id stays without work, since the list carries no incarnation of an endpoint.

--- a/packages/members/src/index.ts
+++ b/packages/members/src/index.ts
@@ -1,6 +1,8 @@
 /** Entry membership, heartbeats, leaving, lookup answers. */
 export * from './contracts.js';
+export * from './endpointLeaving.js';
 export * from './lookup.js';
 export * from './membership.js';
 export * from './neighbours.js';
+export * from './readers.js';
 export * from './timing.js';
--- /dev/null
+++ b/packages/members/src/test/lookup.test.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {seededRandom} from '@skylarkfield/base';
+import {orderEntries, type Member} from '../index.js';
+
+function member(index: number, change: Partial<Member> = {}): Member {
+  return {
+    id: `m${index}`,
+    incarnation: 1,
+    state: 'live',
+    callerUrl: `http://m${index}`,
+    innerUrl: `ws://m${index}`,
+    failureDomain: `domain-${index % 4}`,
+    region: 'r',
+    load: 10,
+    ...change,
+  };
+}
+
+function members(count: number): Member[] {
+  return Array.from({length: count}, (_, index) => member(index));
+}
+
+describe('lookup', () => {
+  for (const state of ['leaving', 'suspect', 'gone'] as const) {
+    it(`leaves out a ${state} entry`, () => {
+      const all = [...members(3), member(3, {state})];
+      const {entries} = orderEntries(all, {});
+      assert.ok(!entries.some(entry => entry.id === 'm3'));
+      assert.equal(entries.length, 3);
+    });
+  }
+
+  it('gives one session the same entry, and moves few when one leaves', () => {
+    const all = members(7);
+    let moved = 0;
+    for (let session = 0; session < 700; session++) {
+      const question = {customer: 'namu', affinity: `s${session}`};
+      const [first] = orderEntries(all, question).entries;
+      const rest = all.filter(other => other.id !== 'm3');
+      const [after] = orderEntries(rest, question).entries;
+      if (first!.id !== after!.id) {
+        assert.equal(first!.id, 'm3');
+        moved += 1;
+      }
+    }
+    assert.ok(moved > 50 && moved < 200, `${moved} of 700 moved`);
+  });
+
+  it('passes by an entry loaded beyond the bound, also with affinity', () => {
+    const question = {customer: 'namu', affinity: 's1'};
+    const [first] = orderEntries(members(7), question).entries;
+    const loaded = members(7).map(other =>
+      other.id === first!.id ? {...other, load: 100} : other,
+    );
+    const {entries} = orderEntries(loaded, question);
+    assert.notEqual(entries[0]!.id, first!.id);
+    const ids = entries.map(entry => entry.id);
+    assert.ok(!ids.includes(first!.id), 'it comes last of seven');
+  });
+
+  it('prefers the own failure domain only at equal load', () => {
+    const question = {failureDomain: 'domain-1'};
+    assert.equal(orderEntries(members(4), question).entries[0]!.id, 'm1');
+    const loaded = members(4).map(other =>
+      other.id === 'm1' ? {...other, load: 60} : other,
+    );
+    assert.notEqual(orderEntries(loaded, question).entries[0]!.id, 'm1');
+  });
+
+  it('spreads callers without affinity evenly', () => {
+    const random = seededRandom(5);
+    const counts = new Map<string, number>();
+    for (let call = 0; call < 7_000; call++) {
+      const [first] = orderEntries(members(7), {}, random).entries;
+      counts.set(first!.id, (counts.get(first!.id) ?? 0) + 1);
+    }
+    for (const [id, count] of counts) {
+      assert.ok(count > 800 && count < 1_200, `${id}: ${count}`);
+    }
+    assert.equal(counts.size, 7);
+  });
+});
--- a/packages/protocol/src/messages/endpointMessages.ts
+++ b/packages/protocol/src/messages/endpointMessages.ts
@@ -7,5 +7,7 @@
     readonly host: string;
     /** Wall-clock milliseconds by which the host is gone; 0 when not known. */
     readonly goneAt: number;
+    /** All endpoints of the host leave, also those that the sender does not know. */
+    readonly isWhole?: boolean;
   };
 }
