Streams: attempts bound to their answers, resume, hand-over, stalls

An attempt that is lost goes on from the exact token: at the same engine after a cut when that still answers (its cache has the tokens), with KV cache handed over while a leaving engine still streams, or computed again elsewhere. A cost model with learned rates chooses between hand-over and computing again. Crossed, doubled, gapped, changed and truncated answers are dropped and the attempt is cancelled. A silent engine is asked for a sign of life first, since a busy pool is silent too and giving it up would double its work.

Only attempts that cost work and brought no token take from the retry budget. A loss of a failure domain would use up any budget at once, although each of its streams resumes with most of the work done; what makes a storm is work repeated without progress.

Contract extended: StreamPlace may tell cachedTokens and goneAt.

--- a/packages/standins/src/engine/engineModel.ts
+++ b/packages/standins/src/engine/engineModel.ts
@@ -279,6 +279,16 @@
     return true;
   }
 
+  /** Sends an event, late when the engine is told to. */
+  function send(sequence: Sequence, event: GenerationEvent) {
+    const late = sequence.faults.find(fault => fault.type === 'late');
+    if (late === undefined) {
+      sequence.sink.event(event);
+      return;
+    }
+    clock.after(late.amount ?? 0, () => sequence.sink.event(event));
+  }
+
   function emit(sequence: Sequence, event: GenerationEvent) {
     const position = sequence.sentTokens;
     if (event.type === 'token') {
@@ -294,11 +304,11 @@
         return;
       }
       if (mangled.events.length !== 1 || mangled.events[0] !== event) {
-        mangled.events.forEach(other => sequence.sink.event(other));
+        mangled.events.forEach(other => send(sequence, other));
         return;
       }
     }
-    sequence.sink.event(event);
+    send(sequence, event);
   }
 
   function insertByUrgency(sequence: Sequence) {
--- a/packages/streams/src/contracts.ts
+++ b/packages/streams/src/contracts.ts
@@ -23,8 +23,12 @@
   readonly endpoint: string;
   readonly url: string;
   readonly engine: Engine;
+  /** Prompt tokens believed to be cached there; 0 when not known. */
+  readonly cachedTokens?: number;
   /** Fires when the endpoint has been told that it leaves: hand the stream over. */
   readonly leaving: AbortSignal;
+  /** Monotonic milliseconds by which a leaving endpoint is gone, when known. */
+  goneAt?(): number | undefined;
   finish(result: {
     readonly outcome:
       | 'ok'
@@ -55,6 +59,9 @@
    * `place` gives an endpoint that is not excluded, or throws;
    * `mayRetry` takes from the retry budget.
    * Each token reaches `deliver` once and in order; a promise it returns holds the stream back.
+   *
+   * Rejects with a `ServingError` that says `not-run` only when nothing of the
+   * request reached an engine.
    */
   run(
     request: StreamRequest,
--- a/packages/streams/src/streamRunner.ts
+++ b/packages/streams/src/streamRunner.ts
@@ -1,118 +1,220 @@
 /** Runs requests to their end over as many attempts as it takes. */
-import {ServingError, toServingError, type Clock} from '@skylarkfield/base';
-import type {Generation} from '@skylarkfield/endpoints';
-import type {StreamPlace, StreamRunner, StreamSummary} from './contracts.js';
+import {
+  ServingError,
+  sleep,
+  toServingError,
+  type Clock,
+  type ErrorKind,
+} from '@skylarkfield/base';
+import {runAttempt, type AttemptEnd} from './attempt.js';
+import type {
+  StreamPlace,
+  StreamRequest,
+  StreamRunner,
+  StreamSummary,
+} from './contracts.js';
+import {createMoveCosts} from './moveCosts.js';
+import type {PreparedPlace} from './movePlan.js';
+import {isAlive} from './probe.js';
+import {createProgress, type Progress} from './progress.js';
+import {defaultStallLimits, type StallLimits} from './stallWatch.js';
 
 export interface StreamRunnerOptions {
   readonly clock: Clock;
+  readonly limits?: Partial<StallLimits>;
+  /** Attempts that one request may take in all. */
+  readonly maxAttempts?: number;
 }
 
 type Hooks = Parameters<StreamRunner['run']>[1];
-type Request = Parameters<StreamRunner['run']>[0];
 
-interface Progress {
-  readonly delivered: string[];
-  attempts: number;
-  recomputedTokens: number;
-}
+const DEFAULT_MAX_ATTEMPTS = 10;
+/** Wait before endpoints that failed this request are asked again. */
+const SECOND_ROUND_MS = 150;
+
+/** Errors that another endpoint would answer just the same. */
+const FINAL_KINDS: ReadonlySet<ErrorKind> = new Set([
+  'bad-request',
+  'too-large',
+  'forbidden',
+  'unauthenticated',
+]);
 
 /**
- * Makes a runner that goes on from the delivered position when an attempt is lost.
+ * Makes a runner. An attempt that is lost goes on elsewhere from the exact
+ * position that the caller has.
  *
  * @example
  * const runner = createStreamRunner({clock});
  * const summary = await runner.run(request, hooks, signal);
  */
 export function createStreamRunner(options: StreamRunnerOptions): StreamRunner {
-  const {clock} = options;
-  let running = 0;
+  const {clock, maxAttempts = DEFAULT_MAX_ATTEMPTS} = options;
+  const limits = {...defaultStallLimits, ...options.limits};
+  const costs = createMoveCosts();
+  const open = new Set<Progress>();
+  const totals = {requests: 0, attempts: 0, moved: 0, lost: 0, recomputed: 0};
 
-  async function attempt(
-    request: Request,
+  /** Takes a place; endpoints that failed before are asked again when no other is left. */
+  async function takePlace(
     progress: Progress,
-    place: StreamPlace,
     hooks: Hooks,
     signal: AbortSignal,
-  ): Promise<StreamSummary> {
-    progress.attempts += 1;
-    const generation: Generation = {
-      attempt: `${request.id}#${progress.attempts}`,
-      prompt: request.prompt,
-      maxTokens: request.maxTokens,
-      urgency: request.urgency,
-      seed: request.seed,
-      delivered: [...progress.delivered],
-    };
-    for await (const event of place.engine.generate(generation, signal)) {
-      if (event.attempt !== generation.attempt) {
-        throw new ServingError('interrupted', 'the answer is crossed');
-      }
-      if (event.type === 'token') {
-        if (event.index !== progress.delivered.length) {
-          throw new ServingError('interrupted', 'the answer has a gap');
-        }
-        progress.delivered.push(event.text);
-        await hooks.deliver({index: event.index, text: event.text});
-      }
-      if (event.type === 'end') {
-        if (event.generatedTokens !== progress.delivered.length) {
-          throw new ServingError('interrupted', 'the answer is truncated');
-        }
-        return {
-          reason: event.reason,
-          promptTokens: event.promptTokens,
-          cachedTokens: event.cachedTokens,
-          generatedTokens: event.generatedTokens,
-          attempts: progress.attempts,
-          recomputedTokens: progress.recomputedTokens,
-        };
+  ): Promise<StreamPlace> {
+    const {excluded, delivered} = progress;
+    try {
+      return hooks.place(excluded, delivered);
+    } catch (error) {
+      if (excluded.size === 0) {
+        throw error;
       }
     }
-    throw new ServingError('interrupted', 'the answer has no end');
+    await sleep(clock, SECOND_ROUND_MS, signal);
+    excluded.clear();
+    return hooks.place(excluded, delivered);
   }
 
-  async function run(
-    request: Request,
+  async function runToEnd(
+    progress: Progress,
     hooks: Hooks,
     signal: AbortSignal,
   ): Promise<StreamSummary> {
-    const progress = {delivered: [], attempts: 0, recomputedTokens: 0};
-    const excluded = new Set<string>();
+    let at: PreparedPlace | undefined;
     for (;;) {
-      const place = hooks.place(excluded, progress.delivered);
-      const startMs = clock.now();
-      try {
-        const summary = await attempt(request, progress, place, hooks, signal);
-        place.finish({
-          outcome: 'ok',
-          latencyMs: clock.now() - startMs,
-          cachedTokens: summary.cachedTokens,
-        });
-        return summary;
-      } catch (error) {
-        const {kind} = toServingError(error);
-        const isCancelled = kind === 'cancelled';
-        place.finish({
-          outcome: isCancelled ? 'cancelled' : 'failed',
-          latencyMs: clock.now() - startMs,
-        });
-        if (isCancelled || signal.aborted || !hooks.mayRetry()) {
-          throw error;
-        }
-        excluded.add(place.endpoint);
+      at ??= {
+        place: await takePlace(progress, hooks, signal),
+        importedCache: undefined,
+      };
+      const {place} = at;
+      const end: AttemptEnd = await runAttempt({
+        clock,
+        limits,
+        costs,
+        progress,
+        at,
+        takePlace: () =>
+          hooks.place(
+            new Set([...progress.excluded, place.endpoint]),
+            progress.delivered,
+          ),
+        deliver: token => hooks.deliver(token),
+        signal,
+      });
+      if (end.type === 'ended') {
+        return summary(progress, end.event);
       }
+      at = end.type === 'moved' ? end.to : undefined;
+      if (end.type === 'moved') {
+        totals.moved += 1;
+        continue;
+      }
+      totals.lost += 1;
+      await afterLoss(progress, place, end.error, hooks);
+    }
+  }
+
+  /** Decides whether a lost attempt is followed by another, and where not. */
+  async function afterLoss(
+    progress: Progress,
+    place: StreamPlace,
+    error: ServingError,
+    hooks: Hooks,
+  ) {
+    if (FINAL_KINDS.has(error.kind) || progress.attempts >= maxAttempts) {
+      throw error;
+    }
+    const hasProgress = progress.delivered.length > progress.deliveredBefore;
+    // Only attempts that cost an engine work and brought nothing take from
+    // the budget: these are what makes a storm. Each of the others is paid for
+    // by tokens delivered, or never reached an engine.
+    const isCostly = !hasProgress && error.kind !== 'endpoint-unavailable';
+    if (isCostly && !hooks.mayRetry()) {
+      throw error;
+    }
+    if (!(await mayResumeThere(progress, place, error, hasProgress))) {
+      progress.excluded.add(place.endpoint);
     }
   }
 
+  /** An engine that only lost the connection has all tokens in its cache still. */
+  async function mayResumeThere(
+    progress: Progress,
+    place: StreamPlace,
+    error: ServingError,
+    hasProgress: boolean,
+  ): Promise<boolean> {
+    if (error.kind !== 'interrupted' || !hasProgress) {
+      return false;
+    }
+    if (place.leaving.aborted || progress.cutOnce.has(place.endpoint)) {
+      return false;
+    }
+    progress.cutOnce.add(place.endpoint);
+    return isAlive(clock, place.engine, limits.probeMs);
+  }
+
   return {
-    async run(request, hooks, signal) {
-      running += 1;
+    async run(request: StreamRequest, hooks, signal) {
+      const progress = createProgress(request);
+      open.add(progress);
+      totals.requests += 1;
       try {
-        return await run(request, hooks, signal);
+        return await runToEnd(progress, hooks, signal);
+      } catch (error) {
+        throw truthfulError(progress, toServingError(error));
       } finally {
-        running -= 1;
+        open.delete(progress);
+        totals.attempts += progress.attempts;
+        totals.recomputed += progress.recomputedTokens;
       }
     },
-    dump: () => ({running}),
+    dump: () => ({
+      totals: {...totals},
+      costs: costs.dump(),
+      open: [...open].map(progress => ({
+        id: progress.request.id,
+        attempt: progress.attempts,
+        state: progress.states?.current ?? 'placing',
+        endpoint: progress.endpoint,
+        delivered: progress.delivered.length,
+      })),
+    }),
   };
 }
+
+function summary(
+  progress: Progress,
+  event: {
+    readonly reason: 'stop' | 'length';
+    readonly promptTokens: number;
+    readonly cachedTokens: number;
+    readonly generatedTokens: number;
+  },
+): StreamSummary {
+  return {
+    reason: event.reason,
+    promptTokens: event.promptTokens,
+    cachedTokens: event.cachedTokens,
+    generatedTokens: event.generatedTokens,
+    attempts: progress.attempts,
+    recomputedTokens: progress.recomputedTokens,
+  };
+}
+
+/**
+ * The error with the run state of the request as a whole: the last attempt may
+ * not have reached an engine while an earlier one did.
+ */
+function truthfulError(progress: Progress, error: ServingError): ServingError {
+  const run = progress.mayHaveRun ? 'may-have-run' : 'not-run';
+  if (error.run === run) {
+    return error;
+  }
+  return new ServingError(error.kind, error.message, {
+    run,
+    cause: error,
+    ...(error.retryAfterMs === undefined
+      ? {}
+      : {retryAfterMs: error.retryAfterMs}),
+  });
+}
--- /dev/null
+++ b/packages/streams/src/test/fakeEngine.ts
@@ -0,0 +1,161 @@
+/** A scripted engine for tests: each attempt that it takes meets the next planned fault. */
+import {ServingError, sleep, type Clock} from '@skylarkfield/base';
+import type {
+  Engine,
+  Generation,
+  GenerationEvent,
+} from '@skylarkfield/endpoints';
+
+export type PlannedFault =
+  | 'none'
+  | 'refused'
+  | 'failed'
+  | 'overloaded'
+  | 'cut'
+  | 'silent'
+  | 'busy'
+  | 'crossed'
+  | 'doubled'
+  | 'gap'
+  | 'changed'
+  | 'truncated'
+  | 'endless';
+
+export interface Plan {
+  readonly fault: PlannedFault;
+  /** Tokens of the attempt before the fault. */
+  readonly at: number;
+}
+
+/** Length of every answer unless fewer tokens are asked for. */
+export const ANSWER_LENGTH = 24;
+const TOKEN_GAP_MS = 20;
+const BUSY_MS = 700;
+const IMPORT_MS = 90;
+
+/** Token of the only right answer. */
+export function rightToken(index: number): string {
+  return ` t${index}`;
+}
+
+/** All tokens of the only right answer. */
+export function rightAnswer(maxTokens = ANSWER_LENGTH): string[] {
+  const length = Math.min(ANSWER_LENGTH, maxTokens);
+  return Array.from({length}, (_, index) => rightToken(index));
+}
+
+export interface FakeEngine extends Engine {
+  readonly received: Generation[];
+  readonly cancelled: string[];
+  /** When true, nothing is answered, the load neither. */
+  isHung: boolean;
+}
+
+/** Refusals before anything of the request was run. */
+const refusals: Partial<Record<PlannedFault, () => ServingError>> = {
+  refused: () => new ServingError('endpoint-unavailable', 'refused'),
+  overloaded: () => new ServingError('overloaded', 'full'),
+};
+
+/** What the stream yields in place of the right token when the fault shows. */
+const replacements: Partial<
+  Record<PlannedFault, (token: GenerationEvent) => GenerationEvent[]>
+> = {
+  crossed: token => [{...token, attempt: 'another'} as GenerationEvent],
+  doubled: token => [token, token],
+  gap: () => [],
+  changed: token => [token, {...token, text: ' changed'} as GenerationEvent],
+};
+
+export function createFakeEngine(
+  clock: Clock,
+  nextPlan: () => Plan,
+): FakeEngine {
+  const received: Generation[] = [];
+  const cancelled: string[] = [];
+
+  async function* generate(
+    request: Generation,
+    signal: AbortSignal,
+  ): AsyncGenerator<GenerationEvent> {
+    const {fault, at} = nextPlan();
+    const refusal = refusals[fault];
+    if (refusal !== undefined) {
+      throw refusal();
+    }
+    received.push(request);
+    if (fault === 'failed') {
+      throw new ServingError('endpoint-failed', 'failed');
+    }
+    const {attempt, delivered, maxTokens} = request;
+    const total = Math.min(ANSWER_LENGTH, maxTokens);
+    yield {type: 'start', attempt, promptTokens: 100, cachedTokens: 0};
+    for (let index = delivered.length; index < total; index++) {
+      await sleep(clock, TOKEN_GAP_MS, signal);
+      const isNow = index - delivered.length === at;
+      if (engine.isHung || (isNow && fault === 'silent')) {
+        await sleep(clock, 1e9, signal);
+      }
+      if (isNow && fault === 'busy') {
+        await sleep(clock, BUSY_MS, signal);
+      }
+      if (isNow && fault === 'cut') {
+        throw new ServingError('interrupted', 'cut');
+      }
+      if (isNow && fault === 'truncated') {
+        break;
+      }
+      const token = {
+        type: 'token' as const,
+        attempt,
+        index,
+        text: rightToken(index),
+      };
+      const replace = isNow ? replacements[fault] : undefined;
+      yield* replace === undefined ? [token] : replace(token);
+    }
+    if (fault === 'endless') {
+      return;
+    }
+    yield {
+      type: 'end',
+      attempt,
+      reason: total === maxTokens ? 'length' : 'stop',
+      promptTokens: 100,
+      cachedTokens: 0,
+      generatedTokens: total,
+    };
+  }
+
+  const engine: FakeEngine = {
+    received,
+    cancelled,
+    isHung: false,
+    generate,
+    async cancel(attempt) {
+      cancelled.push(attempt);
+    },
+    async load(signal) {
+      if (engine.isHung) {
+        await sleep(clock, 1e9, signal);
+      }
+      return {
+        sequence: 1,
+        running: 0,
+        waiting: 0,
+        slots: 8,
+        waitingPromptTokens: 0,
+        cacheUse: 0,
+      };
+    },
+    cacheEvents: async () => [],
+    exportCache: async attempt => ({handle: attempt, tokens: 90, bytes: 9e6}),
+    async importCache({handle}, signal) {
+      await sleep(clock, IMPORT_MS, signal);
+      return {handle, tokens: 90, bytes: 9e6};
+    },
+    order: async () => {},
+    running: async () => ({version: 'v1', adapters: [], role: 'serving'}),
+  };
+  return engine;
+}
--- /dev/null
+++ b/packages/streams/src/test/streamRunner.fuzz.test.ts
@@ -0,0 +1,103 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {rightAnswer, type Plan, type PlannedFault} from './fakeEngine.js';
+import {createRig, DEADLINE_MS} from './streamRig.js';
+
+const isLong = process.env.SKYLARKFIELD_FUZZ === 'long';
+const seed = isLong ? Date.now() % 2 ** 31 : 20_261;
+const numRuns = isLong ? 5000 : 150;
+
+const faultTypes: PlannedFault[] = [
+  'none',
+  'refused',
+  'failed',
+  'overloaded',
+  'cut',
+  'silent',
+  'busy',
+  'crossed',
+  'doubled',
+  'gap',
+  'changed',
+  'truncated',
+  'endless',
+];
+
+const plan: fc.Arbitrary<Plan> = fc.record({
+  fault: fc.constantFrom(...faultTypes),
+  at: fc.integer({min: 0, max: 12}),
+});
+
+/** Something that happens to the engines or the caller at a time. */
+const happening = fc.record({
+  afterMs: fc.integer({min: 0, max: 600}),
+  type: fc.constantFrom('leave' as const, 'hang' as const, 'wake' as const),
+  engine: fc.integer({min: 0, max: 2}),
+});
+
+const scenario = fc.record({
+  plans: fc.array(plan, {maxLength: 10}),
+  happenings: fc.array(happening, {maxLength: 6}),
+  retries: fc.integer({min: 0, max: 8}),
+  maxTokens: fc.constantFrom(1, 20, 24, 60),
+  callerGoesMs: fc.option(fc.integer({min: 0, max: 1500})),
+});
+
+const STEP_MS = 100;
+
+type Rig = ReturnType<typeof createRig>;
+
+const effects = {
+  leave: (rig: Rig, engine: number) => rig.leaving[engine]!.abort(),
+  hang: (rig: Rig, engine: number) => void (rig.engines[engine]!.isHung = true),
+  wake: (rig: Rig, engine: number) =>
+    void (rig.engines[engine]!.isHung = false),
+};
+
+function check(rig: Rig, maxTokens: number) {
+  const whole = rightAnswer(maxTokens);
+  const {summary, error} = rig.result;
+  assert.deepEqual(rig.tokens, whole.slice(0, rig.tokens.length));
+  assert.equal((summary === undefined) !== (error === undefined), true);
+  if (summary !== undefined) {
+    assert.deepEqual(rig.tokens, whole);
+    assert.equal(summary.generatedTokens, whole.length);
+  }
+  if (error?.run === 'not-run') {
+    assert.equal(
+      rig.engines.reduce((sum, engine) => sum + engine.received.length, 0),
+      0,
+    );
+  }
+  for (const record of rig.placed) {
+    assert.equal(record.outcomes.length, 1, 'a place is finished once');
+  }
+  assert.deepEqual((rig.runner.dump() as {open: unknown[]}).open, []);
+}
+
+describe('stream runner, fuzzed', () => {
+  it(`shows the exact text once or a clear end (seed ${seed})`, async () => {
+    await fc.assert(
+      fc.asyncProperty(scenario, async input => {
+        const rig = createRig(input);
+        if (input.callerGoesMs !== null) {
+          rig.clock.after(input.callerGoesMs, () => rig.caller.abort());
+        }
+        let atMs = 0;
+        for (const {afterMs, type, engine} of input.happenings) {
+          atMs += afterMs;
+          rig.clock.after(atMs, () => effects[type](rig, engine));
+        }
+        rig.start();
+        // In small steps: a row of refusals takes no virtual time, but more
+        // turns of promises than the clock waits for in one step.
+        for (let ms = 0; ms < DEADLINE_MS + 1000; ms += STEP_MS) {
+          await rig.clock.advance(STEP_MS);
+        }
+        check(rig, input.maxTokens);
+      }),
+      {seed, numRuns},
+    );
+  });
+});
