--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -7,6 +7,7 @@
 export * from './hashing.js';
 export * from './logger.js';
 export * from './metrics.js';
+export * from './pausableClock.js';
 export * from './random.js';
 export * from './shapes.js';
 export * from './virtualClock.js';
--- a/packages/duties/src/contracts.ts
+++ b/packages/duties/src/contracts.ts
@@ -9,6 +9,8 @@
   readonly duty: DutyName;
   /** Rises with every change of holder. */
   readonly fencing: number;
+  /** Monotonic milliseconds since when it is held. */
+  readonly acquiredAt: number;
   /** True while the lease is certainly ours, with a margin; check right before each effect. */
   isValid(): boolean;
   /** Aborted when the tenure ends. */
--- a/packages/platform/src/memoryPlatform.ts
+++ b/packages/platform/src/memoryPlatform.ts
@@ -49,10 +49,16 @@
   readonly table: ObjectTable;
   readonly faults: ObjectFaults;
   /** A new client; each call stands for one process. */
-  client(name: string, settings?: ObjectStoreSettings): MemoryClient;
+  client(name: string, settings?: MemoryClientSettings): MemoryClient;
   load(): PlatformLoad;
 }
 
+/** Settings of a client and of the process that it stands for. */
+export interface MemoryClientSettings extends ObjectStoreSettings {
+  /** The process's own clock: while it is paused, replies wait. */
+  readonly clock?: Clock;
+}
+
 /** A client with the switches of its own connection. */
 export interface MemoryClient extends ObjectClient {
   readonly faults: ObjectFaults;
@@ -66,6 +72,14 @@
   isSilent: boolean;
 }
 
+interface WatchRequest {
+  readonly faults: readonly FaultState[];
+  readonly ownClock: Clock;
+  readonly kind: string;
+  readonly from: number;
+  readonly listener: TransportWatch;
+}
+
 interface OpenWatch {
   readonly faults: readonly FaultState[];
   readonly end: () => void;
@@ -100,20 +114,24 @@
     }
   }
 
-  function transportFor(own: FaultState): ObjectTransport {
+  function transportFor(own: FaultState, ownClock: Clock): ObjectTransport {
     const faults = [common, own];
-    const delayMs = () => faults.reduce((sum, f) => sum + f.delayMs, 0);
+    const delayMs = () => totalDelayMs(faults);
 
     async function read<T>(operation: () => T): Promise<T> {
       load.reads += 1;
-      await wait(clock, delayMs());
+      const spanMs = delayMs() / 2;
+      await wait(clock, spanMs);
       checkUp(faults);
-      return operation();
+      const result = operation();
+      await wait(ownClock, spanMs);
+      return result;
     }
 
     async function write<T>(operation: () => T): Promise<T> {
       load.writes += 1;
-      await wait(clock, delayMs() / 2);
+      const spanMs = delayMs() / 2;
+      await wait(clock, spanMs);
       checkUp(faults);
       const result = operation();
       const loser = faults.find(f => f.repliesToLose > 0);
@@ -121,7 +139,7 @@
         loser.repliesToLose -= 1;
         throw new ServingError('outcome-unknown', 'the reply was lost');
       }
-      await wait(clock, delayMs() / 2);
+      await wait(ownClock, spanMs);
       return result;
     }
 
@@ -132,7 +150,7 @@
       put: (target, value) => write(() => table.put(target, value)),
       remove: target => write(() => table.remove(target)),
       watch: (kind, from, listener) =>
-        openWatch(faults, delayMs, kind, from, listener),
+        openWatch({faults, ownClock, kind, from, listener}),
       dispose() {
         own.isDown = true;
         endWatches();
@@ -140,13 +158,13 @@
     };
   }
 
-  function openWatch(
-    faults: readonly FaultState[],
-    delayMs: () => number,
-    kind: string,
-    from: number,
-    listener: TransportWatch,
-  ): Disposable {
+  function openWatch({
+    faults,
+    ownClock,
+    kind,
+    from,
+    listener,
+  }: WatchRequest): Disposable {
     load.watchCalls += 1;
     let isClosed = false;
     const subscription = table.onDidChange(change => {
@@ -176,12 +194,12 @@
           news();
         }
       };
-      const spanMs = delayMs();
+      const spanMs = totalDelayMs(faults);
       if (spanMs === 0) {
         queueMicrotask(step);
         return;
       }
-      clock.after(spanMs, step);
+      ownClock.after(spanMs, step);
     }
 
     queueMicrotask(() => {
@@ -213,10 +231,11 @@
     client(name, settings = {}) {
       clients += 1;
       const own = noFaults();
+      const ownClock = settings.clock ?? clock;
       const client = createObjectStore({
         ...settings,
-        transport: transportFor(own),
-        clock,
+        transport: transportFor(own, ownClock),
+        clock: ownClock,
         random: seededRandom(random.integer(0, 1_000_000_000)),
         writer: `${name}.${clients}`,
       });
@@ -271,6 +290,10 @@
   };
 }
 
+function totalDelayMs(faults: readonly FaultState[]): number {
+  return faults.reduce((sum, fault) => sum + fault.delayMs, 0);
+}
+
 function checkUp(faults: readonly FaultState[]): void {
   if (faults.some(f => f.isDown)) {
     throw new ServingError('platform-unavailable', 'the platform is down');
--- a/packages/records/src/recordTable.ts
+++ b/packages/records/src/recordTable.ts
@@ -6,16 +6,13 @@
  * accepted change back on this process alone.
  */
 import {hash32} from '@skylarkfield/base';
-import type {RecordVersion, RelayedRecord} from '@skylarkfield/protocol';
+import type {
+  RecordDigest,
+  RecordVersion,
+  RelayedRecord,
+} from '@skylarkfield/protocol';
 import type {AcceptedRecords, RecordKind} from './contracts.js';
 
-/** A summary of all versions in force; equal digests mean equal versions. */
-export interface RecordDigest {
-  readonly count: number;
-  /** One sum per bucket of records, so that a difference is narrowed down. */
-  readonly buckets: readonly number[];
-}
-
 export interface RecordTable {
   /** Puts a record in force; false when this or a higher version already is. */
   apply(record: RelayedRecord): boolean;
@@ -31,6 +28,11 @@
     known: readonly RecordVersion[],
     buckets?: ReadonlySet<number>,
   ): readonly RelayedRecord[];
+  /** Records whose version here is lower than in the given list. */
+  olderThan(known: readonly RecordVersion[]): readonly RecordVersion[];
+  /** The records of the given versions, in the version that is in force here. */
+  records(versions: readonly RecordVersion[]): readonly RelayedRecord[];
+  /** Whether this version or a higher one is in force. */
   has(version: RecordVersion): boolean;
   digest(): RecordDigest;
 }
@@ -65,6 +67,13 @@
     return all.filter(record => buckets.has(bucketOf(recordKey(record))));
   }
 
+  function isInForce(version: RecordVersion): boolean {
+    const present = records.get(recordKey(version));
+    return (
+      present !== undefined && present.sourceVersion >= version.sourceVersion
+    );
+  }
+
   return {
     apply(record) {
       const key = recordKey(record);
@@ -98,12 +107,12 @@
           record.sourceVersion > (versions.get(recordKey(record)) ?? -1),
       );
     },
-    has(version) {
-      const present = records.get(recordKey(version));
-      return (
-        present !== undefined && present.sourceVersion >= version.sourceVersion
-      );
-    },
+    olderThan: known => known.filter(version => !isInForce(version)),
+    records: versions =>
+      versions
+        .map(version => records.get(recordKey(version)))
+        .filter(record => record !== undefined),
+    has: isInForce,
     digest: () => ({count: records.size, buckets: [...sums]}),
   };
 }
