Fuzz the ledger: any schedule, and announced reclaims alone

What the fuzzer found, each mended here: - an owner that lost its shard dropped outcomes it had noted but not written; they now go to the new owner, and the maker of a claim answers for it from its own memory; - an entry that leaves was taken for silent by those waiting for its answer, so that they said may-have-run; it still answers; - a wait for capacity that was cancelled before begin was taken for a sent call; it is unsent; - an owner answered at the caller's deadline, too late for the caller; it gets a little less time.

--- a/packages/orders/src/ledger.ts
+++ b/packages/orders/src/ledger.ts
@@ -9,20 +9,16 @@
   type Random,
 } from '@skylarkfield/base';
 import type {ObjectStore} from '@skylarkfield/platform';
-import type {
-  ClaimOutcome,
-  ForwardAnswer,
-  OrderMessages,
-} from '@skylarkfield/protocol';
+import type {ClaimOutcome} from '@skylarkfield/protocol';
 import type {Dispatch, Ledger, Order, OrderAnswer} from './contracts.js';
 import type {Flight, OrderRequest} from './flight.js';
 import {createHandOver} from './handOver.js';
 import {createLateOutcomes} from './lateOutcomes.js';
 import {claimOutcome, createLocalOrders} from './localOrders.js';
-import {toForwardAnswer} from './orderAnswers.js';
 import {orderId, orderPrint, shardOf, uniqueText} from './orderIdentity.js';
 import {createOrderRoute, type OrderNetwork} from './orderRoute.js';
 import {createOrderRunner} from './orderRunner.js';
+import {answerPeers} from './peerOrders.js';
 import {createShard, type Shard} from './shard.js';
 import type {LedgerEntry} from './shardRecord.js';
 
@@ -36,6 +32,8 @@
   readonly member: string;
   /** Ids of the entries that take new work, this one included. */
   readonly liveMembers: () => readonly string[];
+  /** Ids of the entries that can still answer: those live and those leaving. */
+  readonly answeringMembers: () => readonly string[];
   readonly decisions?: DecisionLog;
   readonly settings?: Partial<LedgerSettings>;
 }
@@ -82,17 +80,13 @@
 
 const LATE_CHECK_MS = 250;
 const LATE_KEPT_MS = 120_000;
-const MAX_LATE_HOPS = 5;
 const ASK_TIMEOUT_MS = 2_000;
-const REMEMBERED_FORWARDS = 5_000;
-/** A forwarded order that lay unread for this much longer than its deadline is dropped. */
-const STALE_ALLOWANCE_MS = 60_000;
 
 /**
  * Makes the ledger of one process.
  *
  * @example
- * const ledger = createLedger({store, network, dispatch, clock, random, member: 'a1', liveMembers});
+ * const ledger = createLedger({store, network, dispatch, clock, random, member: 'a1', liveMembers, answeringMembers});
  * const answer = await ledger.submit(order, signal);
  */
 export function createLedger(options: LedgerOptions): Ledger {
@@ -101,7 +95,8 @@
   const instance = `${member}#${uniqueText(random)}`;
   const owned = disposableStore();
   const late = createLateOutcomes();
-  const forwards = new Map<string, Promise<ForwardAnswer>>();
+  /** Outcomes of this process's own claims, for owners that ask. */
+  const recent = createLateOutcomes();
   /** Answers that callers of this entry wait for. */
   const open = new Set<Promise<unknown>>();
   let isLeaving = false;
@@ -124,6 +119,8 @@
           holdOffMs: settings.holdOffMs,
           isReachable: other => route.isReachable(other),
           onDidClaim: flight => runner.run(flight),
+          onDidLose: outcomes =>
+            outcomes.forEach(outcome => keepLate(index, outcome, 0)),
           onDidTake: entries => takeUp(index, entries),
         }),
       ),
@@ -142,8 +139,12 @@
     clock,
     random,
     isAlive: () => isAlive,
-    onDidFinish: (flight, outcome) =>
-      noteOutcome(flight.shard, claimOutcome(flight, outcome), 0),
+    onDidFinish: (flight, result) => {
+      const {shard} = flight;
+      const outcome = claimOutcome(flight, result);
+      recent.add({shard, outcome, hops: 0, keepUntil: Infinity});
+      noteOutcome(shard, outcome, 0);
+    },
   });
   const route = createOrderRoute({
     network,
@@ -151,6 +152,7 @@
     random,
     member,
     liveMembers: options.liveMembers,
+    answeringMembers: options.answeringMembers,
     isLeaving: () => isLeaving,
     workHere: orders.work,
   });
@@ -169,6 +171,10 @@
     if (orders.note(shards[shard] as Shard, outcome)) {
       return;
     }
+    keepLate(shard, outcome, hops);
+  }
+
+  function keepLate(shard: number, outcome: ClaimOutcome, hops: number): void {
     const keepUntil = clock.now() + LATE_KEPT_MS;
     late.add({shard, outcome, hops, keepUntil});
   }
@@ -200,7 +206,7 @@
     deadline: number,
   ): Promise<ClaimOutcome | undefined> {
     const {id, token} = entry;
-    if (entry.member === member || !route.isReachable(entry.member)) {
+    if (entry.member === member || !route.canAnswer(entry.member)) {
       return late.find(id, token);
     }
     try {
@@ -221,6 +227,17 @@
     }
   }
 
+  async function outcomeOf(
+    id: string,
+    token: string,
+  ): Promise<ClaimOutcome | undefined> {
+    const flight = orders.flight(id);
+    if (flight?.token === token) {
+      await flight.done;
+    }
+    return recent.find(id, token) ?? late.find(id, token);
+  }
+
   async function sendLate(): Promise<void> {
     for (const index of late.shards()) {
       const waiting = late.ofShard(index, clock.now());
@@ -251,89 +268,16 @@
     return rendezvousOrder(`ledger/${index}`, known)[0];
   }
 
-  // What peers ask.
-
-  function handleForward(
-    body: OrderMessages['orderForward'],
-  ): Promise<ForwardAnswer> {
-    // A second delivery must not run what the first was refused for.
-    const earlier = forwards.get(body.attempt);
-    if (earlier !== undefined) {
-      return earlier;
-    }
-    const answer = workForwarded(body);
-    forwards.set(body.attempt, answer);
-    const [oldest] = forwards.keys();
-    if (forwards.size > REMEMBERED_FORWARDS && oldest !== undefined) {
-      forwards.delete(oldest);
-    }
-    return answer;
-  }
-
-  async function workForwarded(
-    body: OrderMessages['orderForward'],
-  ): Promise<ForwardAnswer> {
-    const {id, print, service, call, leftMs, released} = body;
-    const age = clock.wall() - body.sentAtWall;
-    if (age > leftMs + STALE_ALLOWANCE_MS) {
-      return refused('deadline-exceeded', 'the order lay unread too long');
-    }
-    if (isLeaving) {
-      return refused('leaving', 'this entry is leaving');
-    }
-    const deadline = clock.now() + leftMs;
-    const request = {id, print, service, call, deadline, released};
-    const result = await orders.work(request, neverAborted());
-    if (result.type === 'unanswered') {
-      return refused('not-ready', 'no entry could take the order now');
-    }
-    return toForwardAnswer(result, member);
-  }
-
-  async function outcomeOf(
-    id: string,
-    token: string,
-  ): Promise<ClaimOutcome | undefined> {
-    const flight = orders.flight(id);
-    if (flight?.token === token) {
-      await flight.done;
-    }
-    return late.find(id, token);
-  }
-
-  async function takeOutcomes(
-    body: OrderMessages['orderOutcomes'],
-  ): Promise<void> {
-    const shard = shards[body.shard];
-    if (shard === undefined || body.hops > MAX_LATE_HOPS) {
-      return;
-    }
-    await shard.own().catch(() => undefined);
-    for (const outcome of body.outcomes) {
-      noteOutcome(body.shard, outcome, body.hops);
-    }
-  }
-
-  owned.add(
-    network.onDidReceive('orderForward', (_from, body) => handleForward(body)),
-  );
-  owned.add(
-    network.onDidReceive('orderOutcomeWanted', (_from, {id, token}) =>
-      outcomeOf(id, token),
-    ),
-  );
   owned.add(
-    network.onDidReceive('orderOutcomes', async (_from, body) => {
-      await takeOutcomes(body);
-      return true;
-    }),
-  );
-  owned.add(
-    network.onDidReceive('orderHandOver', async (_from, {shard}) => {
-      if (!isLeaving) {
-        await shards[shard]?.own().catch(() => undefined);
-      }
-      return true;
+    answerPeers({
+      network,
+      clock,
+      member,
+      shards,
+      isLeaving: () => isLeaving,
+      work: orders.work,
+      outcomeOf,
+      noteOutcome,
     }),
   );
   owned.add(every(clock, LATE_CHECK_MS, () => void sendLate()));
@@ -425,13 +369,6 @@
   };
 }
 
-function refused(
-  kind: 'deadline-exceeded' | 'leaving' | 'not-ready',
-  message: string,
-): ForwardAnswer {
-  return {type: 'error', kind, message, run: 'not-run'};
-}
-
 /** A signal of its own for each call: a shared one would gather listeners. */
 function neverAborted(): AbortSignal {
   return new AbortController().signal;
--- a/packages/orders/src/localOrders.ts
+++ b/packages/orders/src/localOrders.ts
@@ -248,7 +248,7 @@
       return true;
     }
     applyOutcome(shard, entry, outcome);
-    shard.touch();
+    shard.touch(outcome);
     return true;
   }
 
--- a/packages/orders/src/orderRoute.ts
+++ b/packages/orders/src/orderRoute.ts
@@ -19,7 +19,7 @@
     request: OrderRequest,
     signal: AbortSignal,
   ): Promise<Exclude<FlightResult, {type: 'moved'}>>;
-  /** Asks a peer; rejects as soon as it is not live any more. */
+  /** Asks a peer; rejects as soon as it can't answer any more. */
   askWhileLive<T>(
     member: string,
     ask: (timeoutMs: number) => Promise<T>,
@@ -27,7 +27,10 @@
   ): Promise<T>;
   /** The entry that should own a shard, another than this if there is one. */
   successor(shard: number): string | undefined;
+  /** True for an entry that takes new work and can be asked now. */
   isReachable(member: string): boolean;
+  /** True also for an entry that leaves: it still ends what it has begun. */
+  canAnswer(member: string): boolean;
 }
 
 /** What the ledger needs of the inner protocol. */
@@ -43,6 +46,8 @@
   readonly member: string;
   /** Ids of the entries that take new work, this one included. */
   readonly liveMembers: () => readonly string[];
+  /** Ids of the entries that can still answer: those live and those leaving. */
+  readonly answeringMembers: () => readonly string[];
   readonly isLeaving: () => boolean;
   readonly workHere: (
     request: OrderRequest,
@@ -52,6 +57,8 @@
 
 const MAX_HOPS = 12;
 const LIVENESS_CHECK_MS = 200;
+const ANSWER_MARGIN = 0.2;
+const MAX_ANSWER_MARGIN_MS = 50;
 const RETRY_PAUSE_MS = 50;
 
 /**
@@ -67,6 +74,11 @@
     return liveMembers().includes(other) && network.connected().includes(other);
   }
 
+  function canAnswer(other: string): boolean {
+    const isKnown = options.answeringMembers().includes(other);
+    return isKnown && network.connected().includes(other);
+  }
+
   function askWhileLive<T>(
     other: string,
     ask: (timeoutMs: number) => Promise<T>,
@@ -76,7 +88,7 @@
     return new Promise((resolve, reject) => {
       let timer: Disposable | undefined;
       function check() {
-        if (!isReachable(other)) {
+        if (!canAnswer(other)) {
           reject(silentPeer(other));
           return;
         }
@@ -100,7 +112,7 @@
       attempt: uniqueText(random),
       service,
       call,
-      leftMs: Math.max(0, deadline - clock.now()),
+      leftMs: forwardedTime(deadline - clock.now()),
       sentAtWall: clock.wall(),
       released,
     };
@@ -206,10 +218,17 @@
     run,
     askWhileLive,
     isReachable,
+    canAnswer,
     successor: shard => candidates(shard).find(other => other !== member),
   };
 }
 
+/** The owner gets a little less time than the caller has, so that its answer is back before the deadline. */
+function forwardedTime(leftMs: number): number {
+  const marginMs = Math.min(MAX_ANSWER_MARGIN_MS, leftMs * ANSWER_MARGIN);
+  return Math.max(0, leftMs - marginMs);
+}
+
 /** Name under which a shard is placed among the entries. */
 function placeName(shard: number): string {
   return `ledger/${shard}`;
--- a/packages/orders/src/orderRunner.ts
+++ b/packages/orders/src/orderRunner.ts
@@ -71,7 +71,9 @@
       return {type: 'reply', reply};
     } catch (caught) {
       const error = toServingError(caught);
-      const isUnsent = error.run === 'not-run';
+      // A wait that was cancelled before `begin` sent nothing, whatever its error says.
+      const isWait = !wasSent && error.kind === 'cancelled';
+      const isUnsent = isWait || error.run === 'not-run';
       if (
         wasSent &&
         isUnsent &&
--- a/packages/orders/src/shard.ts
+++ b/packages/orders/src/shard.ts
@@ -6,6 +6,7 @@
   type Disposable,
 } from '@skylarkfield/base';
 import type {ObjectStore} from '@skylarkfield/platform';
+import type {ClaimOutcome} from '@skylarkfield/protocol';
 import {createMachine, interpret, state, transition} from 'robot3';
 import type {Flight} from './flight.js';
 import {
@@ -56,6 +57,8 @@
   readonly isReachable: (member: string) => boolean;
   /** The claim is in the ledger: the order may be dispatched. */
   readonly onDidClaim: (flight: Flight) => void;
+  /** The shard was lost with these outcomes not written: its new owner needs them. */
+  readonly onDidLose: (outcomes: readonly ClaimOutcome[]) => void;
   /** The shard was taken over with these entries. */
   readonly onDidTake: (entries: readonly LedgerEntry[]) => void;
 }
@@ -70,8 +73,8 @@
   own(): Promise<Ownership>;
   /** Puts an order into the next write. */
   enqueue(flight: Flight): void;
-  /** Outcomes have changed: write them soon. */
-  touch(): void;
+  /** An outcome has changed the table: write it soon. */
+  touch(outcome: ClaimOutcome): void;
   /** Voids a claim that was never sent. */
   drop(flight: Flight): void;
   /** Ends the orders that have no claim yet; nothing of them was sent. */
@@ -122,6 +125,8 @@
   let writes = 0;
   let claims = 0;
   let takeovers = 0;
+  let unwritten: ClaimOutcome[] = [];
+  let beingWritten: ClaimOutcome[] = [];
   let dirtySince: number | undefined;
   let lastStart = -Infinity;
   let timer: Disposable | undefined;
@@ -158,6 +163,7 @@
     dirtySince = undefined;
     timer?.dispose();
     timer = undefined;
+    options.onDidLose([...beingWritten.splice(0), ...unwritten.splice(0)]);
     note('gave up shard', `written by ${knownOwner ?? 'another process'}`);
     moveQueued();
   }
@@ -274,13 +280,27 @@
       const {id, print} = flight.request;
       table.put({id, print, token: flight.token, state: 'claimed', member});
     }
-    dirtySince = undefined;
-    const result = await writer.write(nextRecord(), version);
+    const result = await write(nextRecord());
     const written = batch;
     batch = [];
     finishWrite(result, written);
   }
 
+  /** Writes the table; outcomes that it carries are kept until it has landed. */
+  async function write(record: ShardRecord): Promise<WriteResult> {
+    dirtySince = undefined;
+    beingWritten = unwritten.splice(0);
+    const result = await writer.write(record, version);
+    if (result.type === 'landed') {
+      beingWritten = [];
+    }
+    if (result.type === 'refused') {
+      unwritten = [...beingWritten.splice(0), ...unwritten];
+      dirtySince = unwritten.length > 0 ? clock.now() : undefined;
+    }
+    return result;
+  }
+
   function finishWrite(result: WriteResult, written: Flight[]): void {
     if (result.type === 'landed') {
       version = result.version;
@@ -293,8 +313,6 @@
         drop(flight);
         flight.end({type: 'error', error: result.error});
       }
-      // Outcomes that were to be written as well still are.
-      touch();
       return;
     }
     lose(result.head);
@@ -312,15 +330,18 @@
     drop(flight);
   }
 
-  function touch(): void {
+  function touch(outcome: ClaimOutcome): void {
+    unwritten.push(outcome);
     dirtySince ??= clock.now();
     schedule();
   }
 
   function drop(flight: Flight): void {
-    if (table.get(flight.request.id)?.token === flight.token) {
-      table.remove(flight.request.id);
-      touch();
+    const {id} = flight.request;
+    const {token} = flight;
+    if (table.get(id)?.token === token) {
+      table.remove(id);
+      touch({state: 'released', id, token});
     }
   }
 
@@ -353,10 +374,10 @@
     moveQueued();
     changes();
     const record = {...nextRecord(), owner: '', ownerMember: ''};
-    const result = await writer.write(record, version);
+    const result = await write(record);
     if (result.type === 'refused') {
       tell('gain');
-      touch();
+      schedule();
       return 'refused';
     }
     lose(result.type === 'lost' ? result.head : undefined);
--- /dev/null
+++ b/packages/orders/src/test/schedule.ts
@@ -0,0 +1,244 @@
+/** Schedules of orders and faults, as the fuzzer makes them and named tests repeat them. */
+import assert from 'node:assert/strict';
+import fc from 'fast-check';
+import {settlePromises} from '@skylarkfield/base';
+import {createWorld, TIMEOUT_MS, type World} from './world.js';
+
+/** One step of a schedule; entries and keys are numbers so that any combination makes sense. */
+export type Step =
+  | {readonly do: 'submit'; readonly entry: number; readonly key: number}
+  | {readonly do: 'submit-unnamed'; readonly entry: number}
+  | {readonly do: 'submit-other'; readonly entry: number; readonly key: number}
+  | {readonly do: 'submit-hasty'; readonly entry: number; readonly key: number}
+  | {readonly do: 'wait'; readonly ms: number}
+  | {readonly do: 'crash'; readonly entry: number}
+  | {readonly do: 'pause'; readonly entry: number}
+  | {readonly do: 'resume'; readonly entry: number}
+  | {readonly do: 'leave'; readonly entry: number}
+  | {readonly do: 'start'; readonly entry: number}
+  | {readonly do: 'suspect'; readonly entry: number; readonly other: number}
+  | {readonly do: 'trust'; readonly entry: number; readonly other: number}
+  | {readonly do: 'cut'; readonly entry: number; readonly other: number}
+  | {readonly do: 'heal'; readonly entry: number; readonly other: number}
+  | {
+      readonly do: 'lose-replies';
+      readonly entry: number;
+      readonly count: number;
+    }
+  | {readonly do: 'platform'; readonly isDown: boolean}
+  | {readonly do: 'platform-slow'; readonly ms: number}
+  | {readonly do: 'unplug'; readonly entry: number; readonly isDown: boolean};
+
+export interface Schedule {
+  readonly seed: number;
+  /** Shares of calls that the service refuses, or loses after or before the run. */
+  readonly service: readonly [number, number, number];
+  /** Shares of inner messages that are lost or come twice. */
+  readonly network: readonly [number, number];
+  /** Time that orders wait for a free place at the service. */
+  readonly waitMs: number;
+  readonly steps: readonly Step[];
+}
+
+const ENTRY_COUNT = 4;
+const KEY_COUNT = 5;
+const SETTLE_MS = 30_000;
+
+const entry = fc.nat(ENTRY_COUNT - 1);
+const key = fc.nat(KEY_COUNT - 1);
+const share = fc.constantFrom(0, 0, 0.1, 0.3);
+
+function step<T extends Step['do'], F extends object>(
+  name: T,
+  fields: {[K in keyof F]: fc.Arbitrary<F[K]>},
+): fc.Arbitrary<{do: T} & F> {
+  return fc.record({
+    do: fc.constant(name),
+    ...fields,
+  }) as unknown as fc.Arbitrary<{do: T} & F>;
+}
+
+const orderSteps = [
+  {weight: 8, arbitrary: step('submit', {entry, key})},
+  {weight: 2, arbitrary: step('submit-unnamed', {entry})},
+  {weight: 1, arbitrary: step('submit-other', {entry, key})},
+  {weight: 2, arbitrary: step('submit-hasty', {entry, key})},
+  {weight: 5, arbitrary: step('wait', {ms: fc.constantFrom(1, 5, 20, 100)})},
+  {weight: 1, arbitrary: step('wait', {ms: fc.constantFrom(400, 3_000)})},
+];
+
+const leaveSteps = [
+  {weight: 2, arbitrary: step('leave', {entry})},
+  {weight: 3, arbitrary: step('start', {entry})},
+  {
+    weight: 1,
+    arbitrary: step('lose-replies', {
+      entry,
+      count: fc.integer({min: 1, max: 3}),
+    }),
+  },
+];
+
+const faultSteps = [
+  {weight: 1, arbitrary: step('crash', {entry})},
+  {weight: 2, arbitrary: step('pause', {entry})},
+  {weight: 2, arbitrary: step('resume', {entry})},
+  {weight: 1, arbitrary: step('suspect', {entry, other: entry})},
+  {weight: 1, arbitrary: step('trust', {entry, other: entry})},
+  {weight: 1, arbitrary: step('cut', {entry, other: entry})},
+  {weight: 1, arbitrary: step('heal', {entry, other: entry})},
+  {weight: 1, arbitrary: step('platform', {isDown: fc.boolean()})},
+  {
+    weight: 1,
+    arbitrary: step('platform-slow', {ms: fc.constantFrom(0, 4, 100, 2_500)}),
+  },
+  {weight: 1, arbitrary: step('unplug', {entry, isDown: fc.boolean()})},
+];
+
+function schedules(
+  steps: ReadonlyArray<{weight: number; arbitrary: fc.Arbitrary<Step>}>,
+  hasFaults: boolean,
+): fc.Arbitrary<Schedule> {
+  const fault = hasFaults ? share : fc.constant(0);
+  return fc.record({
+    seed: fc.nat(1_000_000),
+    service: fc.tuple(fault, fault, fault),
+    network: fc.tuple(fault, fault),
+    waitMs: fc.constantFrom(0, 10, 200, 2_000),
+    steps: fc.array(fc.oneof(...steps), {minLength: 5, maxLength: 40}),
+  });
+}
+
+/** Anything may happen. */
+export const anySchedules = schedules(
+  [...orderSteps, ...leaveSteps, ...faultSteps],
+  true,
+);
+
+/** Only announced reclaims, new entries and lost replies of the platform. */
+export const leaveSchedules = schedules([...orderSteps, ...leaveSteps], false);
+
+type Handlers = {
+  [K in Step['do']]: (world: World, step: Extract<Step, {do: K}>) => unknown;
+};
+
+function idOf(index: number): string {
+  return `e${index}`;
+}
+
+/** Submits where a caller could: at an entry that runs. */
+function submitAt(
+  world: World,
+  index: number,
+  keyIndex: number | undefined,
+  timeoutMs = TIMEOUT_MS,
+  isOther = false,
+): void {
+  const found = world.entries.get(idOf(index));
+  if (found === undefined || !found.process.isAlive) {
+    return;
+  }
+  const name = keyIndex === undefined ? undefined : `k${keyIndex}`;
+  const subject = isOther ? `${name} changed` : name;
+  world.submit(found.id, name, subject, timeoutMs);
+}
+
+function withEntry(
+  world: World,
+  index: number,
+  action: (id: string) => unknown,
+): void {
+  if (world.entries.get(idOf(index))?.process.isAlive) {
+    action(idOf(index));
+  }
+}
+
+const handlers: Handlers = {
+  submit: (world, step) => submitAt(world, step.entry, step.key),
+  'submit-unnamed': (world, step) => submitAt(world, step.entry, undefined),
+  'submit-other': (world, step) =>
+    submitAt(world, step.entry, step.key, TIMEOUT_MS, true),
+  'submit-hasty': (world, step) => submitAt(world, step.entry, step.key, 25),
+  wait: (world, step) => world.clock.advance(step.ms),
+  crash: (world, step) => world.crash(idOf(step.entry)),
+  pause: (world, step) => withEntry(world, step.entry, world.pause),
+  resume: (world, step) => withEntry(world, step.entry, world.resume),
+  leave: (world, step) =>
+    withEntry(world, step.entry, id => void world.leave(id)),
+  start(world, step) {
+    if (!world.entries.get(idOf(step.entry))?.process.isAlive) {
+      world.start(idOf(step.entry));
+    }
+  },
+  suspect: (world, step) =>
+    world.entries.get(idOf(step.entry))?.suspects.add(idOf(step.other)),
+  trust: (world, step) =>
+    world.entries.get(idOf(step.entry))?.suspects.delete(idOf(step.other)),
+  cut: (world, step) =>
+    world.network.cuts.add(`${idOf(step.entry)}>${idOf(step.other)}`),
+  heal: (world, step) =>
+    world.network.cuts.delete(`${idOf(step.entry)}>${idOf(step.other)}`),
+  'lose-replies': (world, step) =>
+    world.entries.get(idOf(step.entry))?.client.faults.loseReplies(step.count),
+  platform: (world, step) => world.platform.faults.setDown(step.isDown),
+  'platform-slow': (world, step) => world.platform.faults.setSlow(step.ms),
+  unplug: (world, step) =>
+    world.entries.get(idOf(step.entry))?.client.faults.setDown(step.isDown),
+};
+
+/** Runs a schedule's steps and checks after each; the world is left as it is then. */
+export async function play(schedule: Schedule): Promise<World> {
+  const world = createWorld(schedule.seed);
+  const [refused, lostAfter, lostBefore] = schedule.service;
+  const {waitMs} = schedule;
+  Object.assign(world.service, {refused, lostAfter, lostBefore, waitMs});
+  [world.network.lost, world.network.duplicated] = schedule.network;
+  for (let index = 0; index < ENTRY_COUNT - 1; index++) {
+    world.start(idOf(index));
+  }
+  for (const next of schedule.steps) {
+    await handlers[next.do](world, next as never);
+    await settlePromises();
+  }
+  return world;
+}
+
+/** Ends all faults, waits until everything is answered and checks the whole history. */
+export async function settle(world: World): Promise<void> {
+  const {clock, platform, network, service, entries} = world;
+  platform.faults.setDown(false);
+  platform.faults.setSlow(4);
+  network.cuts.clear();
+  network.lost = 0;
+  Object.assign(service, {refused: 0, lostAfter: 0, lostBefore: 0, waitMs: 1});
+  for (const {process, suspects, client} of entries.values()) {
+    suspects.clear();
+    client.faults.setDown(false);
+    process.resume();
+  }
+  await clock.advance(SETTLE_MS);
+  world.check();
+  world.start('last');
+  await checkRetries(world);
+}
+
+/** A retry of every order through a new entry gives the run's own reply, or says that it may have run. */
+async function checkRetries(world: World): Promise<void> {
+  const ranBefore = [...world.runs];
+  const subjects = [...new Set(world.submitted.map(({subject}) => subject))];
+  const retries = subjects
+    .map(subject => world.submitted.find(one => one.subject === subject))
+    .filter(one => one?.key !== undefined)
+    .map(one => world.submit('last', one?.key, one?.subject));
+  await world.clock.advance(SETTLE_MS);
+  world.check();
+  for (const {key, subject, answer} of retries) {
+    assert.ok(answer, `the retry of ${subject} was not answered`);
+    const run = ranBefore.find(one => one.subject === subject);
+    if (run === undefined || answer.kind === 'key-conflict') {
+      continue;
+    }
+    assert.equal(answer.body ?? run.body, run.body, `${key} ran anew`);
+    assert.notEqual(answer.run, 'not-run', `${key} has run`);
+  }
+}
--- a/packages/orders/src/test/simulatedProcess.ts
+++ b/packages/orders/src/test/simulatedProcess.ts
@@ -11,6 +11,8 @@
   readonly handlers: Map<string, Handler>;
   isAlive: boolean;
   isPaused: boolean;
+  /** Fails the asks that wait for this process, as its closed connections do. */
+  readonly onDidEnd: Array<() => void>;
   /** Runs an action now, after the pause, or never when the process has ended. */
   run(action: () => void): void;
   /** Resolves while the process runs; never when it has ended. */
@@ -26,6 +28,7 @@
     handlers: new Map(),
     isAlive: true,
     isPaused: false,
+    onDidEnd: [],
     clock: {
       now: () => world.now(),
       wall: () => world.wall(),
@@ -145,6 +148,9 @@
       ask: (to, type, body, timeoutMs) =>
         new Promise((resolve, reject) => {
           process.clock.after(timeoutMs, () => reject(new Error('timeout')));
+          const closed = () =>
+            process.run(() => reject(new Error('connection closed')));
+          processes.get(to)?.onDidEnd.push(closed);
           const deliver = () =>
             carry(process.id, to, () => {
               answer(process.id, to, type, body).then(
--- a/packages/orders/src/test/world.ts
+++ b/packages/orders/src/test/world.ts
@@ -29,6 +29,7 @@
   /** What the order is about; a key may be used with two of them. */
   readonly subject: string;
   readonly at: number;
+  readonly timeoutMs: number;
   /** Undefined until answered; stays so when its entry crashed. */
   answer?: {
     readonly kind: string;
@@ -150,6 +151,10 @@
     const process = createProcess(id, clock);
     const client = platform.client(id);
     const suspects = new Set<string>();
+    const membersSeen = () =>
+      [...entries.values()].filter(
+        other => other.process.isAlive && !suspects.has(other.id),
+      );
     const ledger = createLedger({
       store: pausedStore(client, process),
       network: network.connect(process),
@@ -158,10 +163,10 @@
       random: seededRandom(random.integer(0, 1_000_000_000)),
       member: id,
       liveMembers: () =>
-        [...entries.values()]
-          .filter(other => other.process.isAlive && !other.isLeaving)
-          .filter(other => !suspects.has(other.id))
+        membersSeen()
+          .filter(other => !other.isLeaving)
           .map(other => other.id),
+      answeringMembers: () => membersSeen().map(other => other.id),
       settings: {...testSettings, ...settings},
     });
     const entry = {id, process, ledger, client, suspects, isLeaving: false};
@@ -174,6 +179,7 @@
     if (entry !== undefined) {
       entry.process.isAlive = false;
       entry.ledger.dispose();
+      entry.process.onDidEnd.splice(0).forEach(tell => tell());
     }
   }
 
@@ -190,7 +196,7 @@
     timeoutMs = TIMEOUT_MS,
   ): Submitted {
     const {ledger, process} = entryOf(id);
-    const request: Submitted = {key, subject, at: clock.now()};
+    const request: Submitted = {key, subject, at: clock.now(), timeoutMs};
     submitted.push(request);
     const order = {
       customer: 'chain',
@@ -224,7 +230,9 @@
     const entry = entryOf(id);
     entry.isLeaving = true;
     await entry.ledger.leave();
-    crash(id);
+    if (entries.get(id) === entry) {
+      crash(id);
+    }
   }
 
   function check(): void {
