--- a/eslint.config.js
+++ b/eslint.config.js
@@ -75,6 +75,7 @@
       ecmaVersion: 2022,
       sourceType: 'module',
       globals: {
+        Buffer: 'readonly',
         console: 'readonly',
         process: 'readonly',
         URL: 'readonly',
--- /dev/null
+++ b/packages/bench/src/processes/childProcess.ts
@@ -0,0 +1,113 @@
+/** One process of a trial fleet: started, waited for, paused, ended by its id. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+
+/** Time that a process has to say that it listens, in milliseconds. */
+const READY_TIMEOUT_MS = 30_000;
+/** Time that a process has to stop gracefully before it is killed, in milliseconds. */
+const STOP_TIMEOUT_MS = 45_000;
+/** Lines of standard error that are kept to explain a failure. */
+const KEPT_LINES = 200;
+
+/** Path of a built binary to run instead of the compiled command line. */
+const BINARY_VARIABLE = 'SKYLARKFIELD_BINARY';
+const COMMAND_LINE = fileURLToPath(
+  new URL('../../../cli/out/main.js', import.meta.url),
+);
+
+/** What a process prints when it listens. */
+export type ReadyLine = Readonly<Record<string, string>>;
+
+export interface TrialProcess {
+  readonly name: string;
+  readonly pid: number;
+  readonly ready: ReadyLine;
+  /** Last lines of its log. */
+  logLines(): readonly string[];
+  /** SIGSTOP: the process stands still and keeps its sockets. */
+  pause(): void;
+  /** SIGCONT. */
+  resume(): void;
+  /** SIGTERM, then waits; resolves with the exit code. */
+  stop(): Promise<number | null>;
+  /** SIGKILL, then waits. */
+  kill(): Promise<void>;
+  hasEnded(): boolean;
+}
+
+/**
+ * Starts `skylarkfield ARGUMENTS` and waits until it listens.
+ * Throws with the end of its log when it doesn't.
+ *
+ * @example
+ * const platform = await startProcess('platform', ['standin', 'platform']);
+ */
+export async function startProcess(
+  name: string,
+  args: readonly string[],
+): Promise<TrialProcess> {
+  const binary = process.env[BINARY_VARIABLE];
+  const child = spawn(
+    binary ?? process.execPath,
+    binary === undefined ? [COMMAND_LINE, ...args] : [...args],
+    {stdio: ['ignore', 'pipe', 'pipe']},
+  );
+  const lines: string[] = [];
+  createInterface({input: child.stderr}).on('line', line => {
+    lines.push(line);
+    if (lines.length > KEPT_LINES) {
+      lines.shift();
+    }
+  });
+  const ended = new Promise<number | null>(resolve => {
+    child.once('exit', code => resolve(code));
+  });
+  const ready = await waitForReady(name, child, lines);
+  return {
+    name,
+    pid: child.pid ?? 0,
+    ready,
+    logLines: () => lines,
+    pause: () => void child.kill('SIGSTOP'),
+    resume: () => void child.kill('SIGCONT'),
+    async stop() {
+      child.kill('SIGTERM');
+      const timer = setTimeout(() => child.kill('SIGKILL'), STOP_TIMEOUT_MS);
+      const code = await ended;
+      clearTimeout(timer);
+      return code;
+    },
+    async kill() {
+      child.kill('SIGKILL');
+      await ended;
+    },
+    hasEnded: () => child.exitCode !== null || child.signalCode !== null,
+  };
+}
+
+function waitForReady(
+  name: string,
+  child: ChildProcess,
+  lines: readonly string[],
+): Promise<ReadyLine> {
+  return new Promise((resolve, reject) => {
+    const output = createInterface({input: child.stdout as never});
+    const timer = setTimeout(
+      () => fail('did not listen in time'),
+      READY_TIMEOUT_MS,
+    );
+    const onExit = () => fail('ended before it listened');
+    child.once('exit', onExit);
+    output.once('line', line => {
+      clearTimeout(timer);
+      child.off('exit', onExit);
+      resolve(JSON.parse(line) as ReadyLine);
+    });
+    function fail(reason: string) {
+      clearTimeout(timer);
+      child.kill('SIGKILL');
+      reject(new Error(`${name} ${reason}:\n${lines.join('\n')}`));
+    }
+  });
+}
--- /dev/null
+++ b/packages/bench/src/processes/untilServing.ts
@@ -0,0 +1,85 @@
+/** Waits until a trial fleet serves, on conditions rather than for a time. */
+import {TRIAL_CUSTOMER_KEY, type TrialFleet} from './trialFleet.js';
+
+/** How often a condition is looked at, in milliseconds. */
+const POLL_MS = 50;
+/** When a condition that has not come is taken for a failure, in milliseconds. */
+const GIVE_UP_MS = 30_000;
+
+/**
+ * Waits for a condition; throws with its description when it does not come.
+ *
+ * @example
+ * await until('the order ran', async () => (await runs()).total === 1);
+ */
+export async function until(
+  what: string,
+  condition: () => Promise<boolean> | boolean,
+  giveUpMs = GIVE_UP_MS,
+): Promise<void> {
+  const giveUpAt = performance.now() + giveUpMs;
+  for (;;) {
+    if (await condition()) {
+      return;
+    }
+    if (performance.now() > giveUpAt) {
+      throw new Error(`gave up waiting: ${what}`);
+    }
+    await new Promise(resolve => setTimeout(resolve, POLL_MS));
+  }
+}
+
+/**
+ * Waits until every entry knows the services and answers lookups with all
+ * entries; returns the first entry's address for callers.
+ *
+ * @example
+ * const entry = await untilServing(fleet, ['booking']);
+ */
+export async function untilServing(
+  fleet: TrialFleet,
+  services: readonly string[],
+): Promise<string> {
+  const urls = fleet.entries
+    .filter(entry => !entry.hasEnded())
+    .map(entry => entry.ready['callers'] ?? '');
+  for (const url of urls) {
+    await until(`${url} lists every entry`, async () => {
+      const answer = await get(`${url}/v1/entries`);
+      if (!answer.ok) {
+        return false;
+      }
+      const body = (await answer.json()) as {entries: unknown[]};
+      return body.entries.length === urls.length;
+    });
+    for (const service of services) {
+      await until(`${url} serves ${service}`, () =>
+        servesService(url, service),
+      );
+    }
+  }
+  return urls[0] ?? '';
+}
+
+/** A service of either type answers a probe of both shapes with something else than unknown-service. */
+async function servesService(url: string, service: string): Promise<boolean> {
+  const plain = await get(`${url}/services/${service}/health`);
+  const plainBody = await plain.text();
+  if (plain.ok) {
+    return true;
+  }
+  if (!plainBody.includes('unknown-service')) {
+    return false;
+  }
+  const model = await fetch(`${url}/v1/completions`, {
+    method: 'POST',
+    headers: {authorization: `Bearer ${TRIAL_CUSTOMER_KEY}`},
+    body: JSON.stringify({model: service, prompt: 'ready', max_tokens: 1}),
+  });
+  await model.text();
+  return model.ok;
+}
+
+function get(url: string): Promise<Response> {
+  return fetch(url, {headers: {authorization: `Bearer ${TRIAL_CUSTOMER_KEY}`}});
+}
--- /dev/null
+++ b/packages/cli/src/commands/checkSettings.ts
@@ -0,0 +1,37 @@
+import {Args, Command, Flags} from '@oclif/core';
+import {checkEntrySettings} from '@skylarkfield/entry';
+import {readJsonFile} from '../jsonInput.js';
+import {printJson, printLine} from '../output.js';
+
+/** Checks an entry's settings without starting anything. */
+export class CheckSettingsCommand extends Command {
+  static override description =
+    "Check an entry's settings without starting anything.";
+  static override examples = [
+    'skylarkfield check settings entry-a1.json',
+    'skylarkfield check settings entry-a1.json --json',
+  ];
+  static override args = {
+    file: Args.string({
+      required: true,
+      description: 'settings file, - for standard input',
+    }),
+  };
+  static override flags = {
+    json: Flags.boolean({
+      description: 'print the settings with their defaults as JSON',
+    }),
+  };
+
+  async run(): Promise<void> {
+    const {args, flags} = await this.parse(CheckSettingsCommand);
+    const settings = checkEntrySettings(
+      readJsonFile(args.file, 'bad-settings'),
+    );
+    if (flags.json) {
+      printJson(settings);
+      return;
+    }
+    printLine(`${args.file}: valid settings of entry ${settings.id}`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/decisions.ts
@@ -0,0 +1,50 @@
+import {Command, Flags} from '@oclif/core';
+import type {Decision} from '@skylarkfield/base';
+import {callForJson} from '../jsonInput.js';
+import {printJson, printTable} from '../output.js';
+
+/** Shows what an entry decided lately, and why. */
+export class DecisionsCommand extends Command {
+  static override description =
+    'Show what an entry decided lately, with cause and figures.';
+  static override examples = [
+    'skylarkfield decisions --admin http://127.0.0.1:9001 --by moves',
+  ];
+  static override flags = {
+    admin: Flags.string({
+      required: true,
+      description: "address of the entry's admin port",
+    }),
+    key: Flags.string({
+      required: true,
+      env: 'SKYLARKFIELD_ADMIN_KEY',
+      description: 'admin key',
+    }),
+    by: Flags.string({description: 'only decisions of this package'}),
+    json: Flags.boolean({description: 'one JSON line per decision'}),
+  };
+
+  async run(): Promise<void> {
+    const {flags} = await this.parse(DecisionsCommand);
+    const all = (await callForJson(`${flags.admin}/decisions`, {
+      key: flags.key,
+    })) as Decision[];
+    const shown = all.filter(
+      decision => flags.by === undefined || decision.by === flags.by,
+    );
+    if (flags.json) {
+      shown.forEach(printJson);
+      return;
+    }
+    printTable(
+      ['at', 'by', 'subject', 'what', 'why'],
+      shown.map(decision => [
+        new Date(decision.at).toISOString(),
+        decision.by,
+        decision.subject,
+        decision.what,
+        decision.why,
+      ]),
+    );
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/entry.ts
@@ -0,0 +1,19 @@
+import {Command, Flags} from '@oclif/core';
+import {readEntrySettings, startEntry} from '@skylarkfield/entry';
+import {runUntilStopped} from '../longRunning.js';
+
+/** Runs an entry process. */
+export class EntryCommand extends Command {
+  static override description =
+    'Run an entry. Prints one JSON line with its addresses when it listens; logs go to standard error. SIGTERM stops it gracefully.';
+  static override examples = ['skylarkfield entry --settings entry-a1.json'];
+  static override flags = {
+    settings: Flags.string({required: true, description: 'settings file'}),
+  };
+
+  async run(): Promise<void> {
+    const {flags} = await this.parse(EntryCommand);
+    const entry = await startEntry(readEntrySettings(flags.settings));
+    await runUntilStopped(entry, entry.addresses);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/sendCall.ts
@@ -0,0 +1,65 @@
+import {Args, Command, Flags} from '@oclif/core';
+import {ServingError} from '@skylarkfield/base';
+import {callHttp} from '../jsonInput.js';
+import {printJson, printLine} from '../output.js';
+
+/** Calls a plain service through an entry. */
+export class SendCallCommand extends Command {
+  static override description = 'Call a plain service through an entry.';
+  static override examples = [
+    'skylarkfield send call /availability --entry http://127.0.0.1:8001 --service booking --key CUSTOMER-KEY',
+    'skylarkfield send call /bookings --method POST --idempotency-key shift-17 --data \'{"shift":17}\' --entry http://127.0.0.1:8001 --service booking',
+  ];
+  static override args = {
+    path: Args.string({
+      required: true,
+      description: "path below the service's root",
+    }),
+  };
+  static override flags = {
+    entry: Flags.string({
+      required: true,
+      description: "address of an entry's port for callers",
+    }),
+    service: Flags.string({required: true, description: 'plain service'}),
+    key: Flags.string({
+      required: true,
+      env: 'SKYLARKFIELD_KEY',
+      description: "customer's key",
+    }),
+    method: Flags.string({default: 'GET', description: 'HTTP method'}),
+    data: Flags.string({description: 'body'}),
+    'idempotency-key': Flags.string({
+      description: 'recognises a retry of a call that may not be repeated',
+    }),
+    json: Flags.boolean({
+      description: 'print status, headers and body as JSON',
+    }),
+  };
+
+  async run(): Promise<void> {
+    const {args, flags} = await this.parse(SendCallCommand);
+    const answer = await callHttp(
+      new URL(`/services/${flags.service}${args.path}`, flags.entry).href,
+      {
+        key: flags.key,
+        method: flags.method,
+        body: flags.data,
+        headers: {
+          'content-type': 'application/json',
+          ...(flags['idempotency-key'] === undefined
+            ? {}
+            : {'idempotency-key': flags['idempotency-key']}),
+        },
+      },
+    );
+    if (flags.json) {
+      printJson(answer);
+    } else {
+      printLine(answer.text);
+    }
+    if (answer.status >= 400) {
+      throw new ServingError('endpoint-failed', `status ${answer.status}`);
+    }
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/sendChat.ts
@@ -0,0 +1,126 @@
+import {Args, Command, Flags} from '@oclif/core';
+import {ServingError} from '@skylarkfield/base';
+import {createParser} from 'eventsource-parser';
+import {request} from 'undici';
+import {callForJson} from '../jsonInput.js';
+import {printJson, printLine} from '../output.js';
+
+interface ChatChunk {
+  readonly choices?: readonly {readonly delta?: {readonly content?: string}}[];
+  readonly usage?: unknown;
+}
+
+/** Sends one chat request and prints the answer as it comes. */
+export class SendChatCommand extends Command {
+  static override description =
+    'Send one chat request to a model service and print the answer as it comes.';
+  static override examples = [
+    'skylarkfield send chat "match this oak floor" --entry http://127.0.0.1:8001 --service stain-match --key CUSTOMER-KEY',
+  ];
+  static override args = {
+    text: Args.string({required: true, description: 'what to ask'}),
+  };
+  static override flags = {
+    entry: Flags.string({
+      required: true,
+      description: "address of an entry's port for callers",
+    }),
+    service: Flags.string({required: true, description: 'model service'}),
+    key: Flags.string({
+      required: true,
+      env: 'SKYLARKFIELD_KEY',
+      description: "customer's key",
+    }),
+    'max-tokens': Flags.integer({
+      default: 64,
+      min: 1,
+      description: 'longest answer',
+    }),
+    session: Flags.string({
+      description: 'session, so that histories are found again',
+    }),
+    json: Flags.boolean({
+      description: 'print the whole answer as JSON at its end',
+    }),
+  };
+
+  async run(): Promise<void> {
+    const {args, flags} = await this.parse(SendChatCommand);
+    const url = new URL('/v1/chat/completions', flags.entry).href;
+    const headers = {
+      'content-type': 'application/json',
+      ...(flags.session === undefined ? {} : {'x-session-id': flags.session}),
+    };
+    const body = JSON.stringify({
+      model: flags.service,
+      max_tokens: flags['max-tokens'],
+      stream: !flags.json,
+      messages: [{role: 'user', content: args.text}],
+    });
+    if (flags.json) {
+      printJson(
+        await callForJson(url, {key: flags.key, method: 'POST', headers, body}),
+      );
+      return;
+    }
+    await printStream(
+      url,
+      {...headers, authorization: `Bearer ${flags.key}`},
+      body,
+    );
+  }
+}
+
+async function printStream(
+  url: string,
+  headers: Record<string, string>,
+  body: string,
+): Promise<void> {
+  const response = await openStream(url, headers, body);
+  if (response.statusCode !== 200) {
+    const text = await response.body.text();
+    throw new ServingError('endpoint-failed', text);
+  }
+  let isDone = false;
+  const parser = createParser({
+    onEvent(event) {
+      if (event.event === 'error') {
+        throw new ServingError('interrupted', event.data);
+      }
+      if (event.data === '[DONE]') {
+        isDone = true;
+        return;
+      }
+      printChunk(JSON.parse(event.data) as ChatChunk);
+    },
+  });
+  for await (const chunk of response.body) {
+    parser.feed(Buffer.from(chunk as Uint8Array).toString('utf8'));
+  }
+  if (!isDone) {
+    throw new ServingError('interrupted', 'the answer ended before its time');
+  }
+}
+
+async function openStream(
+  url: string,
+  headers: Record<string, string>,
+  body: string,
+) {
+  try {
+    return await request(url, {method: 'POST', headers, body});
+  } catch (error) {
+    throw new ServingError(
+      'endpoint-unavailable',
+      `no answer: ${String(error)}`,
+    );
+  }
+}
+
+function printChunk(chunk: ChatChunk): void {
+  const text = chunk.choices?.[0]?.delta?.content ?? '';
+  process.stdout.write(text);
+  if (chunk.usage !== undefined) {
+    printLine(`\n${JSON.stringify(chunk.usage)}`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/standinService.ts
@@ -0,0 +1,39 @@
+import {Command, Flags} from '@oclif/core';
+import {startServiceStandin} from '@skylarkfield/standins';
+import {runUntilStopped} from '../longRunning.js';
+import {registerOrStop, standinFlags} from '../standinFlags.js';
+
+/** Runs the stand-in for a plain service. */
+export class StandinServiceCommand extends Command {
+  static override description =
+    'Run a stand-in for a plain service that counts each run. For trials and tests only.';
+  static override examples = [
+    'skylarkfield standin service --id b1 --service booking --register http://127.0.0.1:7000',
+  ];
+  static override flags = {
+    ...standinFlags,
+    'work-ms': Flags.integer({
+      default: 0,
+      min: 0,
+      description: 'time that each request takes, in milliseconds',
+    }),
+  };
+
+  async run(): Promise<void> {
+    const {flags} = await this.parse(StandinServiceCommand);
+    const standin = await startServiceStandin({
+      host: flags.host,
+      port: flags.port,
+      service: flags.service,
+      version: flags.version,
+      workMs: flags['work-ms'],
+    });
+    await registerOrStop(standin, {
+      platform: flags.register,
+      type: 'plain',
+      url: standin.url,
+      flags,
+    });
+    await runUntilStopped(standin, {url: standin.url});
+  }
+}
--- /dev/null
+++ b/packages/cli/src/help.ts
@@ -0,0 +1,67 @@
+/** Help texts of the command line. */
+import {CommandHelp, type Config} from '@oclif/core';
+import type {RunnableCommand} from './commandTable.js';
+import {exitCodeMeanings} from './exitCodes.js';
+import {printLine} from './output.js';
+
+/**
+ * Prints the list of commands, and what the exit codes mean.
+ *
+ * @example
+ * printOverview(commands);
+ */
+export function printOverview(
+  commands: ReadonlyMap<string, RunnableCommand>,
+): void {
+  printLine('skylarkfield: serves model replicas and plain services\n');
+  printLine('USAGE\n  $ skylarkfield COMMAND [OPTIONS]\n\nCOMMANDS');
+  const width = Math.max(...[...commands.keys()].map(name => name.length));
+  for (const [name, command] of commands) {
+    const summary = (command.description ?? '').split('. ')[0];
+    printLine(`  ${name.padEnd(width)}  ${summary}`);
+  }
+  printLine('\n  skylarkfield COMMAND --help shows options and examples\n');
+  printLine('EXIT CODES');
+  for (const [code, meaning] of Object.entries(exitCodeMeanings)) {
+    printLine(`  ${code}  ${meaning}`);
+  }
+}
+
+/**
+ * Prints options and examples of one command. A bundle has no folder that the
+ * library could scan for commands, so it gets the one to describe.
+ *
+ * @example
+ * printCommandHelp('dump', DumpCommand, config);
+ */
+export function printCommandHelp(
+  name: string,
+  command: RunnableCommand,
+  config: Config,
+): void {
+  const described = {
+    id: name,
+    description: command.description,
+    examples: command.examples,
+    flags: named(command.flags),
+    args: named(command.args),
+    aliases: [],
+    hiddenAliases: [],
+    hidden: false,
+    strict: command.strict,
+  };
+  const help = new CommandHelp(described as never, config, {
+    maxWidth: 100,
+  } as never);
+  printLine(help.generate());
+}
+
+function named(
+  items: Readonly<Record<string, object>>,
+): Record<string, object> {
+  const entries = Object.entries(items).map(([name, item]) => [
+    name,
+    {...item, name},
+  ]);
+  return Object.fromEntries(entries) as Record<string, object>;
+}
--- /dev/null
+++ b/packages/cli/src/output.ts
@@ -0,0 +1,43 @@
+/** What commands print: results on standard output, everything else on standard error. */
+
+/**
+ * Prints a value as one JSON line.
+ *
+ * @example
+ * printJson({ready: true, url});
+ */
+export function printJson(value: unknown): void {
+  process.stdout.write(`${JSON.stringify(value)}\n`);
+}
+
+/**
+ * Prints a line of text.
+ *
+ * @example
+ * printLine('settings are valid');
+ */
+export function printLine(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+/**
+ * Prints rows under headings, in columns as wide as their widest cell.
+ *
+ * @example
+ * printTable(['service', 'version'], [['booking', 'v2']]);
+ */
+export function printTable(
+  headings: readonly string[],
+  rows: readonly (readonly string[])[],
+): void {
+  const all = [headings, ...rows];
+  const widths = headings.map((_, column) =>
+    Math.max(...all.map(row => (row[column] ?? '').length)),
+  );
+  for (const row of all) {
+    const cells = widths.map((width, column) =>
+      (row[column] ?? '').padEnd(width),
+    );
+    printLine(cells.join('  ').trimEnd());
+  }
+}
--- /dev/null
+++ b/packages/entry/src/admin/adminServer.ts
@@ -0,0 +1,96 @@
+/** The operators' port: health, metrics, state dump and decisions. */
+import {createHash, timingSafeEqual} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import polka from 'polka';
+import {
+  ServingError,
+  toServingError,
+  type DecisionLog,
+  type Metrics,
+} from '@skylarkfield/base';
+import {sendProblem, toProblem} from '../callers/problem.js';
+import {bearerKey} from '../callers/requestHeaders.js';
+import type {Dumps} from '../context.js';
+import type {HttpServer} from '../listener.js';
+
+interface AdminServerOptions {
+  readonly server: HttpServer;
+  readonly key: string;
+  readonly dumps: Dumps;
+  readonly decisions: DecisionLog;
+  readonly metrics: Metrics;
+}
+
+type Handler = (response: ServerResponse) => Promise<void> | void;
+
+/**
+ * Attaches the operators' routes; all but `/health` want the admin key.
+ *
+ * @example
+ * attachAdminRoutes({server, key, dumps, decisions, metrics});
+ */
+export function attachAdminRoutes(options: AdminServerOptions): void {
+  const expected = digest(options.key);
+  const app = polka({
+    server: options.server,
+    onNoMatch: (_request, response) => {
+      sendProblem(
+        response,
+        toProblem(new ServingError('not-found', 'no such route'), ''),
+      );
+    },
+  });
+  app.get('/health', (_request, response) => response.end('ok\n'));
+  app.get('/dump', guarded(sendDump));
+  app.get('/decisions', guarded(sendDecisions));
+  app.get('/metrics', guarded(sendMetrics));
+  options.server.on('request', app.handler as never);
+
+  function guarded(handler: Handler) {
+    return async (request: IncomingMessage, response: ServerResponse) => {
+      try {
+        checkKey(request);
+        await handler(response);
+      } catch (error) {
+        sendProblem(response, toProblem(toServingError(error), ''));
+      }
+    };
+  }
+
+  function checkKey(request: IncomingMessage): void {
+    const given = bearerKey(request.headers);
+    if (given === undefined || !timingSafeEqual(digest(given), expected)) {
+      throw new ServingError('unauthenticated', 'the admin key is needed');
+    }
+  }
+
+  function sendDump(response: ServerResponse): void {
+    sendJson(response, options.dumps.collect());
+  }
+
+  function sendDecisions(response: ServerResponse): void {
+    sendJson(response, options.decisions.list());
+  }
+
+  async function sendMetrics(response: ServerResponse): Promise<void> {
+    const text = await options.metrics.render();
+    response.setHeader('Content-Type', 'text/plain; version=0.0.4');
+    response.end(text);
+  }
+}
+
+function sendJson(response: ServerResponse, value: unknown): void {
+  response.setHeader('Content-Type', 'application/json');
+  response.end(JSON.stringify(value, mapsAsObjects, 2));
+}
+
+function mapsAsObjects(_name: string, value: unknown): unknown {
+  if (value instanceof Map) {
+    return Object.fromEntries(value);
+  }
+  return value instanceof Set ? [...value] : value;
+}
+
+function digest(text: string): Buffer {
+  return createHash('sha256').update(text).digest();
+}
--- /dev/null
+++ b/packages/entry/src/callers/attempts.ts
@@ -0,0 +1,212 @@
+/** Attempts at plain services: which endpoint, and whether another may follow. */
+import {ServingError, toServingError, type Clock} from '@skylarkfield/base';
+import type {ServiceCall, ServiceReply} from '@skylarkfield/endpoints';
+import type {AttemptResult} from '@skylarkfield/routing';
+import type {Serving} from '../serving.js';
+import {isVersionFault} from './observation.js';
+import {noEndpoint} from './serveModel.js';
+
+/** A call with all that decides where it goes. */
+export interface PlacedCall {
+  readonly service: string;
+  readonly version: string;
+  readonly route: string;
+  readonly call: ServiceCall;
+  /** Monotonic milliseconds. */
+  readonly deadline: number;
+}
+
+export interface Attempts {
+  /** Makes attempts until one answers, the retry budget is used up or the deadline passes. */
+  repeatable(call: PlacedCall, signal: AbortSignal): Promise<ServiceReply>;
+  /**
+   * Makes attempts only as long as none of them can have run. `begin` is asked
+   * right before a call goes out; false means that it must not.
+   */
+  atMostOnce(
+    call: PlacedCall,
+    signal: AbortSignal,
+    begin: () => boolean,
+  ): Promise<ServiceReply>;
+}
+
+/** What is asked before an attempt and after a failed one. */
+interface AttemptRules {
+  begin(): boolean;
+  mayRetry(error: ServingError): boolean;
+}
+
+/** More attempts than this say that the trouble is not one endpoint's. */
+const MOST_ATTEMPTS = 3;
+
+/** Statuses by which a service says that it could not do its work. */
+const FIRST_FAILURE_STATUS = 500;
+
+type AttemptServing = Pick<
+  Serving,
+  'router' | 'endpoints' | 'split' | 'admission'
+>;
+
+/**
+ * Makes the attempts over the router's choice of endpoints.
+ *
+ * @example
+ * const reply = await attempts.repeatable(call, signal);
+ */
+export function createAttempts(
+  serving: AttemptServing,
+  clock: Clock,
+): Attempts {
+  return {
+    repeatable: (call, signal) =>
+      attemptUntil(call, signal, {
+        begin: () => true,
+        mayRetry: () => serving.admission.tryRetry(call.service),
+      }),
+    atMostOnce: (call, signal, begin) =>
+      attemptUntil(call, signal, {begin, mayRetry: isSurelyNotRun}),
+  };
+
+  async function attemptUntil(
+    call: PlacedCall,
+    signal: AbortSignal,
+    rules: AttemptRules,
+  ): Promise<ServiceReply> {
+    const excluded = new Set<string>();
+    let lastError: ServingError | undefined;
+    while (excluded.size < MOST_ATTEMPTS) {
+      try {
+        return await attemptOnce(call, excluded, signal, rules, lastError);
+      } catch (error) {
+        lastError = toServingError(error);
+        if (!isWorthRetrying(lastError, signal) || !rules.mayRetry(lastError)) {
+          throw lastError;
+        }
+      }
+    }
+    throw lastError ?? noEndpoint(call.service, call.version);
+  }
+
+  async function attemptOnce(
+    call: PlacedCall,
+    excluded: Set<string>,
+    signal: AbortSignal,
+    rules: AttemptRules,
+    lastError: ServingError | undefined,
+  ): Promise<ServiceReply> {
+    const choice = serving.router.choose({
+      service: call.service,
+      version: call.version,
+      blocks: [],
+      promptTokens: 0,
+      expectedTokens: 0,
+      excluded,
+    });
+    const endpoint =
+      choice === undefined
+        ? undefined
+        : serving.endpoints.get(choice.endpoint)?.plain;
+    if (choice === undefined || endpoint === undefined) {
+      choice?.finish({outcome: 'unreachable', latencyMs: 0});
+      throw withoutRetry(lastError ?? noEndpoint(call.service, call.version));
+    }
+    excluded.add(choice.endpoint);
+    if (!rules.begin()) {
+      choice.finish({outcome: 'cancelled', latencyMs: 0});
+      throw new ServingError('cancelled', 'given up before it was sent', {
+        run: 'not-run',
+      });
+    }
+    const startedAt = clock.now();
+    const limit = deadlineSignal(call.deadline, signal);
+    try {
+      const reply = await endpoint.call(call.call, limit.signal);
+      const isFailure = reply.status >= FIRST_FAILURE_STATUS;
+      finish(isFailure ? 'failed' : 'ok', isFailure);
+      return reply;
+    } catch (error) {
+      const failure = limit.explain(toServingError(error));
+      finish(attemptOutcome(failure), isVersionFault(failure.kind));
+      throw failure;
+    } finally {
+      limit.dispose();
+    }
+
+    function finish(outcome: AttemptResult['outcome'], isError: boolean): void {
+      const latencyMs = clock.now() - startedAt;
+      choice?.finish({outcome, latencyMs});
+      if (outcome === 'cancelled' || outcome === 'unreachable') {
+        return;
+      }
+      serving.split.observe({
+        service: call.service,
+        version: call.version,
+        route: call.route,
+        isError,
+        latencyMs,
+        loadFraction: 0,
+      });
+    }
+  }
+
+  /** A signal that also aborts at the deadline, and tells which of the two it was. */
+  function deadlineSignal(deadline: number, signal: AbortSignal) {
+    const controller = new AbortController();
+    let isLate = false;
+    const onAbort = () => controller.abort();
+    signal.addEventListener('abort', onAbort, {once: true});
+    if (signal.aborted) {
+      controller.abort();
+    }
+    const timer = clock.after(deadline - clock.now(), () => {
+      isLate = true;
+      controller.abort();
+    });
+    return {
+      signal: controller.signal,
+      explain(error: ServingError): ServingError {
+        if (!isLate) {
+          return error;
+        }
+        return new ServingError(
+          'deadline-exceeded',
+          'the endpoint did not answer before the deadline',
+          {run: error.run, cause: error},
+        );
+      },
+      dispose() {
+        timer.dispose();
+        signal.removeEventListener('abort', onAbort);
+      },
+    };
+  }
+}
+
+function isSurelyNotRun(error: ServingError): boolean {
+  return error.kind === 'endpoint-unavailable' && error.run === 'not-run';
+}
+
+function isWorthRetrying(error: ServingError, signal: AbortSignal): boolean {
+  if (signal.aborted || finalErrors.has(error)) {
+    return false;
+  }
+  return error.kind !== 'deadline-exceeded' && error.kind !== 'cancelled';
+}
+
+/** Errors after which there is no other endpoint left to try. */
+const finalErrors = new WeakSet<ServingError>();
+
+function withoutRetry(error: ServingError): ServingError {
+  finalErrors.add(error);
+  return error;
+}
+
+function attemptOutcome(error: ServingError): AttemptResult['outcome'] {
+  if (error.kind === 'cancelled') {
+    return 'cancelled';
+  }
+  if (error.kind === 'endpoint-unavailable') {
+    return 'unreachable';
+  }
+  return error.kind === 'overloaded' ? 'overloaded' : 'failed';
+}
--- /dev/null
+++ b/packages/entry/src/callers/callerServer.ts
@@ -0,0 +1,265 @@
+/** The HTTP front for callers. */
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import polka from 'polka';
+import {
+  ServingError,
+  toServingError,
+  type Clock,
+  type Logger,
+} from '@skylarkfield/base';
+import type {Customer, Service} from '@skylarkfield/records';
+import type {InFlight} from '../inFlight.js';
+import type {HttpServer} from '../listener.js';
+import type {Serving} from '../serving.js';
+import type {EntrySettings} from '../settings.js';
+import type {CustomerKeys} from './customerKeys.js';
+import {callerSignal, type Exchange} from './exchange.js';
+import type {AnswerShape} from './modelAnswer.js';
+import {
+  parseChatRequest,
+  parseCompletionRequest,
+  type ModelRequest,
+} from './modelRequest.js';
+import type {RequestMetrics} from './observation.js';
+import {sendProblem, toProblem} from './problem.js';
+import {readBody} from './requestBody.js';
+import {bearerKey} from './requestHeaders.js';
+import type {ModelServer} from './serveModel.js';
+import type {PlainServer} from './servePlain.js';
+
+/** Whether the process takes requests; a lookup table turns it into an answer. */
+export type Readiness = 'starting' | 'ready' | 'lingering' | 'leaving';
+
+interface CallerServerOptions {
+  readonly server: HttpServer;
+  readonly serving: Serving;
+  readonly keys: CustomerKeys;
+  readonly models: ModelServer;
+  readonly plain: PlainServer;
+  readonly metrics: RequestMetrics;
+  readonly limits: EntrySettings['limits'];
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly inFlight: InFlight;
+  readiness(): Readiness;
+}
+
+/** What a request turned out to be, for metrics and the log line. */
+interface RequestLabel {
+  service: string;
+  type: 'model' | 'plain' | 'order' | 'none';
+}
+
+type Handler = (exchange: Exchange, label: RequestLabel) => Promise<void>;
+
+const parsers: Record<
+  AnswerShape,
+  (text: string, session: string | undefined) => ModelRequest
+> = {chat: parseChatRequest, completion: parseCompletionRequest};
+
+/** Time after which a caller may try this or another entry again, in milliseconds. */
+const NOT_SERVING_RETRY_MS = 1_000;
+
+/**
+ * Attaches the callers' routes to a server.
+ *
+ * @example
+ * attachCallerRoutes(options);
+ */
+export function attachCallerRoutes(options: CallerServerOptions): void {
+  const {serving, clock, log, metrics, limits} = options;
+
+  const app = polka({
+    server: options.server,
+    onNoMatch: (request, response) => {
+      const error = new ServingError(
+        'not-found',
+        `no route for ${request.method} ${request.path}`,
+      );
+      sendProblem(response, toProblem(error, randomUUID()));
+    },
+    onError: (error, _request, response) => {
+      sendProblem(response, toProblem(toServingError(error), randomUUID()));
+    },
+  });
+  app.get('/health', (_request, response) => response.end('ok\n'));
+  app.get('/ready', (_request, response) => {
+    response.statusCode = options.readiness() === 'ready' ? 200 : 503;
+    response.end(`${options.readiness()}\n`);
+  });
+  app.get('/v1/entries', handle(serveLookup));
+  app.post('/v1/chat/completions', handle(modelHandler('chat')));
+  app.post('/v1/completions', handle(modelHandler('completion')));
+  app.all('/services/:name', handle(servePlain));
+  app.all('/services/:name/*', handle(servePlain));
+  options.server.on('request', app.handler as never);
+
+  /** Wraps a handler with what every request has: id, key, bounds, one answer, one log line. */
+  function handle(handler: Handler) {
+    return async (request: IncomingMessage, response: ServerResponse) => {
+      const id = randomUUID();
+      const arrivedAt = clock.now();
+      const label: RequestLabel = {service: '', type: 'none'};
+      let customer: Customer | undefined;
+      let result = 'ok';
+      options.inFlight.begin();
+      metrics.begin();
+      response.setHeader('X-Request-Id', id);
+      try {
+        checkReadiness(request);
+        customer = options.keys.authenticate(bearerKey(request.headers));
+        const signal = callerSignal(response);
+        await handler(
+          {id, request, response, customer, signal, arrivedAt},
+          label,
+        );
+      } catch (error) {
+        const failure = toServingError(error);
+        result = failure.kind;
+        answerFailure(request, response, failure, id);
+      } finally {
+        options.inFlight.end();
+        const durationMs = clock.now() - arrivedAt;
+        metrics.end({...label, result, durationMs});
+        log.info(
+          {
+            requestId: id,
+            customer: customer?.name,
+            ...label,
+            method: request.method,
+            result,
+            durationMs: Math.round(durationMs * 100) / 100,
+          },
+          'request',
+        );
+      }
+    };
+  }
+
+  function checkReadiness(request: IncomingMessage): void {
+    const readiness = options.readiness();
+    if (readiness === 'ready' || readiness === 'lingering') {
+      return;
+    }
+    // A leaving entry still answers lookups: that is how callers learn where to go.
+    if (readiness === 'leaving' && isLookup(request)) {
+      return;
+    }
+    const kind = readiness === 'leaving' ? 'leaving' : 'not-ready';
+    throw new ServingError(kind, `this entry is ${readiness}`, {
+      retryAfterMs: NOT_SERVING_RETRY_MS,
+    });
+  }
+
+  function answerFailure(
+    request: IncomingMessage,
+    response: ServerResponse,
+    failure: ServingError,
+    id: string,
+  ): void {
+    if (failure.kind === 'internal') {
+      log.error({requestId: id, error: failure.cause}, failure.message);
+    }
+    const isElsewhere =
+      failure.kind === 'leaving' || failure.kind === 'not-ready';
+    const entries = isElsewhere ? serving.lookup({}) : undefined;
+    if (isElsewhere || !request.complete) {
+      // The rest of an unread body would otherwise be taken for the next request.
+      response.setHeader('Connection', 'close');
+    }
+    sendProblem(response, toProblem(failure, id, entries));
+  }
+
+  async function serveLookup(exchange: Exchange): Promise<void> {
+    const url = new URL(exchange.request.url ?? '/', 'http://entry');
+    const answer = serving.lookup({
+      customer: exchange.customer.name,
+      ...optional('affinity', url.searchParams.get('affinity')),
+      ...optional('failureDomain', url.searchParams.get('failure-domain')),
+    });
+    const body = JSON.stringify(answer);
+    const seconds = Math.floor(answer.ttlMs / 1000);
+    exchange.response.writeHead(200, {
+      'Content-Type': 'application/json',
+      'Cache-Control': `private, max-age=${seconds}`,
+    });
+    exchange.response.end(body);
+  }
+
+  function modelHandler(shape: AnswerShape): Handler {
+    return async (exchange, label) => {
+      const body = await readBody(exchange.request, limits.bodyBytes);
+      const session = exchange.request.headers['x-session-id'];
+      const request = parsers[shape](
+        Buffer.from(body).toString('utf8'),
+        typeof session === 'string' ? session : undefined,
+      );
+      label.service = request.service;
+      label.type = 'model';
+      const service = findService(exchange, request.service, 'model');
+      await options.models.serve(exchange, request, service, shape);
+    };
+  }
+
+  async function servePlain(
+    exchange: Exchange,
+    label: RequestLabel,
+  ): Promise<void> {
+    const {name, path} = splitServicePath(exchange.request.url ?? '/');
+    label.service = name;
+    label.type = 'plain';
+    const service = findService(exchange, name, 'plain');
+    const body = await readBody(exchange.request, limits.bodyBytes);
+    await options.plain.serve(exchange, service, path, body);
+  }
+
+  function findService(
+    exchange: Exchange,
+    name: string,
+    type: Service['type'],
+  ): Service {
+    const service = serving.configuration.get('service', name);
+    if (service === undefined || service.type !== type) {
+      throw new ServingError(
+        'unknown-service',
+        `there is no ${type} service named ${JSON.stringify(name)}`,
+      );
+    }
+    const {services} = exchange.customer;
+    if (services.length > 0 && !services.includes(name)) {
+      throw new ServingError('forbidden', `the key may not call ${name}`);
+    }
+    return service;
+  }
+}
+
+const SERVICES_PREFIX = '/services/';
+
+/** Splits `/services/booking/slots?day=3` into `booking` and `/slots?day=3`, leaving escapes as they are. */
+function splitServicePath(url: string): {name: string; path: string} {
+  const rest = url.slice(SERVICES_PREFIX.length);
+  const end = rest.search(/[/?]/);
+  if (end === -1) {
+    return {name: rest, path: '/'};
+  }
+  const path = rest.slice(end);
+  return {
+    name: rest.slice(0, end),
+    path: path.startsWith('/') ? path : `/${path}`,
+  };
+}
+
+function isLookup(request: IncomingMessage): boolean {
+  return (request.url ?? '').startsWith('/v1/entries');
+}
+
+function optional<K extends string>(
+  name: K,
+  value: string | null,
+): Partial<Record<K, string>> {
+  if (value === null) {
+    return {};
+  }
+  return {[name]: value} as Partial<Record<K, string>>;
+}
--- /dev/null
+++ b/packages/entry/src/callers/modelRequest.ts
@@ -0,0 +1,106 @@
+/** The bodies of `POST /v1/chat/completions` and `POST /v1/completions`. */
+import {checkShape, hash32, parseJson} from '@skylarkfield/base';
+import {z} from 'zod';
+
+const DEFAULT_MAX_TOKENS = 256;
+const MOST_TOKENS = 32_768;
+
+const shared = {
+  model: z.string().min(1),
+  stream: z.boolean().default(false),
+  max_tokens: z
+    .number()
+    .int()
+    .min(1)
+    .max(MOST_TOKENS)
+    .default(DEFAULT_MAX_TOKENS),
+  seed: z.number().int().optional(),
+  user: z.string().max(255).optional(),
+};
+
+const chatSchema = z.object({
+  ...shared,
+  messages: z
+    .array(z.object({role: z.string().min(1), content: z.string()}))
+    .min(1),
+});
+
+const completionSchema = z.object({...shared, prompt: z.string().min(1)});
+
+/** A request to a model, whichever shape it came in. */
+export interface ModelRequest {
+  readonly service: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly isStream: boolean;
+  readonly seed: number;
+  /** What keeps requests of one conversation together. */
+  readonly session: string;
+}
+
+/**
+ * Reads a chat request. Throws `bad-request` with every fault.
+ *
+ * @example
+ * const request = parseChatRequest(bodyText, headers['x-session-id']);
+ */
+export function parseChatRequest(
+  text: string,
+  session: string | undefined,
+): ModelRequest {
+  const body = checkShape(
+    chatSchema,
+    parseJson(text, 'bad-request', 'body'),
+    'bad-request',
+    'body',
+  );
+  const lines = body.messages.map(
+    message => `${message.role}: ${message.content}`,
+  );
+  const opening = lines[0] ?? '';
+  return toModelRequest(body, lines.join('\n'), session, opening);
+}
+
+/**
+ * Reads a plain completion request. Throws `bad-request` with every fault.
+ *
+ * @example
+ * const request = parseCompletionRequest(bodyText, undefined);
+ */
+export function parseCompletionRequest(
+  text: string,
+  session: string | undefined,
+): ModelRequest {
+  const body = checkShape(
+    completionSchema,
+    parseJson(text, 'bad-request', 'body'),
+    'bad-request',
+    'body',
+  );
+  return toModelRequest(body, body.prompt, session, body.prompt);
+}
+
+interface SharedBody {
+  readonly model: string;
+  readonly stream: boolean;
+  readonly max_tokens: number;
+  readonly seed?: number | undefined;
+  readonly user?: string | undefined;
+}
+
+function toModelRequest(
+  body: SharedBody,
+  prompt: string,
+  session: string | undefined,
+  opening: string,
+): ModelRequest {
+  return {
+    service: body.model,
+    prompt,
+    maxTokens: body.max_tokens,
+    isStream: body.stream,
+    // A fixed seed for the whole request lets a resumed answer go on alike.
+    seed: body.seed ?? hash32(prompt),
+    session: session ?? body.user ?? `opening-${hash32(opening)}`,
+  };
+}
--- /dev/null
+++ b/packages/entry/src/callers/problem.ts
@@ -0,0 +1,70 @@
+/** Refusals and failures as RFC 9457 problem answers. */
+import type {ServerResponse} from 'node:http';
+import {errorAnswers, type Fault, type ServingError} from '@skylarkfield/base';
+import type {LookupAnswer} from '@skylarkfield/members';
+
+/** Body of a problem answer. */
+export interface Problem {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly detail: string;
+  readonly kind: string;
+  readonly run: 'not-run' | 'may-have-run';
+  readonly requestId: string;
+  readonly retryAfterMs?: number;
+  readonly faults?: readonly Fault[];
+  /** Entries to use instead, when this one is leaving or not ready. */
+  readonly entries?: LookupAnswer;
+}
+
+/**
+ * Makes the problem for an error.
+ *
+ * @example
+ * const problem = toProblem(error, requestId);
+ */
+export function toProblem(
+  error: ServingError,
+  requestId: string,
+  entries?: LookupAnswer,
+): Problem {
+  const {status, title} = errorAnswers[error.kind];
+  return {
+    type: `urn:skylarkfield:error:${error.kind}`,
+    title,
+    status,
+    // The message of an internal error may hold anything; it goes to the log only.
+    detail: error.kind === 'internal' ? title : error.message,
+    kind: error.kind,
+    run: error.run,
+    requestId,
+    ...(error.retryAfterMs === undefined
+      ? {}
+      : {retryAfterMs: Math.ceil(error.retryAfterMs)}),
+    ...(error.faults.length === 0 ? {} : {faults: error.faults}),
+    ...(entries === undefined ? {} : {entries}),
+  };
+}
+
+/**
+ * Sends a problem as the whole answer; does nothing when an answer has begun.
+ *
+ * @example
+ * sendProblem(response, toProblem(error, requestId));
+ */
+export function sendProblem(response: ServerResponse, problem: Problem): void {
+  if (response.headersSent || response.destroyed) {
+    return;
+  }
+  const body = JSON.stringify(problem);
+  response.statusCode = problem.status;
+  response.setHeader('Content-Type', 'application/problem+json');
+  response.setHeader('Content-Length', Buffer.byteLength(body));
+  if (problem.retryAfterMs !== undefined) {
+    // The header has whole seconds; rounding down would bring callers back too early.
+    const seconds = Math.max(1, Math.ceil(problem.retryAfterMs / 1000));
+    response.setHeader('Retry-After', String(seconds));
+  }
+  response.end(body);
+}
--- /dev/null
+++ b/packages/entry/src/callers/serveModel.ts
@@ -0,0 +1,247 @@
+/** The way of a model request: version, admission, attempts, answer. */
+import {ServingError, toServingError, type Clock} from '@skylarkfield/base';
+import type {Ask, Permit} from '@skylarkfield/admission';
+import {promptBlocks, promptTokens} from '@skylarkfield/endpoints';
+import type {Service} from '@skylarkfield/records';
+import type {
+  StreamPlace,
+  StreamRequest,
+  StreamSummary,
+} from '@skylarkfield/streams';
+import type {EntrySettings} from '../settings.js';
+import type {Serving} from '../serving.js';
+import type {Exchange} from './exchange.js';
+import {
+  streamedAnswer,
+  wholeAnswer,
+  type AnswerShape,
+  type ModelAnswer,
+} from './modelAnswer.js';
+import type {ModelRequest} from './modelRequest.js';
+import {isVersionFault, type RequestMetrics} from './observation.js';
+import {requestTimeout, requestUrgency} from './requestHeaders.js';
+import {toProblem} from './problem.js';
+
+export interface ModelServer {
+  serve(
+    exchange: Exchange,
+    request: ModelRequest,
+    service: Service,
+    shape: AnswerShape,
+  ): Promise<void>;
+}
+
+/** What is decided about a request before it asks for capacity. */
+interface ModelPlan {
+  readonly ask: Ask;
+  readonly version: string;
+  readonly promptTokens: number;
+  readonly blocks: readonly string[];
+}
+
+interface ModelServerOptions {
+  readonly serving: Serving;
+  readonly clock: Clock;
+  readonly limits: EntrySettings['limits'];
+  readonly metrics: RequestMetrics;
+}
+
+/**
+ * Makes the handler of model requests.
+ *
+ * @example
+ * await models.serve(exchange, parseChatRequest(text, undefined), service, 'chat');
+ */
+export function createModelServer(options: ModelServerOptions): ModelServer {
+  const {serving, clock, metrics} = options;
+
+  return {
+    async serve(exchange, request, service, shape) {
+      const plan = planRequest(exchange, request, service);
+      const permit = await serving.admission.admit(plan.ask, exchange.signal);
+      const answer = makeAnswer(exchange, request, shape);
+      const progress = followProgress(exchange, plan, permit, shape);
+      try {
+        const summary = await serving.streams.run(
+          toStreamRequest(exchange, request, plan),
+          {
+            place: (excluded, delivered) =>
+              placeAttempt(plan, request, excluded, delivered),
+            mayRetry: () => serving.admission.tryRetry(service.name),
+            deliver(token) {
+              progress.noteToken();
+              return answer.deliver(token);
+            },
+          },
+          exchange.signal,
+        );
+        progress.succeed(summary);
+        answer.finish(summary);
+      } catch (error) {
+        const failure = toServingError(error);
+        progress.fail(failure);
+        answer.failMidway(toProblem(failure, exchange.id));
+        throw failure;
+      }
+    },
+  };
+
+  function planRequest(
+    exchange: Exchange,
+    request: ModelRequest,
+    service: Service,
+  ): ModelPlan {
+    const {headers} = exchange.request;
+    const deadline =
+      exchange.arrivedAt + requestTimeout(headers, service.timeoutMs);
+    const tokens = promptTokens(request.prompt);
+    return {
+      ask: {
+        service: service.name,
+        customer: exchange.customer.name,
+        urgency: requestUrgency(headers, exchange.customer.bestUrgency),
+        deadline,
+        cost: 1,
+      },
+      version: serving.split.versionFor({
+        service: service.name,
+        incumbent: service.version,
+        session: request.session,
+        isIdempotent: true,
+      }),
+      promptTokens: tokens.length,
+      blocks: promptBlocks(tokens),
+    };
+  }
+
+  /** Follows one answer and reports how it went, once, to admission, moves and metrics. */
+  function followProgress(
+    exchange: Exchange,
+    plan: ModelPlan,
+    permit: Permit,
+    shape: AnswerShape,
+  ) {
+    const {service} = plan.ask;
+    const admittedAt = clock.now();
+    let firstTokenMs: number | undefined;
+
+    function observe(isError: boolean, latencyMs: number): void {
+      serving.split.observe({
+        service,
+        version: plan.version,
+        route: shape,
+        isError,
+        latencyMs,
+        loadFraction: 0,
+      });
+    }
+
+    return {
+      noteToken() {
+        if (firstTokenMs !== undefined) {
+          return;
+        }
+        firstTokenMs = clock.now() - admittedAt;
+        metrics.firstToken(service, clock.now() - exchange.arrivedAt);
+      },
+      succeed(summary: StreamSummary) {
+        const latencyMs = firstTokenMs ?? clock.now() - admittedAt;
+        permit.release({outcome: 'ok', latencyMs});
+        metrics.recomputed(service, summary.recomputedTokens);
+        observe(summary.attempts > 1, latencyMs);
+      },
+      fail(error: ServingError) {
+        const latencyMs = clock.now() - admittedAt;
+        const outcome = error.kind === 'cancelled' ? 'cancelled' : 'failed';
+        permit.release({outcome, latencyMs});
+        if (isVersionFault(error.kind)) {
+          observe(true, latencyMs);
+        }
+      },
+    };
+  }
+
+  function makeAnswer(
+    exchange: Exchange,
+    request: ModelRequest,
+    shape: AnswerShape,
+  ): ModelAnswer {
+    const make = request.isStream ? streamedAnswer : wholeAnswer;
+    return make({
+      id: exchange.id,
+      model: request.service,
+      shape,
+      response: exchange.response,
+      clock,
+      bufferedBytes: options.limits.bufferedBytes,
+      stalledReaderMs: options.limits.stalledReaderMs,
+      signal: exchange.signal,
+    });
+  }
+
+  function placeAttempt(
+    plan: ModelPlan,
+    request: ModelRequest,
+    excluded: ReadonlySet<string>,
+    delivered: readonly string[],
+  ): StreamPlace {
+    const {service} = plan.ask;
+    const choice = serving.router.choose({
+      service,
+      version: plan.version,
+      blocks: plan.blocks,
+      promptTokens: plan.promptTokens + delivered.length,
+      expectedTokens: request.maxTokens - delivered.length,
+      excluded,
+    });
+    if (choice === undefined) {
+      throw noEndpoint(service, plan.version);
+    }
+    const endpoint = serving.endpoints.get(choice.endpoint);
+    if (endpoint?.engine === undefined) {
+      choice.finish({outcome: 'unreachable', latencyMs: 0});
+      throw noEndpoint(service, plan.version);
+    }
+    return {
+      endpoint: choice.endpoint,
+      url: endpoint.listed.url,
+      engine: endpoint.engine,
+      leaving: endpoint.leaving,
+      finish: result => choice.finish(result),
+    };
+  }
+}
+
+function toStreamRequest(
+  exchange: Exchange,
+  request: ModelRequest,
+  plan: ModelPlan,
+): StreamRequest {
+  const {deadline, urgency} = plan.ask;
+  return {
+    id: exchange.id,
+    prompt: request.prompt,
+    maxTokens: request.maxTokens,
+    urgency,
+    seed: request.seed,
+    firstTokenDeadline: deadline,
+    deadline,
+  };
+}
+
+/** Time after which a caller may look again for an endpoint, in milliseconds. */
+const NO_ENDPOINT_RETRY_MS = 1_000;
+
+/**
+ * The error for a service none of whose endpoints can take a request.
+ *
+ * @example
+ * throw noEndpoint('booking', 'v2');
+ */
+export function noEndpoint(service: string, version: string): ServingError {
+  return new ServingError(
+    'endpoint-unavailable',
+    `no endpoint of ${service} ${version} can take the request`,
+    {retryAfterMs: NO_ENDPOINT_RETRY_MS},
+  );
+}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** The entry process. */
+export * from './entryProcess.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/entry/src/parts/admissionPart.ts
@@ -0,0 +1,50 @@
+/** The admission of this entry, kept in step with the records in force. */
+import {createAdmission, type Admission} from '@skylarkfield/admission';
+import type {Membership} from '@skylarkfield/members';
+import type {Configuration} from '@skylarkfield/records';
+import type {EntryContext} from '../context.js';
+
+/**
+ * Makes the admission; services, customers' weights and the number of live
+ * entries follow configuration and membership.
+ *
+ * @example
+ * const admission = createAdmissionPart(context, configuration, membership);
+ */
+export function createAdmissionPart(
+  context: EntryContext,
+  configuration: Configuration,
+  membership: Membership,
+): Admission {
+  const {clock, random, decisions, dumps} = context;
+  const admission = createAdmission({clock, random, decisions});
+  dumps.add('admission', () => admission.dump());
+  configuration.list('service').forEach(service => applyService(service.name));
+  configuration
+    .list('customer')
+    .forEach(customer => applyCustomer(customer.name));
+  configuration.onDidChange((kind, name) => {
+    if (kind === 'service') {
+      applyService(name);
+    }
+    if (kind === 'customer') {
+      applyCustomer(name);
+    }
+  });
+  applyEntryCount();
+  membership.onDidChange(applyEntryCount);
+  return admission;
+
+  function applyService(name: string): void {
+    admission.setService(name, configuration.get('service', name));
+  }
+
+  function applyCustomer(name: string): void {
+    const customer = configuration.get('customer', name);
+    admission.setCustomerWeight(name, customer?.weight);
+  }
+
+  function applyEntryCount(): void {
+    admission.setEntryCount(Math.max(1, membership.live().length));
+  }
+}
--- /dev/null
+++ b/packages/entry/src/parts/ordersPart.ts
@@ -0,0 +1,86 @@
+/** The ledger of this entry: calls that run at most once. */
+import {ServingError} from '@skylarkfield/base';
+import type {TrafficSplit} from '@skylarkfield/moves';
+import {
+  createLedger,
+  type Ledger,
+  type OrderCall,
+  type OrderReply,
+} from '@skylarkfield/orders';
+import type {Configuration} from '@skylarkfield/records';
+import type {Attempts} from '../callers/attempts.js';
+import {matchRoute} from '../callers/routes.js';
+import type {EntryContext} from '../context.js';
+import type {MembersPart} from './membersPart.js';
+import type {PlatformPart} from './platformPart.js';
+
+interface OrdersOptions {
+  readonly platform: PlatformPart;
+  readonly members: MembersPart;
+  readonly configuration: Configuration;
+  readonly split: TrafficSplit;
+  readonly attempts: Attempts;
+}
+
+/**
+ * Makes the ledger; a claimed order is dispatched to an endpoint of the version
+ * that its session has at that moment.
+ *
+ * @example
+ * const ledger = createOrdersPart(context, {platform, members, configuration, split, attempts});
+ */
+export function createOrdersPart(
+  context: EntryContext,
+  options: OrdersOptions,
+): Ledger {
+  const {settings, clock, random, decisions, dumps} = context;
+  const {membership, network} = options.members;
+  const ledger = createLedger({
+    store: options.platform.store,
+    network,
+    dispatch,
+    clock,
+    random,
+    member: settings.id,
+    liveMembers: () => membership.live().map(member => member.id),
+    answeringMembers: () =>
+      membership
+        .members()
+        .filter(member => member.state === 'live' || member.state === 'leaving')
+        .map(member => member.id),
+    decisions,
+  });
+  dumps.add('orders', () => ledger.dump());
+  return ledger;
+
+  async function dispatch(
+    name: string,
+    call: OrderCall,
+    signal: AbortSignal,
+    begin: () => boolean,
+  ): Promise<OrderReply> {
+    const service = options.configuration.get('service', name);
+    if (service === undefined) {
+      // Nothing was sent: the record was removed while the order waited.
+      throw new ServingError('endpoint-unavailable', `${name} was removed`);
+    }
+    const version = options.split.versionFor({
+      service: name,
+      incumbent: service.version,
+      session:
+        call.headers['x-session-id'] ?? call.headers['x-request-id'] ?? '',
+      isIdempotent: false,
+    });
+    return options.attempts.atMostOnce(
+      {
+        service: name,
+        version,
+        route: matchRoute(service, call.method, call.path).label,
+        call,
+        deadline: clock.now() + service.timeoutMs,
+      },
+      signal,
+      begin,
+    );
+  }
+}
--- /dev/null
+++ b/packages/entry/src/parts/platformPart.ts
@@ -0,0 +1,42 @@
+/** The clients through which this entry reaches the platform. */
+import {
+  createHttpCloud,
+  createHttpHostList,
+  createHttpObjectStore,
+  createHttpWeightStore,
+  type Cloud,
+  type HostList,
+  type ObjectClient,
+  type WeightStore,
+} from '@skylarkfield/platform';
+import type {EntryContext} from '../context.js';
+
+export interface PlatformPart {
+  readonly store: ObjectClient;
+  readonly cloud: Cloud;
+  readonly hostList: HostList;
+  readonly weights: WeightStore;
+}
+
+/**
+ * Makes the clients; nothing is called before it is used.
+ *
+ * @example
+ * const platform = createPlatformPart(context);
+ */
+export function createPlatformPart(context: EntryContext): PlatformPart {
+  const {settings, clock, random} = context;
+  const {url} = settings.platform;
+  const store = createHttpObjectStore({
+    url,
+    writer: settings.id,
+    clock,
+    random,
+  });
+  return {
+    store,
+    cloud: createHttpCloud({url, clock, random}),
+    hostList: createHttpHostList({url, clock, random}),
+    weights: createHttpWeightStore({url, clock}),
+  };
+}
--- /dev/null
+++ b/packages/entry/src/serving.ts
@@ -0,0 +1,37 @@
+/** The parts of a running entry that requests go through. */
+import type {Admission} from '@skylarkfield/admission';
+import type {Engine, PlainService} from '@skylarkfield/endpoints';
+import type {LookupAnswer, LookupQuestion} from '@skylarkfield/members';
+import type {TrafficSplit} from '@skylarkfield/moves';
+import type {Ledger} from '@skylarkfield/orders';
+import type {ListedEndpoint} from '@skylarkfield/platform';
+import type {Configuration} from '@skylarkfield/records';
+import type {Router} from '@skylarkfield/routing';
+import type {StreamRunner} from '@skylarkfield/streams';
+
+/** An endpoint with the client that speaks to it. */
+export interface ConnectedEndpoint {
+  readonly listed: ListedEndpoint;
+  /** For endpoints of type `model`. */
+  readonly engine?: Engine;
+  /** For endpoints of type `plain`. */
+  readonly plain?: PlainService;
+  /** Aborted when the endpoint is known to leave. */
+  readonly leaving: AbortSignal;
+}
+
+export interface EndpointPool {
+  get(id: string): ConnectedEndpoint | undefined;
+  list(): readonly ConnectedEndpoint[];
+}
+
+export interface Serving {
+  readonly configuration: Configuration;
+  readonly admission: Admission;
+  readonly router: Router;
+  readonly endpoints: EndpointPool;
+  readonly streams: StreamRunner;
+  readonly split: TrafficSplit;
+  readonly ledger: Ledger;
+  lookup(question: LookupQuestion): LookupAnswer;
+}
--- /dev/null
+++ b/packages/entry/src/settings.ts
@@ -0,0 +1,156 @@
+/** Settings of an entry process: schema, defaults, and how they are read. */
+import {readFileSync} from 'node:fs';
+import {checkShape, parseJson, ServingError} from '@skylarkfield/base';
+import {z} from 'zod';
+
+const port = z.number().int().min(0).max(65_535);
+const milliseconds = z.number().int().min(1).max(3_600_000);
+
+const tls = z.strictObject({
+  /** Path of the certificate chain, PEM. */
+  cert: z.string().min(1),
+  /** Path of the private key, PEM. */
+  key: z.string().min(1),
+  /** Path of the authorities that peers' certificates must come from, PEM. */
+  ca: z.string().min(1).optional(),
+});
+
+const listener = z.strictObject({
+  host: z.string().min(1).default('127.0.0.1'),
+  /** 0 takes any free port. */
+  port,
+  tls: tls.optional(),
+});
+
+/** A secret is given by reference, so that settings files hold none. */
+const secret = z.union([
+  z.strictObject({env: z.string().min(1)}),
+  z.strictObject({file: z.string().min(1)}),
+  z.strictObject({value: z.string().min(8)}),
+]);
+
+const limits = z.strictObject({
+  /** The largest request body that is read, in bytes. */
+  bodyBytes: z.number().int().min(1024).max(67_108_864).default(4_194_304),
+  /** The largest request head, in bytes. */
+  headerBytes: z.number().int().min(1024).max(1_048_576).default(16_384),
+  /** Open connections of callers. */
+  connections: z.number().int().min(1).max(1_000_000).default(10_000),
+  /** Time that a caller has to send a request's head, in milliseconds. */
+  headerMs: milliseconds.default(10_000),
+  /** Time that a caller has to send a whole request, in milliseconds. */
+  requestMs: milliseconds.default(30_000),
+  /** Bytes that may wait for a slow reader before its stream is held back. */
+  bufferedBytes: z.number().int().min(1024).max(16_777_216).default(262_144),
+  /** Time that a held-back reader has to take something, in milliseconds. */
+  stalledReaderMs: milliseconds.default(30_000),
+});
+
+/** Schema of an entry's settings; unknown keys are refused. */
+export const entrySettingsSchema = z.strictObject({
+  /** Unique among entries; a restarted process may keep it. */
+  id: z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, {
+    message: 'lower-case letters, digits and hyphens, at most 63',
+  }),
+  failureDomain: z.string().min(1),
+  region: z.string().min(1).default('default'),
+  callers: listener,
+  inner: listener,
+  admin: listener,
+  /** Addresses that others use, when they differ from where the process listens. */
+  advertised: z
+    .strictObject({
+      callers: z.url().optional(),
+      inner: z.url().optional(),
+    })
+    .prefault({}),
+  platform: z.strictObject({
+    url: z.url(),
+    /** Calls a second that all entries together may make, waiting watches included. */
+    callsPerSecond: z.number().min(1).max(100_000).default(400),
+    /** Time that one call may take, in milliseconds. */
+    timeoutMs: milliseconds.default(2_000),
+  }),
+  /** Inner addresses of other entries, used when the platform can't be reached at start. */
+  seeds: z.array(z.url()).default([]),
+  keys: z.strictObject({inner: secret, admin: secret}),
+  limits: limits.prefault({}),
+  /** The longest that a planned stop waits for requests in flight, in milliseconds. */
+  drainMs: milliseconds.default(30_000),
+  /**
+   * How long a stopping entry goes on taking requests after it has told its
+   * peers, in milliseconds, so that callers with an older answer are served.
+   */
+  lingerMs: z.number().int().min(0).max(60_000).default(1_000),
+  log: z
+    .strictObject({
+      level: z
+        .enum(['debug', 'info', 'warn', 'error', 'silent'])
+        .default('info'),
+    })
+    .prefault({}),
+});
+
+export type EntrySettings = z.output<typeof entrySettingsSchema>;
+export type ListenerSettings = EntrySettings['callers'];
+export type Secret = EntrySettings['keys']['inner'];
+
+/**
+ * Checks settings and fills in defaults. Throws `bad-settings` with every fault.
+ *
+ * @example
+ * const settings = checkEntrySettings(JSON.parse(text));
+ */
+export function checkEntrySettings(value: unknown): EntrySettings {
+  return checkShape(entrySettingsSchema, value, 'bad-settings', 'settings');
+}
+
+/**
+ * Reads and checks a settings file. Throws `bad-settings`.
+ *
+ * @example
+ * const settings = readEntrySettings('entry-a1.json');
+ */
+export function readEntrySettings(path: string): EntrySettings {
+  const text = readTextFile(path);
+  return checkEntrySettings(parseJson(text, 'bad-settings', path));
+}
+
+/**
+ * Finds the text of a secret. Throws `bad-settings` when it is absent or too short.
+ *
+ * @example
+ * const key = resolveSecret(settings.keys.inner, 'keys.inner');
+ */
+export function resolveSecret(secretSetting: Secret, path: string): string {
+  const text = secretText(secretSetting).trim();
+  if (text.length >= 8) {
+    return text;
+  }
+  const expected = 'a secret of at least 8 characters';
+  throw new ServingError('bad-settings', `${path}: ${expected}`, {
+    faults: [{path, expected}],
+  });
+}
+
+function secretText(secretSetting: Secret): string {
+  if ('env' in secretSetting) {
+    return process.env[secretSetting.env] ?? '';
+  }
+  if ('file' in secretSetting) {
+    return readTextFile(secretSetting.file);
+  }
+  return secretSetting.value;
+}
+
+function readTextFile(path: string): string {
+  try {
+    return readFileSync(path, 'utf8');
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    throw new ServingError('bad-settings', `cannot read ${path}: ${reason}`, {
+      faults: [{path, expected: 'a readable file'}],
+      cause: error,
+    });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/test/requestHeaders.test.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  bearerKey,
+  idempotencyKey,
+  requestTimeout,
+  requestUrgency,
+} from '../callers/requestHeaders.js';
+
+const urgencies: readonly [string | undefined, number, number][] = [
+  [undefined, 0, 3],
+  ['u=1', 0, 1],
+  ['u=0', 2, 2],
+  ['i, u=5', 0, 5],
+  ['u=9', 0, 3],
+  ['nonsense', 0, 3],
+  ['u=7', 7, 7],
+];
+
+describe('request headers', () => {
+  for (const [priority, best, expected] of urgencies) {
+    it(`bounds priority ${priority} by ${best} to ${expected}`, () => {
+      const headers = priority === undefined ? {} : {priority};
+      assert.equal(requestUrgency(headers, best), expected);
+    });
+  }
+
+  it('never gives a request more time than its service allows', () => {
+    assert.equal(requestTimeout({'x-request-timeout-ms': '900000'}, 500), 500);
+    assert.equal(requestTimeout({'x-request-timeout-ms': '200'}, 500), 200);
+    assert.equal(requestTimeout({}, 500), 500);
+  });
+
+  for (const text of ['0', '-1', 'soon', '']) {
+    it(`refuses the time limit ${JSON.stringify(text)}`, () => {
+      assert.throws(() => requestTimeout({'x-request-timeout-ms': text}, 500), {
+        kind: 'bad-request',
+        run: 'not-run',
+      });
+    });
+  }
+
+  it('reads idempotency keys, quoted or not', () => {
+    assert.equal(idempotencyKey({'idempotency-key': '"shift-1"'}), 'shift-1');
+    assert.equal(idempotencyKey({'idempotency-key': 'shift-1'}), 'shift-1');
+    assert.equal(idempotencyKey({}), undefined);
+  });
+
+  for (const text of ['', '""', 'x'.repeat(256)]) {
+    it(`refuses an idempotency key of ${text.length} characters`, () => {
+      assert.throws(() => idempotencyKey({'idempotency-key': text}), {
+        kind: 'bad-request',
+      });
+    });
+  }
+
+  it('reads a bearer key', () => {
+    assert.equal(bearerKey({authorization: 'Bearer abc'}), 'abc');
+    assert.equal(bearerKey({authorization: 'Basic abc'}), undefined);
+  });
+});
--- /dev/null
+++ b/packages/entry/src/test/settings.test.ts
@@ -0,0 +1,61 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {isServingError} from '@skylarkfield/base';
+import {checkEntrySettings, resolveSecret} from '../settings.js';
+
+const valid = {
+  id: 'a1',
+  failureDomain: 'a',
+  callers: {port: 0},
+  inner: {port: 0},
+  admin: {port: 0},
+  platform: {url: 'http://127.0.0.1:7000'},
+  keys: {inner: {env: 'INNER'}, admin: {env: 'ADMIN'}},
+};
+
+const faulty: readonly [string, object, string][] = [
+  ['an unknown key', {colour: 'red'}, ''],
+  ['a port out of range', {callers: {port: 70_000}}, 'callers.port'],
+  ['an id with spaces', {id: 'a 1'}, 'id'],
+  ['an address that is none', {platform: {url: 'somewhere'}}, 'platform.url'],
+  [
+    'a key in plain view that is too short',
+    {keys: {inner: {value: 'x'}, admin: {env: 'A'}}},
+    'keys.inner',
+  ],
+  ['a log level of its own', {log: {level: 'loud'}}, 'log.level'],
+];
+
+describe('entry settings', () => {
+  it('fills in defaults', () => {
+    const settings = checkEntrySettings(valid);
+    assert.equal(settings.callers.host, '127.0.0.1');
+    assert.equal(settings.limits.headerBytes, 16_384);
+    assert.equal(settings.log.level, 'info');
+  });
+
+  for (const [title, change, path] of faulty) {
+    it(`refuses ${title} and names its path`, () => {
+      assert.throws(
+        () => checkEntrySettings({...valid, ...change}),
+        error =>
+          isServingError(error, 'bad-settings') &&
+          error.faults.some(fault => fault.path.startsWith(path)),
+      );
+    });
+  }
+
+  it('names every fault at once', () => {
+    assert.throws(
+      () => checkEntrySettings({...valid, id: 'A', drainMs: -1}),
+      error => isServingError(error) && error.faults.length === 2,
+    );
+  });
+
+  it('refuses a secret that its variable does not hold', () => {
+    assert.throws(
+      () => resolveSecret({env: 'SKYLARKFIELD_NO_SUCH_VARIABLE'}, 'keys.admin'),
+      {kind: 'bad-settings'},
+    );
+  });
+});
