Isolation and overload measured; importance holds over uneven entries

A deadline check that was planned again for a rest too small to move the clock called itself at the same instant for ever; in a running entry this blocks the loop. Checks are now at least 1 ms apart, with a test that failed before (timer rests below 1 ms). Cause 2: customers keep to few entries, so at five times the capacity the most important class was refused at the entry where it gathers while others ran less important work. More important requests than the default may now use an overdraft above the entry's share, and the others' part falls while the endpoints report more than they can carry. Ruled out: entries telling each other their demand (messages and state that grow with entries).

--- a/packages/admission/src/bulkhead.ts
+++ b/packages/admission/src/bulkhead.ts
@@ -52,12 +52,22 @@
   detach(): void;
 }
 
+/** RFC 9218's urgency of a request that names none; lower ones are more important. */
+const DEFAULT_URGENCY = 3;
+
 const LEAST_RETRY_AFTER_MS = 100;
 const MOST_RETRY_AFTER_MS = 30_000;
 
 /** Spread of Retry-After, so that those refused together do not return together. */
 const RETRY_AFTER_JITTER = 0.5;
 
+/**
+ * A deadline is looked at again after no less than this. The time left is a
+ * difference of fractions: a rest too small to move the clock would call the
+ * check again at the same instant for ever, and the process would stand still.
+ */
+const LEAST_RECHECK_MS = 1;
+
 /** A change of state is noted as a decision at most this often. */
 const NOTE_INTERVAL_MS = 5000;
 
@@ -108,17 +118,26 @@
     });
   }
 
-  function currentLimit(): number {
-    return Math.max(1, Math.floor(limit.current()));
+  function currentLimit(urgency = DEFAULT_URGENCY): number {
+    const own = Math.floor(limit.current());
+    if (urgency < DEFAULT_URGENCY) {
+      return Math.max(1, own + share.overdraft());
+    }
+    return Math.max(1, Math.floor(own * share.ordinaryFraction()));
+  }
+
+  /** Nobody who is as important waits: what waits may have no place where this request has one. */
+  function isNext(ask: Ask): boolean {
+    return ask.urgency < (queue.headUrgency() ?? Infinity);
   }
 
   function expectedWaitMs(ask: Ask): number {
-    if (inFlight < currentLimit() && queue.size === 0) {
+    if (inFlight < currentLimit(ask.urgency) && isNext(ask)) {
       return 0;
     }
     const ahead =
       queue.costBefore(ask.urgency) + queue.costAheadWithin(ask) + ask.cost / 2;
-    return estimate.waitMs(ahead, currentLimit(), ask.urgency);
+    return estimate.waitMs(ahead, currentLimit(ask.urgency), ask.urgency);
   }
 
   function retryAfterMs(ask: Ask): number {
@@ -199,7 +218,7 @@
   }
 
   function drain() {
-    while (inFlight < currentLimit()) {
+    while (inFlight < currentLimit(queue.headUrgency())) {
       const waiter = queue.shift();
       if (waiter === undefined) {
         machine.send('clear');
@@ -230,7 +249,7 @@
     let timer = arm();
     function arm(): Disposable {
       const leftMs = waiter.ask.deadline - clock.now() - estimate.serviceMs();
-      return clock.after(Math.max(0, leftMs), check);
+      return clock.after(Math.max(LEAST_RECHECK_MS, leftMs), check);
     }
     function check() {
       const leftMs = waiter.ask.deadline - clock.now();
@@ -278,7 +297,7 @@
       if (isHopeless(ask, expectedWaitMs(ask))) {
         throw tooLate(ask);
       }
-      if (inFlight < currentLimit() && queue.size === 0) {
+      if (inFlight < currentLimit(ask.urgency) && isNext(ask)) {
         return start(ask, clock.now());
       }
       if (queue.size >= service.queue) {
@@ -323,6 +342,8 @@
       state: machine.state(),
       limit: limit.current(),
       share: share.current(),
+      overdraft: share.overdraft(),
+      ordinaryFraction: share.ordinaryFraction(),
       inFlight,
       waiting: queue.size,
       queueLimit: service.queue,
--- a/packages/admission/src/fairQueue.ts
+++ b/packages/admission/src/fairQueue.ts
@@ -17,6 +17,8 @@
 export interface FairQueue<T extends Queued> {
   readonly size: number;
   push(item: T): void;
+  /** Urgency of the next item. */
+  headUrgency(): number | undefined;
   /** Takes the next item by urgency and fairness. */
   shift(): T | undefined;
   /** Takes an item out of turn; false when it is not there. */
@@ -157,6 +159,10 @@
       level.size += 1;
       size += 1;
     },
+    headUrgency() {
+      const index = levels.findIndex(level => level.size > 0);
+      return index < 0 ? undefined : index;
+    },
     shift() {
       const level = levels.find(candidate => candidate.size > 0);
       return level && serve(level);
--- a/packages/admission/src/test/admission.test.ts
+++ b/packages/admission/src/test/admission.test.ts
@@ -115,6 +115,45 @@
     assert.equal(endedAt - start, 300);
   });
 
+  it('goes on when the time left is a fraction too small for the clock', async () => {
+    // Deadlines are differences of fractions. A check planned for a rest that
+    // does not move the clock called itself for ever and the entry stood still.
+    const {clock, ask, warmUp} = setUp({queue: 20});
+    await warmUp(8, 100.1);
+    void ask();
+    const timers: number[] = [];
+    const after = clock.after;
+    clock.after = (delayMs, callback) => {
+      timers.push(delayMs);
+      return after(delayMs, callback);
+    };
+    const deadline = clock.now() + 300.3;
+    void ask({deadline}).catch(() => undefined);
+    await clock.advance(400);
+    assert.ok(timers.length > 0 && timers.every(delayMs => delayMs >= 1));
+  });
+
+  it('gives important requests places above the share, and others fewer', async () => {
+    // A customer's important requests gather at one entry. With even parts they
+    // would be refused there while other entries run less important ones.
+    const {ask, admission} = setUp({concurrency: 16, queue: 50});
+    admission.setEntryCount(4);
+    admission.setReportedSlots('booking', 16, 16);
+    let admitted = 0;
+    for (let request = 0; request < 12; request++) {
+      void ask({urgency: 1}).then(() => (admitted += 1));
+    }
+    await settlePromises();
+    assert.equal(admitted, 8);
+    for (let report = 0; report < 10; report++) {
+      admission.setReportedSlots('booking', 16, 20);
+    }
+    const {services} = admission.dump() as {
+      services: {ordinaryFraction: number}[];
+    };
+    assert.equal(services[0]?.ordinaryFraction, 0.25);
+  });
+
   it('lets a request through to a service that was slow when nothing is in flight', async () => {
     // Every answer took longer than today's deadlines allow. If the estimate
     // alone decided, nothing would ever show that the service is fast again.
--- a/packages/admission/src/waitEstimate.ts
+++ b/packages/admission/src/waitEstimate.ts
@@ -26,7 +26,7 @@
 const ARRIVAL_HALF_LIFE_MS = 2000;
 
 /** However much important work comes in, this part of the drain is assumed to be left. */
-const LEAST_DRAIN_FRACTION = 0.02;
+const LEAST_DRAIN_FRACTION = 0.005;
 
 /** Latencies kept for the quantile. */
 const LATENCY_WINDOW = 32;
--- /dev/null
+++ b/packages/bench/src/isolation.ts
@@ -0,0 +1,146 @@
+/**
+ * `isolation`: of three services one hangs, slows, fails or is flooded; what the
+ * other two notice, against an undisturbed run with the same arrivals, for our
+ * admission and for one pool shared by all services.
+ */
+import type {MeasureOptions} from './measurements.js';
+import type {GateType} from './replay/gates.js';
+import type {ServiceFault} from './replay/replayService.js';
+import {
+  quantile,
+  replayRecord,
+  runWorld,
+  todaysCustomers,
+} from './replay/world.js';
+
+const DEFAULT_SECONDS = 40;
+const FAULT_FROM_MS = 10_000;
+const FAULT_UNTIL_FRACTION = 0.75;
+const TIMEOUT_MS = 2000;
+const FLOOD_FACTOR = 20;
+const VICTIM = 'roster';
+const GATES: readonly GateType[] = ['shared-fifo', 'aimd'];
+
+type Trouble = Exclude<ServiceFault, 'none'> | 'flooded';
+const TROUBLES: readonly Trouble[] = ['hung', 'slow', 'failing', 'flooded'];
+
+/** Names, places and mean times; each service is used to about two thirds. */
+const SERVICES = [
+  {name: VICTIM, slots: 32, meanMs: 200, perSecond: 105},
+  {name: 'booking', slots: 16, meanMs: 40, perSecond: 265},
+  {name: 'match', slots: 24, meanMs: 150, perSecond: 105},
+];
+
+const URGENCIES = [
+  {urgency: 1, part: 0.2},
+  {urgency: 3, part: 0.8},
+];
+
+/**
+ * Runs the measurement.
+ *
+ * @example
+ * const report = await measureIsolation({seed: 1000});
+ */
+export async function measureIsolation(options: MeasureOptions) {
+  const seconds = options.seconds ?? DEFAULT_SECONDS;
+  const rows = [];
+  for (const gate of GATES) {
+    const calm = await runCase(options.seed, seconds, gate, undefined);
+    for (const trouble of TROUBLES) {
+      const troubled = await runCase(options.seed, seconds, gate, trouble);
+      for (const [index, other] of troubled.entries()) {
+        const base = calm[index] as Figures;
+        rows.push({
+          gate,
+          trouble,
+          service: other.service,
+          p95Ms: other.p95Ms,
+          p95Ratio: other.p95Ms / base.p95Ms,
+          success: other.success,
+          successUndisturbed: base.success,
+        });
+      }
+    }
+  }
+  return {timeoutMs: TIMEOUT_MS, summary: summarize(rows), rows};
+}
+
+interface Figures {
+  readonly service: string;
+  readonly p95Ms: number;
+  readonly success: number;
+}
+
+function summarize(
+  rows: readonly {gate: GateType; p95Ratio: number; success: number}[],
+) {
+  return GATES.map(gate => {
+    const own = rows.filter(row => row.gate === gate);
+    return {
+      gate,
+      worstP95Ratio: Math.max(...own.map(({p95Ratio}) => p95Ratio)),
+      worstSuccess: Math.min(...own.map(({success}) => success)),
+    };
+  });
+}
+
+/** The figures of the services that are not in trouble, while the trouble lasts. */
+async function runCase(
+  seed: number,
+  seconds: number,
+  gate: GateType,
+  trouble: Trouble | undefined,
+): Promise<Figures[]> {
+  const untilMs = seconds * 1000 * FAULT_UNTIL_FRACTION;
+  function isTroubled(nowMs: number): boolean {
+    return nowMs >= FAULT_FROM_MS && nowMs < untilMs;
+  }
+  const {outcomes} = await runWorld({
+    seed,
+    seconds,
+    gate,
+    services: SERVICES.map(({name, slots, meanMs}) => ({
+      record: replayRecord(name, {
+        concurrency: slots,
+        queue: 60,
+        targetMs: meanMs * 3,
+        timeoutMs: TIMEOUT_MS,
+      }),
+      slots,
+      meanMs,
+    })),
+    streams: SERVICES.map(({name, perSecond}) => ({
+      service: name,
+      perSecond,
+      rateFactor: nowMs =>
+        trouble === 'flooded' && name === VICTIM && isTroubled(nowMs)
+          ? FLOOD_FACTOR
+          : 1,
+      timeoutMs: TIMEOUT_MS,
+      customers: todaysCustomers,
+      urgencies: URGENCIES,
+    })),
+    disturb(clock, services) {
+      if (trouble === undefined || trouble === 'flooded') {
+        return;
+      }
+      const victim = services.get(VICTIM);
+      clock.after(FAULT_FROM_MS, () => victim?.setFault(trouble));
+      clock.after(untilMs, () => victim?.setFault('none'));
+    },
+  });
+  const counted = outcomes.filter(({arrivedMs}) => isTroubled(arrivedMs));
+  return SERVICES.filter(({name}) => name !== VICTIM).map(({name}) => {
+    const own = counted.filter(({service}) => service === name);
+    const ok = own.filter(({result}) => result === 'ok');
+    return {
+      service: name,
+      p95Ms: quantile(
+        ok.map(({latencyMs}) => latencyMs),
+        0.95,
+      ),
+      success: ok.length / own.length,
+    };
+  });
+}
--- /dev/null
+++ b/packages/bench/src/overload.ts
@@ -0,0 +1,148 @@
+/**
+ * `overload`: one service offered 1, 2 and 5 times what it can carry, with the
+ * load uneven over the entries; our admission against a first-come-first-served
+ * pool, and the limit policies against each other, also while the record
+ * and the reports promise four times what the service carries.
+ */
+import type {MeasureOptions} from './measurements.js';
+import type {GateType} from './replay/gates.js';
+import type {Outcome} from './replay/traffic.js';
+import {
+  quantile,
+  replayRecord,
+  runWorld,
+  todaysCustomers,
+  type World,
+} from './replay/world.js';
+
+const DEFAULT_SECONDS = 30;
+const WARM_UP_MS = 5000;
+const SLOTS = 28;
+const MEAN_MS = 100;
+const OVERSTATED = 4;
+const TIMEOUT_MS = 1000;
+const CAPACITY_PER_SECOND = (SLOTS * 1000) / MEAN_MS;
+const LOADS = [1, 2, 5];
+const GATES: readonly GateType[] = [
+  'service-fifo',
+  'fixed',
+  'aimd',
+  'gradient',
+];
+
+/** At five times the capacity the most important class alone asks for half of it. */
+const URGENCIES = [
+  {urgency: 1, part: 0.1},
+  {urgency: 3, part: 0.5},
+  {urgency: 5, part: 0.4},
+];
+
+const record = replayRecord('match', {
+  concurrency: SLOTS,
+  queue: 100,
+  targetMs: 250,
+  timeoutMs: TIMEOUT_MS,
+});
+
+const overstated = {...record, concurrency: SLOTS * OVERSTATED};
+
+/**
+ * Runs the measurement.
+ *
+ * @example
+ * const report = await measureOverload({seed: 1000});
+ */
+export async function measureOverload(options: MeasureOptions) {
+  const seconds = options.seconds ?? DEFAULT_SECONDS;
+  const rows = [];
+  for (const gate of GATES) {
+    for (const load of LOADS) {
+      rows.push(await runCase(options.seed, seconds, gate, load, false));
+    }
+    rows.push(await runCase(options.seed, seconds, gate, 2, true));
+  }
+  return {
+    capacityPerSecond: CAPACITY_PER_SECOND,
+    timeoutMs: TIMEOUT_MS,
+    summary: summarize(rows),
+    rows,
+  };
+}
+
+type Row = Awaited<ReturnType<typeof runCase>>;
+
+/** The aims: the most important class at five times, and total goodput against the peak. */
+function summarize(rows: readonly Row[]) {
+  return GATES.map(gate => {
+    const own = rows.filter(row => row.gate === gate && !row.isOverstated);
+    const peak = Math.max(...own.map(row => row.goodputPerSecond));
+    const worst = own.find(row => row.load === Math.max(...LOADS)) as Row;
+    return {
+      gate,
+      mostImportantInTimeAt5x: worst.inTimeUrgency1,
+      totalGoodputAt5xOfPeak: worst.goodputPerSecond / peak,
+      wastedWorkAt5x: worst.wastedWork,
+    };
+  });
+}
+
+async function runCase(
+  seed: number,
+  seconds: number,
+  gate: GateType,
+  load: number,
+  isOverstated: boolean,
+) {
+  const world = await runWorld({
+    seed,
+    seconds,
+    gate,
+    services: [
+      {
+        record: isOverstated ? overstated : record,
+        slots: SLOTS,
+        reportedSlots: isOverstated ? SLOTS * OVERSTATED : SLOTS,
+        meanMs: MEAN_MS,
+      },
+    ],
+    streams: [
+      {
+        service: record.name,
+        perSecond: CAPACITY_PER_SECOND * load,
+        rateFactor: () => 1,
+        timeoutMs: TIMEOUT_MS,
+        customers: todaysCustomers,
+        urgencies: URGENCIES,
+      },
+    ],
+  });
+  return {gate, load, isOverstated, ...describe(world, seconds)};
+}
+
+function describe({outcomes, services}: World, seconds: number) {
+  const counted = outcomes.filter(({arrivedMs}) => arrivedMs >= WARM_UP_MS);
+  const ok = counted.filter(({result}) => result === 'ok');
+  const refused = counted.filter(({result}) => result === 'refused');
+  const work = services.get(record.name)?.work();
+  return {
+    goodputPerSecond: ok.length / (seconds - WARM_UP_MS / 1000),
+    inTimeUrgency1: inTime(counted, 1),
+    inTimeUrgency3: inTime(counted, 3),
+    inTimeUrgency5: inTime(counted, 5),
+    p95Urgency1Ms: quantile(
+      ok.filter(({urgency}) => urgency === 1).map(({latencyMs}) => latencyMs),
+      0.95,
+    ),
+    late: counted.filter(({result}) => result === 'late').length,
+    refusedAtOnce:
+      refused.filter(({latencyMs}) => latencyMs === 0).length /
+      Math.max(1, refused.length),
+    wastedWork:
+      work === undefined ? 0 : work.wastedMs / Math.max(1, work.doneMs),
+  };
+}
+
+function inTime(outcomes: readonly Outcome[], urgency: number): number {
+  const own = outcomes.filter(outcome => outcome.urgency === urgency);
+  return own.filter(({result}) => result === 'ok').length / own.length;
+}
--- /dev/null
+++ b/packages/bench/src/replay/replayClock.ts
@@ -0,0 +1,103 @@
+/** A virtual clock with a heap of timers, for replays with many requests at once. */
+import {toDisposable, type Clock} from '@skylarkfield/base';
+
+export interface ReplayClock extends Clock {
+  /** Runs every timer due by the given time, letting promises settle in between. */
+  run(untilMs: number): Promise<void>;
+}
+
+interface Timer {
+  readonly dueMs: number;
+  readonly order: number;
+  callback: (() => void) | undefined;
+}
+
+/** Microtask rounds after each timer: more than any chain of awaits in a replay. */
+const SETTLE_ROUNDS = 8;
+
+/**
+ * Makes a replay clock that starts at 0.
+ *
+ * @example
+ * const clock = createReplayClock();
+ * clock.after(10, arrive);
+ * await clock.run(60_000);
+ */
+export function createReplayClock(
+  startWallMs = 1_800_000_000_000,
+): ReplayClock {
+  const heap: Timer[] = [];
+  let nowMs = 0;
+  let nextOrder = 0;
+  return {
+    now: () => nowMs,
+    wall: () => startWallMs + nowMs,
+    after(delayMs, callback) {
+      const dueMs = nowMs + Math.max(0, delayMs);
+      const timer: Timer = {dueMs, order: nextOrder++, callback};
+      if (dueMs < Infinity) {
+        pushTimer(heap, timer);
+      }
+      return toDisposable(() => (timer.callback = undefined));
+    },
+    async run(untilMs) {
+      while (heap[0] !== undefined && heap[0].dueMs <= untilMs) {
+        const timer = popTimer(heap);
+        const callback = timer.callback;
+        if (callback === undefined) {
+          continue;
+        }
+        nowMs = timer.dueMs;
+        callback();
+        for (let round = 0; round < SETTLE_ROUNDS; round++) {
+          await Promise.resolve();
+        }
+      }
+      nowMs = untilMs;
+    },
+  };
+}
+
+function isBefore(a: Timer, b: Timer): boolean {
+  return a.dueMs === b.dueMs ? a.order < b.order : a.dueMs < b.dueMs;
+}
+
+function pushTimer(heap: Timer[], timer: Timer) {
+  let index = heap.length;
+  heap.push(timer);
+  while (index > 0) {
+    const parent = (index - 1) >> 1;
+    if (isBefore(heap[parent] as Timer, timer)) {
+      break;
+    }
+    heap[index] = heap[parent] as Timer;
+    index = parent;
+  }
+  heap[index] = timer;
+}
+
+function popTimer(heap: Timer[]): Timer {
+  const top = heap[0] as Timer;
+  const last = heap.pop() as Timer;
+  if (heap.length === 0) {
+    return top;
+  }
+  let index = 0;
+  for (;;) {
+    let child = 2 * index + 1;
+    if (child >= heap.length) {
+      break;
+    }
+    const right = heap[child + 1];
+    if (right !== undefined && isBefore(right, heap[child] as Timer)) {
+      child += 1;
+    }
+    if (isBefore(last, heap[child] as Timer)) {
+      break;
+    }
+    heap[index] = heap[child] as Timer;
+    index = child;
+  }
+  heap[index] = last;
+  return top;
+}
--- /dev/null
+++ b/packages/bench/src/replay/replayService.ts
@@ -0,0 +1,120 @@
+/** A service as a replay sees it: places, a queue of its own, and faults. */
+import type {Clock, Random} from '@skylarkfield/base';
+
+export type ServiceFault = 'none' | 'hung' | 'slow' | 'failing';
+
+export interface ReplayService {
+  /** Starts or queues work; `done` is called once unless the work was cancelled. */
+  run(cost: number, done: (isOk: boolean) => void): {cancel(): void};
+  setFault(fault: ServiceFault): void;
+  setSlots(slots: number): void;
+  slots(): number;
+  /** Running and waiting here. */
+  busy(): number;
+  /** Milliseconds of work done so far, and how much of it was for callers that had gone. */
+  work(): {readonly doneMs: number; readonly wastedMs: number};
+}
+
+interface Job {
+  readonly cost: number;
+  readonly done: (isOk: boolean) => void;
+  isCancelled: boolean;
+}
+
+const SLOW_FACTOR = 10;
+const FAILURE_MS = 3;
+
+/** Spread of service times: sigma of the logarithm. */
+const SIGMA = 0.4;
+
+/**
+ * Makes a service with the given places and mean time per request of cost 1.
+ *
+ * @example
+ * const service = createReplayService(clock, random, 28, 100);
+ */
+export function createReplayService(
+  clock: Clock,
+  random: Random,
+  initialSlots: number,
+  meanMs: number,
+): ReplayService {
+  const waiting: Job[] = [];
+  const parked: Job[] = [];
+  let slotCount = initialSlots;
+  let running = 0;
+  let fault: ServiceFault = 'none';
+  let doneMs = 0;
+  let wastedMs = 0;
+
+  function normal(): number {
+    const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
+    return radius * Math.cos(2 * Math.PI * random.next());
+  }
+
+  function timeFor(cost: number): number {
+    if (fault === 'failing') {
+      return FAILURE_MS;
+    }
+    const spread = Math.exp(SIGMA * normal() - (SIGMA * SIGMA) / 2);
+    return meanMs * cost * spread * (fault === 'slow' ? SLOW_FACTOR : 1);
+  }
+
+  function startNext() {
+    while (running < slotCount && waiting.length > 0) {
+      const job = waiting.shift() as Job;
+      if (!job.isCancelled) {
+        start(job);
+      }
+    }
+  }
+
+  function start(job: Job) {
+    running += 1;
+    if (fault === 'hung') {
+      parked.push(job);
+      return;
+    }
+    const isOk = fault !== 'failing';
+    const spanMs = timeFor(job.cost);
+    clock.after(spanMs, () => {
+      running -= 1;
+      doneMs += spanMs;
+      if (job.isCancelled) {
+        wastedMs += spanMs;
+      } else {
+        job.done(isOk);
+      }
+      startNext();
+    });
+  }
+
+  return {
+    run(cost, done) {
+      const job: Job = {cost, done, isCancelled: false};
+      waiting.push(job);
+      startNext();
+      return {cancel: () => (job.isCancelled = true)};
+    },
+    setFault(next) {
+      fault = next;
+      if (next === 'hung') {
+        return;
+      }
+      for (const job of parked.splice(0)) {
+        running -= 1;
+        if (!job.isCancelled) {
+          job.done(false);
+        }
+      }
+      startNext();
+    },
+    setSlots(next) {
+      slotCount = next;
+      startNext();
+    },
+    slots: () => slotCount,
+    busy: () => running + waiting.filter(job => !job.isCancelled).length,
+    work: () => ({doneMs, wastedMs}),
+  };
+}
--- /dev/null
+++ b/packages/bench/src/replay/world.ts
@@ -0,0 +1,130 @@
+/** One replay: entries with gates, services with places, callers; everything from one seed. */
+import {every, seededRandom} from '@skylarkfield/base';
+import type {Service} from '@skylarkfield/records';
+import {gateTypes, type GateType} from './gates.js';
+import {createReplayClock, type ReplayClock} from './replayClock.js';
+import {createReplayService, type ReplayService} from './replayService.js';
+import {startTraffic, type Outcome, type Stream} from './traffic.js';
+
+export interface WorldOptions {
+  readonly seed: number;
+  readonly seconds: number;
+  readonly gate: GateType;
+  readonly services: readonly ReplayServiceSettings[];
+  readonly streams: readonly Stream[];
+  /** Plans faults before the run starts. */
+  disturb?(clock: ReplayClock, services: Map<string, ReplayService>): void;
+}
+
+/** A service with its record and what it can really carry. */
+export interface ReplayServiceSettings {
+  readonly record: Service;
+  readonly slots: number;
+  /** What the endpoints claim to have; the truth when not given. */
+  readonly reportedSlots?: number;
+  readonly meanMs: number;
+}
+
+export interface World {
+  readonly outcomes: readonly Outcome[];
+  readonly services: ReadonlyMap<string, ReplayService>;
+}
+
+/** Entries that each of the two users has today. */
+const ENTRY_COUNT = 7;
+
+/** Endpoints report their load this often, and entries hear of it this much later. */
+const REPORT_INTERVAL_MS = 500;
+const REPORT_LAG_MS = 300;
+
+/**
+ * Runs a replay to its end.
+ *
+ * @example
+ * const {outcomes} = await runWorld({seed: 1, seconds: 30, gate: 'aimd', services, streams});
+ */
+export async function runWorld(options: WorldOptions): Promise<World> {
+  const clock = createReplayClock();
+  const services = new Map(
+    options.services.map(({record, slots, meanMs}, index) => [
+      record.name,
+      createReplayService(
+        clock,
+        seededRandom(options.seed * 7 + index),
+        slots,
+        meanMs,
+      ),
+    ]),
+  );
+  const gates = Array.from({length: ENTRY_COUNT}, (_, index) =>
+    gateTypes[options.gate]({
+      clock,
+      random: seededRandom(options.seed * 13 + index),
+      services: options.services.map(({record}) => record),
+      entryCount: ENTRY_COUNT,
+    }),
+  );
+  every(clock, REPORT_INTERVAL_MS, () => {
+    for (const {record, reportedSlots} of options.services) {
+      const name = record.name;
+      const service = services.get(name) as ReplayService;
+      const slots = reportedSlots ?? service.slots();
+      const busy = service.busy();
+      clock.after(REPORT_LAG_MS, () => {
+        for (const gate of gates) {
+          gate.reportSlots(name, slots, busy);
+        }
+      });
+    }
+  });
+  options.disturb?.(clock, services);
+  const untilMs = options.seconds * 1000;
+  const outcomes: Outcome[] = [];
+  startTraffic({
+    clock,
+    seed: options.seed,
+    untilMs,
+    gates,
+    services,
+    streams: options.streams,
+    record: outcome => outcomes.push(outcome),
+  });
+  const longestMs = Math.max(
+    ...options.streams.map(({timeoutMs}) => timeoutMs),
+  );
+  await clock.run(untilMs + longestMs + 1);
+  return {outcomes, services};
+}
+
+/** Today's customers: about five, a few large. */
+export const todaysCustomers = [
+  {name: 'chain', part: 0.45},
+  {name: 'studio', part: 0.3},
+  {name: 'flooring', part: 0.15},
+  {name: 'carpenter', part: 0.07},
+  {name: 'counter', part: 0.03},
+];
+
+/** The value below which the given fraction of the numbers lies; NaN for none. */
+export function quantile(values: readonly number[], fraction: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return (
+    sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * fraction))] ??
+    NaN
+  );
+}
+
+/** A service record for a replay. */
+export function replayRecord(
+  name: string,
+  limits: Pick<Service, 'concurrency' | 'queue' | 'targetMs' | 'timeoutMs'>,
+): Service {
+  return {
+    name,
+    type: 'plain',
+    version: 'v1',
+    routes: [],
+    ...limits,
+    fleet: {minReplicas: 1, maxReplicas: 1, machineClass: 'small', weights: ''},
+  };
+}
