--- /dev/null
+++ b/packages/bench/src/overhead.ts
@@ -0,0 +1,173 @@
+/**
+ * `overhead`: what an entry adds to a small call of a plain service, as
+ * separate processes on loopback: latency one call at a time against calling
+ * the endpoint directly, and calls a second per core of the entry.
+ */
+import {build as buildHistogram, type Histogram} from 'hdr-histogram-js';
+import {Pool} from 'undici';
+import type {MeasureOptions} from './measurements.js';
+import type {TrialProcess} from './processes/childProcess.js';
+import {
+  startTrialFleet,
+  TRIAL_ADMIN_KEY,
+  TRIAL_CUSTOMER_KEY,
+  type TrialFleet,
+} from './processes/trialFleet.js';
+import {untilServing} from './processes/untilServing.js';
+
+const DEFAULT_SECONDS = 20;
+/** Calls in flight while throughput is measured. */
+const CONCURRENCY = 64;
+const WARM_UP_CALLS = 500;
+const MICROSECONDS = 1000;
+
+const SERVICE = 'booking';
+const HEADERS = {authorization: `Bearer ${TRIAL_CUSTOMER_KEY}`};
+
+/** Where calls go. */
+interface Target {
+  readonly name: 'direct' | 'entry';
+  readonly pool: Pool;
+  readonly path: string;
+}
+
+/**
+ * Runs the measurement.
+ *
+ * @example
+ * const report = await measureOverhead({seed: 1000});
+ */
+export async function measureOverhead(options: MeasureOptions) {
+  const seconds = options.seconds ?? DEFAULT_SECONDS;
+  const fleet = await startTrialFleet({
+    entryDomains: ['a'],
+    endpoints: [
+      {
+        id: 'b1',
+        type: 'service',
+        service: SERVICE,
+        version: 'v1',
+        failureDomain: 'a',
+      },
+    ],
+    settings: {log: {level: 'warn'}},
+  });
+  try {
+    return await measure(fleet, seconds * 1000);
+  } finally {
+    await fleet.dispose();
+  }
+}
+
+async function measure(fleet: TrialFleet, runMs: number) {
+  await fleet.store.put('service', SERVICE, serviceRecord, {type: 'any'});
+  const entryUrl = await untilServing(fleet, [SERVICE]);
+  const endpointUrl = fleet.endpoints.get('b1')?.ready['url'] ?? '';
+  const direct = target('direct', endpointUrl, '/availability');
+  const entry = target('entry', entryUrl, `/services/${SERVICE}/availability`);
+  const targets = [direct, entry];
+  try {
+    for (const each of targets) {
+      await callTimes(each, WARM_UP_CALLS);
+    }
+    const latencies = await alternate(targets, runMs / 2);
+    const throughput = await saturate(entry, fleet.entries[0]!, runMs / 2);
+    const medians = latencies.map(each => each.p50Ms);
+    return {
+      rows: latencies,
+      addedMedianMs: (medians[1] ?? 0) - (medians[0] ?? 0),
+      ...throughput,
+    };
+  } finally {
+    await Promise.all(targets.map(each => each.pool.close()));
+  }
+}
+
+function target(name: Target['name'], url: string, path: string): Target {
+  return {name, pool: new Pool(url, {connections: CONCURRENCY}), path};
+}
+
+/** One call at a time, the targets in turns, so that both see the same machine. */
+async function alternate(targets: readonly Target[], runMs: number) {
+  const histograms = targets.map(() => buildHistogram());
+  const endAt = performance.now() + runMs;
+  while (performance.now() < endAt) {
+    for (const [index, each] of targets.entries()) {
+      await callOnce(each, histograms[index]);
+    }
+  }
+  return targets.map((each, index) => {
+    const histogram = histograms[index] as Histogram;
+    return {
+      target: each.name,
+      calls: histogram.totalCount,
+      p50Ms: histogram.getValueAtPercentile(50) / MICROSECONDS,
+      p95Ms: histogram.getValueAtPercentile(95) / MICROSECONDS,
+    };
+  });
+}
+
+/** Many calls at once, with the processor time that the entry used meanwhile. */
+async function saturate(entry: Target, process: TrialProcess, runMs: number) {
+  const cpuBefore = await cpuSecondsOf(process);
+  const startedAt = performance.now();
+  const endAt = startedAt + runMs;
+  let calls = 0;
+  async function work(): Promise<void> {
+    while (performance.now() < endAt) {
+      await callOnce(entry);
+      calls += 1;
+    }
+  }
+  await Promise.all(Array.from({length: CONCURRENCY}, work));
+  const seconds = (performance.now() - startedAt) / 1000;
+  const cpuSeconds = (await cpuSecondsOf(process)) - cpuBefore;
+  return {
+    callsPerSecond: calls / seconds,
+    callsPerCoreSecond: calls / cpuSeconds,
+    coresUsed: cpuSeconds / seconds,
+  };
+}
+
+async function callTimes(each: Target, times: number): Promise<void> {
+  for (let call = 0; call < times; call++) {
+    await callOnce(each);
+  }
+}
+
+async function callOnce(each: Target, histogram?: Histogram): Promise<void> {
+  const startedAt = performance.now();
+  const reply = await each.pool.request({
+    method: 'GET',
+    path: each.path,
+    headers: HEADERS,
+  });
+  const text = await reply.body.text();
+  if (reply.statusCode !== 200) {
+    throw new Error(`${each.name}: ${reply.statusCode} ${text}`);
+  }
+  const elapsed = performance.now() - startedAt;
+  histogram?.recordValue(Math.max(1, Math.round(elapsed * MICROSECONDS)));
+}
+
+async function cpuSecondsOf(process: TrialProcess): Promise<number> {
+  const response = await fetch(`${process.ready['admin']}/dump`, {
+    headers: {authorization: `Bearer ${TRIAL_ADMIN_KEY}`},
+  });
+  const dump = (await response.json()) as {
+    process: {cpu: {user: number; system: number}};
+  };
+  const {user, system} = dump.process.cpu;
+  return (user + system) / 1e6;
+}
+
+const serviceRecord = {
+  schema: 1,
+  type: 'plain',
+  version: 'v1',
+  targetMs: 300,
+  timeoutMs: 10_000,
+  concurrency: 1000,
+  queue: 1000,
+  routes: [{method: 'GET', pathPrefix: '/', idempotent: true}],
+};
--- /dev/null
+++ b/packages/bench/src/test/hostileCallers.test.ts
@@ -0,0 +1,281 @@
+import assert from 'node:assert/strict';
+import {connect} from 'node:net';
+import {after, before, describe, it} from 'node:test';
+import {
+  startTrialFleet,
+  TRIAL_ADMIN_KEY,
+  TRIAL_CUSTOMER_KEY,
+  type TrialFleet,
+} from '../processes/trialFleet.js';
+import {until, untilServing} from '../processes/untilServing.js';
+
+const KEY = {authorization: `Bearer ${TRIAL_CUSTOMER_KEY}`};
+const MODEL_PATH = '/v1/chat/completions';
+const LIMIT_BYTES = 65_536;
+const HEADER_MS = 500;
+
+interface HostileRequest {
+  readonly title: string;
+  readonly path: string;
+  readonly init: RequestInit;
+  readonly status: number;
+  readonly kind: string;
+}
+
+function post(
+  body: string,
+  headers: Record<string, string> = KEY,
+): RequestInit {
+  return {method: 'POST', headers, body};
+}
+
+const requests: readonly HostileRequest[] = [
+  {
+    title: 'no key',
+    path: '/v1/entries',
+    init: {},
+    status: 401,
+    kind: 'unauthenticated',
+  },
+  {
+    title: 'a key nobody has',
+    path: '/v1/entries',
+    init: {headers: {authorization: 'Bearer guess'}},
+    status: 401,
+    kind: 'unauthenticated',
+  },
+  {
+    title: 'a body that is not JSON',
+    path: MODEL_PATH,
+    init: post('{"model":'),
+    status: 400,
+    kind: 'bad-request',
+  },
+  {
+    title: 'messages of the wrong type',
+    path: MODEL_PATH,
+    init: post('{"model":"booking","messages":"hello"}'),
+    status: 400,
+    kind: 'bad-request',
+  },
+  {
+    title: 'a negative number of tokens',
+    path: '/v1/completions',
+    init: post('{"model":"booking","prompt":"a","max_tokens":-1}'),
+    status: 400,
+    kind: 'bad-request',
+  },
+  {
+    title: 'a body over the limit',
+    path: '/services/booking/bookings',
+    init: post('x'.repeat(LIMIT_BYTES + 1)),
+    status: 413,
+    kind: 'too-large',
+  },
+  {
+    title: 'a service that does not exist',
+    path: '/services/nowhere/x',
+    init: {headers: KEY},
+    status: 404,
+    kind: 'unknown-service',
+  },
+  {
+    title: 'a service name of the object prototype',
+    path: '/services/__proto__/x',
+    init: {headers: KEY},
+    status: 404,
+    kind: 'unknown-service',
+  },
+  {
+    title: 'a plain service asked as a model',
+    path: MODEL_PATH,
+    init: post(
+      '{"model":"booking","messages":[{"role":"user","content":"a"}]}',
+    ),
+    status: 404,
+    kind: 'unknown-service',
+  },
+  {
+    title: 'an overlong idempotency key',
+    path: '/services/booking/bookings',
+    init: post('{}', {...KEY, 'idempotency-key': 'k'.repeat(300)}),
+    status: 400,
+    kind: 'bad-request',
+  },
+  {
+    title: 'a time limit that is no number',
+    path: '/services/booking/availability',
+    init: {headers: {...KEY, 'x-request-timeout-ms': 'soon'}},
+    status: 400,
+    kind: 'bad-request',
+  },
+  {
+    title: 'a path that is not there',
+    path: '/v2/nothing',
+    init: {headers: KEY},
+    status: 404,
+    kind: 'not-found',
+  },
+];
+
+/** What raw bytes get, or that the connection is closed on them. */
+const rawInputs: readonly [string, string, RegExp][] = [
+  ['bytes that are no HTTP', '\u0000\u0001nonsense\r\n\r\n', /^HTTP\/1\.1 400/],
+  [
+    'a head over the limit',
+    `GET /health HTTP/1.1\r\nHost: a\r\nX-Pad: ${'x'.repeat(40_000)}\r\n\r\n`,
+    /^HTTP\/1\.1 431/,
+  ],
+  [
+    'two lengths for one body',
+    'POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab',
+    /^HTTP\/1\.1 400/,
+  ],
+  [
+    'a length and chunks at once',
+    'POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    /^HTTP\/1\.1 400/,
+  ],
+  [
+    'a head that never ends',
+    'GET /health HTTP/1.1\r\nHost: a\r\nX-Slow: ',
+    /^HTTP\/1\.1 408|^$/,
+  ],
+];
+
+// Callers send what they like: broken clients, scanners, attackers. A process
+// that crashes on it, or waits for ever, takes every other caller down with it.
+describe('hostile callers', () => {
+  let fleet: TrialFleet;
+  let entry: string;
+
+  before(async () => {
+    fleet = await startTrialFleet({
+      entryDomains: ['a'],
+      endpoints: [
+        {
+          id: 'b1',
+          type: 'service',
+          service: 'booking',
+          version: 'v1',
+          failureDomain: 'a',
+        },
+      ],
+      settings: {
+        log: {level: 'info'},
+        limits: {bodyBytes: LIMIT_BYTES, headerMs: HEADER_MS},
+      },
+    });
+    await fleet.store.put(
+      'service',
+      'booking',
+      {
+        schema: 1,
+        type: 'plain',
+        version: 'v1',
+        targetMs: 300,
+        timeoutMs: 10_000,
+        routes: [{method: 'GET', pathPrefix: '/', idempotent: true}],
+      },
+      {type: 'any'},
+    );
+    entry = await untilServing(fleet, ['booking']);
+  });
+
+  after(() => fleet?.dispose());
+
+  for (const {title, path, init, status, kind} of requests) {
+    it(`answers ${title} with ${kind}, not run`, async () => {
+      const response = await fetch(`${entry}${path}`, init);
+      const problem = (await response.json()) as {kind: string; run: string};
+      assert.deepEqual(
+        {status: response.status, kind: problem.kind, run: problem.run},
+        {status, kind, run: 'not-run'},
+      );
+    });
+  }
+
+  for (const [title, bytes, answer] of rawInputs) {
+    it(`ends a connection that sends ${title}`, async () => {
+      assert.match(await sendRaw(entry, bytes), answer);
+    });
+  }
+
+  it('goes on serving after all of it, with nothing left in flight', async () => {
+    const response = await fetch(`${entry}/services/booking/availability`, {
+      headers: KEY,
+    });
+    assert.equal(response.status, 200);
+    await response.text();
+    await until('nothing is in flight', async () => {
+      const state = (await dump(fleet)) as {process: {inFlight: number}};
+      return state.process.inFlight === 0;
+    });
+  });
+
+  it('keeps the admin port shut without its key', async () => {
+    const admin = fleet.entries[0]?.ready['admin'];
+    for (const path of ['/dump', '/metrics', '/decisions']) {
+      assert.equal((await fetch(`${admin}${path}`)).status, 401);
+      const wrong = await fetch(`${admin}${path}`, {headers: KEY});
+      assert.equal(wrong.status, 401);
+    }
+  });
+
+  // Operators paste dumps and logs into tickets; a key in one of them is a leak
+  // that nobody notices until it is used.
+  it('shows no key in dump, metrics or log', async () => {
+    const admin = fleet.entries[0]?.ready['admin'];
+    const headers = {authorization: `Bearer ${TRIAL_ADMIN_KEY}`};
+    const shown = await Promise.all(
+      ['/dump', '/metrics', '/decisions'].map(async path =>
+        (await fetch(`${admin}${path}`, {headers})).text(),
+      ),
+    );
+    const log = fleet.entries[0]?.logLines() ?? [];
+    assert.ok(log.length > 0);
+    for (const text of [...shown, ...log]) {
+      assert.ok(!text.includes(TRIAL_CUSTOMER_KEY));
+      assert.ok(!text.includes(TRIAL_ADMIN_KEY));
+      assert.ok(!text.includes('trial-inner-key'));
+    }
+  });
+
+  // A key leaks and the operator takes it out of the customer's record; until
+  // that is in force everywhere, whoever has the key goes on using it.
+  it('refuses a key soon after it is taken out of its record', async () => {
+    await fleet.store.put(
+      'customer',
+      'trial',
+      {schema: 1, keyHashes: ['0'.repeat(64)]},
+      {type: 'any'},
+    );
+    await until('the key is refused', async () => {
+      const response = await fetch(`${entry}/v1/entries`, {headers: KEY});
+      await response.text();
+      return response.status === 401;
+    });
+  });
+});
+
+async function dump(fleet: TrialFleet): Promise<unknown> {
+  const response = await fetch(`${fleet.entries[0]?.ready['admin']}/dump`, {
+    headers: {authorization: `Bearer ${TRIAL_ADMIN_KEY}`},
+  });
+  return response.json();
+}
+
+/** Sends bytes and gives what comes back until the connection ends. */
+function sendRaw(url: string, bytes: string): Promise<string> {
+  const {hostname, port} = new URL(url);
+  return new Promise((resolve, reject) => {
+    const socket = connect(Number(port), hostname);
+    let received = '';
+    socket.on('data', chunk => (received += chunk.toString('latin1')));
+    socket.once('close', () => resolve(received));
+    socket.once('error', error =>
+      received === '' ? reject(error) : resolve(received),
+    );
+    socket.write(bytes, 'latin1');
+  });
+}
