Ledger segments, bounded size, named tests of guards and of found schedules

Cause: the whole shard was written with each batch.

Change: ended orders move into segments, objects written once under names that carry the writer's epoch and are never used again; the shard's object stays near 16 KB. New orders are refused (overloaded, not run, Retry-After) when a shard's entries within the window reach 2 MB. Expired segments are removed once an object that does not name them has landed. Ruled out: segment names used in turn. A deposed owner could overwrite a segment that its successor already names.

Found by its own test: a full shard never expired anything, as expiry ran only with a write and a full shard writes nothing.

--- a/packages/orders/src/index.ts
+++ b/packages/orders/src/index.ts
@@ -8,3 +8,4 @@
 } from './ledger.js';
 export {LEDGER_KIND} from './shardRecord.js';
 export type {OrderNetwork} from './orderRoute.js';
+export {SEGMENT_KIND} from './shardSegments.js';
--- a/packages/orders/src/ledger.ts
+++ b/packages/orders/src/ledger.ts
@@ -50,7 +50,9 @@
   readonly dedupeWindowMs: number;
   /** How long a deposed owner leaves a shard to its new one. */
   readonly holdOffMs: number;
-  /** Size of a shard above which new orders are refused. */
+  /** Size of a shard's object from which ended orders move into objects of their own. */
+  readonly sealBytes: number;
+  /** Size of a shard with all its objects above which new orders are refused. */
   readonly maxShardBytes: number;
   /** The largest reply that is kept for retries. */
   readonly maxReplyBytes: number;
@@ -71,7 +73,8 @@
   outcomeDelayMs: 200,
   dedupeWindowMs: 3_600_000,
   holdOffMs: 3_000,
-  maxShardBytes: 262_144,
+  sealBytes: 16_384,
+  maxShardBytes: 2_097_152,
   maxReplyBytes: 4_096,
   maxHandOverBytes: 16_384,
   graceMs: 30_000,
@@ -118,6 +121,7 @@
           gapMs: settings.writeGapMs,
           lazyMs: settings.outcomeDelayMs,
           windowMs: settings.dedupeWindowMs,
+          sealBytes: settings.sealBytes,
           holdOffMs: settings.holdOffMs,
           isReachable: other => route.isReachable(other),
           onDidClaim: flight => runner.run(flight),
--- a/packages/orders/src/localOrders.ts
+++ b/packages/orders/src/localOrders.ts
@@ -48,6 +48,8 @@
   ) => Promise<ClaimOutcome | undefined>;
 }
 
+/** Replies may fill a shard beyond the size at which it refuses orders; above this they are not kept. */
+const MAX_OVERFILL = 1.25;
 const MAX_EXPIRY_WAIT_MS = 60_000;
 
 /**
@@ -136,7 +138,7 @@
         ),
       );
     }
-    if (shard.table.bytes < options.maxShardBytes) {
+    if (shard.liveBytes() < options.maxShardBytes) {
       return undefined;
     }
     return new ServingError('overloaded', 'the order ledger is full', {
@@ -261,7 +263,7 @@
       settleWithoutReply[outcome.state](shard, entry);
       return;
     }
-    const isFull = shard.table.bytes > 2 * options.maxShardBytes;
+    const isFull = shard.table.bytes > MAX_OVERFILL * options.maxShardBytes;
     const maxBytes = isFull ? 0 : options.maxReplyBytes;
     const reply = storeReply(outcome.reply, maxBytes);
     shard.table.put({...entry, state: 'settled', reply});
--- a/packages/orders/src/shard.ts
+++ b/packages/orders/src/shard.ts
@@ -14,6 +14,7 @@
   type LedgerEntry,
   type ShardRecord,
 } from './shardRecord.js';
+import {createShardSegments} from './shardSegments.js';
 import {createShardTable, type ShardTable} from './shardTable.js';
 import {createShardWriter, type WriteResult} from './shardWriter.js';
 
@@ -52,6 +53,8 @@
   /** How long outcomes may wait for a write that carries claims as well. */
   readonly lazyMs: number;
   readonly windowMs: number;
+  /** Size of the shard's object from which ended entries move into a segment. */
+  readonly sealBytes: number;
   /** How long a deposed owner leaves the shard to its new one. */
   readonly holdOffMs: number;
   readonly isReachable: (member: string) => boolean;
@@ -75,6 +78,8 @@
   enqueue(flight: Flight): void;
   /** An outcome has changed the table: write it soon. */
   touch(outcome: ClaimOutcome): void;
+  /** Size of all entries that are still within the dedupe window. */
+  liveBytes(): number;
   /** Voids a claim that was never sent. */
   drop(flight: Flight): void;
   /** Ends the orders that have no claim yet; nothing of them was sent. */
@@ -110,6 +115,7 @@
   const {index, clock, member, instance} = options;
   const machine = interpret(shardMachine, () => undefined);
   const table = createShardTable(clock, options.windowMs);
+  const segments = createShardSegments(options.store, index);
   const life = new AbortController();
   const writer = createShardWriter({
     store: options.store,
@@ -125,6 +131,8 @@
   let writes = 0;
   let claims = 0;
   let takeovers = 0;
+  /** Segments to remove once an object without them has landed. */
+  const expired: string[] = [];
   let unwritten: ClaimOutcome[] = [];
   let beingWritten: ClaimOutcome[] = [];
   let dirtySince: number | undefined;
@@ -145,6 +153,7 @@
 
   function nextRecord(): ShardRecord {
     writes += 1;
+    expire();
     return {
       format: LEDGER_FORMAT,
       owner: instance,
@@ -152,10 +161,20 @@
       epoch,
       write: writes,
       age: table.age(),
-      entries: table.compact(),
+      entries: table.unsealed(),
+      segments: table.segments(),
     };
   }
 
+  function expire(): void {
+    expired.push(...table.expire());
+  }
+
+  function liveBytes(): number {
+    expire();
+    return table.bytes;
+  }
+
   function lose(head: ShardRecord | undefined): void {
     tell('lose');
     knownOwner = head?.ownerMember;
@@ -163,6 +182,8 @@
     dirtySince = undefined;
     timer?.dispose();
     timer = undefined;
+    // The new owner's object may name them still.
+    expired.length = 0;
     options.onDidLose([...beingWritten.splice(0), ...unwritten.splice(0)]);
     note('gave up shard', `written by ${knownOwner ?? 'another process'}`);
     moveQueued();
@@ -191,7 +212,11 @@
         knownOwner = head.ownerMember;
         return {type: 'elsewhere', member: head.ownerMember};
       }
-      table.load(head?.entries ?? [], head?.age ?? 0);
+      const sealed = await segments.read(head?.segments ?? []);
+      if (sealed === undefined) {
+        continue;
+      }
+      table.load(head?.entries ?? [], sealed, head?.age ?? 0);
       epoch = (head?.epoch ?? 0) + 1;
       writes = 0;
       const result = await writer.write(nextRecord(), stored?.version);
@@ -203,7 +228,7 @@
         takeovers += 1;
         tell('gain');
         note('took shard over', `it was owned by ${head?.owner || 'nobody'}`);
-        options.onDidTake(table.compact());
+        options.onDidTake(table.unsealed());
         return {type: 'owned'};
       }
     }
@@ -272,6 +297,18 @@
     });
   }
 
+  /** Moves ended entries out of the shard's object before it grows large. */
+  async function sealEnded(): Promise<void> {
+    const entries = table.sealable(options.sealBytes);
+    if (entries.length === 0) {
+      return;
+    }
+    const name = await segments.write(epoch, entries);
+    if (name !== undefined) {
+      table.seal(name, entries);
+    }
+  }
+
   async function commit(): Promise<void> {
     batch = queue.splice(0, MAX_BATCH).filter(flight => flight.tell('commit'));
     for (const flight of batch) {
@@ -284,6 +321,9 @@
     const written = batch;
     batch = [];
     finishWrite(result, written);
+    if (result.type === 'landed') {
+      await sealEnded();
+    }
   }
 
   /** Writes the table; outcomes that it carries are kept until it has landed. */
@@ -293,6 +333,7 @@
     const result = await writer.write(record, version);
     if (result.type === 'landed') {
       beingWritten = [];
+      segments.remove(expired.splice(0));
     }
     if (result.type === 'refused') {
       unwritten = [...beingWritten.splice(0), ...unwritten];
@@ -395,6 +436,7 @@
       schedule();
     },
     touch,
+    liveBytes,
     drop,
     refuseUnclaimed,
     release,
@@ -403,6 +445,7 @@
       state: current(),
       epoch,
       entries: table.count,
+      segments: table.segments().length,
       bytes: table.bytes,
       queued: queue.length,
       takeovers,
--- a/packages/orders/src/shardRecord.ts
+++ b/packages/orders/src/shardRecord.ts
@@ -60,6 +60,8 @@
   /** Milliseconds for which the shard has been owned altogether. */
   readonly age: number;
   readonly entries: readonly LedgerEntry[];
+  /** Names of the objects that hold further, ended entries. */
+  readonly segments: readonly string[];
 }
 
 /**
--- /dev/null
+++ b/packages/orders/src/shardSegments.ts
@@ -0,0 +1,80 @@
+/**
+ * Sealed parts of a shard: objects of their own, written once, so that the
+ * shard's object stays small however many ended orders are remembered.
+ */
+import type {ObjectStore} from '@skylarkfield/platform';
+import type {LedgerEntry} from './shardRecord.js';
+
+/** Kind of the objects that hold sealed entries. */
+export const SEGMENT_KIND = 'ledger-segment';
+
+interface SegmentRecord {
+  readonly entries: readonly LedgerEntry[];
+}
+
+export interface ShardSegments {
+  /** Entries of the named segments; undefined when one is gone, as the shard has changed since. */
+  read(
+    names: readonly string[],
+  ): Promise<ReadonlyMap<string, readonly LedgerEntry[]> | undefined>;
+  /** Writes a segment; undefined when that is not certain to have worked. */
+  write(
+    epoch: number,
+    entries: readonly LedgerEntry[],
+  ): Promise<string | undefined>;
+  /** Removes segments that no shard object names any more. */
+  remove(names: readonly string[]): void;
+}
+
+/**
+ * Makes the access to one shard's segments.
+ *
+ * A segment's name carries the epoch of its writer and is never used again.
+ * With names used in turn, a deposed owner could overwrite a segment that its
+ * successor has already named, and those keys would be forgotten.
+ *
+ * @example
+ * const name = await segments.write(epoch, table.sealable(32_768));
+ */
+export function createShardSegments(
+  store: ObjectStore,
+  shard: number,
+): ShardSegments {
+  let written = 0;
+
+  async function read(names: readonly string[]) {
+    const objects = await Promise.all(
+      names.map(name => store.get<SegmentRecord>(SEGMENT_KIND, name)),
+    );
+    const entries = new Map<string, readonly LedgerEntry[]>();
+    for (const [index, name] of names.entries()) {
+      const object = objects[index];
+      if (object === undefined) {
+        return undefined;
+      }
+      entries.set(name, object.value.entries);
+    }
+    return entries;
+  }
+
+  return {
+    read,
+    async write(epoch, entries) {
+      written += 1;
+      const name = `shard-${shard}.${epoch}.${written}`;
+      try {
+        await store.put(SEGMENT_KIND, name, {entries}, {type: 'absent'});
+        return name;
+      } catch {
+        // The entries stay in the shard's object; a segment that landed after all is never named.
+        return undefined;
+      }
+    },
+    remove(names) {
+      for (const name of names) {
+        // What stays behind is never read: removing is only tidying up.
+        store.remove(SEGMENT_KIND, name, {type: 'any'}).catch(() => undefined);
+      }
+    },
+  };
+}
--- a/packages/orders/src/shardTable.ts
+++ b/packages/orders/src/shardTable.ts
@@ -1,4 +1,4 @@
-/** The entries of one owned shard in memory: look-up, size and expiry. */
+/** The entries of one owned shard in memory: look-up, size, sealing and expiry. */
 import type {Clock} from '@skylarkfield/base';
 import type {LedgerEntry} from './shardRecord.js';
 
@@ -8,11 +8,23 @@
   put(entry: Omit<LedgerEntry, 'age'>): void;
   remove(id: string): void;
   /** Replaces everything, as read at a change of owner. */
-  load(entries: readonly LedgerEntry[], age: number): void;
-  /** All entries but those that left the dedupe window; they are dropped. */
-  compact(): readonly LedgerEntry[];
+  load(
+    entries: readonly LedgerEntry[],
+    segments: ReadonlyMap<string, readonly LedgerEntry[]>,
+    age: number,
+  ): void;
+  /** Drops what has left the dedupe window; returns the segments that are empty then. */
+  expire(): readonly string[];
+  /** Entries that belong into the shard's object. */
+  unsealed(): readonly LedgerEntry[];
+  segments(): readonly string[];
+  /** Ended entries for a segment, oldest first; none when there are too few. */
+  sealable(bytes: number): readonly LedgerEntry[];
+  /** Notes that a segment holds these entries. */
+  seal(name: string, entries: readonly LedgerEntry[]): void;
   /** Milliseconds for which the shard has been owned altogether. */
   age(): number;
+  /** Size of all entries, sealed ones included. */
   readonly bytes: number;
   readonly count: number;
   /** Milliseconds until the oldest entry leaves the window. */
@@ -24,6 +36,12 @@
   readonly bytes: number;
 }
 
+/** Far below the most that the platform takes in one value. */
+const MAX_SEGMENT_BYTES = 262_144;
+
+/** States that do not change any more. */
+const ENDED: ReadonlySet<string> = new Set(['settled', 'unknown']);
+
 /**
  * Makes an empty table.
  *
@@ -36,8 +54,14 @@
  * const table = createShardTable(clock, 3_600_000);
  */
 export function createShardTable(clock: Clock, windowMs: number): ShardTable {
+  /** All entries, in the order of their last change. */
   const rows = new Map<string, Row>();
+  /** Ids of the entries that no segment holds as they are. */
+  const open = new Set<string>();
+  /** Age of the youngest entry of each segment. */
+  const segments = new Map<string, number>();
   let bytes = 0;
+  let openBytes = 0;
   let baseAge = 0;
   let ownedSince = clock.now();
 
@@ -45,45 +69,109 @@
     return Math.floor(baseAge + clock.now() - ownedSince);
   }
 
+  function close(id: string): void {
+    if (open.delete(id)) {
+      openBytes -= rows.get(id)?.bytes ?? 0;
+    }
+  }
+
   function remove(id: string): void {
     const row = rows.get(id);
     if (row !== undefined) {
+      close(id);
       bytes -= row.bytes;
       rows.delete(id);
     }
   }
 
-  function add(entry: LedgerEntry): void {
+  function add(entry: LedgerEntry, isOpen: boolean): void {
     remove(entry.id);
     const row = {entry, bytes: JSON.stringify(entry).length};
     rows.set(entry.id, row);
     bytes += row.bytes;
+    if (isOpen) {
+      open.add(entry.id);
+      openBytes += row.bytes;
+    }
   }
 
-  function isExpired(entry: LedgerEntry): boolean {
-    return entry.state !== 'waiting' && age() - entry.age > windowMs;
+  function isOld(entryAge: number): boolean {
+    return age() - entryAge > windowMs;
+  }
+
+  function youngest(entries: readonly LedgerEntry[]): number {
+    return entries.reduce((most, entry) => Math.max(most, entry.age), 0);
+  }
+
+  function expireRows(): void {
+    for (const {entry} of rows.values()) {
+      // Rows are in the order of their last change: the first young one ends the search.
+      if (!isOld(entry.age)) {
+        return;
+      }
+      if (entry.state !== 'waiting') {
+        remove(entry.id);
+      }
+    }
   }
 
   return {
     get: id => rows.get(id)?.entry,
-    put: entry => add({...entry, age: age()}),
+    put: entry => add({...entry, age: age()}, true),
     remove,
-    load(entries, loadedAge) {
-      rows.clear();
-      bytes = 0;
+    load(entries, loadedSegments, loadedAge) {
+      for (const collection of [rows, open, segments]) {
+        collection.clear();
+      }
+      [bytes, openBytes] = [0, 0];
       baseAge = loadedAge;
       ownedSince = clock.now();
-      entries.forEach(add);
+      for (const [name, sealed] of loadedSegments) {
+        segments.set(name, youngest(sealed));
+        sealed.forEach(entry => add(entry, false));
+      }
+      // What the shard's object says of a key is newer than what a segment says.
+      entries.forEach(entry => add(entry, true));
+    },
+    expire() {
+      expireRows();
+      const old = [...segments].filter(([, youngestAge]) => isOld(youngestAge));
+      old.forEach(([name]) => segments.delete(name));
+      return old.map(([name]) => name);
     },
-    compact() {
-      for (const {entry} of [...rows.values()]) {
-        // Rows are in the order of their last change: the first young one ends the search.
-        if (!isExpired(entry)) {
+    unsealed: () =>
+      [...open].flatMap(id => {
+        const row = rows.get(id);
+        return row === undefined ? [] : [row.entry];
+      }),
+    segments: () => [...segments.keys()],
+    sealable(wantedBytes) {
+      if (openBytes < wantedBytes) {
+        return [];
+      }
+      const chosen: LedgerEntry[] = [];
+      let chosenBytes = 0;
+      for (const id of open) {
+        const row = rows.get(id);
+        if (row === undefined || !ENDED.has(row.entry.state)) {
+          continue;
+        }
+        chosen.push(row.entry);
+        chosenBytes += row.bytes;
+        if (chosenBytes >= MAX_SEGMENT_BYTES) {
           break;
         }
-        remove(entry.id);
       }
-      return [...rows.values()].map(row => row.entry);
+      return chosenBytes * 2 >= wantedBytes ? chosen : [];
+    },
+    seal(name, entries) {
+      segments.set(name, youngest(entries));
+      for (const entry of entries) {
+        // An entry that changed while the segment was written stays open.
+        if (rows.get(entry.id)?.entry === entry) {
+          close(entry.id);
+        }
+      }
     },
     age,
     get bytes() {
--- /dev/null
+++ b/packages/orders/src/test/foundSchedules.test.ts
@@ -0,0 +1,99 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {play, settle, type Step} from './schedule.js';
+import type {World} from './world.js';
+
+/** A schedule that the fuzzer found failing, shrunk. */
+interface Found {
+  readonly name: string;
+  readonly seed: number;
+  readonly waitMs: number;
+  readonly steps: readonly Step[];
+  readonly expect: (world: World) => void;
+}
+
+function kinds(world: World): ReadonlyArray<string | undefined> {
+  return world.submitted.map(({answer}) => answer?.kind);
+}
+
+const found: readonly Found[] = [
+  // An entry joins and takes over the shard of a running order. Its old owner notes the reply in a
+  // table that it can't write any more. A retry then hears `may-have-run` of a kit that was
+  // confirmed, and the designer orders a second one.
+  {
+    name: 'a reply noted after the shard was lost reaches the new owner',
+    seed: 0,
+    waitMs: 0,
+    steps: [
+      {do: 'submit', entry: 0, key: 1},
+      {do: 'start', entry: 3},
+      {do: 'submit-unnamed', entry: 0},
+      {do: 'wait', ms: 5},
+      {do: 'submit', entry: 0, key: 1},
+    ],
+    expect: world =>
+      assert.deepEqual(kinds(world), ['reply', 'reply', 'reply', 'reply']),
+  },
+  // An entry leaves while an order is on its way to it, and another process starts under its name.
+  // The sender waits for an answer that can't come, until its caller's deadline has passed.
+  {
+    name: 'an order sent to an entry that has just left runs elsewhere',
+    seed: 0,
+    waitMs: 0,
+    steps: [
+      {do: 'submit-unnamed', entry: 0},
+      {do: 'leave', entry: 2},
+      {do: 'wait', ms: 150},
+      {do: 'start', entry: 2},
+    ],
+    expect: world => assert.deepEqual(kinds(world), ['reply']),
+  },
+  // All entries leave at once and nobody is left to take an order that is on its way. The caller
+  // must hear that it was not run, not that it may have.
+  {
+    name: 'an order on its way to an entry that leaves last is refused as not run',
+    seed: 0,
+    waitMs: 0,
+    steps: [
+      {do: 'submit', entry: 0, key: 0},
+      {do: 'leave', entry: 0},
+      {do: 'leave', entry: 1},
+      {do: 'leave', entry: 2},
+    ],
+    expect: world => assert.equal(world.submitted[0]?.answer?.run, 'not-run'),
+  },
+  // A caller's short deadline passes while its order still waits for a place at the service. Nothing
+  // was sent; a claim that stays behind as `unknown` would deny every retry.
+  {
+    name: 'an order given up while it waited can be placed again',
+    seed: 0,
+    waitMs: 200,
+    steps: [
+      {do: 'submit-hasty', entry: 0, key: 0},
+      {do: 'wait', ms: 400},
+      {do: 'submit', entry: 0, key: 0},
+      {do: 'submit', entry: 0, key: 0},
+    ],
+    expect(world) {
+      const [hasty, ...later] = world.submitted;
+      assert.equal(hasty?.answer?.run, 'not-run');
+      assert.ok(later.every(({answer}) => answer?.kind === 'reply'));
+    },
+  },
+];
+
+describe('schedules that the fuzzer found', () => {
+  for (const {name, seed, waitMs, steps, expect} of found) {
+    it(name, async () => {
+      const service = [0, 0, 0] as const;
+      const network = [0, 0] as const;
+      const world = await play({seed, service, network, waitMs, steps});
+      try {
+        await settle(world);
+        expect(world);
+      } finally {
+        world.dispose();
+      }
+    });
+  }
+});
--- /dev/null
+++ b/packages/orders/src/test/guards.test.ts
@@ -0,0 +1,182 @@
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {createWorld, type World} from './world.js';
+
+describe('ledger guards', () => {
+  let world: World;
+  beforeEach(() => {
+    world = createWorld(3, {shardCount: 1});
+    ['a', 'b'].forEach(world.start);
+  });
+  afterEach(() => {
+    world.check();
+    world.dispose();
+  });
+
+  /** Makes one entry own the shard; returns it and the other. */
+  async function settleOwner(): Promise<{owner: string; other: string}> {
+    world.submit('a', 'warm-up');
+    await world.clock.advance(500);
+    const owner = ['a', 'b'].find(isOwner) ?? '';
+    return {owner, other: owner === 'a' ? 'b' : 'a'};
+  }
+
+  function isOwner(id: string): boolean {
+    const {shards} = world.entries.get(id)?.ledger.dump() as {
+      shards: Array<{state: string}>;
+    };
+    return shards[0]?.state === 'owned';
+  }
+
+  function suspect(by: string, whom: string): void {
+    world.entries.get(by)?.suspects.add(whom);
+  }
+
+  function runsOf(subject: string): number {
+    return world.runs.filter(run => run.subject === subject).length;
+  }
+
+  // The write that carries a claim vanishes and so does its reply. An entry that took the claim for
+  // written would send the booking; when it dies, nobody knows of it, and the retry books again.
+  it('sends nothing while it is not known whether the claim was written', async () => {
+    const {owner, other} = await settleOwner();
+    world.entries.get(owner)?.process.blurs.push('never', 'never', 'never');
+    world.submit(owner, 'k1');
+    await world.clock.advance(100);
+    assert.equal(runsOf('k1'), 0);
+    world.crash(owner);
+    const retry = world.submit(other, 'k1');
+    await world.clock.advance(1_000);
+    assert.equal(retry.answer?.kind, 'reply');
+    assert.equal(runsOf('k1'), 1);
+  });
+
+  // An owner is paused after its claim was written, before it has sent the order. Another entry
+  // takes the shard over and gets the retry. When the first wakes it sends its order, so the second
+  // must not have sent it.
+  it('never dispatches the claim of another entry', async () => {
+    const {owner, other} = await settleOwner();
+    world.service.waitMs = 400;
+    world.submit(owner, 'k1');
+    await world.clock.advance(60);
+    assert.equal(runsOf('k1'), 0);
+    world.pause(owner);
+    suspect(other, owner);
+    const retry = world.submit(other, 'k1');
+    await world.clock.advance(2_000);
+    assert.equal(retry.answer?.run, 'may-have-run');
+    world.entries.get(owner)?.process.resume();
+    await world.clock.advance(2_000);
+    assert.equal(runsOf('k1'), 1);
+  });
+
+  // An owner is paused until long after the deadline of an order that it had claimed. The caller
+  // has given up and made other arrangements: a crew that is sent now comes unasked.
+  it('does not send an order after its deadline when it wakes from a pause', async () => {
+    const {owner} = await settleOwner();
+    world.service.waitMs = 400;
+    world.submit(owner, 'k1', undefined, 1_000);
+    await world.clock.advance(60);
+    world.pause(owner);
+    await world.clock.advance(5_000);
+    world.entries.get(owner)?.process.resume();
+    await world.clock.advance(2_000);
+    assert.equal(runsOf('k1'), 0);
+  });
+
+  // An entry leaves and hands its waiting orders over; the mark in the ledger is written, but the
+  // reply is lost and the platform is slow. A place at the service becomes free meanwhile: if the
+  // old owner sends an order now, the new owner sends it as well.
+  it('sends nothing that may have been handed over', async () => {
+    const {owner, other} = await settleOwner();
+    world.service.waitMs = 400;
+    const orders = ['k1', 'k2', 'k3', 'k4'].map(key =>
+      world.submit(owner, key, undefined, 20_000),
+    );
+    await world.clock.advance(60);
+    world.entries.get(owner)?.process.blurs.push('now');
+    world.entries.get(owner)?.client.faults.setSlow(1_000);
+    void world.leave(owner);
+    await world.clock.advance(10_000);
+    for (const {subject, answer} of orders) {
+      assert.equal(answer?.kind, 'reply');
+      assert.equal(runsOf(subject), 1);
+    }
+    assert.ok(isOwner(other));
+  });
+
+  // A caller's deadline passes while the hand-over of its order is being written. The next owner
+  // may run it already, so the caller must not hear that it was not run.
+  it('does not call an order not run while its hand-over is being written', async () => {
+    const {owner} = await settleOwner();
+    world.service.waitMs = 400;
+    const order = world.submit(owner, 'k1', undefined, 300);
+    await world.clock.advance(60);
+    world.entries.get(owner)?.process.blurs.push('now');
+    world.entries.get(owner)?.client.faults.setSlow(1_000);
+    world.service.waitMs = 1;
+    void world.leave(owner);
+    await world.clock.advance(10_000);
+    assert.notEqual(order.answer?.run, 'not-run');
+  });
+
+  // An order is forwarded to an owner that is paused. The sender goes on without it and the service
+  // refuses. When the owner wakes it runs the order, so `not-run` would have been false.
+  it('does not say not-run after an owner stayed silent', async () => {
+    const {owner, other} = await settleOwner();
+    const order = world.submit(other, 'k1');
+    world.pause(owner);
+    await world.clock.advance(5);
+    suspect(other, owner);
+    world.service.refused = 1;
+    await world.clock.advance(3_000);
+    assert.equal(order.answer?.run, 'may-have-run');
+    world.service.refused = 0;
+    world.entries.get(owner)?.process.resume();
+    await world.clock.advance(3_000);
+  });
+
+  // An order is forwarded, refused and reported as not run; then the same message is delivered a
+  // second time. The order must not run after all.
+  it('does not run a second delivery of what it has refused', async () => {
+    const {other} = await settleOwner();
+    world.network.duplicated = 1;
+    world.service.refused = 1;
+    const order = world.submit(other, 'k1');
+    await world.clock.advance(400);
+    assert.equal(order.answer?.run, 'not-run');
+    world.service.refused = 0;
+    await world.clock.advance(5_000);
+    assert.equal(runsOf('k1'), 0);
+  });
+
+  // Many orders wait when the platform goes away in the middle of a write. Their callers hear at
+  // once that nothing ran; whatever of the write lands later must not make that untrue.
+  it('keeps its word when a write lands after its orders were refused', async () => {
+    const {owner} = await settleOwner();
+    world.entries
+      .get(owner)
+      ?.process.blurs.push('late', 'never', 'never', 'never');
+    const order = world.submit(owner, 'k1', undefined, 200);
+    await world.clock.advance(300);
+    assert.equal(order.answer?.run, 'not-run');
+    await world.clock.advance(5_000);
+    assert.equal(runsOf('k1'), 0);
+    const retry = world.submit(owner, 'k1');
+    await world.clock.advance(1_000);
+    assert.equal(retry.answer?.kind, 'reply');
+  });
+
+  // A place at the service is refused before a byte went out. The same claim may be tried again, so
+  // the caller gets its answer instead of an error.
+  it('tries again under the same claim when nothing was sent', async () => {
+    const {owner} = await settleOwner();
+    world.service.refused = 0.6;
+    const orders = Array.from({length: 20}, (_, order) =>
+      world.submit(owner, `k${order}`),
+    );
+    await world.clock.advance(4_000);
+    const replies = orders.filter(({answer}) => answer?.kind === 'reply');
+    assert.ok(replies.length > 12);
+  });
+});
--- a/packages/orders/src/test/ledger.test.ts
+++ b/packages/orders/src/test/ledger.test.ts
@@ -5,7 +5,7 @@
 describe('ledger', () => {
   let world: World;
   beforeEach(() => {
-    world = createWorld(1);
+    world = createWorld(1, {sealBytes: 16_384});
     ['a', 'b', 'c'].forEach(world.start);
   });
   afterEach(() => {
--- a/packages/orders/src/test/world.ts
+++ b/packages/orders/src/test/world.ts
@@ -98,6 +98,8 @@
   outcomeDelayMs: 20,
   holdOffMs: 300,
   graceMs: 500,
+  // Small, so that every few orders make a segment.
+  sealBytes: 600,
 };
 
 /** Makes a world without entries. */
