Failure tests of real processes; a new entry gets the host list from peers

Cause: a process started during an outage of the platform took its records from peers but knew no endpoint, as only the platform has the host list; it refused every request. Seen as a test that gave up waiting for it to serve. Ruled out: keeping the list in records (it changes with every host). Change: while it has no list, an entry asks a peer for its own (endpointsWanted); a list from the platform always replaces it.

--- /dev/null
+++ b/packages/bench/src/processes/trialCalls.ts
@@ -0,0 +1,183 @@
+/** Calls of callers at a trial fleet, and the records and endpoints that they need. */
+import type {TrialEndpoint, TrialFleet} from './trialFleet.js';
+import {TRIAL_CUSTOMER_KEY} from './trialFleet.js';
+
+/** Headers that every call of the trial customer has. */
+export const trialHeaders: Readonly<Record<string, string>> = {
+  authorization: `Bearer ${TRIAL_CUSTOMER_KEY}`,
+  'content-type': 'application/json',
+};
+
+/** Records of a model service and of a plain service, one in each schema version. */
+export const trialRecords: Readonly<Record<string, unknown>> = {
+  match: {
+    schema: 2,
+    type: 'model',
+    version: 'v1',
+    latency: {targetSeconds: 1.5, timeoutSeconds: 30},
+  },
+  booking: {
+    schema: 1,
+    type: 'plain',
+    version: 'v1',
+    targetMs: 300,
+    timeoutMs: 10_000,
+    routes: [
+      {method: 'GET', pathPrefix: '/', idempotent: true},
+      {method: 'POST', pathPrefix: '/', idempotent: false},
+    ],
+  },
+};
+
+/**
+ * Writes the trial records, as an operator would.
+ *
+ * @example
+ * await putTrialRecords(fleet);
+ */
+export async function putTrialRecords(fleet: TrialFleet): Promise<void> {
+  for (const [name, value] of Object.entries(trialRecords)) {
+    await fleet.store.put('service', name, value, {type: 'any'});
+  }
+}
+
+/**
+ * A replica of the trial model.
+ *
+ * @example
+ * const endpoints = [trialEngine('m1', 'a'), trialEngine('m2', 'b')];
+ */
+export function trialEngine(id: string, failureDomain: string): TrialEndpoint {
+  return {id, type: 'engine', service: 'match', version: 'v1', failureDomain};
+}
+
+/**
+ * An endpoint of the trial plain service.
+ *
+ * @example
+ * const endpoints = [trialPlain('b1', 'a')];
+ */
+export function trialPlain(id: string, failureDomain: string): TrialEndpoint {
+  return {
+    id,
+    type: 'service',
+    service: 'booking',
+    version: 'v1',
+    failureDomain,
+  };
+}
+
+/** A streamed answer as the caller has it at the end. */
+export interface StreamedAnswer {
+  readonly status: number;
+  readonly text: string;
+  /** Whether the stream said that it was complete. */
+  readonly isComplete: boolean;
+  /** Data of an error event, if there was one. */
+  readonly error: string | undefined;
+  readonly usage: Readonly<Record<string, number>> | undefined;
+}
+
+/**
+ * Streams one chat answer to its end; `onToken` hears the count of tokens so far.
+ *
+ * @example
+ * const answer = await streamChat(entry, 'match this oak', 40);
+ */
+export async function streamChat(
+  entry: string,
+  content: string,
+  maxTokens: number,
+  onToken: (count: number) => void = () => {},
+): Promise<StreamedAnswer> {
+  const response = await fetch(`${entry}/v1/chat/completions`, {
+    method: 'POST',
+    headers: trialHeaders,
+    body: JSON.stringify({
+      model: 'match',
+      stream: true,
+      max_tokens: maxTokens,
+      messages: [{role: 'user', content}],
+    }),
+  });
+  let received = '';
+  let seen = 0;
+  for await (const chunk of response.body ?? []) {
+    received += Buffer.from(chunk as Uint8Array).toString('utf8');
+    const count = received.split('"content":').length - 1;
+    if (count > seen) {
+      seen = count;
+      onToken(count);
+    }
+  }
+  return readStream(response.status, received);
+}
+
+interface Chunk {
+  readonly choices: readonly [{readonly delta: {readonly content?: string}}];
+  readonly usage?: Readonly<Record<string, number>>;
+}
+
+function readStream(status: number, received: string): StreamedAnswer {
+  const lines = received.split('\n');
+  const chunks = lines
+    .filter(line => line.startsWith('data: {"id"'))
+    .map(line => JSON.parse(line.slice('data: '.length)) as Chunk);
+  const errorLine = lines.indexOf('event: error');
+  return {
+    status,
+    text: chunks.map(chunk => chunk.choices[0].delta.content ?? '').join(''),
+    isComplete: lines.includes('data: [DONE]'),
+    error: errorLine === -1 ? undefined : lines[errorLine + 1],
+    usage: chunks.find(chunk => chunk.usage !== undefined)?.usage,
+  };
+}
+
+/** A reply to an order. */
+export interface OrderReply {
+  readonly status: number;
+  readonly text: string;
+  readonly run: string | undefined;
+}
+
+/**
+ * Sends one order under a key.
+ *
+ * @example
+ * const reply = await sendOrder(entry, 'shift-17');
+ */
+export async function sendOrder(
+  entry: string,
+  key: string,
+): Promise<OrderReply> {
+  const response = await fetch(`${entry}/services/booking/bookings`, {
+    method: 'POST',
+    headers: {...trialHeaders, 'idempotency-key': key},
+    body: JSON.stringify({shift: key}),
+  });
+  const text = await response.text();
+  const run = /"run":"([a-z-]+)"/.exec(text)?.[1];
+  return {status: response.status, text, run};
+}
+
+/**
+ * How often each key has run, summed over endpoints of the plain service.
+ *
+ * @example
+ * (await runsByKey(fleet, ['b1', 'b2'])).get('shift-17'); // 1
+ */
+export async function runsByKey(
+  fleet: TrialFleet,
+  endpoints: readonly string[],
+): Promise<ReadonlyMap<string, number>> {
+  const sums = new Map<string, number>();
+  for (const id of endpoints) {
+    const runs = (await fleet.control(fleet.endpoints.get(id)!, 'runs')) as {
+      byKey: Record<string, number>;
+    };
+    for (const [key, count] of Object.entries(runs.byKey)) {
+      sums.set(key, (sums.get(key) ?? 0) + count);
+    }
+  }
+  return sums;
+}
--- a/packages/bench/src/processes/trialFleet.ts
+++ b/packages/bench/src/processes/trialFleet.ts
@@ -36,7 +36,11 @@
   readonly endpoints: ReadonlyMap<string, TrialProcess>;
   readonly store: ObjectStore;
   /** Starts one more entry, also under an id used before. */
-  startEntry(id: string, failureDomain: string): Promise<TrialProcess>;
+  startEntry(
+    id: string,
+    failureDomain: string,
+    settings?: Readonly<Record<string, unknown>>,
+  ): Promise<TrialProcess>;
   startEndpoint(endpoint: TrialEndpoint): Promise<TrialProcess>;
   /** Sets faults or other state at a stand-in's control port. */
   control(
@@ -107,9 +111,14 @@
       },
     };
 
-    async function startEntry(id: string, failureDomain: string) {
+    async function startEntry(
+      id: string,
+      failureDomain: string,
+      settings: Readonly<Record<string, unknown>> = {},
+    ) {
       const path = join(folder, `${id}.json`);
-      writeFileSync(path, JSON.stringify(entrySettings(id, failureDomain)));
+      const content = {...entrySettings(id, failureDomain), ...settings};
+      writeFileSync(path, JSON.stringify(content));
       const entry = await start(id, ['entry', '--settings', path]);
       entries.push(entry);
       return entry;
--- /dev/null
+++ b/packages/bench/src/test/failures.test.ts
@@ -0,0 +1,188 @@
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+import {
+  putTrialRecords,
+  runsByKey,
+  sendOrder,
+  streamChat,
+  trialEngine,
+  trialHeaders,
+  trialPlain,
+} from '../processes/trialCalls.js';
+import {startTrialFleet, type TrialFleet} from '../processes/trialFleet.js';
+import {until, untilServing} from '../processes/untilServing.js';
+
+const PLAINS = ['b1', 'b2'];
+const QUESTION = 'match a warm oak floor with a matte finish';
+
+let fleet: TrialFleet | undefined;
+
+afterEach(async () => {
+  await fleet?.dispose();
+  fleet = undefined;
+});
+
+/** A fleet that serves, with the addresses of its entries. */
+async function startServing(
+  settings: Record<string, unknown> = {},
+): Promise<{fleet: TrialFleet; urls: string[]}> {
+  const started = await startTrialFleet({
+    entryDomains: ['a', 'b', 'c'],
+    endpoints: [
+      trialEngine('m1', 'a'),
+      trialEngine('m2', 'b'),
+      trialPlain('b1', 'a'),
+      trialPlain('b2', 'b'),
+    ],
+    settings: {log: {level: 'warn'}, ...settings},
+  });
+  fleet = started;
+  await putTrialRecords(started);
+  await untilServing(started, ['match', 'booking']);
+  const urls = started.entries.map(entry => entry.ready['callers'] ?? '');
+  return {fleet: started, urls};
+}
+
+/** Answers lookups with how many entries. */
+async function listedEntries(url: string): Promise<string[]> {
+  const response = await fetch(`${url}/v1/entries`, {headers: trialHeaders});
+  const body = (await response.json()) as {entries: {url: string}[]};
+  return body.entries.map(entry => entry.url);
+}
+
+describe('failures of real processes', () => {
+  // The host of a model replica is lost without notice while it streams. The
+  // caller would see its answer end in the middle of a word.
+  it('finishes a stream on another replica when its own is killed', async () => {
+    const {fleet, urls} = await startServing();
+    const expected = await streamChat(urls[0]!, QUESTION, 160);
+    let killed: Promise<void> | undefined;
+    const answer = await streamChat(urls[0]!, QUESTION, 160, count => {
+      // Load reports lag; by now they show which engine is at work.
+      if (count >= 80) {
+        killed ??= killBusyEngine(fleet);
+      }
+    });
+    await killed;
+    assert.equal(answer.error, undefined);
+    assert.equal(answer.isComplete, true);
+    assert.equal(answer.text, expected.text);
+    assert.equal(answer.usage?.['attempts'], 2);
+  });
+
+  // A rolling restart stops an entry while callers read answers from it and
+  // send orders to it. Cut answers and orders of unknown outcome would follow.
+  it('cuts nothing in flight at a planned stop, and leaves lookups first', async () => {
+    const {fleet, urls} = await startServing();
+    const [leaving, other] = [urls[0]!, urls[1]!];
+    let stopped: Promise<number | null> | undefined;
+    const answer = await streamChat(leaving, QUESTION, 120, () => {
+      stopped ??= fleet.entries[0]!.stop();
+    });
+    const code = await stopped;
+    assert.equal(answer.isComplete, true);
+    assert.equal(code, 0);
+    const listed = await listedEntries(other);
+    assert.ok(!listed.includes(leaving));
+    assert.equal(listed.length, 2);
+  });
+
+  // Callers keep a lookup's answer a while and come to an entry that is
+  // stopping. Without a truthful refusal they could not tell whether to repeat.
+  it('refuses truthfully with a fresh list while it drains', async () => {
+    const {fleet, urls} = await startServing({lingerMs: 0});
+    let stopped: Promise<number | null> | undefined;
+    const stream = streamChat(urls[0]!, QUESTION, 150, () => {
+      stopped ??= fleet.entries[0]!.stop();
+    });
+    await until('the entry refuses', async () => {
+      const reply = await sendOrder(urls[0]!, `probe-${Math.random()}`);
+      if (reply.status !== 503) {
+        return false;
+      }
+      const problem = JSON.parse(reply.text) as {
+        kind: string;
+        run: string;
+        entries: {entries: {url: string}[]};
+      };
+      assert.equal(problem.kind, 'leaving');
+      assert.equal(problem.run, 'not-run');
+      return problem.entries.entries.every(entry => entry.url !== urls[0]);
+    });
+    assert.equal((await stream).isComplete, true);
+    assert.equal(await stopped, 0);
+  });
+
+  // The platform is out for a while. Everything that needs no agreement has to
+  // go on; an order taken without its claim kept could run twice.
+  it('serves on without the platform, and refuses orders as not run', async () => {
+    const {fleet, urls} = await startServing();
+    await fleet.control(fleet.platform, 'faults', {isDown: true});
+    const answer = await streamChat(urls[1]!, QUESTION, 5);
+    assert.equal(answer.isComplete, true);
+    const call = await fetch(`${urls[2]}/services/booking/availability`, {
+      headers: trialHeaders,
+    });
+    assert.equal(call.status, 200);
+    const refused = await sendOrder(urls[0]!, 'shift-3');
+    assert.equal(refused.status, 503, refused.text);
+    assert.equal(refused.run, 'not-run', refused.text);
+    assert.equal((await runsByKey(fleet, PLAINS)).get('shift-3'), undefined);
+    await fleet.control(fleet.platform, 'faults', {isDown: false});
+    await until('orders are taken again', async () => {
+      const reply = await sendOrder(urls[0]!, 'shift-3');
+      return reply.status === 201;
+    });
+    assert.equal((await runsByKey(fleet, PLAINS)).get('shift-3'), 1);
+  });
+
+  // A host is replaced during an outage of the platform: the new process knows
+  // nothing and can read nothing. It must not serve an older configuration.
+  it('starts an entry from its peers while the platform is down', async () => {
+    const {fleet} = await startServing();
+    const seed = fleet.entries[0]!.ready['inner']!;
+    await fleet.control(fleet.platform, 'faults', {isDown: true});
+    const late = await fleet.startEntry('late', 'a', {seeds: [seed]});
+    await until('the new entry serves', async () => {
+      const answer = await streamChat(late.ready['callers']!, QUESTION, 2);
+      return answer.isComplete;
+    });
+  });
+
+  // A service hangs: it takes calls and answers none. Its calls pile up, and
+  // without a bulkhead the other services' calls would wait behind them.
+  it('serves other services while one hangs', async () => {
+    const {fleet, urls} = await startServing();
+    for (const id of PLAINS) {
+      await fleet.control(fleet.endpoints.get(id)!, 'faults', {type: 'hang'});
+    }
+    const hung = new AbortController();
+    const calls = Array.from({length: 300}, () =>
+      fetch(`${urls[0]}/services/booking/availability`, {
+        headers: trialHeaders,
+        signal: hung.signal,
+      }).then(
+        response => response.text(),
+        () => 'ended',
+      ),
+    );
+    const answer = await streamChat(urls[0]!, QUESTION, 20);
+    assert.equal(answer.isComplete, true);
+    hung.abort();
+    await Promise.all(calls);
+  });
+});
+
+/** Kills the engine that has worked most: the one whose stream runs. */
+async function killBusyEngine(fleet: TrialFleet): Promise<void> {
+  for (const id of ['m1', 'm2']) {
+    const engine = fleet.endpoints.get(id)!;
+    const response = await fetch(`${engine.ready['url']}/v1/load`);
+    const load = (await response.json()) as {running: number};
+    if (load.running > 0) {
+      await engine.kill();
+      return;
+    }
+  }
+  throw new Error('no engine is busy');
+}
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -28,6 +28,7 @@
 import {createPlatformPart} from './parts/platformPart.js';
 import {createRecordsPart} from './parts/recordsPart.js';
 import {createRoutingPart} from './parts/routingPart.js';
+import {createSharedHostList} from './parts/sharedHostList.js';
 import type {Serving} from './serving.js';
 import {resolveSecret, type EntrySettings} from './settings.js';
 
@@ -86,9 +87,12 @@
   const records = owned.add(createRecordsPart(context, platform, members));
   const {configuration} = records;
   const router = createRoutingPart(context);
-  const endpoints = owned.add(
-    createEnginesPart(context, platform.hostList, router),
-  );
+  const hostList = createSharedHostList({
+    ...context,
+    hostList: platform.hostList,
+    network,
+  });
+  const endpoints = owned.add(createEnginesPart(context, hostList, router));
   const admission = createAdmissionPart(context, configuration, membership);
   const split = createMovesPart(context, configuration);
   const streams = createStreamRunner({clock});
--- a/packages/protocol/src/messages/endpointMessages.ts
+++ b/packages/protocol/src/messages/endpointMessages.ts
@@ -10,4 +10,9 @@
     /** All endpoints of the host leave, also those that the sender does not know. */
     readonly isWhole?: boolean;
   };
+  /**
+   * Asks for the receiver's host list, by a process that has none yet because
+   * the platform is down; answered with `{endpoints}`, empty when it has none.
+   */
+  endpointsWanted: Readonly<Record<string, never>>;
 }
