--- a/packages/records/src/acceptance.ts
+++ b/packages/records/src/acceptance.ts
@@ -23,6 +23,7 @@
 import {createAcceptanceView} from './acceptanceView.js';
 import type {AcceptedObject} from './acceptedShapes.js';
 import {ACCEPTED_KIND} from './configuration.js';
+import {createMoveClaims} from './moveClaims.js';
 import {recordKey} from './recordTable.js';
 import {createStatusWriter} from './statusWriter.js';
 import {conditionOn} from './writeCondition.js';
@@ -80,6 +81,13 @@
     signal: stopping.signal,
   });
 
+  const claims = createMoveClaims({
+    clock,
+    store,
+    view,
+    signal: stopping.signal,
+  });
+
   function canAct(): boolean {
     return !owned.isDisposed && options.canAct();
   }
@@ -154,7 +162,9 @@
     const decision = decideRecord(record);
     switch (decision.type) {
       case 'accept':
-        await accept(key, decision);
+        if (!(await accept(key, decision))) {
+          return;
+        }
         break;
       case 'refuse':
         await refuse(key, decision, record.accepted?.sourceVersion);
@@ -168,8 +178,15 @@
   async function accept(
     key: string,
     {object}: Extract<AcceptanceDecision, {type: 'accept'}>,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const present = view.acceptedObject(key);
+    const faults = await claims.claim(key, object);
+    if (faults.length > 0) {
+      const {sourceVersion} = object;
+      const decision = {type: 'refuse', sourceVersion, faults} as const;
+      await refuse(key, decision, present?.value.sourceVersion);
+      return false;
+    }
     const written = await store.put(
       ACCEPTED_KIND,
       key,
@@ -188,6 +205,7 @@
     if (view.canAffectMoves(key)) {
       mark(view.moves());
     }
+    return true;
   }
 
   async function refuse(
--- a/packages/records/src/acceptanceDecision.ts
+++ b/packages/records/src/acceptanceDecision.ts
@@ -3,6 +3,7 @@
 import type {AcceptedObject} from './acceptedShapes.js';
 import type {Move, RecordKind} from './contracts.js';
 import {convertRecord} from './convertRecord.js';
+import {rivalFault} from './moveClaims.js';
 
 /** A record as an operator wrote it. */
 export interface SourceRecord {
@@ -109,10 +110,7 @@
         other.deadline > wall,
     );
   if (rival !== undefined) {
-    faults.push({
-      path: 'service',
-      expected: `a service without another move under way; ${rival.name} is, remove it first`,
-    });
+    faults.push(rivalFault(rival.name));
   }
   return faults;
 }
--- a/packages/records/src/configuration.ts
+++ b/packages/records/src/configuration.ts
@@ -78,6 +78,7 @@
   let readyFrom: ConfigurationDump['readyFrom'] = 'nowhere';
   let reading: Disposable | undefined;
   let isPulling = false;
+  let shouldPull = false;
   let isListing = false;
   let unusable = 0;
 
@@ -182,14 +183,19 @@
     }
   }
 
+  /** Peers that connect while others are asked are asked next. */
   async function pullFromPeers(): Promise<void> {
+    shouldPull = true;
     if (isPulling) {
       return;
     }
     isPulling = true;
     try {
-      if ((await spread.pull()) > 0) {
-        becomeReady('peers');
+      while (shouldPull && !isReady() && !owned.isDisposed) {
+        shouldPull = false;
+        if ((await spread.pull()) > 0) {
+          becomeReady('peers');
+        }
       }
     } finally {
       isPulling = false;
--- a/packages/records/src/recordConfirmation.ts
+++ b/packages/records/src/recordConfirmation.ts
@@ -83,7 +83,7 @@
       .map(member => member.id);
   }
 
-  function askDomain(
+  async function askDomain(
     failureDomain: string,
     records: readonly RecordVersion[],
   ): Promise<readonly string[]> {
@@ -91,14 +91,13 @@
     if (failureDomain === self.failureDomain) {
       return askMembers(ids, records);
     }
-    const connected = new Set(network.connected());
-    const reader =
-      readersOf(failureDomain, members()).find(id => connected.has(id)) ??
-      ids.find(id => connected.has(id));
-    if (reader === undefined) {
-      return Promise.resolve(ids);
+    for (const reader of readersOf(failureDomain, members())) {
+      const lacking = await ask(reader, records, 'domain', ids);
+      if (lacking.length < ids.length) {
+        return lacking;
+      }
     }
-    return ask(reader, records, 'domain', ids);
+    return ids;
   }
 
   const subscription = network.onDidReceive(
