--- a/packages/orders/src/shard.ts
+++ b/packages/orders/src/shard.ts
@@ -6,6 +6,7 @@
   type Disposable,
 } from '@skylarkfield/base';
 import type {ObjectStore} from '@skylarkfield/platform';
+import type {ClaimOutcome} from '@skylarkfield/protocol';
 import {createMachine, interpret, state, transition} from 'robot3';
 import type {Flight} from './flight.js';
 import {
@@ -13,6 +14,7 @@
   type LedgerEntry,
   type ShardRecord,
 } from './shardRecord.js';
+import {createShardSegments} from './shardSegments.js';
 import {createShardTable, type ShardTable} from './shardTable.js';
 import {createShardWriter, type WriteResult} from './shardWriter.js';
 
@@ -51,11 +53,15 @@
   /** How long outcomes may wait for a write that carries claims as well. */
   readonly lazyMs: number;
   readonly windowMs: number;
+  /** Size of the shard's object from which ended entries move into a segment. */
+  readonly sealBytes: number;
   /** How long a deposed owner leaves the shard to its new one. */
   readonly holdOffMs: number;
   readonly isReachable: (member: string) => boolean;
   /** The claim is in the ledger: the order may be dispatched. */
   readonly onDidClaim: (flight: Flight) => void;
+  /** The shard was lost with these outcomes not written: its new owner needs them. */
+  readonly onDidLose: (outcomes: readonly ClaimOutcome[]) => void;
   /** The shard was taken over with these entries. */
   readonly onDidTake: (entries: readonly LedgerEntry[]) => void;
 }
@@ -70,8 +76,10 @@
   own(): Promise<Ownership>;
   /** Puts an order into the next write. */
   enqueue(flight: Flight): void;
-  /** Outcomes have changed: write them soon. */
-  touch(): void;
+  /** An outcome has changed the table: write it soon. */
+  touch(outcome: ClaimOutcome): void;
+  /** Size of all entries that are still within the dedupe window. */
+  liveBytes(): number;
   /** Voids a claim that was never sent. */
   drop(flight: Flight): void;
   /** Ends the orders that have no claim yet; nothing of them was sent. */
@@ -107,6 +115,7 @@
   const {index, clock, member, instance} = options;
   const machine = interpret(shardMachine, () => undefined);
   const table = createShardTable(clock, options.windowMs);
+  const segments = createShardSegments(options.store, index);
   const life = new AbortController();
   const writer = createShardWriter({
     store: options.store,
@@ -122,6 +131,10 @@
   let writes = 0;
   let claims = 0;
   let takeovers = 0;
+  /** Segments to remove once an object without them has landed. */
+  const expired: string[] = [];
+  let unwritten: ClaimOutcome[] = [];
+  let beingWritten: ClaimOutcome[] = [];
   let dirtySince: number | undefined;
   let lastStart = -Infinity;
   let timer: Disposable | undefined;
@@ -140,6 +153,7 @@
 
   function nextRecord(): ShardRecord {
     writes += 1;
+    expire();
     return {
       format: LEDGER_FORMAT,
       owner: instance,
@@ -147,10 +161,20 @@
       epoch,
       write: writes,
       age: table.age(),
-      entries: table.compact(),
+      entries: table.unsealed(),
+      segments: table.segments(),
     };
   }
 
+  function expire(): void {
+    expired.push(...table.expire());
+  }
+
+  function liveBytes(): number {
+    expire();
+    return table.bytes;
+  }
+
   function lose(head: ShardRecord | undefined): void {
     tell('lose');
     knownOwner = head?.ownerMember;
@@ -158,6 +182,9 @@
     dirtySince = undefined;
     timer?.dispose();
     timer = undefined;
+    // The new owner's object may name them still.
+    expired.length = 0;
+    options.onDidLose([...beingWritten.splice(0), ...unwritten.splice(0)]);
     note('gave up shard', `written by ${knownOwner ?? 'another process'}`);
     moveQueued();
   }
@@ -185,7 +212,11 @@
         knownOwner = head.ownerMember;
         return {type: 'elsewhere', member: head.ownerMember};
       }
-      table.load(head?.entries ?? [], head?.age ?? 0);
+      const sealed = await segments.read(head?.segments ?? []);
+      if (sealed === undefined) {
+        continue;
+      }
+      table.load(head?.entries ?? [], sealed, head?.age ?? 0);
       epoch = (head?.epoch ?? 0) + 1;
       writes = 0;
       const result = await writer.write(nextRecord(), stored?.version);
@@ -197,7 +228,7 @@
         takeovers += 1;
         tell('gain');
         note('took shard over', `it was owned by ${head?.owner || 'nobody'}`);
-        options.onDidTake(table.compact());
+        options.onDidTake(table.unsealed());
         return {type: 'owned'};
       }
     }
@@ -266,6 +297,18 @@
     });
   }
 
+  /** Moves ended entries out of the shard's object before it grows large. */
+  async function sealEnded(): Promise<void> {
+    const entries = table.sealable(options.sealBytes);
+    if (entries.length === 0) {
+      return;
+    }
+    const name = await segments.write(epoch, entries);
+    if (name !== undefined) {
+      table.seal(name, entries);
+    }
+  }
+
   async function commit(): Promise<void> {
     batch = queue.splice(0, MAX_BATCH).filter(flight => flight.tell('commit'));
     for (const flight of batch) {
@@ -274,11 +317,29 @@
       const {id, print} = flight.request;
       table.put({id, print, token: flight.token, state: 'claimed', member});
     }
-    dirtySince = undefined;
-    const result = await writer.write(nextRecord(), version);
+    const result = await write(nextRecord());
     const written = batch;
     batch = [];
     finishWrite(result, written);
+    if (result.type === 'landed') {
+      await sealEnded();
+    }
+  }
+
+  /** Writes the table; outcomes that it carries are kept until it has landed. */
+  async function write(record: ShardRecord): Promise<WriteResult> {
+    dirtySince = undefined;
+    beingWritten = unwritten.splice(0);
+    const result = await writer.write(record, version);
+    if (result.type === 'landed') {
+      beingWritten = [];
+      segments.remove(expired.splice(0));
+    }
+    if (result.type === 'refused') {
+      unwritten = [...beingWritten.splice(0), ...unwritten];
+      dirtySince = unwritten.length > 0 ? clock.now() : undefined;
+    }
+    return result;
   }
 
   function finishWrite(result: WriteResult, written: Flight[]): void {
@@ -293,8 +354,6 @@
         drop(flight);
         flight.end({type: 'error', error: result.error});
       }
-      // Outcomes that were to be written as well still are.
-      touch();
       return;
     }
     lose(result.head);
@@ -312,15 +371,18 @@
     drop(flight);
   }
 
-  function touch(): void {
+  function touch(outcome: ClaimOutcome): void {
+    unwritten.push(outcome);
     dirtySince ??= clock.now();
     schedule();
   }
 
   function drop(flight: Flight): void {
-    if (table.get(flight.request.id)?.token === flight.token) {
-      table.remove(flight.request.id);
-      touch();
+    const {id} = flight.request;
+    const {token} = flight;
+    if (table.get(id)?.token === token) {
+      table.remove(id);
+      touch({state: 'released', id, token});
     }
   }
 
@@ -353,10 +415,10 @@
     moveQueued();
     changes();
     const record = {...nextRecord(), owner: '', ownerMember: ''};
-    const result = await writer.write(record, version);
+    const result = await write(record);
     if (result.type === 'refused') {
       tell('gain');
-      touch();
+      schedule();
       return 'refused';
     }
     lose(result.type === 'lost' ? result.head : undefined);
@@ -374,6 +436,7 @@
       schedule();
     },
     touch,
+    liveBytes,
     drop,
     refuseUnclaimed,
     release,
@@ -382,6 +445,7 @@
       state: current(),
       epoch,
       entries: table.count,
+      segments: table.segments().length,
       bytes: table.bytes,
       queued: queue.length,
       takeovers,
