--- /dev/null
+++ b/packages/bench/src/replay/canary.ts
@@ -0,0 +1,75 @@
+/** The plain baseline: a canary with fixed steps and fixed thresholds. */
+import type {EvidenceSum} from '@skylarkfield/protocol';
+import type {Shares} from './moveTraffic.js';
+
+export interface Canary {
+  /** The shares at this part of the move's time; zero for good once it was taken back. */
+  advance(progress: number): Shares;
+  add(sums: readonly EvidenceSum[]): void;
+  isTakenBack(): boolean;
+}
+
+const STEPS = [
+  {from: 0, share: 0.05},
+  {from: 0.25, share: 0.25},
+  {from: 0.5, share: 0.5},
+  {from: 0.75, share: 1},
+];
+
+/** Looks at the sums since the last look this often, as a part of the move's time. */
+const LOOK_EVERY = 0.02;
+const LEAST_REQUESTS = 50;
+const MOST_ADDED_ERROR_RATE = 0.01;
+const MOST_LATENCY_FACTOR = 1.3;
+
+/**
+ * Makes a canary: all routes in one, thresholds on the error rate and on the mean latency.
+ *
+ * @example
+ * const canary = createCanary();
+ */
+export function createCanary(): Canary {
+  let lookedAt = 0;
+  let isBack = false;
+  let totals = {v1: empty(), v2: empty()};
+
+  function look() {
+    const {v1, v2} = totals;
+    if (v2.requests < LEAST_REQUESTS || v1.requests < LEAST_REQUESTS) {
+      return;
+    }
+    totals = {v1: empty(), v2: empty()};
+    const added = v2.errors / v2.requests - v1.errors / v1.requests;
+    const factor = Math.exp(meanLog(v2) - meanLog(v1));
+    isBack ||= added > MOST_ADDED_ERROR_RATE || factor > MOST_LATENCY_FACTOR;
+  }
+
+  return {
+    advance(progress) {
+      if (progress - lookedAt >= LOOK_EVERY) {
+        lookedAt = progress;
+        look();
+      }
+      const step = STEPS.findLast(({from}) => progress >= from);
+      const share = isBack ? 0 : (step?.share ?? 0);
+      return {share, orderShare: share};
+    },
+    add(sums) {
+      for (const sum of sums) {
+        const total = sum.version === 'v2' ? totals.v2 : totals.v1;
+        total.requests += sum.requests;
+        total.errors += sum.errors;
+        total.logLatency += sum.logLatency;
+      }
+    },
+    isTakenBack: () => isBack,
+  };
+}
+
+function empty() {
+  return {requests: 0, errors: 0, logLatency: 0};
+}
+
+function meanLog(sums: ReturnType<typeof empty>): number {
+  return sums.logLatency / Math.max(1, sums.requests - sums.errors);
+}
--- a/packages/moves/src/contracts.ts
+++ b/packages/moves/src/contracts.ts
@@ -24,6 +24,30 @@
   readonly confidence: number;
   /** Wall-clock milliseconds of the last change of phase or share. */
   readonly changedAt: number;
+  /** Versions that the state is about, to see when an operator changes the move. */
+  readonly from?: string;
+  readonly to?: string;
+  /** Wall-clock milliseconds at which the candidate first got traffic. */
+  readonly startedAt?: number;
+  /** What was proven so far, so that a new holder of the duty goes on from it. */
+  readonly proof?: readonly RouteProof[];
+}
+
+/** Evidence on one route, summed since the move started. */
+export interface RouteProof {
+  readonly route: string;
+  readonly isOrder: boolean;
+  readonly requests: number;
+  readonly candidateRequests: number;
+  /** Log-likelihood ratios of a good version against one with this many times the errors. */
+  readonly errorsTwice: number;
+  readonly errorsThrice: number;
+  /** The same against an added error rate that matters, for routes that hardly fail. */
+  readonly errorsAdded: number;
+  /** The same against a latency that is half as long again. */
+  readonly slower: number;
+  /** Largest log-likelihood ratio of a fault that began at any time and still goes on. */
+  readonly recentFault: number;
 }
 
 /** How one request went, as evidence. */
@@ -35,6 +59,8 @@
   readonly latencyMs: number;
   /** Requests in flight of the service relative to its limit, 0 to 1. */
   readonly loadFraction: number;
+  /** False for calls that run at most once; true when absent. */
+  readonly isIdempotent?: boolean;
 }
 
 /** The part of moves that every entry runs. */
@@ -61,6 +87,11 @@
     readonly sums: readonly EvidenceSum[];
   }[];
   onDidCut(listener: (move: string, why: string) => void): {dispose(): void};
+  /**
+   * Versions of a service that have usable endpoints, once known: a candidate
+   * without any gets no traffic, and that is no fault of it.
+   */
+  setAvailableVersions(service: string, versions: readonly string[]): void;
   dump(): unknown;
 }
 
@@ -70,6 +101,9 @@
   addEvidence(move: string, sums: readonly EvidenceSum[]): void;
   /** An entry has cut the candidate: taken back, for good. */
   reportCut(move: string, why: string): void;
-  /** The state that the move should have now. */
+  /** The state that the move should have now; ends a window of evidence. */
   advance(move: Move, state: MoveState | undefined, wallMs: number): MoveState;
+  /** Drops what is kept of moves other than these. */
+  keepOnly(moves: readonly string[]): void;
+  dump(): unknown;
 }
--- a/packages/moves/src/trafficSplit.ts
+++ b/packages/moves/src/trafficSplit.ts
@@ -55,6 +55,7 @@
       return fraction < share ? move.to : move.from;
     },
     observe() {},
+    setAvailableVersions() {},
     applyCut(move, why) {
       if (cuts.has(move)) {
         return;
--- a/packages/protocol/src/messages/moveMessages.ts
+++ b/packages/protocol/src/messages/moveMessages.ts
@@ -5,6 +5,8 @@
   readonly route: string;
   readonly version: string;
   readonly loadLevel: 'low' | 'middle' | 'high';
+  /** True for calls that run at most once; their share grows last. */
+  readonly isOrder?: boolean;
   readonly requests: number;
   readonly errors: number;
   /** Sum and sum of squares of the logarithm of latency in milliseconds. */
