--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -29,6 +29,7 @@
 import {createPlatformPart} from './parts/platformPart.js';
 import {createRecordsPart} from './parts/recordsPart.js';
 import {createRoutingPart} from './parts/routingPart.js';
+import {createSharedHostList} from './parts/sharedHostList.js';
 import type {Serving} from './serving.js';
 import {resolveSecret, type EntrySettings} from './settings.js';
 
@@ -87,7 +88,14 @@
   const records = owned.add(createRecordsPart(context, platform, members));
   const {configuration} = records;
   const router = createRoutingPart(context);
-  const {hostList} = owned.add(createLeavingPart(context, platform, members));
+  const listed = createSharedHostList({
+    ...context,
+    hostList: platform.hostList,
+    network: members.network,
+  });
+  const {hostList} = owned.add(
+    createLeavingPart(context, {...platform, hostList: listed}, members),
+  );
   const endpoints = owned.add(createEnginesPart(context, hostList, router));
   const admission = createAdmissionPart(context, configuration, membership);
   const split = createMovesPart(context, configuration);
--- a/packages/entry/src/parts/leavingPart.ts
+++ b/packages/entry/src/parts/leavingPart.ts
@@ -27,7 +27,7 @@
  */
 export function createLeavingPart(
   context: EntryContext,
-  platform: PlatformPart,
+  platform: Pick<PlatformPart, 'cloud' | 'hostList'>,
   members: MembersPart,
 ): LeavingPart {
   const {clock, decisions, dumps} = context;
