--- a/packages/protocol/src/innerListener.ts
+++ b/packages/protocol/src/innerListener.ts
@@ -49,6 +49,8 @@
         ...timeouts,
         ...tls.current(),
         handshakeTimeout: limits.handshakeMs,
+        // Both sides prove that their certificate comes from the authorities.
+        requestCert: true,
         minVersion: 'TLSv1.2',
       })
     : http.createServer(timeouts);
--- a/packages/protocol/src/innerTls.ts
+++ b/packages/protocol/src/innerTls.ts
@@ -85,23 +85,24 @@
 
 async function stampOf(paths: TlsPaths): Promise<string> {
   const files = [paths.cert, paths.key, paths.ca];
-  const stats = await Promise.all(files.map(file => stat(file)));
+  const stats = await Promise.all(files.map(file => stat(file))).catch(
+    unusable,
+  );
   return stats
     .map(found => `${found.mtimeMs}/${found.size}/${found.ino}`)
     .join();
 }
 
 async function readMaterial(paths: TlsPaths): Promise<TlsMaterial> {
-  try {
-    const [cert, key, ca] = await Promise.all([
-      readFile(paths.cert),
-      readFile(paths.key),
-      readFile(paths.ca),
-    ]);
-    return {cert, key, ca};
-  } catch (error) {
-    throw new ServingError('bad-settings', `inner TLS: ${String(error)}`, {
-      cause: error,
-    });
-  }
+  const files = [paths.cert, paths.key, paths.ca];
+  const [cert, key, ca] = await Promise.all(
+    files.map(file => readFile(file)),
+  ).catch(unusable);
+  return {cert: cert!, key: key!, ca: ca!};
+}
+
+function unusable(error: unknown): never {
+  throw new ServingError('bad-settings', `inner TLS: ${String(error)}`, {
+    cause: error,
+  });
 }
