Fleet: host plan that withstands a failure domain, its duty, endpoint repair, measurement

Cause: hosts have to hold the latency target through reclaim waves at little cost, and nothing started, stopped or replaced them. Change: plan over failure domains and markets (spare against price, expected reclaims, on-demand floor for waves), level-triggered steps with client tokens that outlive their holder, backoff of refused places, a duty under a lease, orders to endpoints that run another version than listed (weight store rate, fencing gate), wired into the entry. Failed tries: seeding a new holder's estimate with all running hosts counted the spare as need, so that each change of holder started more (two tests failed); without any seed it would have stopped busy hosts. It is seeded without the fullest failure domain's hosts.

--- /dev/null
+++ b/packages/bench/src/fleet.ts
@@ -0,0 +1,205 @@
+/**
+ * `fleet`: priced days with waves of reclaims; what the plan costs and how much
+ * of the time it holds the latency target, against all hosts on demand and
+ * against the cheapest reclaimable hosts. A decision replay on a virtual clock.
+ */
+import {
+  decisionLog,
+  seededRandom,
+  silentLogger,
+  virtualClock,
+} from '@skylarkfield/base';
+import type {LoadReport} from '@skylarkfield/endpoints';
+import {
+  createFleetDuty,
+  planHosts,
+  type Demand,
+  type HostPlan,
+  type Offer,
+} from '@skylarkfield/fleet';
+import type {Service} from '@skylarkfield/records';
+import {createReplayCloud, REPLAY_CLASS} from './fleet/replayCloud.js';
+import type {MeasureOptions} from './measurements.js';
+
+const HOUR_MS = 3_600_000;
+const DAY_MS = 24 * HOUR_MS;
+/** Days replayed per policy, each with prices and waves of its own. */
+const DAYS = 6;
+const STEP_MS = 15_000;
+const SLOTS = 8;
+/** Use of the slots beyond which the latency target is missed. */
+const TARGET_USE = 0.7;
+/** Requests in progress at the quietest and at the busiest hour. */
+const LEAST_REQUESTS = 12;
+const MOST_REQUESTS = 40;
+
+type Plan = typeof planHosts;
+export type FleetPolicy = 'planned' | 'on-demand' | 'cheapest';
+
+/** Ways to plan; the baselines use the same duty with another plan. */
+const plans: Readonly<Record<FleetPolicy, Plan>> = {
+  planned: planHosts,
+  'on-demand': (demand, offers, supplies) =>
+    planHosts(
+      demand,
+      offers.filter(offer => offer.market === 'on-demand'),
+      supplies,
+    ),
+  cheapest: cheapestPlan,
+};
+
+const service: Service = {
+  name: 'match',
+  type: 'model',
+  version: 'v1',
+  routes: [],
+  targetMs: 1500,
+  timeoutMs: 30_000,
+  concurrency: 500,
+  queue: 500,
+  fleet: {
+    minReplicas: 3,
+    maxReplicas: 40,
+    machineClass: REPLAY_CLASS,
+    weights: 'match',
+  },
+};
+
+/**
+ * Runs the measurement.
+ *
+ * @example
+ * const report = await measureFleet({seed: 1000});
+ */
+export async function measureFleet(options: MeasureOptions) {
+  const rows = [];
+  for (const policy of Object.keys(plans) as FleetPolicy[]) {
+    rows.push(await runDays(policy, options.seed));
+  }
+  const [planned, onDemand, cheapest] = rows;
+  return {
+    days: DAYS,
+    rows,
+    costAgainstOnDemand:
+      planned!.costPerTargetHour / onDemand!.costPerTargetHour,
+    costAgainstCheapest:
+      planned!.costPerTargetHour / cheapest!.costPerTargetHour,
+  };
+}
+
+async function runDays(policy: FleetPolicy, seed: number) {
+  let cost = 0;
+  let targetHours = 0;
+  let deadHours = 0;
+  let waves = 0;
+  for (let day = 0; day < DAYS; day++) {
+    const result = await runDay(policy, seed + day);
+    cost += result.cost;
+    targetHours += result.targetHours;
+    deadHours += result.deadHours;
+    waves += result.waves;
+  }
+  return {
+    policy,
+    waves,
+    costPerDay: cost / DAYS,
+    targetHeld: targetHours / (DAYS * 24),
+    withoutAnyReplica: deadHours / (DAYS * 24),
+    costPerTargetHour: cost / targetHours,
+  };
+}
+
+async function runDay(policy: FleetPolicy, seed: number) {
+  const clock = virtualClock();
+  const replay = createReplayCloud(clock, seededRandom(seed));
+  const duty = createFleetDuty({
+    cloud: replay.cloud,
+    clock,
+    random: seededRandom(seed + 1),
+    decisions: decisionLog(clock, silentLogger()),
+    tenure: {
+      duty: 'fleet',
+      fencing: 1,
+      acquiredAt: 0,
+      isValid: () => true,
+      signal: new AbortController().signal,
+    },
+    services: () => [service],
+    reports: () => reportsOf(replay.serving().length, requestsAt(clock.now())),
+    plan: plans[policy],
+  });
+  // The first hours bring the fleet up; they are not counted.
+  await clock.advance(HOUR_MS);
+  let cost = 0;
+  let targetHours = 0;
+  let deadHours = 0;
+  const stepHours = STEP_MS / HOUR_MS;
+  for (let elapsed = 0; elapsed < DAY_MS; elapsed += STEP_MS) {
+    await clock.advance(STEP_MS);
+    cost += replay.pricePerHour() * stepHours;
+    const slots = replay.serving().length * SLOTS;
+    if (requestsAt(clock.now()) <= slots * TARGET_USE) {
+      targetHours += stepHours;
+    }
+    if (slots === 0) {
+      deadHours += stepHours;
+    }
+  }
+  duty.dispose();
+  return {cost, targetHours, deadHours, waves: replay.waves()};
+}
+
+/** Load over the day: quiet at night, busiest after noon. */
+function requestsAt(nowMs: number): number {
+  const angle = (2 * Math.PI * nowMs) / DAY_MS;
+  const part = (1 - Math.cos(angle)) / 2;
+  return LEAST_REQUESTS + (MOST_REQUESTS - LEAST_REQUESTS) * part;
+}
+
+function reportsOf(replicas: number, requests: number): LoadReport[] {
+  return Array.from({length: replicas}, () => ({
+    sequence: 0,
+    running: requests / replicas,
+    waiting: 0,
+    slots: SLOTS,
+    waitingPromptTokens: 0,
+    cacheUse: 0,
+  }));
+}
+
+/** As many reclaimable hosts as the load needs, all where they are cheapest now. */
+function cheapestPlan(
+  demand: Demand,
+  offers: readonly Offer[],
+  supplies: Parameters<Plan>[2],
+): HostPlan {
+  const best = offers
+    .filter(offer => offer.market === 'reclaimable')
+    .filter(
+      offer =>
+        !supplies.some(
+          supply =>
+            supply.failureDomain === offer.failureDomain &&
+            supply.isRefused('reclaimable'),
+        ),
+    )
+    .sort((a, b) => a.pricePerHour - b.pricePerHour)[0];
+  const count = Math.max(demand.replicas, demand.minReplicas);
+  if (best === undefined) {
+    return {
+      wanted: [],
+      costPerHour: 0,
+      replicasAfterLoss: 0,
+      shortfall: 'every failure domain refuses',
+    };
+  }
+  const {failureDomain, machineClass, market, pricePerHour} = best;
+  return {
+    wanted: [
+      {service: demand.service, failureDomain, machineClass, market, count},
+    ],
+    costPerHour: pricePerHour * count,
+    replicasAfterLoss: 0,
+    shortfall: undefined,
+  };
+}
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -21,7 +21,8 @@
 import {createServer, openListener} from './listener.js';
 import {createAdmissionPart} from './parts/admissionPart.js';
 import {createDutiesPart} from './parts/dutiesPart.js';
-import {createEnginesPart} from './parts/enginesPart.js';
+import {createEnginesPart, type EnginesPart} from './parts/enginesPart.js';
+import {createFleetPart, createReportBook} from './parts/fleetPart.js';
 import {createMembersPart} from './parts/membersPart.js';
 import {createMovesPart} from './parts/movesPart.js';
 import {createOrdersPart} from './parts/ordersPart.js';
@@ -86,13 +87,16 @@
   const {membership, network} = members;
   const records = owned.add(createRecordsPart(context, platform, members));
   const {configuration} = records;
-  const router = createRoutingPart(context);
+  const book = createReportBook(createRoutingPart(context), () => endpoints);
+  const {router} = book;
   const hostList = createSharedHostList({
     ...context,
     hostList: platform.hostList,
     network,
   });
-  const endpoints = owned.add(createEnginesPart(context, hostList, router));
+  const endpoints: EnginesPart = owned.add(
+    createEnginesPart(context, hostList, router),
+  );
   const admission = createAdmissionPart(context, configuration, membership);
   const split = createMovesPart(context, configuration);
   const streams = createStreamRunner({clock});
@@ -110,6 +114,15 @@
   const duties = owned.add(
     createDutiesPart(context, {platform, members, records}),
   );
+  owned.add(
+    createFleetPart(context, {
+      duties,
+      platform,
+      configuration,
+      endpoints,
+      book,
+    }),
+  );
   const serving: Serving = {
     configuration,
     admission,
--- /dev/null
+++ b/packages/entry/src/parts/fleetPart.ts
@@ -0,0 +1,134 @@
+/** The fleet duty of this entry: hosts by the plan, endpoints that run what is listed. */
+import {disposableStore, every, type Disposable} from '@skylarkfield/base';
+import {createOrderGate, type Duties} from '@skylarkfield/duties';
+import type {LoadReport} from '@skylarkfield/endpoints';
+import {
+  createEndpointRepair,
+  createFleetDuty,
+  ORDER_DEADLINE_MS,
+  type ManagedEndpoint,
+} from '@skylarkfield/fleet';
+import type {Configuration} from '@skylarkfield/records';
+import type {Router} from '@skylarkfield/routing';
+import type {EntryContext} from '../context.js';
+import type {EndpointPool} from '../serving.js';
+import type {PlatformPart} from './platformPart.js';
+
+/** How often endpoints are asked what they run, in milliseconds. */
+const REPAIR_INTERVAL_MS = 5_000;
+
+/** The latest load report of each endpoint. */
+export interface ReportBook {
+  /** The router, noting each report that it gets. */
+  readonly router: Router;
+  reports(service: string): readonly LoadReport[];
+}
+
+/**
+ * Notes the load reports on their way to the router; the fleet is sized by them.
+ *
+ * @example
+ * const book = createReportBook(createRoutingPart(context), () => endpoints.list());
+ */
+export function createReportBook(
+  router: Router,
+  endpoints: () => EndpointPool,
+): ReportBook {
+  const latest = new Map<string, LoadReport>();
+  return {
+    router: {
+      ...router,
+      setEndpoints(list) {
+        const ids = new Set(list.map(endpoint => endpoint.id));
+        [...latest.keys()]
+          .filter(id => !ids.has(id))
+          .forEach(id => latest.delete(id));
+        router.setEndpoints(list);
+      },
+      reportLoad(endpoint, report) {
+        latest.set(endpoint, report);
+        router.reportLoad(endpoint, report);
+      },
+    },
+    reports: service =>
+      endpoints()
+        .list()
+        .filter(endpoint => endpoint.listed.service === service)
+        .flatMap(endpoint => latest.get(endpoint.listed.id) ?? []),
+  };
+}
+
+interface FleetOptions {
+  readonly duties: Duties;
+  readonly platform: PlatformPart;
+  readonly configuration: Configuration;
+  readonly endpoints: EndpointPool;
+  readonly book: ReportBook;
+}
+
+/**
+ * Competes for the fleet duty.
+ *
+ * @example
+ * owned.add(createFleetPart(context, {duties, platform, configuration, endpoints, book}));
+ */
+export function createFleetPart(
+  context: EntryContext,
+  options: FleetOptions,
+): Disposable {
+  const {clock, random, decisions, dumps} = context;
+  const {platform, configuration, endpoints} = options;
+  return options.duties.compete('fleet', tenure => {
+    const owned = disposableStore();
+    const duty = owned.add(
+      createFleetDuty({
+        cloud: platform.cloud,
+        clock,
+        random,
+        decisions,
+        tenure,
+        services: () => configuration.list('service'),
+        reports: options.book.reports,
+      }),
+    );
+    const repair = createEndpointRepair({
+      clock,
+      decisions,
+      weights: platform.weights,
+      tenure,
+      gate: createOrderGate({
+        clock,
+        tenure,
+        orderDeadlineMs: ORDER_DEADLINE_MS,
+      }),
+    });
+    let isRepairing = false;
+    owned.add(every(clock, REPAIR_INTERVAL_MS, () => void repairOnce()));
+    owned.add(dumps.add('fleet', () => duty.dump()));
+    return owned;
+
+    async function repairOnce(): Promise<void> {
+      if (isRepairing) {
+        return;
+      }
+      isRepairing = true;
+      try {
+        await repair.round(managedEndpoints(), weightsOf);
+      } finally {
+        isRepairing = false;
+      }
+    }
+  });
+
+  function managedEndpoints(): ManagedEndpoint[] {
+    return endpoints
+      .list()
+      .flatMap(({listed, engine}) =>
+        engine === undefined ? [] : [{listed, engine}],
+      );
+  }
+
+  function weightsOf(service: string): string {
+    return configuration.get('service', service)?.fleet.weights || service;
+  }
+}
--- a/packages/fleet/src/contracts.ts
+++ b/packages/fleet/src/contracts.ts
@@ -1,4 +1,4 @@
-/** Hosts wanted per failure domain, machine class and market. */
+/** Hosts wanted per failure domain, machine class and market, and how to get there. */
 import type {Host, Market, Offer} from '@skylarkfield/platform';
 
 /** What one service needs. */
@@ -15,24 +15,37 @@
 export interface Supply {
   readonly failureDomain: string;
   readonly machineClass: string;
-  /** Reclaims per host and hour, smoothed. */
+  /** Reclaims per reclaimable host and hour, smoothed. */
   readonly reclaimRate: number;
-  /** Monotonic milliseconds until which starts are not tried, after refusals. */
-  readonly refusedUntil: number;
+  /** Starts of a market are not tried now, after refusals. */
+  readonly isRefused: (market: Market) => boolean;
 }
 
+/** Hosts of one service in one failure domain and market. */
 export interface WantedHosts {
+  readonly service: string;
   readonly failureDomain: string;
   readonly machineClass: string;
   readonly market: Market;
   readonly count: number;
 }
 
+/** The hosts wanted for one service, and what that costs and withstands. */
+export interface HostPlan {
+  readonly wanted: readonly WantedHosts[];
+  /** Currency units per hour at present prices. */
+  readonly costPerHour: number;
+  /** Replicas left after the loss of the failure domain with most of them. */
+  readonly replicasAfterLoss: number;
+  /** Why it is less than asked for, or undefined when it is not. */
+  readonly shortfall: string | undefined;
+}
+
 /** What to do now to get nearer to the plan. */
 export type FleetStep =
   | {
       readonly type: 'start';
-      readonly clientToken: string;
+      readonly service: string;
       readonly failureDomain: string;
       readonly machineClass: string;
       readonly market: Market;
@@ -40,16 +53,4 @@
     }
   | {readonly type: 'stop'; readonly host: string; readonly why: string};
 
-export interface FleetPlanner {
-  /** Hosts that hold the target even after the loss of the worst failure domain, at the least cost. */
-  plan(
-    demands: readonly Demand[],
-    offers: readonly Offer[],
-    supplies: readonly Supply[],
-  ): readonly WantedHosts[];
-  /** Steps from what runs to what is wanted, most needed first. */
-  steps(
-    wanted: readonly WantedHosts[],
-    hosts: readonly Host[],
-  ): readonly FleetStep[];
-}
+export type {Host, Market, Offer};
