--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -23,6 +23,7 @@
 import {createDutiesPart} from './parts/dutiesPart.js';
 import {createEnginesPart, type EnginesPart} from './parts/enginesPart.js';
 import {createFleetPart, createReportBook} from './parts/fleetPart.js';
+import {createLeavingPart} from './parts/leavingPart.js';
 import {createMembersPart} from './parts/membersPart.js';
 import {createMovesPart} from './parts/movesPart.js';
 import {createOrdersPart} from './parts/ordersPart.js';
@@ -84,16 +85,19 @@
       load: inFlight.count,
     }),
   );
-  const {membership, network} = members;
+  const {membership} = members;
   const records = owned.add(createRecordsPart(context, platform, members));
   const {configuration} = records;
   const book = createReportBook(createRoutingPart(context), () => endpoints);
   const {router} = book;
-  const hostList = createSharedHostList({
+  const listed = createSharedHostList({
     ...context,
     hostList: platform.hostList,
-    network,
+    network: members.network,
   });
+  const {hostList} = owned.add(
+    createLeavingPart(context, {...platform, hostList: listed}, members),
+  );
   const endpoints: EnginesPart = owned.add(
     createEnginesPart(context, hostList, router),
   );
@@ -208,7 +212,6 @@
     await ledger.leave();
     const isIdle = await inFlight.idle(settings.drainMs);
     log.info({isIdle, inFlight: inFlight.count()}, 'drained');
-    network.dispose();
     owned.dispose();
   }
 
