Ledger: a leaving entry takes no shard, a moved claim is void for whoever asks

Behind it a second fault: an owner that had moved a claim answered a question about it with nothing, so a retry heard may-have-run.

Change: a leaving entry is no candidate for its own shards; moved claims are remembered as released; a void claim is made anew instead of refused. begin may be called again by a dispatch that tries another endpoint after one that got nothing, as the entry does. Bodies in one hand-over are bounded at 256 KB together: 100 bodies of 8 KB made a value of more than 1 MB, which was refused and the orders were not handed over in the ledger at all. An entry that starts takes up what was handed over while nobody was there.

--- a/packages/bench/src/orderHandOver.ts
+++ b/packages/bench/src/orderHandOver.ts
@@ -78,14 +78,16 @@
     },
   });
   const body = new Uint8Array(bodyBytes).fill(seed);
+  await fleet.submit('warm-up', 0, TIMEOUT_MS, body);
+  const owner = ownerOf(fleet);
   const answers = Array.from({length: ORDERS}, (_, index) =>
-    fleet.submit(`key ${index}`, 0, TIMEOUT_MS, body),
+    fleet.submit(`key ${index}`, owner, TIMEOUT_MS, body),
   );
   await sleep(clock, WAIT_MS / 2);
   waitMs = 0;
   const bytesBefore = fleet.traffic().bytesSent;
   const start = clock.now();
-  await fleet.leave(ownerOf(fleet));
+  await fleet.leave(owner);
   const leaveMs = Math.round(clock.now() - start);
   const settled = await Promise.allSettled(answers);
   const result = {
--- a/packages/orders/src/contracts.ts
+++ b/packages/orders/src/contracts.ts
@@ -41,7 +41,8 @@
  *
  * `begin` is called synchronously right before the call goes to an endpoint.
  * When it returns false the order was given up or handed over meanwhile: the
- * call must not be sent, and `cancelled` (not run) is thrown.
+ * call must not be sent, and `cancelled` (not run) is thrown. It is called again
+ * before another endpoint is tried, after one that certainly got nothing.
  *
  * Throws `endpoint-unavailable` only when no byte of the call was sent
  * (certainly not run), `outcome-unknown` once any may have been.
--- a/packages/orders/src/handOver.ts
+++ b/packages/orders/src/handOver.ts
@@ -4,6 +4,9 @@
 import type {Shard} from './shard.js';
 import {storeOrder, type LedgerEntry} from './shardRecord.js';
 
+/** All bodies in one shard's object together, so that it stays far below what the platform takes. */
+const MAX_TOTAL_BYTES = 262_144;
+
 export interface HandOver {
   /** Gives a shard up; true when it is free for its next owner. */
   release(shard: Shard, successor: string | undefined): Promise<boolean>;
@@ -29,13 +32,18 @@
   readonly rerun: (flight: Flight) => void;
 }): HandOver {
   /** Marks an order in the table; returns the claim as it was. */
-  function mark(shard: Shard, flight: Flight): LedgerEntry | undefined {
+  function mark(
+    shard: Shard,
+    flight: Flight,
+    budget: {bytes: number},
+  ): LedgerEntry | undefined {
     const {id, service, call, deadline} = flight.request;
     const entry = shard.table.get(id);
     if (entry?.token !== flight.token) {
       return undefined;
     }
-    if (call.body.byteLength > options.maxBytes) {
+    budget.bytes -= call.body.byteLength;
+    if (call.body.byteLength > options.maxBytes || budget.bytes < 0) {
       // The claim is voided; the order goes to the next owner over the inner protocol.
       shard.table.remove(id);
       return entry;
@@ -49,10 +57,11 @@
   return {
     async release(shard, successor) {
       const held: Array<{flight: Flight; claim: LedgerEntry | undefined}> = [];
+      const budget = {bytes: MAX_TOTAL_BYTES};
       const result = await shard.release(() => {
         for (const flight of options.flights()) {
           if (flight.shard === shard.index && flight.tell('hold')) {
-            held.push({flight, claim: mark(shard, flight)});
+            held.push({flight, claim: mark(shard, flight, budget)});
           }
         }
       });
--- a/packages/orders/src/ledger.ts
+++ b/packages/orders/src/ledger.ts
@@ -18,10 +18,15 @@
 import {claimOutcome, createLocalOrders} from './localOrders.js';
 import {orderId, orderPrint, shardOf, uniqueText} from './orderIdentity.js';
 import {createOrderRoute, type OrderNetwork} from './orderRoute.js';
-import {createOrderRunner} from './orderRunner.js';
+import {createOrderRunner, type RunOutcome} from './orderRunner.js';
 import {answerPeers} from './peerOrders.js';
 import {createShard, type Shard} from './shard.js';
-import type {LedgerEntry} from './shardRecord.js';
+import {
+  LEDGER_KIND,
+  shardName,
+  type LedgerEntry,
+  type ShardRecord,
+} from './shardRecord.js';
 
 export interface LedgerOptions {
   readonly store: ObjectStore;
@@ -85,6 +90,8 @@
 const LATE_CHECK_MS = 250;
 const LATE_KEPT_MS = 120_000;
 const LINGER_MS = 100;
+const MAX_SUCCESSORS_ASKED = 3;
+const START_CHECK_MS = 500;
 const ASK_TIMEOUT_MS = 2_000;
 
 /**
@@ -138,6 +145,7 @@
     random,
     shards,
     askClaimer,
+    onDidMove: flight => rememberOwn(flight, {state: 'released'}),
   });
   const runner = createOrderRunner({
     ...settings,
@@ -146,10 +154,8 @@
     random,
     isAlive: () => isAlive,
     onDidFinish: (flight, result) => {
-      const {shard} = flight;
-      const outcome = claimOutcome(flight, result);
-      recent.add({shard, outcome, hops: 0, keepUntil: Infinity});
-      noteOutcome(shard, outcome, 0);
+      rememberOwn(flight, result);
+      noteOutcome(flight.shard, claimOutcome(flight, result), 0);
     },
   });
   const route = createOrderRoute({
@@ -169,6 +175,12 @@
     rerun: runner.run,
   });
 
+  function rememberOwn(flight: Flight, result: RunOutcome): void {
+    const {shard} = flight;
+    const outcome = claimOutcome(flight, result);
+    recent.add({shard, outcome, hops: 0, keepUntil: Infinity});
+  }
+
   function noteOutcome(
     shard: number,
     outcome: ClaimOutcome,
@@ -286,6 +298,11 @@
       noteOutcome,
     }),
   );
+  owned.add(
+    clock.after(START_CHECK_MS * (1 + random.next()), () => {
+      takeWaiting().catch(() => undefined);
+    }),
+  );
   owned.add(every(clock, LATE_CHECK_MS, () => void sendLate()));
   owned.add(
     store.onDidChangeState(state => {
@@ -323,7 +340,7 @@
     };
     const result = await untilAnswered(request, signal);
     if (result.type === 'error') {
-      throw result.error;
+      throw withKey(result.error, order.key);
     }
     const {reply, isReplay} = result;
     return {reply, isReplay, isUnrecognisable};
@@ -340,20 +357,39 @@
     }
   }
 
+  async function handShardOver(shard: Shard): Promise<void> {
+    const successors = route.successors(shard.index);
+    const isReleased = await handOver.release(shard, successors[0]);
+    if (!isReleased) {
+      return;
+    }
+    const body = {shard: shard.index, epoch: 0};
+    for (const successor of successors.slice(0, MAX_SUCCESSORS_ASKED)) {
+      try {
+        await network.ask(successor, 'orderHandOver', body, ASK_TIMEOUT_MS);
+        return;
+      } catch {
+        // The next one is asked: orders wait in the shard for whoever takes it.
+      }
+    }
+  }
+
+  /** Takes up orders that were handed over when no other entry was there. */
+  async function takeWaiting(): Promise<void> {
+    const {objects} = await store.list<ShardRecord>(LEDGER_KIND);
+    for (const {name, value} of objects) {
+      const shard = shards.find(({index}) => shardName(index) === name);
+      const isWaiting = value.entries.some(({state}) => state === 'waiting');
+      const isFree = value.owner === '' && isWaiting;
+      if (shard !== undefined && isFree && !isLeaving) {
+        await shard.own();
+      }
+    }
+  }
+
   async function leave(): Promise<void> {
     isLeaving = true;
-    await Promise.all(
-      shards.map(async shard => {
-        const successor = route.successor(shard.index);
-        const isReleased = await handOver.release(shard, successor);
-        if (isReleased && successor !== undefined) {
-          const body = {shard: shard.index, epoch: 0};
-          await network
-            .ask(successor, 'orderHandOver', body, ASK_TIMEOUT_MS)
-            .catch(() => undefined);
-        }
-      }),
-    );
+    await Promise.all(shards.map(handShardOver));
     await Promise.all(orders.flights().map(flight => flight.done));
     await Promise.allSettled(open);
     await sendLate();
@@ -377,6 +413,17 @@
   };
 }
 
+/** Names the key to the caller who sent it; other entries never see it. */
+function withKey(error: ServingError, key: string | undefined): ServingError {
+  if (error.kind !== 'key-conflict') {
+    return error;
+  }
+  return new ServingError(
+    'key-conflict',
+    `idempotency key ${JSON.stringify(key)} was used with another request`,
+  );
+}
+
 /** A signal of its own for each call: a shared one would gather listeners. */
 function neverAborted(): AbortSignal {
   return new AbortController().signal;
--- a/packages/orders/src/localOrders.ts
+++ b/packages/orders/src/localOrders.ts
@@ -41,6 +41,8 @@
   readonly maxReplyBytes: number;
   readonly maxShardBytes: number;
   readonly retryAfterMs: number;
+  /** The order was given to the shard's next owner; it was not and will not be sent here. */
+  readonly onDidMove: (flight: Flight) => void;
   /** Asks the entry that made a claim how it ended. */
   readonly askClaimer: (
     entry: LedgerEntry,
@@ -64,7 +66,10 @@
 
   function addFlight(flight: Flight): void {
     flights.set(flight.request.id, flight);
-    void flight.done.then(() => {
+    void flight.done.then(result => {
+      if (result.type === 'moved') {
+        options.onDidMove(flight);
+      }
       if (flights.get(flight.request.id) === flight) {
         flights.delete(flight.request.id);
       }
@@ -109,7 +114,7 @@
     dropReleased(shard, request);
     const entry = shard.table.get(request.id);
     if (entry !== undefined) {
-      return answerKnown(shard, entry, request);
+      return answerKnown(shard, entry, request, signal);
     }
     const error = refuseNew(shard);
     if (error !== undefined) {
@@ -183,6 +188,7 @@
     shard: Shard,
     entry: LedgerEntry,
     request: OrderRequest,
+    signal: AbortSignal,
   ): Promise<OrderResult> {
     if (entry.print !== request.print) {
       return refusal(keyConflict());
@@ -194,17 +200,15 @@
     if (outcome !== undefined) {
       note(shard, outcome);
     }
-    const now = shard.isOwned() ? shard.table.get(request.id) : undefined;
-    if (now === undefined && outcome?.state === 'released') {
-      // The claim was void, nothing has been sent: the caller may try again.
-      return refusal(
-        new ServingError('endpoint-unavailable', 'the order was not sent', {
-          run: 'not-run',
-          retryAfterMs: 0,
-        }),
-      );
+    if (!shard.isOwned()) {
+      return knownAnswer(entry);
+    }
+    const now = shard.table.get(request.id);
+    if (now === undefined || flights.has(request.id)) {
+      // The claim was void, or another copy of the order has claimed it anew meanwhile.
+      return workOwned(shard, request, signal);
     }
-    return knownAnswer(now ?? entry);
+    return knownAnswer(now);
   }
 
   function adopt(
--- a/packages/orders/src/orderRoute.ts
+++ b/packages/orders/src/orderRoute.ts
@@ -25,8 +25,8 @@
     ask: (timeoutMs: number) => Promise<T>,
     deadline: number,
   ): Promise<T>;
-  /** The entry that should own a shard, another than this if there is one. */
-  successor(shard: number): string | undefined;
+  /** The other entries that could own a shard, the best first. */
+  successors(shard: number): readonly string[];
   /** True for an entry that takes new work and can be asked now. */
   isReachable(member: string): boolean;
   /** True also for an entry that leaves: it still ends what it has begun. */
@@ -140,14 +140,14 @@
     hint: string | undefined,
     tried: ReadonlySet<string>,
   ): string | undefined {
-    if (hint !== undefined && !tried.has(hint)) {
-      if (hint === member || isReachable(hint)) {
-        return hint;
-      }
-    }
-    return candidates(shard).find(
-      other => !tried.has(other) && !(other === member && options.isLeaving()),
-    );
+    // A leaving entry must not take shards: whatever it claimed would end with it.
+    const mayUse = (other: string) =>
+      !tried.has(other) && !(other === member && options.isLeaving());
+    const isHintUsable =
+      hint !== undefined &&
+      mayUse(hint) &&
+      (hint === member || isReachable(hint));
+    return isHintUsable ? hint : candidates(shard).find(mayUse);
   }
 
   async function run(
@@ -219,7 +219,7 @@
     askWhileLive,
     isReachable,
     canAnswer,
-    successor: shard => candidates(shard).find(other => other !== member),
+    successors: shard => candidates(shard).filter(other => other !== member),
   };
 }
 
--- a/packages/orders/src/orderRunner.ts
+++ b/packages/orders/src/orderRunner.ts
@@ -61,6 +61,10 @@
     const {service, call, deadline} = flight.request;
     let wasSent = false;
     function begin(): boolean {
+      // A second call says that the endpoint before got nothing and another is tried.
+      if (wasSent) {
+        flight.tell('unsend');
+      }
       // A process that was paused wakes here: it must not send what its caller was refused meanwhile.
       const mayBegin = options.isAlive() && clock.now() < deadline;
       wasSent = mayBegin && flight.tell('send');
--- a/packages/orders/src/shard.ts
+++ b/packages/orders/src/shard.ts
@@ -11,6 +11,7 @@
 import type {Flight} from './flight.js';
 import {
   LEDGER_FORMAT,
+  shardName,
   type LedgerEntry,
   type ShardRecord,
 } from './shardRecord.js';
@@ -459,10 +460,6 @@
   };
 }
 
-function shardName(index: number): string {
-  return `shard-${index}`;
-}
-
 function unreadable(index: number, format: number): ServingError {
   return new ServingError(
     'platform-unavailable',
--- a/packages/orders/src/shardRecord.ts
+++ b/packages/orders/src/shardRecord.ts
@@ -5,6 +5,16 @@
 /** Kind of the objects that hold ledger shards. */
 export const LEDGER_KIND = 'ledger';
 
+/**
+ * Name of a shard's object.
+ *
+ * @example
+ * const head = await store.get(LEDGER_KIND, shardName(3));
+ */
+export function shardName(index: number): string {
+  return `shard-${index}`;
+}
+
 /** Raised when the stored form changes; readers refuse a higher one. */
 export const LEDGER_FORMAT = 1;
 
--- a/packages/orders/src/test/foundSchedules.test.ts
+++ b/packages/orders/src/test/foundSchedules.test.ts
@@ -80,6 +80,23 @@
       assert.ok(later.every(({answer}) => answer?.kind === 'reply'));
     },
   },
+  // Two of three entries leave at once. One of them took a shard over that the other had released,
+  // claimed an order there and ended; a retry heard `may-have-run`.
+  {
+    name: 'an entry that leaves takes no shard',
+    seed: 0,
+    waitMs: 0,
+    steps: [
+      {do: 'lose-replies', entry: 2, count: 2},
+      {do: 'submit', entry: 0, key: 0},
+      {do: 'wait', ms: 20},
+      {do: 'submit', entry: 0, key: 0},
+      {do: 'leave', entry: 2},
+      {do: 'leave', entry: 0},
+    ],
+    expect: world =>
+      assert.deepEqual(kinds(world), ['reply', 'reply', 'reply']),
+  },
 ];
 
 describe('schedules that the fuzzer found', () => {
--- a/packages/orders/src/test/guards.test.ts
+++ b/packages/orders/src/test/guards.test.ts
@@ -90,6 +90,7 @@
   it('sends nothing that may have been handed over', async () => {
     const {owner, other} = await settleOwner();
     world.service.waitMs = 400;
+    world.service.workMs = 3_000;
     const orders = ['k1', 'k2', 'k3', 'k4'].map(key =>
       world.submit(owner, key, undefined, 20_000),
     );
@@ -139,6 +140,9 @@
   // An order is forwarded, refused and reported as not run; then the same message is delivered a
   // second time. The order must not run after all.
   it('does not run a second delivery of what it has refused', async () => {
+    world.dispose();
+    world = createWorld(3, {shardCount: 1, maxAttempts: 1});
+    ['a', 'b'].forEach(world.start);
     const {other} = await settleOwner();
     world.network.duplicated = 1;
     world.service.refused = 1;
--- a/packages/orders/src/test/world.ts
+++ b/packages/orders/src/test/world.ts
@@ -35,6 +35,7 @@
     readonly kind: string;
     readonly run: RunState | 'ran';
     readonly body?: string;
+    readonly message?: string;
     readonly isReplay?: boolean;
     readonly retryAfterMs?: number;
   };
@@ -90,6 +91,7 @@
   dispose(): void;
 }
 
+const ENDPOINT_TRIES = 2;
 export const TIMEOUT_MS = 5_000;
 
 const testSettings: Partial<LedgerSettings> = {
@@ -126,11 +128,17 @@
   function dispatchOf(process: SimulatedProcess): Dispatch {
     return async (_service, call, signal, begin) => {
       await sleep(process.clock, service.waitMs * random.next(), signal);
-      if (!begin()) {
-        throw new ServingError('cancelled', 'given up', {run: 'not-run'});
-      }
-      if (random.chance(service.refused)) {
-        throw new ServingError('endpoint-unavailable', 'refused');
+      // As in an entry, another endpoint is tried after one that got nothing.
+      for (let tries = 1; ; tries++) {
+        if (!begin()) {
+          throw new ServingError('cancelled', 'given up', {run: 'not-run'});
+        }
+        if (!random.chance(service.refused)) {
+          break;
+        }
+        if (tries === ENDPOINT_TRIES) {
+          throw new ServingError('endpoint-unavailable', 'refused');
+        }
       }
       const isLostBefore = random.chance(service.lostBefore);
       const isLostAfter = random.chance(service.lostAfter);
@@ -220,8 +228,8 @@
           request.answer = {kind: 'reply', run: 'ran', body, isReplay};
         },
         (error: unknown) => {
-          const {kind, run, retryAfterMs} = toServingError(error);
-          request.answer = {kind, run, retryAfterMs};
+          const {kind, run, message, retryAfterMs} = toServingError(error);
+          request.answer = {kind, run, message, retryAfterMs};
         },
       );
     });
