Routing by expected wait and cached prefix, ejection, subsets; its measurement

Each entry corrects late load reports by what it knows of its own requests, believes in cached prefixes by events, by what it sent and by what engines say they found, and prefers endpoints by rendezvous hashing for prefixes of which nothing is known. What tells a shared system prompt from a long history is its part of the traffic. Endpoints are put aside for being unreachable, for failing or for slowness relative to their pool, at most a third and only while the rest has room, and come back by single probes. A leaving mark outlives the host list's lag. Large services are shared out so that each endpoint has the same number of entries.

Contract extended: Choice tells started and streaming, Router takes the live entries and tells the endpoints it uses.

--- /dev/null
+++ b/packages/bench/src/routing.ts
@@ -0,0 +1,82 @@
+/** Tokens computed again and first-token latency by routing policy. */
+import {quantileSorted} from 'simple-statistics';
+import {policies, type PolicyName} from './routing/policies.js';
+import {replay, type ReplayResult} from './routing/replay.js';
+import {workloads, type Workload} from './routing/workloads.js';
+import {measureDecisionTime} from './routing/decisionTime.js';
+
+const DEFAULT_SECONDS = 90;
+
+/** One policy's figures on one workload. */
+interface PolicyFigures {
+  readonly requests: number;
+  readonly prefilledTokens: number;
+  /** Tokens computed although they had been computed before, at any replica. */
+  readonly recomputedTokens: number;
+  /** Prompt tokens found in caches, as a share of what an unlimited cache would find. */
+  readonly shareOfBound: number;
+  readonly firstTokenP50Ms: number;
+  readonly firstTokenP95Ms: number;
+  /** Requests at the busiest replica relative to the mean. */
+  readonly busiest: number;
+}
+
+/**
+ * Measures every policy on both users' workloads, the same sessions for each.
+ *
+ * @example
+ * const result = await measureRouting({seed: 101});
+ */
+export async function measureRouting(options: {
+  readonly seed: number;
+  readonly seconds?: number;
+}): Promise<object> {
+  const seconds = options.seconds ?? DEFAULT_SECONDS;
+  const users = Object.fromEntries(
+    workloads.map(workload => [
+      workload.name,
+      measureWorkload(workload, options.seed, seconds),
+    ]),
+  );
+  return {seed: options.seed, seconds, users, decisions: measureDecisionTime()};
+}
+
+function measureWorkload(workload: Workload, seed: number, seconds: number) {
+  const names = Object.keys(policies) as PolicyName[];
+  const figures = Object.fromEntries(
+    names.map(policy => [
+      policy,
+      summarize(replay({workload, policy, seed, seconds})),
+    ]),
+  ) as Record<PolicyName, PolicyFigures>;
+  const plain = names
+    .filter(name => name !== 'skylarkfield')
+    .map(name => figures[name]);
+  const own = figures.skylarkfield;
+  const fewest = Math.min(...plain.map(item => item.recomputedTokens));
+  const bestP95 = Math.min(...plain.map(item => item.firstTokenP95Ms));
+  return {
+    policies: figures,
+    recomputedAgainstBestPlain: round(own.recomputedTokens / fewest, 3),
+    firstTokenP95AgainstBestPlain: round(own.firstTokenP95Ms / bestP95, 3),
+  };
+}
+
+function summarize(result: ReplayResult): PolicyFigures {
+  const sorted = [...result.firstTokenMs].sort((a, b) => a - b);
+  const cached = result.promptTokens - result.prefilledTokens;
+  const cachedAtBest = result.promptTokens - result.boundTokens;
+  return {
+    requests: result.requests,
+    prefilledTokens: result.prefilledTokens,
+    recomputedTokens: result.prefilledTokens - result.boundTokens,
+    shareOfBound: round(cached / cachedAtBest, 4),
+    firstTokenP50Ms: round(quantileSorted(sorted, 0.5), 1),
+    firstTokenP95Ms: round(quantileSorted(sorted, 0.95), 1),
+    busiest: round(result.busiest, 2),
+  };
+}
+
+function round(value: number, digits: number): number {
+  return Number(value.toFixed(digits));
+}
--- /dev/null
+++ b/packages/bench/src/routing/decisionTime.ts
@@ -0,0 +1,75 @@
+/** Processor time of one routing decision as the number of replicas grows. */
+import {
+  decisionLog,
+  seededRandom,
+  silentLogger,
+  systemClock,
+} from '@skylarkfield/base';
+import {promptBlocks} from '@skylarkfield/endpoints';
+import {createRouter, type Candidate} from '@skylarkfield/routing';
+
+export interface DecisionTime {
+  readonly replicas: number;
+  /** Replicas that the entry uses of these. */
+  readonly held: number;
+  readonly microseconds: number;
+}
+
+const SIZES = [8, 48, 480, 4800];
+const ENTRIES = 1700;
+const DECISIONS = 3000;
+const PROMPT_TOKENS = 2000;
+
+function describe(replicas: number): Candidate[] {
+  return Array.from({length: replicas}, (_, index) => ({
+    id: `replica-${index}`,
+    service: 's',
+    version: 'v1',
+    failureDomain: `d${index % 10}`,
+    host: `h${index}`,
+    type: 'model',
+  }));
+}
+
+/**
+ * Times decisions with prompts of 2000 tokens and 1,700 entries.
+ *
+ * @example
+ * measureDecisionTime()[0]?.microseconds;
+ */
+export function measureDecisionTime(): DecisionTime[] {
+  const tokens = Array.from({length: PROMPT_TOKENS}, (_, index) => `w${index}`);
+  const blocks = promptBlocks(tokens);
+  const entries = Array.from({length: ENTRIES}, (_, index) => `e${index}`);
+  return SIZES.map(replicas => {
+    const clock = systemClock();
+    const router = createRouter({
+      clock,
+      random: seededRandom(1),
+      decisions: decisionLog(clock, silentLogger()),
+      failureDomain: 'd1',
+      self: 'e1',
+    });
+    router.setEntries(entries);
+    router.setEndpoints(describe(replicas));
+    const journey = {
+      service: 's',
+      version: 'v1',
+      blocks,
+      promptTokens: PROMPT_TOKENS,
+      expectedTokens: 100,
+      excluded: new Set<string>(),
+    };
+    const start = process.cpuUsage();
+    for (let index = 0; index < DECISIONS; index++) {
+      const choice = router.choose(journey);
+      choice?.finish({outcome: 'ok', latencyMs: 50, cachedTokens: 0});
+    }
+    const {user, system} = process.cpuUsage(start);
+    return {
+      replicas,
+      held: router.held().length,
+      microseconds: Number(((user + system) / DECISIONS).toFixed(1)),
+    };
+  });
+}
--- /dev/null
+++ b/packages/bench/src/routing/policies.ts
@@ -0,0 +1,122 @@
+/** Ways of choosing an endpoint, the plain ones to compare with. */
+import {
+  decisionLog,
+  silentLogger,
+  type Clock,
+  type Random,
+} from '@skylarkfield/base';
+import {rendezvousOrder} from '@skylarkfield/base';
+import type {CacheEvent, LoadReport} from '@skylarkfield/endpoints';
+import {
+  createRouter,
+  type Candidate,
+  type Choice,
+  type Journey,
+  type RouteWeights,
+} from '@skylarkfield/routing';
+
+/** One entry's way of choosing. */
+export interface Policy {
+  choose(journey: Journey): Choice;
+  reportLoad(endpoint: string, report: LoadReport): void;
+  reportCache(endpoint: string, events: readonly CacheEvent[]): number;
+}
+
+export interface PolicyOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Id of the entry. */
+  readonly self: string;
+  readonly failureDomain: string;
+  readonly endpoints: readonly Candidate[];
+  /** Blocks that all callers share, for prefix hashing. */
+  readonly sharedBlocks: number;
+  readonly weights?: Partial<RouteWeights>;
+}
+
+export type PolicyName =
+  | 'roundRobin'
+  | 'leastLoaded'
+  | 'prefixHash'
+  | 'skylarkfield';
+
+function plainChoice(endpoint: string, finish = () => {}): Choice {
+  return {
+    endpoint,
+    cachedTokens: 0,
+    started() {},
+    streaming() {},
+    finish,
+  };
+}
+
+function roundRobin(options: PolicyOptions): Policy {
+  const ids = options.endpoints.map(({id}) => id);
+  let next = options.random.integer(0, ids.length - 1);
+  return {
+    choose: () => plainChoice(ids[next++ % ids.length]!),
+    reportLoad() {},
+    reportCache: () => -1,
+  };
+}
+
+/** Last reported load plus what this entry has sent since the report came. */
+function leastLoaded(options: PolicyOptions): Policy {
+  const {random} = options;
+  const ids = options.endpoints.map(({id}) => id);
+  const loads = new Map(ids.map(id => [id, 0]));
+  return {
+    choose() {
+      const least = Math.min(...loads.values());
+      const chosen = random.pick(ids.filter(id => loads.get(id) === least))!;
+      loads.set(chosen, least + 1);
+      return plainChoice(chosen);
+    },
+    reportLoad(endpoint, report) {
+      loads.set(endpoint, report.running + report.waiting);
+    },
+    reportCache: () => -1,
+  };
+}
+
+/** Hash of a prompt's start, reaching just past what all callers share. */
+function prefixHash(options: PolicyOptions): Policy {
+  const ids = options.endpoints.map(({id}) => id);
+  return {
+    choose(journey) {
+      const {blocks} = journey;
+      const depth = Math.min(options.sharedBlocks, blocks.length - 1);
+      return plainChoice(rendezvousOrder(blocks[depth] ?? '', ids)[0]!);
+    },
+    reportLoad() {},
+    reportCache: () => -1,
+  };
+}
+
+function skylarkfield(options: PolicyOptions): Policy {
+  const {clock, random, self, failureDomain, weights} = options;
+  const router = createRouter({
+    clock,
+    random,
+    decisions: decisionLog(clock, silentLogger()),
+    failureDomain,
+    self,
+    ...(weights === undefined ? {} : {weights}),
+  });
+  router.setEndpoints(options.endpoints);
+  return {
+    choose(journey) {
+      const choice = router.choose(journey);
+      if (choice === undefined) {
+        throw new Error('the router found no endpoint');
+      }
+      return choice;
+    },
+    reportLoad: (endpoint, report) => router.reportLoad(endpoint, report),
+    reportCache: (endpoint, events) => router.reportCache(endpoint, events),
+  };
+}
+
+export const policies: Readonly<
+  Record<PolicyName, (options: PolicyOptions) => Policy>
+> = {roundRobin, leastLoaded, prefixHash, skylarkfield};
--- /dev/null
+++ b/packages/bench/src/routing/replay.ts
@@ -0,0 +1,298 @@
+/** Replays a workload against engine models on a virtual clock. */
+import {
+  every,
+  seededRandom,
+  virtualClock,
+  type Random,
+  type VirtualClock,
+} from '@skylarkfield/base';
+import {
+  BLOCK_TOKENS,
+  promptBlocks,
+  promptTokens,
+  type Generation,
+} from '@skylarkfield/endpoints';
+import type {Candidate, Journey, RouteWeights} from '@skylarkfield/routing';
+import {
+  createEngineModel,
+  type EngineCosts,
+  type EngineModel,
+} from '@skylarkfield/standins';
+import {policies, type Policy, type PolicyName} from './policies.js';
+import {
+  drawCustomer,
+  type Session,
+  type Turn,
+  type Workload,
+} from './workloads.js';
+
+export interface ReplayOptions {
+  readonly workload: Workload;
+  readonly policy: PolicyName;
+  readonly seed: number;
+  readonly seconds: number;
+  readonly weights?: Partial<RouteWeights>;
+  readonly costs?: Partial<EngineCosts>;
+  /** Factor on the rate of sessions. */
+  readonly rate?: number;
+}
+
+export interface ReplayResult {
+  readonly requests: number;
+  readonly promptTokens: number;
+  readonly prefilledTokens: number;
+  /** Tokens that a single cache without limit would have had to compute. */
+  readonly boundTokens: number;
+  readonly firstTokenMs: readonly number[];
+  /** Requests per replica relative to the mean, the busiest one. */
+  readonly busiest: number;
+}
+
+const ENTRIES = 6;
+const FAILURE_DOMAINS = ['a', 'b', 'c', 'd'];
+const LOAD_POLL_MS = 300;
+const CACHE_POLL_MS = 500;
+/** Probability that a caller asks another entry for its next turn. */
+const ENTRY_CHANGE = 0.3;
+const EVENT_LOSS = 0.03;
+/** Results of the first part of a run, while caches fill, are left out. */
+const WARM_UP_SHARE = 0.2;
+const MAX_DRAIN_STEPS = 600;
+
+/**
+ * Runs one policy over one workload. Two policies with one seed get the same
+ * sessions.
+ *
+ * @example
+ * const result = replay({workload, policy: 'roundRobin', seed: 1, seconds: 60});
+ */
+export function replay(options: ReplayOptions): ReplayResult {
+  const {workload, seed, seconds} = options;
+  const clock = virtualClock();
+  const engines = createEngines(options, clock);
+  const candidates = describeEngines(workload);
+  const entries = createEntries(options, clock, candidates);
+  startPolling(clock, engines, entries);
+
+  const seen = new Set<string>();
+  const firstTokenMs: number[] = [];
+  const counts = new Map<string, number>();
+  const sums = {
+    requests: 0,
+    promptTokens: 0,
+    boundTokens: 0,
+    prefilledTokens: 0,
+  };
+  const warmMs = seconds * 1000 * WARM_UP_SHARE;
+  let open = 0;
+  let attempts = 0;
+
+  /** Tokens of a prompt that nobody had computed before. */
+  function countNew(blocks: readonly string[], tokens: number): number {
+    const known = blocks.findIndex(block => !seen.has(block));
+    const found = known < 0 ? blocks.length : known;
+    return Math.max(1, tokens - found * BLOCK_TOKENS);
+  }
+
+  function runTurn(
+    session: Session,
+    turn: Turn,
+    prompt: string,
+    done: (answer: string) => void,
+    entry: number,
+  ) {
+    const tokens = promptTokens(prompt);
+    const blocks = promptBlocks(tokens);
+    const journey: Journey = {
+      service: workload.name,
+      version: 'v1',
+      blocks,
+      promptTokens: tokens.length,
+      expectedTokens: turn.maxTokens,
+      excluded: new Set(),
+    };
+    const isCounted = clock.now() >= warmMs;
+    if (isCounted) {
+      sums.requests += 1;
+      sums.promptTokens += tokens.length;
+      sums.boundTokens += countNew(blocks, tokens.length);
+    }
+    blocks.forEach(block => seen.add(block));
+    const choice = entries[entry]!.choose(journey);
+    counts.set(choice.endpoint, (counts.get(choice.endpoint) ?? 0) + 1);
+    const startMs = clock.now();
+    let latencyMs = 0;
+    const texts: string[] = [];
+    open += 1;
+    attempts += 1;
+    const generation: Generation = {
+      attempt: `entry${entry}-${attempts}`,
+      prompt,
+      maxTokens: turn.maxTokens,
+      urgency: 3,
+      delivered: [],
+      seed: 1,
+    };
+    engines.get(choice.endpoint)!.submit(generation, {
+      event(event) {
+        if (event.type === 'start') {
+          choice.started(event.cachedTokens);
+          if (isCounted) {
+            sums.prefilledTokens += tokens.length - event.cachedTokens;
+          }
+        }
+        if (event.type === 'token') {
+          if (texts.length === 0) {
+            latencyMs = clock.now() - startMs;
+            choice.streaming();
+            if (isCounted) {
+              firstTokenMs.push(latencyMs);
+            }
+          }
+          texts.push(event.text);
+        }
+        if (event.type === 'end') {
+          open -= 1;
+          choice.finish({
+            outcome: 'ok',
+            latencyMs,
+            cachedTokens: event.cachedTokens,
+          });
+          const answer = texts.join('');
+          promptBlocks(promptTokens(`${prompt} ${answer}`)).forEach(block =>
+            seen.add(block),
+          );
+          done(answer);
+        }
+      },
+      fail(error) {
+        throw error;
+      },
+    });
+  }
+
+  function runSession(random: Random) {
+    const session = workload.session(drawCustomer(workload, random), random);
+    const maxTurns = session.turns.length;
+    let entry = random.integer(0, ENTRIES - 1);
+    function next(index: number, history: string) {
+      const turn = session.turns[index];
+      if (turn === undefined || index >= maxTurns) {
+        return;
+      }
+      clock.after(turn.thinkMs, () => {
+        if (random.chance(ENTRY_CHANGE)) {
+          entry = random.integer(0, ENTRIES - 1);
+        }
+        const prompt = `${history} ${turn.question}`;
+        runTurn(
+          session,
+          turn,
+          prompt,
+          answer => next(index + 1, `${prompt} ${answer}`),
+          entry,
+        );
+      });
+    }
+    next(0, session.prompt);
+  }
+
+  const arrivals = seededRandom(seed);
+  const rate = workload.sessionsPerSecond * (options.rate ?? 1);
+  let sessions = 0;
+  function arrive() {
+    if (clock.now() >= seconds * 1000) {
+      return;
+    }
+    sessions += 1;
+    runSession(seededRandom(seed * 100_003 + sessions));
+    clock.after(arrivals.exponential(1000 / rate), arrive);
+  }
+  clock.after(0, arrive);
+  clock.advanceSync(seconds * 1000);
+  for (let step = 0; open > 0 && step < MAX_DRAIN_STEPS; step++) {
+    clock.advanceSync(100);
+  }
+  const perReplica = [...engines.keys()].map(id => counts.get(id) ?? 0);
+  const mean = perReplica.reduce((a, b) => a + b, 0) / perReplica.length;
+  return {
+    ...sums,
+    firstTokenMs,
+    busiest: Math.max(...perReplica) / mean,
+  };
+}
+
+function describeEngines(workload: Workload): Candidate[] {
+  return Array.from({length: workload.replicas}, (_, index) => ({
+    id: `r${index}`,
+    service: workload.name,
+    version: 'v1',
+    failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!,
+    host: `h${index}`,
+    type: 'model',
+  }));
+}
+
+function createEngines(
+  options: ReplayOptions,
+  clock: VirtualClock,
+): Map<string, EngineModel> {
+  return new Map(
+    describeEngines(options.workload).map(({id}, index) => [
+      id,
+      createEngineModel({
+        clock,
+        random: seededRandom(options.seed * 31 + index),
+        version: 'v1',
+        costs: {cacheEventLoss: EVENT_LOSS, ...options.costs},
+      }),
+    ]),
+  );
+}
+
+function createEntries(
+  options: ReplayOptions,
+  clock: VirtualClock,
+  endpoints: readonly Candidate[],
+): Policy[] {
+  return Array.from({length: ENTRIES}, (_, index) =>
+    policies[options.policy]({
+      clock,
+      random: seededRandom(options.seed * 57 + index),
+      self: `entry${index}`,
+      failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!,
+      endpoints,
+      sharedBlocks: options.workload.sharedBlocks,
+      ...(options.weights === undefined ? {} : {weights: options.weights}),
+    }),
+  );
+}
+
+/** Each entry asks each engine at its own times, as processes without a common clock do. */
+function startPolling(
+  clock: VirtualClock,
+  engines: ReadonlyMap<string, EngineModel>,
+  entries: readonly Policy[],
+) {
+  entries.forEach((entry, index) => {
+    const shift = index / entries.length;
+    const after = new Map<string, number>();
+    function pollLoad() {
+      for (const [id, engine] of engines) {
+        entry.reportLoad(id, engine.load());
+      }
+    }
+    function pollCache() {
+      for (const [id, engine] of engines) {
+        const events = engine.cacheEvents(after.get(id) ?? -1);
+        after.set(id, entry.reportCache(id, events));
+      }
+    }
+    clock.after(shift * LOAD_POLL_MS, () => {
+      every(clock, LOAD_POLL_MS, pollLoad);
+    });
+    clock.after(shift * CACHE_POLL_MS, () => {
+      every(clock, CACHE_POLL_MS, pollCache);
+    });
+  });
+}
--- /dev/null
+++ b/packages/bench/src/routing/workloads.ts
@@ -0,0 +1,138 @@
+/** Multi-turn requests like those of the two users, drawn from a seed. */
+import {hash32, seededRandom, type Random} from '@skylarkfield/base';
+
+/** One user's model pool and its callers. */
+export interface Workload {
+  readonly name: 'namu' | 'sahakarana';
+  readonly replicas: number;
+  /** New sessions a second over all customers. */
+  readonly sessionsPerSecond: number;
+  /** Shares of the customers, a few of them large. */
+  readonly customerShares: readonly number[];
+  /** Blocks from the start of a prompt after which it is no longer shared by all callers. */
+  readonly sharedBlocks: number;
+  /** Draws a session of a customer. */
+  session(customer: number, random: Random): Session;
+}
+
+/** A caller's conversation: each turn adds the answer and a question. */
+export interface Session {
+  readonly prompt: string;
+  readonly turns: readonly Turn[];
+}
+
+export interface Turn {
+  /** What the caller adds after the previous answer. */
+  readonly question: string;
+  readonly maxTokens: number;
+  /** Milliseconds from the previous answer's end. */
+  readonly thinkMs: number;
+}
+
+/** Distinct words of one text, the same for the same name. */
+export function words(name: string, count: number): string {
+  return Array.from({length: count}, (_, index) => `${name}.${index}`).join(
+    ' ',
+  );
+}
+
+function drawTurns(
+  random: Random,
+  id: string,
+  shape: {
+    readonly turns: readonly [number, number];
+    readonly answer: readonly [number, number];
+    readonly thinkMs: number;
+  },
+): Turn[] {
+  const count = random.integer(...shape.turns);
+  return Array.from({length: count}, (_, turn) => ({
+    question: words(`${id}q${turn}`, random.integer(15, 60)),
+    maxTokens: random.integer(...shape.answer),
+    thinkMs: turn === 0 ? 0 : random.exponential(shape.thinkMs),
+  }));
+}
+
+/** Draws an index with weight falling as 1/(rank + 1): some histories are asked about far more. */
+function drawRank(random: Random, count: number): number {
+  const total = Array.from({length: count}, (_, i) => 1 / (i + 1)).reduce(
+    (a, b) => a + b,
+    0,
+  );
+  let left = random.next() * total;
+  for (let rank = 0; rank < count; rank++) {
+    left -= 1 / (rank + 1);
+    if (left <= 0) {
+      return rank;
+    }
+  }
+  return count - 1;
+}
+
+function drawId(random: Random): string {
+  return random.integer(0, 0x3fffffff).toString(36);
+}
+
+const CUSTOMER_SHARES = [0.42, 0.28, 0.15, 0.1, 0.05];
+
+/** Image matching: a shared prompt and catalogue, then a photo seen nowhere else. */
+const namu: Workload = {
+  name: 'namu',
+  replicas: 6,
+  sessionsPerSecond: 4.5,
+  customerShares: CUSTOMER_SHARES,
+  sharedBlocks: 44,
+  session(customer, random) {
+    const id = drawId(random);
+    const prompt = [
+      words('system', 320),
+      words(`catalogue${customer}`, 384),
+      words(`photo${id}`, random.integer(500, 1600)),
+    ].join(' ');
+    const turns = drawTurns(random, id, {
+      turns: [1, 5],
+      answer: [20, 120],
+      thinkMs: 6000,
+    });
+    return {prompt, turns};
+  },
+};
+
+/** Long worker histories, asked about again and again by few customers. */
+const sahakarana: Workload = {
+  name: 'sahakarana',
+  replicas: 8,
+  sessionsPerSecond: 3,
+  customerShares: CUSTOMER_SHARES,
+  sharedBlocks: 12,
+  session(customer, random) {
+    const crews = Math.round(20 + 80 * (CUSTOMER_SHARES[customer] ?? 0));
+    const crew = `crew${customer}-${drawRank(random, crews)}`;
+    // The same history each time: its length follows from its name.
+    const lengths = seededRandom(hash32(crew));
+    const prompt = [
+      words('system', 192),
+      words(crew, lengths.integer(1800, 5200)),
+    ].join(' ');
+    const turns = drawTurns(random, drawId(random), {
+      turns: [2, 6],
+      answer: [40, 200],
+      thinkMs: 5000,
+    });
+    return {prompt, turns};
+  },
+};
+
+export const workloads: readonly Workload[] = [namu, sahakarana];
+
+/**
+ * Draws a customer by the workload's shares.
+ *
+ * @example
+ * const customer = drawCustomer(workload, random);
+ */
+export function drawCustomer(workload: Workload, random: Random): number {
+  let left = random.next();
+  const index = workload.customerShares.findIndex(share => (left -= share) < 0);
+  return index < 0 ? 0 : index;
+}
--- a/packages/endpoints/src/promptBlocks.ts
+++ b/packages/endpoints/src/promptBlocks.ts
@@ -1,8 +1,10 @@
 /** How prompts are cut into tokens and cache blocks, alike in entries and engines. */
-import {hash32} from '@skylarkfield/base';
+import {hash} from 'node:crypto';
 
 /** Tokens in one block of an engine's prefix cache. */
 export const BLOCK_TOKENS = 16;
+/** Characters kept of a block's hash: 72 bits, so that two blocks never meet by chance. */
+const BLOCK_HASH_CHARACTERS = 12;
 
 /**
  * Cuts a prompt into tokens; a stand-in for a model's tokenizer that is exact
@@ -12,7 +14,7 @@
  * promptTokens('match this oak').length; // 3
  */
 export function promptTokens(prompt: string): string[] {
-  return prompt.split(/\s+/).filter(token => token !== '');
+  return prompt.match(/\S+/g) ?? [];
 }
 
 /**
@@ -45,9 +47,10 @@
     start += BLOCK_TOKENS
   ) {
     const text = tokens.slice(start, start + BLOCK_TOKENS).join(' ');
-    const low = hash32(`${chain} ${text}`);
-    const high = hash32(`${chain} ${text}`, low);
-    chain = `${low.toString(36)}${high.toString(36)}`;
+    chain = hash('sha256', `${chain} ${text}`, 'base64url').slice(
+      0,
+      BLOCK_HASH_CHARACTERS,
+    );
     blocks.push(chain);
   }
   return blocks;
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -27,6 +27,10 @@
   readonly endpoint: string;
   /** Prompt tokens believed to be cached there. */
   readonly cachedTokens: number;
+  /** The engine has begun and told what it found cached; optional, at most once. */
+  started(cachedTokens: number): void;
+  /** The first token has come, so the prompt is computed; optional, at most once. */
+  streaming(): void;
   /** Tells the router how the attempt went; exactly once. */
   finish(result: AttemptResult): void;
 }
@@ -38,6 +42,7 @@
     | 'unreachable'
     | 'overloaded'
     | 'cancelled';
+  /** Milliseconds to the first token, or to the whole answer of a plain service. */
   readonly latencyMs: number;
   /** What the engine said it found cached, if it said so. */
   readonly cachedTokens?: number;
@@ -48,11 +53,15 @@
   setEndpoints(endpoints: readonly Candidate[]): void;
   /** The endpoint gets no new work from now on; works before the endpoint is listed too. */
   markLeaving(endpoint: string): void;
+  /** Ids of the live entries, this one included: they share out the endpoints of large services. */
+  setEntries(entries: readonly string[]): void;
   /** Chooses; undefined when no endpoint may take the request. */
   choose(journey: Journey): Choice | undefined;
   reportLoad(endpoint: string, report: LoadReport): void;
   /** Cache events in the order of arrival; returns the sequence to ask from next (-1: resync). */
   reportCache(endpoint: string, events: readonly CacheEvent[]): number;
+  /** The endpoints that this entry uses, a part of them when a service is large. */
+  held(): readonly Candidate[];
   /** Sum of the slots of a service's usable endpoints. */
   slots(service: string): number;
   dump(): unknown;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,3 +1,5 @@
 /** Which endpoint serves a request. */
 export * from './contracts.js';
 export * from './router.js';
+export {defaultRouteWeights, type RouteWeights} from './routeCosts.js';
+export {pickSubset, SUBSET_SIZE} from './subset.js';
--- /dev/null
+++ b/packages/routing/src/routeCosts.ts
@@ -0,0 +1,98 @@
+/** Expected milliseconds to the first token at an endpoint. */
+import type {LoadEstimate} from './loadView.js';
+
+/** How choices are weighed; the defaults were chosen by measurement, see docs/DECISIONS/routing.md. */
+export interface RouteWeights {
+  /** Weight of a token computed again relative to the time it takes: it also delays others. */
+  readonly uncached: number;
+  /** The same for tokens of a prefix that every endpoint serves: computing it pays for later requests. */
+  readonly uncachedShared: number;
+  /** Milliseconds that each request there adds, by slowing every step. */
+  readonly perRequestMs: number;
+  /** Milliseconds that the endpoint preferred by hash is favoured by when nothing is known. */
+  readonly affinityMs: number;
+  /** Part of the weighted cost of uncached tokens that the preferred endpoint is favoured by as well. */
+  readonly affinityShare: number;
+  /** Milliseconds that the own failure domain is favoured by: a hop, no more. */
+  readonly ownDomainMs: number;
+  /** Milliseconds of random spread, so that entries with one view do not choose alike. */
+  readonly spreadMs: number;
+}
+
+export const defaultRouteWeights: RouteWeights = {
+  uncached: 5,
+  uncachedShared: 1,
+  perRequestMs: 8,
+  affinityMs: 100,
+  affinityShare: 0.25,
+  ownDomainMs: 2,
+  spreadMs: 2,
+};
+
+const RATE_WEIGHT = 0.05;
+const MIN_OBSERVED_TOKENS = 100;
+const MIN_MS_PER_TOKEN = 0.001;
+const MAX_MS_PER_TOKEN = 10;
+
+export interface RouteCosts {
+  /** Milliseconds until a request's first token, were it sent there now. */
+  firstTokenMs(load: LoadEstimate, uncachedTokens: number): number;
+  /** `favour` is from 0 to 1: how much the prefix belongs there. Milliseconds with the weight that tokens computed again have in a choice. */
+  score(
+    load: LoadEstimate,
+    ownTokens: number,
+    sharedTokens: number,
+    favour: number,
+  ): number;
+  /** The first token came so long after so many tokens had to be computed. */
+  observeFirstToken(tokens: number, tookMs: number): void;
+  /** A request was there for so long. */
+  observeStay(tookMs: number): void;
+  dump(): unknown;
+}
+
+/**
+ * Makes the costs of one service, learning from what is seen.
+ *
+ * @example
+ * const costs = createRouteCosts(defaultRouteWeights);
+ */
+export function createRouteCosts(weights: RouteWeights): RouteCosts {
+  let msPerToken = 0.12;
+  let stayMs = 1500;
+
+  function waitMs(load: LoadEstimate): number {
+    const queued = Math.max(0, load.requests + 1 - load.slots);
+    return (
+      load.pendingTokens * msPerToken +
+      (queued * stayMs) / load.slots +
+      load.requests * weights.perRequestMs
+    );
+  }
+
+  return {
+    firstTokenMs: (load, uncachedTokens) =>
+      waitMs(load) + uncachedTokens * msPerToken,
+    score(load, ownTokens, sharedTokens, favour) {
+      const ownMs = ownTokens * weights.uncached * msPerToken;
+      const sharedMs = sharedTokens * weights.uncachedShared * msPerToken;
+      const favourMs =
+        favour * (weights.affinityMs + weights.affinityShare * ownMs);
+      return waitMs(load) + ownMs + sharedMs - favourMs;
+    },
+    observeFirstToken(tokens, tookMs) {
+      if (tokens < MIN_OBSERVED_TOKENS) {
+        return;
+      }
+      const seen = Math.min(
+        MAX_MS_PER_TOKEN,
+        Math.max(MIN_MS_PER_TOKEN, tookMs / tokens),
+      );
+      msPerToken += (seen - msPerToken) * RATE_WEIGHT;
+    },
+    observeStay(tookMs) {
+      stayMs += (tookMs - stayMs) * RATE_WEIGHT;
+    },
+    dump: () => ({msPerToken, stayMs}),
+  };
+}
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -1,6 +1,17 @@
-/** Chooses endpoints by the load that this entry has placed on them. */
+/** Chooses endpoints by expected wait, cached prefix and health. */
 import type {Clock, DecisionLog, Random} from '@skylarkfield/base';
-import type {Candidate, Choice, Journey, Router} from './contracts.js';
+import {favoursFor} from './affinity.js';
+import {BLOCK_TOKENS} from '@skylarkfield/endpoints';
+import type {AttemptResult, Choice, Journey, Router} from './contracts.js';
+import {doubtedByDomain, ejectionReason} from './ejection.js';
+import {createEndpointPools, type KnownEndpoint} from './endpointPool.js';
+import {createPopularity, type Popularity} from './popularity.js';
+import {
+  createRouteCosts,
+  defaultRouteWeights,
+  type RouteCosts,
+  type RouteWeights,
+} from './routeCosts.js';
 
 export interface RouterOptions {
   readonly clock: Clock;
@@ -10,6 +21,32 @@
   readonly failureDomain: string;
   /** Id of this entry. */
   readonly self: string;
+  /** Tells this entry's attempts from others in load reports; by id prefix when not given. */
+  readonly isOwn?: (attempt: string) => boolean;
+  readonly weights?: Partial<RouteWeights>;
+}
+
+/** Share of requests that go to an endpoint which waits to be probed: short prompts, and long ones. */
+const PROBE_SHARE = 0.3;
+const LONG_PROBE_SHARE = 0.03;
+/** Prompt tokens to compute from which on a request is a costly probe. */
+const LONG_PROBE_TOKENS = 512;
+/** Expected milliseconds below which a latency says nothing about slowness. */
+const MIN_EXPECTED_MS = 40;
+const PERCENT = 100;
+
+/** Where a prompt's prefix belongs. */
+interface PrefixPlace {
+  /** Tokens of the start that all endpoints have to serve anyway. */
+  readonly sharedTokens: number;
+  /** How much the endpoints are favoured for what follows, alike at every entry. */
+  readonly favours: ReadonlyMap<string, number>;
+}
+
+interface Scored {
+  readonly endpoint: KnownEndpoint;
+  readonly cachedTokens: number;
+  readonly score: number;
 }
 
 /**
@@ -21,55 +58,252 @@
  * const choice = router.choose(journey);
  */
 export function createRouter(options: RouterOptions): Router {
-  const {random} = options;
-  let endpoints: readonly Candidate[] = [];
-  const leaving = new Set<string>();
-  const outstanding = new Map<string, number>();
-  const slots = new Map<string, number>();
-
-  function change(endpoint: string, by: number) {
-    outstanding.set(endpoint, (outstanding.get(endpoint) ?? 0) + by);
+  const {clock, random, decisions, failureDomain, self} = options;
+  const weights = {...defaultRouteWeights, ...options.weights};
+  const isOwn =
+    options.isOwn ?? ((attempt: string) => attempt.startsWith(`${self}-`));
+  const pools = createEndpointPools({clock, random, self, isOwn});
+  const costsByService = new Map<string, RouteCosts>();
+  const popularityByService = new Map<string, Popularity>();
+  const totals = {choices: 0, probes: 0, forced: 0, ejections: 0};
+
+  function costsOf(service: string): RouteCosts {
+    const costs = costsByService.get(service) ?? createRouteCosts(weights);
+    costsByService.set(service, costs);
+    return costs;
+  }
+
+  function popularityOf(service: string): Popularity {
+    const popularity = popularityByService.get(service) ?? createPopularity();
+    popularityByService.set(service, popularity);
+    return popularity;
   }
 
-  function isUsable(candidate: Candidate, journey: Journey): boolean {
-    return (
-      candidate.service === journey.service &&
-      candidate.version === journey.version &&
-      !leaving.has(candidate.id) &&
-      !journey.excluded.has(candidate.id)
+  /** Endpoints that may get the request; those aside only when no other is left. */
+  function usable(journey: Journey): readonly KnownEndpoint[] {
+    const present = pools
+      .of(journey.service, journey.version)
+      .filter(
+        ({candidate, health}) =>
+          health.state !== 'leaving' && !journey.excluded.has(candidate.id),
+      );
+    const admitting = present.filter(({health}) => health.admits());
+    if (admitting.length > 0 || present.length === 0) {
+      return admitting;
+    }
+    totals.forced += 1;
+    return present;
+  }
+
+  function score(
+    endpoint: KnownEndpoint,
+    journey: Journey,
+    costs: RouteCosts,
+    place: PrefixPlace,
+  ): Scored {
+    const {candidate, cache, load} = endpoint;
+    const cachedTokens = Math.min(
+      journey.promptTokens,
+      cache.expectedTokens(journey.blocks),
+    );
+    const sharedTokens = Math.max(0, place.sharedTokens - cachedTokens);
+    const ownTokens = journey.promptTokens - cachedTokens - sharedTokens;
+    let total = costs.score(
+      load.estimate(),
+      ownTokens,
+      sharedTokens,
+      place.favours.get(candidate.id) ?? 0,
+    );
+    total += random.next() * weights.spreadMs;
+    if (candidate.failureDomain !== failureDomain) {
+      total += weights.ownDomainMs;
+    }
+    return {endpoint, cachedTokens, score: total};
+  }
+
+  /** Where a prefix belongs by hash, beyond what all endpoints have to serve. */
+  function placePrefix(
+    journey: Journey,
+    candidates: readonly KnownEndpoint[],
+  ): PrefixPlace {
+    const {blocks} = journey;
+    if (blocks.length === 0) {
+      return {sharedTokens: 0, favours: new Map()};
+    }
+    const popularity = popularityOf(journey.service);
+    const shared = popularity.sharedBlocks(blocks, candidates.length);
+    const favours = favoursFor(
+      blocks[shared] ?? blocks.at(-1)!,
+      candidates.map(({candidate}) => candidate.id),
     );
+    return {sharedTokens: shared * BLOCK_TOKENS, favours};
+  }
+
+  function pick(
+    journey: Journey,
+    candidates: readonly KnownEndpoint[],
+  ): Scored | undefined {
+    const costs = costsOf(journey.service);
+    const place = placePrefix(journey, candidates);
+    let best: Scored | undefined;
+    for (const endpoint of candidates) {
+      const scored = score(endpoint, journey, costs, place);
+      if (best === undefined || scored.score < best.score) {
+        best = scored;
+      }
+    }
+    return best;
+  }
+
+  function probeTarget(
+    journey: Journey,
+    candidates: readonly KnownEndpoint[],
+  ): KnownEndpoint[] | undefined {
+    const waiting = candidates.filter(({health}) => health.wantsProbe());
+    const [first] = waiting;
+    if (first === undefined) {
+      return undefined;
+    }
+    const cached = first.cache.expectedTokens(journey.blocks);
+    const isLong = journey.promptTokens - cached > LONG_PROBE_TOKENS;
+    if (!random.chance(isLong ? LONG_PROBE_SHARE : PROBE_SHARE)) {
+      return undefined;
+    }
+    totals.probes += 1;
+    return [first];
+  }
+
+  function judge(endpoint: KnownEndpoint) {
+    const {candidate, health} = endpoint;
+    const pool = pools.of(candidate.service, candidate.version);
+    const lost = health.figures.unreachableInRow > 0;
+    const reason =
+      health.state === 'live' ? ejectionReason(endpoint, pool) : undefined;
+    if (reason !== undefined) {
+      const {failuresInRow, failureRate, slowness} = health.figures;
+      decisions.note('routing', candidate.id, 'eject', reason, {
+        failuresInRow,
+        failurePercent: Math.round(failureRate * PERCENT),
+        slowness: Math.round(slowness * PERCENT) / PERCENT,
+      });
+      totals.ejections += 1;
+      health.eject();
+    }
+    if (!lost) {
+      return;
+    }
+    for (const other of doubtedByDomain(endpoint, pool)) {
+      decisions.note(
+        'routing',
+        other.candidate.id,
+        'probe first',
+        `its failure domain ${candidate.failureDomain} looks lost`,
+      );
+      other.health.doubt();
+    }
+  }
+
+  function open(journey: Journey, scored: Scored): Choice {
+    const {endpoint, cachedTokens} = scored;
+    const {candidate, cache, health, load} = endpoint;
+    const costs = costsOf(journey.service);
+    const uncached = Math.max(0, journey.promptTokens - cachedTokens);
+    const before = load.estimate();
+    const expectedMs = costs.firstTokenMs(before, uncached);
+    const own = load.add(uncached);
+    const startMs = clock.now();
+    let isFinished = false;
+    cache.noteSent(journey.blocks);
+    popularityOf(journey.service).note(journey.blocks);
+    health.noteSent();
+    totals.choices += 1;
+
+    function finish(result: AttemptResult) {
+      if (isFinished) {
+        return;
+      }
+      isFinished = true;
+      load.remove(own);
+      if (result.cachedTokens !== undefined) {
+        cache.noteFound(journey.blocks, result.cachedTokens);
+      }
+      const slowness = result.latencyMs / Math.max(MIN_EXPECTED_MS, expectedMs);
+      health.note(result.outcome, slowness);
+      if (result.outcome === 'ok') {
+        costs.observeStay(clock.now() - startMs);
+        costs.observeFirstToken(
+          before.pendingTokens + uncached,
+          result.latencyMs,
+        );
+      }
+      judge(endpoint);
+    }
+
+    return {
+      endpoint: candidate.id,
+      cachedTokens,
+      started(found) {
+        own.pendingTokens = Math.max(0, journey.promptTokens - found);
+        cache.noteFound(journey.blocks, found);
+      },
+      streaming() {
+        own.pendingTokens = 0;
+      },
+      finish,
+    };
   }
 
   return {
-    setEndpoints(next) {
-      endpoints = next;
-    },
+    setEndpoints: endpoints => pools.setEndpoints(endpoints),
+    setEntries: entries => pools.setEntries(entries),
     markLeaving(endpoint) {
-      leaving.add(endpoint);
-    },
-    choose(journey): Choice | undefined {
-      const usable = endpoints.filter(item => isUsable(item, journey));
-      const loads = usable.map(({id}) => outstanding.get(id) ?? 0);
-      const least = Math.min(...loads);
-      const chosen = random.pick(usable.filter((_, i) => loads[i] === least));
-      if (chosen === undefined) {
-        return undefined;
+      if (!pools.leaving().includes(endpoint)) {
+        decisions.note('routing', endpoint, 'no new work', 'it leaves');
       }
-      change(chosen.id, 1);
-      return {
-        endpoint: chosen.id,
-        cachedTokens: 0,
-        finish: () => change(chosen.id, -1),
-      };
+      pools.markLeaving(endpoint);
+    },
+    choose(journey) {
+      const candidates = usable(journey);
+      const scored = pick(
+        journey,
+        probeTarget(journey, candidates) ?? candidates,
+      );
+      return scored === undefined ? undefined : open(journey, scored);
     },
     reportLoad(endpoint, report) {
-      slots.set(endpoint, report.slots);
+      const known = pools.get(endpoint);
+      known?.load.report(report);
+      known?.health.noteReport();
+    },
+    reportCache: (endpoint, events) =>
+      pools.get(endpoint)?.cache.apply(events) ?? -1,
+    held: () => pools.all().map(({candidate}) => candidate),
+    slots(service) {
+      const held = pools
+        .all()
+        .filter(
+          ({candidate, health}) =>
+            candidate.service === service && health.state !== 'leaving',
+        );
+      const sum = held
+        .filter(({health}) => health.state !== 'ejected')
+        .reduce((total, {load}) => total + load.estimate().slots, 0);
+      const share = held.length / Math.max(1, pools.countListed(service));
+      return share === 0 ? 0 : Math.round(sum / Math.min(1, share));
     },
-    reportCache: (_endpoint, events) => events.at(-1)?.sequence ?? -1,
-    slots: service =>
-      endpoints
-        .filter(item => item.service === service && !leaving.has(item.id))
-        .reduce((sum, item) => sum + (slots.get(item.id) ?? 0), 0),
-    dump: () => ({endpoints, leaving: [...leaving]}),
+    dump: () => ({
+      totals: {...totals},
+      costs: Object.fromEntries(
+        [...costsByService].map(([service, costs]) => [service, costs.dump()]),
+      ),
+      leaving: pools.leaving(),
+      endpoints: pools.all().map(({candidate, health, load, cache}) => ({
+        ...candidate,
+        health: health.state,
+        figures: {...health.figures},
+        load: load.dump(),
+        cache: cache.dump(),
+      })),
+    }),
   };
 }
--- /dev/null
+++ b/packages/routing/src/test/routerRig.ts
@@ -0,0 +1,86 @@
+/** A router over a few endpoints, with a virtual clock. */
+import {
+  decisionLog,
+  seededRandom,
+  silentLogger,
+  virtualClock,
+} from '@skylarkfield/base';
+import type {LoadReport} from '@skylarkfield/endpoints';
+import type {AttemptResult, Candidate, Journey} from '../contracts.js';
+import {createRouter} from '../router.js';
+
+export function candidate(id: string, failureDomain = 'a'): Candidate {
+  return {
+    id,
+    service: 's',
+    version: 'v1',
+    failureDomain,
+    host: `h-${id}`,
+    type: 'model',
+  };
+}
+
+export function journey(overrides: Partial<Journey> = {}): Journey {
+  return {
+    service: 's',
+    version: 'v1',
+    blocks: [],
+    promptTokens: 0,
+    expectedTokens: 50,
+    excluded: new Set(),
+    ...overrides,
+  };
+}
+
+export function loadReport(overrides: Partial<LoadReport> = {}): LoadReport {
+  return {
+    sequence: 1,
+    running: 0,
+    waiting: 0,
+    slots: 8,
+    waitingPromptTokens: 0,
+    cacheUse: 0,
+    attempts: [],
+    ...overrides,
+  };
+}
+
+export function createRig(endpoints: readonly Candidate[]) {
+  const clock = virtualClock();
+  const decisions = decisionLog(clock, silentLogger());
+  const router = createRouter({
+    clock,
+    random: seededRandom(5),
+    decisions,
+    failureDomain: 'a',
+    self: 'e1',
+  });
+  router.setEndpoints(endpoints);
+
+  /** Sends requests that end as `outcomeOf` says; counts them by endpoint. */
+  function send(
+    count: number,
+    outcomeOf: (endpoint: string) => AttemptResult['outcome'],
+  ): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (let sent = 0; sent < count; sent++) {
+      const choice = router.choose(journey());
+      if (choice === undefined) {
+        continue;
+      }
+      const {endpoint} = choice;
+      counts.set(endpoint, (counts.get(endpoint) ?? 0) + 1);
+      choice.finish({outcome: outcomeOf(endpoint), latencyMs: 30});
+    }
+    return counts;
+  }
+
+  function healthOf(id: string): string | undefined {
+    const {endpoints: known} = router.dump() as {
+      endpoints: {id: string; health: string}[];
+    };
+    return known.find(endpoint => endpoint.id === id)?.health;
+  }
+
+  return {clock, router, decisions, send, healthOf};
+}
--- /dev/null
+++ b/packages/routing/src/test/subset.test.ts
@@ -0,0 +1,37 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {SUBSET_SIZE, holdersPerEndpoint, pickSubset} from '../subset.js';
+
+function names(prefix: string, count: number): string[] {
+  return Array.from({length: count}, (_, index) => `${prefix}${index}`);
+}
+
+describe('subsets of a large service', () => {
+  const entries = names('entry-', 60);
+  const endpoints = names('replica-', 600);
+  const subsets = entries.map(entry => pickSubset(entry, entries, endpoints));
+
+  it('uses a small service whole', () => {
+    const few = names('replica-', SUBSET_SIZE);
+    assert.equal(pickSubset('entry-1', entries, few).size, few.length);
+  });
+
+  it('gives every endpoint the same number of entries', () => {
+    const expected = holdersPerEndpoint(endpoints.length, entries.length);
+    for (const endpoint of endpoints) {
+      const holders = subsets.filter(subset => subset.has(endpoint)).length;
+      assert.equal(holders, expected);
+    }
+  });
+
+  it('moves few endpoints when an entry goes', () => {
+    const rest = entries.slice(1);
+    rest.forEach((entry, index) => {
+      const before = subsets[index + 1]!;
+      const after = pickSubset(entry, rest, endpoints);
+      const kept = [...before].filter(endpoint => after.has(endpoint));
+      assert.equal(kept.length, before.size);
+      assert.ok(after.size <= before.size + 12);
+    });
+  });
+});
--- a/packages/streams/src/attempt.ts
+++ b/packages/streams/src/attempt.ts
@@ -187,6 +187,7 @@
     if (firstTokenMs === undefined) {
       firstTokenMs = clock.now();
       states.send('token');
+      place.streaming?.();
       progress.hasComputed = true;
       costs.observePrefill(uncachedTokens, firstTokenMs - startedMs);
       firstTokenTimer?.dispose();
@@ -219,6 +220,7 @@
       }
       if (judgement.type === 'start') {
         states.send('start');
+        place.started?.(judgement.event.cachedTokens);
         countWork(judgement.event);
       }
       if (judgement.type === 'deliver') {
--- a/packages/streams/src/contracts.ts
+++ b/packages/streams/src/contracts.ts
@@ -29,6 +29,10 @@
   readonly leaving: AbortSignal;
   /** Monotonic milliseconds by which a leaving endpoint is gone, when known. */
   goneAt?(): number | undefined;
+  /** The engine has begun with the prompt; at most once. */
+  started?(cachedTokens: number): void;
+  /** The first token has come; at most once. */
+  streaming?(): void;
   finish(result: {
     readonly outcome:
       | 'ok'
