--- /dev/null
+++ b/packages/bench/src/test/wholePath.test.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict';
+import {after, before, describe, it} from 'node:test';
+import {
+  putTrialRecords,
+  runsByKey,
+  sendOrder,
+  streamChat,
+  trialEngine,
+  trialHeaders,
+  trialPlain,
+} from '../processes/trialCalls.js';
+import {startTrialFleet, type TrialFleet} from '../processes/trialFleet.js';
+import {until, untilServing} from '../processes/untilServing.js';
+
+describe('the whole path, as separate processes', () => {
+  let fleet: TrialFleet;
+  let entry: string;
+
+  before(async () => {
+    fleet = await startTrialFleet({
+      entryDomains: ['a', 'b', 'c'],
+      endpoints: [
+        trialEngine('m1', 'a'),
+        trialEngine('m2', 'b'),
+        trialPlain('b1', 'a'),
+        trialPlain('b2', 'b'),
+      ],
+      settings: {log: {level: 'warn'}},
+    });
+    await putTrialRecords(fleet);
+    entry = await untilServing(fleet, ['match', 'booking']);
+  });
+
+  after(() => fleet?.dispose());
+
+  it('streams an answer of a model, token by token, with its end', async () => {
+    const counts: number[] = [];
+    const answer = await streamChat(entry, 'match a warm oak floor', 6, count =>
+      counts.push(count),
+    );
+    assert.equal(answer.status, 200);
+    assert.equal(answer.isComplete, true);
+    assert.equal(answer.usage?.['completion_tokens'], 6);
+    assert.ok(counts.length > 1, 'tokens came one after the other');
+  });
+
+  it('gives the same text whole as streamed', async () => {
+    const question = 'match a pale ash table';
+    const response = await fetch(`${entry}/v1/chat/completions`, {
+      method: 'POST',
+      headers: trialHeaders,
+      body: JSON.stringify({
+        model: 'match',
+        max_tokens: 5,
+        messages: [{role: 'user', content: question}],
+      }),
+    });
+    const whole = (await response.json()) as {
+      choices: [{message: {content: string}}];
+    };
+    const streamed = await streamChat(entry, question, 5);
+    assert.equal(streamed.text, whole.choices[0].message.content);
+  });
+
+  it('passes an idempotent call through with its headers', async () => {
+    const response = await fetch(`${entry}/services/booking/availability`, {
+      headers: trialHeaders,
+    });
+    assert.equal(response.status, 200, await response.text());
+    assert.ok(response.headers.get('x-request-id'));
+  });
+
+  it('runs an order once however often and wherever its key is sent', async () => {
+    const urls = fleet.entries.map(process => process.ready['callers'] ?? '');
+    const replies = new Set<string>();
+    for (const url of [...urls, ...urls]) {
+      const {status, text} = await sendOrder(url, 'shift-1');
+      replies.add(`${status} ${text}`);
+    }
+    assert.equal(replies.size, 1, [...replies].join('\n'));
+    const runs = await runsByKey(fleet, ['b1', 'b2']);
+    assert.equal(runs.get('shift-1'), 1);
+  });
+
+  it('refuses the same key with another body', async () => {
+    const send = (shift: number) =>
+      fetch(`${entry}/services/booking/bookings`, {
+        method: 'POST',
+        headers: {...trialHeaders, 'idempotency-key': 'shift-2'},
+        body: JSON.stringify({shift}),
+      });
+    assert.ok((await send(2)).ok);
+    const response = await send(3);
+    const problem = (await response.json()) as {kind: string; run: string};
+    assert.equal(problem.kind, 'key-conflict');
+    assert.equal(problem.run, 'not-run');
+  });
+
+  it('answers lookups with every entry, and reports the records in force', async () => {
+    const response = await fetch(`${entry}/v1/entries?affinity=s1`, {
+      headers: trialHeaders,
+    });
+    const answer = (await response.json()) as {entries: {url: string}[]};
+    const urls = new Set(answer.entries.map(item => item.url));
+    assert.equal(urls.size, 3);
+    await until('the record is reported in force', async () => {
+      const status = await fleet.store.get<{state: string}>(
+        'status',
+        'service.booking',
+      );
+      return status?.value.state === 'in-force';
+    });
+  });
+});
--- a/packages/orders/src/test/simulatedProcess.ts
+++ b/packages/orders/src/test/simulatedProcess.ts
@@ -1,5 +1,10 @@
 /** One simulated process: a clock, a network and a store that stand still while it is paused and end with it. */
-import {toDisposable, type Clock, type Random} from '@skylarkfield/base';
+import {
+  ServingError,
+  toDisposable,
+  type Clock,
+  type Random,
+} from '@skylarkfield/base';
 import type {ObjectStore} from '@skylarkfield/platform';
 import type {OrderNetwork} from '../index.js';
 
@@ -11,6 +16,10 @@
   readonly handlers: Map<string, Handler>;
   isAlive: boolean;
   isPaused: boolean;
+  /** What becomes of the next writes. */
+  readonly blurs: Blur[];
+  /** Fails the asks that wait for this process, as its closed connections do. */
+  readonly onDidEnd: Array<() => void>;
   /** Runs an action now, after the pause, or never when the process has ended. */
   run(action: () => void): void;
   /** Resolves while the process runs; never when it has ended. */
@@ -26,6 +35,8 @@
     handlers: new Map(),
     isAlive: true,
     isPaused: false,
+    blurs: [],
+    onDidEnd: [],
     clock: {
       now: () => world.now(),
       wall: () => world.wall(),
@@ -64,10 +75,16 @@
   return process;
 }
 
-/** A store whose answers wait while the process is paused. */
-export function pausedStore(
+/** A write whose reply is lost: it takes effect now, later, or never. */
+export type Blur = 'now' | 'late' | 'never';
+
+const LATE_WRITE_MS = 600;
+
+/** A store whose answers wait while the process is paused, and whose next writes can be blurred. */
+export function processStore(
   store: ObjectStore,
   process: SimulatedProcess,
+  world: Clock,
 ): ObjectStore {
   async function gated<T>(call: Promise<T>): Promise<T> {
     try {
@@ -76,12 +93,27 @@
       await process.whenRunning();
     }
   }
+
+  async function blur<T>(how: Blur, write: () => Promise<T>): Promise<T> {
+    if (how === 'now') {
+      await write().catch(() => undefined);
+    }
+    if (how === 'late') {
+      world.after(LATE_WRITE_MS, () => void write().catch(() => undefined));
+    }
+    throw new ServingError('outcome-unknown', 'the reply was lost');
+  }
+
   return {
     ...store,
     get: (kind, name) => gated(store.get(kind, name)),
-    put: (kind, name, value, condition) =>
+    put(kind, name, value, condition) {
       // The platform keeps a copy, as it would over the wire.
-      gated(store.put(kind, name, structuredClone(value), condition)),
+      const copy = structuredClone(value);
+      const write = () => store.put(kind, name, copy, condition);
+      const how = process.blurs.shift();
+      return gated(how === undefined ? write() : blur(how, write));
+    },
   };
 }
 
@@ -145,6 +177,9 @@
       ask: (to, type, body, timeoutMs) =>
         new Promise((resolve, reject) => {
           process.clock.after(timeoutMs, () => reject(new Error('timeout')));
+          const closed = () =>
+            process.run(() => reject(new Error('connection closed')));
+          processes.get(to)?.onDidEnd.push(closed);
           const deliver = () =>
             carry(process.id, to, () => {
               answer(process.id, to, type, body).then(
