Version moves whole: local cuts, durable states, duty and follower on every entry

Cause: nothing wrote or followed the state of a move, and an entry that saw a bad version could not act. Change: each entry looks at its own requests with the same sequential test at a stricter level and cuts at once; cuts go to peers and are told again until the durable state shows them. `createMoveDuty` advances moves and writes states by conditional update within its tenure; `createMoveFollower` follows them and shares evidence; the judge runs on every entry, so a successor has the evidence, and the state carries the proof for entries that came later.

--- a/packages/moves/src/contracts.ts
+++ b/packages/moves/src/contracts.ts
@@ -103,6 +103,8 @@
   reportCut(move: string, why: string): void;
   /** The state that the move should have now; ends a window of evidence. */
   advance(move: Move, state: MoveState | undefined, wallMs: number): MoveState;
+  /** Keeps the evidence of a move that another entry judges, to be ready to take over. */
+  follow(move: Move, state: MoveState, wallMs: number): void;
   /** Drops what is kept of moves other than these. */
   keepOnly(moves: readonly string[]): void;
   dump(): unknown;
--- a/packages/moves/src/index.ts
+++ b/packages/moves/src/index.ts
@@ -1,4 +1,6 @@
 /** Version moves: shares, judging, deadline, taking back. */
 export * from './contracts.js';
-export * from './trafficSplit.js';
+export * from './moveDuty.js';
+export * from './moveFollower.js';
 export * from './moveJudge.js';
+export * from './trafficSplit.js';
--- a/packages/moves/src/moveJudge.ts
+++ b/packages/moves/src/moveJudge.ts
@@ -47,6 +47,21 @@
   readonly proof: Proof;
   finding: Finding | undefined;
   windowEndedAt: number;
+  /** Shares that the pending window was drawn with. */
+  shares: string;
+}
+
+function isCaseOf(known: Case, move: Move, state: MoveState): boolean {
+  const startedAt = state.startedAt ?? known.startedAt;
+  return (
+    known.from === move.from &&
+    known.to === move.to &&
+    known.startedAt === startedAt
+  );
+}
+
+function sharesOf({share, orderShare}: MoveState): string {
+  return `${share}/${orderShare}`;
 }
 
 /** Changes of a state. */
@@ -64,11 +79,11 @@
   const cases = new Map<string, Case>();
   const cuts = new Map<string, string>();
   const lastStates = new Map<string, MoveState>();
-  // Evidence may come before the record: it waits for nothing and is dropped.
+  const noted = new Map<string, string>();
 
   function openCase(move: Move, state: MoveState, wallMs: number): Case {
     const known = cases.get(move.name);
-    if (known?.from === move.from && known.to === move.to) {
+    if (known !== undefined && isCaseOf(known, move, state)) {
       return known;
     }
     const startedAt = state.startedAt ?? wallMs;
@@ -82,12 +97,17 @@
       proof: createProof(state.proof ?? []),
       finding: undefined,
       windowEndedAt: wallMs,
+      shares: sharesOf(state),
     };
     cases.set(move.name, opened);
     return opened;
   }
 
-  function endWindow(current: Case, wallMs: number) {
+  function endWindow(current: Case, state: MoveState, wallMs: number) {
+    if (current.shares !== sharesOf(state)) {
+      current.shares = sharesOf(state);
+      current.window.clear();
+    }
     if (wallMs - current.windowEndedAt < WINDOW_MS) {
       return;
     }
@@ -103,6 +123,12 @@
     changes: Change,
   ): MoveState {
     const next = {...state, ...changes, changedAt: wallMs};
+    const note = `${next.phase} ${next.share} ${next.orderShare} ${next.why}`;
+    // While the platform is down the same step is tried again and again; once is enough in the log.
+    if (noted.get(state.move) === note) {
+      return next;
+    }
+    noted.set(state.move, note);
     decisions.note('moves', state.move, next.phase, next.why, {
       share: next.share,
       orderShare: next.orderShare,
@@ -154,7 +180,7 @@
 
   function decide(move: Move, state: MoveState, wallMs: number): MoveState {
     const current = openCase(move, state, wallMs);
-    endWindow(current, wallMs);
+    endWindow(current, state, wallMs);
     if (current.finding !== undefined) {
       return takeBack(state, current.finding.why, wallMs);
     }
@@ -191,7 +217,7 @@
   function step(
     move: Move,
     state: MoveState,
-    {proof, window}: Case,
+    {proof}: Case,
     progress: number,
     wallMs: number,
   ): MoveState {
@@ -208,7 +234,6 @@
     if (share === state.share && orderShare === state.orderShare) {
       return withProof(state, proof, wallMs);
     }
-    window.clear();
     const why = isProven
       ? 'no gross fault; soaking with the old version kept ready'
       : 'gathering evidence with a small share';
@@ -305,9 +330,15 @@
       lastStates.set(move.name, next);
       return next;
     },
+    follow(move, state, wallMs) {
+      if (isFinal(state.phase) || state.startedAt === undefined) {
+        return;
+      }
+      endWindow(openCase(move, state, wallMs), state, wallMs);
+    },
     keepOnly(names) {
       const kept = new Set(names);
-      for (const map of [cases, cuts, lastStates]) {
+      for (const map of [cases, cuts, lastStates, noted]) {
         for (const name of map.keys()) {
           if (!kept.has(name)) {
             map.delete(name);
--- a/packages/moves/src/proof.ts
+++ b/packages/moves/src/proof.ts
@@ -47,7 +47,7 @@
 const RATE_PRIOR_REQUESTS = 50;
 
 /** Log-odds against a fault having begun just when chance makes it look so. */
-const LATE_FAULT_ODDS = 5.5;
+const LATE_FAULT_ODDS = 7;
 
 type Mutable<T> = {-readonly [K in keyof T]: T[K]};
 
--- /dev/null
+++ b/packages/moves/src/test/fakes.ts
@@ -0,0 +1,202 @@
+/** What the tests of moves share: a record, a small object store, a bus of peers. */
+import {
+  decisionLog,
+  emitter,
+  ServingError,
+  settlePromises,
+  silentLogger,
+  toDisposable,
+  type VirtualClock,
+} from '@skylarkfield/base';
+import type {Tenure} from '@skylarkfield/duties';
+import type {
+  ObjectStore,
+  StoredObject,
+  WatchListener,
+  WriteCondition,
+} from '@skylarkfield/platform';
+import type {EvidenceSum, Messages, PeerNetwork} from '@skylarkfield/protocol';
+import type {Move, RecordKind} from '@skylarkfield/records';
+import {
+  createMoveDuty,
+  createMoveFollower,
+  createMoveJudge,
+  createTrafficSplit,
+  type MoveState,
+} from '../index.js';
+
+export const START_MS = 1_800_000_000_000;
+export const HOUR_MS = 3_600_000;
+
+export const move: Move = {
+  name: 'booking-2',
+  service: 'booking',
+  from: 'v1',
+  to: 'v2',
+  deadline: START_MS + HOUR_MS,
+  maxUnprovenShare: 0.1,
+};
+
+/** Sums of a window: the candidate's errors and latency, the incumbent's beside it. */
+export function window(
+  candidate: {requests: number; errors: number; medianMs: number},
+  incumbent: {requests: number; errors: number; medianMs: number},
+  route = 'confirm',
+): EvidenceSum[] {
+  return [
+    {version: 'v2', ...candidate},
+    {version: 'v1', ...incumbent},
+  ].map(({version, requests, errors, medianMs}) => {
+    const count = requests - errors;
+    const mean = Math.log(medianMs);
+    return {
+      route,
+      version,
+      loadLevel: 'low',
+      requests,
+      errors,
+      logLatency: count * mean,
+      logLatencySquared: count * (mean * mean + 0.16),
+    };
+  });
+}
+
+type Stored = StoredObject<MoveState>;
+
+/** An object store in memory that can be down; one for all entries of a test. */
+export function fakeStore() {
+  const objects = new Map<string, Stored>();
+  const listeners = new Set<WatchListener<MoveState>>();
+  let version = 0;
+  let isDown = false;
+  function failWhenDown() {
+    if (isDown) {
+      throw new ServingError('platform-unavailable', 'down');
+    }
+  }
+  function holds(condition: WriteCondition, known: Stored | undefined) {
+    if (condition.type === 'absent') {
+      return known === undefined;
+    }
+    return condition.type === 'any' || condition.version === known?.version;
+  }
+  const store = {
+    get: async (_kind: string, name: string) => objects.get(name),
+    async list() {
+      failWhenDown();
+      return {version, objects: [...objects.values()]};
+    },
+    async put(
+      kind: string,
+      name: string,
+      value: MoveState,
+      condition: WriteCondition,
+    ) {
+      failWhenDown();
+      if (!holds(condition, objects.get(name))) {
+        throw new ServingError('version-conflict', 'changed');
+      }
+      const stored = {kind, name, version: ++version, writeId: '', value};
+      objects.set(name, stored);
+      for (const listener of listeners) {
+        listener.onDidPut(stored);
+      }
+      return stored;
+    },
+    async remove(_kind: string, name: string) {
+      failWhenDown();
+      objects.delete(name);
+    },
+    watch(_kind: string, listener: WatchListener<MoveState>) {
+      listeners.add(listener);
+      listener.onDidList({version, objects: [...objects.values()]});
+      return toDisposable(() => listeners.delete(listener));
+    },
+  };
+  return {
+    store: store as unknown as ObjectStore,
+    state: (name: string) => objects.get(name)?.value,
+    write: (value: MoveState) =>
+      store.put('move-state', value.move, value, {type: 'any'}),
+    setDown: (next: boolean) => (isDown = next),
+  };
+}
+
+type Handler = (from: string, body: unknown) => unknown;
+
+/** Peers that hear each other unless one is cut off. */
+export function fakeBus() {
+  const handlers = new Map<string, Map<string, Handler>>();
+  const cutOff = new Set<string>();
+  function networkOf(id: string): PeerNetwork {
+    const own = new Map<string, Handler>();
+    handlers.set(id, own);
+    const network = {
+      broadcast(type: keyof Messages, body: unknown) {
+        for (const [peer, known] of handlers) {
+          if (peer !== id && !cutOff.has(id) && !cutOff.has(peer)) {
+            known.get(type)?.(id, body);
+          }
+        }
+        return handlers.size - 1;
+      },
+      onDidReceive(type: keyof Messages, handler: Handler) {
+        own.set(type, handler);
+        return toDisposable(() => own.delete(type));
+      },
+    };
+    return network as unknown as PeerNetwork;
+  }
+  return {networkOf, cutOff};
+}
+
+/** Entries with followers, and a duty that any of them may hold. */
+export function cluster(clock: VirtualClock, count: number) {
+  const bus = fakeBus();
+  const platform = fakeStore();
+  const changed = emitter<{kind: RecordKind; name: string}>();
+  let moves: readonly Move[] = [move];
+  const configuration = {
+    list: () => moves as never,
+    onDidChange: (listener: (kind: RecordKind, name: string) => void) =>
+      changed.event(({kind, name}) => listener(kind, name)),
+    isReady: () => true,
+  };
+  const entries = Array.from({length: count}, (_, index) => {
+    const decisions = decisionLog(clock, silentLogger());
+    const split = createTrafficSplit({clock, decisions});
+    const judge = createMoveJudge({clock, decisions});
+    const network = bus.networkOf(`e${index}`);
+    const objects = platform.store;
+    createMoveFollower({clock, objects, network, configuration, split, judge});
+    return {split, judge};
+  });
+  function holdDuty(index: number) {
+    const stop = new AbortController();
+    const tenure: Tenure = {
+      duty: 'moves',
+      fencing: index,
+      acquiredAt: clock.now(),
+      isValid: () => !stop.signal.aborted,
+      signal: stop.signal,
+    };
+    const duty = createMoveDuty({
+      clock,
+      log: silentLogger(),
+      objects: platform.store,
+      configuration,
+      judge: entries[index]?.judge as never,
+      tenure,
+    });
+    return toDisposable(() => {
+      stop.abort();
+      duty.dispose();
+    });
+  }
+  async function setMoves(next: readonly Move[]) {
+    moves = next;
+    changed.fire({kind: 'move', name: ''});
+    await settlePromises();
+  }
+  return {entries, platform, bus, holdDuty, setMoves};
+}
--- a/packages/protocol/src/messages/moveMessages.ts
+++ b/packages/protocol/src/messages/moveMessages.ts
@@ -25,5 +25,7 @@
   moveCut: {
     readonly move: string;
     readonly why: string;
+    /** The candidate that was cut: the record may name another by now. */
+    readonly to?: string;
   };
 }
