Running entry uses admission's load reports and version moves

Cause: the entry had neither reported slots nor a judge; evidence carried no load level and did not tell orders from other calls. Change: a load feed gives the sum of the endpoints' reports to the admission (no borrowing while any endpoint of the service is silent); startMoves runs the follower, the judge and the duty `moves`; a version without endpoints gets no traffic. Small changes in entry's callers: loadFraction from the admission (new, additive `Admission.loadFraction`), isIdempotent from the attempt's rules. Requests without a session no longer all hash to one version.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -81,6 +81,7 @@
     setReportedSlots(service, slots, busy) {
       bulkheads.get(service)?.reportSlots(slots, busy);
     },
+    loadFraction: service => bulkheads.get(service)?.loadFraction() ?? 0,
     dump: () => ({
       entryCount,
       customerWeights: Object.fromEntries(weights),
--- a/packages/admission/src/bulkhead.ts
+++ b/packages/admission/src/bulkhead.ts
@@ -24,6 +24,8 @@
   configure(service: Service): void;
   setEntryCount(count: number): void;
   reportSlots(slots: number, busy: number | undefined): void;
+  /** Requests in flight relative to the limit, 0 to 1. */
+  loadFraction(): number;
   /** Ends every waiting request as `not-run`. */
   close(): void;
   dump(): unknown;
@@ -331,6 +333,7 @@
       limit.setCeiling(share.current());
       drain();
     },
+    loadFraction: () => Math.min(1, inFlight / currentLimit()),
     close() {
       machine.send('close');
       for (const waiter of queue.items()) {
--- a/packages/admission/src/contracts.ts
+++ b/packages/admission/src/contracts.ts
@@ -48,5 +48,7 @@
    * Without `busy` each entry keeps to an even part.
    */
   setReportedSlots(service: string, slots: number, busy?: number): void;
+  /** Requests in flight of a service at this entry relative to its limit, 0 to 1. */
+  loadFraction(service: string): number;
   dump(): unknown;
 }
--- a/packages/entry/src/callers/attempts.ts
+++ b/packages/entry/src/callers/attempts.ts
@@ -32,6 +32,7 @@
 
 /** What is asked before an attempt and after a failed one. */
 interface AttemptRules {
+  readonly isIdempotent: boolean;
   begin(): boolean;
   mayRetry(error: ServingError): boolean;
 }
@@ -60,11 +61,16 @@
   return {
     repeatable: (call, signal) =>
       attemptUntil(call, signal, {
+        isIdempotent: true,
         begin: () => true,
         mayRetry: () => serving.admission.tryRetry(call.service),
       }),
     atMostOnce: (call, signal, begin) =>
-      attemptUntil(call, signal, {begin, mayRetry: isSurelyNotRun}),
+      attemptUntil(call, signal, {
+        isIdempotent: false,
+        begin,
+        mayRetry: isSurelyNotRun,
+      }),
   };
 
   async function attemptUntil(
@@ -144,7 +150,8 @@
         route: call.route,
         isError,
         latencyMs,
-        loadFraction: 0,
+        loadFraction: serving.admission.loadFraction(call.service),
+        isIdempotent: rules.isIdempotent,
       });
     }
   }
--- a/packages/entry/src/callers/serveModel.ts
+++ b/packages/entry/src/callers/serveModel.ts
@@ -132,7 +132,7 @@
         route: shape,
         isError,
         latencyMs,
-        loadFraction: 0,
+        loadFraction: serving.admission.loadFraction(service),
       });
     }
 
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -23,7 +23,8 @@
 import {createDutiesPart} from './parts/dutiesPart.js';
 import {createEnginesPart} from './parts/enginesPart.js';
 import {createMembersPart} from './parts/membersPart.js';
-import {createMovesPart} from './parts/movesPart.js';
+import {createLoadFeed} from './parts/loadFeed.js';
+import {createMovesPart, startMoves} from './parts/movesPart.js';
 import {createOrdersPart} from './parts/ordersPart.js';
 import {createPlatformPart} from './parts/platformPart.js';
 import {createRecordsPart} from './parts/recordsPart.js';
@@ -92,9 +93,13 @@
     hostList: platform.hostList,
     network,
   });
-  const endpoints = owned.add(createEnginesPart(context, hostList, router));
   const admission = createAdmissionPart(context, configuration, membership);
-  const split = createMovesPart(context, configuration);
+  const loads = createLoadFeed(router, {clock, admission, configuration});
+  const endpoints = owned.add(
+    createEnginesPart(context, hostList, loads.router),
+  );
+  owned.add(loads.start(endpoints));
+  const split = createMovesPart(context);
   const streams = createStreamRunner({clock});
   dumps.add('streams', () => streams.dump());
   const attempts = createAttempts({router, endpoints, split, admission}, clock);
@@ -110,6 +115,16 @@
   const duties = owned.add(
     createDutiesPart(context, {platform, members, records}),
   );
+  owned.add(
+    startMoves(context, {
+      split,
+      configuration,
+      network,
+      objects: platform.store,
+      endpoints,
+      duties,
+    }),
+  );
   const serving: Serving = {
     configuration,
     admission,
--- a/packages/entry/src/parts/movesPart.ts
+++ b/packages/entry/src/parts/movesPart.ts
@@ -1,30 +1,92 @@
-/** The traffic split of this entry. */
-import {createTrafficSplit, type TrafficSplit} from '@skylarkfield/moves';
+/** The version moves of this entry: its traffic split, what it follows, and the duty. */
+import {disposableStore, every, type Disposable} from '@skylarkfield/base';
+import type {Duties} from '@skylarkfield/duties';
+import {
+  createMoveDuty,
+  createMoveFollower,
+  createMoveJudge,
+  createTrafficSplit,
+  type TrafficSplit,
+} from '@skylarkfield/moves';
+import type {ObjectStore} from '@skylarkfield/platform';
+import type {PeerNetwork} from '@skylarkfield/protocol';
 import type {Configuration} from '@skylarkfield/records';
 import type {EntryContext} from '../context.js';
+import type {EndpointPool} from '../serving.js';
+
+/** How often the split hears which versions have endpoints, in milliseconds. */
+const AVAILABILITY_INTERVAL_MS = 1_000;
+
+interface MovesOptions {
+  readonly split: TrafficSplit;
+  readonly configuration: Configuration;
+  readonly network: PeerNetwork;
+  readonly objects: ObjectStore;
+  readonly endpoints: EndpointPool;
+  readonly duties: Pick<Duties, 'compete'>;
+}
 
 /**
- * Makes the split; the moves follow the configuration.
+ * Makes the split, which requests ask from the first one on.
  *
  * @example
- * const split = createMovesPart(context, configuration);
+ * const split = createMovesPart(context);
  */
-export function createMovesPart(
-  context: EntryContext,
-  configuration: Configuration,
-): TrafficSplit {
+export function createMovesPart(context: EntryContext): TrafficSplit {
   const {clock, decisions, dumps} = context;
   const split = createTrafficSplit({clock, decisions});
   dumps.add('moves', () => split.dump());
-  applyMoves();
-  configuration.onDidChange(kind => {
-    if (kind === 'move') {
-      applyMoves();
-    }
-  });
   return split;
+}
 
-  function applyMoves(): void {
-    split.setMoves(configuration.list('move'));
+/**
+ * Follows moves and competes for the duty of advancing them.
+ *
+ * @example
+ * owned.add(startMoves(context, {split, configuration, network, objects, endpoints, duties}));
+ */
+export function startMoves(
+  context: EntryContext,
+  options: MovesOptions,
+): Disposable {
+  const {clock, log, decisions, dumps} = context;
+  const {split, configuration, network, objects, endpoints, duties} = options;
+  const owned = disposableStore();
+  const judge = createMoveJudge({clock, decisions});
+  owned.add(dumps.add('moveJudge', () => judge.dump()));
+  owned.add(
+    createMoveFollower({clock, objects, network, configuration, split, judge}),
+  );
+  owned.add(every(clock, AVAILABILITY_INTERVAL_MS, setAvailable));
+  owned.add(
+    duties.compete('moves', tenure =>
+      createMoveDuty({
+        clock,
+        log,
+        objects,
+        configuration,
+        judge,
+        tenure,
+        hasEndpoints: (service, version) =>
+          versionsOf(service, endpoints).has(version),
+      }),
+    ),
+  );
+  return owned;
+
+  function setAvailable(): void {
+    for (const {service} of configuration.list('move')) {
+      split.setAvailableVersions(service, [...versionsOf(service, endpoints)]);
+    }
   }
 }
+
+/** Versions of a service that some endpoint runs which is not leaving. */
+function versionsOf(service: string, endpoints: EndpointPool): Set<string> {
+  const usable = endpoints
+    .list()
+    .filter(
+      ({listed, leaving}) => listed.service === service && !leaving.aborted,
+    );
+  return new Set(usable.map(({listed}) => listed.version));
+}
--- a/packages/moves/src/trafficSplit.ts
+++ b/packages/moves/src/trafficSplit.ts
@@ -42,6 +42,7 @@
   const available = new Map<string, ReadonlySet<string>>();
   const didCut = emitter<{move: string; why: string}>();
   let moves: readonly Move[] = [];
+  let sessionless = 0;
   let byService = new Map<string, readonly StatedMove[]>();
 
   function rebuild() {
@@ -156,7 +157,9 @@
       }
       const {move, state} = active;
       const share = (isIdempotent ? state?.share : state?.orderShare) ?? 0;
-      const isCandidate = hashFraction(`${move.name}/${session}`) < share;
+      // Requests without a session would all hash alike, and all go one way.
+      const hashed = session === '' ? `#${sessionless++}` : session;
+      const isCandidate = hashFraction(`${move.name}/${hashed}`) < share;
       return isCandidate ? move.to : serving;
     },
     observe(sample) {
