--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -21,11 +21,12 @@
 import {createServer, openListener} from './listener.js';
 import {createAdmissionPart} from './parts/admissionPart.js';
 import {createDutiesPart} from './parts/dutiesPart.js';
-import {createEnginesPart, type EnginesPart} from './parts/enginesPart.js';
-import {createFleetPart, createReportBook} from './parts/fleetPart.js';
+import {createEnginesPart} from './parts/enginesPart.js';
+import {createFleetPart} from './parts/fleetPart.js';
 import {createLeavingPart} from './parts/leavingPart.js';
 import {createMembersPart} from './parts/membersPart.js';
-import {createMovesPart} from './parts/movesPart.js';
+import {createLoadFeed} from './parts/loadFeed.js';
+import {createMovesPart, startMoves} from './parts/movesPart.js';
 import {createOrdersPart} from './parts/ordersPart.js';
 import {createPlatformPart} from './parts/platformPart.js';
 import {createRecordsPart} from './parts/recordsPart.js';
@@ -88,8 +89,7 @@
   const {membership} = members;
   const records = owned.add(createRecordsPart(context, platform, members));
   const {configuration} = records;
-  const book = createReportBook(createRoutingPart(context), () => endpoints);
-  const {router} = book;
+  const router = createRoutingPart(context);
   const listed = createSharedHostList({
     ...context,
     hostList: platform.hostList,
@@ -98,11 +98,13 @@
   const {hostList} = owned.add(
     createLeavingPart(context, {...platform, hostList: listed}, members),
   );
-  const endpoints: EnginesPart = owned.add(
-    createEnginesPart(context, hostList, router),
-  );
   const admission = createAdmissionPart(context, configuration, membership);
-  const split = createMovesPart(context, configuration);
+  const loads = createLoadFeed(router, {clock, admission, configuration});
+  const endpoints = owned.add(
+    createEnginesPart(context, hostList, loads.router),
+  );
+  owned.add(loads.start(endpoints));
+  const split = createMovesPart(context);
   const streams = createStreamRunner({clock});
   dumps.add('streams', () => streams.dump());
   const attempts = createAttempts({router, endpoints, split, admission}, clock);
@@ -118,13 +120,23 @@
   const duties = owned.add(
     createDutiesPart(context, {platform, members, records}),
   );
+  owned.add(
+    startMoves(context, {
+      split,
+      configuration,
+      network: members.network,
+      objects: platform.store,
+      endpoints,
+      duties,
+    }),
+  );
   owned.add(
     createFleetPart(context, {
       duties,
       platform,
       configuration,
       endpoints,
-      book,
+      loads,
     }),
   );
   const serving: Serving = {
