--- a/packages/members/src/lookup.ts
+++ b/packages/members/src/lookup.ts
@@ -3,7 +3,7 @@
 import type {LookupAnswer, LookupQuestion, Member} from './contracts.js';
 
 /** Addresses in one answer: enough to go on when several entries vanish at once. */
-const MOST_ENTRIES = 5;
+const MOST_ENTRIES = 8;
 /** Validity of an answer, in milliseconds. */
 const TTL_MS = 5_000;
 /** Validity while there are too few entries to choose among, in milliseconds. */
