--- /dev/null
+++ b/packages/bench/src/spreadFleet.ts
@@ -0,0 +1,117 @@
+/** Many entries' configurations in one process, over in-process networks and platform. */
+import {
+  seededRandom,
+  silentLogger,
+  type Clock,
+  type Disposable,
+} from '@skylarkfield/base';
+import {neighboursOf} from '@skylarkfield/members';
+import {
+  memoryPlatform,
+  type MemoryClient,
+  type MemoryPlatform,
+} from '@skylarkfield/platform';
+import {
+  createMemoryNetwork,
+  MEMORY_SCHEME,
+  type MemoryNetwork,
+} from '@skylarkfield/protocol';
+import {
+  createAcceptance,
+  createConfiguration,
+  type ConfigurationClient,
+} from '@skylarkfield/records';
+
+/** One entry as far as its configuration goes. */
+export interface SpreadEntry {
+  readonly id: string;
+  readonly store: MemoryClient;
+  readonly configuration: ConfigurationClient;
+}
+
+export interface SpreadFleet extends Disposable {
+  readonly platform: MemoryPlatform;
+  readonly net: MemoryNetwork;
+  readonly entries: readonly SpreadEntry[];
+}
+
+const PLATFORM_DELAY_MS = 4;
+const SMALL_FLEET = 24;
+const SMALL_DOMAINS = 4;
+const LARGE_DOMAINS = 10;
+
+/**
+ * Starts a fleet whose first entry accepts records.
+ *
+ * Beyond a small fleet each entry is connected to its heartbeat neighbours
+ * alone, as the membership connects it.
+ *
+ * @example
+ * const fleet = startSpreadFleet(systemClock(), {count: 100, seed: 1});
+ */
+export function startSpreadFleet(
+  clock: Clock,
+  options: {readonly count: number; readonly seed: number},
+): SpreadFleet {
+  const {count, seed} = options;
+  const random = seededRandom(seed);
+  const platform = memoryPlatform({clock, random});
+  platform.faults.setSlow(PLATFORM_DELAY_MS);
+  const net = createMemoryNetwork({clock, random, delayMs: 1});
+  const domains = count > SMALL_FLEET ? LARGE_DOMAINS : SMALL_DOMAINS;
+  const members = Array.from({length: count}, (_, index) => ({
+    id: `e${index}`,
+    failureDomain: `d${index % domains}`,
+  }));
+  const peers = members.map(({id}) => ({
+    id,
+    incarnation: 1,
+    url: `${MEMORY_SCHEME}${id}`,
+  }));
+
+  const started = members.map(self => {
+    const {network} = net.start(self.id);
+    const store = platform.client(self.id, {liveEntries: count});
+    return {self, network, store};
+  });
+  const entries = started.map(({self, network, store}) => {
+    const neighbours = new Set(neighboursOf(self.id, members));
+    network.setPeers(peers.filter(peer => neighbours.has(peer.id)));
+    network.setAddressBook(peers);
+    const configuration = createConfiguration({
+      clock,
+      random: seededRandom(random.integer(0, 1_000_000_000)),
+      store,
+      network,
+      self,
+      members: () => members,
+      log: silentLogger(),
+    });
+    return {id: self.id, store, configuration};
+  });
+  const [first] = entries;
+  const acceptance = createAcceptance({
+    clock,
+    random,
+    store: (first as SpreadEntry).store,
+    log: silentLogger(),
+    canAct: () => true,
+    onDidAccept: (key, accepted) =>
+      (first as SpreadEntry).configuration.offer(key, accepted),
+    lacking: records => (first as SpreadEntry).configuration.lacking(records),
+  });
+
+  return {
+    platform,
+    net,
+    entries,
+    dispose() {
+      acceptance.dispose();
+      for (const {configuration, store} of entries) {
+        configuration.dispose();
+        store.dispose();
+      }
+      started.forEach(({network}) => network.dispose());
+    },
+  };
+}
--- a/packages/entry/src/parts/dutiesPart.ts
+++ b/packages/entry/src/parts/dutiesPart.ts
@@ -48,6 +48,7 @@
         log,
         decisions,
         canAct: () => tenure.isValid(),
+        onDidAccept: (key, object) => records.configuration.offer(key, object),
         lacking: versions => records.configuration.lacking(versions),
       });
       const shown = dumps.add('acceptance', () => acceptance.dump());
--- a/packages/records/src/acceptance.ts
+++ b/packages/records/src/acceptance.ts
@@ -42,6 +42,11 @@
   readonly store: ObjectStore;
   readonly log: Logger;
   readonly decisions?: DecisionLog;
+  /**
+   * Takes every accepted object to the own configuration and from there to
+   * peers. The acceptor reaches the platform; the readers may be cut off from it.
+   */
+  readonly onDidAccept?: (key: string, accepted: AcceptedObject) => void;
   /** Whether the duty is certainly held; asked right before each effect. */
   readonly canAct: () => boolean;
   /** Ids of live members that lack one of the records or did not answer. */
@@ -72,7 +77,11 @@
   let isConfirming = false;
 
   const view = owned.add(
-    createAcceptanceView({store, onDidChange: key => mark([key])}),
+    createAcceptanceView({
+      store,
+      onDidChange: key => mark([key]),
+      onDidAccept: options.onDidAccept,
+    }),
   );
   const statuses = createStatusWriter({
     clock,
--- a/packages/records/src/acceptanceView.ts
+++ b/packages/records/src/acceptanceView.ts
@@ -35,8 +35,10 @@
 export function createAcceptanceView(options: {
   readonly store: ObjectStore;
   readonly onDidChange: (key: string) => void;
+  /** Hears of every accepted object that is seen. */
+  readonly onDidAccept?: (key: string, accepted: AcceptedObject) => void;
 }): AcceptanceView {
-  const {store, onDidChange} = options;
+  const {store, onDidChange, onDidAccept} = options;
   const owned = disposableStore();
   const sources = new Map<string, SourceRecord>();
   /** Store versions at which a record was seen to be gone. */
@@ -68,6 +70,7 @@
     // A reply to our own write and the watch may tell the same change in either order.
     if (object !== undefined && (present?.version ?? 0) < object.version) {
       accepted.set(key, object);
+      onDidAccept?.(key, object.value);
     }
     if (object === undefined) {
       accepted.delete(key);
@@ -114,7 +117,7 @@
       store.watch<AcceptedObject>(ACCEPTED_KIND, {
         onDidList({objects}) {
           accepted.clear();
-          objects.forEach(object => accepted.set(object.name, object));
+          objects.forEach(object => noteAccepted(object.name, object));
           noteListed(ACCEPTED_KIND);
         },
         onDidPut(object) {
--- a/packages/records/src/configuration.ts
+++ b/packages/records/src/configuration.ts
@@ -30,6 +30,8 @@
 
 /** The configuration with what its process needs besides reading it. */
 export interface ConfigurationClient extends Configuration, Disposable {
+  /** Puts an accepted object in force that this process has read or written itself. */
+  offer(key: string, accepted: AcceptedObject): void;
   /** Ids of live members that lack one of the records or did not answer. */
   lacking(records: readonly RecordVersion[]): Promise<readonly string[]>;
   dump(): ConfigurationDump;
@@ -143,16 +145,18 @@
   function startReading(): Disposable {
     return store.watch<AcceptedObject>(ACCEPTED_KIND, {
       onDidList: takeListing,
-      onDidPut(object) {
-        const record = read(object.name, object.value);
-        if (record !== undefined) {
-          spread.push(applyAll([record]));
-        }
-      },
+      onDidPut: object => offer(object.name, object.value),
       onDidRemove: () => {},
     });
   }
 
+  function offer(key: string, accepted: AcceptedObject): void {
+    const record = read(key, accepted);
+    if (record !== undefined) {
+      spread.push(applyAll([record]));
+    }
+  }
+
   function shouldRead(): boolean {
     const isLonely = clock.now() - spread.heardAt() > LONELY_MS;
     return (
@@ -230,6 +234,7 @@
       changed.event(({kind, name}) => listener(kind, name)),
     isReady,
     versions: () => table.versions(),
+    offer,
     lacking: records => confirmation.lacking(records),
     dump: () => ({
       isReady: isReady(),
--- a/packages/records/src/test/configuration.test.ts
+++ b/packages/records/src/test/configuration.test.ts
@@ -57,6 +57,27 @@
     }
   });
 
+  // The acceptor alone reaches the platform, and it is none of the readers. What
+  // it accepts would stay on the platform, read by nobody.
+  it('goes out from the acceptor when all readers are cut off', async () => {
+    const world = createRecordWorld({seed: 11, ids: IDS});
+    await world.advance(3000);
+    const acceptor = [...world.entries.values()].find(
+      entry => !entry.configuration.dump().isReading,
+    );
+    assert.ok(acceptor !== undefined);
+    world.accept(acceptor.id);
+    await world.advance(1000);
+    for (const entry of world.entries.values()) {
+      entry.store.faults.setDown(entry !== acceptor);
+    }
+    const version = world.write('service', 'booking', service1);
+    await world.advance(2000);
+    for (const entry of world.entries.values()) {
+      assert.equal(world.versionOn(entry, 'service.booking'), version);
+    }
+  });
+
   // An entry hears neither the platform nor its peers while a record changes.
   // When the cut heals it has to catch up without anybody writing again.
   it('catches up after a cut', async () => {
--- a/packages/records/src/test/recordWorld.ts
+++ b/packages/records/src/test/recordWorld.ts
@@ -228,6 +228,7 @@
       store: entry.store,
       log: silentLogger(),
       canAct: () => true,
+      onDidAccept: (key, object) => entry.configuration.offer(key, object),
       lacking: records => entry.configuration.lacking(records),
     });
   }
