--- a/packages/orders/src/ledger.ts
+++ b/packages/orders/src/ledger.ts
@@ -14,7 +14,7 @@
 import type {Dispatch, Ledger, Order, OrderAnswer} from './contracts.js';
 import type {Flight, OrderRequest} from './flight.js';
 import {createHandOver} from './handOver.js';
-import {createLateOutcomes} from './lateOutcomes.js';
+import {createLateOutcomes, type LateOutcome} from './lateOutcomes.js';
 import {claimOutcome, createLocalOrders} from './localOrders.js';
 import {orderId, orderPrint, shardOf, uniqueText} from './orderIdentity.js';
 import {createOrderRoute, type OrderNetwork} from './orderRoute.js';
@@ -112,6 +112,7 @@
   /** Answers that callers of this entry wait for. */
   const open = new Set<Promise<unknown>>();
   let isLeaving = false;
+  let isSendingLate = false;
   let isAlive = true;
 
   const shards: readonly Shard[] = Array.from(
@@ -257,26 +258,44 @@
   }
 
   async function sendLate(): Promise<void> {
+    if (isSendingLate) {
+      return;
+    }
+    isSendingLate = true;
     for (const index of late.shards()) {
       const waiting = late.ofShard(index, clock.now());
-      const target = preferredOwner(index);
-      if (waiting.length === 0 || target === undefined) {
-        continue;
-      }
-      if (target === member) {
-        await shards[index]?.own().catch(() => undefined);
-        continue;
-      }
-      const hops = Math.max(...waiting.map(({hops}) => hops)) + 1;
-      const outcomes = waiting.map(({outcome}) => outcome);
-      try {
-        const body = {shard: index, hops, outcomes};
-        await network.ask(target, 'orderOutcomes', body, ASK_TIMEOUT_MS);
-        outcomes.forEach(({id, token}) => late.remove(id, token));
-      } catch {
-        // It stays, and goes again at the next check.
+      const target = await lateTarget(index);
+      if (waiting.length > 0 && target !== undefined) {
+        await sendLateTo(target, index, waiting);
       }
     }
+    isSendingLate = false;
+  }
+
+  /** Who can note outcomes of a shard; undefined when they were noted here or nobody can now. */
+  async function lateTarget(index: number): Promise<string | undefined> {
+    const target = preferredOwner(index);
+    if (target !== member) {
+      return target;
+    }
+    const ownership = await shards[index]?.own().catch(() => undefined);
+    return ownership?.type === 'elsewhere' ? ownership.member : undefined;
+  }
+
+  async function sendLateTo(
+    target: string,
+    shard: number,
+    waiting: readonly LateOutcome[],
+  ): Promise<void> {
+    const hops = Math.max(...waiting.map(late => late.hops)) + 1;
+    const outcomes = waiting.map(({outcome}) => outcome);
+    try {
+      const body = {shard, hops, outcomes};
+      await network.ask(target, 'orderOutcomes', body, ASK_TIMEOUT_MS);
+      outcomes.forEach(({id, token}) => late.remove(id, token));
+    } catch {
+      // They stay, and go again at the next check.
+    }
   }
 
   function preferredOwner(index: number): string | undefined {
--- a/packages/orders/src/orderAnswers.ts
+++ b/packages/orders/src/orderAnswers.ts
@@ -7,6 +7,8 @@
 export type OrderResult =
   | FlightResult
   | {readonly type: 'elsewhere'; readonly member: string}
+  /** Nothing was sent to the entry that was to be asked. */
+  | {readonly type: 'unreached'}
   /** The entry asked may have done anything. */
   | {readonly type: 'unanswered'};
 
@@ -17,7 +19,7 @@
  * return toForwardAnswer(await orders.work(request), flight.token);
  */
 export function toForwardAnswer(
-  result: Exclude<OrderResult, {type: 'unanswered'}>,
+  result: Exclude<OrderResult, {type: 'unanswered' | 'unreached'}>,
   fallbackMember: string,
 ): ForwardAnswer {
   if (result.type === 'reply') {
--- a/packages/orders/src/orderRoute.ts
+++ b/packages/orders/src/orderRoute.ts
@@ -1,5 +1,6 @@
 /** Brings an order to the owner of its shard, wherever that is, and never calls `not-run` what a silent owner may run. */
 import {
+  isServingError,
   rendezvousOrder,
   ServingError,
   type Clock,
@@ -34,10 +35,7 @@
 }
 
 /** What the ledger needs of the inner protocol. */
-export type OrderNetwork = Pick<
-  PeerNetwork,
-  'ask' | 'connected' | 'onDidReceive'
->;
+export type OrderNetwork = Pick<PeerNetwork, 'ask' | 'onDidReceive'>;
 
 export interface OrderRouteOptions {
   readonly network: OrderNetwork;
@@ -71,12 +69,11 @@
   const {network, clock, random, member, liveMembers} = options;
 
   function isReachable(other: string): boolean {
-    return liveMembers().includes(other) && network.connected().includes(other);
+    return liveMembers().includes(other);
   }
 
   function canAnswer(other: string): boolean {
-    const isKnown = options.answeringMembers().includes(other);
-    return isKnown && network.connected().includes(other);
+    return options.answeringMembers().includes(other);
   }
 
   function askWhileLive<T>(
@@ -123,8 +120,10 @@
         deadline,
       );
       return readForwardAnswer(answer as ForwardAnswer);
-    } catch {
-      return {type: 'unanswered'};
+    } catch (error) {
+      const isUnsent =
+        isServingError(error, 'interrupted') && error.run === 'not-run';
+      return {type: isUnsent ? 'unreached' : 'unanswered'};
     }
   }
 
@@ -194,8 +193,8 @@
         tried.add(target);
         continue;
       }
-      if (result.type === 'unanswered') {
-        isUnanswered = true;
+      if (result.type === 'unanswered' || result.type === 'unreached') {
+        isUnanswered ||= result.type === 'unanswered';
         tried.add(target);
         continue;
       }
--- a/packages/orders/src/peerOrders.ts
+++ b/packages/orders/src/peerOrders.ts
@@ -85,7 +85,7 @@
     const deadline = clock.now() + leftMs;
     const request = {id, print, service, call, deadline, released};
     const result = await options.work(request, neverAborted());
-    if (result.type === 'unanswered') {
+    if (result.type === 'unanswered' || result.type === 'unreached') {
       return refused('not-ready', 'no entry could take the order now');
     }
     return toForwardAnswer(result, member);
--- a/packages/orders/src/test/guards.test.ts
+++ b/packages/orders/src/test/guards.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
+import {orderId} from '../orderIdentity.js';
 import {createWorld, type World} from './world.js';
 
 describe('ledger guards', () => {
@@ -65,7 +66,7 @@
     const retry = world.submit(other, 'k1');
     await world.clock.advance(2_000);
     assert.equal(retry.answer?.run, 'may-have-run');
-    world.entries.get(owner)?.process.resume();
+    await world.resume(owner);
     await world.clock.advance(2_000);
     assert.equal(runsOf('k1'), 1);
   });
@@ -79,7 +80,7 @@
     await world.clock.advance(60);
     world.pause(owner);
     await world.clock.advance(5_000);
-    world.entries.get(owner)?.process.resume();
+    await world.resume(owner);
     await world.clock.advance(2_000);
     assert.equal(runsOf('k1'), 0);
   });
@@ -133,7 +134,7 @@
     await world.clock.advance(3_000);
     assert.equal(order.answer?.run, 'may-have-run');
     world.service.refused = 0;
-    world.entries.get(owner)?.process.resume();
+    await world.resume(owner);
     await world.clock.advance(3_000);
   });
 
@@ -171,6 +172,47 @@
     assert.equal(retry.answer?.kind, 'reply');
   });
 
+  // Word that an earlier claim is void comes late, when the same order has been claimed anew and is
+  // running. Were the new claim dropped, a retry would run the order again.
+  it('does not let an old outcome void a newer claim', async () => {
+    const {owner} = await settleOwner();
+    world.service.workMs = 4_000;
+    world.submit(owner, 'k1');
+    await world.clock.advance(200);
+    assert.equal(runsOf('k1'), 1);
+    const id = orderId('chain', 'k1');
+    const outcomes = [{state: 'released', id, token: '1.99'}];
+    const handler = world.entries
+      .get(owner)
+      ?.process.handlers.get('orderOutcomes');
+    handler?.('x', {shard: 0, hops: 0, outcomes} as never);
+    await world.clock.advance(5_000);
+    world.submit(owner, 'k1');
+    await world.clock.advance(5_000);
+    assert.equal(runsOf('k1'), 1);
+  });
+
+  // A shard changes its owner just when a reply has been noted but not written, and then the old
+  // owner dies. The retry must hear the reply, not that its booking may have been made.
+  it('brings replies that were not written to the new owner', async () => {
+    world.dispose();
+    world = createWorld(3, {shardCount: 1, outcomeDelayMs: 400});
+    ['a', 'b'].forEach(world.start);
+    const {owner, other} = await settleOwner();
+    const first = world.submit(owner, 'k1');
+    await world.clock.advance(60);
+    assert.equal(first.answer?.kind, 'reply');
+    suspect(other, owner);
+    world.submit(other, 'takes the shard over');
+    await world.clock.advance(100);
+    world.entries.get(other)?.suspects.clear();
+    await world.clock.advance(1_500);
+    world.crash(owner);
+    const retry = world.submit(other, 'k1');
+    await world.clock.advance(500);
+    assert.equal(retry.answer?.body, first.answer?.body);
+  });
+
   // A place at the service is refused before a byte went out. The same claim may be tried again, so
   // the caller gets its answer instead of an error.
   it('tries again under the same claim when nothing was sent', async () => {
--- a/packages/orders/src/test/schedule.ts
+++ b/packages/orders/src/test/schedule.ts
@@ -227,7 +227,7 @@
     suspects.clear();
     process.blurs.length = 0;
     client.faults.setDown(false);
-    process.resume();
+    await process.resume();
   }
   await clock.advance(SETTLE_MS);
   world.check();
--- a/packages/orders/src/test/simulatedProcess.ts
+++ b/packages/orders/src/test/simulatedProcess.ts
@@ -1,6 +1,7 @@
 /** One simulated process: a clock, a network and a store that stand still while it is paused and end with it. */
 import {
   ServingError,
+  settlePromises,
   toDisposable,
   type Clock,
   type Random,
@@ -24,7 +25,8 @@
   run(action: () => void): void;
   /** Resolves while the process runs; never when it has ended. */
   whenRunning(): Promise<void>;
-  resume(): void;
+  /** Runs what waited, each action with what follows from it, as timers and messages of a real process. */
+  resume(): Promise<void>;
 }
 
 /** Makes a process on the world's clock. */
@@ -65,11 +67,14 @@
       }
     },
     whenRunning: () => new Promise<void>(resolve => process.run(resolve)),
-    resume() {
-      process.isPaused = false;
-      for (const action of waiting.splice(0)) {
-        process.run(action);
+    async resume() {
+      let action = waiting.shift();
+      while (action !== undefined && process.isAlive) {
+        action();
+        await settlePromises();
+        action = waiting.shift();
       }
+      process.isPaused = false;
     },
   };
   return process;
@@ -166,10 +171,6 @@
   function connect(process: SimulatedProcess): OrderNetwork {
     processes.set(process.id, process);
     return {
-      connected: () =>
-        [...processes.values()]
-          .filter(other => other.isAlive && other !== process)
-          .map(other => other.id),
       onDidReceive(type, handler) {
         process.handlers.set(type, handler as unknown as Handler);
         return toDisposable(() => process.handlers.delete(type));
@@ -177,6 +178,10 @@
       ask: (to, type, body, timeoutMs) =>
         new Promise((resolve, reject) => {
           process.clock.after(timeoutMs, () => reject(new Error('timeout')));
+          if (!processes.get(to)?.isAlive) {
+            reject(notConnected(to));
+            return;
+          }
           const closed = () =>
             process.run(() => reject(new Error('connection closed')));
           processes.get(to)?.onDidEnd.push(closed);
@@ -198,3 +203,10 @@
 
   return network;
 }
+
+/** As the inner protocol says it when nothing was sent. */
+function notConnected(to: string): ServingError {
+  return new ServingError('interrupted', `no connection to ${to}`, {
+    run: 'not-run',
+  });
+}
--- a/packages/orders/src/test/world.ts
+++ b/packages/orders/src/test/world.ts
@@ -78,7 +78,7 @@
   start(id: string): Entry;
   crash(id: string): void;
   pause(id: string): void;
-  resume(id: string): void;
+  resume(id: string): Promise<void>;
   leave(id: string): Promise<void>;
   submit(
     id: string,
