--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -21,7 +21,9 @@
 import {createServer, openListener} from './listener.js';
 import {createAdmissionPart} from './parts/admissionPart.js';
 import {createDutiesPart} from './parts/dutiesPart.js';
-import {createEnginesPart} from './parts/enginesPart.js';
+import {createEnginesPart, type EnginesPart} from './parts/enginesPart.js';
+import {createFleetPart, createReportBook} from './parts/fleetPart.js';
+import {createLeavingPart} from './parts/leavingPart.js';
 import {createMembersPart} from './parts/membersPart.js';
 import {createMovesPart} from './parts/movesPart.js';
 import {createOrdersPart} from './parts/ordersPart.js';
@@ -83,16 +85,22 @@
       load: inFlight.count,
     }),
   );
-  const {membership, network} = members;
+  const {membership} = members;
   const records = owned.add(createRecordsPart(context, platform, members));
   const {configuration} = records;
-  const router = createRoutingPart(context);
-  const hostList = createSharedHostList({
+  const book = createReportBook(createRoutingPart(context), () => endpoints);
+  const {router} = book;
+  const listed = createSharedHostList({
     ...context,
     hostList: platform.hostList,
-    network,
+    network: members.network,
   });
-  const endpoints = owned.add(createEnginesPart(context, hostList, router));
+  const {hostList} = owned.add(
+    createLeavingPart(context, {...platform, hostList: listed}, members),
+  );
+  const endpoints: EnginesPart = owned.add(
+    createEnginesPart(context, hostList, router),
+  );
   const admission = createAdmissionPart(context, configuration, membership);
   const split = createMovesPart(context, configuration);
   const streams = createStreamRunner({clock});
@@ -110,6 +118,15 @@
   const duties = owned.add(
     createDutiesPart(context, {platform, members, records}),
   );
+  owned.add(
+    createFleetPart(context, {
+      duties,
+      platform,
+      configuration,
+      endpoints,
+      book,
+    }),
+  );
   const serving: Serving = {
     configuration,
     admission,
@@ -195,7 +212,6 @@
     await ledger.leave();
     const isIdle = await inFlight.idle(settings.drainMs);
     log.info({isIdle, inFlight: inFlight.count()}, 'drained');
-    network.dispose();
     owned.dispose();
   }
 
