Ledger: an order that waits in the ledger is not called not run

Change: an order that moved with its body in the ledger may run elsewhere, so no later refusal is passed on as not-run.

The least time between two writes of a shard is 80 ms instead of 40.

--- a/packages/orders/src/flight.ts
+++ b/packages/orders/src/flight.ts
@@ -30,6 +30,8 @@
       readonly member: string | undefined;
       /** The void claim. */
       readonly token: string;
+      /** Whether the order waits in the ledger, where the next owner runs it. */
+      readonly isWaiting: boolean;
     };
 
 /**
--- a/packages/orders/src/handOver.ts
+++ b/packages/orders/src/handOver.ts
@@ -68,7 +68,8 @@
       for (const {flight, claim} of held) {
         if (result === 'released') {
           const {token} = flight;
-          flight.end({type: 'moved', member: successor, token});
+          const isWaiting = claim !== undefined;
+          flight.end({type: 'moved', member: successor, token, isWaiting});
           continue;
         }
         if (claim !== undefined) {
--- a/packages/orders/src/ledger.ts
+++ b/packages/orders/src/ledger.ts
@@ -74,7 +74,7 @@
 /** What a ledger does when nothing is set. */
 export const defaultLedgerSettings: LedgerSettings = {
   shardCount: 8,
-  writeGapMs: 40,
+  writeGapMs: 80,
   outcomeDelayMs: 200,
   dedupeWindowMs: 3_600_000,
   holdOffMs: 3_000,
--- a/packages/orders/src/orderAnswers.ts
+++ b/packages/orders/src/orderAnswers.ts
@@ -32,7 +32,9 @@
   return {
     type: 'elsewhere',
     member: result.member ?? fallbackMember,
-    released: result.type === 'moved' ? result.token : undefined,
+    ...(result.type === 'moved'
+      ? {released: result.token, isWaiting: result.isWaiting}
+      : {}),
   };
 }
 
@@ -52,7 +54,14 @@
     return {type: 'error', error};
   }
   if (answer.released !== undefined) {
-    return {type: 'moved', member: answer.member, token: answer.released};
+    const {member, released, isWaiting} = answer;
+    // An entry of another release that does not say is taken at its worst.
+    return {
+      type: 'moved',
+      member,
+      token: released,
+      isWaiting: isWaiting ?? true,
+    };
   }
   return {type: 'elsewhere', member: answer.member};
 }
--- a/packages/orders/src/orderRoute.ts
+++ b/packages/orders/src/orderRoute.ts
@@ -157,11 +157,11 @@
     const released = [...request.released];
     const tried = new Set<string>();
     let hint: string | undefined;
-    let isUnanswered = false;
+    let mayRunElsewhere = false;
 
     function refuse(error: ServingError): FlightResult & {type: 'error'} {
       // A silent owner may still wake and run the order, so it can't be called not run.
-      const mayRun = isUnanswered && error.run === 'not-run';
+      const mayRun = mayRunElsewhere && error.run === 'not-run';
       return {
         type: 'error',
         error:
@@ -194,13 +194,15 @@
         continue;
       }
       if (result.type === 'unanswered' || result.type === 'unreached') {
-        isUnanswered ||= result.type === 'unanswered';
+        mayRunElsewhere ||= result.type === 'unanswered';
         tried.add(target);
         continue;
       }
       hint = result.member;
       if (result.type === 'moved') {
         released.push(result.token);
+        // It waits in the ledger for whoever takes the shard: no later refusal makes it not run.
+        mayRunElsewhere ||= result.isWaiting;
       }
       if (hint === target || hint === undefined) {
         await pause();
@@ -266,7 +268,7 @@
 function silentOwner(cause: ServingError): ServingError {
   return new ServingError(
     'outcome-unknown',
-    `an entry that was given the order did not answer: ${cause.message}`,
+    `the order was given to another entry and may run there: ${cause.message}`,
     {run: 'may-have-run', retryAfterMs: cause.retryAfterMs, cause},
   );
 }
--- a/packages/orders/src/shard.ts
+++ b/packages/orders/src/shard.ts
@@ -395,7 +395,8 @@
   }
 
   function move(flight: Flight): void {
-    flight.end({type: 'moved', member: knownOwner, token: flight.token});
+    const {token} = flight;
+    flight.end({type: 'moved', member: knownOwner, token, isWaiting: false});
   }
 
   function moveQueued(): void {
--- a/packages/orders/src/test/foundSchedules.test.ts
+++ b/packages/orders/src/test/foundSchedules.test.ts
@@ -97,6 +97,26 @@
     expect: world =>
       assert.deepEqual(kinds(world), ['reply', 'reply', 'reply']),
   },
+  // All entries leave while an order waits, so it is handed over with nobody there to take it. Its
+  // caller heard `not-run`; then an entry started, found the order and ran it.
+  {
+    name: 'an order that waits in the ledger is not called not run',
+    seed: 129_460,
+    waitMs: 200,
+    steps: [
+      {do: 'submit', entry: 1, key: 3},
+      {do: 'leave', entry: 2},
+      {do: 'wait', ms: 100},
+      {do: 'leave', entry: 0},
+      {do: 'leave', entry: 1},
+      {do: 'wait', ms: 400},
+      {do: 'start', entry: 0},
+    ],
+    expect(world) {
+      assert.equal(world.runs.length, 1);
+      assert.equal(world.submitted[0]?.answer?.run, 'may-have-run');
+    },
+  },
 ];
 
 describe('schedules that the fuzzer found', () => {
--- a/packages/orders/src/test/world.ts
+++ b/packages/orders/src/test/world.ts
@@ -75,6 +75,8 @@
   readonly submitted: readonly Submitted[];
   readonly runs: readonly Run[];
   readonly service: ServiceFaults;
+  /** True once no entry was left to take orders. */
+  wasDeserted(): boolean;
   start(id: string): Entry;
   crash(id: string): void;
   pause(id: string): void;
@@ -117,6 +119,7 @@
   const entries = new Map<string, Entry>();
   const submitted: Submitted[] = [];
   const runs: Run[] = [];
+  let isDeserted = false;
   const service: ServiceFaults = {
     refused: 0,
     lostAfter: 0,
@@ -239,6 +242,9 @@
   async function leave(id: string): Promise<void> {
     const entry = entryOf(id);
     entry.isLeaving = true;
+    isDeserted ||= [...entries.values()].every(
+      other => other.isLeaving || !other.process.isAlive,
+    );
     await entry.ledger.leave();
     if (entries.get(id) === entry) {
       crash(id);
@@ -258,6 +264,7 @@
     submitted,
     runs,
     service,
+    wasDeserted: () => isDeserted,
     start,
     crash,
     pause(id) {
--- a/packages/protocol/src/messages/orderMessages.ts
+++ b/packages/protocol/src/messages/orderMessages.ts
@@ -37,6 +37,8 @@
       readonly member: string;
       /** The claim that was made here and is void. */
       readonly released?: string;
+      /** Whether the order waits in the ledger, where the next owner runs it. */
+      readonly isWaiting?: boolean;
     };
 
 /**
