--- a/packages/entry/src/parts/fleetPart.ts
+++ b/packages/entry/src/parts/fleetPart.ts
@@ -1,7 +1,6 @@
 /** The fleet duty of this entry: hosts by the plan, endpoints that run what is listed. */
 import {disposableStore, every, type Disposable} from '@skylarkfield/base';
 import {createOrderGate, type Duties} from '@skylarkfield/duties';
-import type {LoadReport} from '@skylarkfield/endpoints';
 import {
   createEndpointRepair,
   createFleetDuty,
@@ -9,68 +8,27 @@
   type ManagedEndpoint,
 } from '@skylarkfield/fleet';
 import type {Configuration} from '@skylarkfield/records';
-import type {Router} from '@skylarkfield/routing';
 import type {EntryContext} from '../context.js';
 import type {EndpointPool} from '../serving.js';
+import type {LoadFeed} from './loadFeed.js';
 import type {PlatformPart} from './platformPart.js';
 
 /** How often endpoints are asked what they run, in milliseconds. */
 const REPAIR_INTERVAL_MS = 5_000;
 
-/** The latest load report of each endpoint. */
-export interface ReportBook {
-  /** The router, noting each report that it gets. */
-  readonly router: Router;
-  reports(service: string): readonly LoadReport[];
-}
-
-/**
- * Notes the load reports on their way to the router; the fleet is sized by them.
- *
- * @example
- * const book = createReportBook(createRoutingPart(context), () => endpoints.list());
- */
-export function createReportBook(
-  router: Router,
-  endpoints: () => EndpointPool,
-): ReportBook {
-  const latest = new Map<string, LoadReport>();
-  return {
-    router: {
-      ...router,
-      setEndpoints(list) {
-        const ids = new Set(list.map(endpoint => endpoint.id));
-        [...latest.keys()]
-          .filter(id => !ids.has(id))
-          .forEach(id => latest.delete(id));
-        router.setEndpoints(list);
-      },
-      reportLoad(endpoint, report) {
-        latest.set(endpoint, report);
-        router.reportLoad(endpoint, report);
-      },
-    },
-    reports: service =>
-      endpoints()
-        .list()
-        .filter(endpoint => endpoint.listed.service === service)
-        .flatMap(endpoint => latest.get(endpoint.listed.id) ?? []),
-  };
-}
-
 interface FleetOptions {
   readonly duties: Duties;
   readonly platform: PlatformPart;
   readonly configuration: Configuration;
   readonly endpoints: EndpointPool;
-  readonly book: ReportBook;
+  readonly loads: Pick<LoadFeed, 'reports'>;
 }
 
 /**
  * Competes for the fleet duty.
  *
  * @example
- * owned.add(createFleetPart(context, {duties, platform, configuration, endpoints, book}));
+ * owned.add(createFleetPart(context, {duties, platform, configuration, endpoints, loads}));
  */
 export function createFleetPart(
   context: EntryContext,
@@ -88,7 +46,7 @@
         decisions,
         tenure,
         services: () => configuration.list('service'),
-        reports: options.book.reports,
+        reports: options.loads.reports,
       }),
     );
     const repair = createEndpointRepair({
