--- a/packages/orders/src/localOrders.ts
+++ b/packages/orders/src/localOrders.ts
@@ -201,7 +201,7 @@
       note(shard, outcome);
     }
     if (!shard.isOwned()) {
-      return knownAnswer(entry);
+      return answerLost(entry, outcome);
     }
     const now = shard.table.get(request.id);
     if (now === undefined || flights.has(request.id)) {
@@ -300,6 +300,22 @@
   return {state: outcome.state, id, token};
 }
 
+/** The answer to a claim's outcome that came when the shard was no longer owned here. */
+function answerLost(
+  entry: LedgerEntry,
+  outcome: ClaimOutcome | undefined,
+): OrderResult {
+  if (outcome?.state === 'released') {
+    const {token} = entry;
+    return {type: 'moved', member: undefined, token, isWaiting: false};
+  }
+  if (outcome?.state !== 'settled' || outcome.reply.body === undefined) {
+    return knownAnswer(entry);
+  }
+  const {status, headers, body} = outcome.reply;
+  return {type: 'reply', reply: {status, headers, body}, isReplay: true};
+}
+
 const settleWithoutReply = {
   released: (shard: Shard, entry: LedgerEntry) => shard.table.remove(entry.id),
   unknown: (shard: Shard, entry: LedgerEntry) =>
--- a/packages/orders/src/test/foundSchedules.test.ts
+++ b/packages/orders/src/test/foundSchedules.test.ts
@@ -117,6 +117,25 @@
       assert.equal(world.submitted[0]?.answer?.run, 'may-have-run');
     },
   },
+  // A retry waits at the shard's new owner for the reply of a run at the old one. The new owner
+  // leaves meanwhile; the reply comes, and the caller heard `may-have-run` all the same.
+  {
+    name: 'a reply that comes after the shard was released is passed on',
+    seed: 0,
+    waitMs: 0,
+    steps: [
+      {do: 'submit-hasty', entry: 0, key: 3},
+      {do: 'wait', ms: 20},
+      {do: 'start', entry: 3},
+      {do: 'submit', entry: 0, key: 3},
+      {do: 'wait', ms: 1},
+      {do: 'leave', entry: 3},
+      {do: 'leave', entry: 1},
+      {do: 'submit', entry: 0, key: 0},
+      {do: 'wait', ms: 400},
+    ],
+    expect: world => assert.equal(world.submitted[1]?.answer?.kind, 'reply'),
+  },
 ];
 
 describe('schedules that the fuzzer found', () => {
