--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -22,8 +22,11 @@
 import {createAdmissionPart} from './parts/admissionPart.js';
 import {createDutiesPart} from './parts/dutiesPart.js';
 import {createEnginesPart} from './parts/enginesPart.js';
+import {createFleetPart} from './parts/fleetPart.js';
+import {createLeavingPart} from './parts/leavingPart.js';
 import {createMembersPart} from './parts/membersPart.js';
-import {createMovesPart} from './parts/movesPart.js';
+import {createLoadFeed} from './parts/loadFeed.js';
+import {createMovesPart, startMoves} from './parts/movesPart.js';
 import {createOrdersPart} from './parts/ordersPart.js';
 import {createPlatformPart} from './parts/platformPart.js';
 import {createRecordsPart} from './parts/recordsPart.js';
@@ -83,18 +86,25 @@
       load: inFlight.count,
     }),
   );
-  const {membership, network} = members;
+  const {membership} = members;
   const records = owned.add(createRecordsPart(context, platform, members));
   const {configuration} = records;
   const router = createRoutingPart(context);
-  const hostList = createSharedHostList({
+  const listed = createSharedHostList({
     ...context,
     hostList: platform.hostList,
-    network,
+    network: members.network,
   });
-  const endpoints = owned.add(createEnginesPart(context, hostList, router));
+  const {hostList} = owned.add(
+    createLeavingPart(context, {...platform, hostList: listed}, members),
+  );
   const admission = createAdmissionPart(context, configuration, membership);
-  const split = createMovesPart(context, configuration);
+  const loads = createLoadFeed(router, {clock, admission, configuration});
+  const endpoints = owned.add(
+    createEnginesPart(context, hostList, loads.router),
+  );
+  owned.add(loads.start(endpoints));
+  const split = createMovesPart(context);
   const streams = createStreamRunner({clock});
   dumps.add('streams', () => streams.dump());
   const attempts = createAttempts({router, endpoints, split, admission}, clock);
@@ -110,6 +120,25 @@
   const duties = owned.add(
     createDutiesPart(context, {platform, members, records}),
   );
+  owned.add(
+    startMoves(context, {
+      split,
+      configuration,
+      network: members.network,
+      objects: platform.store,
+      endpoints,
+      duties,
+    }),
+  );
+  owned.add(
+    createFleetPart(context, {
+      duties,
+      platform,
+      configuration,
+      endpoints,
+      loads,
+    }),
+  );
   const serving: Serving = {
     configuration,
     admission,
@@ -195,7 +224,6 @@
     await ledger.leave();
     const isIdle = await inFlight.idle(settings.drainMs);
     log.info({isIdle, inFlight: inFlight.count()}, 'drained');
-    network.dispose();
     owned.dispose();
   }
 
