--- a/packages/members/src/membership.ts
+++ b/packages/members/src/membership.ts
@@ -10,6 +10,7 @@
 } from '@skylarkfield/base';
 import type {ObjectStore} from '@skylarkfield/platform';
 import type {
+  MemberChange,
   MemberNews,
   MemberProof,
   Messages,
@@ -19,6 +20,7 @@
 import {createGossip} from './gossip.js';
 import {createMemberObjects, type MemberObject} from './memberObjects.js';
 import {createMemberTable, toMember} from './memberTable.js';
+import {checkNews} from './newsShape.js';
 import {createPeerBook} from './peerBook.js';
 import {createReconciler} from './reconciler.js';
 import {createSilenceDetector} from './silence.js';
@@ -116,6 +118,7 @@
     table,
     network,
     clock,
+    log,
     timing,
     own: () => own,
     learn,
@@ -123,6 +126,7 @@
 
   /** Takes news in, and queues for the peers what was new. */
   function learn(news: MemberNews): boolean {
+    checkNews(news);
     if (news.id === own.id) {
       refute(news);
       return false;
@@ -137,6 +141,14 @@
     return true;
   }
 
+  /** A change of a member that is not known here says nothing worth keeping. */
+  function learnChange(change: MemberChange) {
+    const known = change.id === own.id ? own : table.get(change.id)?.news;
+    if (known !== undefined) {
+      learn({...known, ...change});
+    }
+  }
+
   /** Others take this process for gone, or for an earlier or later one: it says otherwise. */
   function refute(news: MemberNews) {
     if (news.incarnation < own.incarnation) {
@@ -188,18 +200,26 @@
   }
 
   function heartbeat() {
-    const news = gossip.take();
+    const {news, changes} = gossip.take();
     const {incarnation, sequence, load} = ownNews();
     const digest = table.digestWith(own);
     network.broadcast(
       'heartbeat',
-      {incarnation, sequence, load, news, digest},
+      {
+        incarnation,
+        sequence,
+        load,
+        news,
+        digest,
+        ...(changes.length > 0 && {changes}),
+      },
       book.neighbours(),
     );
   }
 
   function hearHeartbeat(from: string, body: Messages['heartbeat']) {
     body.news.forEach(learn);
+    body.changes?.forEach(learnChange);
     const known = table.get(from);
     const isKnown =
       known !== undefined &&
--- a/packages/orders/src/ledger.ts
+++ b/packages/orders/src/ledger.ts
@@ -14,14 +14,19 @@
 import type {Dispatch, Ledger, Order, OrderAnswer} from './contracts.js';
 import type {Flight, OrderRequest} from './flight.js';
 import {createHandOver} from './handOver.js';
-import {createLateOutcomes} from './lateOutcomes.js';
+import {createLateOutcomes, type LateOutcome} from './lateOutcomes.js';
 import {claimOutcome, createLocalOrders} from './localOrders.js';
 import {orderId, orderPrint, shardOf, uniqueText} from './orderIdentity.js';
 import {createOrderRoute, type OrderNetwork} from './orderRoute.js';
-import {createOrderRunner} from './orderRunner.js';
+import {createOrderRunner, type RunOutcome} from './orderRunner.js';
 import {answerPeers} from './peerOrders.js';
 import {createShard, type Shard} from './shard.js';
-import type {LedgerEntry} from './shardRecord.js';
+import {
+  LEDGER_KIND,
+  shardName,
+  type LedgerEntry,
+  type ShardRecord,
+} from './shardRecord.js';
 
 export interface LedgerOptions {
   readonly store: ObjectStore;
@@ -69,7 +74,7 @@
 /** What a ledger does when nothing is set. */
 export const defaultLedgerSettings: LedgerSettings = {
   shardCount: 8,
-  writeGapMs: 40,
+  writeGapMs: 80,
   outcomeDelayMs: 200,
   dedupeWindowMs: 3_600_000,
   holdOffMs: 3_000,
@@ -85,6 +90,8 @@
 const LATE_CHECK_MS = 250;
 const LATE_KEPT_MS = 120_000;
 const LINGER_MS = 100;
+const MAX_SUCCESSORS_ASKED = 3;
+const START_CHECK_MS = 500;
 const ASK_TIMEOUT_MS = 2_000;
 
 /**
@@ -105,6 +112,7 @@
   /** Answers that callers of this entry wait for. */
   const open = new Set<Promise<unknown>>();
   let isLeaving = false;
+  let isSendingLate = false;
   let isAlive = true;
 
   const shards: readonly Shard[] = Array.from(
@@ -138,6 +146,7 @@
     random,
     shards,
     askClaimer,
+    onDidMove: flight => rememberOwn(flight, {state: 'released'}),
   });
   const runner = createOrderRunner({
     ...settings,
@@ -146,10 +155,8 @@
     random,
     isAlive: () => isAlive,
     onDidFinish: (flight, result) => {
-      const {shard} = flight;
-      const outcome = claimOutcome(flight, result);
-      recent.add({shard, outcome, hops: 0, keepUntil: Infinity});
-      noteOutcome(shard, outcome, 0);
+      rememberOwn(flight, result);
+      noteOutcome(flight.shard, claimOutcome(flight, result), 0);
     },
   });
   const route = createOrderRoute({
@@ -169,6 +176,12 @@
     rerun: runner.run,
   });
 
+  function rememberOwn(flight: Flight, result: RunOutcome): void {
+    const {shard} = flight;
+    const outcome = claimOutcome(flight, result);
+    recent.add({shard, outcome, hops: 0, keepUntil: Infinity});
+  }
+
   function noteOutcome(
     shard: number,
     outcome: ClaimOutcome,
@@ -245,26 +258,44 @@
   }
 
   async function sendLate(): Promise<void> {
+    if (isSendingLate) {
+      return;
+    }
+    isSendingLate = true;
     for (const index of late.shards()) {
       const waiting = late.ofShard(index, clock.now());
-      const target = preferredOwner(index);
-      if (waiting.length === 0 || target === undefined) {
-        continue;
-      }
-      if (target === member) {
-        await shards[index]?.own().catch(() => undefined);
-        continue;
-      }
-      const hops = Math.max(...waiting.map(({hops}) => hops)) + 1;
-      const outcomes = waiting.map(({outcome}) => outcome);
-      try {
-        const body = {shard: index, hops, outcomes};
-        await network.ask(target, 'orderOutcomes', body, ASK_TIMEOUT_MS);
-        outcomes.forEach(({id, token}) => late.remove(id, token));
-      } catch {
-        // It stays, and goes again at the next check.
+      const target = await lateTarget(index);
+      if (waiting.length > 0 && target !== undefined) {
+        await sendLateTo(target, index, waiting);
       }
     }
+    isSendingLate = false;
+  }
+
+  /** Who can note outcomes of a shard; undefined when they were noted here or nobody can now. */
+  async function lateTarget(index: number): Promise<string | undefined> {
+    const target = preferredOwner(index);
+    if (target !== member) {
+      return target;
+    }
+    const ownership = await shards[index]?.own().catch(() => undefined);
+    return ownership?.type === 'elsewhere' ? ownership.member : undefined;
+  }
+
+  async function sendLateTo(
+    target: string,
+    shard: number,
+    waiting: readonly LateOutcome[],
+  ): Promise<void> {
+    const hops = Math.max(...waiting.map(late => late.hops)) + 1;
+    const outcomes = waiting.map(({outcome}) => outcome);
+    try {
+      const body = {shard, hops, outcomes};
+      await network.ask(target, 'orderOutcomes', body, ASK_TIMEOUT_MS);
+      outcomes.forEach(({id, token}) => late.remove(id, token));
+    } catch {
+      // They stay, and go again at the next check.
+    }
   }
 
   function preferredOwner(index: number): string | undefined {
@@ -286,6 +317,11 @@
       noteOutcome,
     }),
   );
+  owned.add(
+    clock.after(START_CHECK_MS * (1 + random.next()), () => {
+      takeWaiting().catch(() => undefined);
+    }),
+  );
   owned.add(every(clock, LATE_CHECK_MS, () => void sendLate()));
   owned.add(
     store.onDidChangeState(state => {
@@ -323,7 +359,7 @@
     };
     const result = await untilAnswered(request, signal);
     if (result.type === 'error') {
-      throw result.error;
+      throw withKey(result.error, order.key);
     }
     const {reply, isReplay} = result;
     return {reply, isReplay, isUnrecognisable};
@@ -340,20 +376,39 @@
     }
   }
 
+  async function handShardOver(shard: Shard): Promise<void> {
+    const successors = route.successors(shard.index);
+    const isReleased = await handOver.release(shard, successors[0]);
+    if (!isReleased) {
+      return;
+    }
+    const body = {shard: shard.index, epoch: 0};
+    for (const successor of successors.slice(0, MAX_SUCCESSORS_ASKED)) {
+      try {
+        await network.ask(successor, 'orderHandOver', body, ASK_TIMEOUT_MS);
+        return;
+      } catch {
+        // The next one is asked: orders wait in the shard for whoever takes it.
+      }
+    }
+  }
+
+  /** Takes up orders that were handed over when no other entry was there. */
+  async function takeWaiting(): Promise<void> {
+    const {objects} = await store.list<ShardRecord>(LEDGER_KIND);
+    for (const {name, value} of objects) {
+      const shard = shards.find(({index}) => shardName(index) === name);
+      const isWaiting = value.entries.some(({state}) => state === 'waiting');
+      const isFree = value.owner === '' && isWaiting;
+      if (shard !== undefined && isFree && !isLeaving) {
+        await shard.own();
+      }
+    }
+  }
+
   async function leave(): Promise<void> {
     isLeaving = true;
-    await Promise.all(
-      shards.map(async shard => {
-        const successor = route.successor(shard.index);
-        const isReleased = await handOver.release(shard, successor);
-        if (isReleased && successor !== undefined) {
-          const body = {shard: shard.index, epoch: 0};
-          await network
-            .ask(successor, 'orderHandOver', body, ASK_TIMEOUT_MS)
-            .catch(() => undefined);
-        }
-      }),
-    );
+    await Promise.all(shards.map(handShardOver));
     await Promise.all(orders.flights().map(flight => flight.done));
     await Promise.allSettled(open);
     await sendLate();
@@ -377,6 +432,17 @@
   };
 }
 
+/** Names the key to the caller who sent it; other entries never see it. */
+function withKey(error: ServingError, key: string | undefined): ServingError {
+  if (error.kind !== 'key-conflict') {
+    return error;
+  }
+  return new ServingError(
+    'key-conflict',
+    `idempotency key ${JSON.stringify(key)} was used with another request`,
+  );
+}
+
 /** A signal of its own for each call: a shared one would gather listeners. */
 function neverAborted(): AbortSignal {
   return new AbortController().signal;
--- a/packages/orders/src/orderAnswers.ts
+++ b/packages/orders/src/orderAnswers.ts
@@ -7,6 +7,8 @@
 export type OrderResult =
   | FlightResult
   | {readonly type: 'elsewhere'; readonly member: string}
+  /** Nothing was sent to the entry that was to be asked. */
+  | {readonly type: 'unreached'}
   /** The entry asked may have done anything. */
   | {readonly type: 'unanswered'};
 
@@ -17,7 +19,7 @@
  * return toForwardAnswer(await orders.work(request), flight.token);
  */
 export function toForwardAnswer(
-  result: Exclude<OrderResult, {type: 'unanswered'}>,
+  result: Exclude<OrderResult, {type: 'unanswered' | 'unreached'}>,
   fallbackMember: string,
 ): ForwardAnswer {
   if (result.type === 'reply') {
@@ -30,7 +32,9 @@
   return {
     type: 'elsewhere',
     member: result.member ?? fallbackMember,
-    released: result.type === 'moved' ? result.token : undefined,
+    ...(result.type === 'moved'
+      ? {released: result.token, isWaiting: result.isWaiting}
+      : {}),
   };
 }
 
@@ -50,7 +54,14 @@
     return {type: 'error', error};
   }
   if (answer.released !== undefined) {
-    return {type: 'moved', member: answer.member, token: answer.released};
+    const {member, released, isWaiting} = answer;
+    // An entry of another release that does not say is taken at its worst.
+    return {
+      type: 'moved',
+      member,
+      token: released,
+      isWaiting: isWaiting ?? true,
+    };
   }
   return {type: 'elsewhere', member: answer.member};
 }
--- a/packages/orders/src/orderRoute.ts
+++ b/packages/orders/src/orderRoute.ts
@@ -1,5 +1,6 @@
 /** Brings an order to the owner of its shard, wherever that is, and never calls `not-run` what a silent owner may run. */
 import {
+  isServingError,
   rendezvousOrder,
   ServingError,
   type Clock,
@@ -25,8 +26,8 @@
     ask: (timeoutMs: number) => Promise<T>,
     deadline: number,
   ): Promise<T>;
-  /** The entry that should own a shard, another than this if there is one. */
-  successor(shard: number): string | undefined;
+  /** The other entries that could own a shard, the best first. */
+  successors(shard: number): readonly string[];
   /** True for an entry that takes new work and can be asked now. */
   isReachable(member: string): boolean;
   /** True also for an entry that leaves: it still ends what it has begun. */
@@ -34,10 +35,7 @@
 }
 
 /** What the ledger needs of the inner protocol. */
-export type OrderNetwork = Pick<
-  PeerNetwork,
-  'ask' | 'connected' | 'onDidReceive'
->;
+export type OrderNetwork = Pick<PeerNetwork, 'ask' | 'onDidReceive'>;
 
 export interface OrderRouteOptions {
   readonly network: OrderNetwork;
@@ -71,12 +69,11 @@
   const {network, clock, random, member, liveMembers} = options;
 
   function isReachable(other: string): boolean {
-    return liveMembers().includes(other) && network.connected().includes(other);
+    return liveMembers().includes(other);
   }
 
   function canAnswer(other: string): boolean {
-    const isKnown = options.answeringMembers().includes(other);
-    return isKnown && network.connected().includes(other);
+    return options.answeringMembers().includes(other);
   }
 
   function askWhileLive<T>(
@@ -123,8 +120,10 @@
         deadline,
       );
       return readForwardAnswer(answer as ForwardAnswer);
-    } catch {
-      return {type: 'unanswered'};
+    } catch (error) {
+      const isUnsent =
+        isServingError(error, 'interrupted') && error.run === 'not-run';
+      return {type: isUnsent ? 'unreached' : 'unanswered'};
     }
   }
 
@@ -140,14 +139,14 @@
     hint: string | undefined,
     tried: ReadonlySet<string>,
   ): string | undefined {
-    if (hint !== undefined && !tried.has(hint)) {
-      if (hint === member || isReachable(hint)) {
-        return hint;
-      }
-    }
-    return candidates(shard).find(
-      other => !tried.has(other) && !(other === member && options.isLeaving()),
-    );
+    // A leaving entry must not take shards: whatever it claimed would end with it.
+    const mayUse = (other: string) =>
+      !tried.has(other) && !(other === member && options.isLeaving());
+    const isHintUsable =
+      hint !== undefined &&
+      mayUse(hint) &&
+      (hint === member || isReachable(hint));
+    return isHintUsable ? hint : candidates(shard).find(mayUse);
   }
 
   async function run(
@@ -158,11 +157,11 @@
     const released = [...request.released];
     const tried = new Set<string>();
     let hint: string | undefined;
-    let isUnanswered = false;
+    let mayRunElsewhere = false;
 
     function refuse(error: ServingError): FlightResult & {type: 'error'} {
       // A silent owner may still wake and run the order, so it can't be called not run.
-      const mayRun = isUnanswered && error.run === 'not-run';
+      const mayRun = mayRunElsewhere && error.run === 'not-run';
       return {
         type: 'error',
         error:
@@ -194,14 +193,16 @@
         tried.add(target);
         continue;
       }
-      if (result.type === 'unanswered') {
-        isUnanswered = true;
+      if (result.type === 'unanswered' || result.type === 'unreached') {
+        mayRunElsewhere ||= result.type === 'unanswered';
         tried.add(target);
         continue;
       }
       hint = result.member;
       if (result.type === 'moved') {
         released.push(result.token);
+        // It waits in the ledger for whoever takes the shard: no later refusal makes it not run.
+        mayRunElsewhere ||= result.isWaiting;
       }
       if (hint === target || hint === undefined) {
         await pause();
@@ -219,7 +220,7 @@
     askWhileLive,
     isReachable,
     canAnswer,
-    successor: shard => candidates(shard).find(other => other !== member),
+    successors: shard => candidates(shard).filter(other => other !== member),
   };
 }
 
@@ -267,7 +268,7 @@
 function silentOwner(cause: ServingError): ServingError {
   return new ServingError(
     'outcome-unknown',
-    `an entry that was given the order did not answer: ${cause.message}`,
+    `the order was given to another entry and may run there: ${cause.message}`,
     {run: 'may-have-run', retryAfterMs: cause.retryAfterMs, cause},
   );
 }
--- a/packages/orders/src/shard.ts
+++ b/packages/orders/src/shard.ts
@@ -11,6 +11,7 @@
 import type {Flight} from './flight.js';
 import {
   LEDGER_FORMAT,
+  shardName,
   type LedgerEntry,
   type ShardRecord,
 } from './shardRecord.js';
@@ -394,7 +395,8 @@
   }
 
   function move(flight: Flight): void {
-    flight.end({type: 'moved', member: knownOwner, token: flight.token});
+    const {token} = flight;
+    flight.end({type: 'moved', member: knownOwner, token, isWaiting: false});
   }
 
   function moveQueued(): void {
@@ -459,10 +461,6 @@
   };
 }
 
-function shardName(index: number): string {
-  return `shard-${index}`;
-}
-
 function unreadable(index: number, format: number): ServingError {
   return new ServingError(
     'platform-unavailable',
