Ledger: an order that waited past its deadline does not stand in a retry's way

All entries left; the next came after the deadline of an order that waited in the ledger. It is not run so late, which is meant, but a retry joined it and was refused by its deadline.

Change: an order taken over after its deadline is dropped, nobody having claimed it.

--- a/packages/orders/src/localOrders.ts
+++ b/packages/orders/src/localOrders.ts
@@ -221,6 +221,11 @@
         continue;
       }
       const leftMs = entry.order.runBefore - clock.wall();
+      if (leftMs <= 0) {
+        // Nobody has claimed it and its deadline has passed: a retry starts anew.
+        shard.table.remove(entry.id);
+        continue;
+      }
       const flight = createFlight(
         {
           id: entry.id,
--- a/packages/orders/src/test/foundSchedules.test.ts
+++ b/packages/orders/src/test/foundSchedules.test.ts
@@ -136,6 +136,27 @@
     ],
     expect: world => assert.equal(world.submitted[1]?.answer?.kind, 'reply'),
   },
+  // All entries leave while an order waits, and the next one comes only after the order's deadline.
+  // The order is not run so late; a retry that came then was refused by the old order's deadline.
+  {
+    name: 'an order that waited past its deadline can be placed again',
+    seed: 0,
+    waitMs: 0,
+    steps: [
+      {do: 'submit-hasty', entry: 0, key: 0},
+      {do: 'leave', entry: 2},
+      {do: 'leave', entry: 1},
+      {do: 'wait', ms: 401},
+      {do: 'submit', entry: 0, key: 2},
+      {do: 'wait', ms: 1},
+      {do: 'leave', entry: 0},
+    ],
+    expect(world) {
+      const [, order, , retry] = world.submitted;
+      assert.equal(order?.answer?.run, 'may-have-run');
+      assert.equal(retry?.answer?.kind, 'reply');
+    },
+  },
 ];
 
 describe('schedules that the fuzzer found', () => {
