Entry asks for load and cache events at a bounded rate; notices reach streams

An endpoint that refuses connections when asked is put aside before a request is spent on it. A notice marks an endpoint before it is listed, and its time reaches streams, so that they move as late as is safe. The router learns the live entries, its choice the start and first token of each attempt, and attempt ids begin with the entry's id, by which load reports are corrected exactly.

An endpoint listed on another host under its old id is a new process: the leaving mark of the old one used to outlive it by ten minutes.

Contracts: Router.reportUnreachable (routing); ConnectedEndpoint.goneAt and the arguments of two parts of the entry (additive, wiring only).

--- a/packages/entry/src/callers/serveModel.ts
+++ b/packages/entry/src/callers/serveModel.ts
@@ -206,7 +206,11 @@
       endpoint: choice.endpoint,
       url: endpoint.listed.url,
       engine: endpoint.engine,
+      cachedTokens: choice.cachedTokens,
       leaving: endpoint.leaving,
+      goneAt: () => endpoint.goneAt?.(),
+      started: cachedTokens => choice.started(cachedTokens),
+      streaming: () => choice.streaming(),
       finish: result => choice.finish(result),
     };
   }
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -89,23 +89,23 @@
   const {membership} = members;
   const records = owned.add(createRecordsPart(context, platform, members));
   const {configuration} = records;
-  const router = createRoutingPart(context);
+  const router = createRoutingPart(context, membership);
   const listed = createSharedHostList({
     ...context,
     hostList: platform.hostList,
     network: members.network,
   });
-  const {hostList} = owned.add(
+  const leavingPart = owned.add(
     createLeavingPart(context, {...platform, hostList: listed}, members),
   );
   const admission = createAdmissionPart(context, configuration, membership);
   const loads = createLoadFeed(router, {clock, admission, configuration});
   const endpoints = owned.add(
-    createEnginesPart(context, hostList, loads.router),
+    createEnginesPart(context, leavingPart, loads.router),
   );
   owned.add(loads.start(endpoints));
   const split = createMovesPart(context);
-  const streams = createStreamRunner({clock});
+  const streams = createStreamRunner({clock, self: settings.id});
   dumps.add('streams', () => streams.dump());
   const attempts = createAttempts({router, endpoints, split, admission}, clock);
   const ledger = owned.add(
--- a/packages/entry/src/parts/enginesPart.ts
+++ b/packages/entry/src/parts/enginesPart.ts
@@ -1,7 +1,7 @@
 /** The endpoints of the host list, each with the client that speaks to it. */
+import {setMaxListeners} from 'node:events';
 import {
   disposableStore,
-  every,
   toDisposable,
   type Disposable,
 } from '@skylarkfield/base';
@@ -9,13 +9,13 @@
   createHttpEngine,
   createHttpPlainService,
 } from '@skylarkfield/endpoints';
-import type {HostList, ListedEndpoint} from '@skylarkfield/platform';
+import type {LeavingEndpoint} from '@skylarkfield/members';
+import type {ListedEndpoint} from '@skylarkfield/platform';
 import type {Router} from '@skylarkfield/routing';
 import type {EntryContext} from '../context.js';
 import type {ConnectedEndpoint, EndpointPool} from '../serving.js';
-
-/** How often each endpoint is asked for its load, in milliseconds. */
-const LOAD_INTERVAL_MS = 1_000;
+import {startPolling} from './endpointPolling.js';
+import type {LeavingPart} from './leavingPart.js';
 
 export interface EnginesPart extends EndpointPool, Disposable {
   /** The endpoint gets no new work, and its streams are told. */
@@ -23,6 +23,8 @@
 }
 
 interface OpenEndpoint extends ConnectedEndpoint, Disposable {
+  /** Monotonic milliseconds by which it is gone, when a notice said so. */
+  goneAtMs: number | undefined;
   leave(): void;
 }
 
@@ -30,26 +32,35 @@
  * Follows the host list and keeps one client per endpoint.
  *
  * @example
- * const engines = createEnginesPart(context, platform.hostList, router);
+ * const engines = createEnginesPart(context, leavingPart, router);
  */
 export function createEnginesPart(
   context: EntryContext,
-  hostList: HostList,
+  {hostList, leaving}: Pick<LeavingPart, 'hostList' | 'leaving'>,
   router: Router,
 ): EnginesPart {
   const {clock, log} = context;
   const open = new Map<string, OpenEndpoint>();
   const store = disposableStore();
-  store.add(hostList.watch(adopt));
-  store.add(every(clock, LOAD_INTERVAL_MS, pollLoads));
-  store.add(toDisposable(() => open.forEach(endpoint => endpoint.dispose())));
-
-  return {
+  const pool: EndpointPool = {
     get: id => open.get(id),
     list: () => [...open.values()],
-    markLeaving,
-    dispose: () => store.dispose(),
   };
+  store.add(toDisposable(() => open.forEach(endpoint => endpoint.dispose())));
+  store.add(hostList.watch(adopt));
+  store.add(leaving.onDidLeave(noteLeaving));
+  store.add(startPolling({clock, log, router, endpoints: pool}));
+
+  return {...pool, markLeaving, dispose: () => store.dispose()};
+
+  /** A notice says when the host is gone, and may come before the list says anything. */
+  function noteLeaving({endpoint, goneAt}: LeavingEndpoint): void {
+    const present = open.get(endpoint);
+    if (present !== undefined && goneAt > 0) {
+      present.goneAtMs = clock.now() + goneAt - clock.wall();
+    }
+    markLeaving(endpoint);
+  }
 
   function markLeaving(id: string): void {
     router.markLeaving(id);
@@ -87,27 +98,6 @@
     present?.dispose();
     open.set(listed.id, openEndpoint(listed));
   }
-
-  function pollLoads(): void {
-    for (const endpoint of open.values()) {
-      void pollLoad(endpoint);
-    }
-  }
-
-  async function pollLoad(endpoint: ConnectedEndpoint): Promise<void> {
-    const client = endpoint.engine ?? endpoint.plain;
-    try {
-      const report = await client?.load();
-      if (report !== undefined) {
-        router.reportLoad(endpoint.listed.id, report);
-      }
-    } catch (error) {
-      log.debug(
-        {endpoint: endpoint.listed.id, error: String(error)},
-        'no load',
-      );
-    }
-  }
 }
 
 function isSame(a: ListedEndpoint, b: ListedEndpoint): boolean {
@@ -121,16 +111,21 @@
 
 function openEndpoint(listed: ListedEndpoint): OpenEndpoint {
   const leaving = new AbortController();
-  const shared = {
+  // Every stream at the endpoint listens; more than ten are no leak.
+  setMaxListeners(0, leaving.signal);
+  const {url} = listed;
+  const client =
+    listed.type === 'model'
+      ? {engine: createHttpEngine({url})}
+      : {plain: createHttpPlainService({url})};
+  const endpoint: OpenEndpoint = {
+    ...client,
     listed,
     leaving: leaving.signal,
+    goneAtMs: undefined,
+    goneAt: () => endpoint.goneAtMs,
     leave: () => leaving.abort(),
+    dispose: () => (client.engine ?? client.plain)?.dispose(),
   };
-  const {url} = listed;
-  if (listed.type === 'model') {
-    const engine = createHttpEngine({url});
-    return {...shared, engine, dispose: () => engine.dispose()};
-  }
-  const plain = createHttpPlainService({url});
-  return {...shared, plain, dispose: () => plain.dispose()};
+  return endpoint;
 }
--- a/packages/entry/src/serving.ts
+++ b/packages/entry/src/serving.ts
@@ -18,6 +18,8 @@
   readonly plain?: PlainService;
   /** Aborted when the endpoint is known to leave. */
   readonly leaving: AbortSignal;
+  /** Monotonic milliseconds by which a leaving endpoint is gone, when known. */
+  goneAt?(): number | undefined;
 }
 
 export interface EndpointPool {
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -58,6 +58,8 @@
   /** Chooses; undefined when no endpoint may take the request. */
   choose(journey: Journey): Choice | undefined;
   reportLoad(endpoint: string, report: LoadReport): void;
+  /** The endpoint could not be reached when it was asked for its load. */
+  reportUnreachable(endpoint: string): void;
   /** Cache events in the order of arrival; returns the sequence to ask from next (-1: resync). */
   reportCache(endpoint: string, events: readonly CacheEvent[]): number;
   /** The endpoints that this entry uses, a part of them when a service is large. */
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -27,6 +27,14 @@
   leaving(): readonly string[];
 }
 
+/** An endpoint that leaves. */
+interface LeavingMark {
+  /** When it was last listed or marked. */
+  lastMs: number;
+  /** Its host; unknown until it is listed. */
+  host: string | undefined;
+}
+
 /** How long a mark outlives the endpoint's last listing: far longer than the list lags. */
 const LEAVING_MEMORY_MS = 600_000;
 
@@ -45,8 +53,7 @@
   const {clock, random, self, isOwn} = options;
   const known = new Map<string, KnownEndpoint>();
   const pools = new Map<string, KnownEndpoint[]>();
-  /** Endpoints that leave, with the time at which they were last listed or marked. */
-  const leaving = new Map<string, number>();
+  const leaving = new Map<string, LeavingMark>();
   let listed: readonly Candidate[] = [];
   let entries: readonly string[] = [self];
 
@@ -98,7 +105,11 @@
     }
     pools.clear();
     for (const candidate of held) {
-      const endpoint = known.get(candidate.id) ?? create(candidate);
+      const present = known.get(candidate.id);
+      // The same id on another host is another process: what was known of the
+      // old one, its leaving too, says nothing about it.
+      const isSame = present?.candidate.host === candidate.host;
+      const endpoint = present && isSame ? present : create(candidate);
       endpoint.candidate = candidate;
       known.set(candidate.id, endpoint);
       const key = poolKey(candidate.service, candidate.version);
@@ -110,10 +121,18 @@
 
   function forgetLeft() {
     const nowMs = clock.now();
-    listed
-      .filter(({id}) => leaving.has(id))
-      .forEach(({id}) => leaving.set(id, nowMs));
-    for (const [id, lastMs] of leaving) {
+    for (const {id, host} of listed) {
+      const mark = leaving.get(id);
+      if (mark === undefined) {
+        continue;
+      }
+      mark.host ??= host;
+      mark.lastMs = nowMs;
+      if (mark.host !== host) {
+        leaving.delete(id);
+      }
+    }
+    for (const [id, {lastMs}] of leaving) {
       if (nowMs - lastMs > LEAVING_MEMORY_MS) {
         leaving.delete(id);
       }
@@ -131,8 +150,10 @@
       rebuild();
     },
     markLeaving(endpoint) {
-      leaving.set(endpoint, clock.now());
-      known.get(endpoint)?.health.leave();
+      const present = known.get(endpoint);
+      const host = present?.candidate.host;
+      leaving.set(endpoint, {lastMs: clock.now(), host});
+      present?.health.leave();
     },
     get: endpoint => known.get(endpoint),
     of: (service, version) => pools.get(poolKey(service, version)) ?? [],
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -275,6 +275,13 @@
       known?.load.report(report);
       known?.health.noteReport();
     },
+    reportUnreachable(endpoint) {
+      const known = pools.get(endpoint);
+      if (known?.health.state === 'live') {
+        known.health.note('unreachable', 1);
+        judge(known);
+      }
+    },
     reportCache: (endpoint, events) =>
       pools.get(endpoint)?.cache.apply(events) ?? -1,
     held: () => pools.all().map(({candidate}) => candidate),
--- a/packages/routing/src/test/router.test.ts
+++ b/packages/routing/src/test/router.test.ts
@@ -111,6 +111,24 @@
     );
   });
 
+  it('takes a new process on another host under the old id', () => {
+    const {router, send} = createRig(four);
+    router.markLeaving('a');
+    const moved = four.map(item =>
+      item.id === 'a' ? {...item, host: 'h-new'} : item,
+    );
+    router.setEndpoints(moved);
+    assert.equal(send(40, () => 'ok').has('a'), true);
+  });
+
+  it('puts aside what its load reports show to be gone', () => {
+    const {router, send, healthOf} = createRig(four);
+    router.reportUnreachable('b');
+    router.reportUnreachable('b');
+    assert.equal(healthOf('b'), 'ejected');
+    assert.equal(send(40, () => 'ok').has('b'), false);
+  });
+
   it('counts slots of usable endpoints', () => {
     const {router} = createRig(four);
     four.forEach(({id}) => router.reportLoad(id, loadReport({slots: 6})));
--- a/packages/streams/src/attempt.ts
+++ b/packages/streams/src/attempt.ts
@@ -28,6 +28,8 @@
   readonly limits: StallLimits;
   readonly costs: MoveCosts;
   readonly progress: Progress;
+  /** Start of the attempt's id. */
+  readonly prefix: string;
   readonly at: PreparedPlace;
   /** Takes a place other than this one; throws when there is none. */
   takePlace(): StreamPlace;
@@ -64,7 +66,7 @@
   const states = createAttemptStates();
   progress.states = states;
   const generation: Generation = {
-    attempt: `${request.id}#${progress.attempts}`,
+    attempt: `${options.prefix}${request.id}#${progress.attempts}`,
     prompt: request.prompt,
     maxTokens: request.maxTokens,
     urgency: request.urgency,
--- a/packages/streams/src/streamRunner.ts
+++ b/packages/streams/src/streamRunner.ts
@@ -22,6 +22,8 @@
 export interface StreamRunnerOptions {
   readonly clock: Clock;
   readonly limits?: Partial<StallLimits>;
+  /** Id of this entry; begins every attempt's id, so that entries tell theirs apart. */
+  readonly self?: string;
   /** Attempts that one request may take in all. */
   readonly maxAttempts?: number;
 }
@@ -49,7 +51,8 @@
  * const summary = await runner.run(request, hooks, signal);
  */
 export function createStreamRunner(options: StreamRunnerOptions): StreamRunner {
-  const {clock, maxAttempts = DEFAULT_MAX_ATTEMPTS} = options;
+  const {clock, self, maxAttempts = DEFAULT_MAX_ATTEMPTS} = options;
+  const prefix = self === undefined ? '' : `${self}-`;
   const limits = {...defaultStallLimits, ...options.limits};
   const costs = createMoveCosts();
   const open = new Set<Progress>();
@@ -91,6 +94,7 @@
         limits,
         costs,
         progress,
+        prefix,
         at,
         takePlace: () =>
           hooks.place(
