Attempt split into stop, move and reading; polling rates as one entry can afford

One function had grown to 250 lines; stopping, moving away from a leaving endpoint and waiting are modules of their own now. Time that a caller takes to read no longer counts as the engine's pace, and a second start event is ignored instead of counting its work twice.

--- a/packages/entry/src/parts/endpointPolling.ts
+++ b/packages/entry/src/parts/endpointPolling.ts
@@ -13,8 +13,8 @@
 const LOAD_INTERVAL_MS = 500;
 const CACHE_INTERVAL_MS = 1_000;
 /** The most questions of a kind a second, however many endpoints there are. */
-const LOAD_QUESTIONS_PER_SECOND = 40;
-const CACHE_QUESTIONS_PER_SECOND = 10;
+const LOAD_QUESTIONS_PER_SECOND = 16;
+const CACHE_QUESTIONS_PER_SECOND = 8;
 const QUESTION_TIMEOUT_MS = 2_000;
 const SECOND_MS = 1_000;
 
--- a/packages/streams/src/attempt.ts
+++ b/packages/streams/src/attempt.ts
@@ -2,21 +2,24 @@
 import {
   ServingError,
   disposableStore,
-  sleep,
   toServingError,
   type Clock,
 } from '@skylarkfield/base';
 import type {Generation, GenerationEvent} from '@skylarkfield/endpoints';
 import {createAttemptStates} from './attemptMachine.js';
+import {createAttemptStop} from './attemptStop.js';
 import type {StreamPlace, StreamToken} from './contracts.js';
-import {judgeEvent} from './eventJudgement.js';
+import {judgeEvent, type Judgement} from './eventJudgement.js';
+import {followLeaving} from './leavingMove.js';
 import type {MoveCosts} from './moveCosts.js';
-import {prepareMove, type PreparedPlace} from './movePlan.js';
+import type {PreparedPlace} from './movePlan.js';
 import {isAlive} from './probe.js';
 import type {Progress} from './progress.js';
 import {createStallWatch, type StallLimits} from './stallWatch.js';
+import {untilAborted} from './untilAborted.js';
 
 type EndEvent = GenerationEvent & {readonly type: 'end'};
+type Outcome = Parameters<StreamPlace['finish']>[0]['outcome'];
 
 export type AttemptEnd =
   | {readonly type: 'ended'; readonly event: EndEvent}
@@ -38,16 +41,6 @@
   readonly signal: AbortSignal;
 }
 
-/** Time that a move gets at least, and as a part of the notice. */
-const MIN_MOVE_MS = 1000;
-const MOVE_SHARE = 0.4;
-/** Part of the remaining time within which a stream may simply end there. */
-const FINISH_SHARE = 0.7;
-/** Time a leaving endpoint is thought to have when nobody said. */
-const ASSUMED_NOTICE_MS = 2000;
-/** Wait before a stream that should end in time is looked at again. */
-const RECHECK_MS = 100;
-
 /**
  * Runs one attempt. Rejects only when the request as a whole has to end:
  * the caller went or a deadline passed.
@@ -56,150 +49,70 @@
  * const end = await runAttempt({clock, limits, costs, progress, at, ...hooks});
  */
 export async function runAttempt(options: AttemptOptions): Promise<AttemptEnd> {
-  const {clock, limits, costs, progress, at, signal} = options;
+  const {clock, limits, costs, progress, at} = options;
   const {request, delivered} = progress;
   const {place} = at;
   const {engine} = place;
-  progress.attempts += 1;
-  progress.deliveredBefore = delivered.length;
-  progress.endpoint = place.endpoint;
   const states = createAttemptStates();
-  progress.states = states;
-  const generation: Generation = {
-    attempt: `${options.prefix}${request.id}#${progress.attempts}`,
-    prompt: request.prompt,
-    maxTokens: request.maxTokens,
-    urgency: request.urgency,
-    seed: request.seed,
-    delivered: [...delivered],
-    ...(at.importedCache === undefined
-      ? {}
-      : {importedCache: at.importedCache}),
-  };
-
-  const stop = new AbortController();
+  beginAttempt(progress, place, states);
+  const generation = toGeneration(options);
   const owned = disposableStore();
-  /** Why the attempt was stopped from here; the first reason counts. */
-  let stopped: AttemptEnd | {type: 'over'; error: ServingError} | undefined;
+  const stop = owned.add(createAttemptStop(clock, options.signal));
   const startMs = clock.now();
-  let startedMs = startMs;
+  let computeMs = startMs;
   let uncachedTokens = 0;
   let firstTokenMs: number | undefined;
   let isStartSeen = false;
 
-  function halt(why: NonNullable<typeof stopped>) {
-    stopped ??= why;
-    stop.abort();
-  }
-
-  function lose(error: ServingError) {
-    halt({type: 'lost', error});
-  }
-
-  function giveUp(error: ServingError) {
-    halt({type: 'over', error});
-  }
-
   const watch = owned.add(
     createStallWatch({
       clock,
       limits,
       probe: () => isAlive(clock, engine, limits.probeMs),
-      stalled: why => lose(new ServingError('interrupted', why)),
+      stalled: why =>
+        stop.stop({
+          type: 'lost',
+          error: new ServingError('interrupted', why),
+        }),
     }),
   );
 
-  function watchCaller() {
-    const onAbort = () =>
-      giveUp(new ServingError('cancelled', 'the caller has gone'));
-    if (signal.aborted) {
-      onAbort();
-    }
-    signal.addEventListener('abort', onAbort, {once: true});
-    owned.add({dispose: () => signal.removeEventListener('abort', onAbort)});
-  }
-
-  function watchDeadline(atMs: number, what: string) {
-    return owned.add(
-      clock.after(atMs - clock.now(), () =>
-        giveUp(new ServingError('deadline-exceeded', what)),
-      ),
-    );
-  }
-
-  /**
-   * Waits until the stream has to move, which is as late as is safe: many
-   * answers end before that and need no move at all.
-   */
-  async function untilMoveIsDue(goneAtMs: number): Promise<void> {
-    const noticeMs = Math.max(0, goneAtMs - clock.now());
-    const dueMs = goneAtMs - Math.max(MIN_MOVE_MS, noticeMs * MOVE_SHARE);
-    await sleep(clock, dueMs - clock.now(), stop.signal);
-    while (endsBefore(goneAtMs)) {
-      await sleep(clock, RECHECK_MS, stop.signal);
-    }
-  }
-
-  function endsBefore(goneAtMs: number): boolean {
-    const neededMs = (request.maxTokens - delivered.length) * watch.gapMs();
-    const isStreaming = states.current === 'streaming' && neededMs > 0;
-    return isStreaming && neededMs < (goneAtMs - clock.now()) * FINISH_SHARE;
-  }
-
-  async function move() {
-    const goneAtMs = place.goneAt?.() ?? clock.now() + ASSUMED_NOTICE_MS;
-    await untilMoveIsDue(goneAtMs);
-    states.send('leave');
-    const to = await prepareMove({
-      clock,
-      costs,
-      old: place,
-      attempt: generation.attempt,
-      goneAtMs,
-      takePlace: options.takePlace,
-      signal: stop.signal,
-    });
-    if (stopped !== undefined) {
-      to.place.finish({outcome: 'cancelled', latencyMs: 0});
-      return;
-    }
-    halt({type: 'moved', to});
+  /** Milliseconds until the answer ends, by its usual pace; undefined before it streams. */
+  function remainingMs(): number | undefined {
+    const gapMs = watch.gapMs();
+    const isStreaming = states.current === 'streaming' && gapMs > 0;
+    return isStreaming
+      ? (request.maxTokens - delivered.length) * gapMs
+      : undefined;
   }
 
-  function watchLeaving() {
-    // Preparing ends by itself when the attempt does: the error is that it was stopped.
-    const onLeaving = () => void move().catch(() => {});
-    if (place.leaving.aborted) {
-      onLeaving();
+  function countWork(event: {promptTokens: number; cachedTokens: number}) {
+    if (isStartSeen) {
       return;
     }
-    place.leaving.addEventListener('abort', onLeaving, {once: true});
-    owned.add({
-      dispose: () => place.leaving.removeEventListener('abort', onLeaving),
-    });
-  }
-
-  function countWork(event: {promptTokens: number; cachedTokens: number}) {
     isStartSeen = true;
-    startedMs = clock.now();
-    uncachedTokens = Math.max(
-      0,
-      event.promptTokens + generation.delivered.length - event.cachedTokens,
-    );
+    computeMs = clock.now();
+    const total = event.promptTokens + generation.delivered.length;
+    uncachedTokens = Math.max(0, total - event.cachedTokens);
     if (progress.hasComputed) {
       progress.recomputedTokens += uncachedTokens;
     }
     progress.hasComputed = true;
   }
 
-  async function deliverToken(text: string) {
+  function noteFirstToken() {
+    firstTokenMs = clock.now();
+    states.send('token');
+    place.streaming?.();
+    progress.hasComputed = true;
+    costs.observePrefill(uncachedTokens, firstTokenMs - computeMs);
+    firstTokenLimit?.dispose();
+  }
+
+  async function deliver(text: string) {
+    watch.touch();
     if (firstTokenMs === undefined) {
-      firstTokenMs = clock.now();
-      states.send('token');
-      place.streaming?.();
-      progress.hasComputed = true;
-      costs.observePrefill(uncachedTokens, firstTokenMs - startedMs);
-      firstTokenTimer?.dispose();
+      noteFirstToken();
     }
     const index = delivered.length;
     delivered.push(text);
@@ -210,30 +123,35 @@
     }
   }
 
-  async function read(): Promise<AttemptEnd> {
+  /** Takes one event; the end event when it was the last. */
+  async function take(judgement: Judgement): Promise<EndEvent | undefined> {
+    if (judgement.type === 'reject') {
+      throw new ServingError('protocol-violation', judgement.why);
+    }
+    if (judgement.type === 'end') {
+      countWork(judgement.event);
+      return judgement.event;
+    }
+    if (judgement.type === 'start' && !isStartSeen) {
+      states.send('start');
+      place.started?.(judgement.event.cachedTokens);
+      countWork(judgement.event);
+    }
+    if (judgement.type === 'deliver') {
+      await deliver(judgement.text);
+    }
+    return undefined;
+  }
+
+  async function read(): Promise<EndEvent> {
     for await (const event of engine.generate(generation, stop.signal)) {
-      if (stopped !== undefined) {
+      if (stop.reason !== undefined) {
         break;
       }
       progress.mayHaveRun = true;
-      watch.touch();
-      const judgement = judgeEvent(event, generation, delivered);
-      if (judgement.type === 'reject') {
-        throw new ServingError('protocol-violation', judgement.why);
-      }
-      if (judgement.type === 'end') {
-        if (!isStartSeen) {
-          countWork(judgement.event);
-        }
-        return {type: 'ended', event: judgement.event};
-      }
-      if (judgement.type === 'start') {
-        states.send('start');
-        place.started?.(judgement.event.cachedTokens);
-        countWork(judgement.event);
-      }
-      if (judgement.type === 'deliver') {
-        await deliverToken(judgement.text);
+      const end = await take(judgeEvent(event, generation, delivered));
+      if (end !== undefined) {
+        return end;
       }
       armWatch();
     }
@@ -247,38 +165,24 @@
     }
     const deadline =
       delivered.length === 0 ? request.firstTokenDeadline : request.deadline;
-    const leftMs = deadline - clock.now();
-    watch.armFirst(leftMs * limits.firstTokenShare);
+    watch.armFirst((deadline - clock.now()) * limits.firstTokenShare);
   }
 
-  const firstTokenTimer =
-    delivered.length === 0
-      ? watchDeadline(request.firstTokenDeadline, 'no token came in time')
-      : undefined;
-  watchDeadline(request.deadline, 'the answer did not end in time');
-  watchCaller();
-  watchLeaving();
-  armWatch();
-  try {
-    const end = await read();
-    states.send('end');
-    finish('ok', end.type === 'ended' ? end.event.cachedTokens : undefined);
-    return end;
-  } catch (caught) {
-    return close(toServingError(caught));
-  } finally {
-    // Whoever still prepares a move has to see that it is too late.
-    stopped ??= {type: 'lost', error: new ServingError('cancelled', 'over')};
-    stop.abort();
-    owned.dispose();
+  function finish(outcome: Outcome, cachedTokens?: number) {
+    place.finish({
+      outcome,
+      latencyMs: (firstTokenMs ?? clock.now()) - startMs,
+      ...(cachedTokens === undefined ? {} : {cachedTokens}),
+    });
   }
 
-  function close(error: ServingError): AttemptEnd {
+  function closeLost(error: ServingError): AttemptEnd {
     if (error.run === 'may-have-run') {
       progress.mayHaveRun = true;
-      cancelAtEngine();
+      // The connection's end cancels too; an engine may notice that late.
+      engine.cancel(generation.attempt).catch(() => {});
     }
-    const reason = stopped ?? {type: 'lost' as const, error};
+    const reason = stop.reason ?? {type: 'lost' as const, error};
     if (reason.type === 'over') {
       states.send('cancel');
       finish(reason.error.kind === 'cancelled' ? 'cancelled' : 'overloaded');
@@ -290,50 +194,69 @@
       return reason;
     }
     states.send('lose');
-    finish(outcomeOf(reason.type === 'lost' ? reason.error : error));
+    finish(outcomeOf(reason.error));
     return reason;
   }
 
-  function cancelAtEngine() {
-    // The connection's end cancels too; an engine may notice that late.
-    engine.cancel(generation.attempt).catch(() => {});
+  const firstTokenLimit =
+    delivered.length === 0
+      ? stop.endAt(request.firstTokenDeadline, 'no token came in time')
+      : undefined;
+  stop.endAt(request.deadline, 'the answer did not end in time');
+  owned.add(
+    followLeaving({
+      clock,
+      costs,
+      place,
+      attempt: generation.attempt,
+      stop,
+      remainingMs,
+      preparing: () => states.send('leave'),
+      takePlace: options.takePlace,
+    }),
+  );
+  armWatch();
+  try {
+    const event = await read();
+    states.send('end');
+    finish('ok', event.cachedTokens);
+    return {type: 'ended', event};
+  } catch (caught) {
+    return closeLost(toServingError(caught));
+  } finally {
+    owned.dispose();
   }
+}
 
-  function finish(
-    outcome: Parameters<StreamPlace['finish']>[0]['outcome'],
-    cachedTokens?: number,
-  ) {
-    const latencyMs = (firstTokenMs ?? clock.now()) - startMs;
-    place.finish({
-      outcome,
-      latencyMs,
-      ...(cachedTokens === undefined ? {} : {cachedTokens}),
-    });
-  }
+function beginAttempt(
+  progress: Progress,
+  place: StreamPlace,
+  states: Progress['states'],
+) {
+  progress.attempts += 1;
+  progress.deliveredBefore = progress.delivered.length;
+  progress.endpoint = place.endpoint;
+  progress.states = states;
+}
+
+function toGeneration({prefix, progress, at}: AttemptOptions): Generation {
+  const {request, delivered, attempts} = progress;
+  return {
+    attempt: `${prefix}${request.id}#${attempts}`,
+    prompt: request.prompt,
+    maxTokens: request.maxTokens,
+    urgency: request.urgency,
+    seed: request.seed,
+    delivered: [...delivered],
+    ...(at.importedCache === undefined
+      ? {}
+      : {importedCache: at.importedCache}),
+  };
 }
 
-function outcomeOf(
-  error: ServingError,
-): 'failed' | 'unreachable' | 'overloaded' {
+function outcomeOf(error: ServingError): Outcome {
   if (error.kind === 'endpoint-unavailable') {
     return 'unreachable';
   }
   return error.kind === 'overloaded' ? 'overloaded' : 'failed';
 }
-
-/** Waits for a promise, but no longer than until the signal aborts. */
-async function untilAborted(
-  promise: Promise<void>,
-  signal: AbortSignal,
-): Promise<void> {
-  let onAbort = () => {};
-  const aborted = new Promise<void>((_, reject) => {
-    onAbort = () => reject(new ServingError('cancelled', 'stopped'));
-    signal.addEventListener('abort', onAbort, {once: true});
-  });
-  try {
-    await Promise.race([promise, aborted]);
-  } finally {
-    signal.removeEventListener('abort', onAbort);
-  }
-}
--- a/packages/streams/src/stallWatch.ts
+++ b/packages/streams/src/stallWatch.ts
@@ -29,7 +29,7 @@
 const GAP_WEIGHT = 0.15;
 
 export interface StallWatch extends Disposable {
-  /** Something came from the engine. */
+  /** A token came from the engine. */
   touch(): void;
   /** Silence between tokens counts from now on. */
   arm(): void;
@@ -115,7 +115,11 @@
       start(askMs, askMs * limits.giveUpFactor);
     },
     armFirst: giveUpMs => start(limits.firstTokenAskMs, giveUpMs),
-    disarm: stop,
+    disarm() {
+      stop();
+      // What the caller takes to read says nothing about the engine's pace.
+      lastMs = undefined;
+    },
     gapMs: () => smoothedGapMs,
     dispose: stop,
   };
