--- a/packages/bench/src/replay/moveTraffic.ts
+++ b/packages/bench/src/replay/moveTraffic.ts
@@ -1,5 +1,6 @@
 /** Draws a tick's requests of a move, summed by route and version. */
 import type {Random} from '@skylarkfield/base';
+import {LATENCY_OFFSET_MS} from '@skylarkfield/moves';
 import type {EvidenceSum} from '@skylarkfield/protocol';
 import type {Mix, MixRoute, Version} from './versions.js';
 
@@ -76,11 +77,13 @@
       );
       const errors = binomial(requests, health.errorRate, random);
       const successes = requests - errors;
-      const mean = Math.log(health.medianMs);
-      const noise = SIGMA * Math.sqrt(successes) * normal(random);
+      const shifted = health.medianMs + LATENCY_OFFSET_MS;
+      const mean = Math.log(shifted);
+      const sigma = (SIGMA * health.medianMs) / shifted;
+      const noise = sigma * Math.sqrt(successes) * normal(random);
       const logLatency = successes * mean + noise;
       const within =
-        SIGMA * SIGMA * chiSquare(Math.max(0, successes - 1), random);
+        sigma * sigma * chiSquare(Math.max(0, successes - 1), random);
       sums.push({
         route: route.name,
         version: name,
--- a/packages/moves/src/localEvidence.ts
+++ b/packages/moves/src/localEvidence.ts
@@ -25,8 +25,13 @@
 /** Sums told apart between two calls of `take`; what goes beyond is judged locally only. */
 const MOST_SUMS = 256;
 
-/** A latency below this is taken for it, so that its logarithm stays finite. */
-const LEAST_LATENCY_MS = 0.01;
+/**
+ * Added to each latency before its logarithm is taken. A candidate with a small
+ * share gets few requests, so its connections are cold and each costs a
+ * handshake more. On a route that answers in 2 ms that alone looks half as slow
+ * again, and good versions were taken back for it.
+ */
+export const LATENCY_OFFSET_MS = 10;
 
 type OpenSum = {-readonly [K in keyof EvidenceSum]: EvidenceSum[K]};
 
@@ -83,7 +88,7 @@
 function sumOf(sample: Sample): EvidenceSum {
   const log = sample.isError
     ? 0
-    : Math.log(Math.max(LEAST_LATENCY_MS, sample.latencyMs));
+    : Math.log(LATENCY_OFFSET_MS + Math.max(0, sample.latencyMs));
   return {
     route: sample.route,
     version: sample.version,
--- a/packages/moves/src/moveJudge.ts
+++ b/packages/moves/src/moveJudge.ts
@@ -185,7 +185,7 @@
       return takeBack(state, current.finding.why, wallMs);
     }
     if (isProvenBad(current.proof)) {
-      return takeBack(state, 'shown to be worse than the incumbent', wallMs);
+      return takeBack(state, current.proof.worst(), wallMs);
     }
     const progress = progressOf(move, current.startedAt, wallMs);
     const odds = overallOdds(current.proof);
@@ -230,7 +230,6 @@
       trackOdds(proof, true),
     );
     const isProven = Math.max(share, orderShare) >= SOAK_SHARE;
-    const phase = nextPhase(state.phase, isProven ? 'prove' : 'doubt');
     if (share === state.share && orderShare === state.orderShare) {
       return withProof(state, proof, wallMs);
     }
@@ -238,7 +237,7 @@
       ? 'no gross fault; soaking with the old version kept ready'
       : 'gathering evidence with a small share';
     return change(state, wallMs, {
-      phase,
+      phase: nextPhase(state.phase, isProven ? 'prove' : 'doubt'),
       share,
       orderShare,
       why,
--- a/packages/moves/src/proof.ts
+++ b/packages/moves/src/proof.ts
@@ -29,6 +29,8 @@
   logOdds(strictness: Strictness, isOrder: boolean): number;
   /** Whether any request of the track was seen, of either version. */
   hasTraffic(isOrder: boolean): boolean;
+  /** What speaks most against the candidate, for the operator. */
+  worst(): string;
   routes(): readonly RouteProof[];
 }
 
@@ -43,8 +45,9 @@
 /** A route with at least 1/8 of its track's requests counts in full, a rarer one in proportion. */
 const FULL_WEIGHT_PART = 1 / 8;
 
-/** A rate from few requests is uncertain; this many requests without error are assumed beside them. */
+/** A rate from few requests is uncertain; these are assumed beside them. */
 const RATE_PRIOR_REQUESTS = 50;
+const RATE_PRIOR_ERRORS = 0.5;
 
 /** Log-odds against a fault having begun just when chance makes it look so. */
 const LATE_FAULT_ODDS = 7;
@@ -118,6 +121,17 @@
       return -logBad;
     },
     hasTraffic: isOrder => ofTrack(isOrder).some(({requests}) => requests > 0),
+    worst() {
+      const [proof] = [...routes.values()]
+        .map(state => state.proof)
+        .sort((a, b) => routeOdds(a, 'steady') - routeOdds(b, 'steady'));
+      if (proof === undefined) {
+        return 'no evidence';
+      }
+      const isSlow = proof.slower < errorOdds(proof, 'steady');
+      const what = isSlow ? 'slower answers' : 'more errors';
+      return `${what} than the incumbent on ${proof.route}`;
+    },
     routes: () => [...routes.values()].map(({proof}) => ({...proof})),
   };
 }
@@ -133,13 +147,16 @@
   };
 }
 
-/** Log-odds of good against bad on one route. */
-function routeOdds(proof: RouteProof, strictness: Strictness): number {
+/** Bad means both many times the errors and a rise that matters: excluding either will do. */
+function errorOdds(proof: RouteProof, strictness: Strictness): number {
   const byFactor =
     strictness === 'gross' ? proof.errorsThrice : proof.errorsTwice;
-  // Bad means both many times the errors and a rise that matters: excluding either will do.
-  const errors = Math.max(byFactor, proof.errorsAdded);
-  const steady = -addLogs(-errors, -proof.slower);
+  return Math.max(byFactor, proof.errorsAdded);
+}
+
+/** Log-odds of good against bad on one route. */
+function routeOdds(proof: RouteProof, strictness: Strictness): number {
+  const steady = -addLogs(-errorOdds(proof, strictness), -proof.slower);
   if (strictness !== 'full') {
     return steady;
   }
@@ -157,7 +174,8 @@
   state.incumbentRequests += incumbent.requests;
   state.incumbentErrors += incumbent.errors;
   const rate =
-    state.incumbentErrors / (state.incumbentRequests + RATE_PRIOR_REQUESTS);
+    (state.incumbentErrors + RATE_PRIOR_ERRORS) /
+    (state.incumbentRequests + RATE_PRIOR_REQUESTS);
   proof.errorsAdded -= addedErrorRatio(cell, rate, ADDED_ERROR_RATE);
   state.recentErrors = Math.max(0, state.recentErrors + twice);
   const excess = latencyExcess(cell, variance.value());
--- a/packages/moves/src/sequentialTest.ts
+++ b/packages/moves/src/sequentialTest.ts
@@ -56,11 +56,16 @@
   };
 }
 
+/** A number smaller by this power of e adds nothing to a sum in double precision. */
+const NEGLIGIBLE_GAP = 40;
+
 /** Logarithm of the sum of two numbers given by their logarithms. */
 export function addLogs(a: number, b: number): number {
   const high = Math.max(a, b);
-  if (high === -Infinity) {
+  const gap = high - Math.min(a, b);
+  // Also true for minus infinity, whose gap is infinite or not a number.
+  if (!(gap < NEGLIGIBLE_GAP)) {
     return high;
   }
-  return high + Math.log(Math.exp(a - high) + Math.exp(b - high));
+  return high + Math.log1p(Math.exp(-gap));
 }
--- a/packages/protocol/src/messages/moveMessages.ts
+++ b/packages/protocol/src/messages/moveMessages.ts
@@ -9,7 +9,7 @@
   readonly isOrder?: boolean;
   readonly requests: number;
   readonly errors: number;
-  /** Sum and sum of squares of the logarithm of latency in milliseconds. */
+  /** Sum and sum of squares of the logarithm of latency in milliseconds plus an offset of 10. */
   readonly logLatency: number;
   readonly logLatencySquared: number;
 }
