--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -22,6 +22,8 @@
 import {createAdmissionPart} from './parts/admissionPart.js';
 import {createDutiesPart} from './parts/dutiesPart.js';
 import {createEnginesPart} from './parts/enginesPart.js';
+import {createFleetPart} from './parts/fleetPart.js';
+import {createLeavingPart} from './parts/leavingPart.js';
 import {createMembersPart} from './parts/membersPart.js';
 import {createLoadFeed} from './parts/loadFeed.js';
 import {createMovesPart, startMoves} from './parts/movesPart.js';
@@ -84,15 +86,18 @@
       load: inFlight.count,
     }),
   );
-  const {membership, network} = members;
+  const {membership} = members;
   const records = owned.add(createRecordsPart(context, platform, members));
   const {configuration} = records;
   const router = createRoutingPart(context);
-  const hostList = createSharedHostList({
+  const listed = createSharedHostList({
     ...context,
     hostList: platform.hostList,
-    network,
+    network: members.network,
   });
+  const {hostList} = owned.add(
+    createLeavingPart(context, {...platform, hostList: listed}, members),
+  );
   const admission = createAdmissionPart(context, configuration, membership);
   const loads = createLoadFeed(router, {clock, admission, configuration});
   const endpoints = owned.add(
@@ -119,12 +124,21 @@
     startMoves(context, {
       split,
       configuration,
-      network,
+      network: members.network,
       objects: platform.store,
       endpoints,
       duties,
     }),
   );
+  owned.add(
+    createFleetPart(context, {
+      duties,
+      platform,
+      configuration,
+      endpoints,
+      loads,
+    }),
+  );
   const serving: Serving = {
     configuration,
     admission,
@@ -210,7 +224,6 @@
     await ledger.leave();
     const isIdle = await inFlight.idle(settings.drainMs);
     log.info({isIdle, inFlight: inFlight.count()}, 'drained');
-    network.dispose();
     owned.dispose();
   }
 
--- a/packages/entry/src/parts/loadFeed.ts
+++ b/packages/entry/src/parts/loadFeed.ts
@@ -1,4 +1,4 @@
-/** Carries what endpoints report of their load to the admission. */
+/** Keeps what endpoints report of their load, for the admission and the fleet. */
 import type {Admission} from '@skylarkfield/admission';
 import {every, type Clock, type Disposable} from '@skylarkfield/base';
 import type {LoadReport} from '@skylarkfield/endpoints';
@@ -27,8 +27,10 @@
 }
 
 export interface LoadFeed {
-  /** The router to give the reports to: it keeps a copy for the admission. */
+  /** The router to give the reports to: each is noted on its way. */
   readonly router: Router;
+  /** Latest reports of a service's endpoints that are fresh. */
+  reports(service: string): readonly LoadReport[];
   /** Starts to feed, with the endpoints that the reports are about. */
   start(endpoints: EndpointPool): Disposable;
 }
@@ -46,23 +48,38 @@
   {clock, admission, configuration}: LoadFeedOptions,
 ): LoadFeed {
   const reports = new Map<string, TimedReport>();
+  let pool: EndpointPool | undefined;
+
+  function freshReport(id: string): LoadReport | undefined {
+    const known = reports.get(id);
+    if (known === undefined || clock.now() - known.at > FRESH_MS) {
+      return undefined;
+    }
+    return known.report;
+  }
+
+  function usableEndpoints(service: string) {
+    return (pool?.list() ?? []).filter(
+      ({listed, leaving}) => listed.service === service && !leaving.aborted,
+    );
+  }
+
+  function reportsOf(service: string): LoadReport[] {
+    return usableEndpoints(service).flatMap(
+      ({listed}) => freshReport(listed.id) ?? [],
+    );
+  }
 
   /** Requests at all endpoints of a service; undefined while any of them is silent. */
-  function busyOf(service: string, endpoints: EndpointPool) {
-    let busy = 0;
-    let isAny = false;
-    for (const {listed, leaving} of endpoints.list()) {
-      if (listed.service !== service || leaving.aborted) {
-        continue;
-      }
-      const known = reports.get(listed.id);
-      if (known === undefined || clock.now() - known.at > FRESH_MS) {
-        return undefined;
-      }
-      busy += known.report.running + known.report.waiting;
-      isAny = true;
+  function busyOf(service: string): number | undefined {
+    const known = reportsOf(service);
+    if (known.length === 0 || known.length < usableEndpoints(service).length) {
+      return undefined;
     }
-    return isAny ? busy : undefined;
+    return known.reduce(
+      (sum, report) => sum + report.running + report.waiting,
+      0,
+    );
   }
 
   function feed(endpoints: EndpointPool): void {
@@ -73,11 +90,7 @@
       }
     }
     for (const {name} of configuration.list('service')) {
-      admission.setReportedSlots(
-        name,
-        router.slots(name),
-        busyOf(name, endpoints),
-      );
+      admission.setReportedSlots(name, router.slots(name), busyOf(name));
     }
   }
 
@@ -89,6 +102,10 @@
         router.reportLoad(id, report);
       },
     },
-    start: endpoints => every(clock, FEED_INTERVAL_MS, () => feed(endpoints)),
+    reports: reportsOf,
+    start(endpoints) {
+      pool = endpoints;
+      return every(clock, FEED_INTERVAL_MS, () => feed(endpoints));
+    },
   };
 }
