--- a/packages/entry/src/parts/endpointPolling.ts
+++ b/packages/entry/src/parts/endpointPolling.ts
@@ -27,6 +27,7 @@
 
 /** A question that is asked of one endpoint after the other, again and again. */
 interface Round {
+  readonly types: readonly ConnectedEndpoint['listed']['type'][];
   readonly intervalMs: number;
   readonly questionsPerSecond: number;
   ask(endpoint: ConnectedEndpoint, signal: AbortSignal): Promise<void>;
@@ -73,11 +74,13 @@
 
   const rounds: Round[] = [
     {
+      types: ['model', 'plain'],
       intervalMs: LOAD_INTERVAL_MS,
       questionsPerSecond: LOAD_QUESTIONS_PER_SECOND,
       ask: askLoad,
     },
     {
+      types: ['model'],
       intervalMs: CACHE_INTERVAL_MS,
       questionsPerSecond: CACHE_QUESTIONS_PER_SECOND,
       ask: askCache,
@@ -93,7 +96,7 @@
     owned.add({dispose: () => timer.dispose()});
 
     function next(): void {
-      const held = router.held();
+      const held = router.held().filter(({type}) => round.types.includes(type));
       const paceMs = Math.max(
         SECOND_MS / round.questionsPerSecond,
         round.intervalMs / Math.max(1, held.length),
