--- a/packages/moves/src/plan.ts
+++ b/packages/moves/src/plan.ts
@@ -20,12 +20,13 @@
   {share: 0.05, from: 0.04, needs: 'nothing'},
   {share: 0.1, from: 0.1, needs: 'nothing'},
   {share: 0.25, from: 0.18, needs: 'gross'},
+  {share: 0.4, from: 0.45, needs: 'gross'},
   {share: 0.5, from: 0.86, needs: 'full'},
   {share: 0.9, from: 0.94, needs: 'full'},
 ];
 
 /** Orders follow this much later, and only once idempotent routes are proven against gross faults. */
-const ORDER_DELAY = 0.15;
+const ORDER_DELAY = 0.1;
 
 /** The least share that only a proven candidate gets: the soak. */
 export const SOAK_SHARE = 0.25;
@@ -35,9 +36,13 @@
 const LEAST_RESERVE_MS = 20_000;
 const MOST_RESERVE_MS = 600_000;
 
-/** Evidence asked for early on, and the least that is ever enough, as log-odds. */
+/**
+ * Evidence asked for early on, and the least that is ever enough, as log-odds.
+ * Below zero: versions that passed gross tests are good far more often than
+ * not, so evidence that hardly speaks against one still leaves it likely good.
+ */
 const EARLY_ODDS = 3;
-const LEAST_ODDS = 0;
+const LEAST_ODDS = -0.5;
 
 /** Between these parts of the time the evidence asked for falls from the first to the last. */
 const RELAX_FROM = 0.15;
