Entries tell the states of moves to peers that connect

Cause: an entry started while the platform is down had the records from its peers but no move states, and would send all requests of a finished move to the old version, which may have no endpoint any more. Change: message `moveStates` (additive) when a connection opens; the newer of each state is kept. The types of a state moved to the protocol package, which carries them now; moves exports them as before. Guard taken out in a scratch run: the new test fails (answers v1).

--- a/packages/moves/src/contracts.ts
+++ b/packages/moves/src/contracts.ts
@@ -1,54 +1,8 @@
 /** Version moves: shares, judging, deadline, taking back. */
 import type {Move} from '@skylarkfield/records';
-import type {EvidenceSum} from '@skylarkfield/protocol';
+import type {EvidenceSum, MoveState} from '@skylarkfield/protocol';
 
-export type MovePhase =
-  | 'waiting'
-  | 'proving'
-  | 'soaking'
-  | 'finished'
-  | 'taken-back'
-  | 'withdrawn';
-
-/** The durable state of a move, an object of the platform written by the duty's holder. */
-export interface MoveState {
-  readonly move: string;
-  readonly phase: MovePhase;
-  /** Share of traffic for the candidate on idempotent routes, 0 to 1. */
-  readonly share: number;
-  /** Share on non-idempotent routes; they go last. */
-  readonly orderShare: number;
-  /** Why it is in this phase, for the operator. */
-  readonly why: string;
-  /** How sure the judgement is, 0 to 1. */
-  readonly confidence: number;
-  /** Wall-clock milliseconds of the last change of phase or share. */
-  readonly changedAt: number;
-  /** Versions that the state is about, to see when an operator changes the move. */
-  readonly from?: string;
-  readonly to?: string;
-  /** Wall-clock milliseconds at which the candidate first got traffic. */
-  readonly startedAt?: number;
-  /** What was proven so far, so that a new holder of the duty goes on from it. */
-  readonly proof?: readonly RouteProof[];
-}
-
-/** Evidence on one route, summed since the move started. */
-export interface RouteProof {
-  readonly route: string;
-  readonly isOrder: boolean;
-  readonly requests: number;
-  readonly candidateRequests: number;
-  /** Log-likelihood ratios of a good version against one with this many times the errors. */
-  readonly errorsTwice: number;
-  readonly errorsThrice: number;
-  /** The same against an added error rate that matters, for routes that hardly fail. */
-  readonly errorsAdded: number;
-  /** The same against a latency that is half as long again. */
-  readonly slower: number;
-  /** Largest log-likelihood ratio of a fault that began at any time and still goes on. */
-  readonly recentFault: number;
-}
+export type {MovePhase, MoveState, RouteProof} from '@skylarkfield/protocol';
 
 /** How one request went, as evidence. */
 export interface Sample {
--- a/packages/moves/src/moveFollower.ts
+++ b/packages/moves/src/moveFollower.ts
@@ -8,7 +8,7 @@
   type Clock,
   type Disposable,
 } from '@skylarkfield/base';
-import type {ObjectStore, StoredObject} from '@skylarkfield/platform';
+import type {ObjectStore} from '@skylarkfield/platform';
 import type {PeerNetwork} from '@skylarkfield/protocol';
 import type {Configuration, Move} from '@skylarkfield/records';
 import type {MoveJudge, MoveState, TrafficSplit} from './contracts.js';
@@ -23,7 +23,10 @@
 export interface MoveFollowerOptions {
   readonly clock: Clock;
   readonly objects: Pick<ObjectStore, 'watch'>;
-  readonly network: Pick<PeerNetwork, 'broadcast' | 'onDidReceive'>;
+  readonly network: Pick<
+    PeerNetwork,
+    'broadcast' | 'onDidReceive' | 'onDidChangePeer' | 'send'
+  >;
   readonly configuration: Pick<Configuration, 'list' | 'onDidChange'>;
   readonly split: TrafficSplit;
   /** Runs on every entry, so that whoever takes the duty over has the evidence. */
@@ -53,12 +56,25 @@
     split.setMoves(configuration.list('move'));
   }
 
-  function follow(stored: readonly StoredObject<MoveState>[]) {
-    const next = stored.map(({value}) => value);
-    for (const state of next) {
+  function follow(next: readonly MoveState[]) {
+    const newer = next.filter(
+      ({move, changedAt}) => changedAt > (states.get(move)?.changedAt ?? 0),
+    );
+    for (const state of newer) {
       states.set(state.move, state);
     }
-    split.setStates(next);
+    split.setStates(newer);
+  }
+
+  /**
+   * An entry that starts while the platform is down knows the records from its
+   * peers and would send all requests of a finished move to the old version,
+   * which may have no endpoint any more.
+   */
+  function tellStates(peer: string) {
+    if (states.size > 0) {
+      network.send(peer, 'moveStates', {states: [...states.values()]});
+    }
   }
 
   function moveNamed(name: string): Move | undefined {
@@ -123,11 +139,21 @@
   );
   store.add(
     objects.watch<MoveState>(MOVE_STATE_KIND, {
-      onDidList: listing => follow(listing.objects),
-      onDidPut: stored => follow([stored]),
+      onDidList: listing => follow(listing.objects.map(({value}) => value)),
+      onDidPut: ({value}) => follow([value]),
       onDidRemove: name => states.delete(name),
     }),
   );
+  store.add(
+    network.onDidChangePeer((peer, isOpen) => {
+      if (isOpen) {
+        tellStates(peer);
+      }
+    }),
+  );
+  store.add(
+    network.onDidReceive('moveStates', (_from, body) => follow(body.states)),
+  );
   store.add(
     network.onDidReceive('moveEvidence', (_from, {move, sums}) =>
       judge.addEvidence(move, sums),
--- a/packages/moves/src/test/fakes.ts
+++ b/packages/moves/src/test/fakes.ts
@@ -80,6 +80,7 @@
     }
     return condition.type === 'any' || condition.version === known?.version;
   }
+  let isWatchCut = false;
   const store = {
     get: async (_kind: string, name: string) => objects.get(name),
     async list() {
@@ -108,6 +109,9 @@
       objects.delete(name);
     },
     watch(_kind: string, listener: WatchListener<MoveState>) {
+      if (isWatchCut) {
+        return toDisposable(() => undefined);
+      }
       listeners.add(listener);
       listener.onDidList({version, objects: [...objects.values()]});
       return toDisposable(() => listeners.delete(listener));
@@ -118,7 +122,10 @@
     state: (name: string) => objects.get(name)?.value,
     write: (value: MoveState) =>
       store.put('move-state', value.move, value, {type: 'any'}),
-    setDown: (next: boolean) => (isDown = next),
+    setDown(next: boolean) {
+      isDown = next;
+      isWatchCut = next;
+    },
   };
 }
 
@@ -127,6 +134,7 @@
 /** Peers that hear each other unless one is cut off. */
 export function fakeBus() {
   const handlers = new Map<string, Map<string, Handler>>();
+  const opened = emitter<string>();
   const cutOff = new Set<string>();
   function networkOf(id: string): PeerNetwork {
     const own = new Map<string, Handler>();
@@ -140,6 +148,12 @@
         }
         return handlers.size - 1;
       },
+      send(to: string, type: keyof Messages, body: unknown) {
+        handlers.get(to)?.get(type)?.(id, body);
+        return true;
+      },
+      onDidChangePeer: (listener: (peer: string, isOpen: boolean) => void) =>
+        opened.event(peer => listener(peer, true)),
       onDidReceive(type: keyof Messages, handler: Handler) {
         own.set(type, handler);
         return toDisposable(() => own.delete(type));
@@ -147,7 +161,7 @@
     };
     return network as unknown as PeerNetwork;
   }
-  return {networkOf, cutOff};
+  return {networkOf, cutOff, open: (peer: string) => opened.fire(peer)};
 }
 
 /** Entries with followers, and a duty that any of them may hold. */
@@ -162,7 +176,7 @@
       changed.event(({kind, name}) => listener(kind, name)),
     isReady: () => true,
   };
-  const entries = Array.from({length: count}, (_, index) => {
+  function startEntry(index: number) {
     const decisions = decisionLog(clock, silentLogger());
     const split = createTrafficSplit({clock, decisions});
     const judge = createMoveJudge({clock, decisions});
@@ -170,7 +184,8 @@
     const objects = platform.store;
     createMoveFollower({clock, objects, network, configuration, split, judge});
     return {split, judge};
-  });
+  }
+  const entries = Array.from({length: count}, (_, index) => startEntry(index));
   function holdDuty(index: number) {
     const stop = new AbortController();
     const tenure: Tenure = {
@@ -198,5 +213,5 @@
     changed.fire({kind: 'move', name: ''});
     await settlePromises();
   }
-  return {entries, platform, bus, holdDuty, setMoves};
+  return {entries, startEntry, platform, bus, holdDuty, setMoves};
 }
--- a/packages/moves/src/test/moveCluster.test.ts
+++ b/packages/moves/src/test/moveCluster.test.ts
@@ -138,6 +138,28 @@
     assert.equal(platform.state(move.name)?.phase, 'taken-back');
   });
 
+  it('tells a new entry of a finished move while the platform is down', async () => {
+    // All traffic has gone over to the new version, the old one's endpoints are
+    // gone, and the platform is down when an entry is replaced. Without a word
+    // from its peers it would send every request to the old version.
+    const {holdDuty, platform, startEntry, bus, clock} = setUp();
+    holdDuty(0);
+    await clock.advance(3000);
+    const state = platform.state(move.name);
+    assert.ok(state);
+    await platform.write({
+      ...state,
+      phase: 'finished',
+      share: 1,
+      changedAt: state.changedAt + 1,
+    });
+    platform.setDown(true);
+    const late = startEntry(3);
+    bus.open('e3');
+    const request = {service: 'booking', session: 's', isIdempotent: true};
+    assert.equal(late.split.versionFor({...request, incumbent: 'v1'}), 'v2');
+  });
+
   it('ends a move that the operator withdraws', async () => {
     // The operator deletes the record midway. Entries that kept the share would
     // go on testing a version that nobody wants any more.
