--- a/packages/orders/src/test/foundSchedules.test.ts
+++ b/packages/orders/src/test/foundSchedules.test.ts
@@ -97,6 +97,66 @@
     expect: world =>
       assert.deepEqual(kinds(world), ['reply', 'reply', 'reply']),
   },
+  // All entries leave while an order waits, so it is handed over with nobody there to take it. Its
+  // caller heard `not-run`; then an entry started, found the order and ran it.
+  {
+    name: 'an order that waits in the ledger is not called not run',
+    seed: 129_460,
+    waitMs: 200,
+    steps: [
+      {do: 'submit', entry: 1, key: 3},
+      {do: 'leave', entry: 2},
+      {do: 'wait', ms: 100},
+      {do: 'leave', entry: 0},
+      {do: 'leave', entry: 1},
+      {do: 'wait', ms: 400},
+      {do: 'start', entry: 0},
+    ],
+    expect(world) {
+      assert.equal(world.runs.length, 1);
+      assert.equal(world.submitted[0]?.answer?.run, 'may-have-run');
+    },
+  },
+  // A retry waits at the shard's new owner for the reply of a run at the old one. The new owner
+  // leaves meanwhile; the reply comes, and the caller heard `may-have-run` all the same.
+  {
+    name: 'a reply that comes after the shard was released is passed on',
+    seed: 0,
+    waitMs: 0,
+    steps: [
+      {do: 'submit-hasty', entry: 0, key: 3},
+      {do: 'wait', ms: 20},
+      {do: 'start', entry: 3},
+      {do: 'submit', entry: 0, key: 3},
+      {do: 'wait', ms: 1},
+      {do: 'leave', entry: 3},
+      {do: 'leave', entry: 1},
+      {do: 'submit', entry: 0, key: 0},
+      {do: 'wait', ms: 400},
+    ],
+    expect: world => assert.equal(world.submitted[1]?.answer?.kind, 'reply'),
+  },
+  // All entries leave while an order waits, and the next one comes only after the order's deadline.
+  // The order is not run so late; a retry that came then was refused by the old order's deadline.
+  {
+    name: 'an order that waited past its deadline can be placed again',
+    seed: 0,
+    waitMs: 0,
+    steps: [
+      {do: 'submit-hasty', entry: 0, key: 0},
+      {do: 'leave', entry: 2},
+      {do: 'leave', entry: 1},
+      {do: 'wait', ms: 401},
+      {do: 'submit', entry: 0, key: 2},
+      {do: 'wait', ms: 1},
+      {do: 'leave', entry: 0},
+    ],
+    expect(world) {
+      const [, order, , retry] = world.submitted;
+      assert.equal(order?.answer?.run, 'may-have-run');
+      assert.equal(retry?.answer?.kind, 'reply');
+    },
+  },
 ];
 
 describe('schedules that the fuzzer found', () => {
--- a/packages/orders/src/test/world.ts
+++ b/packages/orders/src/test/world.ts
@@ -75,10 +75,12 @@
   readonly submitted: readonly Submitted[];
   readonly runs: readonly Run[];
   readonly service: ServiceFaults;
+  /** When entries came again after an order fell into a time without any; undefined when it did not. */
+  desertedUntil(order: Submitted): number | undefined;
   start(id: string): Entry;
   crash(id: string): void;
   pause(id: string): void;
-  resume(id: string): void;
+  resume(id: string): Promise<void>;
   leave(id: string): Promise<void>;
   submit(
     id: string,
@@ -117,6 +119,7 @@
   const entries = new Map<string, Entry>();
   const submitted: Submitted[] = [];
   const runs: Run[] = [];
+  let deserted: {readonly from: number; to: number} | undefined;
   const service: ServiceFaults = {
     refused: 0,
     lostAfter: 0,
@@ -181,6 +184,9 @@
     });
     const entry = {id, process, ledger, client, suspects, isLeaving: false};
     entries.set(id, entry);
+    if (deserted !== undefined) {
+      deserted.to = Math.min(deserted.to, clock.now());
+    }
     return entry;
   }
 
@@ -239,6 +245,12 @@
   async function leave(id: string): Promise<void> {
     const entry = entryOf(id);
     entry.isLeaving = true;
+    const isLast = [...entries.values()].every(
+      other => other.isLeaving || !other.process.isAlive,
+    );
+    if (isLast) {
+      deserted ??= {from: clock.now(), to: Infinity};
+    }
     await entry.ledger.leave();
     if (entries.get(id) === entry) {
       crash(id);
@@ -258,6 +270,13 @@
     submitted,
     runs,
     service,
+    desertedUntil({at, timeoutMs}) {
+      const isHit =
+        deserted !== undefined &&
+        at <= deserted.to &&
+        at + timeoutMs >= deserted.from;
+      return isHit ? deserted?.to : undefined;
+    },
     start,
     crash,
     pause(id) {
