An entry that wakes from a pause takes no requests until it has heard again

Cause: nothing consulted isCurrent(): an entry stopped for minutes would on waking serve by versions and shares that have long been replaced.

Change: the entry's readiness is `starting` (refused, not run) while the membership is not current.

--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -206,7 +206,10 @@
     if (phase !== 'serving') {
       return phase;
     }
-    return configuration.isReady() ? 'ready' : 'starting';
+    // After a pause what is in force here may be long replaced: requests are
+    // refused, as not run, until a peer or the platform has answered again.
+    const isUpToDate = configuration.isReady() && membership.isCurrent();
+    return isUpToDate ? 'ready' : 'starting';
   }
 
   /**
