--- a/packages/entry/src/parts/fleetPart.ts
+++ b/packages/entry/src/parts/fleetPart.ts
@@ -7,6 +7,7 @@
   ORDER_DEADLINE_MS,
   type ManagedEndpoint,
 } from '@skylarkfield/fleet';
+import type {ListedEndpoint} from '@skylarkfield/platform';
 import type {Configuration} from '@skylarkfield/records';
 import type {EntryContext} from '../context.js';
 import type {EndpointPool} from '../serving.js';
@@ -82,10 +83,19 @@
     return endpoints
       .list()
       .flatMap(({listed, engine}) =>
-        engine === undefined ? [] : [{listed, engine}],
+        engine === undefined ? [] : [{listed: withClass(listed), engine}],
       );
   }
 
+  /** What operators say of a class goes before what the list says of an endpoint. */
+  function withClass(listed: ListedEndpoint): ListedEndpoint {
+    const known = configuration.get('endpoint-class', listed.machineClass);
+    return {
+      ...listed,
+      checksFencing: known?.checksFencing ?? listed.checksFencing,
+    };
+  }
+
   function weightsOf(service: string): string {
     return configuration.get('service', service)?.fleet.weights || service;
   }
