--- /dev/null
+++ b/packages/bench/src/processes/servingFleet.ts
@@ -0,0 +1,40 @@
+/** The usual trial fleet: three entries, two model replicas, two plain services. */
+import {putTrialRecords, trialEngine, trialPlain} from './trialCalls.js';
+import {startTrialFleet, type TrialFleet} from './trialFleet.js';
+import {untilServing} from './untilServing.js';
+
+export interface ServingFleet {
+  readonly fleet: TrialFleet;
+  /** Addresses of the entries for callers. */
+  readonly urls: readonly string[];
+}
+
+/**
+ * Starts the fleet and waits until every entry serves both services.
+ *
+ * @example
+ * const {fleet, urls} = await startServingFleet({lingerMs: 0});
+ */
+export async function startServingFleet(
+  settings: Readonly<Record<string, unknown>> = {},
+): Promise<ServingFleet> {
+  const fleet = await startTrialFleet({
+    entryDomains: ['a', 'b', 'c'],
+    endpoints: [
+      trialEngine('m1', 'a'),
+      trialEngine('m2', 'b'),
+      trialPlain('b1', 'a'),
+      trialPlain('b2', 'b'),
+    ],
+    settings: {log: {level: 'warn'}, ...settings},
+  });
+  try {
+    await putTrialRecords(fleet);
+    await untilServing(fleet, ['match', 'booking']);
+  } catch (error) {
+    await fleet.dispose();
+    throw error;
+  }
+  const urls = fleet.entries.map(entry => entry.ready['callers'] ?? '');
+  return {fleet, urls};
+}
--- a/packages/bench/src/test/failures.test.ts
+++ b/packages/bench/src/test/failures.test.ts
@@ -1,16 +1,14 @@
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
+import {startServingFleet} from '../processes/servingFleet.js';
 import {
-  putTrialRecords,
   runsByKey,
   sendOrder,
   streamChat,
-  trialEngine,
   trialHeaders,
-  trialPlain,
 } from '../processes/trialCalls.js';
-import {startTrialFleet, type TrialFleet} from '../processes/trialFleet.js';
-import {until, untilServing} from '../processes/untilServing.js';
+import type {TrialFleet} from '../processes/trialFleet.js';
+import {until} from '../processes/untilServing.js';
 
 const PLAINS = ['b1', 'b2'];
 const QUESTION = 'match a warm oak floor with a matte finish';
@@ -22,28 +20,13 @@
   fleet = undefined;
 });
 
-/** A fleet that serves, with the addresses of its entries. */
-async function startServing(
-  settings: Record<string, unknown> = {},
-): Promise<{fleet: TrialFleet; urls: string[]}> {
-  const started = await startTrialFleet({
-    entryDomains: ['a', 'b', 'c'],
-    endpoints: [
-      trialEngine('m1', 'a'),
-      trialEngine('m2', 'b'),
-      trialPlain('b1', 'a'),
-      trialPlain('b2', 'b'),
-    ],
-    settings: {log: {level: 'warn'}, ...settings},
-  });
-  fleet = started;
-  await putTrialRecords(started);
-  await untilServing(started, ['match', 'booking']);
-  const urls = started.entries.map(entry => entry.ready['callers'] ?? '');
-  return {fleet: started, urls};
+async function startServing(settings: Record<string, unknown> = {}) {
+  const serving = await startServingFleet(settings);
+  fleet = serving.fleet;
+  return serving;
 }
 
-/** Answers lookups with how many entries. */
+/** Addresses that an entry names to callers. */
 async function listedEntries(url: string): Promise<string[]> {
   const response = await fetch(`${url}/v1/entries`, {headers: trialHeaders});
   const body = (await response.json()) as {entries: {url: string}[]};
