Ledger: a claim that is not written yet makes no key conflict

Two requests used one key; the second came to an entry that had lost the shard without knowing. The first, handed over, was refused there as conflicting with the second's claim, which was never written, and then ran from the ledger.

Change: a conflict is told only against a claim that is in the ledger; until then the request waits, within its deadline. A conflict told about an order that another entry may run says may-have-run. Seen with the check taken out: the new named schedule fails.

--- a/packages/orders/src/flight.ts
+++ b/packages/orders/src/flight.ts
@@ -61,9 +61,13 @@
   readonly request: OrderRequest;
   readonly shard: number;
   readonly done: Promise<FlightResult>;
+  /** Resolves once its claim is in the ledger, or never will be by this process. */
+  readonly decided: Promise<void>;
   /** The claim's token, once it has one. */
   token: string;
   state(): FlightState;
+  /** True once `decided` has resolved. */
+  isDecided(): boolean;
   /** True once it has ended by being handed over. */
   isMoved(): boolean;
   /** Moves on; false when the state does not allow it. */
@@ -114,6 +118,8 @@
   let isMoved = false;
   let finish: (result: FlightResult) => void = () => undefined;
   const done = new Promise<FlightResult>(resolve => (finish = resolve));
+  let decide: () => void = () => undefined;
+  const decided = new Promise<void>(resolve => (decide = resolve));
 
   function current(): FlightState {
     return service.machine.current as FlightState;
@@ -122,6 +128,9 @@
   function tell(event: FlightEvent): boolean {
     const before = current();
     service.send(event);
+    if (!undecidedStates.has(current())) {
+      decide();
+    }
     return current() !== before;
   }
 
@@ -190,8 +199,10 @@
     request,
     shard,
     done,
+    decided,
     token: '',
     state: current,
+    isDecided: () => !undecidedStates.has(current()),
     isMoved: () => isMoved,
     tell,
     end,
@@ -200,6 +211,12 @@
   };
 }
 
+/** States in which it is not known whether the ledger takes the claim. */
+const undecidedStates: ReadonlySet<FlightState> = new Set([
+  'queued',
+  'committing',
+]);
+
 /** States from which an order can be given up so that it certainly never runs. */
 const unsentStates: ReadonlySet<FlightState> = new Set([
   'queued',
--- a/packages/orders/src/ledger.ts
+++ b/packages/orders/src/ledger.ts
@@ -440,6 +440,7 @@
   return new ServingError(
     'key-conflict',
     `idempotency key ${JSON.stringify(key)} was used with another request`,
+    {run: error.run, cause: error},
   );
 }
 
--- a/packages/orders/src/localOrders.ts
+++ b/packages/orders/src/localOrders.ts
@@ -2,6 +2,7 @@
 import {
   isServingError,
   ServingError,
+  sleep,
   toServingError,
   type Clock,
   type Random,
@@ -171,7 +172,7 @@
     signal: AbortSignal,
   ): Promise<OrderResult> {
     if (flight.request.print !== request.print) {
-      return refusal(keyConflict());
+      return conflictWith(flight, request, signal);
     }
     try {
       const result = await flight.join(request.deadline, signal);
@@ -184,6 +185,32 @@
     }
   }
 
+  /** A claim that is not in the ledger yet may lose against another: no conflict is certain before. */
+  async function conflictWith(
+    flight: Flight,
+    request: OrderRequest,
+    signal: AbortSignal,
+  ): Promise<OrderResult> {
+    if (flight.isDecided()) {
+      return refusal(keyConflict());
+    }
+    const leftMs = request.deadline - clock.now();
+    const late = new AbortController();
+    await Promise.race([
+      flight.decided,
+      sleep(clock, leftMs, late.signal).catch(() => undefined),
+    ]);
+    late.abort();
+    if (clock.now() < request.deadline) {
+      return work(request, signal);
+    }
+    return refusal(
+      new ServingError('deadline-exceeded', 'the deadline passed', {
+        run: 'not-run',
+      }),
+    );
+  }
+
   async function answerKnown(
     shard: Shard,
     entry: LedgerEntry,
--- a/packages/orders/src/orderRoute.ts
+++ b/packages/orders/src/orderRoute.ts
@@ -162,11 +162,7 @@
     function refuse(error: ServingError): FlightResult & {type: 'error'} {
       // A silent owner may still wake and run the order, so it can't be called not run.
       const mayRun = mayRunElsewhere && error.run === 'not-run';
-      return {
-        type: 'error',
-        error:
-          mayRun && error.kind !== 'key-conflict' ? silentOwner(error) : error,
-      };
+      return {type: 'error', error: mayRun ? mayHaveRun(error) : error};
     }
 
     for (let hop = 0; hop < MAX_HOPS; hop++) {
@@ -265,9 +261,10 @@
   });
 }
 
-function silentOwner(cause: ServingError): ServingError {
+function mayHaveRun(cause: ServingError): ServingError {
+  const kind = cause.kind === 'key-conflict' ? cause.kind : 'outcome-unknown';
   return new ServingError(
-    'outcome-unknown',
+    kind,
     `the order was given to another entry and may run there: ${cause.message}`,
     {run: 'may-have-run', retryAfterMs: cause.retryAfterMs, cause},
   );
--- a/packages/orders/src/test/foundSchedules.test.ts
+++ b/packages/orders/src/test/foundSchedules.test.ts
@@ -157,6 +157,29 @@
       assert.equal(retry?.answer?.kind, 'reply');
     },
   },
+  // Two requests use one key. The second comes to an entry that does not know yet that it has lost
+  // the shard; its claim will never be written, but the first was refused as conflicting with it,
+  // as not run, and then ran.
+  {
+    name: 'a claim that is not written yet makes no key conflict',
+    seed: 0,
+    waitMs: 2_000,
+    steps: [
+      {do: 'submit-other', entry: 0, key: 1},
+      {do: 'start', entry: 3},
+      {do: 'wait', ms: 400},
+      {do: 'submit', entry: 0, key: 3},
+      {do: 'wait', ms: 20},
+      {do: 'leave', entry: 3},
+      {do: 'submit-other', entry: 0, key: 3},
+      {do: 'submit', entry: 0, key: 0},
+      {do: 'leave', entry: 1},
+    ],
+    expect(world) {
+      const kept = world.submitted.find(({subject}) => subject === 'k3');
+      assert.equal(kept?.answer?.kind, 'reply');
+    },
+  },
 ];
 
 describe('schedules that the fuzzer found', () => {
