--- a/packages/streams/src/test/streamRunner.test.ts
+++ b/packages/streams/src/test/streamRunner.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {sleep} from '@skylarkfield/base';
 import {rightAnswer, type Plan} from './fakeEngine.js';
 import {createRig, DEADLINE_MS} from './streamRig.js';
 
@@ -109,6 +110,15 @@
     assert.equal(rig.result.summary?.attempts, 1);
   });
 
+  it('does not move an answer that ends well before the endpoint is gone', async () => {
+    const rig = createRig({maxTokens: 24, goneAt: 700});
+    rig.start();
+    await rig.clock.advance(50);
+    rig.leaving[0]!.abort();
+    await rig.clock.advance(DEADLINE_MS);
+    assert.equal(rig.result.summary?.attempts, 1);
+  });
+
   it('says not-run only when no engine was reached', async () => {
     const refused: Plan = {fault: 'refused', at: 0};
     const failed: Plan = {fault: 'failed', at: 0};
@@ -156,4 +166,22 @@
     await rig.clock.advance(100);
     assert.equal(rig.tokens.length, 2);
   });
+
+  // A caller paused in reading, and the engine hangs afterwards. Were the pause
+  // taken for the engine's pace, the hang would go unnoticed for seconds.
+  it('does not take the reading of a caller for the pace of the engine', async () => {
+    let held = 0;
+    const rig = createRig({
+      deliver() {
+        held += 1;
+        return held === 3 ? sleep(rig.clock, 6000) : undefined;
+      },
+    });
+    rig.start();
+    await rig.clock.advance(6150);
+    assert.ok(rig.tokens.length > 4);
+    rig.engines[0]!.isHung = true;
+    await rig.clock.advance(1500);
+    assert.deepEqual(rig.tokens, rightAnswer());
+  });
 });
