Orders: shard, ledger and local orders split by concern

Taken out, without a change of behaviour: the state machine (shardMachine), the take-over (shardTakeOver), outcomes that wait for a write (pendingOutcomes), what a shard offers (shardContracts), sealing (into shardSegments), the sender of late outcomes (lateOutcomeSender), settings (ledgerSettings), the answers from known entries (knownAnswers); asking the next owner after a release went to handOver. The take-over reports its landed write by a callback in the same turn as before, so that no message can come between the write and the change of state.

--- a/packages/orders/src/handOver.ts
+++ b/packages/orders/src/handOver.ts
@@ -1,15 +1,18 @@
 /** Hands the orders that were not sent yet over to a shard's next owner. */
 import type {Clock} from '@skylarkfield/base';
 import type {Flight} from './flight.js';
-import type {Shard} from './shard.js';
+import type {OrderNetwork} from './orderRoute.js';
+import type {Shard} from './shardContracts.js';
 import {storeOrder, type LedgerEntry} from './shardRecord.js';
 
 /** All bodies in one shard's object together, so that it stays far below what the platform takes. */
 const MAX_TOTAL_BYTES = 262_144;
+const MAX_SUCCESSORS_ASKED = 3;
+const ASK_TIMEOUT_MS = 2_000;
 
 export interface HandOver {
-  /** Gives a shard up; true when it is free for its next owner. */
-  release(shard: Shard, successor: string | undefined): Promise<boolean>;
+  /** Gives a shard up and asks its next owner to take it; does nothing more when it could not be given up. */
+  pass(shard: Shard): Promise<void>;
 }
 
 /**
@@ -21,10 +24,13 @@
  * reply to the mark would double the order.
  *
  * @example
- * await handOver.release(shard, 'a2');
+ * await handOver.pass(shard);
  */
 export function createHandOver(options: {
   readonly clock: Clock;
+  readonly network: OrderNetwork;
+  /** Entries that may own a shard next, the preferred one first. */
+  readonly successors: (shard: number) => readonly string[];
   /** The largest body that goes into the ledger. */
   readonly maxBytes: number;
   readonly flights: () => readonly Flight[];
@@ -54,31 +60,57 @@
     return entry;
   }
 
-  return {
-    async release(shard, successor) {
-      const held: Array<{flight: Flight; claim: LedgerEntry | undefined}> = [];
-      const budget = {bytes: MAX_TOTAL_BYTES};
-      const result = await shard.release(() => {
-        for (const flight of options.flights()) {
-          if (flight.shard === shard.index && flight.tell('hold')) {
-            held.push({flight, claim: mark(shard, flight, budget)});
-          }
-        }
-      });
-      for (const {flight, claim} of held) {
-        if (result === 'released') {
-          const {token} = flight;
-          const isWaiting = claim !== undefined;
-          flight.end({type: 'moved', member: successor, token, isWaiting});
-          continue;
+  /** True when the shard is free for its next owner. */
+  async function release(
+    shard: Shard,
+    successor: string | undefined,
+  ): Promise<boolean> {
+    const held: Array<{flight: Flight; claim: LedgerEntry | undefined}> = [];
+    const budget = {bytes: MAX_TOTAL_BYTES};
+    const result = await shard.release(() => {
+      for (const flight of options.flights()) {
+        if (flight.shard === shard.index && flight.tell('hold')) {
+          held.push({flight, claim: mark(shard, flight, budget)});
         }
-        if (claim !== undefined) {
-          shard.table.put(claim);
+      }
+    });
+    for (const {flight, claim} of held) {
+      if (result === 'released') {
+        const {token} = flight;
+        const isWaiting = claim !== undefined;
+        flight.end({type: 'moved', member: successor, token, isWaiting});
+        continue;
+      }
+      if (claim !== undefined) {
+        shard.table.put(claim);
+      }
+      flight.tell('unhold');
+      options.rerun(flight);
+    }
+    return result === 'released';
+  }
+
+  return {
+    async pass(shard) {
+      const successors = options.successors(shard.index);
+      const isReleased = await release(shard, successors[0]);
+      if (!isReleased) {
+        return;
+      }
+      const body = {shard: shard.index, epoch: 0};
+      for (const successor of successors.slice(0, MAX_SUCCESSORS_ASKED)) {
+        try {
+          await options.network.ask(
+            successor,
+            'orderHandOver',
+            body,
+            ASK_TIMEOUT_MS,
+          );
+          return;
+        } catch {
+          // The next one is asked: orders wait in the shard for whoever takes it.
         }
-        flight.tell('unhold');
-        options.rerun(flight);
       }
-      return result === 'released';
     },
   };
 }
--- a/packages/orders/src/index.ts
+++ b/packages/orders/src/index.ts
@@ -1,11 +1,11 @@
 /** The ledger that runs non-idempotent calls at most once. */
 export * from './contracts.js';
+export {createLedger} from './ledger.js';
 export {
-  createLedger,
   defaultLedgerSettings,
   type LedgerOptions,
   type LedgerSettings,
-} from './ledger.js';
+} from './ledgerSettings.js';
 export {LEDGER_KIND} from './shardRecord.js';
 export type {OrderNetwork} from './orderRoute.js';
 export {SEGMENT_KIND} from './shardSegments.js';
--- a/packages/orders/src/ledger.ts
+++ b/packages/orders/src/ledger.ts
@@ -1,26 +1,19 @@
 /** The ledger of one process: orders in, hand-over on leaving, messages between entries. */
-import {
-  disposableStore,
-  every,
-  rendezvousOrder,
-  ServingError,
-  sleep,
-  type Clock,
-  type DecisionLog,
-  type Random,
-} from '@skylarkfield/base';
-import type {ObjectStore} from '@skylarkfield/platform';
+import {disposableStore, every, ServingError, sleep} from '@skylarkfield/base';
 import type {ClaimOutcome} from '@skylarkfield/protocol';
-import type {Dispatch, Ledger, Order, OrderAnswer} from './contracts.js';
+import type {Ledger, Order, OrderAnswer} from './contracts.js';
 import type {Flight, OrderRequest} from './flight.js';
 import {createHandOver} from './handOver.js';
-import {createLateOutcomes, type LateOutcome} from './lateOutcomes.js';
+import {createLateOutcomes} from './lateOutcomes.js';
+import {createLateOutcomeSender} from './lateOutcomeSender.js';
+import {defaultLedgerSettings, type LedgerOptions} from './ledgerSettings.js';
 import {claimOutcome, createLocalOrders} from './localOrders.js';
 import {orderId, orderPrint, shardOf, uniqueText} from './orderIdentity.js';
-import {createOrderRoute, type OrderNetwork} from './orderRoute.js';
+import {createOrderRoute} from './orderRoute.js';
 import {createOrderRunner, type RunOutcome} from './orderRunner.js';
 import {answerPeers} from './peerOrders.js';
-import {createShard, type Shard} from './shard.js';
+import {createShard} from './shard.js';
+import type {Shard} from './shardContracts.js';
 import {
   LEDGER_KIND,
   shardName,
@@ -28,71 +21,10 @@
   type ShardRecord,
 } from './shardRecord.js';
 
-export interface LedgerOptions {
-  readonly store: ObjectStore;
-  readonly network: OrderNetwork;
-  readonly dispatch: Dispatch;
-  readonly clock: Clock;
-  readonly random: Random;
-  /** Id of this entry among its peers. */
-  readonly member: string;
-  /** Ids of the entries that take new work, this one included. */
-  readonly liveMembers: () => readonly string[];
-  /** Ids of the entries that can still answer: those live and those leaving; the live ones when absent. */
-  readonly answeringMembers?: () => readonly string[];
-  readonly decisions?: DecisionLog;
-  readonly settings?: Partial<LedgerSettings>;
-}
-
-export interface LedgerSettings {
-  /** The same in every entry and for good: it decides which shard holds a key. */
-  readonly shardCount: number;
-  /** The least time between two writes of one shard. */
-  readonly writeGapMs: number;
-  /** How long an outcome may wait for a write. */
-  readonly outcomeDelayMs: number;
-  /** How long a key is remembered after its order has ended. */
-  readonly dedupeWindowMs: number;
-  /** How long a deposed owner leaves a shard to its new one. */
-  readonly holdOffMs: number;
-  /** Size of a shard's object from which ended orders move into objects of their own. */
-  readonly sealBytes: number;
-  /** Size of a shard with all its objects above which new orders are refused. */
-  readonly maxShardBytes: number;
-  /** The largest reply that is kept for retries. */
-  readonly maxReplyBytes: number;
-  /** The largest body that is handed over in the ledger; larger ones go to the next owner directly. */
-  readonly maxHandOverBytes: number;
-  /** How long a sent call may outlive its deadline, so that its outcome gets known. */
-  readonly graceMs: number;
-  /** Attempts under one claim while nothing was sent. */
-  readonly maxAttempts: number;
-  /** Least wait that is asked of callers while the platform is down. */
-  readonly retryAfterMs: number;
-}
-
-/** What a ledger does when nothing is set. */
-export const defaultLedgerSettings: LedgerSettings = {
-  shardCount: 8,
-  writeGapMs: 80,
-  outcomeDelayMs: 200,
-  dedupeWindowMs: 3_600_000,
-  holdOffMs: 3_000,
-  sealBytes: 16_384,
-  maxShardBytes: 2_097_152,
-  maxReplyBytes: 4_096,
-  maxHandOverBytes: 16_384,
-  graceMs: 30_000,
-  maxAttempts: 4,
-  retryAfterMs: 1_000,
-};
-
 const LATE_CHECK_MS = 250;
 const LATE_KEPT_MS = 120_000;
 const LINGER_MS = 100;
-const MAX_SUCCESSORS_ASKED = 3;
 const START_CHECK_MS = 500;
-const ASK_TIMEOUT_MS = 2_000;
 
 /**
  * Makes the ledger of one process.
@@ -112,7 +44,6 @@
   /** Answers that callers of this entry wait for. */
   const open = new Set<Promise<unknown>>();
   let isLeaving = false;
-  let isSendingLate = false;
   let isAlive = true;
 
   const shards: readonly Shard[] = Array.from(
@@ -169,8 +100,16 @@
     isLeaving: () => isLeaving,
     workHere: orders.work,
   });
+  const sender = createLateOutcomeSender({
+    ...options,
+    late,
+    shards,
+    isReachable: other => route.isReachable(other),
+  });
   const handOver = createHandOver({
     clock,
+    network,
+    successors: index => route.successors(index),
     maxBytes: settings.maxHandOverBytes,
     flights: orders.flights,
     rerun: runner.run,
@@ -257,54 +196,6 @@
     return recent.find(id, token) ?? late.find(id, token);
   }
 
-  async function sendLate(): Promise<void> {
-    if (isSendingLate) {
-      return;
-    }
-    isSendingLate = true;
-    for (const index of late.shards()) {
-      const waiting = late.ofShard(index, clock.now());
-      const target = await lateTarget(index);
-      if (waiting.length > 0 && target !== undefined) {
-        await sendLateTo(target, index, waiting);
-      }
-    }
-    isSendingLate = false;
-  }
-
-  /** Who can note outcomes of a shard; undefined when they were noted here or nobody can now. */
-  async function lateTarget(index: number): Promise<string | undefined> {
-    const target = preferredOwner(index);
-    if (target !== member) {
-      return target;
-    }
-    const ownership = await shards[index]?.own().catch(() => undefined);
-    return ownership?.type === 'elsewhere' ? ownership.member : undefined;
-  }
-
-  async function sendLateTo(
-    target: string,
-    shard: number,
-    waiting: readonly LateOutcome[],
-  ): Promise<void> {
-    const hops = Math.max(...waiting.map(late => late.hops)) + 1;
-    const outcomes = waiting.map(({outcome}) => outcome);
-    try {
-      const body = {shard, hops, outcomes};
-      await network.ask(target, 'orderOutcomes', body, ASK_TIMEOUT_MS);
-      outcomes.forEach(({id, token}) => late.remove(id, token));
-    } catch {
-      // They stay, and go again at the next check.
-    }
-  }
-
-  function preferredOwner(index: number): string | undefined {
-    const known = options
-      .liveMembers()
-      .filter(other => other === member || route.isReachable(other));
-    return rendezvousOrder(`ledger/${index}`, known)[0];
-  }
-
   owned.add(
     answerPeers({
       network,
@@ -322,7 +213,7 @@
       takeWaiting().catch(() => undefined);
     }),
   );
-  owned.add(every(clock, LATE_CHECK_MS, () => void sendLate()));
+  owned.add(every(clock, LATE_CHECK_MS, () => void sender.send()));
   owned.add(
     store.onDidChangeState(state => {
       if (state !== 'down') {
@@ -376,23 +267,6 @@
     }
   }
 
-  async function handShardOver(shard: Shard): Promise<void> {
-    const successors = route.successors(shard.index);
-    const isReleased = await handOver.release(shard, successors[0]);
-    if (!isReleased) {
-      return;
-    }
-    const body = {shard: shard.index, epoch: 0};
-    for (const successor of successors.slice(0, MAX_SUCCESSORS_ASKED)) {
-      try {
-        await network.ask(successor, 'orderHandOver', body, ASK_TIMEOUT_MS);
-        return;
-      } catch {
-        // The next one is asked: orders wait in the shard for whoever takes it.
-      }
-    }
-  }
-
   /** Takes up orders that were handed over when no other entry was there. */
   async function takeWaiting(): Promise<void> {
     const {objects} = await store.list<ShardRecord>(LEDGER_KIND);
@@ -408,10 +282,10 @@
 
   async function leave(): Promise<void> {
     isLeaving = true;
-    await Promise.all(shards.map(handShardOver));
+    await Promise.all(shards.map(handOver.pass));
     await Promise.all(orders.flights().map(flight => flight.done));
     await Promise.allSettled(open);
-    await sendLate();
+    await sender.send();
     // An order on its way here is told that nothing was done with it; from a closed connection its sender couldn't know.
     await sleep(clock, LINGER_MS);
   }
--- a/packages/orders/src/localOrders.ts
+++ b/packages/orders/src/localOrders.ts
@@ -1,6 +1,5 @@
 /** Orders in the shards that this process owns: look-up, new claims, outcomes. */
 import {
-  isServingError,
   ServingError,
   sleep,
   toServingError,
@@ -9,18 +8,13 @@
 } from '@skylarkfield/base';
 import type {ObjectStore} from '@skylarkfield/platform';
 import type {ClaimOutcome} from '@skylarkfield/protocol';
-import type {OrderReply} from './contracts.js';
 import {createFlight, type Flight, type OrderRequest} from './flight.js';
+import {answerLost, keyConflict, knownAnswer, refusal} from './knownAnswers.js';
 import {shardOf} from './orderIdentity.js';
 import type {OrderResult} from './orderAnswers.js';
 import type {RunOutcome} from './orderRunner.js';
-import type {Shard} from './shard.js';
-import {
-  readCall,
-  readReply,
-  storeReply,
-  type LedgerEntry,
-} from './shardRecord.js';
+import type {Shard} from './shardContracts.js';
+import {readCall, storeReply, type LedgerEntry} from './shardRecord.js';
 
 export interface LocalOrders {
   /** Works on an order if its shard is or can be owned here. */
@@ -332,62 +326,8 @@
   return {state: outcome.state, id, token};
 }
 
-/** The answer to a claim's outcome that came when the shard was no longer owned here. */
-function answerLost(
-  entry: LedgerEntry,
-  outcome: ClaimOutcome | undefined,
-): OrderResult {
-  if (outcome?.state === 'released') {
-    const {token} = entry;
-    return {type: 'moved', member: undefined, token, isWaiting: false};
-  }
-  if (outcome?.state !== 'settled' || outcome.reply.body === undefined) {
-    return knownAnswer(entry);
-  }
-  const {status, headers, body} = outcome.reply;
-  return {type: 'reply', reply: {status, headers, body}, isReplay: true};
-}
-
 const settleWithoutReply = {
   released: (shard: Shard, entry: LedgerEntry) => shard.table.remove(entry.id),
   unknown: (shard: Shard, entry: LedgerEntry) =>
     shard.table.put({...entry, state: 'unknown'}),
 };
-
-function knownAnswer(entry: LedgerEntry): OrderResult {
-  if (entry.state === 'settled' && entry.reply !== undefined) {
-    const {status, headers, body} = readReply(entry.reply);
-    if (body === undefined) {
-      return refusal(
-        unknownOutcome(
-          `the order has run and was answered with status ${status}, but its reply was too large to be kept`,
-        ),
-      );
-    }
-    const reply: OrderReply = {status, headers, body};
-    return {type: 'reply', reply, isReplay: true};
-  }
-  return refusal(
-    unknownOutcome('the order was claimed and may have run; its reply is lost'),
-  );
-}
-
-function unknownOutcome(message: string): ServingError {
-  return new ServingError('outcome-unknown', message, {run: 'may-have-run'});
-}
-
-function keyConflict(): ServingError {
-  return new ServingError(
-    'key-conflict',
-    'the idempotency key was used with another request',
-  );
-}
-
-function refusal(error: ServingError): OrderResult {
-  return {type: 'error', error};
-}
-
-/** Tells whether an error says that the entry asked took nothing on. */
-export function isTurnedAway(error: ServingError): boolean {
-  return isServingError(error, 'leaving') || isServingError(error, 'not-ready');
-}
--- a/packages/orders/src/orderRoute.ts
+++ b/packages/orders/src/orderRoute.ts
@@ -9,7 +9,6 @@
 } from '@skylarkfield/base';
 import type {ForwardAnswer, PeerNetwork} from '@skylarkfield/protocol';
 import type {FlightResult, OrderRequest} from './flight.js';
-import {isTurnedAway} from './localOrders.js';
 import {readForwardAnswer, type OrderResult} from './orderAnswers.js';
 import {uniqueText} from './orderIdentity.js';
 
@@ -273,3 +272,8 @@
 function silentPeer(other: string): ServingError {
   return new ServingError('interrupted', `${other} is not reachable any more`);
 }
+
+/** Tells whether an error says that the entry asked took nothing on. */
+function isTurnedAway(error: ServingError): boolean {
+  return isServingError(error, 'leaving') || isServingError(error, 'not-ready');
+}
--- a/packages/orders/src/peerOrders.ts
+++ b/packages/orders/src/peerOrders.ts
@@ -8,7 +8,7 @@
 import type {OrderRequest} from './flight.js';
 import {toForwardAnswer, type OrderResult} from './orderAnswers.js';
 import type {OrderNetwork} from './orderRoute.js';
-import type {Shard} from './shard.js';
+import type {Shard} from './shardContracts.js';
 
 export interface PeerOrdersOptions {
   readonly network: OrderNetwork;
--- /dev/null
+++ b/packages/orders/src/shardContracts.ts
@@ -0,0 +1,74 @@
+/** What a shard needs from its ledger and offers to it. */
+import type {
+  Clock,
+  DecisionLog,
+  Disposable,
+  ServingError,
+} from '@skylarkfield/base';
+import type {ObjectStore} from '@skylarkfield/platform';
+import type {ClaimOutcome} from '@skylarkfield/protocol';
+import type {Flight} from './flight.js';
+import type {ShardState} from './shardMachine.js';
+import type {LedgerEntry} from './shardRecord.js';
+import type {ShardTable} from './shardTable.js';
+
+/** Who can work on an order of the shard. */
+export type Ownership =
+  | {readonly type: 'owned'}
+  | {readonly type: 'elsewhere'; readonly member: string};
+
+/**
+ * `released`: given up; what the changes handed over may run elsewhere, also
+ * when another process took the shard before. `refused`: certainly nothing was
+ * written. `unowned`: there was nothing to give up.
+ */
+export type Release = 'released' | 'refused' | 'unowned';
+
+export interface ShardOptions {
+  readonly index: number;
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly decisions?: DecisionLog;
+  readonly member: string;
+  /** Unique for each start of a process. */
+  readonly instance: string;
+  /** The least time between the starts of two writes. */
+  readonly gapMs: number;
+  /** How long outcomes may wait for a write that carries claims as well. */
+  readonly lazyMs: number;
+  readonly windowMs: number;
+  /** Size of the shard's object from which ended entries move into a segment. */
+  readonly sealBytes: number;
+  /** How long a deposed owner leaves the shard to its new one. */
+  readonly holdOffMs: number;
+  readonly isReachable: (member: string) => boolean;
+  /** The claim is in the ledger: the order may be dispatched. */
+  readonly onDidClaim: (flight: Flight) => void;
+  /** The shard was lost with these outcomes not written: its new owner needs them. */
+  readonly onDidLose: (outcomes: readonly ClaimOutcome[]) => void;
+  /** The shard was taken over with these entries. */
+  readonly onDidTake: (entries: readonly LedgerEntry[]) => void;
+}
+
+export interface Shard extends Disposable {
+  readonly index: number;
+  readonly table: ShardTable;
+  state(): ShardState;
+  /** True while claims can be committed. */
+  isOwned(): boolean;
+  /** Owns the shard, or tells who does. Throws `platform-unavailable`. */
+  own(): Promise<Ownership>;
+  /** Puts an order into the next write. */
+  enqueue(flight: Flight): void;
+  /** An outcome has changed the table: write it soon. */
+  touch(outcome: ClaimOutcome): void;
+  /** Size of all entries that are still within the dedupe window. */
+  liveBytes(): number;
+  /** Voids a claim that was never sent. */
+  drop(flight: Flight): void;
+  /** Ends the orders that have no claim yet; nothing of them was sent. */
+  refuseUnclaimed(error: ServingError): void;
+  /** Changes the table, writes it and gives the shard up. */
+  release(changes: () => void): Promise<Release>;
+  dump(): unknown;
+}
--- a/packages/orders/src/shardSegments.ts
+++ b/packages/orders/src/shardSegments.ts
@@ -4,6 +4,7 @@
  */
 import type {ObjectStore} from '@skylarkfield/platform';
 import type {LedgerEntry} from './shardRecord.js';
+import type {ShardTable} from './shardTable.js';
 
 /** Kind of the objects that hold sealed entries. */
 export const SEGMENT_KIND = 'ledger-segment';
@@ -17,11 +18,8 @@
   read(
     names: readonly string[],
   ): Promise<ReadonlyMap<string, readonly LedgerEntry[]> | undefined>;
-  /** Writes a segment; undefined when that is not certain to have worked. */
-  write(
-    epoch: number,
-    entries: readonly LedgerEntry[],
-  ): Promise<string | undefined>;
+  /** Moves ended entries into a segment once those outside one take this many bytes; they stay when that may have failed. */
+  seal(table: ShardTable, epoch: number, fromBytes: number): Promise<void>;
   /** Removes segments that no shard object names any more. */
   remove(names: readonly string[]): void;
 }
@@ -34,7 +32,7 @@
  * successor has already named, and those keys would be forgotten.
  *
  * @example
- * const name = await segments.write(epoch, table.sealable(32_768));
+ * await segments.seal(table, epoch, 32_768);
  */
 export function createShardSegments(
   store: ObjectStore,
@@ -57,17 +55,32 @@
     return entries;
   }
 
+  /** Returns the name; undefined when the write is not certain to have worked. */
+  async function write(
+    epoch: number,
+    entries: readonly LedgerEntry[],
+  ): Promise<string | undefined> {
+    written += 1;
+    const name = `shard-${shard}.${epoch}.${written}`;
+    try {
+      await store.put(SEGMENT_KIND, name, {entries}, {type: 'absent'});
+      return name;
+    } catch {
+      // The entries stay in the shard's object; a segment that landed after all is never named.
+      return undefined;
+    }
+  }
+
   return {
     read,
-    async write(epoch, entries) {
-      written += 1;
-      const name = `shard-${shard}.${epoch}.${written}`;
-      try {
-        await store.put(SEGMENT_KIND, name, {entries}, {type: 'absent'});
-        return name;
-      } catch {
-        // The entries stay in the shard's object; a segment that landed after all is never named.
-        return undefined;
+    async seal(table, epoch, fromBytes) {
+      const entries = table.sealable(fromBytes);
+      if (entries.length === 0) {
+        return;
+      }
+      const name = await write(epoch, entries);
+      if (name !== undefined) {
+        table.seal(name, entries);
       }
     },
     remove(names) {
--- /dev/null
+++ b/packages/orders/src/shardTakeOver.ts
@@ -0,0 +1,119 @@
+/** Takes a shard over from its last owner, or leaves it to an owner that can be reached. */
+import {ServingError, type Clock} from '@skylarkfield/base';
+import type {Ownership} from './shardContracts.js';
+import {LEDGER_FORMAT, type ShardRecord} from './shardRecord.js';
+import type {ShardSegments} from './shardSegments.js';
+import type {ShardTable} from './shardTable.js';
+import type {ShardWriter} from './shardWriter.js';
+
+export interface TakeOverOptions {
+  readonly index: number;
+  readonly member: string;
+  readonly clock: Clock;
+  /** How long a deposed owner leaves the shard to its new one. */
+  readonly holdOffMs: number;
+  readonly isReachable: (member: string) => boolean;
+  readonly writer: ShardWriter;
+  readonly segments: ShardSegments;
+  readonly table: ShardTable;
+  /** Starts an epoch of this process; returns its first record, made from the table. */
+  readonly beginEpoch: (epoch: number) => ShardRecord;
+  /** The first record has landed as this version: the shard is owned. */
+  readonly onDidLand: (
+    version: number,
+    previousOwner: string | undefined,
+  ) => void;
+}
+
+export interface TakeOver {
+  /** Writes this process's epoch into the shard. Throws `platform-unavailable`. */
+  run(): Promise<Ownership>;
+  /** The shard was lost to this owner: leave it alone for a while. */
+  holdOff(owner: string | undefined): void;
+  /** The owner that the shard is left to now, if one can be reached. */
+  heldOffFor(): string | undefined;
+  /** The last owner seen besides this process. */
+  knownOwner(): string | undefined;
+}
+
+const MAX_ATTEMPTS = 5;
+
+/**
+ * Makes the take-over of one shard.
+ *
+ * @example
+ * const ownership = await takeOver.run();
+ */
+export function createTakeOver(options: TakeOverOptions): TakeOver {
+  const {index, member, clock, writer, segments, table} = options;
+  let holdOffUntil = -Infinity;
+  let knownOwner: string | undefined;
+
+  function shouldYield(head: ShardRecord, attempt: number): boolean {
+    const isOther = head.owner !== '' && head.ownerMember !== member;
+    const isFresh = attempt > 0 || clock.now() < holdOffUntil;
+    return isOther && isFresh && options.isReachable(head.ownerMember);
+  }
+
+  /** Undefined when another process changed the shard meanwhile. */
+  async function attemptOnce(attempt: number): Promise<Ownership | undefined> {
+    const stored = await writer.read();
+    const head = stored?.value;
+    if (head !== undefined && head.format > LEDGER_FORMAT) {
+      throw unreadable(index, head.format);
+    }
+    if (head !== undefined && shouldYield(head, attempt)) {
+      knownOwner = head.ownerMember;
+      return {type: 'elsewhere', member: head.ownerMember};
+    }
+    const sealed = await segments.read(head?.segments ?? []);
+    if (sealed === undefined) {
+      return undefined;
+    }
+    table.load(head?.entries ?? [], sealed, head?.age ?? 0);
+    const record = options.beginEpoch((head?.epoch ?? 0) + 1);
+    const result = await writer.write(record, stored?.version);
+    if (result.type === 'refused') {
+      throw result.error;
+    }
+    if (result.type === 'lost') {
+      return undefined;
+    }
+    options.onDidLand(result.version, head?.owner);
+    return {type: 'owned'};
+  }
+
+  return {
+    async run() {
+      for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+        const ownership = await attemptOnce(attempt);
+        if (ownership !== undefined) {
+          return ownership;
+        }
+      }
+      throw new ServingError(
+        'platform-unavailable',
+        `shard ${index} changes its owner too often`,
+      );
+    },
+    holdOff(owner) {
+      knownOwner = owner;
+      holdOffUntil = clock.now() + options.holdOffMs;
+    },
+    heldOffFor() {
+      const isHeldOff = clock.now() < holdOffUntil;
+      if (!isHeldOff || !knownOwner || !options.isReachable(knownOwner)) {
+        return undefined;
+      }
+      return knownOwner;
+    },
+    knownOwner: () => knownOwner,
+  };
+}
+
+function unreadable(index: number, format: number): ServingError {
+  return new ServingError(
+    'platform-unavailable',
+    `shard ${index} has format ${format}, which this release can't read`,
+  );
+}
