Cost of a model request follows its tokens, so fairness is by work

Cause: every request asked for capacity with cost 1. Customers are served by cost, so one with long histories got many times the work of the others.

The router has a new question, cachedTokens, for the best cached part of a prompt before an endpoint is chosen.

The expected wait took the mean of time held by cost; small costs made that many times too long and would have refused requests with time left. It is now the ratio of the two means, which is the same when all costs are 1.

--- a/packages/admission/src/test/admission.test.ts
+++ b/packages/admission/src/test/admission.test.ts
@@ -242,6 +242,28 @@
     assert.ok(admitted >= 14 && admitted <= 16, `${admitted}`);
   });
 
+  it('does not take a wait for hopeless because small requests ended', async () => {
+    // Requests of very different cost hold their places for much the same time.
+    // Were the time for each unit of cost an average of ratios, the small ones
+    // would make it many times too long, and callers with seconds left would be
+    // refused by a service that could answer them.
+    const {ask, clock} = setUp({concurrency: 1, queue: 50});
+    for (let done = 0; done < 60; done++) {
+      const cost = done % 2 === 0 ? 1 / 16 : 4;
+      const permit = await ask({deadline: Infinity, cost});
+      await clock.advance(100);
+      permit.release({outcome: 'ok', latencyMs: 100});
+    }
+    await ask({deadline: Infinity});
+    const second = ask({deadline: clock.now() + 1_000});
+    const third = ask({deadline: clock.now() + 1_000, cost: 4});
+    let refusals = 0;
+    second.catch(() => (refusals += 1));
+    third.catch(() => (refusals += 1));
+    await settlePromises();
+    assert.equal(refusals, 0);
+  });
+
   it('gives borrowed places back when others need theirs', async () => {
     // The other entries become busy. An entry that kept its borrowed places
     // would hold the service above what it can carry.
--- a/packages/admission/src/waitEstimate.ts
+++ b/packages/admission/src/waitEstimate.ts
@@ -22,6 +22,9 @@
 /** Weight of a finished request in the average of time held. */
 const HELD_WEIGHT = 0.05;
 
+/** Keeps the time for each unit of cost finite. */
+const LEAST_COST = 1e-3;
+
 /** Half of what came in this long ago still counts in the arrival rates. */
 const ARRIVAL_HALF_LIFE_MS = 2000;
 
@@ -50,7 +53,7 @@
   const arrivals = new Float64Array(URGENCY_COUNT);
   const latencies: number[] = [];
   let arrivalsAt = clock.now();
-  let heldPerCostMs: number | undefined;
+  let held: {ms: number; cost: number} | undefined;
   let running = 0;
   let startSum = 0;
   let latencyCount = 0;
@@ -75,13 +78,22 @@
     return (sum * Math.LN2) / ARRIVAL_HALF_LIFE_MS;
   }
 
+  /**
+   * The ratio of two averages, not the average of ratios: a small cost has a
+   * large ratio, since each request also holds its permit for reasons that grow
+   * with no cost, and a few small ones would make all waits look hopeless.
+   */
+  function heldPerCostMs(): number {
+    return held === undefined ? 0 : held.ms / Math.max(held.cost, LEAST_COST);
+  }
+
   /**
    * A hung service finishes nothing, so finished requests alone would go on
    * showing the last good figure: the age of those that run is a lower bound.
    */
   function heldMs(): number {
     const ageMs = running === 0 ? 0 : clock.now() - startSum / running;
-    return Math.max(heldPerCostMs ?? 0, ageMs);
+    return Math.max(heldPerCostMs(), ageMs);
   }
 
   return {
@@ -97,9 +109,10 @@
     noteEnd(startedAt, cost) {
       running -= 1;
       startSum -= startedAt;
-      const perCost = (clock.now() - startedAt) / Math.max(cost, 1e-3);
-      heldPerCostMs ??= perCost;
-      heldPerCostMs += (perCost - heldPerCostMs) * HELD_WEIGHT;
+      const ms = clock.now() - startedAt;
+      held ??= {ms, cost};
+      held.ms += (ms - held.ms) * HELD_WEIGHT;
+      held.cost += (cost - held.cost) * HELD_WEIGHT;
     },
     noteLatency(latencyMs) {
       latencies[latencyCount % LATENCY_WINDOW] = latencyMs;
@@ -112,11 +125,11 @@
       }
     },
     waitMs(costAhead, limit, urgency) {
-      const held = heldMs();
-      if (held === 0 || costAhead <= 0) {
+      const perCostMs = heldMs();
+      if (perCostMs === 0 || costAhead <= 0) {
         return 0;
       }
-      const drain = limit / held;
+      const drain = limit / perCostMs;
       const left = Math.max(
         drain * LEAST_DRAIN_FRACTION,
         drain - arrivalRateBefore(urgency),
@@ -125,8 +138,8 @@
     },
     serviceMs: () => quantileMs,
     drainPerSecond(limit) {
-      const held = heldMs();
-      return held === 0 ? Infinity : (1000 * limit) / held;
+      const perCostMs = heldMs();
+      return perCostMs === 0 ? Infinity : (1000 * limit) / perCostMs;
     },
   };
 }
--- a/packages/entry/src/callers/serveModel.ts
+++ b/packages/entry/src/callers/serveModel.ts
@@ -21,6 +21,7 @@
 import {isVersionFault, type RequestMetrics} from './observation.js';
 import {requestTimeout, requestUrgency} from './requestHeaders.js';
 import {toProblem} from './problem.js';
+import {createRequestCosts} from './requestCost.js';
 
 export interface ModelServer {
   serve(
@@ -54,6 +55,7 @@
  */
 export function createModelServer(options: ModelServerOptions): ModelServer {
   const {serving, clock, metrics} = options;
+  const costs = createRequestCosts();
 
   return {
     async serve(exchange, request, service, shape) {
@@ -95,22 +97,32 @@
     const deadline =
       exchange.arrivedAt + requestTimeout(headers, service.timeoutMs);
     const tokens = promptTokens(request.prompt);
+    const blocks = promptBlocks(tokens);
+    const version = serving.split.versionFor({
+      service: service.name,
+      incumbent: service.version,
+      session: request.session,
+      isIdempotent: true,
+    });
     return {
       ask: {
         service: service.name,
         customer: exchange.customer.name,
         urgency: requestUrgency(headers, exchange.customer.bestUrgency),
         deadline,
-        cost: 1,
+        cost: costs.costOf(service.name, {
+          promptTokens: tokens.length,
+          cachedTokens: serving.router.cachedTokens(
+            service.name,
+            version,
+            blocks,
+          ),
+          maxTokens: request.maxTokens,
+        }),
       },
-      version: serving.split.versionFor({
-        service: service.name,
-        incumbent: service.version,
-        session: request.session,
-        isIdempotent: true,
-      }),
+      version,
       promptTokens: tokens.length,
-      blocks: promptBlocks(tokens),
+      blocks,
     };
   }
 
--- /dev/null
+++ b/packages/entry/src/test/requestCost.test.ts
@@ -0,0 +1,109 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createAdmission} from '@skylarkfield/admission';
+import {
+  decisionLog,
+  seededRandom,
+  silentLogger,
+  sleep,
+  virtualClock,
+} from '@skylarkfield/base';
+import {createRequestCosts, type ExpectedWork} from '../callers/requestCost.js';
+
+const workOfCustomers = {
+  rosters: {promptTokens: 4_000, cachedTokens: 0, maxTokens: 64},
+  tags: {promptTokens: 40, cachedTokens: 0, maxTokens: 64},
+};
+
+/** Part of the tokens, of prompts and answers, that the customer with long prompts gets while both always wait. */
+async function longShare(
+  costOf: (work: ExpectedWork) => number,
+): Promise<number> {
+  const clock = virtualClock();
+  const admission = createAdmission({
+    clock,
+    random: seededRandom(1),
+    decisions: decisionLog(clock, silentLogger()),
+  });
+  admission.setService('assistant', {
+    name: 'assistant',
+    type: 'model',
+    version: 'v1',
+    routes: [],
+    targetMs: 1_500,
+    timeoutMs: 60_000,
+    concurrency: 1,
+    queue: 1_000,
+    fleet: {minReplicas: 1, maxReplicas: 1, machineClass: 's', weights: ''},
+  });
+  const given = {rosters: 0, tags: 0};
+
+  async function ask(customer: 'rosters' | 'tags'): Promise<void> {
+    const work = workOfCustomers[customer];
+    const {signal} = new AbortController();
+    const permit = await admission.admit(
+      {
+        service: 'assistant',
+        customer,
+        urgency: 3,
+        deadline: Infinity,
+        cost: costOf(work),
+      },
+      signal,
+    );
+    given[customer] += work.promptTokens + work.maxTokens;
+    await sleep(clock, 10, signal);
+    permit.release({outcome: 'ok', latencyMs: 10});
+  }
+
+  for (let count = 0; count < 400; count++) {
+    void ask('rosters');
+    void ask('tags');
+  }
+  await clock.advance(3_000);
+  return given.rosters / (given.rosters + given.tags);
+}
+
+describe('cost of a request', () => {
+  it('keeps a customer with long prompts from taking the work of the others', async () => {
+    // A cooperative sends long worker histories while another tags short job
+    // requests. Counted by requests, nearly all of the computing goes to the
+    // histories, and those who tag wait behind them.
+    const costs = createRequestCosts();
+    const before = await longShare(() => 1);
+    const after = await longShare(work => costs.costOf('assistant', work));
+    assert.ok(before > 0.95, `${before}`);
+    assert.ok(after < 0.8, `${after}`);
+  });
+
+  it('is 1 for what is typical and bounded for what is not', () => {
+    const costs = createRequestCosts();
+    const {rosters, tags} = workOfCustomers;
+    assert.equal(costs.costOf('assistant', tags), 1);
+    for (let count = 0; count < 1_000; count++) {
+      costs.costOf('assistant', tags);
+    }
+    assert.equal(costs.costOf('assistant', tags), 1);
+    assert.equal(
+      costs.costOf('assistant', {...rosters, promptTokens: 1e9}),
+      16,
+    );
+    assert.equal(
+      costs.costOf('assistant', {
+        promptTokens: 0,
+        cachedTokens: 0,
+        maxTokens: 0,
+      }),
+      1 / 16,
+    );
+    assert.equal(costs.costOf('match', rosters), 1);
+  });
+
+  it('leaves out what is cached', () => {
+    const costs = createRequestCosts();
+    const {rosters} = workOfCustomers;
+    const cold = costs.costOf('assistant', rosters);
+    const warm = costs.costOf('assistant', {...rosters, cachedTokens: 4_000});
+    assert.ok(warm < cold / 5, `${warm}`);
+  });
+});
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -57,6 +57,15 @@
   setEntries(entries: readonly string[]): void;
   /** Chooses; undefined when no endpoint may take the request. */
   choose(journey: Journey): Choice | undefined;
+  /**
+   * Tokens of a prompt's start believed to be cached at the endpoint that has
+   * most of it, for the cost of a request before an endpoint is chosen.
+   */
+  cachedTokens(
+    service: string,
+    version: string,
+    blocks: readonly string[],
+  ): number;
   reportLoad(endpoint: string, report: LoadReport): void;
   /** The endpoint could not be reached when it was asked for its load. */
   reportUnreachable(endpoint: string): void;
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -270,6 +270,13 @@
       );
       return scored === undefined ? undefined : open(journey, scored);
     },
+    cachedTokens(service, version, blocks) {
+      const counts = pools
+        .of(service, version)
+        .filter(({health}) => health.state === 'live')
+        .map(({cache}) => cache.expectedTokens(blocks));
+      return Math.max(0, ...counts);
+    },
     reportLoad(endpoint, report) {
       const known = pools.get(endpoint);
       known?.load.report(report);
--- a/packages/routing/src/test/router.test.ts
+++ b/packages/routing/src/test/router.test.ts
@@ -28,6 +28,8 @@
   it('sends a prompt to where its prefix is, unless the wait there is longer', () => {
     const {router} = createRig(four);
     router.reportCache('c', [{sequence: 1, type: 'stored', blocks}]);
+    assert.equal(router.cachedTokens('s', 'v1', blocks), 960);
+    assert.equal(router.cachedTokens('s', 'v2', blocks), 0);
     const choice = router.choose(long);
     assert.equal(choice?.endpoint, 'c');
     assert.equal(choice?.cachedTokens, 960);
