One set of trial records and endpoints for tests, demonstration and binary check; shared flags

Cause: the demonstration fleet stood beside the trial fleet with the same records, and five commands wrote the same flags.

--- a/packages/cli/src/commands/decisions.ts
+++ b/packages/cli/src/commands/decisions.ts
@@ -1,5 +1,6 @@
 import {Command, Flags} from '@oclif/core';
 import type {Decision} from '@skylarkfield/base';
+import {adminFlags} from '../adminFlags.js';
 import {callForJson} from '../jsonInput.js';
 import {printJson, printTable} from '../output.js';
 
@@ -11,15 +12,7 @@
     'skylarkfield decisions --admin http://127.0.0.1:9001 --by moves',
   ];
   static override flags = {
-    admin: Flags.string({
-      required: true,
-      description: "address of the entry's admin port",
-    }),
-    key: Flags.string({
-      required: true,
-      env: 'SKYLARKFIELD_ADMIN_KEY',
-      description: 'admin key',
-    }),
+    ...adminFlags,
     by: Flags.string({description: 'only decisions of this package'}),
     json: Flags.boolean({description: 'one JSON line per decision'}),
   };
--- a/packages/cli/src/commands/dump.ts
+++ b/packages/cli/src/commands/dump.ts
@@ -1,4 +1,5 @@
 import {Command, Flags} from '@oclif/core';
+import {adminFlags} from '../adminFlags.js';
 import {callForJson} from '../jsonInput.js';
 import {printJson, printLine} from '../output.js';
 
@@ -11,15 +12,7 @@
     'skylarkfield dump --admin http://127.0.0.1:9001 --part routing --json',
   ];
   static override flags = {
-    admin: Flags.string({
-      required: true,
-      description: "address of the entry's admin port",
-    }),
-    key: Flags.string({
-      required: true,
-      env: 'SKYLARKFIELD_ADMIN_KEY',
-      description: 'admin key',
-    }),
+    ...adminFlags,
     part: Flags.string({description: 'only this part of the state'}),
     json: Flags.boolean({description: 'one line of JSON'}),
   };
--- a/packages/cli/src/commands/lookup.ts
+++ b/packages/cli/src/commands/lookup.ts
@@ -1,5 +1,6 @@
 import {Command, Flags} from '@oclif/core';
 import type {LookupAnswer} from '@skylarkfield/members';
+import {callerFlags} from '../callerFlags.js';
 import {callForJson} from '../jsonInput.js';
 import {printJson, printTable} from '../output.js';
 
@@ -12,15 +13,7 @@
     'skylarkfield lookup --entry http://127.0.0.1:8001 --affinity session-17 --json',
   ];
   static override flags = {
-    entry: Flags.string({
-      required: true,
-      description: "address of an entry's port for callers",
-    }),
-    key: Flags.string({
-      required: true,
-      env: 'SKYLARKFIELD_KEY',
-      description: "customer's key",
-    }),
+    ...callerFlags,
     affinity: Flags.string({description: 'session or prefix to keep together'}),
     'failure-domain': Flags.string({
       description: "the caller's failure domain",
--- a/packages/cli/src/commands/sendCall.ts
+++ b/packages/cli/src/commands/sendCall.ts
@@ -1,5 +1,6 @@
 import {Args, Command, Flags} from '@oclif/core';
 import {ServingError} from '@skylarkfield/base';
+import {callerFlags} from '../callerFlags.js';
 import {callHttp} from '../jsonInput.js';
 import {printJson, printLine} from '../output.js';
 
@@ -17,16 +18,8 @@
     }),
   };
   static override flags = {
-    entry: Flags.string({
-      required: true,
-      description: "address of an entry's port for callers",
-    }),
+    ...callerFlags,
     service: Flags.string({required: true, description: 'plain service'}),
-    key: Flags.string({
-      required: true,
-      env: 'SKYLARKFIELD_KEY',
-      description: "customer's key",
-    }),
     method: Flags.string({default: 'GET', description: 'HTTP method'}),
     data: Flags.string({description: 'body'}),
     'idempotency-key': Flags.string({
--- a/packages/cli/src/commands/sendChat.ts
+++ b/packages/cli/src/commands/sendChat.ts
@@ -2,6 +2,7 @@
 import {ServingError} from '@skylarkfield/base';
 import {createParser} from 'eventsource-parser';
 import {request} from 'undici';
+import {callerFlags} from '../callerFlags.js';
 import {callForJson} from '../jsonInput.js';
 import {printJson, printLine} from '../output.js';
 
@@ -21,16 +22,8 @@
     text: Args.string({required: true, description: 'what to ask'}),
   };
   static override flags = {
-    entry: Flags.string({
-      required: true,
-      description: "address of an entry's port for callers",
-    }),
+    ...callerFlags,
     service: Flags.string({required: true, description: 'model service'}),
-    key: Flags.string({
-      required: true,
-      env: 'SKYLARKFIELD_KEY',
-      description: "customer's key",
-    }),
     'max-tokens': Flags.integer({
       default: 64,
       min: 1,
--- a/packages/cli/src/standinFlags.ts
+++ b/packages/cli/src/standinFlags.ts
@@ -3,7 +3,7 @@
 import type {EndpointType, ListedEndpoint} from '@skylarkfield/platform';
 import {callForJson} from './jsonInput.js';
 
-export const standinFlags = {
+export const listenFlags = {
   host: Flags.string({
     default: '127.0.0.1',
     description: 'address to listen on',
@@ -14,6 +14,10 @@
     max: 65_535,
     description: 'port to listen on; 0 takes any',
   }),
+};
+
+export const standinFlags = {
+  ...listenFlags,
   service: Flags.string({
     required: true,
     description: 'service that it is an endpoint of',
--- a/tools/checkBinary.mjs
+++ b/tools/checkBinary.mjs
@@ -2,12 +2,11 @@
 import assert from 'node:assert/strict';
 import {existsSync} from 'node:fs';
 import {fileURLToPath} from 'node:url';
+import {startServingFleet} from '../packages/bench/out/processes/servingFleet.js';
 import {
-  startTrialFleet,
-  TRIAL_CUSTOMER_KEY,
-} from '../packages/bench/out/processes/trialFleet.js';
-import {untilServing} from '../packages/bench/out/processes/untilServing.js';
-import {demoEndpoints, demoServices} from './demoFleet.mjs';
+  sendOrder,
+  streamChat,
+} from '../packages/bench/out/processes/trialCalls.js';
 
 const binary = fileURLToPath(new URL('../dist/skylarkfield', import.meta.url));
 if (!existsSync(binary)) {
@@ -16,37 +15,12 @@
 }
 process.env.SKYLARKFIELD_BINARY = binary;
 
-const fleet = await startTrialFleet({
-  entryDomains: ['a'],
-  endpoints: demoEndpoints.filter(endpoint => endpoint.failureDomain === 'a'),
-  settings: {log: {level: 'warn'}},
-});
+const {fleet, urls} = await startServingFleet();
 try {
-  for (const [name, value] of Object.entries(demoServices)) {
-    await fleet.store.put('service', name, value, {type: 'any'});
-  }
-  const entry = await untilServing(fleet, Object.keys(demoServices));
-  const headers = {
-    authorization: `Bearer ${TRIAL_CUSTOMER_KEY}`,
-    'content-type': 'application/json',
-  };
-  const answer = await fetch(`${entry}/v1/chat/completions`, {
-    method: 'POST',
-    headers,
-    body: JSON.stringify({
-      model: 'stain-match',
-      stream: true,
-      max_tokens: 4,
-      messages: [{role: 'user', content: 'match a warm oak floor'}],
-    }),
-  });
-  assert.match(await answer.text(), /data: \[DONE\]/);
-  const order = await fetch(`${entry}/services/booking/bookings`, {
-    method: 'POST',
-    headers: {...headers, 'idempotency-key': 'binary-1'},
-    body: '{"shift":1}',
-  });
-  assert.equal(order.status, 201, await order.text());
+  const answer = await streamChat(urls[0], 'match a warm oak floor', 4);
+  assert.equal(answer.isComplete, true);
+  const order = await sendOrder(urls[1], 'binary-1');
+  assert.equal(order.status, 201, order.text);
   console.log('the binary served a streamed answer and an order');
 } finally {
   await fleet.dispose();
