--- a/packages/base/src/metrics.ts
+++ b/packages/base/src/metrics.ts
@@ -1,4 +1,5 @@
 /** OpenTelemetry metrics of one process, with a Prometheus text page. */
+import {resourceFromAttributes} from '@opentelemetry/resources';
 import {MeterProvider} from '@opentelemetry/sdk-metrics';
 import {
   PrometheusExporter,
@@ -25,7 +26,10 @@
  */
 export function createMetrics(name: string): Metrics {
   const exporter = new PrometheusExporter({preventServerStart: true});
-  const provider = new MeterProvider({readers: [exporter]});
+  const provider = new MeterProvider({
+    readers: [exporter],
+    resource: resourceFromAttributes({'service.name': name}),
+  });
   const serializer = new PrometheusSerializer();
   return {
     meter: provider.getMeter(name),
--- a/packages/cli/src/commands/sendCall.ts
+++ b/packages/cli/src/commands/sendCall.ts
@@ -1,7 +1,6 @@
 import {Args, Command, Flags} from '@oclif/core';
-import {ServingError} from '@skylarkfield/base';
 import {callerFlags} from '../callerFlags.js';
-import {callHttp} from '../jsonInput.js';
+import {callHttp, toAnsweredError} from '../jsonInput.js';
 import {printJson, printLine} from '../output.js';
 
 /** Calls a plain service through an entry. */
@@ -48,11 +47,11 @@
     );
     if (flags.json) {
       printJson(answer);
-    } else {
+    } else if (answer.status < 400) {
       printLine(answer.text);
     }
     if (answer.status >= 400) {
-      throw new ServingError('endpoint-failed', `status ${answer.status}`);
+      throw toAnsweredError(answer);
     }
   }
 }
--- a/packages/cli/src/jsonInput.ts
+++ b/packages/cli/src/jsonInput.ts
@@ -32,6 +32,9 @@
   }
 }
 
+/** Characters of an answer that is no problem which are shown. */
+const SHOWN_CHARACTERS = 300;
+
 /** An answer of an entry's HTTP port. */
 export interface HttpAnswer {
   readonly status: number;
@@ -104,13 +107,18 @@
   readonly run?: 'not-run' | 'may-have-run';
 }
 
-/** The error that a refusal stands for. */
-function toAnsweredError(answer: HttpAnswer): ServingError {
+/**
+ * The error that a refusing answer stands for.
+ *
+ * @example
+ * if (answer.status >= 400) { throw toAnsweredError(answer); }
+ */
+export function toAnsweredError(answer: HttpAnswer): ServingError {
   const refusal = parseRefusal(answer.text);
   if (refusal === undefined) {
     return new ServingError(
       'protocol-violation',
-      `status ${answer.status} without a problem`,
+      `status ${answer.status}: ${answer.text.slice(0, SHOWN_CHARACTERS)}`,
     );
   }
   const run = refusal.run ?? 'not-run';
