Orders: a claim that was never sent no longer denies a retry

An entry leaves while a reply of the platform is lost; another entry takes its shard before the hand-over is written. The order was claimed and barred from being sent. With a caller waiting, the order is brought to the new owner along with its void claim. This caller had hung up, so nobody did, and the leaving entry that could have been asked was gone: the order never ran, yet every retry with its key heard may-have-run.

Ruled out: noting the void claim for every order handed over. When the mark has landed the next owner knows, and one more message would only make leaving longer. So a release now tells a lost shard (lost) from one given up as written (released), and for a lost one the void claim goes to the new owner as a late outcome. Should the mark have landed after all, the owner ignores it, as it does for any entry that waits or has another token.

The shrunk schedule is a named test: without the change it fails ('outcome-unknown' for 'reply', 9 of 10 pass), with it all 10 pass.

--- a/packages/orders/src/handOver.ts
+++ b/packages/orders/src/handOver.ts
@@ -34,6 +34,12 @@
   /** The largest body that goes into the ledger. */
   readonly maxBytes: number;
   readonly flights: () => readonly Flight[];
+  /**
+   * The mark of an order may be in no ledger, and its claim in the new owner's
+   * though it was never sent. When its caller has hung up nobody brings it
+   * along, and a retry would hear that it may have run: the owner must be told.
+   */
+  readonly onDidVoid: (flight: Flight) => void;
   /** Goes on with an order whose hand-over was not written. */
   readonly rerun: (flight: Flight) => void;
 }): HandOver {
@@ -74,8 +80,12 @@
         }
       }
     });
+    const isGivenUp = result === 'released' || result === 'lost';
     for (const {flight, claim} of held) {
-      if (result === 'released') {
+      if (result === 'lost') {
+        options.onDidVoid(flight);
+      }
+      if (isGivenUp) {
         const {token} = flight;
         const isWaiting = claim !== undefined;
         flight.end({type: 'moved', member: successor, token, isWaiting});
@@ -87,7 +97,7 @@
       flight.tell('unhold');
       options.rerun(flight);
     }
-    return result === 'released';
+    return isGivenUp;
   }
 
   return {
--- a/packages/orders/src/ledger.ts
+++ b/packages/orders/src/ledger.ts
@@ -112,6 +112,8 @@
     successors: index => route.successors(index),
     maxBytes: settings.maxHandOverBytes,
     flights: orders.flights,
+    onDidVoid: flight =>
+      keepLate(flight.shard, claimOutcome(flight, {state: 'released'}), 0),
     rerun: runner.run,
   });
 
--- a/packages/orders/src/shard.ts
+++ b/packages/orders/src/shard.ts
@@ -304,8 +304,9 @@
       schedule();
       return 'refused';
     }
-    lose(result.type === 'lost' ? result.head : undefined);
-    return 'released';
+    const isLost = result.type === 'lost';
+    lose(isLost ? result.head : undefined);
+    return isLost ? 'lost' : 'released';
   }
 
   return {
--- a/packages/orders/src/shardContracts.ts
+++ b/packages/orders/src/shardContracts.ts
@@ -18,11 +18,12 @@
   | {readonly type: 'elsewhere'; readonly member: string};
 
 /**
- * `released`: given up; what the changes handed over may run elsewhere, also
- * when another process took the shard before. `refused`: certainly nothing was
+ * `released`: given up with the changes written; what they handed over may run
+ * elsewhere. `lost`: another process took the shard before, so that the changes
+ * may be in no ledger; given up as well. `refused`: certainly nothing was
  * written. `unowned`: there was nothing to give up.
  */
-export type Release = 'released' | 'refused' | 'unowned';
+export type Release = 'released' | 'lost' | 'refused' | 'unowned';
 
 export interface ShardOptions {
   readonly index: number;
--- a/packages/orders/src/test/foundSchedules.test.ts
+++ b/packages/orders/src/test/foundSchedules.test.ts
@@ -180,6 +180,28 @@
       assert.equal(kept?.answer?.kind, 'reply');
     },
   },
+  // An entry leaves with an order that was not sent yet, but another takes the shard before the
+  // hand-over is written. The caller has hung up, so nobody brings the order along. It never ran,
+  // yet its claim stayed with the new owner, and a retry of the kit order heard `may-have-run`.
+  {
+    name: 'a claim whose hand-over came too late does not deny the retry',
+    seed: 0,
+    waitMs: 0,
+    steps: [
+      {do: 'submit-hasty', entry: 0, key: 3},
+      {do: 'lose-replies', entry: 0, count: 2},
+      {do: 'wait', ms: 5},
+      {do: 'submit-unnamed', entry: 0},
+      {do: 'wait', ms: 5},
+      {do: 'submit', entry: 1, key: 1},
+      {do: 'submit', entry: 0, key: 4},
+      {do: 'leave', entry: 0},
+    ],
+    expect(world) {
+      const retry = world.submitted.findLast(({key}) => key === 'k3');
+      assert.equal(retry?.answer?.kind, 'reply');
+    },
+  },
 ];
 
 describe('schedules that the fuzzer found', () => {
