Orders: counters of outcomes, ledger writes and take-overs

What the ledger does could only be seen in a dump of the moment. A ledger now takes an observer; the entry gives it one that counts skylarkfield.orders by service and outcome (reply, replay, not-run, may-have-run, key-conflict), skylarkfield.ledger.writes (every write sent, repeated ones and segments too) and skylarkfield.ledger.take_overs. Services that no record names count as unknown, so that callers can't make up labels. An order is counted once, at the entry of its caller.

Test: one order for each outcome, writes equal to the platform's own count, no label from a made-up name.

--- a/packages/entry/src/parts/ordersPart.ts
+++ b/packages/entry/src/parts/ordersPart.ts
@@ -12,6 +12,7 @@
 import {matchRoute} from '../callers/routes.js';
 import type {EntryContext} from '../context.js';
 import type {MembersPart} from './membersPart.js';
+import {createOrderMetrics} from './orderMetrics.js';
 import type {PlatformPart} from './platformPart.js';
 
 interface OrdersOptions {
@@ -49,6 +50,10 @@
         .filter(member => member.state === 'live' || member.state === 'leaving')
         .map(member => member.id),
     decisions,
+    observer: createOrderMetrics(
+      context.meter,
+      name => options.configuration.get('service', name) !== undefined,
+    ),
   });
   dumps.add('orders', () => ledger.dump());
   return ledger;
--- /dev/null
+++ b/packages/entry/src/test/orderMetrics.test.ts
@@ -0,0 +1,91 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  createMetrics,
+  seededRandom,
+  ServingError,
+  virtualClock,
+} from '@skylarkfield/base';
+import {createLedger, type OrderReply} from '@skylarkfield/orders';
+import {memoryPlatform} from '@skylarkfield/platform';
+import {createOrderMetrics} from '../parts/orderMetrics.js';
+
+const reply: OrderReply = {status: 201, headers: {}, body: new Uint8Array()};
+
+/** A ledger alone on its platform, with a service that answers or loses each call. */
+function createCounted() {
+  const clock = virtualClock();
+  const random = seededRandom(1);
+  const metrics = createMetrics('test');
+  const platform = memoryPlatform({clock, random});
+  const ledger = createLedger({
+    store: platform.client('a'),
+    network: {
+      ask: () => Promise.reject(new Error('no peers')),
+      onDidReceive: () => ({dispose: () => undefined}),
+    },
+    dispatch: async (service, _call, _signal, begin) => {
+      begin();
+      if (service === 'lossy') {
+        throw new ServingError('outcome-unknown', 'cut off');
+      }
+      return reply;
+    },
+    clock,
+    random,
+    member: 'a',
+    liveMembers: () => ['a'],
+    observer: createOrderMetrics(metrics.meter, name => name !== 'made-up'),
+  });
+  async function submit(key: string, service = 'booking', print = 'same') {
+    const call = {method: 'POST', path: '/', headers: {}, body: reply.body};
+    const deadline = clock.now() + 1_000;
+    const order = {customer: 'c', service, key, fingerprint: print, call};
+    void ledger
+      .submit({...order, deadline}, new AbortController().signal)
+      .catch(() => undefined);
+    await clock.advance(1_500);
+  }
+  return {clock, ledger, metrics, platform, submit};
+}
+
+/** Reads single values out of a page of metrics. */
+function valuesOf(page: string): (name: string) => number {
+  const lines = page.split('\n');
+  return name =>
+    Number(lines.find(line => line.startsWith(name))?.split(' ')[1]);
+}
+
+describe('counters of orders', () => {
+  it('count each outcome once, by known services only', async () => {
+    const {ledger, metrics, platform, submit} = createCounted();
+    await submit('k1');
+    await submit('k1');
+    await submit('k1', 'booking', 'other');
+    await submit('k2', 'lossy');
+    await submit('k3', 'made-up');
+    const {writes} = platform.load();
+    const before = valuesOf(await metrics.render());
+    assert.equal(before('skylarkfield_ledger_writes_total'), writes);
+    platform.faults.setDown(true);
+    await submit('k4');
+    const page = await metrics.render();
+    const value = valuesOf(page);
+    const counts = [
+      ['booking', 'reply'],
+      ['booking', 'replay'],
+      ['booking', 'key-conflict'],
+      ['booking', 'not-run'],
+      ['lossy', 'may-have-run'],
+      ['unknown', 'reply'],
+    ].map(([service, outcome]) =>
+      value(
+        `skylarkfield_orders_total{service="${service}",outcome="${outcome}"`,
+      ),
+    );
+    assert.deepEqual(counts, [1, 1, 1, 1, 1, 1]);
+    assert.ok(!page.includes('made-up'));
+    assert.ok(value('skylarkfield_ledger_take_overs_total') >= 1);
+    ledger.dispose();
+  });
+});
--- a/packages/orders/src/index.ts
+++ b/packages/orders/src/index.ts
@@ -7,5 +7,6 @@
   type LedgerSettings,
 } from './ledgerSettings.js';
 export {LEDGER_KIND} from './shardRecord.js';
+export type {OrderObserver, OrderOutcome} from './orderObserver.js';
 export type {OrderNetwork} from './orderRoute.js';
 export {SEGMENT_KIND} from './shardSegments.js';
--- a/packages/orders/src/ledger.ts
+++ b/packages/orders/src/ledger.ts
@@ -9,6 +9,7 @@
 import {defaultLedgerSettings, type LedgerOptions} from './ledgerSettings.js';
 import {claimOutcome, createLocalOrders} from './localOrders.js';
 import {orderId, orderPrint, shardOf, uniqueText} from './orderIdentity.js';
+import {observeAnswer, observeWrites, silentObserver} from './orderObserver.js';
 import {createOrderRoute} from './orderRoute.js';
 import {createOrderRunner, type RunOutcome} from './orderRunner.js';
 import {answerPeers} from './peerOrders.js';
@@ -34,7 +35,8 @@
  * const answer = await ledger.submit(order, signal);
  */
 export function createLedger(options: LedgerOptions): Ledger {
-  const {store, network, clock, random, member} = options;
+  const {network, clock, random, member, observer = silentObserver} = options;
+  const store = observeWrites(options.store, observer.onWillWrite);
   const settings = {...defaultLedgerSettings, ...options.settings};
   const instance = `${member}#${uniqueText(random)}`;
   const owned = disposableStore();
@@ -66,7 +68,10 @@
           onDidClaim: flight => runner.run(flight),
           onDidLose: outcomes =>
             outcomes.forEach(outcome => keepLate(index, outcome, 0)),
-          onDidTake: entries => takeUp(index, entries),
+          onDidTake: entries => {
+            observer.onDidTakeOver();
+            takeUp(index, entries);
+          },
         }),
       ),
   );
@@ -293,7 +298,8 @@
   }
 
   return {
-    submit,
+    submit: (order, signal) =>
+      observeAnswer(observer, order.service, submit(order, signal)),
     leave,
     dump: () => ({
       isLeaving,
--- a/packages/orders/src/ledgerSettings.ts
+++ b/packages/orders/src/ledgerSettings.ts
@@ -2,6 +2,7 @@
 import type {Clock, DecisionLog, Random} from '@skylarkfield/base';
 import type {ObjectStore} from '@skylarkfield/platform';
 import type {Dispatch} from './contracts.js';
+import type {OrderObserver} from './orderObserver.js';
 import type {OrderNetwork} from './orderRoute.js';
 
 export interface LedgerOptions {
@@ -17,6 +18,8 @@
   /** Ids of the entries that can still answer: those live and those leaving; the live ones when absent. */
   readonly answeringMembers?: () => readonly string[];
   readonly decisions?: DecisionLog;
+  /** Counts what is done; nothing is counted when absent. */
+  readonly observer?: OrderObserver;
   readonly settings?: Partial<LedgerSettings>;
 }
 
