Entry process: life as a state machine, parts assembled in a module of their own

Cause: startEntry had grown to 150 lines, the process's life was a variable, and a request that came between opening the port and attaching the routes got no answer.

--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -1,38 +1,34 @@
-/** One entry process: its parts, the order in which they start, and how it stops. */
+/** One entry process: its ports, the order in which it starts, and how it stops. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
   createLogger,
   createMetrics,
   decisionLog,
   disposableStore,
   processRandom,
+  ServingError,
   systemClock,
   toDisposable,
+  type Disposable,
+  type DisposableStore,
 } from '@skylarkfield/base';
-import {createStreamRunner} from '@skylarkfield/streams';
 import {attachAdminRoutes} from './admin/adminServer.js';
-import {createAttempts} from './callers/attempts.js';
 import {attachCallerRoutes, type Readiness} from './callers/callerServer.js';
 import {createCustomerKeys} from './callers/customerKeys.js';
 import {createRequestMetrics} from './callers/observation.js';
+import {sendProblem, toProblem} from './callers/problem.js';
 import {createModelServer} from './callers/serveModel.js';
 import {createPlainServer} from './callers/servePlain.js';
 import {createDumps, type EntryContext} from './context.js';
+import {createEntryParts, type EntryParts} from './entryParts.js';
 import {createInFlight} from './inFlight.js';
-import {createServer, openListener} from './listener.js';
-import {createAdmissionPart} from './parts/admissionPart.js';
-import {createDutiesPart} from './parts/dutiesPart.js';
-import {createEnginesPart} from './parts/enginesPart.js';
-import {createFleetPart} from './parts/fleetPart.js';
-import {createLeavingPart} from './parts/leavingPart.js';
-import {createMembersPart} from './parts/membersPart.js';
-import {createLoadFeed} from './parts/loadFeed.js';
-import {createMovesPart, startMoves} from './parts/movesPart.js';
-import {createOrdersPart} from './parts/ordersPart.js';
-import {createPlatformPart} from './parts/platformPart.js';
-import {createRecordsPart} from './parts/recordsPart.js';
-import {createRoutingPart} from './parts/routingPart.js';
-import {createSharedHostList} from './parts/sharedHostList.js';
-import type {Serving} from './serving.js';
+import {
+  createServer,
+  openListener,
+  type HttpServer,
+  type Listener,
+} from './listener.js';
+import {createProcessLife, type LifeState} from './processLife.js';
 import {resolveSecret, type EntrySettings} from './settings.js';
 
 export interface EntryProcess {
@@ -47,7 +43,8 @@
 }
 
 /**
- * Starts an entry. Throws `bad-settings` when a port, key or file can't be used.
+ * Starts an entry. Throws `bad-settings` when a port, key or file can't be used;
+ * what was opened by then is closed again.
  *
  * @example
  * const entry = await startEntry(readEntrySettings('entry-a1.json'));
@@ -55,146 +52,59 @@
  */
 export async function startEntry(
   settings: EntrySettings,
+): Promise<EntryProcess> {
+  const owned = disposableStore();
+  try {
+    return await start(settings, owned);
+  } catch (error) {
+    owned.dispose();
+    throw error;
+  }
+}
+
+async function start(
+  settings: EntrySettings,
+  owned: DisposableStore,
 ): Promise<EntryProcess> {
   const metrics = createMetrics('skylarkfield');
+  owned.add(toDisposable(() => void metrics.shutDown()));
   const context = createContext(settings, metrics.meter);
   const {clock, log, decisions, dumps} = context;
   const adminKey = resolveSecret(settings.keys.admin, 'keys.admin');
   const innerKey = resolveSecret(settings.keys.inner, 'keys.inner');
-  const owned = disposableStore();
-  let phase: 'serving' | 'lingering' | 'leaving' = 'serving';
-
-  const callerServer = createServer(settings.callers, settings.limits);
-  const adminServer = createServer(settings.admin, settings.limits);
-  const callerListener = owned.add(
-    await openListener(callerServer, settings.callers, clock, log),
-  );
-  const adminListener = owned.add(
-    await openListener(adminServer, settings.admin, clock, log),
-  );
-  const callersUrl =
-    settings.advertised.callers ??
-    addressOf(callerListener, settings.callers.host);
-
-  const platform = createPlatformPart(context);
-  owned.add(platform.store);
+  const life = createProcessLife();
   const inFlight = createInFlight(clock);
-  const members = owned.add(
-    await createMembersPart(context, platform, {
+
+  const callers = await openPort(settings.callers);
+  const admin = await openPort(settings.admin);
+  const callersUrl = settings.advertised.callers ?? callers.url;
+  const unready = refuseUntilReady(callers.server);
+  const parts = owned.add(
+    await createEntryParts(context, {
       innerKey,
       callersUrl,
       load: inFlight.count,
     }),
   );
-  const {membership} = members;
-  const records = owned.add(createRecordsPart(context, platform, members));
-  const {configuration} = records;
-  const router = createRoutingPart(context, membership);
-  const listed = createSharedHostList({
-    ...context,
-    hostList: platform.hostList,
-    network: members.network,
-  });
-  const leavingPart = owned.add(
-    createLeavingPart(context, {...platform, hostList: listed}, members),
-  );
-  const admission = createAdmissionPart(context, configuration, membership);
-  const loads = createLoadFeed(router, {clock, admission, configuration});
-  const endpoints = owned.add(
-    createEnginesPart(context, leavingPart, loads.router),
-  );
-  owned.add(loads.start(endpoints));
-  const split = createMovesPart(context);
-  const streams = createStreamRunner({clock, self: settings.id});
-  dumps.add('streams', () => streams.dump());
-  const attempts = createAttempts({router, endpoints, split, admission}, clock);
-  const ledger = owned.add(
-    createOrdersPart(context, {
-      platform,
-      members,
-      configuration,
-      split,
-      attempts,
-    }),
-  );
-  const duties = owned.add(
-    createDutiesPart(context, {platform, members, records}),
-  );
-  owned.add(
-    startMoves(context, {
-      split,
-      configuration,
-      network: members.network,
-      objects: platform.store,
-      endpoints,
-      duties,
-    }),
-  );
-  owned.add(
-    createFleetPart(context, {
-      duties,
-      platform,
-      configuration,
-      endpoints,
-      loads,
-    }),
-  );
-  const serving: Serving = {
-    configuration,
-    admission,
-    router,
-    endpoints,
-    streams,
-    split,
-    ledger,
-    lookup: members.lookup,
-  };
-  const requestMetrics = createRequestMetrics(
-    metrics.meter,
-    name => configuration.get('service', name) !== undefined,
-  );
-  attachAdminRoutes({
-    server: adminServer,
-    key: adminKey,
-    dumps,
-    decisions,
-    metrics,
-  });
-  attachCallerRoutes({
-    server: callerServer,
-    serving,
-    keys: createCustomerKeys(configuration),
-    models: createModelServer({
-      serving,
-      clock,
-      limits: settings.limits,
-      metrics: requestMetrics,
-    }),
-    plain: createPlainServer({serving, attempts, clock}),
-    metrics: requestMetrics,
-    limits: settings.limits,
-    clock,
-    log,
-    inFlight,
-    readiness,
-  });
+  unready.dispose();
+  attachRoutes(parts);
   dumps.add('process', () => ({
     id: settings.id,
+    life: life.state(),
     readiness: readiness(),
     inFlight: inFlight.count(),
     memory: process.memoryUsage(),
     cpu: process.cpuUsage(),
     uptimeSeconds: process.uptime(),
   }));
-  owned.add(toDisposable(() => void metrics.shutDown()));
   log.info({callersUrl}, 'entry started');
 
   let stopping: Promise<void> | undefined;
   return {
     addresses: {
       callers: callersUrl,
-      inner: members.innerUrl,
-      admin: addressOf(adminListener, settings.admin.host),
+      inner: parts.innerUrl,
+      admin: admin.url,
     },
     stop() {
       stopping ??= stop();
@@ -202,14 +112,47 @@
     },
   };
 
+  async function openPort(port: EntrySettings['callers']) {
+    const server = createServer(port, settings.limits);
+    const listener = owned.add(await openListener(server, port, clock, log));
+    return {server, url: addressOf(listener, port.host)};
+  }
+
+  function attachRoutes({serving, attempts}: EntryParts): void {
+    const {configuration} = serving;
+    const requestMetrics = createRequestMetrics(
+      metrics.meter,
+      name => configuration.get('service', name) !== undefined,
+    );
+    attachAdminRoutes({
+      server: admin.server,
+      key: adminKey,
+      dumps,
+      decisions,
+      metrics,
+    });
+    attachCallerRoutes({
+      server: callers.server,
+      serving,
+      keys: createCustomerKeys(configuration),
+      models: createModelServer({
+        serving,
+        clock,
+        limits: settings.limits,
+        metrics: requestMetrics,
+      }),
+      plain: createPlainServer({serving, attempts, clock}),
+      metrics: requestMetrics,
+      limits: settings.limits,
+      clock,
+      log,
+      inFlight,
+      readiness,
+    });
+  }
+
   function readiness(): Readiness {
-    if (phase !== 'serving') {
-      return phase;
-    }
-    // After a pause what is in force here may be long replaced: requests are
-    // refused, as not run, until a peer or the platform has answered again.
-    const isUpToDate = configuration.isReady() && membership.isCurrent();
-    return isUpToDate ? 'ready' : 'starting';
+    return readinessOf[life.state()](parts);
   }
 
   /**
@@ -219,14 +162,15 @@
    */
   async function stop(): Promise<void> {
     log.info('stopping');
-    phase = 'lingering';
-    await membership.leave();
-    await duties.release();
+    life.send('announce');
+    await parts.membership.leave();
+    await parts.duties.release();
     await lingered();
-    phase = 'leaving';
-    await ledger.leave();
+    life.send('refuse');
+    await parts.serving.ledger.leave();
     const isIdle = await inFlight.idle(settings.drainMs);
     log.info({isIdle, inFlight: inFlight.count()}, 'drained');
+    life.send('close');
     owned.dispose();
   }
 
@@ -237,6 +181,35 @@
   }
 }
 
+/** What callers are told in each state of the process's life. */
+const readinessOf: Readonly<
+  Record<LifeState, (parts: EntryParts) => Readiness>
+> = {
+  // After a pause what is in force here may be long replaced: requests are
+  // refused, as not run, until a peer or the platform has answered again.
+  serving: ({serving, membership}) =>
+    serving.configuration.isReady() && membership.isCurrent()
+      ? 'ready'
+      : 'starting',
+  lingering: () => 'lingering',
+  leaving: () => 'leaving',
+  stopped: () => 'leaving',
+};
+
+/**
+ * The port is open before the parts are there, since its number is part of the
+ * address that peers are told. A request that came in between would get no
+ * answer at all; this one tells it to come back.
+ */
+function refuseUntilReady(server: HttpServer): Disposable {
+  function refuse(_request: IncomingMessage, response: ServerResponse) {
+    const error = new ServingError('not-ready', 'this entry is starting');
+    sendProblem(response, toProblem(error, ''));
+  }
+  server.on('request', refuse);
+  return toDisposable(() => server.off('request', refuse));
+}
+
 function createContext(
   settings: EntrySettings,
   meter: EntryContext['meter'],
@@ -257,9 +230,6 @@
   };
 }
 
-function addressOf(
-  listener: {readonly scheme: string; readonly port: number},
-  host: string,
-): string {
+function addressOf(listener: Listener, host: string): string {
   return `${listener.scheme}://${host}:${listener.port}`;
 }
--- /dev/null
+++ b/packages/entry/src/test/processLife.test.ts
@@ -0,0 +1,23 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createProcessLife, type LifeEvent} from '../processLife.js';
+
+const cases: readonly [readonly LifeEvent[], string][] = [
+  [[], 'serving'],
+  [['announce'], 'lingering'],
+  [['announce', 'refuse'], 'leaving'],
+  [['announce', 'refuse', 'close'], 'stopped'],
+  [['refuse'], 'serving'],
+  [['announce', 'announce'], 'lingering'],
+  [['announce', 'refuse', 'close', 'announce'], 'stopped'],
+];
+
+describe('process life', () => {
+  for (const [events, expected] of cases) {
+    it(`is ${expected} after ${events.join(', ') || 'nothing'}`, () => {
+      const life = createProcessLife();
+      events.forEach(life.send);
+      assert.equal(life.state(), expected);
+    });
+  }
+});
