--- a/packages/cli/src/commands/sendCall.ts
+++ b/packages/cli/src/commands/sendCall.ts
@@ -1,6 +1,6 @@
 import {Args, Command, Flags} from '@oclif/core';
-import {ServingError} from '@skylarkfield/base';
-import {callHttp} from '../jsonInput.js';
+import {callerFlags} from '../callerFlags.js';
+import {callHttp, toAnsweredError} from '../jsonInput.js';
 import {printJson, printLine} from '../output.js';
 
 /** Calls a plain service through an entry. */
@@ -17,16 +17,8 @@
     }),
   };
   static override flags = {
-    entry: Flags.string({
-      required: true,
-      description: "address of an entry's port for callers",
-    }),
+    ...callerFlags,
     service: Flags.string({required: true, description: 'plain service'}),
-    key: Flags.string({
-      required: true,
-      env: 'SKYLARKFIELD_KEY',
-      description: "customer's key",
-    }),
     method: Flags.string({default: 'GET', description: 'HTTP method'}),
     data: Flags.string({description: 'body'}),
     'idempotency-key': Flags.string({
@@ -55,11 +47,11 @@
     );
     if (flags.json) {
       printJson(answer);
-    } else {
+    } else if (answer.status < 400) {
       printLine(answer.text);
     }
     if (answer.status >= 400) {
-      throw new ServingError('endpoint-failed', `status ${answer.status}`);
+      throw toAnsweredError(answer);
     }
   }
 }
