--- a/packages/bench/src/measurements.ts
+++ b/packages/bench/src/measurements.ts
@@ -19,7 +19,8 @@
   | 'fleet'
   | 'orders'
   | 'spread'
-  | 'slopes';
+  | 'slopes'
+  | 'orderOwner';
 
 interface Measurement {
   /** Module beside this one, loaded only when it is asked for. */
@@ -81,6 +82,11 @@
     exported: 'measureSlopes',
     about: 'control traffic, processor time and memory as the fleet grows',
   },
+  orderOwner: {
+    module: './slopes/orderOwner.js',
+    exported: 'measureOrderOwners',
+    about: 'what owning one shard of the order ledger costs as orders grow',
+  },
 };
 
 /** Why a measurement cannot be run. */
--- /dev/null
+++ b/packages/bench/src/slopes/orderOwner.ts
@@ -0,0 +1,186 @@
+/**
+ * What owning one shard of the order ledger costs as its orders grow: two
+ * ledgers over the memory platform on a virtual clock for longer than the dedupe window, all
+ * orders forwarded to the owner by the real codec. Processor time includes the
+ * forwarding entry, the platform and the simulation: it is an upper bound.
+ */
+import {
+  seededRandom,
+  virtualClock,
+  type VirtualClock,
+} from '@skylarkfield/base';
+import type {Dispatch} from '@skylarkfield/orders';
+import {
+  memoryPlatform,
+  type MemoryPlatform,
+  type StoredObject,
+} from '@skylarkfield/platform';
+import type {MeasureOptions} from '../measurements.js';
+import {startLedgers, type LedgerFleet} from '../orderLedgers.js';
+import {collectedHeapBytes} from './heap.js';
+
+/** Orders per second of one shard. */
+const RATES = [0.1, 0.3, 1] as const;
+const WINDOW_SECONDS = 3_600;
+/** The shard is full of keys before the measured span starts. */
+const SPAN_SECONDS = 600;
+const PLATFORM_DELAY_MS = 4;
+const TIMEOUT_MS = 10_000;
+const BODY_BYTES = 200;
+
+/**
+ * Measures an owner at each rate.
+ *
+ * @example
+ * const {owners} = await measureOrderOwners({seed: 1});
+ */
+export async function measureOrderOwners(
+  options: MeasureOptions,
+): Promise<object> {
+  const owners = [];
+  for (const rate of RATES) {
+    owners.push(await measureOwner(options.seed, rate));
+  }
+  return {windowSeconds: WINDOW_SECONDS, owners};
+}
+
+async function measureOwner(seed: number, rate: number) {
+  const clock = virtualClock();
+  const random = seededRandom(seed);
+  const memory = memoryPlatform({clock, random});
+  memory.faults.setSlow(PLATFORM_DELAY_MS);
+  const written = {bytes: 0};
+  const fleet = startLedgers({
+    clock,
+    random,
+    platform: overWire(memory, written),
+    entries: 2,
+    settings: {shardCount: 1},
+    dispatch,
+  });
+  const first = fleet.submit('first', 0, TIMEOUT_MS);
+  await clock.advance(TIMEOUT_MS);
+  await first;
+  const forwarding = fleet.ledgers().findIndex(ledger => !isOwner(ledger));
+  let refused = await offer(clock, fleet, forwarding, rate, WINDOW_SECONDS);
+  const before = {
+    writes: memory.load().writes,
+    bytes: written.bytes,
+    traffic: fleet.traffic(),
+    cpu: process.cpuUsage(),
+  };
+  refused += await offer(clock, fleet, forwarding, rate, SPAN_SECONDS);
+  const cpu = process.cpuUsage(before.cpu);
+  const traffic = fleet.traffic();
+  const owner = fleet.ledgers().find(isOwner);
+  const result = {
+    ordersPerSecond: rate,
+    refused,
+    stateBytes: owner === undefined ? 0 : shardOf(owner).bytes,
+    entries: owner === undefined ? 0 : shardOf(owner).entries,
+    // What one end sends the other receives: the owner has half of all ends.
+    messages: perSecond(traffic.messagesSent - before.traffic.messagesSent),
+    bytes: perSecond(traffic.bytesSent - before.traffic.bytesSent),
+    platformWrites: perSecond(memory.load().writes - before.writes),
+    platformBytes: perSecond(written.bytes - before.bytes),
+    cpuMicros: perSecond(cpu.user + cpu.system),
+  };
+  fleet.dispose();
+  return {...result, heapBytes: await measureTakeOverHeap(clock, memory)};
+}
+
+/**
+ * Heap that a shard's state takes at an owner that has just taken it over. The
+ * heap of the first owner would not tell: the platform beside it keeps every
+ * version written.
+ */
+async function measureTakeOverHeap(
+  clock: VirtualClock,
+  platform: MemoryPlatform,
+): Promise<number> {
+  const before = collectedHeapBytes();
+  const fleet = startLedgers({
+    clock,
+    random: seededRandom(1),
+    platform: overWire(platform, {bytes: 0}),
+    entries: 1,
+    settings: {shardCount: 1},
+    dispatch,
+  });
+  const answer = fleet.submit('last', 0, TIMEOUT_MS);
+  await clock.advance(TIMEOUT_MS);
+  await answer;
+  const heapBytes = collectedHeapBytes() - before;
+  fleet.dispose();
+  return heapBytes;
+}
+
+const dispatch: Dispatch = async (_service, _call, _signal, begin) => {
+  begin();
+  return {status: 201, headers: {}, body: new Uint8Array(BODY_BYTES)};
+};
+
+/** Offers orders evenly; returns how many were not answered with a reply. */
+async function offer(
+  clock: VirtualClock,
+  fleet: LedgerFleet,
+  entry: number,
+  rate: number,
+  seconds: number,
+): Promise<number> {
+  let refused = 0;
+  const count = Math.round(rate * seconds);
+  for (let order = 0; order < count; order++) {
+    const key = `${clock.now()}`;
+    fleet
+      .submit(key, entry, TIMEOUT_MS, new Uint8Array(BODY_BYTES))
+      .catch(() => (refused += 1));
+    await clock.advance(1_000 / rate);
+  }
+  return refused;
+}
+
+interface ShardDump {
+  readonly state: string;
+  readonly bytes: number;
+  readonly entries: number;
+}
+
+function shardOf(ledger: {dump(): unknown}): ShardDump {
+  const {shards} = ledger.dump() as {shards: readonly [ShardDump]};
+  return shards[0];
+}
+
+function isOwner(ledger: {dump(): unknown}): boolean {
+  return shardOf(ledger).state === 'owned';
+}
+
+/** The platform as over the wire: reads are copies, and written bytes are counted. */
+function overWire(
+  memory: MemoryPlatform,
+  written: {bytes: number},
+): MemoryPlatform {
+  return {
+    ...memory,
+    client(name) {
+      const client = memory.client(name);
+      return {
+        ...client,
+        // Without a copy a ledger would share its entries with the platform, and its heap be told too small.
+        async get<T>(kind: string, object: string, signal?: AbortSignal) {
+          const stored = await client.get<T>(kind, object, signal);
+          const text = JSON.stringify(stored);
+          return stored && (JSON.parse(text) as StoredObject<T>);
+        },
+        put(kind, object, value, condition, signal) {
+          written.bytes += Buffer.byteLength(JSON.stringify(value));
+          return client.put(kind, object, value, condition, signal);
+        },
+      };
+    },
+  };
+}
+
+function perSecond(total: number): number {
+  return Math.round((total / SPAN_SECONDS) * 100) / 100;
+}
--- a/tools/capacity.mjs
+++ b/tools/capacity.mjs
@@ -1,5 +1,6 @@
 /**
- * Computes the tables of docs/CAPACITY.md from docs/reports/slopes.json.
+ * Computes the tables of docs/CAPACITY.md from docs/reports/slopes.json and
+ * docs/reports/orderOwner.json.
  *
  *   node tools/capacity.mjs            prints the tables
  *   node tools/capacity.mjs --write    puts them into the page
@@ -47,12 +48,18 @@
   /** shardCount and LINGER_MS in orders/ledger. */
   shards: 8,
   shardWritesPerSecond: 10,
+  /** maxShardBytes in orders/ledgerSettings. */
+  maxShardBytes: 2_097_152,
 };
 
 const {idleEntry, sockets, loadPolls, sizes, members} = JSON.parse(
   readFileSync(join(root, 'docs', 'reports', 'slopes.json'), 'utf8'),
 );
 
+const {owners} = JSON.parse(
+  readFileSync(join(root, 'docs', 'reports', 'orderOwner.json'), 'utf8'),
+);
+
 /** The largest simulated size, and the slope of memory up to it. */
 const largest = members[members.length - 1];
 const smaller = members[members.length - 2];
@@ -123,6 +130,21 @@
   ),
 ];
 
+/** A shard's owner at the most orders that its bound of keys holds for ever: per order as measured at the highest rate. */
+const busiest = owners[owners.length - 1];
+const fullRatio = CODE.maxShardBytes / busiest.stateBytes;
+const shardOwner = line(
+  'owner of one full shard',
+  'orders forwarded, one write for all that wait',
+  (busiest.messages + 2 * busiest.platformWrites) * fullRatio,
+  (busiest.bytes +
+    busiest.platformBytes +
+    (busiest.messages + 2 * busiest.platformWrites) * HEAD_BYTES) *
+    fullRatio,
+  busiest.cpuMicros * fullRatio,
+  busiest.heapBytes * fullRatio,
+);
+
 const roles = {
   'caller-facing node': [],
   'record reader': [
@@ -147,6 +169,7 @@
       sizes.confirmBytes,
     ),
   ],
+  'ledger-shard owner': [shardOwner],
 };
 
 function sum(lines) {
@@ -288,6 +311,33 @@
   );
 }
 
+function ownerTable() {
+  return table(
+    [
+      'orders/s',
+      'keys',
+      'state bytes',
+      'heap bytes',
+      'messages/s',
+      'bytes/s',
+      'platform writes/s',
+      'platform bytes/s',
+      'CPU µs/s',
+    ],
+    owners.map(item => [
+      item.ordersPerSecond,
+      item.entries,
+      item.stateBytes,
+      item.heapBytes,
+      item.messages,
+      item.bytes,
+      item.platformWrites,
+      item.platformBytes,
+      item.cpuMicros,
+    ]),
+  );
+}
+
 function memberTable() {
   return table(
     [
@@ -324,6 +374,10 @@
   '',
   billTable(common),
   '',
+  '### Measured: owner of one shard of the order ledger, by its orders',
+  '',
+  ownerTable(),
+  '',
   '### Computed: by role, without load reports and host list',
   '',
   roleTable(),
@@ -357,7 +411,7 @@
 } else if (process.argv.includes('--check')) {
   const page = readFileSync(pagePath, 'utf8');
   if ((await renewedPage(page)) !== page) {
-    console.error('docs/CAPACITY.md differs from docs/reports/slopes.json');
+    console.error('docs/CAPACITY.md differs from the files in docs/reports');
     process.exit(1);
   }
 } else {
