An endpoint that returned on its host gets work before the list's lag is over

Cause: an endpoint known to leave was remembered by host for 15 minutes, and the router's mark was renewed by each list that still named it, so that one restarted under its id on its host got nothing; nothing listened to the event of a return either, so a host that stayed after all stayed idle at the router.

Rule: back is what the list has shown as leaving, or no longer named, and after that as live, and either the time of the notice has passed, or the host itself does not go and the address is another. A notice told again says nothing of what is back; a later one does. The router has markReturned, and the entry opens a new client, as the old one was told for good that it leaves.

Left: one that returns at the same address without a notice still waits for 15 minutes, since nothing tells it from an old list. A peer that connects within two minutes of the first word may take a returned endpoint for leaving.

--- a/packages/entry/src/parts/enginesPart.ts
+++ b/packages/entry/src/parts/enginesPart.ts
@@ -49,6 +49,7 @@
   store.add(toDisposable(() => open.forEach(endpoint => endpoint.dispose())));
   store.add(hostList.watch(adopt));
   store.add(leaving.onDidLeave(noteLeaving));
+  store.add(leaving.onDidReturn(reopen));
   store.add(startPolling({clock, log, router, endpoints: pool}));
 
   return {...pool, markLeaving, dispose: () => store.dispose()};
@@ -62,6 +63,16 @@
     markLeaving(endpoint);
   }
 
+  /**
+   * The client of the old process was told that it leaves, for good. Kept for
+   * the new one at the same address, it would end every stream sent there.
+   */
+  function reopen(id: string): void {
+    open.get(id)?.dispose();
+    open.delete(id);
+    router.markReturned(id);
+  }
+
   function markLeaving(id: string): void {
     router.markLeaving(id);
     open.get(id)?.leave();
--- /dev/null
+++ b/packages/entry/src/test/enginesPart.test.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  decisionLog,
+  emitter,
+  seededRandom,
+  silentLogger,
+  virtualClock,
+} from '@skylarkfield/base';
+import type {EndpointLeaving, LeavingEndpoint} from '@skylarkfield/members';
+import type {ListedEndpoint} from '@skylarkfield/platform';
+import {createRouter} from '@skylarkfield/routing';
+import type {EntryContext} from '../context.js';
+import {createEnginesPart} from '../parts/enginesPart.js';
+
+const endpoint: ListedEndpoint = {
+  id: 'e1',
+  type: 'model',
+  service: 'assistant',
+  version: 'v1',
+  url: 'http://127.0.0.1:9',
+  host: 'h1',
+  failureDomain: 'a',
+  machineClass: 'small',
+  checksFencing: true,
+  state: 'live',
+};
+
+describe('clients of endpoints', () => {
+  it('sends work to an endpoint that returned at its old address', () => {
+    // An endpoint restarts on its host. Streams that the entry sends to it over
+    // what it had opened for the old process would all be told to move away.
+    const clock = virtualClock();
+    const log = silentLogger();
+    const random = seededRandom(1);
+    const router = createRouter({
+      clock,
+      random,
+      decisions: decisionLog(clock, log),
+      failureDomain: 'a',
+      self: 'n1',
+    });
+    const left = emitter<LeavingEndpoint>();
+    const returned = emitter<string>();
+    const lists = emitter<readonly ListedEndpoint[]>();
+    const leaving: Partial<EndpointLeaving> = {
+      onDidLeave: left.event,
+      onDidReturn: returned.event,
+    };
+    const engines = createEnginesPart(
+      {clock, log} as unknown as EntryContext,
+      {
+        hostList: {watch: listener => lists.event(listener)},
+        leaving: leaving as EndpointLeaving,
+      },
+      router,
+    );
+    const choose = () =>
+      router.choose({
+        service: 'assistant',
+        version: 'v1',
+        blocks: [],
+        promptTokens: 1,
+        expectedTokens: 1,
+        excluded: new Set(),
+      });
+    lists.fire([endpoint]);
+    left.fire({endpoint: 'e1', host: 'h1', goneAt: 0, source: 'peer'});
+    lists.fire([endpoint]);
+    assert.equal(choose(), undefined);
+    assert.equal(engines.get('e1')?.leaving.aborted, true);
+    returned.fire('e1');
+    assert.equal(choose(), undefined);
+    lists.fire([endpoint]);
+    assert.equal(choose()?.endpoint, 'e1');
+    assert.equal(engines.get('e1')?.leaving.aborted, false);
+    engines.dispose();
+  });
+});
--- a/packages/members/src/endpointLeaving.ts
+++ b/packages/members/src/endpointLeaving.ts
@@ -2,7 +2,7 @@
  * Which endpoints leave, by whichever word comes first: the cloud's notice, the
  * host list, or a peer. The list lags, so an endpoint that leaves is remembered
  * together with its host: an old list can't bring it back, while the same
- * endpoint on a new host is a new one.
+ * endpoint on a new host is a new one, and so is one that plainly returned.
  */
 import {
   disposableStore,
@@ -19,9 +19,16 @@
   ReclaimNotice,
 } from '@skylarkfield/platform';
 import type {Messages, PeerNetwork} from '@skylarkfield/protocol';
+import {beginDeparture, followDeparture, isBack} from './endpointDeparture.js';
+import {
+  beginLeavingHost,
+  isRepeat,
+  postpone,
+  type LeavingHost,
+  type LeavingSource,
+} from './leavingHost.js';
 
-/** Where the first word came from. */
-export type LeavingSource = 'notice' | 'list' | 'peer' | 'fault';
+export type {LeavingSource} from './leavingHost.js';
 
 export interface LeavingEndpoint {
   readonly endpoint: string;
@@ -36,7 +43,7 @@
   isLeaving(endpoint: string, host?: string): boolean;
   /** Fires once for each endpoint and host, whatever the number of words. */
   onDidLeave(listener: (leaving: LeavingEndpoint) => void): Disposable;
-  /** Fires when an endpoint that was leaving is listed on another host. */
+  /** Fires when an endpoint that was leaving is back, on its host or another, or stayed. */
   onDidReturn(listener: (endpoint: string) => void): Disposable;
   /** Takes in a word from elsewhere, like an endpoint that says so itself. */
   note(
@@ -52,22 +59,6 @@
   dump(): unknown;
 }
 
-interface LeavingHost {
-  readonly host: string;
-  readonly goneAt: number;
-  /** Monotonic milliseconds. */
-  readonly since: number;
-  readonly forgetAt: number;
-  readonly source: LeavingSource;
-  /** All endpoints there leave, also those not yet listed. */
-  isWhole: boolean;
-  readonly endpoints: Set<string>;
-}
-
-/** The host list is never older than this, in milliseconds. */
-const LONGEST_LIST_LAG_MS = 15 * 60_000;
-/** Longest notice that is believed, in milliseconds. */
-const LONGEST_NOTICE_MS = 60 * 60_000;
 /** A failure domain of the largest fleet has fewer hosts than this. */
 const MOST_HOSTS = 4_000;
 /** Endpoints remembered for one host. */
@@ -96,17 +87,22 @@
   const returned = emitter<string>();
   const owned = disposableStore();
   /** Hosts on which the last list showed an endpoint. */
-  let listed = new Map<string, string>();
+  let listed = new Map<string, ListedEndpoint>();
   let latest: readonly ListedEndpoint[] | undefined;
   const corrected = emitter<readonly ListedEndpoint[]>();
   let isCorrectionDue = false;
   let notices: Disposable | undefined;
 
-  function isLeaving(endpoint: string, host = listed.get(endpoint)): boolean {
+  function isLeaving(
+    endpoint: string,
+    host = listed.get(endpoint)?.host,
+  ): boolean {
     if (host !== undefined) {
       const known = hosts.get(host);
       return (
-        known !== undefined && (known.isWhole || known.endpoints.has(endpoint))
+        known !== undefined &&
+        (known.endpoints.has(endpoint) ||
+          (known.isWhole && !known.back.has(endpoint)))
       );
     }
     return [...hosts.values()].some(known => known.endpoints.has(endpoint));
@@ -119,22 +115,11 @@
   ): LeavingHost {
     const known = hosts.get(host);
     if (known !== undefined) {
+      postpone(known, goneAt, clock);
       return known;
     }
-    const now = clock.now();
-    const noticeMs = Math.min(
-      LONGEST_NOTICE_MS,
-      Math.max(0, goneAt - clock.wall()),
-    );
-    const added = {
-      host,
-      goneAt,
-      since: now,
-      forgetAt: now + noticeMs + LONGEST_LIST_LAG_MS,
-      source,
-      isWhole: false,
-      endpoints: new Set<string>(),
-    };
+    const added = beginLeavingHost(host, source, clock);
+    postpone(added, goneAt, clock);
     hosts.set(host, added);
     if (hosts.size > MOST_HOSTS) {
       const [oldest] = hosts.keys();
@@ -143,6 +128,11 @@
     return added;
   }
 
+  function listedOn(host: string, endpoint: string) {
+    const item = listed.get(endpoint);
+    return item?.host === host ? item : undefined;
+  }
+
   /** Adds what is new and fires for it; tells whether anything was. */
   function learn(
     host: string,
@@ -151,14 +141,18 @@
     goneAt: number,
     source: LeavingSource,
   ): boolean {
+    const news = endpoints.filter(
+      endpoint => !isRepeat(hosts.get(host), goneAt, endpoint),
+    );
     const known = remember(host, goneAt, source);
-    const fresh = endpoints
+    const fresh = news
       .filter(endpoint => !known.endpoints.has(endpoint))
       .slice(0, MOST_ENDPOINTS_PER_HOST - known.endpoints.size);
     const isNews = fresh.length > 0 || (isWhole && !known.isWhole);
     known.isWhole ||= isWhole;
     for (const endpoint of fresh) {
-      known.endpoints.add(endpoint);
+      known.endpoints.set(endpoint, beginDeparture(listedOn(host, endpoint)));
+      known.back.delete(endpoint);
       decisions.note('members', endpoint, 'give no new work', 'it leaves', {
         host,
         source,
@@ -174,7 +168,7 @@
 
   function messageOf(known: LeavingHost): Messages['endpointLeaving'] {
     const {host, goneAt, isWhole} = known;
-    return {endpoints: [...known.endpoints], host, goneAt, isWhole};
+    return {endpoints: [...known.endpoints.keys()], host, goneAt, isWhole};
   }
 
   /** Passed on by everyone who hears it first, so that it reaches all entries. */
@@ -188,9 +182,9 @@
   }
 
   function endpointsOn(host: string): string[] {
-    return [...listed]
-      .filter(([, where]) => where === host)
-      .map(([endpoint]) => endpoint);
+    return [...listed.values()]
+      .filter(item => item.host === host)
+      .map(({id}) => id);
   }
 
   function correct(list: readonly ListedEndpoint[]): ListedEndpoint[] {
@@ -231,11 +225,14 @@
 
   function hearList(endpoints: readonly ListedEndpoint[]) {
     const before = listed;
-    listed = new Map(endpoints.map(({id, host}) => [id, host]));
+    listed = new Map(endpoints.map(item => [item.id, item]));
+    takeBackReturned();
     const changed = new Set<string>();
     for (const {id, host, state} of endpoints) {
-      const isNew = state === 'leaving' || hosts.get(host)?.isWhole;
-      if (isNew && learn(host, [id], false, 0, 'list')) {
+      if (
+        (state === 'leaving' || isLeaving(id, host)) &&
+        learn(host, [id], false, 0, 'list')
+      ) {
         changed.add(host);
       }
     }
@@ -245,9 +242,30 @@
     fireCorrected();
   }
 
-  function fireReturns(before: ReadonlyMap<string, string>) {
-    for (const [endpoint, host] of listed) {
-      const hasMoved = before.get(endpoint) !== host;
+  /** Gives work again to what the list shows to have left and come back. */
+  function takeBackReturned() {
+    for (const known of hosts.values()) {
+      for (const [endpoint, departure] of known.endpoints) {
+        const item = listedOn(known.host, endpoint);
+        if (item !== undefined && isBack(departure, known, item, clock.now())) {
+          known.endpoints.delete(endpoint);
+          known.back.add(endpoint);
+          giveWorkAgain(endpoint, known.host, 'it left and is listed again');
+        } else {
+          followDeparture(departure, item, listed.has(endpoint));
+        }
+      }
+    }
+  }
+
+  function giveWorkAgain(endpoint: string, host: string, reason: string) {
+    decisions.note('members', endpoint, 'give work again', reason, {host});
+    returned.fire(endpoint);
+  }
+
+  function fireReturns(before: ReadonlyMap<string, ListedEndpoint>) {
+    for (const [endpoint, {host}] of listed) {
+      const hasMoved = before.get(endpoint)?.host !== host;
       const wasLeaving = [...hosts.values()].some(
         known => known.host !== host && known.endpoints.has(endpoint),
       );
@@ -265,18 +283,9 @@
         continue;
       }
       hosts.delete(known.host);
-      for (const endpoint of known.endpoints) {
-        if (listed.get(endpoint) === known.host) {
-          decisions.note(
-            'members',
-            endpoint,
-            'give work again',
-            'still listed',
-            {
-              host: known.host,
-            },
-          );
-          returned.fire(endpoint);
+      for (const endpoint of known.endpoints.keys()) {
+        if (listedOn(known.host, endpoint) !== undefined) {
+          giveWorkAgain(endpoint, known.host, 'still listed');
           fireCorrectedSoon();
         }
       }
@@ -335,7 +344,8 @@
       isReader: notices !== undefined,
       hosts: [...hosts.values()].map(known => ({
         ...known,
-        endpoints: [...known.endpoints],
+        endpoints: [...known.endpoints.keys()],
+        back: [...known.back],
         ageMs: Math.round(clock.now() - known.since),
       })),
     }),
--- a/packages/members/src/test/endpointLeaving.test.ts
+++ b/packages/members/src/test/endpointLeaving.test.ts
@@ -68,7 +68,8 @@
     return {
       leaving,
       seen,
-      notice: (host: string) => onNotice({host, goneAt: clock.wall() + 30_000}),
+      notice: (host: string, goneAt = clock.wall() + 30_000) =>
+        onNotice({host, goneAt}),
       list: (...endpoints: ListedEndpoint[]) => onList(endpoints),
     };
   });
@@ -76,6 +77,58 @@
   return {clock, net, a: a!, b: b!, c: c!};
 }
 
+interface ListStep {
+  readonly afterMs?: number;
+  /** Not listed when undefined. */
+  readonly state?: 'live' | 'leaving';
+  readonly url?: string;
+}
+
+/**
+ * An endpoint restarts on its host under its id, as after an update. Were it
+ * kept out for as long as a list can lag, a service of few endpoints would
+ * lack it for a quarter of an hour; were it let in by an old list, calls would
+ * go to a process that is gone.
+ */
+const returns: ReadonlyArray<{
+  readonly name: string;
+  /** 0 without a notice of the host. */
+  readonly noticeMs: number;
+  readonly steps: readonly ListStep[];
+  readonly isBack: boolean;
+}> = [
+  {
+    name: 'takes back what was listed as leaving and lives at another address',
+    noticeMs: 0,
+    steps: [{state: 'leaving'}, {state: 'live', url: 'http://h1:2'}],
+    isBack: true,
+  },
+  {
+    name: 'takes back what was gone and lives after the time of the notice',
+    noticeMs: 30_000,
+    steps: [{}, {afterMs: MINUTE_MS, state: 'live'}],
+    isBack: true,
+  },
+  {
+    name: 'keeps out what the list only goes on to show as live',
+    noticeMs: 30_000,
+    steps: [{state: 'live'}, {afterMs: 5 * MINUTE_MS, state: 'live'}],
+    isBack: false,
+  },
+  {
+    name: 'keeps out what lives again at the old address with no time known',
+    noticeMs: 0,
+    steps: [{state: 'leaving'}, {state: 'live'}],
+    isBack: false,
+  },
+  {
+    name: 'keeps out a new process on a host that is about to go',
+    noticeMs: 30_000,
+    steps: [{state: 'leaving'}, {state: 'live', url: 'http://h1:2'}],
+    isBack: false,
+  },
+];
+
 describe('leaving endpoints', () => {
   it('tells every entry from one notice, once', async () => {
     // The cloud takes a host back and only one entry hears the notice. Any entry
@@ -138,6 +191,49 @@
     assert.deepEqual(a.seen, ['e1 by notice', 'e1 returns']);
   });
 
+  for (const {name, noticeMs, steps, isBack} of returns) {
+    it(name, async () => {
+      const {clock, a} = createRow();
+      a.list(listedEndpoint('e1', 'h1'));
+      const goneAt = clock.wall() + noticeMs;
+      if (noticeMs > 0) {
+        a.notice('h1', goneAt);
+      }
+      for (const {afterMs = 1_000, state, url} of steps) {
+        await clock.advance(afterMs);
+        const item = listedEndpoint('e1', 'h1', state ?? 'live');
+        a.list(
+          listedEndpoint('e2', 'h2'),
+          ...(state === undefined ? [] : [{...item, url: url ?? item.url}]),
+        );
+      }
+      assert.equal(a.leaving.isLeaving('e1'), !isBack);
+      assert.equal(a.seen.includes('e1 returns'), isBack);
+      // Nor does the same notice, told again after a cut, take it away again.
+      if (noticeMs > 0) {
+        a.notice('h1', goneAt);
+        await clock.advance(10);
+        assert.equal(a.leaving.isLeaving('e1'), !isBack);
+      }
+    });
+  }
+
+  it('takes a returned endpoint away again by a second notice', async () => {
+    const {clock, a, b} = createRow();
+    a.list(listedEndpoint('e1', 'h1'));
+    a.notice('h1');
+    await clock.advance(MINUTE_MS);
+    a.list();
+    a.list(listedEndpoint('e1', 'h1'));
+    assert.equal(a.leaving.isLeaving('e1'), false);
+    a.notice('h1');
+    await clock.advance(10);
+    assert.equal(a.leaving.isLeaving('e1'), true);
+    a.list(listedEndpoint('e1', 'h1'));
+    assert.equal(a.leaving.isLeaving('e1'), true);
+    assert.equal(b.leaving.isLeaving('e1'), true);
+  });
+
   it('gives work again when the host stayed after all', async () => {
     // A notice that the cloud did not carry out must not idle a host for good.
     const {clock, a} = createRow();
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -53,6 +53,8 @@
   setEndpoints(endpoints: readonly Candidate[]): void;
   /** The endpoint gets no new work from now on; works before the endpoint is listed too. */
   markLeaving(endpoint: string): void;
+  /** A process that is new or stayed after all may have work, from the next list on. */
+  markReturned(endpoint: string): void;
   /** Ids of the live entries, this one included: they share out the endpoints of large services. */
   setEntries(entries: readonly string[]): void;
   /** Chooses; undefined when no endpoint may take the request. */
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -18,6 +18,8 @@
   setEndpoints(endpoints: readonly Candidate[]): void;
   setEntries(entries: readonly string[]): void;
   markLeaving(endpoint: string): void;
+  /** Forgets the mark and all that was known of the old process; the next list brings it. */
+  markReturned(endpoint: string): void;
   get(endpoint: string): KnownEndpoint | undefined;
   /** Endpoints that this entry uses for one version of a service. */
   of(service: string, version: string): readonly KnownEndpoint[];
@@ -155,6 +157,11 @@
       leaving.set(endpoint, {lastMs: clock.now(), host});
       present?.health.leave();
     },
+    markReturned(endpoint) {
+      if (leaving.delete(endpoint)) {
+        known.delete(endpoint);
+      }
+    },
     get: endpoint => known.get(endpoint),
     of: (service, version) => pools.get(poolKey(service, version)) ?? [],
     all: () => [...known.values()],
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -262,6 +262,7 @@
       }
       pools.markLeaving(endpoint);
     },
+    markReturned: endpoint => pools.markReturned(endpoint),
     choose(journey) {
       const candidates = usable(journey);
       const scored = pick(
