An answer that goes on elsewhere is placed by its blocks too

Cause: a resumed answer was placed by the blocks of its prompt alone, while its token count included what had been delivered. The router could not prefer an endpoint that has the answer's first part, nor remember where it now is.

Change: the blocks are extended by those of the delivered tokens, only when there are any; the prompt is cut again then instead of being kept cut.

Seen: equal to the blocks of the whole text for prompts that end on and off a block. entry, admission, members, routing and streams: 169 tests pass; of the tests with real processes streamFaults, wholePath and leavingEndpoints: 19 pass. The effect on recomputed tokens was not measured.

--- a/packages/entry/src/callers/serveModel.ts
+++ b/packages/entry/src/callers/serveModel.ts
@@ -10,6 +10,7 @@
 } from '@skylarkfield/streams';
 import type {EntrySettings} from '../settings.js';
 import type {Serving} from '../serving.js';
+import {answerBlocks} from './answerBlocks.js';
 import type {Exchange} from './exchange.js';
 import {
   streamedAnswer,
@@ -201,7 +202,7 @@
     const choice = serving.router.choose({
       service,
       version: plan.version,
-      blocks: plan.blocks,
+      blocks: answerBlocks(request.prompt, plan.blocks, delivered),
       promptTokens: plan.promptTokens + delivered.length,
       expectedTokens: request.maxTokens - delivered.length,
       excluded,
