Requests fall back to the incumbent when a candidate cannot be reached

Cause: attempts did not observe `unreachable`, and model requests not `endpoint-unavailable`. A candidate version whose endpoints refused all connections gave no evidence; the move ended only as "not proven" at its deadline, while its share of the callers was refused until then.

Change: the request as a whole is what counts. One that ended without an answer from its version, certainly not run, is one error sample of that version; an unreachable endpoint that another of the same version makes up for is none. The request then goes to the version that it would have had without the move (`incumbentFor`, new in the contract of moves): orders only when certainly not run, model answers only before their first token. If the incumbent cannot be reached either, both versions get the error, so an entry that lost its network does not blame the candidate alone. A version of which the host list names no endpoint that is not leaving (all reclaimed) gets no sample: the contract of moves says that this is no fault of it. A version whose hosts died while the list still names them does get errors.

Also mended in attempts: an idempotent call that may have run at one endpoint and found the next unreachable was refused as "not run". The error now has the run state of all its attempts.

Ruled out: counting each refused attempt (a single dead endpoint of several would speak against the version); going on with the incumbent in the middle of a model answer (one text from two versions).

The new fleet test first failed because a service takes one move at a time; it now removes the earlier record.

--- a/packages/bench/src/test/fleetMoves.test.ts
+++ b/packages/bench/src/test/fleetMoves.test.ts
@@ -27,6 +27,7 @@
         trialPlain('b1', 'a'),
         trialPlain('b2', 'b'),
         {...trialPlain('b3', 'c'), version: 'v2'},
+        {...trialPlain('b4', 'a'), version: 'v3'},
       ],
     });
     await putTrialRecords(fleet);
@@ -92,4 +93,23 @@
       return failures.every(count => count === 0);
     });
   });
+
+  it('takes a version back whose endpoints refuse connections, and fails no call', async () => {
+    // The process of the new version dies while the host list goes on naming it.
+    // Callers whose sessions belong to it would be refused until the deadline.
+    const dead = fleet.endpoints.get('b4');
+    assert.ok(dead);
+    await dead.kill();
+    // One move of a service at a time: the earlier record has to go first.
+    await fleet.store.remove('move', 'to-v2', {type: 'any'});
+    await startMove('to-v3', 'v3');
+    let failures = 0;
+    await until('taken back', async () => {
+      const counts = await Promise.all(fleet.entries.map(countFailures));
+      failures += counts.reduce((sum, count) => sum + count, 0);
+      return (await stateOf('to-v3'))?.phase === 'taken-back';
+    });
+    assert.match((await stateOf('to-v3'))?.why ?? '', /errors/);
+    assert.equal(failures, 0);
+  });
 });
--- a/packages/entry/src/callers/attempts.ts
+++ b/packages/entry/src/callers/attempts.ts
@@ -2,6 +2,7 @@
 import {ServingError, toServingError, type Clock} from '@skylarkfield/base';
 import type {ServiceCall, ServiceReply} from '@skylarkfield/endpoints';
 import type {AttemptResult} from '@skylarkfield/routing';
+import {listedVersions} from '../listedVersions.js';
 import type {Serving} from '../serving.js';
 import {isVersionFault} from './observation.js';
 import {noEndpoint} from './serveModel.js';
@@ -10,6 +11,8 @@
 export interface PlacedCall {
   readonly service: string;
   readonly version: string;
+  /** Takes the call when no endpoint of `version` can; the same when no move is under way. */
+  readonly incumbent: string;
   readonly route: string;
   readonly call: ServiceCall;
   /** Monotonic milliseconds. */
@@ -60,19 +63,70 @@
 ): Attempts {
   return {
     repeatable: (call, signal) =>
-      attemptUntil(call, signal, {
+      attemptVersions(call, signal, {
         isIdempotent: true,
         begin: () => true,
         mayRetry: () => serving.admission.tryRetry(call.service),
       }),
     atMostOnce: (call, signal, begin) =>
-      attemptUntil(call, signal, {
+      attemptVersions(call, signal, {
         isIdempotent: false,
         begin,
         mayRetry: isSurelyNotRun,
       }),
   };
 
+  /**
+   * A candidate version whose endpoints refuse all connections would fail its
+   * share of the calls until the move's deadline. A call that certainly did not
+   * run there goes to the incumbent, and counts as an error of the candidate.
+   */
+  async function attemptVersions(
+    call: PlacedCall,
+    signal: AbortSignal,
+    rules: AttemptRules,
+  ): Promise<ServiceReply> {
+    try {
+      return await attemptUntil(call, signal, rules);
+    } catch (error) {
+      const failure = toServingError(error);
+      if (!isSurelyNotRun(failure) || signal.aborted) {
+        throw failure;
+      }
+      observeUnavailable(call, rules);
+      if (call.version === call.incumbent) {
+        throw failure;
+      }
+      const again = {...call, version: call.incumbent};
+      return await attemptVersions(again, signal, rules);
+    }
+  }
+
+  /** A version all of whose endpoints were reclaimed is not at fault; one that is listed and unreachable is. */
+  function observeUnavailable(call: PlacedCall, rules: AttemptRules): void {
+    const {service, version} = call;
+    if (listedVersions(service, serving.endpoints).has(version)) {
+      observe(call, rules, true, 0);
+    }
+  }
+
+  function observe(
+    call: PlacedCall,
+    rules: AttemptRules,
+    isError: boolean,
+    latencyMs: number,
+  ): void {
+    serving.split.observe({
+      service: call.service,
+      version: call.version,
+      route: call.route,
+      isError,
+      latencyMs,
+      loadFraction: serving.admission.loadFraction(call.service),
+      isIdempotent: rules.isIdempotent,
+    });
+  }
+
   async function attemptUntil(
     call: PlacedCall,
     signal: AbortSignal,
@@ -84,8 +138,9 @@
       try {
         return await attemptOnce(call, excluded, signal, rules, lastError);
       } catch (error) {
-        lastError = toServingError(error);
-        if (!isWorthRetrying(lastError, signal) || !rules.mayRetry(lastError)) {
+        const failure = toServingError(error);
+        lastError = runOfBoth(lastError, failure);
+        if (!isWorthRetrying(failure, signal) || !rules.mayRetry(failure)) {
           throw lastError;
         }
       }
@@ -144,15 +199,7 @@
       if (outcome === 'cancelled' || outcome === 'unreachable') {
         return;
       }
-      serving.split.observe({
-        service: call.service,
-        version: call.version,
-        route: call.route,
-        isError,
-        latencyMs,
-        loadFraction: serving.admission.loadFraction(call.service),
-        isIdempotent: rules.isIdempotent,
-      });
+      observe(call, rules, isError, latencyMs);
     }
   }
 
@@ -189,6 +236,25 @@
   }
 }
 
+/**
+ * The later error with the run state of both: a call that ran at one endpoint
+ * and found the next unreachable must not be refused as "not run".
+ */
+function runOfBoth(
+  earlier: ServingError | undefined,
+  later: ServingError,
+): ServingError {
+  if (earlier?.run !== 'may-have-run' || later.run === 'may-have-run') {
+    return later;
+  }
+  const retryAfterMs = later.retryAfterMs;
+  return new ServingError(later.kind, later.message, {
+    run: 'may-have-run',
+    cause: later,
+    ...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+  });
+}
+
 function isSurelyNotRun(error: ServingError): boolean {
   return error.kind === 'endpoint-unavailable' && error.run === 'not-run';
 }
--- a/packages/entry/src/callers/serveModel.ts
+++ b/packages/entry/src/callers/serveModel.ts
@@ -9,7 +9,12 @@
   StreamSummary,
 } from '@skylarkfield/streams';
 import type {EntrySettings} from '../settings.js';
+import {listedVersions} from '../listedVersions.js';
 import type {Serving} from '../serving.js';
+import {
+  createAnsweringVersion,
+  type AnsweringVersion,
+} from './answeringVersion.js';
 import type {Exchange} from './exchange.js';
 import {
   streamedAnswer,
@@ -35,6 +40,7 @@
 interface ModelPlan {
   readonly ask: Ask;
   readonly version: string;
+  readonly answering: AnsweringVersion;
   readonly promptTokens: number;
   readonly blocks: readonly string[];
 }
@@ -95,6 +101,12 @@
     const deadline =
       exchange.arrivedAt + requestTimeout(headers, service.timeoutMs);
     const tokens = promptTokens(request.prompt);
+    const version = serving.split.versionFor({
+      service: service.name,
+      incumbent: service.version,
+      session: request.session,
+      isIdempotent: true,
+    });
     return {
       ask: {
         service: service.name,
@@ -103,12 +115,11 @@
         deadline,
         cost: 1,
       },
-      version: serving.split.versionFor({
-        service: service.name,
-        incumbent: service.version,
-        session: request.session,
-        isIdempotent: true,
-      }),
+      version,
+      answering: createAnsweringVersion(
+        version,
+        serving.split.incumbentFor(service.name, service.version),
+      ),
       promptTokens: tokens.length,
       blocks: promptBlocks(tokens),
     };
@@ -125,10 +136,14 @@
     const admittedAt = clock.now();
     let firstTokenMs: number | undefined;
 
-    function observe(isError: boolean, latencyMs: number): void {
+    function observe(
+      version: string,
+      isError: boolean,
+      latencyMs: number,
+    ): void {
       serving.split.observe({
         service,
-        version: plan.version,
+        version,
         route: shape,
         isError,
         latencyMs,
@@ -136,6 +151,16 @@
       });
     }
 
+    /**
+     * The request ended without an answer from the version it was given. That
+     * is no fault of a version whose endpoints were all reclaimed.
+     */
+    function observeUnavailable(): void {
+      if (listedVersions(service, serving.endpoints).has(plan.version)) {
+        observe(plan.version, true, 0);
+      }
+    }
+
     return {
       noteToken() {
         if (firstTokenMs !== undefined) {
@@ -148,14 +173,23 @@
         const latencyMs = firstTokenMs ?? clock.now() - admittedAt;
         permit.release({outcome: 'ok', latencyMs});
         metrics.recomputed(service, summary.recomputedTokens);
-        observe(summary.attempts > 1, latencyMs);
+        if (plan.answering.current() !== plan.version) {
+          observeUnavailable();
+          return;
+        }
+        observe(plan.version, summary.attempts > 1, latencyMs);
       },
       fail(error: ServingError) {
         const latencyMs = clock.now() - admittedAt;
         const outcome = error.kind === 'cancelled' ? 'cancelled' : 'failed';
         permit.release({outcome, latencyMs});
+        const version = plan.answering.current();
         if (isVersionFault(error.kind)) {
-          observe(true, latencyMs);
+          observe(version, true, latencyMs);
+        }
+        const isUnavailable = error.kind === 'endpoint-unavailable';
+        if (isUnavailable || version !== plan.version) {
+          observeUnavailable();
         }
       },
     };
@@ -186,33 +220,45 @@
     delivered: readonly string[],
   ): StreamPlace {
     const {service} = plan.ask;
-    const choice = serving.router.choose({
-      service,
-      version: plan.version,
-      blocks: plan.blocks,
-      promptTokens: plan.promptTokens + delivered.length,
-      expectedTokens: request.maxTokens - delivered.length,
-      excluded,
-    });
-    if (choice === undefined) {
-      throw noEndpoint(service, plan.version);
-    }
-    const endpoint = serving.endpoints.get(choice.endpoint);
-    if (endpoint?.engine === undefined) {
-      choice.finish({outcome: 'unreachable', latencyMs: 0});
+    const placed = firstPlaced(plan.answering.usable(delivered.length));
+    if (placed === undefined) {
       throw noEndpoint(service, plan.version);
     }
+    const {choice, endpoint, engine, version} = placed;
+    plan.answering.placed(version);
     return {
       endpoint: choice.endpoint,
       url: endpoint.listed.url,
-      engine: endpoint.engine,
+      engine,
       cachedTokens: choice.cachedTokens,
       leaving: endpoint.leaving,
       goneAt: () => endpoint.goneAt?.(),
       started: cachedTokens => choice.started(cachedTokens),
-      streaming: () => choice.streaming(),
+      streaming() {
+        plan.answering.streaming(version);
+        choice.streaming();
+      },
       finish: result => choice.finish(result),
     };
+
+    function firstPlaced(versions: readonly string[]) {
+      for (const version of versions) {
+        const choice = serving.router.choose({
+          service,
+          version,
+          blocks: plan.blocks,
+          promptTokens: plan.promptTokens + delivered.length,
+          expectedTokens: request.maxTokens - delivered.length,
+          excluded,
+        });
+        const endpoint = choice && serving.endpoints.get(choice.endpoint);
+        if (choice && endpoint?.engine) {
+          return {choice, endpoint, engine: endpoint.engine, version};
+        }
+        choice?.finish({outcome: 'unreachable', latencyMs: 0});
+      }
+      return undefined;
+    }
   }
 }
 
--- a/packages/entry/src/callers/servePlain.ts
+++ b/packages/entry/src/callers/servePlain.ts
@@ -110,7 +110,14 @@
       isIdempotent: true,
     });
     const reply = await attempts.repeatable(
-      {service: service.name, version, route, call, deadline},
+      {
+        service: service.name,
+        version,
+        incumbent: serving.split.incumbentFor(service.name, service.version),
+        route,
+        call,
+        deadline,
+      },
       exchange.signal,
     );
     sendReply(exchange, reply);
--- a/packages/entry/src/parts/movesPart.ts
+++ b/packages/entry/src/parts/movesPart.ts
@@ -12,6 +12,7 @@
 import type {PeerNetwork} from '@skylarkfield/protocol';
 import type {Configuration} from '@skylarkfield/records';
 import type {EntryContext} from '../context.js';
+import {listedVersions} from '../listedVersions.js';
 import type {EndpointPool} from '../serving.js';
 
 /** How often the split hears which versions have endpoints, in milliseconds. */
@@ -68,7 +69,7 @@
         judge,
         tenure,
         hasEndpoints: (service, version) =>
-          versionsOf(service, endpoints).has(version),
+          listedVersions(service, endpoints).has(version),
       }),
     ),
   );
@@ -76,17 +77,9 @@
 
   function setAvailable(): void {
     for (const {service} of configuration.list('move')) {
-      split.setAvailableVersions(service, [...versionsOf(service, endpoints)]);
+      split.setAvailableVersions(service, [
+        ...listedVersions(service, endpoints),
+      ]);
     }
   }
 }
-
-/** Versions of a service that some endpoint runs which is not leaving. */
-function versionsOf(service: string, endpoints: EndpointPool): Set<string> {
-  const usable = endpoints
-    .list()
-    .filter(
-      ({listed, leaving}) => listed.service === service && !leaving.aborted,
-    );
-  return new Set(usable.map(({listed}) => listed.version));
-}
--- a/packages/entry/src/parts/ordersPart.ts
+++ b/packages/entry/src/parts/ordersPart.ts
@@ -75,6 +75,7 @@
       {
         service: name,
         version,
+        incumbent: options.split.incumbentFor(name, service.version),
         route: matchRoute(service, call.method, call.path).label,
         call,
         deadline: clock.now() + service.timeoutMs,
--- /dev/null
+++ b/packages/entry/src/test/serveModel.test.ts
@@ -0,0 +1,141 @@
+import assert from 'node:assert/strict';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {describe, it} from 'node:test';
+import {ServingError, virtualClock} from '@skylarkfield/base';
+import type {Engine, GenerationEvent} from '@skylarkfield/endpoints';
+import type {Sample} from '@skylarkfield/moves';
+import {createStreamRunner} from '@skylarkfield/streams';
+import {createModelServer} from '../callers/serveModel.js';
+import {parseCompletionRequest} from '../callers/modelRequest.js';
+
+type Behaviour = 'ok' | 'refuse';
+
+/** Serves one request that belongs to `v2`; what the caller got and the moves heard. */
+async function serveOne(
+  endpoints: readonly {version: string; behaviour: Behaviour}[],
+) {
+  const clock = virtualClock();
+  const samples: Sample[] = [];
+  const listed = endpoints.map(({version, behaviour}, index) => ({
+    listed: {id: `e${index}`, service: 'match', version, url: 'http://e'},
+    leaving: new AbortController().signal,
+    engine: engineOf(version, behaviour),
+  }));
+  const serving = {
+    router: {
+      choose(journey: {version: string; excluded: ReadonlySet<string>}) {
+        const found = listed.find(
+          ({listed: {id, version}}) =>
+            version === journey.version && !journey.excluded.has(id),
+        );
+        return (
+          found && {
+            endpoint: found.listed.id,
+            cachedTokens: 0,
+            started() {},
+            streaming() {},
+            finish() {},
+          }
+        );
+      },
+    },
+    endpoints: {
+      get: (id: string) => listed.find(({listed}) => listed.id === id),
+      list: () => listed,
+    },
+    streams: createStreamRunner({clock}),
+    split: {
+      versionFor: () => 'v2',
+      incumbentFor: () => 'v1',
+      observe: (sample: Sample) => samples.push(sample),
+    },
+    admission: {
+      admit: () => Promise.resolve({waitedMs: 0, release() {}}),
+      tryRetry: () => true,
+      loadFraction: () => 0.1,
+    },
+  };
+  const server = createModelServer({
+    serving: serving as never,
+    clock,
+    limits: {bufferedBytes: 1000, stalledReaderMs: 1000} as never,
+    metrics: {begin() {}, end() {}, firstToken() {}, recomputed() {}},
+  });
+  let body = '';
+  const response = {
+    writeHead: () => response,
+    setHeader: () => response,
+    end: (text: string) => (body += text),
+  };
+  const exchange = {
+    id: 'r1',
+    request: {headers: {}} as IncomingMessage,
+    response: response as unknown as ServerResponse,
+    customer: {name: 'chain', bestUrgency: 0} as never,
+    signal: new AbortController().signal,
+    arrivedAt: clock.now(),
+  };
+  const request = parseCompletionRequest(
+    JSON.stringify({model: 'match', prompt: 'oak', max_tokens: 1}),
+    's1',
+  );
+  const service = {name: 'match', version: 'v1', timeoutMs: 30_000} as never;
+  const serves = server
+    .serve(exchange, request, service, 'completion')
+    .catch((error: ServingError) => (body = `${error.kind} ${error.run}`));
+  await clock.advance(10_000);
+  await serves;
+  return {
+    body,
+    samples: samples.map(({version, isError}) => ({version, isError})),
+  };
+}
+
+function engineOf(version: string, behaviour: Behaviour): Partial<Engine> {
+  return {
+    async *generate({attempt}): AsyncGenerator<GenerationEvent> {
+      await Promise.resolve();
+      if (behaviour === 'refuse') {
+        throw new ServingError('endpoint-unavailable', 'refused');
+      }
+      const counts = {promptTokens: 1, cachedTokens: 0};
+      yield {type: 'start', attempt, ...counts};
+      yield {type: 'token', attempt, index: 0, text: `by ${version}`};
+      yield {
+        type: 'end',
+        attempt,
+        reason: 'length',
+        generatedTokens: 1,
+        ...counts,
+      };
+    },
+    cancel: () => Promise.resolve(),
+  };
+}
+
+describe('a model request of a candidate version', () => {
+  // The replicas of the new version are listed and refuse connections. A
+  // designer whose session belongs to it would wait and then be refused.
+  it('is answered by the incumbent and counts against the candidate', async () => {
+    const {body, samples} = await serveOne([
+      {version: 'v1', behaviour: 'ok'},
+      {version: 'v2', behaviour: 'refuse'},
+    ]);
+    assert.match(body, /by v1/);
+    assert.deepEqual(samples, [{version: 'v2', isError: true}]);
+  });
+
+  it('is answered by the incumbent when the candidate has no replica, at no fault', async () => {
+    const {body, samples} = await serveOne([{version: 'v1', behaviour: 'ok'}]);
+    assert.match(body, /by v1/);
+    assert.deepEqual(samples, []);
+  });
+
+  it('is refused as not run, and counted, when nobody can be reached', async () => {
+    const {body, samples} = await serveOne([
+      {version: 'v2', behaviour: 'refuse'},
+    ]);
+    assert.equal(body, 'endpoint-unavailable not-run');
+    assert.deepEqual(samples, [{version: 'v2', isError: true}]);
+  });
+});
--- a/packages/moves/src/contracts.ts
+++ b/packages/moves/src/contracts.ts
@@ -31,6 +31,11 @@
     readonly session: string;
     readonly isIdempotent: boolean;
   }): string;
+  /**
+   * The version for a request whose candidate version has no endpoint that can
+   * take it: what it would have got without the move under way.
+   */
+  incumbentFor(service: string, incumbent: string): string;
   /** Notes how a request went; may cut the candidate at once. */
   observe(sample: Sample): void;
   /** Another entry has cut a candidate. */
--- a/packages/moves/src/trafficSplit.ts
+++ b/packages/moves/src/trafficSplit.ts
@@ -105,6 +105,16 @@
     return state.changedAt > known.changedAt;
   }
 
+  /** The version that requests get which no candidate takes. */
+  function servingVersion(
+    own: readonly StatedMove[],
+    incumbent: string,
+  ): string {
+    // A cut of a finished move holds until the deadline: its holder may yet take it back.
+    const uncut = cuts.size === 0 ? own : own.filter(({move}) => !isCut(move));
+    return versionAfterMoves(incumbent, uncut);
+  }
+
   function evidenceOf(move: Move): LocalEvidence {
     let local = evidence.get(move.name);
     if (local === undefined) {
@@ -147,10 +157,7 @@
       if (own === undefined) {
         return incumbent;
       }
-      // A cut of a finished move holds until the deadline: its holder may yet take it back.
-      const uncut =
-        cuts.size === 0 ? own : own.filter(({move}) => !isCut(move));
-      const serving = versionAfterMoves(incumbent, uncut);
+      const serving = servingVersion(own, incumbent);
       const active = activeMove(own);
       if (active === undefined || !isOpen(active, serving)) {
         return serving;
@@ -162,6 +169,8 @@
       const isCandidate = hashFraction(`${move.name}/${hashed}`) < share;
       return isCandidate ? move.to : serving;
     },
+    incumbentFor: (service, incumbent) =>
+      servingVersion(byService.get(service) ?? [], incumbent),
     observe(sample) {
       const active = underWay(sample.service);
       if (active === undefined || cuts.has(active.move.name)) {
