--- a/packages/entry/src/callers/serveModel.ts
+++ b/packages/entry/src/callers/serveModel.ts
@@ -26,6 +26,7 @@
 import {isVersionFault, type RequestMetrics} from './observation.js';
 import {requestTimeout, requestUrgency} from './requestHeaders.js';
 import {toProblem} from './problem.js';
+import {createRequestCosts} from './requestCost.js';
 
 export interface ModelServer {
   serve(
@@ -60,6 +61,7 @@
  */
 export function createModelServer(options: ModelServerOptions): ModelServer {
   const {serving, clock, metrics} = options;
+  const costs = createRequestCosts();
 
   return {
     async serve(exchange, request, service, shape) {
@@ -101,6 +103,7 @@
     const deadline =
       exchange.arrivedAt + requestTimeout(headers, service.timeoutMs);
     const tokens = promptTokens(request.prompt);
+    const blocks = promptBlocks(tokens);
     const version = serving.split.versionFor({
       service: service.name,
       incumbent: service.version,
@@ -113,7 +116,15 @@
         customer: exchange.customer.name,
         urgency: requestUrgency(headers, exchange.customer.bestUrgency),
         deadline,
-        cost: 1,
+        cost: costs.costOf(service.name, {
+          promptTokens: tokens.length,
+          cachedTokens: serving.router.cachedTokens(
+            service.name,
+            version,
+            blocks,
+          ),
+          maxTokens: request.maxTokens,
+        }),
       },
       version,
       answering: createAnsweringVersion(
@@ -121,7 +132,7 @@
         serving.split.incumbentFor(service.name, service.version),
       ),
       promptTokens: tokens.length,
-      blocks: promptBlocks(tokens),
+      blocks,
     };
   }
 
--- a/packages/entry/src/test/serveModel.test.ts
+++ b/packages/entry/src/test/serveModel.test.ts
@@ -23,6 +23,7 @@
   }));
   const serving = {
     router: {
+      cachedTokens: () => 0,
       choose(journey: {version: string; excluded: ReadonlySet<string>}) {
         const found = listed.find(
           ({listed: {id, version}}) =>
