A question whose handler is gone is refused instead of answered with nothing

Cause: the set of handlers of a type stayed after its last one was disposed; a question was then answered with an empty body, which an asker takes for the word of the part that is closed, and plain messages were not counted as rejected. Found by reading. Change: the empty set is removed.

--- a/packages/protocol/src/dispatcher.ts
+++ b/packages/protocol/src/dispatcher.ts
@@ -178,7 +178,14 @@
       const known = handlers.get(type) ?? new Set();
       handlers.set(type, known);
       known.add(handler);
-      return toDisposable(() => known.delete(handler));
+      return toDisposable(() => {
+        known.delete(handler);
+        // An empty set would pass for a handler: a question would get an empty
+        // answer instead of the word that nobody here takes it.
+        if (known.size === 0 && handlers.get(type) === known) {
+          handlers.delete(type);
+        }
+      });
     },
     ask(to, type, body, timeoutMs, send) {
       const ask = ++lastAsk;
--- a/packages/protocol/src/test/peerNetwork.test.ts
+++ b/packages/protocol/src/test/peerNetwork.test.ts
@@ -56,6 +56,17 @@
     await assert.rejects(asked, {kind: 'overloaded', run: 'not-run'});
   });
 
+  it('refuses a question whose handler is gone, as not run', async () => {
+    // A part of the peer has been closed, in a shutdown for one. An empty answer
+    // would pass for the word of that part, and the asker would build on it.
+    const {a, b} = await startPair();
+    const handler = b.network.onDidReceive('recordsWanted', () => 'records');
+    handler.dispose();
+    const asked = a.network.ask('b', 'recordsWanted', {known: []}, TIMEOUT_MS);
+    await assert.rejects(asked, {kind: 'protocol-violation', run: 'not-run'});
+    assert.equal(b.network.traffic().rejected, 1);
+  });
+
   it('says that a question without an answer may have run', async () => {
     // The peer is stopped or its answer is lost: the asker can't know whether
     // the question was acted on, and must not tell a caller that it was not.
