The orders fuzz prints the seed it uses

Cause: with SKYLARKFIELD_FUZZ_SEED set the line named a fresh seed, so a printed seed did not repeat the run. Found by reading. Change: the seed is chosen once, then printed and used.

--- a/packages/orders/src/test/ledger.fuzz.test.ts
+++ b/packages/orders/src/test/ledger.fuzz.test.ts
@@ -13,12 +13,13 @@
 const START_MARGIN_MS = 2_000;
 
 function parameters(): fc.Parameters<unknown> {
-  const seed = IS_LONG ? Date.now() | 0 : CI_SEED;
+  const freshSeed = IS_LONG ? Date.now() | 0 : CI_SEED;
+  const seed = Number(process.env.SKYLARKFIELD_FUZZ_SEED ?? freshSeed);
   if (IS_LONG) {
     console.log(`fuzz seed ${seed}`);
   }
   return {
-    seed: Number(process.env.SKYLARKFIELD_FUZZ_SEED ?? seed),
+    seed,
     numRuns: IS_LONG ? LONG_RUNS : CI_RUNS,
     endOnFailure: false,
   };
