Orders: a claim that landed unnoticed is voided at the new owner

Cause: a claim is written and the reply is lost; another entry takes the shard with the claim in it; the caller's deadline passes before the first entry learns the verdict. The order had ended with not-run by then, so ending it as moved did nothing, and neither the late outcomes nor the memory for asking owners held the void claim. Every retry of an order that never ran heard may-have-run for the whole dedupe window. Suspected from reading. Ruled out: telling it only for orders already ended. A caller may also leave between the move and the next hop, and one message too many is harmless, since outcomes match by token. Change: with a write lost to another owner, all its claims go to that owner as released.

--- a/packages/orders/src/shard.ts
+++ b/packages/orders/src/shard.ts
@@ -238,6 +238,9 @@
     for (const flight of written) {
       move(flight);
     }
+    // The claims may be in the new owner's table. An order whose caller has left is brought to it by
+    // nobody, and every retry would hear that it may have run: the owner is told that they are void.
+    options.onDidLose(written.map(voidClaim));
   }
 
   function claimed(flight: Flight): void {
@@ -259,7 +262,7 @@
     const {token} = flight;
     if (table.get(id)?.token === token) {
       table.remove(id);
-      touch({state: 'released', id, token});
+      touch(voidClaim(flight));
     }
   }
 
@@ -342,3 +345,8 @@
     },
   };
 }
+
+/** The outcome of a claim whose order was not sent and never will be. */
+function voidClaim({request, token}: Flight): ClaimOutcome {
+  return {state: 'released', id: request.id, token};
+}
--- a/packages/orders/src/test/guards.test.ts
+++ b/packages/orders/src/test/guards.test.ts
@@ -33,6 +33,15 @@
     world.entries.get(by)?.suspects.add(whom);
   }
 
+  const endings = {
+    'goes on': () => Promise.resolve(),
+    async leaves(id: string) {
+      void world.leave(id);
+      await world.clock.advance(1_000);
+    },
+    dies: (id: string) => Promise.resolve(world.crash(id)),
+  };
+
   function runsOf(subject: string): number {
     return world.runs.filter(run => run.subject === subject).length;
   }
@@ -213,6 +222,30 @@
     assert.equal(retry.answer?.body, first.answer?.body);
   });
 
+  // A claim is written, but the reply is lost, and another entry takes the shard with the claim in
+  // it. The caller's deadline passes before the first entry learns that. Nothing was sent, yet the
+  // retry of the booking would hear that it may have run.
+  for (const end of ['goes on', 'leaves', 'dies'] as const) {
+    it(`voids a claim that landed unnoticed when its entry ${end}`, async () => {
+      const {owner, other} = await settleOwner();
+      const process = world.entries.get(owner)?.process;
+      process?.blurs.push('now');
+      const hasty = world.submit(owner, 'k1', undefined, 30);
+      await world.clock.advance(20);
+      suspect(other, owner);
+      world.submit(other, 'takes the shard over');
+      await world.clock.advance(1_000);
+      assert.equal(hasty.answer?.run, 'not-run');
+      assert.ok(isOwner(other));
+      world.entries.get(other)?.suspects.clear();
+      await world.clock.advance(1_000);
+      await endings[end](owner);
+      const retry = world.submit(other, 'k1');
+      await world.clock.advance(1_000);
+      assert.equal(retry.answer?.kind, 'reply');
+    });
+  }
+
   // A place at the service is refused before a byte went out. The same claim may be tried again, so
   // the caller gets its answer instead of an error.
   it('tries again under the same claim when nothing was sent', async () => {
