Orders: a leaving entry sends outcomes that came during a round

Cause: leave() asks once for all late outcomes to be sent; while a periodic round was under way (a message to a silent owner takes up to 2 s) that call returned at once. An outcome added after the round had passed its shard was not sent before the process ended. Suspected from reading. Ruled out: a flush of its own beside the periodic rounds; two ways of sending, and an outcome would still wait for the next check. Letting each caller wait for a round of its own: checks every 250 ms would queue behind a silent owner, so all who ask during a round share the next. Change: send() during a round gives the round that follows it. The shards of a round go at once, so that a second round does not add up to twice the sum over silent owners.

--- a/packages/orders/src/lateOutcomeSender.ts
+++ b/packages/orders/src/lateOutcomeSender.ts
@@ -15,7 +15,10 @@
 }
 
 export interface LateOutcomeSender {
-  /** Tries all that wait once; what can't be delivered stays. */
+  /**
+   * Tries all that wait once, after a round under way has ended; what can't be
+   * delivered stays.
+   */
   send(): Promise<void>;
 }
 
@@ -31,7 +34,9 @@
   options: LateOutcomeSenderOptions,
 ): LateOutcomeSender {
   const {network, clock, member, late, shards} = options;
-  let isSending = false;
+  let round: Promise<void> | undefined;
+  /** Follows the round under way, for all who asked meanwhile. */
+  let nextRound: Promise<void> | undefined;
 
   /** Who can note outcomes of a shard; undefined when they were noted here or nobody can now. */
   async function targetOf(index: number): Promise<string | undefined> {
@@ -66,20 +71,38 @@
     }
   }
 
+  async function sendShard(index: number): Promise<void> {
+    const waiting = late.ofShard(index, clock.now());
+    const target = await targetOf(index);
+    if (waiting.length > 0 && target !== undefined) {
+      await sendTo(target, index, waiting);
+    }
+  }
+
+  function startRound(): Promise<void> {
+    // All shards at once: a leaving process waits for the slowest owner, not for the sum.
+    round = Promise.all(late.shards().map(sendShard))
+      .then(() => undefined)
+      .finally(() => (round = undefined));
+    return round;
+  }
+
+  function startNextRound(): Promise<void> {
+    nextRound = undefined;
+    // A round that began after the last one ended has all that those who wait asked for.
+    return round ?? startRound();
+  }
+
   return {
-    async send() {
-      if (isSending) {
-        return;
-      }
-      isSending = true;
-      for (const index of late.shards()) {
-        const waiting = late.ofShard(index, clock.now());
-        const target = await targetOf(index);
-        if (waiting.length > 0 && target !== undefined) {
-          await sendTo(target, index, waiting);
-        }
+    send() {
+      if (round === undefined) {
+        return startRound();
       }
-      isSending = false;
+      // The round under way may have passed an outcome's shard before that outcome came. A leaving
+      // process that took this round for enough would end with it, and a retry would hear that an
+      // order with a known reply may have run.
+      nextRound ??= round.then(startNextRound, startNextRound);
+      return nextRound;
     },
   };
 }
--- a/packages/orders/src/test/guards.test.ts
+++ b/packages/orders/src/test/guards.test.ts
@@ -222,6 +222,37 @@
     assert.equal(retry.answer?.body, first.answer?.body);
   });
 
+  // A reply becomes known while its entry is leaving and still waits for an earlier message to the
+  // shard's new owner, which was lost. If the entry ended then, the retry of a confirmed booking
+  // would hear that it may have run.
+  it('brings an outcome that came during a round of messages before it ends', async () => {
+    const {owner, other} = await settleOwner();
+    world.service.waitMs = 1;
+    world.service.workMs = 100;
+    world.submit(owner, 'k1');
+    await world.clock.advance(25);
+    world.service.workMs = 2_000;
+    const last = world.submit(owner, 'k2');
+    await world.clock.advance(25);
+    suspect(other, owner);
+    world.network.cuts.add(`${owner}>${other}`);
+    world.submit(other, 'takes the shard over');
+    await world.clock.advance(450);
+    world.entries.get(other)?.suspects.clear();
+    const isOpen = () => last.answer === undefined;
+    assert.ok(isOpen());
+    void world.leave(owner);
+    while (isOpen()) {
+      await world.clock.advance(10);
+    }
+    world.network.cuts.clear();
+    await world.clock.advance(3_000);
+    assert.equal(world.entries.get(owner)?.process.isAlive, false);
+    const retry = world.submit(other, 'k2');
+    await world.clock.advance(1_000);
+    assert.equal(retry.answer?.body, last.answer?.body);
+  });
+
   // A claim is written, but the reply is lost, and another entry takes the shard with the claim in
   // it. The caller's deadline passes before the first entry learns that. Nothing was sent, yet the
   // retry of the booking would hear that it may have run.
