Orders: the preferred owner of a shard is found in one place

The sender of late outcomes placed shards by a rule of its own beside the route's, with the same name spelt twice, and both filtered live members by being live. The route now answers for both. An example named the wrong argument, two names hid others; onDidLose says what it hands over now that void claims go through it.

--- a/packages/orders/src/lateOutcomeSender.ts
+++ b/packages/orders/src/lateOutcomeSender.ts
@@ -1,5 +1,5 @@
 /** Brings outcomes of claims to the owners of shards that this process does not own. */
-import {rendezvousOrder, type Clock} from '@skylarkfield/base';
+import type {Clock} from '@skylarkfield/base';
 import type {LateOutcome, LateOutcomes} from './lateOutcomes.js';
 import type {OrderNetwork} from './orderRoute.js';
 import type {Shard} from './shardContracts.js';
@@ -8,8 +8,8 @@
   readonly network: OrderNetwork;
   readonly clock: Clock;
   readonly member: string;
-  readonly liveMembers: () => readonly string[];
-  readonly isReachable: (member: string) => boolean;
+  /** The entry that should own a shard, if any takes new work. */
+  readonly preferredOwner: (shard: number) => string | undefined;
   readonly late: LateOutcomes;
   readonly shards: readonly Shard[];
 }
@@ -40,7 +40,7 @@
 
   /** Who can note outcomes of a shard; undefined when they were noted here or nobody can now. */
   async function targetOf(index: number): Promise<string | undefined> {
-    const target = preferredOwner(index);
+    const target = options.preferredOwner(index);
     if (target !== member) {
       return target;
     }
@@ -48,19 +48,12 @@
     return ownership?.type === 'elsewhere' ? ownership.member : undefined;
   }
 
-  function preferredOwner(index: number): string | undefined {
-    const known = options
-      .liveMembers()
-      .filter(other => other === member || options.isReachable(other));
-    return rendezvousOrder(`ledger/${index}`, known)[0];
-  }
-
   async function sendTo(
     target: string,
     shard: number,
     waiting: readonly LateOutcome[],
   ): Promise<void> {
-    const hops = Math.max(...waiting.map(late => late.hops)) + 1;
+    const hops = Math.max(...waiting.map(outcome => outcome.hops)) + 1;
     const outcomes = waiting.map(({outcome}) => outcome);
     try {
       const body = {shard, hops, outcomes};
--- a/packages/orders/src/ledger.ts
+++ b/packages/orders/src/ledger.ts
@@ -106,10 +106,12 @@
     workHere: orders.work,
   });
   const sender = createLateOutcomeSender({
-    ...options,
+    network,
+    clock,
+    member,
     late,
     shards,
-    isReachable: other => route.isReachable(other),
+    preferredOwner: route.preferredOwner,
   });
   const handOver = createHandOver({
     clock,
--- a/packages/orders/src/localOrders.ts
+++ b/packages/orders/src/localOrders.ts
@@ -189,12 +189,12 @@
       return refusal(keyConflict());
     }
     const leftMs = request.deadline - clock.now();
-    const late = new AbortController();
+    const timeout = new AbortController();
     await Promise.race([
       flight.decided,
-      sleep(clock, leftMs, late.signal).catch(() => undefined),
+      sleep(clock, leftMs, timeout.signal).catch(() => undefined),
     ]);
-    late.abort();
+    timeout.abort();
     if (clock.now() < request.deadline) {
       return work(request, signal);
     }
--- a/packages/orders/src/orderAnswers.ts
+++ b/packages/orders/src/orderAnswers.ts
@@ -16,7 +16,7 @@
  * Turns a result into the message that answers a forwarded order.
  *
  * @example
- * return toForwardAnswer(await orders.work(request), flight.token);
+ * return toForwardAnswer(await orders.work(request, signal), member);
  */
 export function toForwardAnswer(
   result: Exclude<OrderResult, {type: 'unanswered' | 'unreached'}>,
--- a/packages/orders/src/orderRoute.ts
+++ b/packages/orders/src/orderRoute.ts
@@ -25,6 +25,8 @@
     ask: (timeoutMs: number) => Promise<T>,
     deadline: number,
   ): Promise<T>;
+  /** The entry that should own a shard, if any takes new work. */
+  preferredOwner(shard: number): string | undefined;
   /** The other entries that could own a shard, the best first. */
   successors(shard: number): readonly string[];
   /** True for an entry that takes new work and can be asked now. */
@@ -127,10 +129,9 @@
   }
 
   function candidates(shard: number): readonly string[] {
-    const others = liveMembers().filter(
-      other => other === member || isReachable(other),
-    );
-    return rendezvousOrder(placeName(shard), [...new Set([...others, member])]);
+    return rendezvousOrder(placeName(shard), [
+      ...new Set([...liveMembers(), member]),
+    ]);
   }
 
   function nextTarget(
@@ -215,6 +216,8 @@
     askWhileLive,
     isReachable,
     canAnswer,
+    preferredOwner: shard =>
+      rendezvousOrder(placeName(shard), liveMembers())[0],
     successors: shard => candidates(shard).filter(other => other !== member),
   };
 }
--- a/packages/orders/src/shardContracts.ts
+++ b/packages/orders/src/shardContracts.ts
@@ -45,7 +45,7 @@
   readonly isReachable: (member: string) => boolean;
   /** The claim is in the ledger: the order may be dispatched. */
   readonly onDidClaim: (flight: Flight) => void;
-  /** The shard was lost with these outcomes not written: its new owner needs them. */
+  /** The shard was lost, and its new owner may not know these outcomes. */
   readonly onDidLose: (outcomes: readonly ClaimOutcome[]) => void;
   /** The shard was taken over with these entries. */
   readonly onDidTake: (entries: readonly LedgerEntry[]) => void;
