A version that hangs counts as failing; deadline and refusal in modules of their own

Cause: read through: a deadline that passed at the endpoint was no error of the version, so a hanging candidate gave only latency as evidence; and one that passed before the call was sent counted as a failure of the endpoint it never reached. Change: deadline-exceeded counts against the version when the request may have run there; unsent ones are this entry's load. deadlineSignal and noEndpoint taken out of larger files.

--- a/packages/entry/src/callers/attempts.ts
+++ b/packages/entry/src/callers/attempts.ts
@@ -4,8 +4,9 @@
 import type {AttemptResult} from '@skylarkfield/routing';
 import {listedVersions} from '../listedVersions.js';
 import type {Serving} from '../serving.js';
+import {createDeadlineSignal} from './deadlineSignal.js';
 import {isVersionFault} from './observation.js';
-import {noEndpoint} from './serveModel.js';
+import {noEndpoint} from './noEndpoint.js';
 
 /** A call with all that decides where it goes. */
 export interface PlacedCall {
@@ -163,10 +164,7 @@
       expectedTokens: 0,
       excluded,
     });
-    const endpoint =
-      choice === undefined
-        ? undefined
-        : serving.endpoints.get(choice.endpoint)?.plain;
+    const endpoint = choice && serving.endpoints.get(choice.endpoint)?.plain;
     if (choice === undefined || endpoint === undefined) {
       choice?.finish({outcome: 'unreachable', latencyMs: 0});
       throw withoutRetry(lastError ?? noEndpoint(call.service, call.version));
@@ -179,7 +177,7 @@
       });
     }
     const startedAt = clock.now();
-    const limit = deadlineSignal(call.deadline, signal);
+    const limit = createDeadlineSignal(clock, call.deadline, signal);
     try {
       const reply = await endpoint.call(call.call, limit.signal);
       const isFailure = reply.status >= FIRST_FAILURE_STATUS;
@@ -187,7 +185,7 @@
       return reply;
     } catch (error) {
       const failure = limit.explain(toServingError(error));
-      finish(attemptOutcome(failure), isVersionFault(failure.kind));
+      finish(attemptOutcome(failure), isVersionFault(failure));
       throw failure;
     } finally {
       limit.dispose();
@@ -202,38 +200,6 @@
       observe(call, rules, isError, latencyMs);
     }
   }
-
-  /** A signal that also aborts at the deadline, and tells which of the two it was. */
-  function deadlineSignal(deadline: number, signal: AbortSignal) {
-    const controller = new AbortController();
-    let isLate = false;
-    const onAbort = () => controller.abort();
-    signal.addEventListener('abort', onAbort, {once: true});
-    if (signal.aborted) {
-      controller.abort();
-    }
-    const timer = clock.after(deadline - clock.now(), () => {
-      isLate = true;
-      controller.abort();
-    });
-    return {
-      signal: controller.signal,
-      explain(error: ServingError): ServingError {
-        if (!isLate) {
-          return error;
-        }
-        return new ServingError(
-          'deadline-exceeded',
-          'the endpoint did not answer before the deadline',
-          {run: error.run, cause: error},
-        );
-      },
-      dispose() {
-        timer.dispose();
-        signal.removeEventListener('abort', onAbort);
-      },
-    };
-  }
 }
 
 /**
@@ -281,5 +247,8 @@
   if (error.kind === 'endpoint-unavailable') {
     return 'unreachable';
   }
-  return error.kind === 'overloaded' ? 'overloaded' : 'failed';
+  // A deadline that passed before the call was sent is this entry's queue, not the endpoint's fault.
+  const isUnsent =
+    error.kind === 'deadline-exceeded' && error.run === 'not-run';
+  return isUnsent || error.kind === 'overloaded' ? 'overloaded' : 'failed';
 }
--- a/packages/entry/src/callers/observation.ts
+++ b/packages/entry/src/callers/observation.ts
@@ -1,6 +1,5 @@
 /** Request metrics and the evidence that version moves are judged by. */
-import type {Meter} from '@skylarkfield/base';
-import type {Sample} from '@skylarkfield/moves';
+import type {ErrorKind, Meter, ServingError} from '@skylarkfield/base';
 
 /** How one request of a caller ended. */
 export interface RequestEnd {
@@ -72,7 +71,7 @@
 }
 
 /** Error kinds that speak against the version that served, not against the caller or the entry. */
-const VERSION_FAULTS: ReadonlySet<string> = new Set([
+const VERSION_FAULTS: ReadonlySet<ErrorKind> = new Set<ErrorKind>([
   'endpoint-failed',
   'interrupted',
   'outcome-unknown',
@@ -80,12 +79,15 @@
 
 /**
  * Whether an error is evidence against the version that served the request.
+ * A version that hangs shows as deadlines that pass after the request was sent;
+ * one that passes before says nothing about it.
  *
  * @example
- * isVersionFault('endpoint-failed'); // true
+ * isVersionFault(new ServingError('endpoint-failed', 'status 500')); // true
  */
-export function isVersionFault(kind: string): boolean {
-  return VERSION_FAULTS.has(kind);
+export function isVersionFault(error: ServingError): boolean {
+  if (error.kind === 'deadline-exceeded') {
+    return error.run === 'may-have-run';
+  }
+  return VERSION_FAULTS.has(error.kind);
 }
-
-export type Observe = (sample: Sample) => void;
--- a/packages/entry/src/callers/serveModel.ts
+++ b/packages/entry/src/callers/serveModel.ts
@@ -25,6 +25,7 @@
 } from './modelAnswer.js';
 import type {ModelRequest} from './modelRequest.js';
 import {isVersionFault, type RequestMetrics} from './observation.js';
+import {noEndpoint} from './noEndpoint.js';
 import {requestTimeout, requestUrgency} from './requestHeaders.js';
 import {toProblem} from './problem.js';
 import {createRequestCosts} from './requestCost.js';
@@ -196,7 +197,7 @@
         const outcome = error.kind === 'cancelled' ? 'cancelled' : 'failed';
         permit.release({outcome, latencyMs});
         const version = plan.answering.current();
-        if (isVersionFault(error.kind)) {
+        if (isVersionFault(error)) {
           observe(version, true, latencyMs);
         }
         const isUnavailable = error.kind === 'endpoint-unavailable';
@@ -291,20 +292,3 @@
     deadline,
   };
 }
-
-/** Time after which a caller may look again for an endpoint, in milliseconds. */
-const NO_ENDPOINT_RETRY_MS = 1_000;
-
-/**
- * The error for a service none of whose endpoints can take a request.
- *
- * @example
- * throw noEndpoint('booking', 'v2');
- */
-export function noEndpoint(service: string, version: string): ServingError {
-  return new ServingError(
-    'endpoint-unavailable',
-    `no endpoint of ${service} ${version} can take the request`,
-    {retryAfterMs: NO_ENDPOINT_RETRY_MS},
-  );
-}
