A request is in flight until its answer has been sent; ports close gracefully

Cause: read through: a request counted as ended when its handler was done. The answer of a slow reader still waits in buffers then, and a stop that found nothing in flight closed the connection: a cut answer at a planned stop. Also, a refusal on its way when the port closed could be cut. Ruled out: that node waits for buffers by itself (closing all connections does not). Change: a request ends with its response's close; the callers' port takes no more connections, closes idle ones and waits a second for the rest before it cuts.

--- a/packages/entry/src/callers/callerServer.ts
+++ b/packages/entry/src/callers/callerServer.ts
@@ -104,6 +104,7 @@
       let customer: Customer | undefined;
       let result = 'ok';
       options.inFlight.begin();
+      endWhenSent(response);
       metrics.begin();
       response.setHeader('X-Request-Id', id);
       try {
@@ -119,7 +120,6 @@
         result = failure.kind;
         answerFailure(request, response, failure, id);
       } finally {
-        options.inFlight.end();
         const durationMs = clock.now() - arrivedAt;
         metrics.end({...label, result, durationMs});
         log.info(
@@ -137,6 +137,15 @@
     };
   }
 
+  /**
+   * A request is in flight until its answer has left this process. The handler
+   * is done earlier: a slow reader's answer still waits in buffers then, and a
+   * stop that closed the connection would cut it off in the middle.
+   */
+  function endWhenSent(response: ServerResponse): void {
+    response.once('close', () => options.inFlight.end());
+  }
+
   function checkReadiness(request: IncomingMessage): void {
     const readiness = options.readiness();
     if (readiness === 'ready' || readiness === 'lingering') {
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -42,6 +42,9 @@
   stop(): Promise<void>;
 }
 
+/** Time for refusals that are on their way when the port closes, in milliseconds. */
+const CLOSE_MS = 1_000;
+
 /**
  * Starts an entry. Throws `bad-settings` when a port, key or file can't be used;
  * what was opened by then is closed again.
@@ -115,7 +118,7 @@
   async function openPort(port: EntrySettings['callers']) {
     const server = createServer(port, settings.limits);
     const listener = owned.add(await openListener(server, port, clock, log));
-    return {server, url: addressOf(listener, port.host)};
+    return {server, listener, url: addressOf(listener, port.host)};
   }
 
   function attachRoutes({serving, attempts}: EntryParts): void {
@@ -171,6 +174,7 @@
     const isIdle = await inFlight.idle(settings.drainMs);
     log.info({isIdle, inFlight: inFlight.count()}, 'drained');
     life.send('close');
+    await callers.listener.close(CLOSE_MS);
     owned.dispose();
   }
 
--- a/packages/entry/src/listener.ts
+++ b/packages/entry/src/listener.ts
@@ -20,6 +20,11 @@
 export type HttpServer = http.Server | https.Server;
 
 export interface Listener extends Disposable {
+  /**
+   * Takes no more connections and closes each one that has no request; what is
+   * left after the given time in milliseconds is for `dispose` to cut.
+   */
+  close(timeoutMs: number): Promise<void>;
   readonly server: HttpServer;
   readonly port: number;
   readonly scheme: 'http' | 'https';
@@ -75,6 +80,7 @@
     server,
     port: (server.address() as AddressInfo).port,
     scheme: settings.tls === undefined ? 'http' : 'https',
+    close: timeoutMs => closeGracefully(server, timeoutMs, clock),
     dispose: () => store.dispose(),
   };
 }
@@ -98,6 +104,21 @@
   });
 }
 
+function closeGracefully(
+  server: HttpServer,
+  timeoutMs: number,
+  clock: Clock,
+): Promise<void> {
+  return new Promise(resolve => {
+    const timer = clock.after(timeoutMs, resolve);
+    server.close(() => {
+      timer.dispose();
+      resolve();
+    });
+    server.closeIdleConnections();
+  });
+}
+
 function closeNow(server: HttpServer): void {
   server.close();
   server.closeAllConnections();
--- /dev/null
+++ b/packages/entry/src/test/callerServer.test.ts
@@ -0,0 +1,106 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+import {connect, type AddressInfo} from 'node:net';
+import {afterEach, describe, it} from 'node:test';
+import {
+  createMetrics,
+  silentLogger,
+  systemClock,
+  toDisposable,
+} from '@skylarkfield/base';
+import {attachCallerRoutes} from '../callers/callerServer.js';
+import {createRequestMetrics} from '../callers/observation.js';
+import {createInFlight} from '../inFlight.js';
+import type {Serving} from '../serving.js';
+import {checkEntrySettings} from '../settings.js';
+
+/** More than sockets and streams buffer on the way. */
+const BODY_BYTES = 32 * 1024 * 1024;
+
+const {limits} = checkEntrySettings({
+  id: 'a1',
+  failureDomain: 'a',
+  callers: {port: 0},
+  inner: {port: 0},
+  admin: {port: 0},
+  platform: {url: 'http://127.0.0.1:7000'},
+  keys: {inner: {env: 'INNER'}, admin: {env: 'ADMIN'}},
+});
+
+const customer = {
+  name: 'trial',
+  keyHashes: [],
+  bestUrgency: 0,
+  weight: 1,
+  services: [],
+};
+
+describe('caller server', () => {
+  const closing: (() => void)[] = [];
+  afterEach(() => closing.splice(0).forEach(close => close()));
+
+  /** A server whose plain service answers with a large body at once. */
+  async function startServer() {
+    const clock = systemClock();
+    const server = createServer();
+    const inFlight = createInFlight(clock);
+    const configuration = {
+      get: () => ({name: 'booking', type: 'plain'}),
+      onDidChange: () => toDisposable(() => {}),
+    };
+    attachCallerRoutes({
+      server,
+      serving: {configuration} as unknown as Serving,
+      keys: {authenticate: () => customer},
+      models: {serve: () => Promise.reject(new Error('not asked'))},
+      plain: {
+        async serve(exchange) {
+          exchange.response.end(Buffer.alloc(BODY_BYTES, 'x'));
+        },
+      },
+      metrics: createRequestMetrics(createMetrics('test').meter, () => true),
+      limits,
+      clock,
+      log: silentLogger(),
+      inFlight,
+      readiness: () => 'ready',
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    closing.push(() => {
+      server.close();
+      server.closeAllConnections();
+    });
+    return {port: (server.address() as AddressInfo).port, inFlight};
+  }
+
+  // A caller reads its answer slowly while the entry is stopped. The entry has
+  // handed the answer over to its buffers; were that the end of the request, the
+  // stop would close the connection and the caller's answer end in the middle.
+  it('counts a request as in flight until its answer has been read', async () => {
+    const {port, inFlight} = await startServer();
+    const socket = connect(port, '127.0.0.1');
+    closing.push(() => socket.destroy());
+    socket.write('GET /services/booking/all HTTP/1.1\r\nHost: a\r\n\r\n');
+    const [first] = (await once(socket, 'data')) as [Buffer];
+    socket.pause();
+    assert.equal(inFlight.count(), 1);
+    let received = first.length;
+    socket.on('data', (chunk: Buffer) => (received += chunk.length));
+    socket.resume();
+    assert.equal(await inFlight.idle(20_000), true);
+    while (received < BODY_BYTES) {
+      await once(socket, 'data');
+    }
+  });
+
+  it('counts a request as ended when its caller goes away', async () => {
+    const {port, inFlight} = await startServer();
+    const socket = connect(port, '127.0.0.1');
+    socket.write('GET /services/booking/all HTTP/1.1\r\nHost: a\r\n\r\n');
+    await once(socket, 'data');
+    socket.destroy();
+    assert.equal(await inFlight.idle(20_000), true);
+  });
+});
