Split the membership by concern

membership.ts had 445 lines: the own entry's news, intake of news, heartbeats, search for lost members, recovery after a pause and tombstones stood in one function, and the form that consumers see was written there and in memberTable.ts.

Each of these is a module of its own now, with a documented factory, and memberView.ts makes that form for both. Behaviour is unchanged: the order of calls, of timers and of random draws is kept, and no test was touched.

membership.ts: 445 to 276 lines.

--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -1,4 +1,4 @@
-/** News that still has to ride on heartbeats. */
+/** News that waits to be sent with heartbeats. */
 import type {MemberChange, MemberNews} from '@skylarkfield/protocol';
 
 /** What one heartbeat carries. */
@@ -27,7 +27,7 @@
 const CHANGE_BYTES = 24;
 
 /**
- * Makes an empty queue, first in first out. Each item rides once to every
+ * Makes an empty queue, first in first out. Each item is sent once to every
  * neighbour, and each of them passes it on: what a lost message held is mended
  * by comparing digests.
  *
--- a/packages/members/src/memberTable.ts
+++ b/packages/members/src/memberTable.ts
@@ -7,6 +7,7 @@
   type MemberEvent,
   type MemberMachine,
 } from './memberMachine.js';
+import {viewOf} from './memberView.js';
 
 export interface KnownMember {
   news: MemberNews;
@@ -27,6 +28,8 @@
   get(id: string): KnownMember | undefined;
   /** All, tombstones of gone ones included. */
   all(): Iterable<KnownMember>;
+  /** All that are not gone. */
+  present(): readonly KnownMember[];
   /** Takes news in when it is newer than what is known; tells whether it was. */
   apply(news: MemberNews): boolean;
   /** Sends an event to a member's machine; tells whether its state changed. */
@@ -140,6 +143,8 @@
   return {
     get: id => members.get(id),
     all: () => members.values(),
+    present: () =>
+      [...members.values()].filter(known => known.machine.state() !== 'gone'),
     apply(news) {
       const known = members.get(news.id);
       if (known === undefined) {
@@ -203,20 +208,12 @@
   return hash32(`${news.id} ${news.incarnation} ${news.sequence} ${state}`);
 }
 
-/** The member as consumers see it. */
+/**
+ * The member as consumers see it.
+ *
+ * @example
+ * const members = [...table.all()].map(toMember);
+ */
 export function toMember(known: KnownMember): Member {
-  const {id, incarnation, callerUrl, innerUrl, failureDomain, region} =
-    known.news;
-  const state = known.machine.state();
-  const load = known.load;
-  return {
-    id,
-    incarnation,
-    state,
-    callerUrl,
-    innerUrl,
-    failureDomain,
-    region,
-    load,
-  };
+  return viewOf(known.news, known.machine.state(), known.load);
 }
--- a/packages/members/src/membership.ts
+++ b/packages/members/src/membership.ts
@@ -10,7 +10,6 @@
 } from '@skylarkfield/base';
 import type {ObjectStore} from '@skylarkfield/platform';
 import type {
-  MemberChange,
   MemberNews,
   MemberProof,
   Messages,
@@ -18,32 +17,24 @@
 } from '@skylarkfield/protocol';
 import type {Member, Membership} from './contracts.js';
 import {createGossip} from './gossip.js';
-import {createMemberObjects, type MemberObject} from './memberObjects.js';
+import {createHeartbeats} from './heartbeats.js';
+import {createLostMembers} from './lostMembers.js';
+import {createMemberObjects} from './memberObjects.js';
 import {createMemberTable, toMember} from './memberTable.js';
-import {checkNews} from './newsShape.js';
+import {createNewsIntake} from './newsIntake.js';
+import {createOwnEntry, type OwnAddress} from './ownEntry.js';
+import {createPauseRecovery} from './pauseRecovery.js';
 import {createPeerBook} from './peerBook.js';
 import {createReconciler} from './reconciler.js';
 import {createSilenceDetector} from './silence.js';
 import {DEFAULT_TIMING, type MemberTiming} from './timing.js';
+import {dropTombstones} from './tombstones.js';
 import {createWakeGuard} from './wakeGuard.js';
 
-/** What an entry says of itself when it starts. */
-export interface OwnAddress {
-  readonly id: string;
-  /** Higher than that of any earlier process of this id: wall-clock milliseconds do. */
-  readonly incarnation: number;
-  readonly callerUrl: string;
-  readonly innerUrl: string;
-  readonly failureDomain: string;
-  readonly region: string;
-}
+export type {OwnAddress} from './ownEntry.js';
 
-/** Tombstones kept at most, the oldest dropped first. */
-const MOST_TOMBSTONES = 4_096;
-/** Time for a second round of saying goodbye, and for removing the own object. */
+/** Time for removing the own object when leaving, in milliseconds. */
 const LEAVE_STORE_MS = 1_000;
-/** Peers asked at once after a pause. */
-const WAKE_PROBES = 3;
 
 /**
  * Joins the entries and follows them until disposed.
@@ -76,18 +67,18 @@
     clock,
     onDidChange: known => changed.fire(toMember(known)),
   });
-  let own: MemberNews = {
-    ...options.self,
-    sequence: 0,
-    state: 'live',
-    load: 0,
-  };
-  let contactedAt = clock.now();
-
-  function ownNews(): MemberNews {
-    return {...own, load: options.load?.() ?? 0};
-  }
-
+  const own = createOwnEntry({
+    self: options.self,
+    decisions,
+    load: () => options.load?.() ?? 0,
+  });
+  const intake = createNewsIntake({
+    own,
+    table,
+    gossip,
+    onDidRefute: () => objects.checkOwn(),
+  });
+  const {learn} = intake;
   const silence = createSilenceDetector({
     table,
     network,
@@ -95,7 +86,7 @@
     random,
     decisions,
     timing,
-    ownNews,
+    ownNews: own.news,
     learn,
     onDidLose(known) {
       learn({...known.news, state: 'gone'});
@@ -109,220 +100,72 @@
     log,
     decisions,
     timing,
-    ownNews,
-    contact: contactMember,
+    ownNews: own.news,
+    contact: (id, value) => lostMembers.contactMember(id, value),
   });
   owned.add(objects);
-  const book = createPeerBook({table, network, own: () => own});
+  const book = createPeerBook({table, network, own: own.base});
   const reconciler = createReconciler({
     table,
     network,
     clock,
     log,
     timing,
-    own: () => own,
+    own: own.base,
     learn,
   });
+  const lostMembers = createLostMembers({
+    book,
+    silence,
+    reconciler,
+    network,
+    clock,
+    random,
+    log,
+    seeds: options.seeds ?? [],
+    contactMs: timing.contactMs,
+  });
+  const heartbeats = createHeartbeats({
+    own,
+    table,
+    gossip,
+    intake,
+    silence,
+    reconciler,
+    network,
+  });
+  const recovery = createPauseRecovery({
+    id: options.self.id,
+    guard,
+    table,
+    silence,
+    objects,
+    network,
+    clock,
+    decisions,
+  });
 
-  /** Takes news in, and queues for the peers what was new. */
-  function learn(news: MemberNews): boolean {
-    checkNews(news);
-    if (news.id === own.id) {
-      refute(news);
-      return false;
-    }
-    // Suspicion is each entry's own matter; as news it would be passed on long after.
-    const settled: MemberNews =
-      news.state === 'suspect' ? {...news, state: 'live'} : news;
-    if (!table.apply(settled)) {
-      return false;
-    }
-    gossip.add(settled);
-    return true;
-  }
-
-  /** A change of a member that is not known here says nothing worth keeping. */
-  function learnChange(change: MemberChange) {
-    const known = change.id === own.id ? own : table.get(change.id)?.news;
-    if (known !== undefined) {
-      learn({...known, ...change});
-    }
-  }
-
-  /** Others take this process for gone, or for an earlier or later one: it says otherwise. */
-  function refute(news: MemberNews) {
-    if (news.incarnation < own.incarnation) {
-      return;
-    }
-    const isLater = news.incarnation > own.incarnation;
-    const isOut = news.state === 'leaving' || news.state === 'gone';
-    const isWrong = isOut && news.state !== own.state;
-    if (!isLater && (news.sequence < own.sequence || !isWrong)) {
-      return;
-    }
-    const incarnation = isLater ? news.incarnation + 1 : own.incarnation;
-    own = {...own, incarnation, sequence: news.sequence + 1};
-    decisions.note('members', own.id, 'refute', `taken for ${news.state}`, {
-      incarnation: news.incarnation,
-      sequence: news.sequence,
-    });
-    gossip.add(ownNews());
-    objects.checkOwn();
-  }
-
-  function knownNodes() {
-    return [...table.all()].filter(known => known.machine.state() !== 'gone');
-  }
-
-  /** Tries a member that is known by its object or seed only. */
-  async function contactMember(
-    id: string,
-    value: MemberObject,
-  ): Promise<boolean> {
-    book.addContact(id, value.innerUrl);
-    const answered = await silence.probe(id);
-    book.removeContact(id);
-    if (answered) {
-      await reconciler.fetch(id);
-    }
-    return answered;
-  }
-
-  async function contactSeed(url: string): Promise<void> {
-    try {
-      const id = await network.dial(url);
-      if (await silence.probe(id)) {
-        await reconciler.fetch(id);
-      }
-    } catch (error) {
-      log.debug({url, reason: String(error)}, 'a seed does not answer');
-    }
-  }
-
-  function heartbeat() {
-    const {news, changes} = gossip.take();
-    const {incarnation, sequence, load} = ownNews();
-    const digest = table.digestWith(own);
-    network.broadcast(
-      'heartbeat',
-      {
-        incarnation,
-        sequence,
-        load,
-        news,
-        digest,
-        ...(changes.length > 0 && {changes}),
-      },
-      book.neighbours(),
-    );
-  }
-
-  function hearHeartbeat(from: string, body: Messages['heartbeat']) {
-    body.news.forEach(learn);
-    body.changes?.forEach(learnChange);
-    const known = table.get(from);
-    const isKnown =
-      known !== undefined &&
-      known.machine.state() !== 'gone' &&
-      known.news.incarnation === body.incarnation &&
-      known.news.sequence >= body.sequence;
-    if (!isKnown) {
-      // Its probe answer brings its addresses, and refutes what we believe.
-      void silence.probe(from);
-      return;
-    }
-    known.load = body.load;
-    silence.heard(from);
-    reconciler.compare(from, body.digest);
-  }
-
-  function prove(body: Messages['memberProbe']): MemberProof {
+  /** Answers a probe, and tells the asker when it is taken for leaving or gone here. */
+  function answerProbe(body: Messages['memberProbe']): MemberProof {
     if (body.believed !== undefined) {
       learn(body.believed);
     }
     learn(body.from);
     const asker = table.get(body.from.id);
     const isOut = asker !== undefined && asker.news.state !== 'live';
-    return {news: ownNews(), ...(isOut && {believed: asker.news})};
-  }
-
-  /** One lost member a time: a healed cut is found without a storm of attempts. */
-  function contactLost() {
-    const now = clock.now();
-    const isAlone = book.neighbours().length === 0;
-    if (now - contactedAt < timing.contactMs) {
-      return;
-    }
-    contactedAt = now;
-    const lost = random.pick(book.lost());
-    if (lost !== undefined) {
-      void silence.probe(lost.news.id);
-    }
-    const seed = random.pick(options.seeds ?? []);
-    if (isAlone && seed !== undefined) {
-      void contactSeed(seed);
-    }
-  }
-
-  function dropTombstones() {
-    const now = clock.now();
-    const gone = [...table.all()]
-      .filter(known => known.machine.state() === 'gone')
-      .sort((a, b) => a.changedAt - b.changedAt);
-    const surplus = gone.length - MOST_TOMBSTONES;
-    gone.forEach((known, index) => {
-      const isOld = now - known.changedAt > timing.tombstoneMs;
-      if (isOld || index < surplus) {
-        table.forget(known.news.id);
-      }
-    });
-  }
-
-  async function confirmAfterPause(): Promise<void> {
-    const askedAt = clock.now();
-    if (knownNodes().length === 0) {
-      guard.confirm(askedAt);
-      return;
-    }
-    const reachable = objects.confirmReachable();
-    const peers = network.connected().slice(0, WAKE_PROBES);
-    const answers = [...peers.map(id => silence.probe(id)), reachable];
-    for (const answer of answers) {
-      void answer.then(isAnswered => {
-        if (isAnswered) {
-          guard.confirm(askedAt);
-        }
-      });
-    }
-    await Promise.all(answers);
-  }
-
-  /** The silence during a pause was ours: nobody is judged by it. */
-  function forgiveSilence(pauseMs: number) {
-    const now = clock.now();
-    decisions.note('members', own.id, 'hold back', 'was paused', {
-      pauseMs: Math.round(pauseMs),
-    });
-    for (const known of table.all()) {
-      known.heardAt = now;
-    }
+    return {news: own.news(), ...(isOut && {believed: asker.news})};
   }
 
   function tick() {
-    const pauseMs = guard.tick();
-    if (pauseMs > 0) {
-      forgiveSilence(pauseMs);
-    }
-    if (!guard.isCurrent()) {
-      void confirmAfterPause();
-    }
+    recovery.check();
     book.refresh();
-    heartbeat();
+    heartbeats.send(book.neighbours());
     silence.check(book.neighbours());
-    contactLost();
-    dropTombstones();
+    lostMembers.check();
+    dropTombstones(table, clock.now(), timing.tombstoneMs);
   }
 
+  /** Sends news to peers and waits for their answers; returns those that gave none. */
   async function tell(news: MemberNews, receivers: readonly string[]) {
     const told = await Promise.allSettled(
       receivers.map(id => network.ask(id, 'leaving', {news}, timing.probeMs)),
@@ -331,13 +174,17 @@
   }
 
   async function leave(): Promise<void> {
-    if (own.state === 'leaving') {
+    if (!own.leave()) {
       return;
     }
-    own = {...own, state: 'leaving', sequence: own.sequence + 1};
-    changed.fire(ownMember());
-    decisions.note('members', own.id, 'leave', 'planned stop or reclaim');
-    const news = ownNews();
+    changed.fire(own.member());
+    decisions.note(
+      'members',
+      options.self.id,
+      'leave',
+      'planned stop or reclaim',
+    );
+    const news = own.news();
     gossip.add(news);
     const untold = await tell(news, book.neighbours());
     await tell(news, untold);
@@ -348,22 +195,6 @@
       );
   }
 
-  function ownMember(): Member {
-    const {id, incarnation, state, callerUrl, innerUrl} = own;
-    const {failureDomain, region} = own;
-    const load = options.load?.() ?? 0;
-    return {
-      id,
-      incarnation,
-      state,
-      callerUrl,
-      innerUrl,
-      failureDomain,
-      region,
-      load,
-    };
-  }
-
   function passOnLeaving(from: string, body: Messages['leaving']) {
     if (learn(body.news)) {
       // Not left to the next heartbeat: callers must not be sent there any more.
@@ -375,9 +206,11 @@
     return {};
   }
 
-  owned.add(network.onDidReceive('heartbeat', hearHeartbeat));
+  owned.add(network.onDidReceive('heartbeat', heartbeats.receive));
   owned.add(network.onDidReceive('leaving', passOnLeaving));
-  owned.add(network.onDidReceive('memberProbe', (_, body) => prove(body)));
+  owned.add(
+    network.onDidReceive('memberProbe', (_, body) => answerProbe(body)),
+  );
   owned.add(
     network.onDidReceive('memberWord', (_, {id, incarnation}) =>
       silence.word(id, incarnation),
@@ -385,7 +218,7 @@
   );
   owned.add(
     network.onDidReceive('membersWanted', (_, {buckets}) => ({
-      news: table.differing(buckets, ownNews()),
+      news: table.differing(buckets, own.news()),
     })),
   );
   owned.add(
@@ -403,26 +236,24 @@
       owned.add(every(clock, timing.heartbeatMs, tick));
     }),
   );
-  gossip.add(ownNews());
+  gossip.add(own.news());
   objects.join();
-  for (const seed of options.seeds ?? []) {
-    void contactSeed(seed);
-  }
+  lostMembers.contactSeeds();
 
   return {
     get self() {
-      return ownMember();
+      return own.member();
     },
-    members: () => [ownMember(), ...knownNodes().map(toMember)],
+    members: () => [own.member(), ...table.present().map(toMember)],
     live: () =>
-      [ownMember(), ...knownNodes().map(toMember)].filter(
+      [own.member(), ...table.present().map(toMember)].filter(
         member => member.state === 'live',
       ),
     onDidChange: changed.event,
     leave,
     isCurrent: () => guard.isCurrent(),
     dump: () => ({
-      self: ownMember(),
+      self: own.member(),
       members: [...table.all()].map(known => ({
         ...toMember(known),
         sequence: known.news.sequence,
@@ -437,7 +268,7 @@
     }),
     dispose() {
       network.broadcast('leaving', {
-        news: {...ownNews(), state: 'gone', sequence: own.sequence + 1},
+        news: {...own.news(), state: 'gone', sequence: own.base().sequence + 1},
       });
       owned.dispose();
     },
--- a/packages/members/src/peerBook.ts
+++ b/packages/members/src/peerBook.ts
@@ -31,10 +31,6 @@
   let neighbours: readonly string[] = [];
   let seenRevision = -1;
 
-  function present(): KnownMember[] {
-    return [...table.all()].filter(known => known.machine.state() !== 'gone');
-  }
-
   function lost(): KnownMember[] {
     return [...table.all()].filter(
       known => known.machine.state() === 'gone' && !known.hasLeft,
@@ -42,7 +38,7 @@
   }
 
   function updateNetwork() {
-    const addresses = present().map(addressOf);
+    const addresses = table.present().map(addressOf);
     const chosen = new Set(neighbours);
     network.setAddressBook([
       ...addresses,
@@ -60,7 +56,7 @@
       }
       seenRevision = table.revision();
       const own = options.own();
-      const nodes = present().map(known => known.news);
+      const nodes = table.present().map(known => known.news);
       neighbours = neighboursOf(own.id, [own, ...nodes]);
       updateNetwork();
     },
