--- a/tools/reportPlots.mjs
+++ b/tools/reportPlots.mjs
@@ -68,6 +68,11 @@
   );
 }
 
+/** Without the sum over both users, whose mixes have rows of their own. */
+function moveRows({summary}) {
+  return summary.filter(row => row.mix !== 'both users');
+}
+
 /** Plots by measurement; one that is not named here has tables only. */
 export const plots = {
   isolation: ({rows}) => [
@@ -136,6 +141,26 @@
       unit: 'ms',
     }),
   ],
+  moves: report => [
+    bars('Good versions moved in on time', moveRows(report), {
+      x: 'mix',
+      y: 'goodMovedIn',
+      by: 'judge',
+      unit: 'share',
+    }),
+    bars('Bad versions taken back', moveRows(report), {
+      x: 'mix',
+      y: 'badTakenBack',
+      by: 'judge',
+      unit: 'share',
+    }),
+    bars('Requests served by a bad version, median', moveRows(report), {
+      x: 'mix',
+      y: 'badServedMedian',
+      by: 'judge',
+      unit: 'requests',
+    }),
+  ],
   spread: ({results}) => [
     lines('Until a configuration is in force, longest', results, {
       x: 'entries',
