Split the network between entries by concern

peerNetwork.ts had 420 lines: handshakes, links with the address book, opening of sockets and connections stood in one function.

handshakes.ts, peerLinks.ts and peerSocket.ts take the first three; peerNetwork.ts keeps the connections. handshake.ts, which reads and checks a hello, is hello.ts now, so that the two names can be told apart. Behaviour is unchanged and no test was touched.

peerNetwork.ts: 420 to 269 lines.

--- a/packages/protocol/src/handshake.ts
+++ b/packages/protocol/src/hello.ts
@@ -1,4 +1,4 @@
-/** How two entries make sure of each other before any message is handled. */
+/** The first message of each side of a connection, and the key that both must hold. */
 import {createHash, timingSafeEqual} from 'node:crypto';
 import {PROTOCOL_VERSION} from './contracts.js';
 
--- a/packages/protocol/src/innerListener.ts
+++ b/packages/protocol/src/innerListener.ts
@@ -5,7 +5,7 @@
 import type {Duplex} from 'node:stream';
 import {WebSocketServer, type WebSocket} from 'ws';
 import {ServingError, type Disposable, type Logger} from '@skylarkfield/base';
-import {isSameKey} from './handshake.js';
+import {isSameKey} from './hello.js';
 import type {RenewedTls} from './innerTls.js';
 import type {NetworkLimits} from './limits.js';
 
--- a/packages/protocol/src/peerNetwork.ts
+++ b/packages/protocol/src/peerNetwork.ts
@@ -1,5 +1,5 @@
 /** The network between entries over WebSockets. */
-import {WebSocket} from 'ws';
+import type {WebSocket} from 'ws';
 import {
   disposableStore,
   emitter,
@@ -8,19 +8,17 @@
   type Logger,
   type Random,
 } from '@skylarkfield/base';
-import {HELLO, decodeFrame, encodeFrame} from './codec.js';
 import {wrapSocket, type Connection} from './connection.js';
-import {
-  PROTOCOL_VERSION,
-  type PeerAddress,
-  type PeerNetwork,
-} from './contracts.js';
+import type {PeerNetwork} from './contracts.js';
 import {createDispatcher, notConnectedError} from './dispatcher.js';
-import {isSameKey, readHello, type Hello} from './handshake.js';
-import {PEER_PATH, listenForPeers} from './innerListener.js';
+import type {Hello} from './hello.js';
+import {createHandshakes} from './handshakes.js';
+import {listenForPeers} from './innerListener.js';
 import type {RenewedTls} from './innerTls.js';
 import {DEFAULT_LIMITS, type NetworkLimits} from './limits.js';
-import {createPeerLink, type PeerLink} from './peerLink.js';
+import type {PeerLink} from './peerLink.js';
+import {createPeerLinks} from './peerLinks.js';
+import {openPeerSocket} from './peerSocket.js';
 
 /** A network that can take connections, and shows its state. */
 export interface ListeningNetwork extends PeerNetwork {
@@ -32,12 +30,6 @@
   dump(): unknown;
 }
 
-/**
- * When both ends learn of each other at once, the one with the larger id waits
- * this long for the other's connection, in milliseconds.
- */
-const SECOND_DIALER_DELAY_MS = 300;
-
 /**
  * Makes the network of one entry.
  *
@@ -58,78 +50,29 @@
   const {self, clock, random, log, key, tls} = options;
   const limits = {...DEFAULT_LIMITS, ...options.limits};
   const dispatcher = createDispatcher({clock, log});
-  const links = new Map<string, PeerLink>();
   const connections = new Map<string, Connection>();
-  const unknown = new Set<WebSocket>();
   const changed = emitter<{peer: string; isOpen: boolean}>();
   const dialFailed = emitter<string>();
   const owned = disposableStore();
-  let book = new Map<string, PeerAddress>();
-
-  function hello(withKey: boolean): Buffer {
-    const {id, incarnation} = self;
-    const body: Hello = {
-      id,
-      incarnation,
-      protocolVersion: PROTOCOL_VERSION,
-      ...(withKey ? {key} : {}),
-    };
-    return encodeFrame({type: HELLO, ask: 0, body});
-  }
+  const handshakes = createHandshakes({
+    self,
+    key,
+    clock,
+    log,
+    timeoutMs: limits.handshakeMs,
+    adopt,
+    onRefusal: () => dispatcher.reject(),
+  });
+  const links = createPeerLinks({
+    selfId: self.id,
+    clock,
+    random,
+    connectionTo: id => connections.get(id),
+    open: dialLink,
+  });
 
-  function refuse(socket: WebSocket, reason: string) {
-    dispatcher.reject();
-    log.warn({reason}, 'refused a peer');
-    socket.terminate();
-  }
-
-  /** Waits for the other side's hello, then takes the socket into use. */
-  function shakeHands(
-    socket: WebSocket,
-    dialed: {readonly id?: string} | undefined,
-    onDone: (connection: Connection | undefined) => void,
-  ) {
-    const isOurs = dialed !== undefined;
-    const expected = dialed?.id;
-    unknown.add(socket);
-    const timer = clock.after(limits.handshakeMs, () =>
-      refuse(socket, 'no hello in time'),
-    );
-    function finish(connection: Connection | undefined) {
-      if (!unknown.delete(socket)) {
-        return;
-      }
-      timer.dispose();
-      onDone(connection);
-    }
-    socket.on('error', error =>
-      log.debug({peer: expected, reason: error.message}, 'no connection'),
-    );
-    socket.on('close', () => finish(undefined));
-    socket.once('message', (data, isBinary) => {
-      const given = isBinary ? helloOf(data as Buffer) : 'text message';
-      if (typeof given === 'string') {
-        refuse(socket, given);
-        return;
-      }
-      if (isOurs && !isSameKey(given.key ?? '', key)) {
-        refuse(socket, 'the accepting side has another key');
-        return;
-      }
-      if (given.id === self.id) {
-        refuse(socket, 'the peer has the id of this entry');
-        return;
-      }
-      // An address may have been given to another entry since we learnt it.
-      if (expected !== undefined && given.id !== expected) {
-        refuse(socket, `expected ${expected}, found ${given.id}`);
-        return;
-      }
-      if (!isOurs) {
-        socket.send(hello(true));
-      }
-      finish(adopt(socket, given, isOurs));
-    });
+  function openSocket(url: string): WebSocket | undefined {
+    return openPeerSocket({url, key, limits, tls, log});
   }
 
   function adopt(socket: WebSocket, peer: Hello, isOurs: boolean): Connection {
@@ -178,15 +121,14 @@
     changed.fire({peer, isOpen: false});
   }
 
-  function dialSocket(link: PeerLink) {
+  function dialLink(link: PeerLink) {
     const {id, url} = link.address;
     const socket = openSocket(url);
     if (socket === undefined) {
       link.closed();
       return;
     }
-    socket.once('open', () => socket.send(hello(false)));
-    shakeHands(socket, {id}, connection => {
+    handshakes.dial(socket, id, connection => {
       if (connection === undefined && !connections.has(id)) {
         link.closed();
         dialFailed.fire(id);
@@ -194,64 +136,6 @@
     });
   }
 
-  function openSocket(url: string): WebSocket | undefined {
-    try {
-      return new WebSocket(new URL(PEER_PATH, url), {
-        headers: {authorization: `Bearer ${key}`},
-        handshakeTimeout: limits.handshakeMs,
-        maxPayload: limits.messageBytes,
-        perMessageDeflate: false,
-        ...tls?.current(),
-      });
-    } catch (error) {
-      log.warn({url, reason: String(error)}, 'a peer has an unusable address');
-      return undefined;
-    }
-  }
-
-  function linkTo(address: PeerAddress): PeerLink {
-    const known = links.get(address.id);
-    if (known !== undefined) {
-      known.address = address;
-      return known;
-    }
-    const link = createPeerLink({address, clock, random, open: dialSocket});
-    links.set(address.id, link);
-    if (connections.has(address.id)) {
-      link.opened();
-    }
-    return link;
-  }
-
-  function want(address: PeerAddress) {
-    const link = linkTo(address);
-    if (link.isWanted) {
-      return;
-    }
-    link.isWanted = true;
-    const delayMs = self.id < address.id ? 0 : SECOND_DIALER_DELAY_MS;
-    clock.after(delayMs, () => {
-      if (link.isWanted) {
-        link.dial();
-      }
-    });
-  }
-
-  function unwant(link: PeerLink) {
-    const {id} = link.address;
-    link.isWanted = false;
-    if (book.has(id)) {
-      return;
-    }
-    link.dispose();
-    links.delete(id);
-    const connection = connections.get(id);
-    // What the peer dialled is the peer's to close: our views may differ for a moment.
-    if (connection?.isOurs) {
-      connection.dispose();
-    }
-  }
-
   /** Closes connections that were opened for a single exchange. */
   function closeIdle() {
     const now = clock.now();
@@ -268,7 +152,7 @@
     if (connections.has(to)) {
       return Promise.resolve(true);
     }
-    const address = links.get(to)?.address ?? book.get(to);
+    const address = links.addressOf(to);
     if (address === undefined) {
       return Promise.resolve(false);
     }
@@ -290,7 +174,7 @@
         failing.dispose();
         resolve(isOpen);
       }
-      linkTo(address).dial();
+      links.linkTo(address).dial();
     });
   }
 
@@ -299,9 +183,9 @@
     if (connection !== undefined) {
       return connection.send(bytes);
     }
-    const address = book.get(to);
+    const address = links.listedAddress(to);
     if (address !== undefined) {
-      linkTo(address).dial();
+      links.linkTo(address).dial();
     }
     return false;
   }
@@ -317,8 +201,8 @@
         tls,
         limits,
         log,
-        handshakes: () => unknown.size,
-        onSocket: socket => shakeHands(socket, undefined, () => {}),
+        handshakes: handshakes.count,
+        onSocket: handshakes.accept,
         onRefusal(reason) {
           dispatcher.reject();
           log.warn({reason}, 'refused a connection to the inner port');
@@ -327,28 +211,8 @@
       owned.add(listener);
       return {port: listener.port};
     },
-    setPeers(peers) {
-      const wanted = new Map(peers.map(peer => [peer.id, peer]));
-      wanted.delete(self.id);
-      for (const link of [...links.values()]) {
-        if (!wanted.has(link.address.id)) {
-          unwant(link);
-        }
-      }
-      wanted.forEach(want);
-    },
-    setAddressBook(peers) {
-      book = new Map(peers.map(peer => [peer.id, peer]));
-      book.delete(self.id);
-      for (const link of [...links.values()]) {
-        const address = book.get(link.address.id);
-        if (address !== undefined) {
-          link.address = address;
-        } else if (!link.isWanted) {
-          unwant(link);
-        }
-      }
-    },
+    setPeers: links.setWanted,
+    setAddressBook: links.setAddressBook,
     dial(url) {
       return new Promise((resolve, reject) => {
         const socket = openSocket(url);
@@ -356,8 +220,7 @@
           reject(notConnectedError(url));
           return;
         }
-        socket.once('open', () => socket.send(hello(false)));
-        shakeHands(socket, {}, connection => {
+        handshakes.dial(socket, undefined, connection => {
           if (connection === undefined) {
             reject(notConnectedError(url));
             return;
@@ -391,30 +254,16 @@
     traffic: () => dispatcher.traffic(),
     dump: () => ({
       traffic: dispatcher.traffic(),
-      handshakes: unknown.size,
-      peers: [...links.values()].map(link => ({
-        id: link.address.id,
-        state: link.state(),
-        isWanted: link.isWanted,
-      })),
+      handshakes: handshakes.count(),
+      peers: links.dump(),
       connected: [...connections.keys()],
     }),
     dispose() {
-      links.forEach(link => link.dispose());
-      links.clear();
+      links.dispose();
       connections.forEach(connection => connection.dispose());
-      unknown.forEach(socket => socket.terminate());
+      handshakes.dispose();
       owned.dispose();
       dispatcher.dispose();
     },
   };
 }
-
-function helloOf(bytes: Buffer): Hello | string {
-  try {
-    const frame = decodeFrame(bytes);
-    return frame.type === HELLO ? readHello(frame.body) : 'no hello';
-  } catch {
-    return 'unreadable hello';
-  }
-}
--- /dev/null
+++ b/packages/protocol/src/peerSocket.ts
@@ -0,0 +1,35 @@
+/** Opens sockets to the inner ports of peers. */
+import {WebSocket} from 'ws';
+import type {Logger} from '@skylarkfield/base';
+import {PEER_PATH} from './innerListener.js';
+import type {RenewedTls} from './innerTls.js';
+import type {NetworkLimits} from './limits.js';
+
+/**
+ * Begins to connect to a peer; undefined when its address can't be used.
+ *
+ * @example
+ * const socket = openPeerSocket({url: 'ws://10.0.0.4:7000', key, limits, log});
+ */
+export function openPeerSocket(options: {
+  readonly url: string;
+  /** Secret that all entries share. */
+  readonly key: string;
+  readonly limits: NetworkLimits;
+  readonly tls?: RenewedTls;
+  readonly log: Logger;
+}): WebSocket | undefined {
+  const {url, key, limits, tls, log} = options;
+  try {
+    return new WebSocket(new URL(PEER_PATH, url), {
+      headers: {authorization: `Bearer ${key}`},
+      handshakeTimeout: limits.handshakeMs,
+      maxPayload: limits.messageBytes,
+      perMessageDeflate: false,
+      ...tls?.current(),
+    });
+  } catch (error) {
+    log.warn({url, reason: String(error)}, 'a peer has an unusable address');
+    return undefined;
+  }
+}
