--- a/packages/bench/src/reclaim/replay.ts
+++ b/packages/bench/src/reclaim/replay.ts
@@ -135,7 +135,6 @@
       version: 'v1',
       blocks: promptBlocks(tokens),
       promptTokens: tokens.length,
-      expectedTokens: stream.request.maxTokens - delivered.length,
       excluded,
     });
     if (choice === undefined) {
--- a/packages/bench/src/routing/decisionTime.ts
+++ b/packages/bench/src/routing/decisionTime.ts
@@ -57,7 +57,6 @@
       version: 'v1',
       blocks,
       promptTokens: PROMPT_TOKENS,
-      expectedTokens: 100,
       excluded: new Set<string>(),
     };
     const start = process.cpuUsage();
--- a/packages/bench/src/routing/replay.ts
+++ b/packages/bench/src/routing/replay.ts
@@ -108,7 +108,6 @@
       version: 'v1',
       blocks,
       promptTokens: tokens.length,
-      expectedTokens: turn.maxTokens,
       excluded: new Set(),
     };
     const isCounted = clock.now() >= warmMs;
--- a/packages/bench/src/test/streamFaults.test.ts
+++ b/packages/bench/src/test/streamFaults.test.ts
@@ -66,7 +66,6 @@
       version: 'v1',
       blocks: [],
       promptTokens: 6,
-      expectedTokens: MAX_TOKENS,
       excluded: others,
     });
     assert.ok(choice);
--- a/packages/entry/src/callers/attempts.ts
+++ b/packages/entry/src/callers/attempts.ts
@@ -160,7 +160,6 @@
       version: call.version,
       blocks: [],
       promptTokens: 0,
-      expectedTokens: 0,
       excluded,
     });
     const endpoint =
--- a/packages/entry/src/callers/serveModel.ts
+++ b/packages/entry/src/callers/serveModel.ts
@@ -261,7 +261,6 @@
           version,
           blocks,
           promptTokens: plan.promptTokens + delivered.length,
-          expectedTokens: request.maxTokens - delivered.length,
           excluded,
         });
         const endpoint = choice && serving.endpoints.get(choice.endpoint);
--- a/packages/entry/src/test/enginesPart.test.ts
+++ b/packages/entry/src/test/enginesPart.test.ts
@@ -61,7 +61,6 @@
         version: 'v1',
         blocks: [],
         promptTokens: 1,
-        expectedTokens: 1,
         excluded: new Set(),
       });
     lists.fire([endpoint]);
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -18,7 +18,6 @@
   /** Hashes of the prompt's blocks; empty for plain services. */
   readonly blocks: readonly string[];
   readonly promptTokens: number;
-  readonly expectedTokens: number;
   /** Endpoints already tried in vain for this request. */
   readonly excluded: ReadonlySet<string>;
 }
--- a/packages/routing/src/test/routerRig.ts
+++ b/packages/routing/src/test/routerRig.ts
@@ -26,7 +26,6 @@
     version: 'v1',
     blocks: [],
     promptTokens: 0,
-    expectedTokens: 50,
     excluded: new Set(),
     ...overrides,
   };
