--- a/packages/entry/src/callers/attempts.ts
+++ b/packages/entry/src/callers/attempts.ts
@@ -161,7 +161,6 @@
       version: call.version,
       blocks: [],
       promptTokens: 0,
-      expectedTokens: 0,
       excluded,
     });
     const endpoint = choice && serving.endpoints.get(choice.endpoint)?.plain;
