--- a/packages/bench/src/routing/policies.ts
+++ b/packages/bench/src/routing/policies.ts
@@ -12,7 +12,6 @@
   type Candidate,
   type Choice,
   type Journey,
-  type Placement,
   type RouteWeights,
 } from '@skylarkfield/routing';
 
@@ -21,14 +20,8 @@
   choose(journey: Journey): Choice;
   reportLoad(endpoint: string, report: LoadReport): void;
   reportCache(endpoint: string, events: readonly CacheEvent[]): number;
-  /** Joins the entries, for policies whose entries tell each other something. */
-  connect?(others: readonly Policy[]): void;
-  notePlacement?(placement: Placement): void;
 }
 
-/** Time of a message between entries, in milliseconds. */
-const MESSAGE_MS = 3;
-
 export interface PolicyOptions {
   readonly clock: Clock;
   readonly random: Random;
@@ -121,14 +114,6 @@
     },
     reportLoad: (endpoint, report) => router.reportLoad(endpoint, report),
     reportCache: (endpoint, events) => router.reportCache(endpoint, events),
-    notePlacement: placement => router.notePlacement(placement),
-    connect(others) {
-      router.onDidPlace(placement =>
-        clock.after(MESSAGE_MS, () => {
-          others.forEach(other => other.notePlacement?.(placement));
-        }),
-      );
-    },
   };
 }
 
--- a/packages/bench/src/routing/replay.ts
+++ b/packages/bench/src/routing/replay.ts
@@ -72,9 +72,6 @@
   const engines = createEngines(options, clock);
   const candidates = describeEngines(workload);
   const entries = createEntries(options, clock, candidates);
-  entries.forEach(entry =>
-    entry.connect?.(entries.filter(other => other !== entry)),
-  );
   startPolling(clock, engines, entries);
 
   const seen = new Set<string>();
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -1,7 +1,5 @@
 /** Which endpoint serves a request. */
-import type {Disposable} from '@skylarkfield/base';
 import type {CacheEvent, LoadReport} from '@skylarkfield/endpoints';
-import type {Placement} from './peerPlacements.js';
 
 /** An endpoint as routing sees it. */
 export interface Candidate {
@@ -74,10 +72,6 @@
   reportUnreachable(endpoint: string): void;
   /** Cache events in the order of arrival; returns the sequence to ask from next (-1: resync). */
   reportCache(endpoint: string, events: readonly CacheEvent[]): number;
-  /** Another entry has sent a long prompt to an endpoint. */
-  notePlacement(placement: Placement): void;
-  /** Fires when a long prompt was sent somewhere, for the other entries to know. */
-  onDidPlace(listener: (placement: Placement) => void): Disposable;
   /** The endpoints that this entry uses, a part of them when a service is large. */
   held(): readonly Candidate[];
   /** Sum of the slots of a service's usable endpoints. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -3,4 +3,3 @@
 export * from './router.js';
 export {defaultRouteWeights, type RouteWeights} from './routeCosts.js';
 export {pickSubset, SUBSET_SIZE} from './subset.js';
-export type {Placement} from './peerPlacements.js';
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -1,16 +1,10 @@
 /** Chooses endpoints by expected wait, cached prefix and health. */
-import {
-  emitter,
-  type Clock,
-  type DecisionLog,
-  type Random,
-} from '@skylarkfield/base';
+import type {Clock, DecisionLog, Random} from '@skylarkfield/base';
 import {favoursFor} from './affinity.js';
 import {BLOCK_TOKENS} from '@skylarkfield/endpoints';
 import type {AttemptResult, Choice, Journey, Router} from './contracts.js';
 import {doubtedByDomain, ejectionReason} from './ejection.js';
 import {createEndpointPools, type KnownEndpoint} from './endpointPool.js';
-import {createPeerPlacements, type Placement} from './peerPlacements.js';
 import {createPopularity, type Popularity} from './popularity.js';
 import {
   createRouteCosts,
@@ -40,8 +34,6 @@
 /** Expected milliseconds below which a latency says nothing about slowness. */
 const MIN_EXPECTED_MS = 40;
 const PERCENT = 100;
-/** Prompt tokens to compute from which on the other entries are told where they are. */
-const TOLD_TOKENS = 512;
 
 /** Where a prompt's prefix belongs. */
 interface PrefixPlace {
@@ -73,8 +65,6 @@
   const pools = createEndpointPools({clock, random, self, isOwn});
   const costsByService = new Map<string, RouteCosts>();
   const popularityByService = new Map<string, Popularity>();
-  const placements = createPeerPlacements(clock);
-  const placed = emitter<Placement>();
   const totals = {choices: 0, probes: 0, forced: 0, ejections: 0};
 
   function costsOf(service: string): RouteCosts {
@@ -110,15 +100,11 @@
     journey: Journey,
     costs: RouteCosts,
     place: PrefixPlace,
-    told: ReadonlyMap<string, number>,
   ): Scored {
     const {candidate, cache, load} = endpoint;
     const cachedTokens = Math.min(
       journey.promptTokens,
-      Math.max(
-        cache.expectedTokens(journey.blocks),
-        told.get(candidate.id) ?? 0,
-      ),
+      cache.expectedTokens(journey.blocks),
     );
     const sharedTokens = Math.max(0, place.sharedTokens - cachedTokens);
     const ownTokens = journey.promptTokens - cachedTokens - sharedTokens;
@@ -159,10 +145,9 @@
   ): Scored | undefined {
     const costs = costsOf(journey.service);
     const place = placePrefix(journey, candidates);
-    const told = placements.tokensByEndpoint(journey.blocks);
     let best: Scored | undefined;
     for (const endpoint of candidates) {
-      const scored = score(endpoint, journey, costs, place, told);
+      const scored = score(endpoint, journey, costs, place);
       if (best === undefined || scored.score < best.score) {
         best = scored;
       }
@@ -218,17 +203,6 @@
     }
   }
 
-  function tellPlacement(
-    endpoint: string,
-    {blocks}: Journey,
-    uncached: number,
-  ): void {
-    const block = blocks.at(-1);
-    if (block !== undefined && uncached >= TOLD_TOKENS) {
-      placed.fire({endpoint, block, blocks: blocks.length});
-    }
-  }
-
   function open(journey: Journey, scored: Scored): Choice {
     const {endpoint, cachedTokens} = scored;
     const {candidate, cache, health, load} = endpoint;
@@ -243,7 +217,6 @@
     popularityOf(journey.service).note(journey.blocks);
     health.noteSent();
     totals.choices += 1;
-    tellPlacement(candidate.id, journey, uncached);
 
     function finish(result: AttemptResult) {
       if (isFinished) {
@@ -319,8 +292,6 @@
     },
     reportCache: (endpoint, events) =>
       pools.get(endpoint)?.cache.apply(events) ?? -1,
-    notePlacement: placement => placements.note(placement),
-    onDidPlace: placed.event,
     held: () => pools.all().map(({candidate}) => candidate),
     slots(service) {
       const held = pools
@@ -341,7 +312,6 @@
         [...costsByService].map(([service, costs]) => [service, costs.dump()]),
       ),
       leaving: pools.leaving(),
-      peerPlacements: placements.count(),
       endpoints: pools.all().map(({candidate, health, load, cache}) => ({
         ...candidate,
         health: health.state,
