--- a/packages/standins/src/engine/engineModel.ts
+++ b/packages/standins/src/engine/engineModel.ts
@@ -14,7 +14,6 @@
   type CacheEvent,
   type EndpointOrder,
   type Generation,
-  type GenerationEvent,
   type LoadReport,
 } from '@skylarkfield/endpoints';
 import {answerFor} from './answerText.js';
@@ -22,10 +21,10 @@
 import {defaultEngineCosts, type EngineCosts} from './engineCosts.js';
 import {
   faultApplies,
-  mangle,
   type EngineFault,
   type EngineFaultType,
 } from './engineFaults.js';
+import {createBoundedMap, type ExportedCache} from './exportedCache.js';
 import {createLoadReports} from './loadReports.js';
 import {
   addTokens,
@@ -34,6 +33,7 @@
   type Sequence,
   type StreamSink,
 } from './sequence.js';
+import {createStreamOutput} from './streamOutput.js';
 
 export interface EngineModelOptions {
   readonly clock: Clock;
@@ -44,14 +44,6 @@
   readonly costs?: Partial<EngineCosts>;
 }
 
-/** The content of an exported KV cache. */
-export interface ExportedCache {
-  readonly handle: string;
-  readonly tokens: number;
-  readonly bytes: number;
-  readonly blocks: readonly string[];
-}
-
 /** Work done since the start. */
 export interface EngineTotals {
   readonly requests: number;
@@ -81,7 +73,7 @@
   totals(): EngineTotals;
 }
 
-/** Exports kept for fetching. */
+/** Exports kept for fetching, and imports kept for the requests that name them. */
 const KEPT_EXPORTS = 256;
 
 /**
@@ -103,8 +95,9 @@
   });
   const waiting: Sequence[] = [];
   const batch: Sequence[] = [];
-  const exports = new Map<string, ExportedCache>();
-  const imports = new Map<string, number>();
+  const exports = createBoundedMap<ExportedCache>(KEPT_EXPORTS);
+  const imports = createBoundedMap<number>(KEPT_EXPORTS);
+  const output = createStreamOutput(clock, remove);
   const reports = createLoadReports({
     clock,
     costs,
@@ -170,7 +163,7 @@
     sequence.prefillLeft = total - sequence.cachedTokens;
     totals.cachedTokens += sequence.cachedTokens;
     batch.push(sequence);
-    emit(sequence, {
+    output.emit(sequence, {
       type: 'start',
       attempt: request.attempt,
       promptTokens: sequence.promptLength,
@@ -243,7 +236,12 @@
       const text = answer.tokenAt(index);
       addTokens(sequence, [text]);
       totals.generatedTokens += 1;
-      emit(sequence, {type: 'token', attempt: request.attempt, index, text});
+      output.emit(sequence, {
+        type: 'token',
+        attempt: request.attempt,
+        index,
+        text,
+      });
     }
     finishIfComplete(sequence);
   }
@@ -255,7 +253,7 @@
     if (generated < limit || !remove(sequence)) {
       return;
     }
-    emit(sequence, {
+    output.emit(sequence, {
       type: 'end',
       attempt: request.attempt,
       reason: limit === answer.length ? 'stop' : 'length',
@@ -279,38 +277,6 @@
     return true;
   }
 
-  /** Sends an event, late when the engine is told to. */
-  function send(sequence: Sequence, event: GenerationEvent) {
-    const late = sequence.faults.find(fault => fault.type === 'late');
-    if (late === undefined) {
-      sequence.sink.event(event);
-      return;
-    }
-    clock.after(late.amount ?? 0, () => sequence.sink.event(event));
-  }
-
-  function emit(sequence: Sequence, event: GenerationEvent) {
-    const position = sequence.sentTokens;
-    if (event.type === 'token') {
-      sequence.sentTokens += 1;
-    }
-    for (const fault of sequence.faults) {
-      const mangled = mangle(event, position, fault);
-      if (mangled.isCut) {
-        remove(sequence);
-        sequence.sink.fail(
-          new ServingError('interrupted', 'the engine cut the stream'),
-        );
-        return;
-      }
-      if (mangled.events.length !== 1 || mangled.events[0] !== event) {
-        mangled.events.forEach(other => send(sequence, other));
-        return;
-      }
-    }
-    send(sequence, event);
-  }
-
   function insertByUrgency(sequence: Sequence) {
     const {urgency} = sequence.request;
     const place = waiting.findIndex(other => other.request.urgency > urgency);
@@ -379,18 +345,12 @@
         blocks: sequenceBlocks(sequence),
       };
       exports.set(exported.handle, exported);
-      if (exports.size > KEPT_EXPORTS) {
-        exports.delete(exports.keys().next().value!);
-      }
       return exported;
     },
     exported: handle => exports.get(handle),
     importDelayMs: ({bytes}) => bytes / costs.importBytesPerMs,
     importCache(exported) {
       imports.set(exported.handle, exported.tokens);
-      if (imports.size > KEPT_EXPORTS) {
-        imports.delete(imports.keys().next().value!);
-      }
       totals.importedTokens += exported.tokens;
       cache.store(exported.blocks);
     },
--- /dev/null
+++ b/packages/standins/src/engine/exportedCache.ts
@@ -0,0 +1,35 @@
+/** KV caches that an engine stand-in has exported for others or imported from them. */
+
+/** The content of an exported KV cache. */
+export interface ExportedCache {
+  readonly handle: string;
+  readonly tokens: number;
+  readonly bytes: number;
+  readonly blocks: readonly string[];
+}
+
+/** Entries by handle; the oldest goes when there are too many. */
+export interface BoundedMap<Value> {
+  get(handle: string): Value | undefined;
+  set(handle: string, value: Value): void;
+}
+
+/**
+ * Makes an empty map that keeps at most so many entries.
+ *
+ * @example
+ * const exports = createBoundedMap<ExportedCache>(256);
+ * exports.set(exported.handle, exported);
+ */
+export function createBoundedMap<Value>(capacity: number): BoundedMap<Value> {
+  const values = new Map<string, Value>();
+  return {
+    get: handle => values.get(handle),
+    set(handle, value) {
+      values.set(handle, value);
+      if (values.size > capacity) {
+        values.delete(values.keys().next().value!);
+      }
+    },
+  };
+}
--- a/packages/standins/src/engine/index.ts
+++ b/packages/standins/src/engine/index.ts
@@ -4,5 +4,6 @@
 export * from './engineFaults.js';
 export * from './engineModel.js';
 export * from './engineStandin.js';
+export type {ExportedCache} from './exportedCache.js';
 export * from './localEngine.js';
 export type {StreamSink} from './sequence.js';
