Streams: the work of an attempt counted in a module of its own

runAttempt was one function of about 180 lines that also kept five variables for times and recomputed tokens. These are now attemptWork.ts; what is left reads, stops and closes the attempt. attempt.ts goes from 262 to 248 lines, so runAttempt is still long: its parts share the stop, the watch and the states. No behaviour changes, no test touched.

--- a/packages/streams/src/attempt.ts
+++ b/packages/streams/src/attempt.ts
@@ -8,6 +8,7 @@
 import type {Generation, GenerationEvent} from '@skylarkfield/endpoints';
 import {createAttemptStates} from './attemptMachine.js';
 import {createAttemptStop} from './attemptStop.js';
+import {createAttemptWork} from './attemptWork.js';
 import type {StreamPlace, StreamToken} from './contracts.js';
 import {judgeEvent, type Judgement} from './eventJudgement.js';
 import {followLeaving} from './leavingMove.js';
@@ -58,11 +59,12 @@
   const generation = toGeneration(options);
   const owned = disposableStore();
   const stop = owned.add(createAttemptStop(clock, options.signal));
-  const startMs = clock.now();
-  let computeMs = startMs;
-  let uncachedTokens = 0;
-  let firstTokenMs: number | undefined;
-  let isStartSeen = false;
+  const work = createAttemptWork({
+    clock,
+    costs,
+    progress,
+    givenTokens: generation.delivered.length,
+  });
 
   const watch = owned.add(
     createStallWatch({
@@ -86,32 +88,16 @@
       : undefined;
   }
 
-  function countWork(event: {promptTokens: number; cachedTokens: number}) {
-    if (isStartSeen) {
-      return;
-    }
-    isStartSeen = true;
-    computeMs = clock.now();
-    const total = event.promptTokens + generation.delivered.length;
-    uncachedTokens = Math.max(0, total - event.cachedTokens);
-    if (progress.hasComputed) {
-      progress.recomputedTokens += uncachedTokens;
-    }
-    progress.hasComputed = true;
-  }
-
   function noteFirstToken() {
-    firstTokenMs = clock.now();
+    work.firstToken();
     states.send('token');
     place.streaming?.();
-    progress.hasComputed = true;
-    costs.observePrefill(uncachedTokens, firstTokenMs - computeMs);
     firstTokenLimit?.dispose();
   }
 
   async function deliver(text: string) {
     watch.touch();
-    if (firstTokenMs === undefined) {
+    if (!work.hasToken) {
       noteFirstToken();
     }
     const index = delivered.length;
@@ -129,13 +115,13 @@
       throw new ServingError('protocol-violation', judgement.why);
     }
     if (judgement.type === 'end') {
-      countWork(judgement.event);
+      work.started(judgement.event);
       return judgement.event;
     }
-    if (judgement.type === 'start' && !isStartSeen) {
+    if (judgement.type === 'start' && !work.isStartSeen) {
       states.send('start');
       place.started?.(judgement.event.cachedTokens);
-      countWork(judgement.event);
+      work.started(judgement.event);
     }
     if (judgement.type === 'deliver') {
       await deliver(judgement.text);
@@ -159,7 +145,7 @@
   }
 
   function armWatch() {
-    if (firstTokenMs !== undefined) {
+    if (work.hasToken) {
       watch.arm();
       return;
     }
@@ -171,7 +157,7 @@
   function finish(outcome: Outcome, cachedTokens?: number) {
     place.finish({
       outcome,
-      latencyMs: (firstTokenMs ?? clock.now()) - startMs,
+      latencyMs: work.latencyMs(),
       ...(cachedTokens === undefined ? {} : {cachedTokens}),
     });
   }
@@ -190,7 +176,7 @@
     }
     if (reason.type === 'moved') {
       states.send('move');
-      finish(firstTokenMs === undefined ? 'cancelled' : 'ok');
+      finish(work.hasToken ? 'ok' : 'cancelled');
       return reason;
     }
     states.send('lose');
