Fail the questions of a connection that a newer one replaces

Cause: when a peer dialled again, forget() returned early for the connection that had been replaced, so questions under way on it were never failed and waited for their whole timeout.

Change: the dispatcher notes over which connection a question went, and fails the questions of just that one when it closes, replaced or not. When the newer connection comes from another incarnation of the peer, they fail at once: the process that was asked is gone and its end may never close. The error is interrupted, may-have-run, as for any connection that closes.

Ruled out: failing them at every replacement at once. When two entries dial each other at the same time, an answer that is under way on the older connection would be thrown away, and a call that has run be answered with may-have-run.

--- a/packages/protocol/src/dispatcher.ts
+++ b/packages/protocol/src/dispatcher.ts
@@ -22,10 +22,17 @@
 } from './codec.js';
 import type {NetworkTraffic} from './contracts.js';
 
+/**
+ * What a question travels over: a connection, or the id of the peer where two
+ * connections to one peer never stand side by side.
+ */
+export type Channel = object | string;
+
 type Handler = (from: string, body: unknown) => unknown;
 
 interface PendingAsk {
   readonly to: string;
+  readonly channel: Channel;
   settle(outcome: {body: unknown} | {error: ServingError}): void;
 }
 
@@ -42,16 +49,20 @@
   /** Handles received bytes; false when they broke the protocol. */
   receive(from: string, bytes: Buffer, reply: (bytes: Buffer) => void): boolean;
   handle(type: string, handler: Handler): Disposable;
-  /** Sends a question by the given function and waits for its answer. */
+  /**
+   * Sends a question by the given function and waits for its answer. The channel
+   * is the id of the peer unless another is given.
+   */
   ask(
     to: string,
     type: string,
     body: unknown,
     timeoutMs: number,
     send: (bytes: Buffer) => boolean,
+    channel?: Channel,
   ): Promise<unknown>;
-  /** Fails the questions that wait for a peer whose connection closed. */
-  failAsks(to: string): void;
+  /** Fails the questions that wait for an answer over a channel that closed. */
+  failAsks(channel: Channel): void;
   /** Counts something received that could not be used. */
   reject(): void;
   traffic(): NetworkTraffic;
@@ -187,7 +198,7 @@
         }
       });
     },
-    ask(to, type, body, timeoutMs, send) {
+    ask(to, type, body, timeoutMs, send, channel = to) {
       const ask = ++lastAsk;
       return new Promise((resolve, reject) => {
         const timer = clock.after(timeoutMs, () =>
@@ -202,16 +213,16 @@
           }
           resolve(outcome.body);
         }
-        pending.set(ask, {to, settle});
+        pending.set(ask, {to, channel, settle});
         if (!send(encode({type, ask, body}))) {
           settle({error: notConnectedError(to)});
         }
       });
     },
-    failAsks(to) {
+    failAsks(channel) {
       for (const waiting of [...pending.values()]) {
-        if (waiting.to === to) {
-          waiting.settle({error: interruptedError(to)});
+        if (waiting.channel === channel) {
+          waiting.settle({error: interruptedError(waiting.to)});
         }
       }
     },
--- a/packages/protocol/src/peerNetwork.ts
+++ b/packages/protocol/src/peerNetwork.ts
@@ -94,6 +94,11 @@
     const before = connections.get(peer.id);
     connections.set(peer.id, connection);
     before?.dispose();
+    if (before !== undefined && before.incarnation !== peer.incarnation) {
+      // The process that was asked is gone, and its end may never close: the
+      // asker would wait for its whole timeout.
+      dispatcher.failAsks(before);
+    }
     links.get(peer.id)?.opened();
     if (before === undefined) {
       changed.fire({peer: peer.id, isOpen: true});
@@ -112,11 +117,13 @@
 
   function forget(connection: Connection) {
     const {peer} = connection;
+    // Also for one that was replaced: its questions would wait for their whole
+    // timeout. Until here it may still bring answers that were on their way.
+    dispatcher.failAsks(connection);
     if (connections.get(peer) !== connection) {
       return;
     }
     connections.delete(peer);
-    dispatcher.failAsks(peer);
     links.get(peer)?.closed();
     changed.fire({peer, isOpen: false});
   }
@@ -243,8 +250,13 @@
         throw notConnectedError(to);
       }
       const remainingMs = timeoutMs - (clock.now() - startedAt);
-      return dispatcher.ask(to, type, body, remainingMs, bytes =>
-        sendBytes(to, bytes),
+      return dispatcher.ask(
+        to,
+        type,
+        body,
+        remainingMs,
+        bytes => sendBytes(to, bytes),
+        connections.get(to),
       );
     },
     onDidReceive: (type, handler) =>
