Drop the epoch of the hand-over message

Cause: orderHandOver carried an epoch that was always sent as 0. No release has read it, back to the first of the ledger: the receiver takes the shard's number only, and learns the epoch from the ledger.

Change: the field is gone from the message and from the sender. Its name stays taken, as the compatibility rule asks, and the message says so. A receiver of an earlier release takes the message as it is; one of this release ignores the field of an earlier sender.

--- a/packages/orders/src/handOver.ts
+++ b/packages/orders/src/handOver.ts
@@ -107,7 +107,7 @@
       if (!isReleased) {
         return;
       }
-      const body = {shard: shard.index, epoch: 0};
+      const body = {shard: shard.index};
       for (const successor of successors.slice(0, MAX_SUCCESSORS_ASKED)) {
         try {
           await options.network.ask(
--- a/packages/protocol/src/messages/orderMessages.ts
+++ b/packages/protocol/src/messages/orderMessages.ts
@@ -84,6 +84,10 @@
   };
   /** Asks the entry that made a claim how it ended; answered with a `ClaimOutcome`, or undefined. */
   orderOutcomeWanted: {readonly id: string; readonly token: string};
-  /** The sender has released a shard; the receiver takes it over and runs what waits in it. */
-  orderHandOver: {readonly shard: number; readonly epoch: number};
+  /**
+   * The sender has released a shard; the receiver takes it over and runs what
+   * waits in it. The epoch is in the ledger. Earlier releases send a field
+   * `epoch` here that is always 0, so that name is taken.
+   */
+  orderHandOver: {readonly shard: number};
 }
