One AttemptResult for routing and streams

Both contracts spelled out the same outcomes. The type is now in the contracts of endpoints, the package that both may import; an additive change there. routing no longer exports it, and attempts.ts of entry imports it from endpoints. Types only, no behaviour changes; the only test file touched is the routers' rig, for its import.

--- a/packages/endpoints/src/contracts.ts
+++ b/packages/endpoints/src/contracts.ts
@@ -145,3 +145,17 @@
   call(call: ServiceCall, signal: AbortSignal): Promise<ServiceReply>;
   load(signal?: AbortSignal): Promise<LoadReport>;
 }
+
+/** How one attempt at an endpoint went. */
+export interface AttemptResult {
+  readonly outcome:
+    | 'ok'
+    | 'failed'
+    | 'unreachable'
+    | 'overloaded'
+    | 'cancelled';
+  /** Milliseconds to the first token, or to the whole answer of a plain service. */
+  readonly latencyMs: number;
+  /** What the engine said it found cached, if it said so. */
+  readonly cachedTokens?: number;
+}
--- a/packages/entry/src/callers/attempts.ts
+++ b/packages/entry/src/callers/attempts.ts
@@ -1,7 +1,10 @@
 /** Attempts at plain services: which endpoint, and whether another may follow. */
 import {ServingError, toServingError, type Clock} from '@skylarkfield/base';
-import type {ServiceCall, ServiceReply} from '@skylarkfield/endpoints';
-import type {AttemptResult} from '@skylarkfield/routing';
+import type {
+  AttemptResult,
+  ServiceCall,
+  ServiceReply,
+} from '@skylarkfield/endpoints';
 import {listedVersions} from '../listedVersions.js';
 import type {Serving} from '../serving.js';
 import {isVersionFault} from './observation.js';
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -1,5 +1,9 @@
 /** Which endpoint serves a request. */
-import type {CacheEvent, LoadReport} from '@skylarkfield/endpoints';
+import type {
+  AttemptResult,
+  CacheEvent,
+  LoadReport,
+} from '@skylarkfield/endpoints';
 
 /** An endpoint as routing sees it. */
 export interface Candidate {
@@ -34,19 +38,6 @@
   finish(result: AttemptResult): void;
 }
 
-export interface AttemptResult {
-  readonly outcome:
-    | 'ok'
-    | 'failed'
-    | 'unreachable'
-    | 'overloaded'
-    | 'cancelled';
-  /** Milliseconds to the first token, or to the whole answer of a plain service. */
-  readonly latencyMs: number;
-  /** What the engine said it found cached, if it said so. */
-  readonly cachedTokens?: number;
-}
-
 export interface Router {
   /** The whole list of endpoints, as the host list gives it. */
   setEndpoints(endpoints: readonly Candidate[]): void;
--- a/packages/routing/src/health.ts
+++ b/packages/routing/src/health.ts
@@ -1,6 +1,6 @@
 /** Counts how an endpoint's attempts go and decides when it is put aside. */
 import type {Clock, Random} from '@skylarkfield/base';
-import type {AttemptResult} from './contracts.js';
+import type {AttemptResult} from '@skylarkfield/endpoints';
 import {createHealthStates, type HealthState} from './healthMachine.js';
 
 export interface Health {
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -1,8 +1,8 @@
 /** Chooses endpoints by expected wait, cached prefix and health. */
 import type {Clock, DecisionLog, Random} from '@skylarkfield/base';
+import {BLOCK_TOKENS, type AttemptResult} from '@skylarkfield/endpoints';
 import {favoursFor} from './affinity.js';
-import {BLOCK_TOKENS} from '@skylarkfield/endpoints';
-import type {AttemptResult, Choice, Journey, Router} from './contracts.js';
+import type {Choice, Journey, Router} from './contracts.js';
 import {doubtedByDomain, ejectionReason} from './ejection.js';
 import {createEndpointPools, type KnownEndpoint} from './endpointPool.js';
 import {createPopularity, type Popularity} from './popularity.js';
--- a/packages/routing/src/test/routerRig.ts
+++ b/packages/routing/src/test/routerRig.ts
@@ -5,8 +5,8 @@
   silentLogger,
   virtualClock,
 } from '@skylarkfield/base';
-import type {LoadReport} from '@skylarkfield/endpoints';
-import type {AttemptResult, Candidate, Journey} from '../contracts.js';
+import type {AttemptResult, LoadReport} from '@skylarkfield/endpoints';
+import type {Candidate, Journey} from '../contracts.js';
 import {createRouter} from '../router.js';
 
 export function candidate(id: string, failureDomain = 'a'): Candidate {
--- a/packages/streams/src/attempt.ts
+++ b/packages/streams/src/attempt.ts
@@ -5,7 +5,11 @@
   toServingError,
   type Clock,
 } from '@skylarkfield/base';
-import type {Generation, GenerationEvent} from '@skylarkfield/endpoints';
+import type {
+  AttemptResult,
+  Generation,
+  GenerationEvent,
+} from '@skylarkfield/endpoints';
 import {createAttemptStates} from './attemptMachine.js';
 import {createAttemptStop} from './attemptStop.js';
 import {createAttemptWork} from './attemptWork.js';
@@ -20,7 +24,7 @@
 import {untilAborted} from './untilAborted.js';
 
 type EndEvent = GenerationEvent & {readonly type: 'end'};
-type Outcome = Parameters<StreamPlace['finish']>[0]['outcome'];
+type Outcome = AttemptResult['outcome'];
 
 export type AttemptEnd =
   | {readonly type: 'ended'; readonly event: EndEvent}
--- a/packages/streams/src/contracts.ts
+++ b/packages/streams/src/contracts.ts
@@ -1,5 +1,5 @@
 /** Answers of model engines: attempts, correlation, resume. */
-import type {Engine} from '@skylarkfield/endpoints';
+import type {AttemptResult, Engine} from '@skylarkfield/endpoints';
 
 /** One token for the caller. */
 export interface StreamToken {
@@ -33,16 +33,8 @@
   started?(cachedTokens: number): void;
   /** The first token has come; at most once. */
   streaming?(): void;
-  finish(result: {
-    readonly outcome:
-      | 'ok'
-      | 'failed'
-      | 'unreachable'
-      | 'overloaded'
-      | 'cancelled';
-    readonly latencyMs: number;
-    readonly cachedTokens?: number;
-  }): void;
+  /** Tells how the attempt went; exactly once. */
+  finish(result: AttemptResult): void;
 }
 
 export interface StreamRequest {
