--- a/packages/moves/src/test/moveCluster.test.ts
+++ b/packages/moves/src/test/moveCluster.test.ts
@@ -46,7 +46,14 @@
       await clock.advance(1000);
     }
   }
-  return {clock, candidates, serve, ...parts};
+  /** The move begins, the platform goes down, then the candidate fails at one entry. */
+  async function cutWhilePlatformIsDown() {
+    parts.holdDuty(0);
+    await clock.advance(5000);
+    parts.platform.setDown(true);
+    await serve(2, 30, true);
+  }
+  return {clock, candidates, serve, cutWhilePlatformIsDown, ...parts};
 }
 
 describe('moves over several entries', () => {
@@ -63,11 +70,8 @@
     // The platform goes down, then the candidate begins to fail at one entry.
     // All entries stop sending to it at once, and when the platform is back the
     // move is taken back for good.
-    const {clock, candidates, serve, holdDuty, platform} = setUp();
-    holdDuty(0);
-    await clock.advance(5000);
-    platform.setDown(true);
-    await serve(2, 30, true);
+    const {clock, candidates, cutWhilePlatformIsDown, platform} = setUp();
+    await cutWhilePlatformIsDown();
     assert.deepEqual([0, 1, 2].map(candidates), [0, 0, 0]);
     assert.notEqual(platform.state(move.name)?.phase, 'taken-back');
     platform.setDown(false);
@@ -188,11 +192,8 @@
   it('does not use a cut of an older candidate against a newer one', async () => {
     // A cut is told again until it is durable. Meanwhile the operator names a
     // mended version in the same record, which has done nothing wrong.
-    const {clock, serve, holdDuty, platform, setMoves} = setUp();
-    holdDuty(0);
-    await clock.advance(5000);
-    platform.setDown(true);
-    await serve(2, 30, true);
+    const {clock, cutWhilePlatformIsDown, platform, setMoves} = setUp();
+    await cutWhilePlatformIsDown();
     await setMoves([{...move, to: 'v3'}]);
     platform.setDown(false);
     await clock.advance(10_000);
