Long fuzzing gets half an hour per test file

Cause: npm run fuzz ended a test file after four minutes, less than some fuzzers take. Not run: the whole of npm run fuzz; its parts were run one by one.

--- a/tools/runTests.mjs
+++ b/tools/runTests.mjs
@@ -77,7 +77,10 @@
   return event.details.error?.failureType !== 'subtestsFailed';
 }
 
-const stream = run({files, concurrency: 4, timeout: 240_000});
+/** Time that one test file may take, in milliseconds; long fuzzing takes minutes. */
+const FILE_TIMEOUT_MS = isFuzz ? 1_800_000 : 240_000;
+
+const stream = run({files, concurrency: 4, timeout: FILE_TIMEOUT_MS});
 stream.on('test:pass', event => {
   if (event.details.type !== 'suite') {
     passed += 1;
