Doc comments and examples for what members, protocol and their neighbours export

Public functions of members, protocol, records and duties that had no example have one now, and the main exported types a doc comment. Comments that used pictures (goodbye, healed, beating, storm) say the same in ordinary terms. Only comments are changed; the smaller exported shapes without a comment of their own are left.

--- a/packages/duties/src/contest.ts
+++ b/packages/duties/src/contest.ts
@@ -32,6 +32,7 @@
   | 'releasing'
   | 'ended';
 
+/** This process's part in one duty. */
 export interface Contest {
   readonly duty: DutyName;
   state(): ContestState;
--- a/packages/duties/src/lease.ts
+++ b/packages/duties/src/lease.ts
@@ -64,7 +64,12 @@
   };
 }
 
-/** The condition that the lease object is still as it was read. */
+/**
+ * The condition that the lease object is still as it was read.
+ *
+ * @example
+ * await store.put(LEASE_KIND, duty, lease, leaseCondition(object));
+ */
 export function leaseCondition(
   object: StoredObject | undefined,
 ): WriteCondition {
--- a/packages/duties/src/orderGate.ts
+++ b/packages/duties/src/orderGate.ts
@@ -10,6 +10,7 @@
 import type {Tenure} from './contracts.js';
 import {defaultLeaseTiming} from './lease.js';
 
+/** Tells when a new holder may give orders to an endpoint. */
 export interface OrderGate {
   /** Whether an order may be sent now to an endpoint. */
   isOpen(endpoint: {readonly checksFencing: boolean}): boolean;
--- a/packages/members/src/contracts.ts
+++ b/packages/members/src/contracts.ts
@@ -1,6 +1,7 @@
 /** Which entries there are, and which of them a caller should use. */
 import type {Disposable} from '@skylarkfield/base';
 
+/** `suspect`: silent for too long. `leaving`: takes no new work. */
 export type MemberState = 'live' | 'suspect' | 'leaving' | 'gone';
 
 /** One entry process. */
@@ -17,6 +18,7 @@
   readonly load: number;
 }
 
+/** The entries as this one sees them, and its own leaving. */
 export interface Membership extends Disposable {
   readonly self: Member;
   /** All that are known and not gone, this entry included. */
--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -7,6 +7,7 @@
   readonly changes: readonly MemberChange[];
 }
 
+/** Queue of the news that this entry still has to pass on. */
 export interface Gossip {
   /** Queues news for the next heartbeat; later news of the same member replaces it. */
   add(news: MemberNews): void;
@@ -28,7 +29,7 @@
 
 /**
  * Makes an empty queue, first in first out. Each item is sent once to every
- * neighbour, and each of them passes it on: what a lost message held is mended
+ * neighbour, and each of them passes it on: what a lost message held is found
  * by comparing digests.
  *
  * @example
--- a/packages/members/src/heartbeats.ts
+++ b/packages/members/src/heartbeats.ts
@@ -7,6 +7,7 @@
 import type {Reconciler} from './reconciler.js';
 import type {SilenceDetector} from './silence.js';
 
+/** Both directions of one entry's heartbeats. */
 export interface Heartbeats {
   send(neighbours: readonly string[]): void;
   receive(from: string, body: Messages['heartbeat']): void;
--- a/packages/members/src/lostMembers.ts
+++ b/packages/members/src/lostMembers.ts
@@ -1,5 +1,5 @@
 /**
- * Finds members again after a cut. Each side of a healed cut counts the other
+ * Finds members again after a network partition. Each side counts the other
  * as gone, and without this neither would ever speak to the other: callers
  * would go on to be sent to one side only.
  */
@@ -10,6 +10,7 @@
 import type {Reconciler} from './reconciler.js';
 import type {SilenceDetector} from './silence.js';
 
+/** Attempts to reach members that are gone, or not known yet. */
 export interface LostMembers {
   /** Tries a member that is known by its object only; tells whether it answered. */
   contactMember(id: string, value: MemberObject): Promise<boolean>;
@@ -76,7 +77,7 @@
       }
       contactedAt = now;
       const isAlone = book.neighbours().length === 0;
-      // One a time: a healed cut is found without a storm of attempts.
+      // One a time, so that many lost members do not cause many attempts at once.
       const lost = random.pick(book.lost());
       if (lost !== undefined) {
         void silence.probe(lost.news.id);
--- a/packages/members/src/memberMachine.ts
+++ b/packages/members/src/memberMachine.ts
@@ -4,8 +4,8 @@
 
 /**
  * `heard`: proof of life. `suspected`: silent for too long. `left`: it said it
- * leaves. `lost`: silent and confirmed by another's word, or it said goodbye.
- * `returned`: a later word of its own, or a new incarnation.
+ * leaves. `lost`: silent and confirmed by another's word, or it announced its end.
+ * `returned`: later news from itself, or a new incarnation.
  */
 export type MemberEvent = 'heard' | 'suspected' | 'left' | 'lost' | 'returned';
 
@@ -25,6 +25,7 @@
   gone: state(transition('returned', 'live'), transition('left', 'leaving')),
 });
 
+/** The state of one member, as this entry sees it. */
 export interface MemberMachine {
   state(): MemberState;
   send(event: MemberEvent): void;
--- a/packages/members/src/memberObjects.ts
+++ b/packages/members/src/memberObjects.ts
@@ -25,6 +25,7 @@
   readonly region: string;
 }
 
+/** Keeps this entry's object, and finds others by theirs. */
 export interface MemberObjects extends Disposable {
   /** Writes this entry's object and lists the others; tries on until it succeeds. */
   join(): void;
--- a/packages/members/src/memberTable.ts
+++ b/packages/members/src/memberTable.ts
@@ -9,12 +9,13 @@
 } from './memberMachine.js';
 import {viewOf} from './memberView.js';
 
+/** What this entry knows of one other. */
 export interface KnownMember {
   news: MemberNews;
   readonly machine: MemberMachine;
   /** Monotonic milliseconds of the last proof of life, direct or by another's word. */
   heardAt: number;
-  /** Like `heardAt`, but from itself: what this entry may vouch for. */
+  /** Like `heardAt`, but from itself: what it may tell others when they ask. */
   heardDirectlyAt: number;
   /** Monotonic milliseconds of the last change of state. */
   changedAt: number;
@@ -24,6 +25,7 @@
   readonly bucket: number;
 }
 
+/** All the members that this entry knows, by id. */
 export interface MemberTable {
   get(id: string): KnownMember | undefined;
   /** All, tombstones of gone ones included. */
@@ -45,7 +47,7 @@
   revision(): number;
 }
 
-/** Enough that one difference among 1,700 members costs about 50 items to mend. */
+/** Enough that one difference among 1,700 members costs about 50 items to reconcile. */
 export const BUCKETS = 32;
 
 /** Of news with the same incarnation and sequence, the later in a life wins. */
@@ -188,6 +190,9 @@
  * Whether news replaces what is known. Only the member itself raises its
  * sequence, so a live process can always refute, and nobody else can bring
  * back one that left.
+ *
+ * @example
+ * if (!isNewer(news, known.news)) { return false; }
  */
 export function isNewer(news: MemberNews, known: MemberNews): boolean {
   if (news.incarnation !== known.incarnation) {
--- a/packages/members/src/membership.ts
+++ b/packages/members/src/membership.ts
@@ -229,7 +229,7 @@
       }
     }),
   );
-  // A random start keeps entries that began together from beating together.
+  // A random start keeps entries that began together from sending at the same moments.
   owned.add(
     clock.after(random.next() * timing.heartbeatMs, () => {
       tick();
--- a/packages/members/src/neighbours.ts
+++ b/packages/members/src/neighbours.ts
@@ -6,6 +6,7 @@
  */
 import {hash32} from '@skylarkfield/base';
 
+/** What the choice of neighbours needs to know of a member. */
 export interface Node {
   readonly id: string;
   readonly failureDomain: string;
--- a/packages/members/src/newsIntake.ts
+++ b/packages/members/src/newsIntake.ts
@@ -5,6 +5,7 @@
 import {checkNews} from './newsShape.js';
 import type {OwnEntry} from './ownEntry.js';
 
+/** Takes news of members from any message. */
 export interface NewsIntake {
   /** Takes news in; tells whether it was new. Throws a `ServingError` when it is malformed. */
   learn(news: MemberNews): boolean;
--- a/packages/members/src/ownEntry.ts
+++ b/packages/members/src/ownEntry.ts
@@ -15,6 +15,7 @@
   readonly region: string;
 }
 
+/** This entry as it is announced to the others. */
 export interface OwnEntry {
   /** The news without the load of now: what digests and neighbours depend on. */
   base(): MemberNews;
--- a/packages/members/src/pauseRecovery.ts
+++ b/packages/members/src/pauseRecovery.ts
@@ -13,6 +13,7 @@
 /** Peers asked at once after a pause. */
 const WAKE_PROBES = 3;
 
+/** Looks for pauses of this process and acts on them. */
 export interface PauseRecovery {
   /** Looks for a pause that just ended; call it first with every timer run. */
   check(): void;
--- a/packages/members/src/peerBook.ts
+++ b/packages/members/src/peerBook.ts
@@ -3,6 +3,7 @@
 import type {KnownMember, MemberTable} from './memberTable.js';
 import {neighboursOf} from './neighbours.js';
 
+/** Neighbours and addresses, derived from the known members. */
 export interface PeerBook {
   neighbours(): readonly string[];
   /** Brings the network up to date when members have changed. */
@@ -10,7 +11,7 @@
   /** Makes an address usable that no member is known for yet. */
   addContact(id: string, url: string): void;
   removeContact(id: string): void;
-  /** Members gone without a goodbye: they may only be cut off. */
+  /** Members gone without having announced it: the network between may only be broken. */
   lost(): readonly KnownMember[];
 }
 
--- a/packages/members/src/reconciler.ts
+++ b/packages/members/src/reconciler.ts
@@ -1,5 +1,5 @@
 /**
- * Mends what gossip missed: two entries compare one hash with every heartbeat,
+ * Brings in what gossip missed: two entries compare one hash with every heartbeat,
  * and one that differs for long fetches just the buckets that differ.
  */
 import {toServingError, type Clock, type Logger} from '@skylarkfield/base';
@@ -11,6 +11,7 @@
 import type {MemberTable} from './memberTable.js';
 import type {MemberTiming} from './timing.js';
 
+/** Compares what two entries know, and fetches the difference. */
 export interface Reconciler {
   /** Compares a peer's digest with ours. */
   compare(peer: string, digest: number | undefined): void;
--- a/packages/members/src/silence.ts
+++ b/packages/members/src/silence.ts
@@ -13,6 +13,7 @@
 import type {KnownMember, MemberTable} from './memberTable.js';
 import type {MemberTiming} from './timing.js';
 
+/** Suspects silent neighbours, and finds out whether they are gone. */
 export interface SilenceDetector {
   /** Judges the neighbours; call it with every heartbeat. */
   check(neighbours: readonly string[]): void;
@@ -129,7 +130,7 @@
     suspicions.get(id)?.silentTo.add(witness);
   }
 
-  /** Live members other than the suspect; suspects can't vouch for anything. */
+  /** Live members other than the suspect; the word of a suspect counts for nothing. */
   function witnesses(id: string): string[] {
     return [...table.all()]
       .filter(other => other.machine.state() === 'live' && other.news.id !== id)
--- a/packages/members/src/wakeGuard.ts
+++ b/packages/members/src/wakeGuard.ts
@@ -6,6 +6,7 @@
  */
 import type {Clock} from '@skylarkfield/base';
 
+/** Tells whether this process may act on what it believes. */
 export interface WakeGuard {
   isCurrent(): boolean;
   /** Call it with every timer run; returns the length of a pause that just ended, or 0. */
--- a/packages/platform/src/callBudget.ts
+++ b/packages/platform/src/callBudget.ts
@@ -12,6 +12,7 @@
   type Disposable,
 } from '@skylarkfield/base';
 
+/** This process's share of the platform's rate. */
 export interface CallBudget extends Disposable {
   /**
    * Waits for leave to make one call.
--- a/packages/platform/src/objectStore.ts
+++ b/packages/platform/src/objectStore.ts
@@ -26,6 +26,7 @@
   readonly liveEntries?: number;
 }
 
+/** The state of a client, as the process's dump shows it. */
 export interface ObjectStoreDump {
   readonly state: string;
   readonly ratePerSecond: number;
--- a/packages/platform/src/outage.ts
+++ b/packages/platform/src/outage.ts
@@ -16,6 +16,7 @@
 } from '@skylarkfield/base';
 import type {PlatformState} from './contracts.js';
 
+/** Whether the platform answers, judged by the calls made to it. */
 export interface Outage extends Disposable {
   state(): PlatformState;
   /** Throws `platform-unavailable` while the platform is down. */
--- a/packages/platform/src/storeCalls.ts
+++ b/packages/platform/src/storeCalls.ts
@@ -13,6 +13,7 @@
 /** What a call was for. */
 export type CallUse = 'get' | 'list' | 'put' | 'remove' | 'watch' | 'find';
 
+/** Makes and counts the calls of one client. */
 export interface StoreCalls extends Disposable {
   readonly budget: CallBudget;
   readonly outage: Outage;
--- a/packages/platform/src/storeWrites.ts
+++ b/packages/platform/src/storeWrites.ts
@@ -14,6 +14,7 @@
 const FIND_RETRY_MS = 50;
 const LONGEST_FIND_RETRY_MS = 1000;
 
+/** Writes until the outcome is known. */
 export interface StoreWrites {
   /**
    * Sends a write until its outcome is known or the deadline passes; `landed`
--- a/packages/platform/src/watchLoop.ts
+++ b/packages/platform/src/watchLoop.ts
@@ -35,6 +35,7 @@
 /** Where a watch stands, for the dump. */
 export type WatchState = 'listing' | 'opening' | 'open' | 'waiting';
 
+/** One watch, for as long as its listener wants it. */
 export interface WatchLoop extends Disposable {
   readonly kind: string;
   state(): WatchState;
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -8,6 +8,7 @@
 } from '@skylarkfield/base';
 import type {NetworkLimits} from './limits.js';
 
+/** A peer's connection, from the hello until it closes. */
 export interface Connection extends Disposable {
   readonly peer: string;
   readonly incarnation: number;
--- a/packages/protocol/src/contracts.ts
+++ b/packages/protocol/src/contracts.ts
@@ -45,6 +45,7 @@
   readonly rejected: number;
 }
 
+/** Messages and questions between this entry and its peers. */
 export interface PeerNetwork extends Disposable {
   /** The peers to stay connected to; others are closed. */
   setPeers(peers: readonly PeerAddress[]): void;
--- a/packages/protocol/src/dispatcher.ts
+++ b/packages/protocol/src/dispatcher.ts
@@ -43,6 +43,7 @@
   readonly run: RunState;
 }
 
+/** Handlers, pending questions and counters of one process. */
 export interface Dispatcher extends Disposable {
   /** Encodes a frame and counts it as sent to so many peers. */
   encode(frame: Frame, receivers?: number): Buffer;
@@ -261,7 +262,12 @@
   );
 }
 
-/** The error of a question that never left this process. */
+/**
+ * The error of a question that never left this process, `not-run`.
+ *
+ * @example
+ * throw notConnectedError('b');
+ */
 export function notConnectedError(to: string): ServingError {
   return new ServingError('interrupted', `no connection to ${to}`, {
     run: 'not-run',
--- a/packages/protocol/src/handshakes.ts
+++ b/packages/protocol/src/handshakes.ts
@@ -17,6 +17,7 @@
   readonly expected: string | undefined;
 }
 
+/** The handshakes of one entry, in both directions. */
 export interface Handshakes extends Disposable {
   /** Greets the peer behind a socket that this process opened. */
   dial(
--- a/packages/protocol/src/innerTls.ts
+++ b/packages/protocol/src/innerTls.ts
@@ -9,6 +9,7 @@
   type Logger,
 } from '@skylarkfield/base';
 
+/** Where the settings say that the keys are. */
 export interface TlsPaths {
   /** PEM file with the certificate chain. */
   readonly cert: string;
@@ -18,6 +19,7 @@
   readonly ca: string;
 }
 
+/** Certificates and key, PEM encoded. */
 export interface TlsMaterial {
   readonly cert: Buffer;
   readonly key: Buffer;
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -19,6 +19,7 @@
 
 type LinkEvent = 'dial' | 'opened' | 'failed' | 'closed' | 'rest';
 
+/** Keeps one peer connected, or dials it on request. */
 export interface PeerLink extends Disposable {
   address: PeerAddress;
   /** Stays connected when true; otherwise dials only on request. */
--- a/packages/protocol/src/peerLinks.ts
+++ b/packages/protocol/src/peerLinks.ts
@@ -10,6 +10,7 @@
  */
 const SECOND_DIALER_DELAY_MS = 300;
 
+/** Links by peer, and the address book for peers without one. */
 export interface PeerLinks extends Disposable {
   get(id: string): PeerLink | undefined;
   /** The link to a peer, made when there is none. */
--- a/packages/records/src/moveClaims.ts
+++ b/packages/records/src/moveClaims.ts
@@ -92,7 +92,12 @@
   };
 }
 
-/** Says which other move stands in the way. */
+/**
+ * The fault of a move whose service has another one under way.
+ *
+ * @example
+ * return [rivalFault('booking-v7')];
+ */
 export function rivalFault(rival: string): Fault {
   return {
     path: 'service',
--- a/packages/records/src/recordStatus.ts
+++ b/packages/records/src/recordStatus.ts
@@ -46,7 +46,12 @@
   return status.success ? status.data : undefined;
 }
 
-/** Whether two statuses tell an operator the same, times aside. */
+/**
+ * Whether two statuses tell an operator the same, times aside.
+ *
+ * @example
+ * if (isSameStatus(present, next)) { return false; }
+ */
 export function isSameStatus(a: RecordStatus, b: RecordStatus): boolean {
   return JSON.stringify({...a, at: 0}) === JSON.stringify({...b, at: 0});
 }
