Examples on the public functions of moves, the platform stand-in and the replay

Public functions of moves, of the platform stand-in's replies and three of the replays had no example, three of them no doc comment. The contracts' main types now say what they are. Comments only.

--- a/packages/admission/src/contracts.ts
+++ b/packages/admission/src/contracts.ts
@@ -26,6 +26,7 @@
   release(ending: Ending): void;
 }
 
+/** Capacity of all services at this entry. */
 export interface Admission {
   /**
    * Waits for capacity.
--- a/packages/bench/src/replay/moveTraffic.ts
+++ b/packages/bench/src/replay/moveTraffic.ts
@@ -139,6 +139,12 @@
   return {errorRate, medianMs};
 }
 
+/**
+ * Draws from the standard normal distribution (Box-Muller).
+ *
+ * @example
+ * const latencyMs = medianMs * Math.exp(sigma * normal(random));
+ */
 export function normal(random: Random): number {
   const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
   return radius * Math.cos(2 * Math.PI * random.next());
--- a/packages/bench/src/replay/world.ts
+++ b/packages/bench/src/replay/world.ts
@@ -105,7 +105,12 @@
   {name: 'counter', part: 0.03},
 ];
 
-/** The value below which the given fraction of the numbers lies; NaN for none. */
+/**
+ * The value below which the given fraction of the numbers lies; NaN for none.
+ *
+ * @example
+ * quantile([1, 2, 3, 4], 0.5); // 3
+ */
 export function quantile(values: readonly number[], fraction: number): number {
   const sorted = [...values].sort((a, b) => a - b);
   return (
--- a/packages/bench/src/routing/workloads.ts
+++ b/packages/bench/src/routing/workloads.ts
@@ -29,7 +29,12 @@
   readonly thinkMs: number;
 }
 
-/** Distinct words of one text, the same for the same name. */
+/**
+ * Distinct words of one text, the same for the same name.
+ *
+ * @example
+ * words('a', 2); // 'a.0 a.1'
+ */
 export function words(name: string, count: number): string {
   return Array.from({length: count}, (_, index) => `${name}.${index}`).join(
     ' ',
--- a/packages/endpoints/src/contracts.ts
+++ b/packages/endpoints/src/contracts.ts
@@ -129,6 +129,7 @@
   readonly body: Uint8Array;
 }
 
+/** What a plain service answered; any status is an answer. */
 export interface ServiceReply {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
--- a/packages/moves/src/comparison.ts
+++ b/packages/moves/src/comparison.ts
@@ -12,7 +12,13 @@
  */
 import type {Cell, Sums} from './evidence.js';
 
-/** Log-likelihood ratio of `worse` times the incumbent's error rate against `base` times. */
+/**
+ * Log-likelihood ratio of `worse` times the incumbent's error rate against `base` times.
+ *
+ * @example
+ * // Evidence for twice the errors against as many.
+ * const logRatio = errorRatio(cell, 2, 1);
+ */
 export function errorRatio(
   {candidate, incumbent}: Cell,
   worse: number,
@@ -36,7 +42,13 @@
   return weighted / (weighted + incumbent.requests);
 }
 
-/** Log-likelihood ratio of an error rate raised by `added` against the rate `base`. */
+/**
+ * Log-likelihood ratio of an error rate raised by `added` against the rate `base`.
+ *
+ * @example
+ * // Evidence for 0.2 % more errors against 0.1 %.
+ * const logRatio = addedErrorRatio(cell, 0.001, 0.002);
+ */
 export function addedErrorRatio(
   {candidate}: Cell,
   base: number,
@@ -61,7 +73,12 @@
 /** Latencies of neighbouring requests are alike, so they tell less than independent ones. */
 const DEPENDENCE_FACTOR = 1.5;
 
-/** Excess of the candidate; undefined when one of them has no successful request. */
+/**
+ * Excess of the candidate; undefined when one of them has no successful request.
+ *
+ * @example
+ * const excess = latencyExcess(cell, estimate.value());
+ */
 export function latencyExcess(
   {candidate, incumbent}: Cell,
   variance: number,
@@ -78,7 +95,13 @@
   return {difference, precision: 1 / (DEPENDENCE_FACTOR * variance * spread)};
 }
 
-/** Log-likelihood ratio of an excess of `worse` against one of `base`, in log latency. */
+/**
+ * Log-likelihood ratio of an excess of `worse` against one of `base`, in log latency.
+ *
+ * @example
+ * // Evidence for half as much latency again against none.
+ * const logRatio = excessRatio(excess, Math.log(1.5), 0);
+ */
 export function excessRatio(
   {difference, precision}: Excess,
   worse: number,
@@ -101,7 +124,13 @@
 /** A service whose latency hardly varies must not turn microseconds into a fault. */
 const LEAST_VARIANCE = 0.01;
 
-/** Makes the estimate of one route. */
+/**
+ * Makes the estimate of one route.
+ *
+ * @example
+ * const estimate = createVarianceEstimate();
+ * estimate.add(incumbentSums);
+ */
 export function createVarianceEstimate(): VarianceEstimate {
   let squares = PRIOR_VARIANCE * PRIOR_WEIGHT;
   let freedom = PRIOR_WEIGHT;
--- a/packages/moves/src/evidence.ts
+++ b/packages/moves/src/evidence.ts
@@ -23,7 +23,12 @@
 const MIDDLE_LOAD = 0.5;
 const HIGH_LOAD = 0.8;
 
-/** The level of a load fraction. */
+/**
+ * The level of a load fraction.
+ *
+ * @example
+ * loadLevelOf(0.9); // 'high'
+ */
 export function loadLevelOf(loadFraction: number): LoadLevel {
   if (loadFraction >= HIGH_LOAD) {
     return 'high';
@@ -31,10 +36,23 @@
   return loadFraction >= MIDDLE_LOAD ? 'middle' : 'low';
 }
 
+/**
+ * Sums of no request.
+ *
+ * @example
+ * const total = emptySums();
+ * addSums(total, sums);
+ */
 export function emptySums(): Sums {
   return {requests: 0, errors: 0, logLatency: 0, logLatencySquared: 0};
 }
 
+/**
+ * Adds sums to others in place.
+ *
+ * @example
+ * addSums(total, sums);
+ */
 export function addSums(to: Sums, from: Readonly<Sums>) {
   to.requests += from.requests;
   to.errors += from.errors;
--- a/packages/moves/src/moveChoice.ts
+++ b/packages/moves/src/moveChoice.ts
@@ -9,7 +9,12 @@
   readonly state: MoveState | undefined;
 }
 
-/** Pairs moves with states; a state about other versions belongs to an older form of the record. */
+/**
+ * Pairs moves with states; a state about other versions belongs to an older form of the record.
+ *
+ * @example
+ * const stated = withStates(moves, name => states.get(name));
+ */
 export function withStates(
   moves: readonly Move[],
   stateOf: (name: string) => MoveState | undefined,
@@ -20,7 +25,12 @@
   });
 }
 
-/** Whether a state is about the move as its record is now. */
+/**
+ * Whether a state is about the move as its record is now.
+ *
+ * @example
+ * const current = isAbout(state, move) ? state : undefined;
+ */
 export function isAbout(
   state: MoveState | undefined,
   {from, to}: Move,
@@ -32,7 +42,12 @@
   );
 }
 
-/** The version that serves after all finished moves, starting from the service's record. */
+/**
+ * The version that serves after all finished moves, starting from the service's record.
+ *
+ * @example
+ * versionAfterMoves('v1', stated); // 'v2' once the move from v1 to v2 is finished
+ */
 export function versionAfterMoves(
   incumbent: string,
   moves: readonly StatedMove[],
@@ -55,6 +70,9 @@
  * The one move of a service that may get traffic: the one that started first,
  * else the first by name. Two at once would each be judged on traffic that the
  * other disturbs.
+ *
+ * @example
+ * const {move, state} = activeMove(stated) ?? {};
  */
 export function activeMove(
   moves: readonly StatedMove[],
--- a/packages/moves/src/moveMachine.ts
+++ b/packages/moves/src/moveMachine.ts
@@ -47,7 +47,12 @@
   return service.machine.current as MovePhase;
 }
 
-/** Whether nothing more happens to a move of this phase by itself. */
+/**
+ * Whether nothing more happens to a move of this phase by itself.
+ *
+ * @example
+ * isFinal('taken-back'); // true
+ */
 export function isFinal(phase: MovePhase): boolean {
   return (
     phase === 'finished' || phase === 'taken-back' || phase === 'withdrawn'
--- a/packages/moves/src/plan.ts
+++ b/packages/moves/src/plan.ts
@@ -48,14 +48,24 @@
 const RELAX_FROM = 0.15;
 const RELAX_UNTIL = 0.6;
 
-/** Wall-clock time at which a move has to be decided. */
+/**
+ * Wall-clock time at which a move has to be decided.
+ *
+ * @example
+ * const isDue = clock.wall() >= decisionTime(move, state.startedAt);
+ */
 export function decisionTime(move: Move, startedAt: number): number {
   const wanted = (move.deadline - startedAt) * RESERVE_FRACTION;
   const reserve = Math.min(MOST_RESERVE_MS, Math.max(LEAST_RESERVE_MS, wanted));
   return move.deadline - reserve;
 }
 
-/** Part of the move's time that has passed, 1 when it has to be decided. */
+/**
+ * Part of the move's time that has passed, 1 when it has to be decided.
+ *
+ * @example
+ * const progress = progressOf(move, state.startedAt, clock.wall());
+ */
 export function progressOf(
   move: Move,
   startedAt: number,
@@ -69,6 +79,9 @@
  * Log-odds that are enough at this part of the time. A quiet service cannot
  * prove as much as a busy one; less is asked as time passes, and the state says
  * how sure it is.
+ *
+ * @example
+ * oddsNeeded(0); // 3
  */
 export function oddsNeeded(progress: number): number {
   const passed = (progress - RELAX_FROM) / (RELAX_UNTIL - RELAX_FROM);
@@ -82,7 +95,12 @@
   readonly full: number;
 }
 
-/** The share of idempotent routes. */
+/**
+ * The share of idempotent routes.
+ *
+ * @example
+ * const share = shareFor(move, progress, odds);
+ */
 export function shareFor(
   move: Move,
   progress: number,
@@ -91,7 +109,12 @@
   return highestStep(move, progress, progress, odds);
 }
 
-/** The share of routes that run at most once. */
+/**
+ * The share of routes that run at most once.
+ *
+ * @example
+ * const share = orderShareFor(move, progress, {share: 0.1, hasTraffic: true}, odds);
+ */
 export function orderShareFor(
   move: Move,
   progress: number,
--- a/packages/moves/src/sequentialTest.ts
+++ b/packages/moves/src/sequentialTest.ts
@@ -59,7 +59,12 @@
 /** A number smaller by this power of e adds nothing to a sum in double precision. */
 const NEGLIGIBLE_GAP = 40;
 
-/** Logarithm of the sum of two numbers given by their logarithms. */
+/**
+ * Logarithm of the sum of two numbers given by their logarithms.
+ *
+ * @example
+ * addLogs(Math.log(1), Math.log(2)); // Math.log(3)
+ */
 export function addLogs(a: number, b: number): number {
   const high = Math.max(a, b);
   const gap = high - Math.min(a, b);
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -26,6 +26,7 @@
   readonly excluded: ReadonlySet<string>;
 }
 
+/** The endpoint for one attempt; finished exactly once. */
 export interface Choice {
   readonly endpoint: string;
   /** Prompt tokens believed to be cached there. */
@@ -38,6 +39,7 @@
   finish(result: AttemptResult): void;
 }
 
+/** Chooses endpoints from what it was told of them and saw of attempts there. */
 export interface Router {
   /** The whole list of endpoints, as the host list gives it. */
   setEndpoints(endpoints: readonly Candidate[]): void;
--- a/packages/standins/src/engine/streamOutput.ts
+++ b/packages/standins/src/engine/streamOutput.ts
@@ -4,6 +4,7 @@
 import {mangle} from './engineFaults.js';
 import type {Sequence} from './sequence.js';
 
+/** Where an engine sends the events of its sequences. */
 export interface StreamOutput {
   /** Sends an event to the sequence's sink as its faults let it through. */
   emit(sequence: Sequence, event: GenerationEvent): void;
--- a/packages/standins/src/platform/httpReplies.ts
+++ b/packages/standins/src/platform/httpReplies.ts
@@ -49,7 +49,12 @@
   response.end(JSON.stringify(value));
 }
 
-/** Ends a reply with the answer to an error. */
+/**
+ * Ends a reply with the answer to an error.
+ *
+ * @example
+ * sendError(response, new ServingError('not-found', 'no such object'));
+ */
 export function sendError(response: ServerResponse, error: unknown): void {
   if (response.headersSent || response.destroyed) {
     response.destroy();
@@ -64,7 +69,13 @@
   sendJson(response, status, {kind, message, faults}, headers);
 }
 
-/** Begins a reply of JSON lines and gives the function that writes one. */
+/**
+ * Begins a reply of JSON lines and gives the function that writes one.
+ *
+ * @example
+ * const writeLine = beginLines(response);
+ * writeLine(change);
+ */
 export function beginLines(response: ServerResponse): (value: unknown) => void {
   response.writeHead(200, {'content-type': 'application/x-ndjson'});
   response.flushHeaders();
@@ -91,14 +102,24 @@
   return decodeURIComponent(String(request.params[name] ?? ''));
 }
 
-/** Throws while the platform is down: the answer is 503, before any effect. */
+/**
+ * Throws while the platform is down: the answer is 503, before any effect.
+ *
+ * @example
+ * checkUp(faults);
+ */
 export function checkUp(faults: Faults): void {
   if (faults.isDown) {
     throw new ServingError('platform-unavailable', 'the platform is down');
   }
 }
 
-/** Answers a call while the platform is down. */
+/**
+ * Answers a call while the platform is down.
+ *
+ * @example
+ * sendDown(response);
+ */
 export function sendDown(response: ServerResponse): void {
   sendError(
     response,
--- a/packages/streams/src/attemptWork.ts
+++ b/packages/streams/src/attemptWork.ts
@@ -3,6 +3,7 @@
 import type {MoveCosts} from './moveCosts.js';
 import type {Progress} from './progress.js';
 
+/** Counts and times of one attempt; adds what it recomputes to the request's progress. */
 export interface AttemptWork {
   /** True once the engine has told that it began. */
   readonly isStartSeen: boolean;
--- a/packages/streams/src/contracts.ts
+++ b/packages/streams/src/contracts.ts
@@ -7,6 +7,7 @@
   readonly text: string;
 }
 
+/** What a whole answer took, over all its attempts. */
 export interface StreamSummary {
   readonly reason: 'stop' | 'length';
   readonly promptTokens: number;
@@ -37,6 +38,7 @@
   finish(result: AttemptResult): void;
 }
 
+/** A request for an answer of a model. */
 export interface StreamRequest {
   readonly id: string;
   readonly prompt: string;
@@ -49,6 +51,7 @@
   readonly deadline: number;
 }
 
+/** Runs requests for answers; one for all of an entry. */
 export interface StreamRunner {
   /**
    * Runs a request to its end, over as many attempts as it takes.
