--- a/packages/orders/src/lateOutcomeSender.ts
+++ b/packages/orders/src/lateOutcomeSender.ts
@@ -1,5 +1,5 @@
 /** Brings outcomes of claims to the owners of shards that this process does not own. */
-import {rendezvousOrder, type Clock} from '@skylarkfield/base';
+import type {Clock} from '@skylarkfield/base';
 import type {LateOutcome, LateOutcomes} from './lateOutcomes.js';
 import type {OrderNetwork} from './orderRoute.js';
 import type {Shard} from './shardContracts.js';
@@ -8,14 +8,17 @@
   readonly network: OrderNetwork;
   readonly clock: Clock;
   readonly member: string;
-  readonly liveMembers: () => readonly string[];
-  readonly isReachable: (member: string) => boolean;
+  /** The entry that should own a shard, if any takes new work. */
+  readonly preferredOwner: (shard: number) => string | undefined;
   readonly late: LateOutcomes;
   readonly shards: readonly Shard[];
 }
 
 export interface LateOutcomeSender {
-  /** Tries all that wait once; what can't be delivered stays. */
+  /**
+   * Tries all that wait once, after a round under way has ended; what can't be
+   * delivered stays.
+   */
   send(): Promise<void>;
 }
 
@@ -31,11 +34,13 @@
   options: LateOutcomeSenderOptions,
 ): LateOutcomeSender {
   const {network, clock, member, late, shards} = options;
-  let isSending = false;
+  let round: Promise<void> | undefined;
+  /** Follows the round under way, for all who asked meanwhile. */
+  let nextRound: Promise<void> | undefined;
 
   /** Who can note outcomes of a shard; undefined when they were noted here or nobody can now. */
   async function targetOf(index: number): Promise<string | undefined> {
-    const target = preferredOwner(index);
+    const target = options.preferredOwner(index);
     if (target !== member) {
       return target;
     }
@@ -43,19 +48,12 @@
     return ownership?.type === 'elsewhere' ? ownership.member : undefined;
   }
 
-  function preferredOwner(index: number): string | undefined {
-    const known = options
-      .liveMembers()
-      .filter(other => other === member || options.isReachable(other));
-    return rendezvousOrder(`ledger/${index}`, known)[0];
-  }
-
   async function sendTo(
     target: string,
     shard: number,
     waiting: readonly LateOutcome[],
   ): Promise<void> {
-    const hops = Math.max(...waiting.map(late => late.hops)) + 1;
+    const hops = Math.max(...waiting.map(outcome => outcome.hops)) + 1;
     const outcomes = waiting.map(({outcome}) => outcome);
     try {
       const body = {shard, hops, outcomes};
@@ -66,20 +64,38 @@
     }
   }
 
+  async function sendShard(index: number): Promise<void> {
+    const waiting = late.ofShard(index, clock.now());
+    const target = await targetOf(index);
+    if (waiting.length > 0 && target !== undefined) {
+      await sendTo(target, index, waiting);
+    }
+  }
+
+  function startRound(): Promise<void> {
+    // All shards at once: a leaving process waits for the slowest owner, not for the sum.
+    round = Promise.all(late.shards().map(sendShard))
+      .then(() => undefined)
+      .finally(() => (round = undefined));
+    return round;
+  }
+
+  function startNextRound(): Promise<void> {
+    nextRound = undefined;
+    // A round that began after the last one ended has all that those who wait asked for.
+    return round ?? startRound();
+  }
+
   return {
-    async send() {
-      if (isSending) {
-        return;
-      }
-      isSending = true;
-      for (const index of late.shards()) {
-        const waiting = late.ofShard(index, clock.now());
-        const target = await targetOf(index);
-        if (waiting.length > 0 && target !== undefined) {
-          await sendTo(target, index, waiting);
-        }
+    send() {
+      if (round === undefined) {
+        return startRound();
       }
-      isSending = false;
+      // The round under way may have passed an outcome's shard before that outcome came. A leaving
+      // process that took this round for enough would end with it, and a retry would hear that an
+      // order with a known reply may have run.
+      nextRound ??= round.then(startNextRound, startNextRound);
+      return nextRound;
     },
   };
 }
