Orders: what was given up is known to be void before its write is decided

Cause: a caller's deadline passes while the write with its claim is in doubt or under way; an entry that has just started takes the shard with the claim in it, and its retry asks the first entry at once. That entry knew of the void claim only once it had the verdict of the write, so the retry of an order that had not run heard may-have-run. Change: the memory for asking owners takes an order that had a token and ended as not-run at its end. Orders without a token stay out, so that refusals in an outage push no outcome out.

--- a/packages/orders/src/ledger.ts
+++ b/packages/orders/src/ledger.ts
@@ -82,7 +82,7 @@
     random,
     shards,
     askClaimer,
-    onDidMove: flight => rememberOwn(flight, {state: 'released'}),
+    onDidVoid: flight => rememberOwn(flight, {state: 'released'}),
   });
   const runner = createOrderRunner({
     ...settings,
--- a/packages/orders/src/localOrders.ts
+++ b/packages/orders/src/localOrders.ts
@@ -8,7 +8,12 @@
 } from '@skylarkfield/base';
 import type {ObjectStore} from '@skylarkfield/platform';
 import type {ClaimOutcome} from '@skylarkfield/protocol';
-import {createFlight, type Flight, type OrderRequest} from './flight.js';
+import {
+  createFlight,
+  type Flight,
+  type FlightResult,
+  type OrderRequest,
+} from './flight.js';
 import {answerLost, keyConflict, knownAnswer, refusal} from './knownAnswers.js';
 import {shardOf} from './orderIdentity.js';
 import type {OrderResult} from './orderAnswers.js';
@@ -36,8 +41,8 @@
   readonly maxReplyBytes: number;
   readonly maxShardBytes: number;
   readonly retryAfterMs: number;
-  /** The order was given to the shard's next owner; it was not and will not be sent here. */
-  readonly onDidMove: (flight: Flight) => void;
+  /** The claim is void: the order was given up or moved, and was not and will not be sent under it. */
+  readonly onDidVoid: (flight: Flight) => void;
   /** Asks the entry that made a claim how it ended. */
   readonly askClaimer: (
     entry: LedgerEntry,
@@ -62,8 +67,9 @@
   function addFlight(flight: Flight): void {
     flights.set(flight.request.id, flight);
     void flight.done.then(result => {
-      if (result.type === 'moved') {
-        options.onDidMove(flight);
+      // At once, not when its write is decided: the next owner may find the claim and ask before that.
+      if (flight.token !== '' && isUnsent(result)) {
+        options.onDidVoid(flight);
       }
       if (flights.get(flight.request.id) === flight) {
         flights.delete(flight.request.id);
@@ -331,3 +337,10 @@
   unknown: (shard: Shard, entry: LedgerEntry) =>
     shard.table.put({...entry, state: 'unknown'}),
 };
+
+function isUnsent(result: FlightResult): boolean {
+  return (
+    result.type === 'moved' ||
+    (result.type === 'error' && result.error.run === 'not-run')
+  );
+}
--- a/packages/orders/src/test/foundSchedules.test.ts
+++ b/packages/orders/src/test/foundSchedules.test.ts
@@ -202,6 +202,30 @@
       assert.equal(retry?.answer?.kind, 'reply');
     },
   },
+  // A caller's short deadline passes while its claim is being written, and an entry that has just
+  // started takes the shard with the claim in it. It asks the first entry, which does not know yet
+  // what became of the write; the retry of an order that never ran heard `may-have-run`.
+  {
+    name: 'a claim given up during its write does not deny the retry elsewhere',
+    seed: 484_910,
+    waitMs: 2_000,
+    steps: [
+      {do: 'submit', entry: 0, key: 2},
+      {do: 'wait', ms: 100},
+      {do: 'submit-hasty', entry: 0, key: 0},
+      {do: 'start', entry: 3},
+      {do: 'submit', entry: 0, key: 0},
+      {do: 'wait', ms: 20},
+      {do: 'submit', entry: 0, key: 0},
+      {do: 'start', entry: 0},
+      {do: 'lose-replies', entry: 0, count: 1},
+    ],
+    expect(world) {
+      const [, hasty, ...retries] = world.submitted;
+      assert.equal(hasty?.answer?.run, 'not-run');
+      assert.ok(retries.every(({answer}) => answer?.kind === 'reply'));
+    },
+  },
 ];
 
 describe('schedules that the fuzzer found', () => {
