Orders: an order may be sent until the latest deadline of those who wait for it

One with more time joined it, and when the first one's time was up the order ended for both; the later one heard that it may have run, which it had not. Ruled out: a false not-run or a double run (neither was seen); starting the order anew for the later caller (a second claim for one key). Change: an order's deadline is the latest of its callers'; the time limit of its run and the time written at hand-over follow it.

--- a/packages/orders/src/flight.ts
+++ b/packages/orders/src/flight.ts
@@ -70,6 +70,12 @@
   isDecided(): boolean;
   /** True once it has ended by being handed over. */
   isMoved(): boolean;
+  /**
+   * Monotonic milliseconds until which it may be sent: the latest of those who
+   * wait. Were it the first one's, a caller with little time would end the
+   * order of one that joined it with more.
+   */
+  deadline(): number;
   /** Moves on; false when the state does not allow it. */
   tell(event: FlightEvent): boolean;
   /** Ends with a result; later results are dropped. */
@@ -116,6 +122,7 @@
   // An order from the ledger is nobody's to give up: it runs also when no caller waits for it.
   let waiters = owner === 'ledger' ? 1 : 0;
   let isMoved = false;
+  let latestDeadline = request.deadline;
   let finish: (result: FlightResult) => void = () => undefined;
   const done = new Promise<FlightResult>(resolve => (finish = resolve));
   let decide: () => void = () => undefined;
@@ -163,6 +170,7 @@
       return done;
     }
     waiters += 1;
+    latestDeadline = Math.max(latestDeadline, deadline);
     return new Promise((resolve, reject) => {
       const timer = clock.after(deadline - clock.now(), () =>
         quit('deadline-exceeded'),
@@ -201,6 +209,7 @@
     done,
     decided,
     token: '',
+    deadline: () => latestDeadline,
     state: current,
     isDecided: () => !undecidedStates.has(current()),
     isMoved: () => isMoved,
--- a/packages/orders/src/handOver.ts
+++ b/packages/orders/src/handOver.ts
@@ -49,7 +49,7 @@
     flight: Flight,
     budget: {bytes: number},
   ): LedgerEntry | undefined {
-    const {id, service, call, deadline} = flight.request;
+    const {id, service, call} = flight.request;
     const entry = shard.table.get(id);
     if (entry?.token !== flight.token) {
       return undefined;
@@ -60,7 +60,8 @@
       shard.table.remove(id);
       return entry;
     }
-    const runBefore = options.clock.wall() + deadline - options.clock.now();
+    const leftMs = flight.deadline() - options.clock.now();
+    const runBefore = options.clock.wall() + leftMs;
     const order = storeOrder(service, call, runBefore);
     shard.table.put({...entry, state: 'waiting', order});
     return entry;
--- a/packages/orders/src/orderRunner.ts
+++ b/packages/orders/src/orderRunner.ts
@@ -58,7 +58,7 @@
     flight: Flight,
     signal: AbortSignal,
   ): Promise<Attempt> {
-    const {service, call, deadline} = flight.request;
+    const {service, call} = flight.request;
     let wasSent = false;
     function begin(): boolean {
       // A second call says that the endpoint before got nothing and another is tried.
@@ -66,7 +66,7 @@
         flight.tell('unsend');
       }
       // A process that was paused wakes here: it must not send what its caller was refused meanwhile.
-      const mayBegin = options.isAlive() && clock.now() < deadline;
+      const mayBegin = options.isAlive() && clock.now() < flight.deadline();
       wasSent = mayBegin && flight.tell('send');
       return wasSent;
     }
@@ -117,7 +117,7 @@
     signal: AbortSignal,
   ): Promise<boolean> {
     const backoffMs = FIRST_BACKOFF_MS * 2 ** tries * (0.5 + random.next());
-    const isInTime = clock.now() + backoffMs < flight.request.deadline;
+    const isInTime = clock.now() + backoffMs < flight.deadline();
     const isHopeful = error.kind === 'endpoint-unavailable';
     if (!isHopeful || !isInTime || tries >= options.maxAttempts) {
       return false;
@@ -155,7 +155,7 @@
   }
 
   function giveUp(flight: Flight, error: ServingError): void {
-    const isLate = clock.now() >= flight.request.deadline;
+    const isLate = clock.now() >= flight.deadline();
     const late = new ServingError(
       'deadline-exceeded',
       'the deadline passed before the order was sent',
@@ -165,6 +165,11 @@
     flight.end({type: 'error', error: isLate ? late : error});
   }
 
+  /** Time that the call may still take, in milliseconds. */
+  function leftMs(flight: Flight): number {
+    return flight.deadline() + options.graceMs - clock.now();
+  }
+
   return {
     run(flight) {
       if (running.has(flight)) {
@@ -172,8 +177,15 @@
       }
       running.add(flight);
       const limit = new AbortController();
-      const limitMs = flight.request.deadline + options.graceMs - clock.now();
-      const timer = clock.after(limitMs, () => limit.abort());
+      let timer = clock.after(leftMs(flight), onLimit);
+      function onLimit(): void {
+        // A caller with more time may have joined since the timer was set.
+        if (leftMs(flight) <= 0) {
+          limit.abort();
+          return;
+        }
+        timer = clock.after(leftMs(flight), onLimit);
+      }
       flight.stopped.addEventListener('abort', () => limit.abort());
       void work(flight, limit.signal).finally(() => {
         running.delete(flight);
--- a/packages/orders/src/test/foundSchedules.test.ts
+++ b/packages/orders/src/test/foundSchedules.test.ts
@@ -226,6 +226,33 @@
       assert.ok(retries.every(({answer}) => answer?.kind === 'reply'));
     },
   },
+  // A caller with little time sends an order, and a retry with more time joins it elsewhere. When the
+  // first one's time was up the order ended for both, and the retry heard `may-have-run` for an order
+  // that never ran.
+  {
+    name: 'a caller with little time does not end the order of one with more',
+    seed: 0,
+    waitMs: 2_000,
+    steps: [
+      {do: 'submit', entry: 1, key: 4},
+      {do: 'submit-hasty', entry: 0, key: 4},
+      {do: 'wait', ms: 20},
+      {do: 'start', entry: 3},
+      {do: 'submit', entry: 0, key: 0},
+      {do: 'submit', entry: 0, key: 4},
+      {do: 'wait', ms: 1},
+      {do: 'leave', entry: 3},
+      {do: 'submit-hasty', entry: 0, key: 0},
+    ],
+    expect(world) {
+      const patient = world.submitted.filter(
+        ({timeoutMs}) => timeoutMs > 1_000,
+      );
+      for (const {subject, answer} of patient) {
+        assert.equal(answer?.kind, 'reply', subject);
+      }
+    },
+  },
 ];
 
 describe('schedules that the fuzzer found', () => {
