The admin port compares keys by the same function as the inner port

Cause: read-through of the whole change: the constant-time comparison stood twice, and the type of a request was written twice with a member that nothing set. Change: isSameKey serves both; RequestType stands once, without the unused member.

--- a/packages/entry/src/admin/adminServer.ts
+++ b/packages/entry/src/admin/adminServer.ts
@@ -1,5 +1,4 @@
 /** The operators' port: health, metrics, state dump and decisions. */
-import {createHash, timingSafeEqual} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import polka from 'polka';
 import {
@@ -8,6 +7,7 @@
   type DecisionLog,
   type Metrics,
 } from '@skylarkfield/base';
+import {isSameKey} from '@skylarkfield/protocol';
 import {sendProblem, toProblem} from '../callers/problem.js';
 import {bearerKey} from '../callers/requestHeaders.js';
 import type {Dumps} from '../context.js';
@@ -30,7 +30,6 @@
  * attachAdminRoutes({server, key, dumps, decisions, metrics});
  */
 export function attachAdminRoutes(options: AdminServerOptions): void {
-  const expected = digest(options.key);
   const app = polka({
     server: options.server,
     onNoMatch: (_request, response) => {
@@ -59,7 +58,7 @@
 
   function checkKey(request: IncomingMessage): void {
     const given = bearerKey(request.headers);
-    if (given === undefined || !timingSafeEqual(digest(given), expected)) {
+    if (given === undefined || !isSameKey(given, options.key)) {
       throw new ServingError('unauthenticated', 'the admin key is needed');
     }
   }
@@ -90,7 +89,3 @@
   }
   return value instanceof Set ? [...value] : value;
 }
-
-function digest(text: string): Buffer {
-  return createHash('sha256').update(text).digest();
-}
--- a/packages/entry/src/callers/callerServer.ts
+++ b/packages/entry/src/callers/callerServer.ts
@@ -21,7 +21,7 @@
   parseCompletionRequest,
   type ModelRequest,
 } from './modelRequest.js';
-import type {RequestMetrics} from './observation.js';
+import type {RequestMetrics, RequestType} from './observation.js';
 import {sendProblem, toProblem} from './problem.js';
 import {readBody} from './requestBody.js';
 import {bearerKey} from './requestHeaders.js';
@@ -48,7 +48,7 @@
 /** What a request turned out to be, for metrics and the log line. */
 interface RequestLabel {
   service: string;
-  type: 'model' | 'plain' | 'order' | 'none';
+  type: RequestType;
 }
 
 type Handler = (exchange: Exchange, label: RequestLabel) => Promise<void>;
--- a/packages/entry/src/callers/observation.ts
+++ b/packages/entry/src/callers/observation.ts
@@ -1,10 +1,13 @@
 /** Request metrics and the evidence that version moves are judged by. */
 import type {ErrorKind, Meter, ServingError} from '@skylarkfield/base';
 
+/** What a request turned out to be; `none` when it was refused before that was known. */
+export type RequestType = 'model' | 'plain' | 'none';
+
 /** How one request of a caller ended. */
 export interface RequestEnd {
   readonly service: string;
-  readonly type: 'model' | 'plain' | 'order' | 'none';
+  readonly type: RequestType;
   /** `ok` or the kind of the error. */
   readonly result: string;
   readonly durationMs: number;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -10,3 +10,4 @@
 export * from './messages/orderMessages.js';
 export * from './messages/moveMessages.js';
 export * from './messages/endpointMessages.js';
+export {isSameKey} from './hello.js';
