--- a/packages/admission/src/bulkhead.ts
+++ b/packages/admission/src/bulkhead.ts
@@ -9,11 +9,10 @@
   type Disposable,
   type Random,
 } from '@skylarkfield/base';
-import type {Service} from '@skylarkfield/records';
 import {createBulkheadMachine, type BulkheadState} from './bulkheadMachine.js';
 import {createCapacityShare} from './capacityShare.js';
 import {createConcurrencyLimit, type LimitPolicy} from './concurrencyLimit.js';
-import type {Ask, Ending, Permit} from './contracts.js';
+import type {Ask, Ending, GuardedService, Permit} from './contracts.js';
 import {createFairQueue} from './fairQueue.js';
 import {createRetryBudget} from './retryBudget.js';
 import {createWaitEstimate} from './waitEstimate.js';
@@ -21,7 +20,7 @@
 export interface Bulkhead {
   admit(ask: Ask, signal: AbortSignal): Promise<Permit>;
   tryRetry(): boolean;
-  configure(service: Service): void;
+  configure(service: GuardedService): void;
   setEntryCount(count: number): void;
   reportSlots(slots: number, busy: number | undefined): void;
   /** Requests in flight relative to the limit, 0 to 1. */
@@ -32,7 +31,7 @@
 }
 
 export interface BulkheadOptions {
-  readonly service: Service;
+  readonly service: GuardedService;
   readonly clock: Clock;
   readonly random: Random;
   readonly decisions: DecisionLog;
--- a/packages/admission/src/contracts.ts
+++ b/packages/admission/src/contracts.ts
@@ -1,6 +1,10 @@
 /** Who may use a service's capacity now, who waits, and who is refused. */
 import type {Service} from '@skylarkfield/records';
 
+/** A service as the admission guards it. */
+export type GuardedService = Partial<Service> &
+  Pick<Service, 'name' | 'concurrency' | 'queue' | 'targetMs'>;
+
 /** A request that asks for capacity. */
 export interface Ask {
   readonly service: string;
@@ -38,7 +42,7 @@
   /** Takes one retry from the service's budget; false when it is used up. */
   tryRetry(service: string): boolean;
   /** Adds, changes or removes (undefined) a service's bulkhead. */
-  setService(name: string, service: Service | undefined): void;
+  setService(name: string, service: GuardedService | undefined): void;
   /** Customers' weights for fairness within an urgency. */
   setCustomerWeight(customer: string, weight: number | undefined): void;
   /** How many live entries share the service's capacity. */
--- a/packages/entry/src/inFlight.ts
+++ b/packages/base/src/inFlight.ts
@@ -1,5 +1,5 @@
 /** Counts what is in progress and waits for it to end. */
-import type {Clock} from '@skylarkfield/base';
+import type {Clock} from './clock.js';
 
 export interface InFlight {
   begin(): void;
--- a/packages/base/src/logger.ts
+++ b/packages/base/src/logger.ts
@@ -7,9 +7,48 @@
 /** Names of fields that may hold a secret; their values never reach a log. */
 const SECRET_FIELDS = ['key', 'keys', 'authorization', 'secret', 'password'];
 
+/** Where log lines go. */
+export type LogSink = 'stderr' | 'stdout';
+
+/** Bytes gathered before a write, so that a line costs no system call of its own. */
+const GATHERED_BYTES = 4_096;
+
+/**
+ * Bytes that may wait for a slow reader; further lines are dropped. A process
+ * must never wait for whoever reads its log, nor fill its memory for it.
+ */
+const MOST_WAITING_BYTES = 1_048_576;
+
+/** Lines are written out at least this often, in milliseconds. */
+const FLUSH_MS = 250;
+
+const destinations: Readonly<Record<LogSink, () => pino.DestinationStream>> = {
+  stderr: () => pino.destination({fd: 2, sync: true}),
+  stdout: gatheredStdout,
+};
+
+function gatheredStdout(): pino.DestinationStream {
+  const stream = pino.destination({
+    fd: 1,
+    sync: false,
+    minLength: GATHERED_BYTES,
+    maxLength: MOST_WAITING_BYTES,
+  });
+  setInterval(() => stream.flush(), FLUSH_MS).unref();
+  process.once('exit', () => {
+    try {
+      stream.flushSync();
+    } catch {
+      // Nobody is left to tell when standard output itself is gone.
+    }
+  });
+  return stream;
+}
+
 /**
- * Makes the process's logger; lines go to standard error so that standard
- * output stays free for a command's own output.
+ * Makes the process's logger. Lines go to standard error, at once, so that
+ * standard output stays free for a command's own output; a server gives
+ * `stdout`, where lines are gathered and dropped rather than waited for.
  *
  * @example
  * const log = createLogger('info', {entry: 'a1'});
@@ -18,6 +57,7 @@
 export function createLogger(
   level: LogLevel,
   fields: Record<string, string> = {},
+  sink: LogSink = 'stderr',
 ): Logger {
   const redacted = SECRET_FIELDS.flatMap(name => [name, `*.${name}`]);
   return pino(
@@ -27,7 +67,7 @@
       redact: redacted,
       timestamp: pino.stdTimeFunctions.isoTime,
     },
-    pino.destination({fd: 2, sync: true}),
+    destinations[sink](),
   );
 }
 
--- a/packages/bench/src/fleet/replayCloud.ts
+++ b/packages/bench/src/fleet/replayCloud.ts
@@ -5,7 +5,7 @@
   type Random,
   type VirtualClock,
 } from '@skylarkfield/base';
-import type {Cloud, Host, Offer, ReclaimNotice} from '@skylarkfield/platform';
+import type {Cloud, Host, Offer, ReclaimNotice} from '@skylarkfield/providers';
 
 const MINUTE_MS = 60_000;
 const HOUR_MS = 60 * MINUTE_MS;
--- a/packages/bench/src/orderHandOver.ts
+++ b/packages/bench/src/orderHandOver.ts
@@ -1,6 +1,6 @@
 /** Waiting orders handed over in the ledger against over the inner protocol. */
 import {seededRandom, sleep, type Clock} from '@skylarkfield/base';
-import {memoryPlatform} from '@skylarkfield/platform';
+import {memoryPlatform} from '@skylarkfield/providers';
 import {startLedgers, type LedgerFleet} from './orderLedgers.js';
 
 const ENTRIES = 3;
--- a/packages/bench/src/orderLedgers.ts
+++ b/packages/bench/src/orderLedgers.ts
@@ -7,7 +7,7 @@
   type LedgerSettings,
   type OrderAnswer,
 } from '@skylarkfield/orders';
-import type {MemoryPlatform} from '@skylarkfield/platform';
+import type {MemoryPlatform} from '@skylarkfield/providers';
 import {createMemoryNetwork, type NetworkTraffic} from '@skylarkfield/protocol';
 
 export interface LedgerFleet {
--- a/packages/bench/src/orders.ts
+++ b/packages/bench/src/orders.ts
@@ -12,7 +12,7 @@
   type Random,
 } from '@skylarkfield/base';
 import type {LedgerSettings} from '@skylarkfield/orders';
-import {memoryPlatform, type MemoryPlatform} from '@skylarkfield/platform';
+import {memoryPlatform, type MemoryPlatform} from '@skylarkfield/providers';
 import {measureHandOver} from './orderHandOver.js';
 import {startLedgers, type LedgerFleet} from './orderLedgers.js';
 import type {MeasureOptions} from './measurements.js';
--- a/packages/bench/src/processes/trialFleet.ts
+++ b/packages/bench/src/processes/trialFleet.ts
@@ -2,7 +2,7 @@
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {createHttpObjectStore, type ObjectStore} from '@skylarkfield/platform';
+import {createHttpObjectStore, type ObjectStore} from '@skylarkfield/providers';
 import {startProcess, type TrialProcess} from './childProcess.js';
 
 export const TRIAL_ADMIN_KEY = 'trial-admin-key';
--- a/packages/bench/src/slopes/memberCluster.ts
+++ b/packages/bench/src/slopes/memberCluster.ts
@@ -7,7 +7,7 @@
   virtualClock,
 } from '@skylarkfield/base';
 import {createMembership, type Membership} from '@skylarkfield/members';
-import {memoryPlatform} from '@skylarkfield/platform';
+import {memoryPlatform} from '@skylarkfield/providers';
 import {MEMORY_SCHEME, createMemoryNetwork} from '@skylarkfield/protocol';
 
 const FAILURE_DOMAINS = 10;
--- a/packages/bench/src/slopes/orderOwner.ts
+++ b/packages/bench/src/slopes/orderOwner.ts
@@ -14,7 +14,7 @@
   memoryPlatform,
   type MemoryPlatform,
   type StoredObject,
-} from '@skylarkfield/platform';
+} from '@skylarkfield/providers';
 import type {MeasureOptions} from '../measurements.js';
 import {startLedgers, type LedgerFleet} from '../orderLedgers.js';
 import {collectedHeapBytes} from './heap.js';
--- a/packages/bench/src/slopes/replicaSlopes.ts
+++ b/packages/bench/src/slopes/replicaSlopes.ts
@@ -1,7 +1,7 @@
 /** What knowing replicas and records costs an entry, by unit. */
 import net, {type AddressInfo, type Socket} from 'node:net';
 import {createHttpEngine} from '@skylarkfield/endpoints';
-import type {ListedEndpoint} from '@skylarkfield/platform';
+import type {ListedEndpoint} from '@skylarkfield/providers';
 import {encodeFrame, type Messages} from '@skylarkfield/protocol';
 import {startEngineStandin} from '@skylarkfield/standins';
 
--- a/packages/bench/src/spread.ts
+++ b/packages/bench/src/spread.ts
@@ -6,7 +6,7 @@
  * delay of 1 ms between entries and 4 ms to the platform on the real clock.
  */
 import {seededRandom, sleep, systemClock, type Clock} from '@skylarkfield/base';
-import {memoryPlatform} from '@skylarkfield/platform';
+import {memoryPlatform} from '@skylarkfield/providers';
 import type {MeasureOptions} from './measurements.js';
 import {startSpreadFleet, type SpreadFleet} from './spreadFleet.js';
 
--- a/packages/bench/src/spreadFleet.ts
+++ b/packages/bench/src/spreadFleet.ts
@@ -10,7 +10,7 @@
   memoryPlatform,
   type MemoryClient,
   type MemoryPlatform,
-} from '@skylarkfield/platform';
+} from '@skylarkfield/providers';
 import {
   createMemoryNetwork,
   MEMORY_SCHEME,
--- a/packages/bench/src/test/leavingEndpoints.test.ts
+++ b/packages/bench/src/test/leavingEndpoints.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
-import {createHttpCloud} from '@skylarkfield/platform';
+import {createHttpCloud} from '@skylarkfield/providers';
 import type {TrialProcess} from '../processes/childProcess.js';
 import {startServingFleet} from '../processes/servingFleet.js';
 import {runsByKey, sendOrder, trialPlain} from '../processes/trialCalls.js';
--- a/packages/cli/src/commands/putRecord.ts
+++ b/packages/cli/src/commands/putRecord.ts
@@ -1,5 +1,5 @@
 import {Args, Command, Flags} from '@oclif/core';
-import type {WriteCondition} from '@skylarkfield/platform';
+import type {WriteCondition} from '@skylarkfield/providers';
 import {readJsonFile} from '../jsonInput.js';
 import {printJson, printLine} from '../output.js';
 import {platformFlag, splitRecordFile, withStore} from '../recordStore.js';
--- a/packages/cli/src/recordStore.ts
+++ b/packages/cli/src/recordStore.ts
@@ -1,7 +1,7 @@
 /** How record commands reach the platform's object API. */
 import {Flags} from '@oclif/core';
 import {ServingError} from '@skylarkfield/base';
-import {createHttpObjectStore, type ObjectStore} from '@skylarkfield/platform';
+import {createHttpObjectStore, type ObjectStore} from '@skylarkfield/providers';
 
 /** Kinds that operators write. */
 export const recordKinds = [
--- a/packages/cli/src/standinFlags.ts
+++ b/packages/cli/src/standinFlags.ts
@@ -1,6 +1,6 @@
 /** Flags and registration that the endpoint stand-ins share. */
 import {Flags} from '@oclif/core';
-import type {EndpointType, ListedEndpoint} from '@skylarkfield/platform';
+import type {EndpointType, ListedEndpoint} from '@skylarkfield/providers';
 import {callForJson} from './jsonInput.js';
 
 export const listenFlags = {
--- a/packages/duties/src/contest.ts
+++ b/packages/duties/src/contest.ts
@@ -12,7 +12,7 @@
   type Logger,
   type Random,
 } from '@skylarkfield/base';
-import type {ObjectStore, StoredObject} from '@skylarkfield/platform';
+import type {ObjectStore, StoredObject} from '@skylarkfield/providers';
 import type {DutyName, Tenure} from './contracts.js';
 import {
   LEASE_KIND,
--- a/packages/duties/src/duties.ts
+++ b/packages/duties/src/duties.ts
@@ -8,7 +8,7 @@
   type Logger,
   type Random,
 } from '@skylarkfield/base';
-import type {ObjectStore} from '@skylarkfield/platform';
+import type {ObjectStore} from '@skylarkfield/providers';
 import {startContest, type Contest} from './contest.js';
 import type {Duties, DutyName, Tenure} from './contracts.js';
 import {defaultLeaseTiming, type LeaseTiming} from './lease.js';
--- a/packages/duties/src/lease.ts
+++ b/packages/duties/src/lease.ts
@@ -1,5 +1,5 @@
 /** The lease of one duty as an object of the object API. */
-import type {StoredObject, WriteCondition} from '@skylarkfield/platform';
+import type {StoredObject, WriteCondition} from '@skylarkfield/providers';
 
 /** The kind of the objects that hold leases; a lease is named like its duty. */
 export const LEASE_KIND = 'lease';
--- a/packages/duties/src/leaseObserver.ts
+++ b/packages/duties/src/leaseObserver.ts
@@ -5,7 +5,7 @@
  * monotonic clock from when it first saw a version of the lease, which is later
  * than the moment from which the holder counts.
  */
-import type {StoredObject} from '@skylarkfield/platform';
+import type {StoredObject} from '@skylarkfield/providers';
 import type {Clock} from '@skylarkfield/base';
 import {readLease, type LeaseTiming} from './lease.js';
 
--- a/packages/duties/src/test/duties.test.ts
+++ b/packages/duties/src/test/duties.test.ts
@@ -6,7 +6,7 @@
   toDisposable,
   virtualClock,
 } from '@skylarkfield/base';
-import {memoryPlatform} from '@skylarkfield/platform';
+import {memoryPlatform} from '@skylarkfield/providers';
 import type {Tenure} from '../contracts.js';
 import {createDuties} from '../duties.js';
 import {createOrderGate} from '../orderGate.js';
--- a/packages/duties/src/test/dutyWorld.ts
+++ b/packages/duties/src/test/dutyWorld.ts
@@ -7,7 +7,7 @@
   virtualClock,
   type PausableClock,
 } from '@skylarkfield/base';
-import {memoryPlatform, type MemoryClient} from '@skylarkfield/platform';
+import {memoryPlatform, type MemoryClient} from '@skylarkfield/providers';
 import type {Duties, Tenure} from '../contracts.js';
 import {createDuties} from '../duties.js';
 
--- a/packages/entry/src/admin/adminServer.ts
+++ b/packages/entry/src/admin/adminServer.ts
@@ -5,12 +5,12 @@
   ServingError,
   toServingError,
   type DecisionLog,
+  type Dumps,
   type Metrics,
 } from '@skylarkfield/base';
 import {isSameKey} from '@skylarkfield/protocol';
 import {sendProblem, toProblem} from '../callers/problem.js';
 import {bearerKey} from '../callers/requestHeaders.js';
-import type {Dumps} from '../context.js';
 import type {HttpServer} from '../listener.js';
 
 interface AdminServerOptions {
--- a/packages/entry/src/callers/callerServer.ts
+++ b/packages/entry/src/callers/callerServer.ts
@@ -9,7 +9,7 @@
   type Logger,
 } from '@skylarkfield/base';
 import type {Customer, Service} from '@skylarkfield/records';
-import type {InFlight} from '../inFlight.js';
+import type {InFlight} from '@skylarkfield/base';
 import type {HttpServer} from '../listener.js';
 import type {Serving} from '../serving.js';
 import type {EntrySettings} from '../settings.js';
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -1,8 +1,11 @@
 /** One entry process: its ports, the order in which it starts, and how it stops. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
+  createDumps,
+  createInFlight,
   createLogger,
   createMetrics,
+  createProcessLife,
   decisionLog,
   disposableStore,
   processRandom,
@@ -11,6 +14,7 @@
   toDisposable,
   type Disposable,
   type DisposableStore,
+  type LifeState,
 } from '@skylarkfield/base';
 import {attachAdminRoutes} from './admin/adminServer.js';
 import {attachCallerRoutes, type Readiness} from './callers/callerServer.js';
@@ -19,16 +23,14 @@
 import {sendProblem, toProblem} from './callers/problem.js';
 import {createModelServer} from './callers/serveModel.js';
 import {createPlainServer} from './callers/servePlain.js';
-import {createDumps, type EntryContext} from './context.js';
+import type {EntryContext} from './context.js';
 import {createEntryParts, type EntryParts} from './entryParts.js';
-import {createInFlight} from './inFlight.js';
 import {
   createServer,
   openListener,
   type HttpServer,
   type Listener,
 } from './listener.js';
-import {createProcessLife, type LifeState} from './processLife.js';
 import {resolveSecret, type EntrySettings} from './settings.js';
 
 export interface EntryProcess {
--- a/packages/entry/src/parts/enginesPart.ts
+++ b/packages/entry/src/parts/enginesPart.ts
@@ -10,7 +10,7 @@
   createHttpPlainService,
 } from '@skylarkfield/endpoints';
 import type {LeavingEndpoint} from '@skylarkfield/members';
-import type {ListedEndpoint} from '@skylarkfield/platform';
+import type {ListedEndpoint} from '@skylarkfield/providers';
 import type {Router} from '@skylarkfield/routing';
 import type {EntryContext} from '../context.js';
 import type {ConnectedEndpoint, EndpointPool} from '../serving.js';
--- a/packages/entry/src/parts/fleetPart.ts
+++ b/packages/entry/src/parts/fleetPart.ts
@@ -7,7 +7,7 @@
   ORDER_DEADLINE_MS,
   type ManagedEndpoint,
 } from '@skylarkfield/fleet';
-import type {ListedEndpoint} from '@skylarkfield/platform';
+import type {ListedEndpoint} from '@skylarkfield/providers';
 import type {Configuration} from '@skylarkfield/records';
 import type {EntryContext} from '../context.js';
 import type {EndpointPool} from '../serving.js';
--- a/packages/entry/src/parts/leavingPart.ts
+++ b/packages/entry/src/parts/leavingPart.ts
@@ -5,7 +5,7 @@
   isReader,
   type EndpointLeaving,
 } from '@skylarkfield/members';
-import type {HostList} from '@skylarkfield/platform';
+import type {HostList} from '@skylarkfield/providers';
 import type {EntryContext} from '../context.js';
 import type {MembersPart} from './membersPart.js';
 import type {PlatformPart} from './platformPart.js';
--- a/packages/entry/src/parts/movesPart.ts
+++ b/packages/entry/src/parts/movesPart.ts
@@ -8,7 +8,7 @@
   createTrafficSplit,
   type TrafficSplit,
 } from '@skylarkfield/moves';
-import type {ObjectStore} from '@skylarkfield/platform';
+import type {ObjectStore} from '@skylarkfield/providers';
 import type {PeerNetwork} from '@skylarkfield/protocol';
 import type {Configuration} from '@skylarkfield/records';
 import type {EntryContext} from '../context.js';
--- a/packages/entry/src/parts/platformPart.ts
+++ b/packages/entry/src/parts/platformPart.ts
@@ -8,7 +8,7 @@
   type HostList,
   type ObjectClient,
   type WeightStore,
-} from '@skylarkfield/platform';
+} from '@skylarkfield/providers';
 import type {EntryContext} from '../context.js';
 
 export interface PlatformPart {
--- a/packages/entry/src/parts/sharedHostList.ts
+++ b/packages/entry/src/parts/sharedHostList.ts
@@ -12,7 +12,7 @@
   listedEndpointShape,
   type HostList,
   type ListedEndpoint,
-} from '@skylarkfield/platform';
+} from '@skylarkfield/providers';
 import type {PeerNetwork} from '@skylarkfield/protocol';
 import {z} from 'zod';
 
--- a/packages/entry/src/serving.ts
+++ b/packages/entry/src/serving.ts
@@ -4,7 +4,7 @@
 import type {LookupAnswer, LookupQuestion} from '@skylarkfield/members';
 import type {TrafficSplit} from '@skylarkfield/moves';
 import type {Ledger} from '@skylarkfield/orders';
-import type {ListedEndpoint} from '@skylarkfield/platform';
+import type {ListedEndpoint} from '@skylarkfield/providers';
 import type {Configuration} from '@skylarkfield/records';
 import type {Router} from '@skylarkfield/routing';
 import type {StreamRunner} from '@skylarkfield/streams';
--- a/packages/entry/src/test/callerServer.test.ts
+++ b/packages/entry/src/test/callerServer.test.ts
@@ -11,7 +11,7 @@
 } from '@skylarkfield/base';
 import {attachCallerRoutes} from '../callers/callerServer.js';
 import {createRequestMetrics} from '../callers/observation.js';
-import {createInFlight} from '../inFlight.js';
+import {createInFlight} from '@skylarkfield/base';
 import type {Serving} from '../serving.js';
 import {checkEntrySettings} from '../settings.js';
 
--- a/packages/entry/src/test/enginesPart.test.ts
+++ b/packages/entry/src/test/enginesPart.test.ts
@@ -8,7 +8,7 @@
   virtualClock,
 } from '@skylarkfield/base';
 import type {EndpointLeaving, LeavingEndpoint} from '@skylarkfield/members';
-import type {ListedEndpoint} from '@skylarkfield/platform';
+import type {ListedEndpoint} from '@skylarkfield/providers';
 import {createRouter} from '@skylarkfield/routing';
 import type {EntryContext} from '../context.js';
 import {createEnginesPart} from '../parts/enginesPart.js';
--- a/packages/entry/src/test/orderMetrics.test.ts
+++ b/packages/entry/src/test/orderMetrics.test.ts
@@ -7,7 +7,7 @@
   virtualClock,
 } from '@skylarkfield/base';
 import {createLedger, type OrderReply} from '@skylarkfield/orders';
-import {memoryPlatform} from '@skylarkfield/platform';
+import {memoryPlatform} from '@skylarkfield/providers';
 import {createOrderMetrics} from '../parts/orderMetrics.js';
 
 const reply: OrderReply = {status: 201, headers: {}, body: new Uint8Array()};
--- a/packages/fleet/src/contracts.ts
+++ b/packages/fleet/src/contracts.ts
@@ -1,5 +1,5 @@
 /** Hosts wanted per failure domain, machine class and market, and how to get there. */
-import type {Host, Market, Offer} from '@skylarkfield/platform';
+import type {Host, Market, Offer} from '@skylarkfield/providers';
 
 /** What one service needs. */
 export interface Demand {
--- a/packages/fleet/src/endpointRepair.ts
+++ b/packages/fleet/src/endpointRepair.ts
@@ -7,7 +7,7 @@
 } from '@skylarkfield/base';
 import type {OrderGate, Tenure} from '@skylarkfield/duties';
 import type {Engine} from '@skylarkfield/endpoints';
-import type {ListedEndpoint, WeightStore} from '@skylarkfield/platform';
+import type {ListedEndpoint, WeightStore} from '@skylarkfield/providers';
 
 /** An endpoint with the client that speaks to it. */
 export interface ManagedEndpoint {
--- a/packages/fleet/src/fleetDuty.ts
+++ b/packages/fleet/src/fleetDuty.ts
@@ -12,7 +12,7 @@
 } from '@skylarkfield/base';
 import type {Tenure} from '@skylarkfield/duties';
 import type {LoadReport} from '@skylarkfield/endpoints';
-import type {Cloud} from '@skylarkfield/platform';
+import type {Cloud} from '@skylarkfield/providers';
 import type {Service} from '@skylarkfield/records';
 import {makeClientToken, readClientToken} from './clientToken.js';
 import type {FleetStep, Host, HostPlan} from './contracts.js';
--- a/packages/fleet/src/test/fleetDuty.test.ts
+++ b/packages/fleet/src/test/fleetDuty.test.ts
@@ -9,7 +9,7 @@
   virtualClock,
 } from '@skylarkfield/base';
 import type {LoadReport} from '@skylarkfield/endpoints';
-import type {Cloud, Host, ReclaimNotice} from '@skylarkfield/platform';
+import type {Cloud, Host, ReclaimNotice} from '@skylarkfield/providers';
 import type {Service} from '@skylarkfield/records';
 import {createFleetDuty} from '../fleetDuty.js';
 
--- /dev/null
+++ b/packages/gateway/src/admissionFeed.ts
@@ -0,0 +1,69 @@
+/** Keeps the admission in step with the policy's services and the endpoints that are there. */
+import {every, type Clock, type Disposable} from '@skylarkfield/base';
+import type {Admission} from '@skylarkfield/admission';
+import type {DeclaredService} from '@skylarkfield/traffic';
+import type {EndpointDirectory} from './endpointDirectory.js';
+import type {PolicyInForce} from './policyInForce.js';
+
+/** How often the endpoints' places are counted, in milliseconds. */
+const INTERVAL_MS = 1_000;
+
+/**
+ * Requests at an endpoint for each of its places. Endpoints queue a few
+ * themselves, by urgency, and see there what no entry sees: the requests of all
+ * the others.
+ */
+const REQUESTS_PER_SLOT = 2;
+
+/** Requests that wait at one entry for each place of its service: about as long as they are of use. */
+const QUEUE_PER_SLOT = 4;
+
+/** What the admission measures latency against; fixed limits do not use it. */
+const TARGET_MS = 1_000;
+
+/**
+ * Starts to feed the admission.
+ *
+ * @example
+ * const feed = createAdmissionFeed({admission, directory, policy, clock});
+ */
+export function createAdmissionFeed(options: {
+  readonly admission: Admission;
+  readonly directory: EndpointDirectory;
+  readonly policy: PolicyInForce;
+  readonly clock: Clock;
+}): Disposable {
+  const {admission, directory, policy, clock} = options;
+  let known = new Set<string>();
+
+  function slotsOf({name}: DeclaredService): number {
+    const present = directory
+      .of(name)
+      .filter(({state}) => state === 'ready');
+    return present.reduce((sum, {slots}) => sum + slots, 0);
+  }
+
+  function update(): void {
+    const services = policy.services();
+    const names = new Set(services.map(({name}) => name));
+    for (const name of known) {
+      if (!names.has(name)) {
+        admission.setService(name, undefined);
+      }
+    }
+    known = names;
+    for (const service of services) {
+      const slots = Math.max(1, slotsOf(service));
+      admission.setService(service.name, {
+        name: service.name,
+        concurrency: slots * REQUESTS_PER_SLOT,
+        queue: slots * QUEUE_PER_SLOT,
+        targetMs: TARGET_MS,
+      });
+    }
+  }
+
+  policy.onDidChange(update);
+  update();
+  return every(clock, INTERVAL_MS, update);
+}
--- /dev/null
+++ b/packages/gateway/src/attempt.ts
@@ -0,0 +1,219 @@
+/** One attempt of a request at one endpoint. */
+import {ServingError, type Clock} from '@skylarkfield/base';
+import type {CallFormat, ReplyHead, ReplyHeaders} from './contracts.js';
+import {createEventFrames, type EventFrame} from './eventFrames.js';
+import type {UpstreamExchange, UpstreamRequest, Upstreams} from './upstream.js';
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  /** A whole answer, whatever its status. */
+  | {
+      readonly type: 'answered';
+      readonly status: number;
+      readonly headers: ReplyHeaders;
+      readonly body: Buffer;
+    }
+  /** A stream that was delivered to its end. */
+  | {readonly type: 'streamed'}
+  /** The endpoint promised that it has not run the request and won't. */
+  | {readonly type: 'declined'; readonly status: number}
+  /** No complete answer; the error tells whether the request may have run. */
+  | {readonly type: 'failed'; readonly error: ServingError};
+
+/** Takes the events of a stream, over all attempts of one request. */
+export interface EventSink {
+  /** The first attempt's status and headers; later ones are not passed on. */
+  begin(status: number, headers: ReplyHeaders): void;
+  /** Passes an event on; false when the caller reads too slowly and the endpoint must wait. */
+  write(frame: EventFrame): boolean;
+  /** Calls back once when the caller takes more. */
+  whenDrained(callback: () => void): void;
+  /** Passes on what follows the last event of a complete stream. */
+  finish(rest: Buffer): void;
+}
+
+export interface AttemptOptions {
+  readonly address: string;
+  readonly request: UpstreamRequest;
+  readonly attemptId: string;
+  readonly upstreams: Upstreams;
+  readonly format: CallFormat;
+  readonly clock: Clock;
+  /** Aborted when nobody waits for the answer any more. */
+  readonly signal: AbortSignal;
+  /** Where the events of a stream go; undefined for a request with a whole answer. */
+  readonly sink: EventSink | undefined;
+  /** Silence after which the attempt is given up, in milliseconds; undefined to wait for the signal alone. */
+  readonly silenceMs: number | undefined;
+  /** The endpoint's answer has begun; for a stream, its first event has come. */
+  onDidBegin(head: ReplyHead): void;
+}
+
+/** Statuses of an answer that has a stream as its body. */
+const FIRST_SUCCESS = 200;
+const FIRST_REDIRECT = 300;
+
+/**
+ * Runs one attempt.
+ *
+ * An answer is taken only when it names this attempt: an endpoint may send a
+ * second answer to an earlier request on the same connection, and its caller's
+ * data would go to somebody else.
+ *
+ * @example
+ * const end = await runAttempt({address: '10.0.0.7:8000', request, attemptId, ...rest});
+ */
+export function runAttempt(options: AttemptOptions): Promise<AttemptEnd> {
+  return new Promise(resolve => {
+    const {clock, format, signal, sink, silenceMs} = options;
+    const chunks: Buffer[] = [];
+    const frames = createEventFrames();
+    let reply: {status: number; headers: ReplyHeaders} | undefined;
+    let head: ReplyHead | undefined;
+    let isStream = false;
+    let hasBegun = false;
+    let isOver = false;
+    let exchange: UpstreamExchange | undefined;
+    let silence = watchSilence();
+
+    function watchSilence() {
+      if (silenceMs === undefined) {
+        return undefined;
+      }
+      return clock.after(silenceMs, () =>
+        giveUp(interrupted(`no word for ${silenceMs} ms`)),
+      );
+    }
+
+    function heard(): void {
+      silence?.dispose();
+      silence = watchSilence();
+    }
+
+    function settle(end: AttemptEnd): void {
+      if (isOver) {
+        return;
+      }
+      isOver = true;
+      silence?.dispose();
+      signal.removeEventListener('abort', onAbort);
+      resolve(end);
+    }
+
+    function giveUp(error: ServingError): void {
+      exchange?.abort();
+      settle({type: 'failed', error});
+    }
+
+    function onAbort(): void {
+      giveUp(
+        new ServingError('cancelled', 'nobody waits any more', {
+          run: 'may-have-run',
+        }),
+      );
+    }
+
+    function begin(): void {
+      if (hasBegun || head === undefined) {
+        return;
+      }
+      hasBegun = true;
+      options.onDidBegin(head);
+    }
+
+    function onDidRespond(status: number, headers: ReplyHeaders): void {
+      heard();
+      head = format.readReply(headers, status);
+      reply = {status, headers};
+      if (head.attemptId !== options.attemptId) {
+        giveUp(violation('the answer names another request'));
+        return;
+      }
+      if (headers['content-encoding'] !== undefined) {
+        giveUp(violation('the answer is encoded'));
+        return;
+      }
+      const isSuccess = status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
+      isStream = sink !== undefined && isSuccess;
+      if (!isStream && !head.isNotRun) {
+        begin();
+      }
+    }
+
+    function passOn(frame: EventFrame): void {
+      if (reply === undefined || sink === undefined) {
+        return;
+      }
+      if (!hasBegun) {
+        begin();
+        sink.begin(reply.status, reply.headers);
+      }
+      if (!sink.write(frame)) {
+        exchange?.pause();
+        silence?.dispose();
+        sink.whenDrained(() => {
+          heard();
+          exchange?.resume();
+        });
+      }
+    }
+
+    function onDidReceive(chunk: Buffer): void {
+      heard();
+      if (!isStream) {
+        chunks.push(chunk);
+        return;
+      }
+      frames.push(chunk).forEach(passOn);
+    }
+
+    function onDidEnd(): void {
+      if (reply === undefined || head === undefined) {
+        giveUp(interrupted('the answer has no head'));
+        return;
+      }
+      if (head.isNotRun) {
+        settle({type: 'declined', status: reply.status});
+        return;
+      }
+      if (isStream && sink !== undefined) {
+        if (!hasBegun) {
+          begin();
+          sink.begin(reply.status, reply.headers);
+        }
+        sink.finish(frames.rest());
+        settle({type: 'streamed'});
+        return;
+      }
+      settle({type: 'answered', ...reply, body: Buffer.concat(chunks)});
+    }
+
+    if (signal.aborted) {
+      settle({type: 'failed', error: unsent()});
+      return;
+    }
+    signal.addEventListener('abort', onAbort, {once: true});
+    exchange = options.upstreams.send(options.address, options.request, {
+      onDidRespond,
+      onDidReceive,
+      onDidEnd,
+      onDidFail: error => settle({type: 'failed', error}),
+    });
+  });
+}
+
+function interrupted(message: string): ServingError {
+  return new ServingError('interrupted', message, {run: 'may-have-run'});
+}
+
+function violation(message: string): ServingError {
+  return new ServingError('protocol-violation', message, {
+    run: 'may-have-run',
+  });
+}
+
+function unsent(): ServingError {
+  return new ServingError('cancelled', 'given up before it was sent', {
+    run: 'not-run',
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/callerFront.ts
@@ -0,0 +1,312 @@
+/** What happens to a caller's request from its head to its answer. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  ServingError,
+  toServingError,
+  type Clock,
+  type InFlight,
+  type Logger,
+} from '@skylarkfield/base';
+import type {Admission, Permit} from '@skylarkfield/admission';
+import {
+  chooseService,
+  promptKeys,
+  type KeyedCustomer,
+  type Quotas,
+  type Route,
+} from '@skylarkfield/traffic';
+import {readBody} from './callerBody.js';
+import {createCallerReply, type CallerReply} from './callerReply.js';
+import type {CallFormat, CallHead} from './contracts.js';
+import type {VersionGroup} from './endpointDirectory.js';
+import type {Forwarding, ForwardingResult} from './forwarding.js';
+import type {PolicyInForce} from './policyInForce.js';
+import type {RequestMetrics} from './requestMetrics.js';
+
+/** What the process as a whole allows at the moment. */
+export interface ServingState {
+  /** Takes requests at all. */
+  isServing(): boolean;
+  /** Connections should end with the next answer: the process stops soon. */
+  isClosing(): boolean;
+}
+
+export interface CallerFront {
+  handle(request: IncomingMessage, response: ServerResponse): Promise<void>;
+}
+
+interface FrontOptions {
+  readonly policy: PolicyInForce;
+  readonly quotas: Quotas;
+  readonly admission: Admission;
+  readonly forwarding: Forwarding;
+  readonly format: CallFormat;
+  readonly state: ServingState;
+  readonly inFlight: InFlight;
+  readonly metrics: RequestMetrics;
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** Which group of a service's versions takes the request. */
+  chooseGroup(service: string, key: string): VersionGroup;
+  /** Says how much work a request brings, before it is sent. */
+  onDidAccept(service: string, head: CallHead, urgency: number): void;
+}
+
+/** A request with what was found out about it. */
+interface Accepted {
+  readonly head: CallHead;
+  readonly attemptId: string;
+  readonly route: Route;
+  readonly service: string;
+  readonly customer: KeyedCustomer | undefined;
+  readonly urgency: number;
+  readonly deadlineAt: number;
+}
+
+/**
+ * Endpoints know ten urgencies and callers' priorities are small numbers, so
+ * steps of two leave room between them.
+ */
+const URGENCY_PER_PRIORITY = 2;
+const LEAST_URGENT = 9;
+
+/** The bulkheads know eight urgencies. */
+const LEAST_ADMITTED_URGENCY = 7;
+
+/**
+ * Tokens of a prompt that weigh as much as one request in the queue: about the
+ * mean of what the users' model requests bring that no cache holds.
+ */
+const TOKENS_PER_COST = 2_500;
+
+/** Rejected requests may come back after this when a copy of the policy is awaited, in milliseconds. */
+const NOT_READY_RETRY_MS = 400;
+
+/**
+ * Makes the front.
+ *
+ * @example
+ * const server = http.createServer((request, response) => void front.handle(request, response));
+ */
+export function createCallerFront(options: FrontOptions): CallerFront {
+  const {policy, quotas, admission, forwarding, format, clock, log} = options;
+
+  function accept(request: IncomingMessage, arrivedAt: number): Accepted {
+    const head = format.readCall(request.headers);
+    const {attemptId} = head;
+    if (!options.state.isServing()) {
+      throw notReady('no policy is known here yet');
+    }
+    if (attemptId === undefined) {
+      throw new ServingError('bad-request', 'the request has no attempt id');
+    }
+    const route = policy.routeOf(head.authority, request.url ?? '/');
+    if (route === undefined) {
+      throw new ServingError('not-found', 'no route matches');
+    }
+    const customer = policy.customerOf(route, head);
+    const service = chooseService(route.services, attemptId);
+    if (service === undefined) {
+      throw new ServingError('endpoint-unavailable', 'the route has no service');
+    }
+    const patienceMs = Math.min(head.patienceMs ?? Infinity, route.timeoutMs);
+    const priority = customer?.priority ?? route.priority;
+    return {
+      head,
+      attemptId,
+      route,
+      service,
+      customer,
+      urgency: Math.min(LEAST_URGENT, priority * URGENCY_PER_PRIORITY),
+      deadlineAt: arrivedAt + patienceMs,
+    };
+  }
+
+  function takeQuota({customer, head}: Accepted): () => void {
+    const amount = quotaAmount(customer, head);
+    if (customer === undefined || amount === 0) {
+      return () => {};
+    }
+    if (!quotas.tryTake(customer, amount)) {
+      throw new ServingError('overloaded', `the quota of ${customer.name} is used up`, {
+        run: 'not-run',
+        retryAfterMs: quotas.waitMs(customer, amount),
+      });
+    }
+    return () => quotas.giveBack(customer, amount);
+  }
+
+  function admit(accepted: Accepted, signal: AbortSignal): Promise<Permit> {
+    const {service, customer, urgency, deadlineAt, head} = accepted;
+    options.onDidAccept(service, head, urgency);
+    return admission.admit(
+      {
+        service,
+        customer: customer?.name ?? '',
+        urgency: Math.min(urgency, LEAST_ADMITTED_URGENCY),
+        deadline: deadlineAt,
+        cost: costOf(head),
+      },
+      signal,
+    );
+  }
+
+  async function serve(
+    request: IncomingMessage,
+    reply: CallerReply,
+    accepted: Accepted,
+    caller: AbortSignal,
+  ): Promise<ForwardingResult> {
+    const {head, attemptId, route, service, customer, urgency, deadlineAt} =
+      accepted;
+    const body = await readBody(request, policy.limits().bodyBytes, caller);
+    const giveBack = takeQuota(accepted);
+    let permit: Permit;
+    try {
+      permit = await admit(accepted, caller);
+    } catch (error) {
+      giveBack();
+      throw error;
+    }
+    const admittedAt = clock.now();
+    const deadline = new AbortController();
+    const timer = clock.after(deadlineAt - admittedAt, () => deadline.abort());
+    try {
+      const result = await forwarding.forward(
+        {
+          head,
+          attemptId,
+          route,
+          service,
+          version: options.chooseGroup(service, attemptId),
+          customer: customer?.name,
+          urgency: head.demand === undefined ? undefined : urgency,
+          method: request.method ?? 'GET',
+          path: request.url ?? '/',
+          rawHeaders: request.rawHeaders,
+          body,
+          promptKeys: promptKeys(head.demand?.parts ?? []),
+          deadlineAt,
+          signal: AbortSignal.any([caller, deadline.signal]),
+        },
+        reply,
+      );
+      if (result.error?.run === 'not-run') {
+        giveBack();
+      }
+      permit.release({
+        outcome: endingOf(result, caller),
+        latencyMs: result.firstMs ?? clock.now() - admittedAt,
+      });
+      return result;
+    } finally {
+      timer.dispose();
+      permit.release({outcome: 'failed', latencyMs: clock.now() - admittedAt});
+    }
+  }
+
+  return {
+    async handle(request, response) {
+      const arrivedAt = clock.now();
+      const gone = new AbortController();
+      response.once('close', () => {
+        if (!response.writableFinished) {
+          gone.abort();
+        }
+      });
+      const reply = createCallerReply({
+        request,
+        response,
+        format,
+        isClosing: options.state.isClosing,
+      });
+      options.inFlight.begin();
+      let accepted: Accepted | undefined;
+      let result: ForwardingResult;
+      try {
+        accepted = accept(request, arrivedAt);
+        result = await serve(request, reply, accepted, gone.signal);
+      } catch (caught) {
+        const error = toServingError(caught);
+        const status = reply.refuse(error);
+        result = {status, error, firstMs: undefined, endpoints: []};
+        // Node reads the rest of a body that nobody wants only when it is told to.
+        request.resume();
+      } finally {
+        options.inFlight.end();
+      }
+      note(accepted, result, request, gone.signal.aborted, clock.now() - arrivedAt);
+    },
+  };
+
+  function note(
+    accepted: Accepted | undefined,
+    {status, error, firstMs, endpoints}: ForwardingResult,
+    request: IncomingMessage,
+    hasLeft: boolean,
+    tookMs: number,
+  ): void {
+    options.metrics.note({
+      service: accepted?.service,
+      kind: error?.kind ?? 'ok',
+      firstMs,
+      tookMs,
+    });
+    log.info(
+      {
+        request: accepted?.attemptId ?? format.readCall(request.headers).attemptId,
+        route: accepted?.route.name,
+        service: accepted?.service,
+        customer: accepted?.customer?.name,
+        policy: policy.version(),
+        policyAgeMs: Math.round(policy.ageMs()),
+        endpoints,
+        status,
+        ...(error && {kind: error.kind, run: error.run, why: error.message}),
+        ...(error?.retryAfterMs !== undefined && {retryAfterMs: Math.round(error.retryAfterMs)}),
+        ...(hasLeft && {hasLeft}),
+        ...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
+        tookMs: Math.round(tookMs),
+      },
+      'request',
+    );
+  }
+}
+
+function quotaAmount(
+  customer: KeyedCustomer | undefined,
+  {demand}: CallHead,
+): number {
+  if (customer?.quota === undefined) {
+    return 0;
+  }
+  if (customer.quota.unit === 'requests') {
+    return 1;
+  }
+  return demand === undefined
+    ? customer.quota.plainTokens
+    : demand.promptTokens + demand.mostOutputTokens;
+}
+
+function costOf({demand}: CallHead): number {
+  if (demand === undefined) {
+    return 1;
+  }
+  return Math.max(0.1, demand.promptTokens / TOKENS_PER_COST);
+}
+
+function endingOf({error}: ForwardingResult, caller: AbortSignal) {
+  if (error === undefined) {
+    return 'ok';
+  }
+  if (caller.aborted) {
+    return 'cancelled';
+  }
+  return error.kind === 'overloaded' ? 'overloaded' : 'failed';
+}
+
+function notReady(message: string): ServingError {
+  return new ServingError('not-ready', message, {
+    retryAfterMs: NOT_READY_RETRY_MS,
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/callerReply.ts
@@ -0,0 +1,128 @@
+/** The answer to one caller's request, written at most once. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {errorAnswers, type ServingError} from '@skylarkfield/base';
+import type {CallFormat, ReplyHeaders} from './contracts.js';
+import type {EventFrame} from './eventFrames.js';
+import type {EventSink} from './attempt.js';
+
+export interface CallerReply {
+  /** Whether a part of an answer has gone out. */
+  hasBegun(): boolean;
+  /** The id of the last event passed on. */
+  lastEventId(): number | undefined;
+  /** Milliseconds from arrival to the first byte of the answer; undefined before it. */
+  readonly sink: EventSink;
+  whole(status: number, headers: ReplyHeaders, body: Buffer): void;
+  refuse(error: ServingError): number;
+  /** Ends an answer that can't be completed so that it does not look complete. */
+  breakOff(): void;
+}
+
+const MS_PER_SECOND = 1_000;
+
+/** Statuses that promise nothing about whether the request ran. */
+const FAILED_STATUS = 502;
+const TIMED_OUT_STATUS = 504;
+/** Promises that the request has not run and won't. */
+const NOT_RUN_STATUS = 503;
+const FIRST_SERVER_FAULT = 500;
+
+/** When a caller may come back that was refused without a better figure, in milliseconds. */
+const DEFAULT_RETRY_MS = 300;
+
+/**
+ * Makes the reply of one request.
+ *
+ * @example
+ * const reply = createCallerReply({request, response, format, isClosing});
+ * reply.refuse(error);
+ */
+export function createCallerReply(options: {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly format: CallFormat;
+  /** Whether the connection should end with this answer. */
+  isClosing(): boolean;
+}): CallerReply {
+  const {response, format} = options;
+  let lastId: number | undefined;
+
+  function head(status: number, headers: Record<string, string | string[]>) {
+    if (options.isClosing()) {
+      headers['connection'] = 'close';
+    }
+    response.writeHead(status, headers);
+  }
+
+  return {
+    hasBegun: () => response.headersSent,
+    lastEventId: () => lastId,
+    sink: {
+      begin(status, headers) {
+        if (!response.headersSent) {
+          head(status, format.replyHeaders(headers));
+        }
+      },
+      write({bytes, id}: EventFrame) {
+        if (id !== undefined) {
+          // An endpoint that goes on may repeat what the caller already has.
+          if (lastId !== undefined && id <= lastId) {
+            return true;
+          }
+          lastId = id;
+        }
+        return response.write(bytes);
+      },
+      whenDrained: callback => response.once('drain', callback),
+      finish(rest) {
+        response.end(rest.length > 0 ? rest : undefined);
+      },
+    },
+    whole(status, headers, body) {
+      const passed = format.replyHeaders(headers);
+      passed['content-length'] = String(body.length);
+      head(status, passed);
+      response.end(body);
+    },
+    refuse(error) {
+      const status = statusOf(error);
+      if (response.headersSent || response.destroyed) {
+        response.destroy();
+        return status;
+      }
+      const body = Buffer.from(
+        JSON.stringify({
+          title: errorAnswers[error.kind].title,
+          kind: error.kind,
+          run: error.run,
+          detail: error.message,
+        }),
+      );
+      const headers: Record<string, string> = {
+        'content-type': 'application/problem+json',
+        'content-length': String(body.length),
+      };
+      if (error.run === 'not-run' && errorAnswers[error.kind].retryable) {
+        const waitMs = error.retryAfterMs ?? DEFAULT_RETRY_MS;
+        headers['retry-after'] = (waitMs / MS_PER_SECOND).toFixed(2);
+      }
+      head(status, headers);
+      response.end(body);
+      return status;
+    },
+    breakOff: () => response.destroy(),
+  };
+}
+
+/**
+ * The status of a refusal. A caller repeats what can't be repeated safely only
+ * after a status that promises that nothing ran, so that status is given exactly
+ * when it is true.
+ */
+function statusOf(error: ServingError): number {
+  const {status} = errorAnswers[error.kind];
+  if (error.run === 'not-run') {
+    return status >= FIRST_SERVER_FAULT ? NOT_RUN_STATUS : status;
+  }
+  return error.kind === 'deadline-exceeded' ? TIMED_OUT_STATUS : FAILED_STATUS;
+}
--- /dev/null
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -0,0 +1,111 @@
+/** The endpoints that may be used, kept in step with what they register. */
+import type {Logger} from '@skylarkfield/base';
+import type {Candidate, Router} from '@skylarkfield/routing';
+import type {RegisteredEndpoint, Rollout} from '@skylarkfield/traffic';
+import type {Mirror} from './mirror.js';
+import type {Upstreams} from './upstream.js';
+
+/** Which group of a service's versions an endpoint belongs to. */
+export type VersionGroup = 'incumbent' | 'candidate';
+
+export interface EndpointDirectory {
+  /** By the key that the router knows it by. */
+  get(key: string): RegisteredEndpoint | undefined;
+  /** All that are registered for a service, leaving ones included. */
+  of(service: string): readonly RegisteredEndpoint[];
+  /** Those that take new work. */
+  ready(service: string, group: VersionGroup): readonly RegisteredEndpoint[];
+  /** Takes the present registrations over to the router. */
+  refresh(): void;
+}
+
+/**
+ * Makes the directory over the mirrored registrations.
+ *
+ * @example
+ * const directory = createEndpointDirectory({endpoints, rollouts, router, upstreams, log});
+ * endpoints.onDidChange(() => directory.refresh());
+ */
+export function createEndpointDirectory(options: {
+  readonly endpoints: Mirror<RegisteredEndpoint>;
+  readonly rollouts: Mirror<Rollout>;
+  readonly router: Router;
+  readonly upstreams: Upstreams;
+  readonly log: Logger;
+}): EndpointDirectory {
+  const {endpoints, rollouts, router, upstreams, log} = options;
+  let byKey = new Map<string, RegisteredEndpoint>();
+
+  function targetOf(service: string): string | undefined {
+    const found = rollouts
+      .items()
+      .find(({value}) => value.service === service && isOpen(value));
+    return found?.value.target;
+  }
+
+  function groupOf(endpoint: RegisteredEndpoint): VersionGroup {
+    const target = targetOf(endpoint.service);
+    return target !== undefined && endpoint.version === target
+      ? 'candidate'
+      : 'incumbent';
+  }
+
+  function toCandidate(endpoint: RegisteredEndpoint): Candidate {
+    return {
+      id: keyOf(endpoint),
+      service: endpoint.service,
+      version: groupOf(endpoint),
+      failureDomain: endpoint.failureDomain,
+      host: endpoint.address,
+      type: 'plain',
+    };
+  }
+
+  return {
+    get: key => byKey.get(key),
+    of: service =>
+      [...byKey.values()].filter(endpoint => endpoint.service === service),
+    ready: (service, group) =>
+      [...byKey.values()].filter(
+        endpoint =>
+          endpoint.service === service &&
+          endpoint.state === 'ready' &&
+          groupOf(endpoint) === group,
+      ),
+    refresh() {
+      const present = endpoints.items().map(({value}) => value);
+      const before = byKey;
+      byKey = new Map(present.map(endpoint => [keyOf(endpoint), endpoint]));
+      const usable = present.filter(({state}) => state === 'ready');
+      router.setEndpoints(usable.map(toCandidate));
+      upstreams.keepOnly(new Set(present.map(({address}) => address)));
+      noteChanges(before);
+    },
+  };
+
+  function noteChanges(before: ReadonlyMap<string, RegisteredEndpoint>): void {
+    for (const [id, endpoint] of byKey) {
+      if (before.get(id)?.state !== endpoint.state) {
+        const {service, state, failureDomain, version, isReclaimable} = endpoint;
+        log.info({endpoint: id, service, state, failureDomain, version, isReclaimable}, 'endpoint registered');
+      }
+    }
+    for (const id of before.keys()) {
+      if (!byKey.has(id)) {
+        log.info({endpoint: id}, 'endpoint gone');
+      }
+    }
+  }
+}
+
+function isOpen({state, stateTarget, target}: Rollout): boolean {
+  return stateTarget !== target || state === undefined || state === 'running';
+}
+
+/**
+ * A process that starts again under its old id knows nothing of before: under a
+ * key of its own the router does not expect its caches there.
+ */
+function keyOf({id, bornAt}: RegisteredEndpoint): string {
+  return `${id}@${bornAt}`;
+}
--- /dev/null
+++ b/packages/gateway/src/fleetDuty.ts
@@ -0,0 +1,212 @@
+/** Orders endpoints so that each service has what its work needs, for as long as the duty is held. */
+import {
+  every,
+  toServingError,
+  type Clock,
+  type Disposable,
+  type Logger,
+} from '@skylarkfield/base';
+import type {Tenure} from '@skylarkfield/duties';
+import {
+  endpointsNeeded,
+  planFleet,
+  type DeclaredService,
+  type DomainFleet,
+  type FleetPlan,
+} from '@skylarkfield/traffic';
+import type {EndpointOrder, PlatformOrders} from './contracts.js';
+import type {EndpointDirectory} from './endpointDirectory.js';
+
+/** How often the plan is made anew, in milliseconds. */
+const PLAN_MS = 500;
+
+/** An order that is not carried out by then is given again. */
+const REPEAT_MS = 6_000;
+
+/** How long a failure domain counts as out of reclaimable endpoints after a refusal or a reclaim. */
+const SCARCE_MS = 4_000;
+
+/** Fewer are wanted only when the plan has said so for this long: work comes in waves. */
+const CALM_MS = 4_000;
+
+/** Time for one call, in milliseconds. */
+const CALL_MS = 1_500;
+
+type Market = keyof DomainFleet;
+
+interface GivenOrder {
+  readonly count: number;
+  readonly at: number;
+}
+
+export interface FleetDutyOptions {
+  readonly tenure: Tenure;
+  readonly holder: string;
+  readonly orders: PlatformOrders;
+  readonly directory: EndpointDirectory;
+  services(): readonly DeclaredService[];
+  /** Work for a service over all entries, in milliseconds of one endpoint a second. */
+  workRate(service: string): number;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+/**
+ * Starts to order for as long as the tenure lasts.
+ *
+ * @example
+ * duties.compete('fleet', tenure => startFleetDuty({tenure, ...rest}));
+ */
+export function startFleetDuty(options: FleetDutyOptions): Disposable {
+  const {tenure, orders, directory, clock, log} = options;
+  const given = new Map<string, GivenOrder>();
+  const scarceUntil = new Map<string, number>();
+  const surplusSince = new Map<string, number>();
+  const startedAt = clock.now();
+  let isBusy = false;
+
+  function present(service: string, domain: string, market: Market): number {
+    return directory
+      .of(service)
+      .filter(
+        endpoint =>
+          endpoint.state === 'ready' &&
+          endpoint.failureDomain === domain &&
+          endpoint.isReclaimable === (market === 'reclaimable'),
+      ).length;
+  }
+
+  function readyCount(service: string): number {
+    return directory.of(service).filter(({state}) => state === 'ready').length;
+  }
+
+  /** A reclaimable endpoint that leaves shows that its failure domain is being reclaimed. */
+  function noteReclaims(service: string): void {
+    for (const endpoint of directory.of(service)) {
+      if (endpoint.isReclaimable && endpoint.state === 'draining') {
+        scarceUntil.set(
+          `${service}/${endpoint.failureDomain}`,
+          clock.now() + SCARCE_MS,
+        );
+      }
+    }
+  }
+
+  function scarceDomains(service: string, domains: readonly string[]) {
+    return new Set(
+      domains.filter(
+        domain => (scarceUntil.get(`${service}/${domain}`) ?? 0) > clock.now(),
+      ),
+    );
+  }
+
+  /** Whether fewer may be ordered: the surplus has lasted, and enough are ready without it. */
+  function mayShrink(
+    service: string,
+    key: string,
+    surplus: number,
+    workRate: number,
+  ): boolean {
+    if (clock.now() - startedAt < CALM_MS) {
+      return false;
+    }
+    const since = surplusSince.get(key) ?? clock.now();
+    surplusSince.set(key, since);
+    return (
+      clock.now() - since >= CALM_MS &&
+      readyCount(service) - surplus >= endpointsNeeded(workRate)
+    );
+  }
+
+  function wantedOrders(service: string, plan: FleetPlan, workRate: number) {
+    const wanted: EndpointOrder[] = [];
+    for (const [failureDomain, fleet] of Object.entries(plan)) {
+      for (const market of ['reclaimable', 'standing'] as const) {
+        const key = `${service}/${failureDomain}/${market}`;
+        const count = fleet[market];
+        const have = present(service, failureDomain, market);
+        const last = given.get(key);
+        const isAsked =
+          last !== undefined &&
+          last.count === count &&
+          clock.now() - last.at < REPEAT_MS;
+        if (have <= count) {
+          surplusSince.delete(key);
+        }
+        if (isAsked || (have === count && (last === undefined || last.count === count))) {
+          continue;
+        }
+        if (have > count && !mayShrink(service, key, have - count, workRate)) {
+          continue;
+        }
+        wanted.push({
+          service,
+          failureDomain,
+          count,
+          isReclaimable: market === 'reclaimable',
+        });
+      }
+    }
+    return wanted;
+  }
+
+  async function give(order: EndpointOrder): Promise<void> {
+    const market: Market = order.isReclaimable ? 'reclaimable' : 'standing';
+    const key = `${order.service}/${order.failureDomain}/${market}`;
+    if (!tenure.isValid()) {
+      return;
+    }
+    given.set(key, {count: order.count, at: clock.now()});
+    const answer = await orders.orderEndpoints(
+      {holder: options.holder, fencing: tenure.fencing},
+      order,
+      AbortSignal.any([tenure.signal, AbortSignal.timeout(CALL_MS)]),
+    );
+    log.info({...order, answer, fencing: tenure.fencing}, 'endpoints ordered');
+    if (answer === 'unavailable') {
+      scarceUntil.set(
+        `${order.service}/${order.failureDomain}`,
+        clock.now() + SCARCE_MS,
+      );
+    }
+    if (answer !== 'accepted') {
+      given.delete(key);
+    }
+  }
+
+  async function planService({name, fleet}: DeclaredService): Promise<void> {
+    if (fleet === undefined || directory.of(name).length === 0) {
+      return;
+    }
+    noteReclaims(name);
+    const workRate = options.workRate(name);
+    const domains = Object.keys(fleet.prices);
+    const plan = planFleet({
+      terms: fleet,
+      workRate,
+      scarce: scarceDomains(name, domains),
+    });
+    for (const order of wantedOrders(name, plan, workRate)) {
+      await give(order);
+    }
+  }
+
+  async function planAll(): Promise<void> {
+    if (isBusy || !tenure.isValid()) {
+      return;
+    }
+    isBusy = true;
+    try {
+      for (const service of options.services()) {
+        await planService(service);
+      }
+    } catch (error) {
+      const {kind, message} = toServingError(error);
+      log.warn({kind, message}, 'endpoints not ordered');
+    } finally {
+      isBusy = false;
+    }
+  }
+
+  return every(clock, PLAN_MS, () => void planAll());
+}
--- /dev/null
+++ b/packages/gateway/src/forwarding.ts
@@ -0,0 +1,347 @@
+/** Takes an admitted request to an endpoint, and to another one where that is allowed. */
+import {ServingError, type Clock, type Logger} from '@skylarkfield/base';
+import type {Admission} from '@skylarkfield/admission';
+import type {Choice, Router} from '@skylarkfield/routing';
+import type {Route} from '@skylarkfield/traffic';
+import {runAttempt, type AttemptEnd} from './attempt.js';
+import type {CallerReply} from './callerReply.js';
+import type {CallFormat, CallHead, ReplyHead} from './contracts.js';
+import type {EndpointDirectory} from './endpointDirectory.js';
+import type {Upstreams} from './upstream.js';
+
+/** A request that has leave to be sent. */
+export interface ForwardedCall {
+  readonly head: CallHead;
+  readonly attemptId: string;
+  readonly route: Route;
+  readonly service: string;
+  readonly version: string;
+  readonly customer: string | undefined;
+  readonly urgency: number | undefined;
+  readonly method: string;
+  readonly path: string;
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer | undefined;
+  /** Keys of the prompt's shared parts; empty for a plain service. */
+  readonly promptKeys: readonly string[];
+  /** Monotonic milliseconds. */
+  readonly deadlineAt: number;
+  /** Aborted when the caller leaves or the deadline passes. */
+  readonly signal: AbortSignal;
+}
+
+/** How a forwarded call ended. */
+export interface ForwardingResult {
+  readonly status: number;
+  /** Milliseconds from the first send to the first byte or event; undefined when none came. */
+  readonly firstMs: number | undefined;
+  /** Endpoints it was sent to, in order. */
+  readonly endpoints: readonly string[];
+  /** Why it failed; undefined when an endpoint's whole answer was passed on. */
+  readonly error: ServingError | undefined;
+}
+
+export interface Forwarding {
+  forward(call: ForwardedCall, reply: CallerReply): Promise<ForwardingResult>;
+}
+
+/** Sends of one request that endpoints declined or could not be reached for; more say that the service has no room. */
+const MOST_SENDS = 3;
+
+/** An idempotent request waits this part of its time for one endpoint while another may still be tried. */
+const SILENCE_PART = 0.4;
+
+/**
+ * A resumable stream that pauses for this multiple of its declared longest
+ * pause goes on elsewhere: by then the answer is late, and callers leave after
+ * eight pauses.
+ */
+const PAUSES_TO_RESUME = 3;
+
+/** Statuses by which a service says that it failed. */
+const FIRST_SERVER_FAULT = 500;
+
+/** What one request has been through. */
+interface Progress {
+  readonly endpoints: string[];
+  readonly excluded: Set<string>;
+  /** Endpoints that may have run it. */
+  runs: number;
+  sentAt: number;
+  firstMs: number | undefined;
+}
+
+/**
+ * Makes the forwarding of one entry.
+ *
+ * @example
+ * const {status} = await forwarding.forward(call, reply);
+ */
+export function createForwarding(options: {
+  readonly router: Router;
+  readonly directory: EndpointDirectory;
+  readonly admission: Admission;
+  readonly upstreams: Upstreams;
+  readonly format: CallFormat;
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** A request of the customer began to run at this wall-clock millisecond. */
+  onDidRun(customer: string | undefined, wallMs: number): void;
+}): Forwarding {
+  const {router, directory, admission, upstreams, format, clock, log} = options;
+
+  function choose(call: ForwardedCall, excluded: ReadonlySet<string>) {
+    const {demand} = call.head;
+    return router.choose({
+      service: call.service,
+      version: call.version,
+      blocks: call.promptKeys,
+      promptTokens: demand?.promptTokens ?? 0,
+      excluded,
+    });
+  }
+
+  function isRepeatable({route}: ForwardedCall): boolean {
+    return route.kind === 'idempotent' || route.isResumable;
+  }
+
+  /** Whether a request that may have run may run at another endpoint. */
+  function mayRunAgain(call: ForwardedCall, progress: Progress): boolean {
+    return (
+      isRepeatable(call) &&
+      progress.runs < call.route.attempts &&
+      progress.endpoints.length < MOST_SENDS &&
+      !call.signal.aborted &&
+      admission.tryRetry(call.service)
+    );
+  }
+
+  /** Whether a request that has certainly not run here may be sent on. */
+  function maySendOn(call: ForwardedCall, progress: Progress): boolean {
+    return (
+      progress.endpoints.length < MOST_SENDS &&
+      !call.signal.aborted &&
+      admission.tryRetry(call.service)
+    );
+  }
+
+  function silenceMs(call: ForwardedCall, progress: Progress) {
+    if (!isRepeatable(call) || progress.runs + 1 >= call.route.attempts) {
+      return undefined;
+    }
+    if (call.route.kind === 'streaming') {
+      return Math.max(call.route.goalMs, call.route.longestPauseMs) * PAUSES_TO_RESUME;
+    }
+    return (call.deadlineAt - clock.now()) * SILENCE_PART;
+  }
+
+  async function attempt(
+    call: ForwardedCall,
+    reply: CallerReply,
+    progress: Progress,
+    choice: Choice,
+  ): Promise<AttemptEnd> {
+    const endpoint = directory.get(choice.endpoint);
+    if (endpoint === undefined) {
+      choice.finish({outcome: 'unreachable', latencyMs: 0});
+      return {type: 'failed', error: unavailable(call, 'it has just gone')};
+    }
+    progress.endpoints.push(endpoint.id);
+    progress.excluded.add(choice.endpoint);
+    const sentAt = clock.now();
+    const sentWallMs = clock.wall();
+    let beganAt: number | undefined;
+    const lastEventId = reply.lastEventId() ?? call.head.lastEventId;
+    const end = await runAttempt({
+      address: endpoint.address,
+      request: {
+        method: call.method,
+        path: call.path,
+        headers: format.sendHeaders(call.rawHeaders, {
+          patienceMs: Math.max(1, Math.floor(call.deadlineAt - sentAt)),
+          endpointId: endpoint.id,
+          customer: call.customer,
+          urgency: call.urgency,
+          lastEventId:
+            lastEventId === undefined ? undefined : String(lastEventId),
+        }),
+        body: call.body,
+      },
+      attemptId: call.attemptId,
+      upstreams,
+      format,
+      clock,
+      signal: call.signal,
+      sink: call.route.kind === 'streaming' ? reply.sink : undefined,
+      silenceMs: silenceMs(call, progress),
+      onDidBegin(head) {
+        beganAt = clock.now();
+        progress.firstMs ??= beganAt - progress.sentAt;
+        choice.streaming();
+        noteLoad(choice.endpoint, head);
+      },
+    });
+    const latencyMs = (beganAt ?? clock.now()) - sentAt;
+    choice.finish({outcome: outcomeOf(end), latencyMs});
+    noteRun(call, progress, end, beganAt, sentWallMs);
+    return end;
+  }
+
+  let reports = 0;
+  function noteLoad(endpoint: string, {load}: ReplyHead): void {
+    if (load === undefined) {
+      return;
+    }
+    reports += 1;
+    router.reportLoad(endpoint, {
+      sequence: reports,
+      ...load,
+      waitingPromptTokens: 0,
+      cacheUse: 0,
+    });
+  }
+
+  /** A plain request runs from its sending on, a model's from its first token. */
+  function noteRun(
+    call: ForwardedCall,
+    progress: Progress,
+    end: AttemptEnd,
+    beganAt: number | undefined,
+    sentWallMs: number,
+  ): void {
+    if (end.type === 'declined') {
+      return;
+    }
+    if (end.type === 'failed' && end.error.run === 'not-run') {
+      return;
+    }
+    progress.runs += 1;
+    const isFirst = progress.runs === 1;
+    const isStream = call.route.kind === 'streaming';
+    if (!isFirst || (isStream && beganAt === undefined)) {
+      return;
+    }
+    const sinceMs = isStream ? clock.now() - (beganAt ?? 0) : 0;
+    options.onDidRun(call.customer, isStream ? clock.wall() - sinceMs : sentWallMs);
+  }
+
+  /** What follows an attempt: an answer, an error, or undefined for another attempt. */
+  function conclude(
+    call: ForwardedCall,
+    reply: CallerReply,
+    progress: Progress,
+    end: AttemptEnd,
+  ): {status: number; error?: ServingError} | undefined {
+    if (end.type === 'streamed') {
+      return {status: 200};
+    }
+    if (end.type === 'answered') {
+      const isFault = end.status >= FIRST_SERVER_FAULT;
+      if (isFault && !reply.hasBegun() && mayRunAgain(call, progress)) {
+        return undefined;
+      }
+      if (reply.hasBegun()) {
+        return failed(call, reply, new ServingError('interrupted', 'the stream could not go on'));
+      }
+      reply.whole(end.status, end.headers, end.body);
+      return {status: end.status};
+    }
+    if (end.type === 'declined') {
+      if (maySendOn(call, progress)) {
+        return undefined;
+      }
+      return failed(call, reply, declined(call, progress));
+    }
+    const hasRun = end.error.run === 'may-have-run';
+    const mayGoOn = hasRun
+      ? mayRunAgain(call, progress)
+      : maySendOn(call, progress);
+    return mayGoOn ? undefined : failed(call, reply, runOf(end.error, progress));
+  }
+
+  function failed(call: ForwardedCall, reply: CallerReply, error: ServingError) {
+    if (reply.hasBegun()) {
+      reply.breakOff();
+      return {status: 0, error};
+    }
+    return {status: reply.refuse(error), error};
+  }
+
+  return {
+    async forward(call, reply) {
+      const progress: Progress = {
+        endpoints: [],
+        excluded: new Set(),
+        runs: 0,
+        sentAt: clock.now(),
+        firstMs: undefined,
+      };
+      for (;;) {
+        const choice = choose(call, progress.excluded);
+        if (choice === undefined) {
+          const error = runOf(unavailable(call, 'none is left'), progress);
+          return result(failed(call, reply, error), progress);
+        }
+        const end = await attempt(call, reply, progress, choice);
+        const conclusion = conclude(call, reply, progress, end);
+        if (conclusion !== undefined) {
+          return result(conclusion, progress);
+        }
+        log.info(
+          {request: call.attemptId, endpoint: choice.endpoint, end: describe(end), runs: progress.runs, sends: progress.endpoints.length},
+          'another endpoint',
+        );
+      }
+    },
+  };
+}
+
+function result(
+  {status, error}: {status: number; error?: ServingError},
+  {firstMs, endpoints}: Progress,
+): ForwardingResult {
+  return {status, error, firstMs, endpoints};
+}
+
+function describe(end: AttemptEnd): string {
+  if (end.type === 'failed') {
+    return `${end.error.kind}: ${end.error.message}`;
+  }
+  return end.type;
+}
+
+function outcomeOf(end: AttemptEnd) {
+  if (end.type === 'streamed') {
+    return 'ok';
+  }
+  if (end.type === 'answered') {
+    return end.status >= FIRST_SERVER_FAULT ? 'failed' : 'ok';
+  }
+  if (end.type === 'declined') {
+    return 'overloaded';
+  }
+  if (end.error.kind === 'cancelled') {
+    return 'cancelled';
+  }
+  return end.error.run === 'not-run' ? 'unreachable' : 'failed';
+}
+
+/** The error with the run state of all attempts: what ran before is not undone by a later refusal. */
+function runOf(error: ServingError, {runs}: Progress): ServingError {
+  if (runs === 0 || error.run === 'may-have-run') {
+    return error;
+  }
+  return new ServingError('endpoint-failed', error.message, {
+    run: 'may-have-run',
+    cause: error,
+  });
+}
+
+function unavailable({service}: ForwardedCall, why: string): ServingError {
+  return new ServingError('endpoint-unavailable', `no endpoint of ${service}: ${why}`);
+}
+
+function declined(call: ForwardedCall, progress: Progress): ServingError {
+  const message = `${progress.endpoints.length} endpoints of ${call.service} have no room`;
+  return runOf(new ServingError('overloaded', message, {run: 'not-run'}), progress);
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,4 @@
+/** The gateway: requests of any service, by declared routes. */
+export * from './contracts.js';
+export * from './gatewayProcess.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/gateway/src/mirror.ts
@@ -0,0 +1,189 @@
+/**
+ * This entry's copy of one kind of objects on the platform, and how it is kept
+ * the newest with few calls: one entry reads, the others hear it from there.
+ */
+import {
+  emitter,
+  type Clock,
+  type Event,
+  type Logger,
+} from '@skylarkfield/base';
+import type {
+  MirrorChange,
+  MirrorCopy,
+  MirrorKind,
+  MirrorStanding,
+} from '@skylarkfield/protocol';
+import {createConfirmation, type Moment} from '@skylarkfield/traffic';
+import type {SourceChanges, SourceItem, SourceListing} from './contracts.js';
+
+/** Changes that take a copy from one revision to another. */
+export interface MirrorStep {
+  readonly from: number;
+  readonly to: number;
+  readonly changes: readonly MirrorChange[];
+}
+
+export interface Mirror<T> {
+  readonly kind: MirrorKind;
+  /** False until the first listing or copy has come. */
+  isKnown(): boolean;
+  get(name: string): T | undefined;
+  items(): readonly SourceItem<T>[];
+  revision(): number;
+  /** Milliseconds since the copy was known to be the newest. */
+  ageMs(): number;
+  /** Fires after the content has changed. */
+  readonly onDidChange: Event<void>;
+  /** Takes what this entry read itself; returns the step for the others, if anything changed. */
+  takeListing(listing: SourceListing<T>, asked: Moment): void;
+  takeChanges(changes: SourceChanges<T>, asked: Moment): MirrorStep | undefined;
+  /** Takes a step from a peer; false when it does not fit and the whole copy is needed. */
+  takeStep(step: MirrorStep): boolean;
+  takeCopy(copy: MirrorCopy): void;
+  /** A peer's copy was the newest at that moment; true when ours is the same. */
+  confirmBy(standing: MirrorStanding, moment: Moment): boolean;
+  copy(): MirrorCopy;
+  /** The standing for the others; `isReader` tells whether this entry reads itself. */
+  standing(isReader: boolean): MirrorStanding;
+}
+
+/**
+ * Makes an empty copy.
+ *
+ * @example
+ * const endpoints = createMirror<RegisteredEndpoint>({kind: 'endpoints', clock, log});
+ * endpoints.onDidChange(() => router.setEndpoints(endpoints.items()));
+ */
+export function createMirror<T>(options: {
+  readonly kind: MirrorKind;
+  readonly clock: Clock;
+  readonly log: Logger;
+}): Mirror<T> {
+  const {kind, clock, log} = options;
+  const changed = emitter<void>();
+  const confirmation = createConfirmation(clock);
+  const items = new Map<string, SourceItem<T>>();
+  /** The store's revision up to which the copy is complete; undefined before the first listing. */
+  let revision: number | undefined;
+  let changedAt = 0;
+
+  function put(name: string, itemRevision: number, value: T): boolean {
+    const known = items.get(name);
+    if (known !== undefined && known.revision >= itemRevision) {
+      return false;
+    }
+    items.set(name, {name, revision: itemRevision, value});
+    return true;
+  }
+
+  function apply({name, revision: at, value}: MirrorChange): boolean {
+    if (value !== undefined) {
+      return put(name, at, value as T);
+    }
+    const known = items.get(name);
+    // The object may have been made again after the removal that is told here.
+    if (known === undefined || known.revision > at) {
+      return false;
+    }
+    return items.delete(name);
+  }
+
+  function applyAll(changes: readonly MirrorChange[], to: number): void {
+    let isDifferent = false;
+    for (const change of changes) {
+      isDifferent = apply(change) || isDifferent;
+    }
+    changedAt = Math.max(changedAt, to);
+    if (isDifferent) {
+      log.info({mirror: kind, to, changed: changes.map(({name}) => name)}, 'mirror changed');
+      changed.fire();
+    }
+  }
+
+  /** Takes a whole content; an older one than ours is left alone. */
+  function replace(to: number, at: number, next: readonly MirrorChange[]): void {
+    if (revision !== undefined && to < revision) {
+      return;
+    }
+    const names = new Set(next.map(({name}) => name));
+    const removed = [...items.keys()].filter(name => !names.has(name));
+    removed.forEach(name => items.delete(name));
+    const isFirst = revision === undefined;
+    revision = to;
+    let isDifferent = isFirst || removed.length > 0;
+    for (const change of next) {
+      isDifferent = apply(change) || isDifferent;
+    }
+    changedAt = Math.max(changedAt, at);
+    if (isDifferent) {
+      log.info({mirror: kind, to, objects: items.size}, 'mirror replaced');
+      changed.fire();
+    }
+  }
+
+  return {
+    kind,
+    isKnown: () => revision !== undefined,
+    get: name => items.get(name)?.value,
+    items: () => [...items.values()],
+    revision: () => revision ?? 0,
+    ageMs: () => (revision === undefined ? Infinity : confirmation.ageMs()),
+    onDidChange: changed.event,
+    takeListing(listing, asked) {
+      replace(listing.revision, listing.revision, listing.items);
+      confirmation.confirm(asked);
+    },
+    takeChanges(read, asked) {
+      const from = revision ?? 0;
+      if (read.revision < from) {
+        // A peer has told of newer ones while this answer was on its way.
+        return undefined;
+      }
+      const changes = read.changes.map(({name, item}) =>
+        item === undefined
+          ? {name, revision: read.revision}
+          : {name, revision: item.revision, value: item.value},
+      );
+      revision = read.revision;
+      confirmation.confirm(asked);
+      if (changes.length === 0) {
+        return undefined;
+      }
+      applyAll(changes, read.revision);
+      return {from, to: read.revision, changes};
+    },
+    takeStep({from, to, changes}) {
+      if (revision === undefined || revision < from) {
+        return false;
+      }
+      if (to > revision) {
+        revision = to;
+        applyAll(changes, to);
+      }
+      return true;
+    },
+    takeCopy: copy => replace(copy.revision, copy.changedAt, copy.items),
+    confirmBy(standing, moment) {
+      if (revision === undefined || revision < standing.changedAt) {
+        return false;
+      }
+      revision = Math.max(revision, standing.revision);
+      confirmation.confirm(moment);
+      return true;
+    },
+    copy: () => ({
+      revision: revision ?? 0,
+      changedAt,
+      items: [...items.values()],
+    }),
+    standing: isReader => ({
+      revision: revision ?? 0,
+      changedAt,
+      confirmedAgoMs: Number.isFinite(confirmation.ageMs())
+        ? Math.max(0, Math.round(confirmation.ageMs()))
+        : -1,
+      isReader,
+    }),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/platformView.ts
@@ -0,0 +1,218 @@
+/** Copies of what the platform holds, read by few entries and told to all. */
+import {
+  disposableStore,
+  rendezvousOrder,
+  type Clock,
+  type Disposable,
+  type Logger,
+  type Random,
+} from '@skylarkfield/base';
+import type {
+  MirrorCopy,
+  MirrorKind,
+  MirrorStanding,
+  PeerNetwork,
+} from '@skylarkfield/protocol';
+import type {
+  Moment,
+  RegisteredEndpoint,
+  Rollout,
+  TrafficPolicy,
+} from '@skylarkfield/traffic';
+import type {Platform, Source} from './contracts.js';
+import {createMirror, type Mirror} from './mirror.js';
+import {
+  startMirrorReader,
+  type MirrorReader,
+  type ReadTiming,
+} from './mirrorReader.js';
+
+/** The standing of every mirror, as a digest carries it. */
+export type MirrorStandings = Readonly<Record<MirrorKind, MirrorStanding>>;
+
+export interface PlatformView extends Disposable {
+  readonly policy: Mirror<TrafficPolicy>;
+  readonly endpoints: Mirror<RegisteredEndpoint>;
+  readonly rollouts: Mirror<Rollout>;
+  standings(): MirrorStandings;
+  /** What a peer's digest says; it was sent after `moment`, on this entry's clocks. */
+  noteStandings(
+    peer: string,
+    standings: MirrorStandings,
+    moment: Moment | undefined,
+  ): void;
+  dump(): unknown;
+}
+
+/**
+ * The policy is read most often: the age of its copy decides whether a key
+ * still counts. 600 ms makes 1.7 calls a second for the whole fleet and keeps
+ * copies within 2 s of the store, of the 5 s that a revoked key may still work.
+ * Changes of the other kinds come as soon as they happen; their wait only
+ * bounds how long a connection that died silently goes unnoticed.
+ */
+const READ_TIMINGS: Readonly<Record<MirrorKind, ReadTiming>> = {
+  policy: {waitMs: 600, graceMs: 700},
+  endpoints: {waitMs: 1_500, graceMs: 700},
+  rollouts: {waitMs: 6_000, graceMs: 1_500},
+};
+
+/** Time for a peer to send its whole copy. */
+const COPY_TIMEOUT_MS = 1_000;
+
+/** What a peer said of its reading counts this long: three missed digests. */
+const HEARD_MS = 1_000;
+
+/**
+ * Makes the view and starts to read what is this entry's turn.
+ *
+ * @example
+ * const view = createPlatformView({platform, network, self: 'a1', liveEntries, clock, random, log});
+ */
+export function createPlatformView(options: {
+  readonly platform: Platform;
+  readonly network: PeerNetwork;
+  readonly self: string;
+  /** Ids of the live entries, this one included. */
+  liveEntries(): readonly string[];
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+}): PlatformView {
+  const {platform, network, self, clock, random, log} = options;
+  const owned = disposableStore();
+  const mirrors = {
+    policy: createMirror<TrafficPolicy>({kind: 'policy', clock, log}),
+    endpoints: createMirror<RegisteredEndpoint>({kind: 'endpoints', clock, log}),
+    rollouts: createMirror<Rollout>({kind: 'rollouts', clock, log}),
+  };
+  const kinds = Object.keys(mirrors) as MirrorKind[];
+  const readers = new Map<MirrorKind, MirrorReader>();
+  const heard = new Map<string, {at: number; standings: MirrorStandings}>();
+  const copying = new Set<MirrorKind>();
+
+  function isReadBy(peer: string, kind: MirrorKind): boolean {
+    const last = heard.get(peer);
+    return (
+      last !== undefined &&
+      clock.now() - last.at < HEARD_MS &&
+      last.standings[kind].isReader
+    );
+  }
+
+  /** Nobody before this entry in the order gets answers. */
+  function isTurn(kind: MirrorKind): boolean {
+    const order = rendezvousOrder('platform-reader', options.liveEntries());
+    for (const id of order) {
+      if (id === self) {
+        return true;
+      }
+      if (isReadBy(id, kind)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  function startReader<T>(mirror: Mirror<T>, source: Source<T>): void {
+    const reader = startMirrorReader({
+      mirror,
+      source,
+      clock,
+      random,
+      log,
+      timing: READ_TIMINGS[mirror.kind],
+      isTurn: () => isTurn(mirror.kind),
+      onDidStep: step =>
+        network.broadcast('mirrorChanges', {kind: mirror.kind, ...step}),
+    });
+    readers.set(mirror.kind, owned.add(reader));
+  }
+
+  async function fetchCopy(kind: MirrorKind, peer: string): Promise<void> {
+    if (copying.has(kind)) {
+      return;
+    }
+    copying.add(kind);
+    try {
+      const answer = await network.ask(
+        peer,
+        'mirrorWanted',
+        {kind},
+        COPY_TIMEOUT_MS,
+      );
+      mirrors[kind].takeCopy(answer as MirrorCopy);
+    } catch (error) {
+      log.info({mirror: kind, peer, reason: String(error)}, 'copy not given');
+    } finally {
+      copying.delete(kind);
+    }
+  }
+
+  function noteStanding(
+    kind: MirrorKind,
+    peer: string,
+    standing: MirrorStanding,
+    moment: Moment | undefined,
+  ): void {
+    const mirror = mirrors[kind];
+    if (!mirror.isKnown() || mirror.revision() < standing.changedAt) {
+      if (standing.revision > 0) {
+        void fetchCopy(kind, peer);
+      }
+      return;
+    }
+    if (moment === undefined || standing.confirmedAgoMs < 0) {
+      return;
+    }
+    mirror.confirmBy(standing, {
+      monotonicMs: moment.monotonicMs - standing.confirmedAgoMs,
+      wallMs: moment.wallMs - standing.confirmedAgoMs,
+    });
+  }
+
+  owned.add(
+    network.onDidReceive('mirrorChanges', (from, step) => {
+      if (!mirrors[step.kind].takeStep(step)) {
+        void fetchCopy(step.kind, from);
+      }
+    }),
+  );
+  owned.add(
+    network.onDidReceive('mirrorWanted', (_, {kind}) => mirrors[kind].copy()),
+  );
+  startReader(mirrors.policy, platform.policy);
+  startReader(mirrors.endpoints, platform.endpoints);
+  startReader(mirrors.rollouts, platform.rollouts);
+
+  return {
+    ...mirrors,
+    standings: () => ({
+      policy: mirrors.policy.standing(isReading('policy')),
+      endpoints: mirrors.endpoints.standing(isReading('endpoints')),
+      rollouts: mirrors.rollouts.standing(isReading('rollouts')),
+    }),
+    noteStandings(peer, standings, moment) {
+      heard.set(peer, {at: clock.now(), standings});
+      for (const kind of kinds) {
+        noteStanding(kind, peer, standings[kind], moment);
+      }
+    },
+    dump: () =>
+      Object.fromEntries(
+        kinds.map(kind => [
+          kind,
+          {
+            ...mirrors[kind].standing(isReading(kind)),
+            objects: mirrors[kind].items().length,
+            reader: readers.get(kind)?.dump(),
+          },
+        ]),
+      ),
+    dispose: () => owned.dispose(),
+  };
+
+  function isReading(kind: MirrorKind): boolean {
+    return readers.get(kind)?.isReading() ?? false;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/upstream.ts
@@ -0,0 +1,173 @@
+/** Connections to endpoints, and one request over one of them. */
+import {Pool, type Dispatcher} from 'undici';
+import {ServingError, type Disposable} from '@skylarkfield/base';
+import type {ReplyHeaders} from './contracts.js';
+
+/** A request as it goes to an endpoint. */
+export interface UpstreamRequest {
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: string[];
+  readonly body: Buffer | undefined;
+}
+
+/** What happens to a request at an endpoint, in order; one of the last two comes last. */
+export interface UpstreamListener {
+  onDidRespond(status: number, headers: ReplyHeaders): void;
+  onDidReceive(chunk: Buffer): void;
+  onDidEnd(): void;
+  /** `endpoint-unavailable` when no byte was sent (not run), else `interrupted` (may have run). */
+  onDidFail(error: ServingError): void;
+}
+
+/** A request on its way. */
+export interface UpstreamExchange {
+  /** Closes the connection; the listener hears nothing more. */
+  abort(): void;
+  pause(): void;
+  resume(): void;
+}
+
+/** Connections to all endpoints. */
+export interface Upstreams extends Disposable {
+  send(
+    address: string,
+    request: UpstreamRequest,
+    listener: UpstreamListener,
+  ): UpstreamExchange;
+  /** Closes the connections to addresses that are not among these. */
+  keepOnly(addresses: ReadonlySet<string>): void;
+  dump(): unknown;
+}
+
+/** Time for a connection to an endpoint: a thousand times the round trip between failure domains. */
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** An idle connection without a word from the endpoint on how long it keeps it, is dropped after this. */
+const IDLE_MS = 4_000;
+
+/** Dropped this much before the endpoint would, so that a request does not cross its close. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** Connections of this entry to one endpoint; well below an endpoint's bound over the entries that share it. */
+const MOST_CONNECTIONS = 48;
+
+/**
+ * Makes the connections; none is opened before it is used.
+ *
+ * @example
+ * const exchange = upstreams.send('10.0.0.7:8000', request, listener);
+ */
+export function createUpstreams(): Upstreams {
+  const pools = new Map<string, Pool>();
+
+  function poolOf(address: string): Pool {
+    const known = pools.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const pool = new Pool(`http://${address}`, {
+      connections: MOST_CONNECTIONS,
+      pipelining: 1,
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      keepAliveTimeout: IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    pools.set(address, pool);
+    return pool;
+  }
+
+  return {
+    send: (address, request, listener) =>
+      dispatch(poolOf(address), request, listener),
+    keepOnly(addresses) {
+      for (const [address, pool] of pools) {
+        if (!addresses.has(address)) {
+          pools.delete(address);
+          // Requests in flight end by themselves; the pool closes after them.
+          pool.close().catch(() => pool.destroy());
+        }
+      }
+    },
+    dump: () =>
+      Object.fromEntries(
+        [...pools].map(([address, {stats}]) => [
+          address,
+          {connected: stats.connected, running: stats.running, queued: stats.queued},
+        ]),
+      ),
+    dispose() {
+      for (const pool of pools.values()) {
+        void pool.destroy();
+      }
+      pools.clear();
+    },
+  };
+}
+
+function dispatch(
+  pool: Pool,
+  request: UpstreamRequest,
+  listener: UpstreamListener,
+): UpstreamExchange {
+  let controller: Dispatcher.DispatchController | undefined;
+  let isOver = false;
+
+  function fail(error: Error): void {
+    if (isOver) {
+      return;
+    }
+    isOver = true;
+    listener.onDidFail(
+      controller === undefined
+        ? new ServingError('endpoint-unavailable', error.message, {cause: error})
+        : new ServingError('interrupted', error.message, {cause: error}),
+    );
+  }
+
+  pool.dispatch(
+    {
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers: request.headers,
+      body: request.body ?? null,
+    },
+    {
+      // From here on bytes may have left this process.
+      onRequestStart(started) {
+        controller = started;
+        if (isOver) {
+          started.abort(new Error('given up'));
+        }
+      },
+      onResponseStart(_, status, headers) {
+        if (!isOver) {
+          listener.onDidRespond(status, headers as ReplyHeaders);
+        }
+      },
+      onResponseData(_, chunk) {
+        if (!isOver) {
+          listener.onDidReceive(chunk);
+        }
+      },
+      onResponseEnd() {
+        if (!isOver) {
+          isOver = true;
+          listener.onDidEnd();
+        }
+      },
+      onResponseError: (_, error) => fail(error),
+    },
+  );
+  return {
+    abort() {
+      isOver = true;
+      controller?.abort(new Error('given up'));
+    },
+    pause: () => controller?.pause(),
+    resume: () => controller?.resume(),
+  };
+}
--- a/packages/members/src/endpointDeparture.ts
+++ b/packages/members/src/endpointDeparture.ts
@@ -8,7 +8,7 @@
  * sign is asked for: the process has another address, or the time is over by
  * which the old one had to be gone. A process on a host that goes is no return.
  */
-import type {ListedEndpoint} from '@skylarkfield/platform';
+import type {ListedEndpoint} from '@skylarkfield/providers';
 
 /** What the list has shown of an endpoint since it was known to leave. */
 export interface Departure {
--- a/packages/members/src/endpointLeaving.ts
+++ b/packages/members/src/endpointLeaving.ts
@@ -17,7 +17,7 @@
   HostList,
   ListedEndpoint,
   ReclaimNotice,
-} from '@skylarkfield/platform';
+} from '@skylarkfield/providers';
 import type {Messages, PeerNetwork} from '@skylarkfield/protocol';
 import {beginDeparture, followDeparture, isBack} from './endpointDeparture.js';
 import {
--- a/packages/members/src/memberObjects.ts
+++ b/packages/members/src/memberObjects.ts
@@ -11,7 +11,7 @@
   type Logger,
   type Random,
 } from '@skylarkfield/base';
-import type {ObjectStore, StoredObject} from '@skylarkfield/platform';
+import type {ObjectStore, StoredObject} from '@skylarkfield/providers';
 import type {MemberNews} from '@skylarkfield/protocol';
 import type {KnownMember, MemberTable} from './memberTable.js';
 import type {MemberTiming} from './timing.js';
--- a/packages/members/src/membership.ts
+++ b/packages/members/src/membership.ts
@@ -8,7 +8,7 @@
   type Logger,
   type Random,
 } from '@skylarkfield/base';
-import type {ObjectStore} from '@skylarkfield/platform';
+import type {ObjectStore} from '@skylarkfield/providers';
 import type {
   MemberNews,
   MemberProof,
--- a/packages/members/src/test/cluster.ts
+++ b/packages/members/src/test/cluster.ts
@@ -6,7 +6,7 @@
   silentLogger,
   virtualClock,
 } from '@skylarkfield/base';
-import {memoryPlatform} from '@skylarkfield/platform';
+import {memoryPlatform} from '@skylarkfield/providers';
 import {MEMORY_SCHEME, createMemoryNetwork} from '@skylarkfield/protocol';
 import {createMembership, type Membership} from '../index.js';
 
--- a/packages/members/src/test/endpointLeaving.test.ts
+++ b/packages/members/src/test/endpointLeaving.test.ts
@@ -7,7 +7,7 @@
   toDisposable,
   virtualClock,
 } from '@skylarkfield/base';
-import type {ListedEndpoint, ReclaimNotice} from '@skylarkfield/platform';
+import type {ListedEndpoint, ReclaimNotice} from '@skylarkfield/providers';
 import {MEMORY_SCHEME, createMemoryNetwork} from '@skylarkfield/protocol';
 import {createEndpointLeaving} from '../index.js';
 
--- a/packages/moves/src/moveDuty.ts
+++ b/packages/moves/src/moveDuty.ts
@@ -9,7 +9,7 @@
   type Logger,
 } from '@skylarkfield/base';
 import type {Tenure} from '@skylarkfield/duties';
-import type {ObjectStore, StoredObject} from '@skylarkfield/platform';
+import type {ObjectStore, StoredObject} from '@skylarkfield/providers';
 import type {Configuration, Move} from '@skylarkfield/records';
 import type {MoveJudge, MoveState} from './contracts.js';
 import {activeMove, isAbout, withStates} from './moveChoice.js';
--- a/packages/moves/src/moveFollower.ts
+++ b/packages/moves/src/moveFollower.ts
@@ -8,7 +8,7 @@
   type Clock,
   type Disposable,
 } from '@skylarkfield/base';
-import type {ObjectStore} from '@skylarkfield/platform';
+import type {ObjectStore} from '@skylarkfield/providers';
 import type {PeerNetwork} from '@skylarkfield/protocol';
 import type {Configuration, Move} from '@skylarkfield/records';
 import type {MoveJudge, MoveState, TrafficSplit} from './contracts.js';
--- a/packages/moves/src/test/fakes.ts
+++ b/packages/moves/src/test/fakes.ts
@@ -14,7 +14,7 @@
   StoredObject,
   WatchListener,
   WriteCondition,
-} from '@skylarkfield/platform';
+} from '@skylarkfield/providers';
 import type {EvidenceSum, Messages, PeerNetwork} from '@skylarkfield/protocol';
 import type {Move, RecordKind} from '@skylarkfield/records';
 import {
--- a/packages/orders/src/ledgerSettings.ts
+++ b/packages/orders/src/ledgerSettings.ts
@@ -1,6 +1,6 @@
 /** What a ledger is made from, and its settings with their defaults. */
 import type {Clock, DecisionLog, Random} from '@skylarkfield/base';
-import type {ObjectStore} from '@skylarkfield/platform';
+import type {ObjectStore} from '@skylarkfield/providers';
 import type {Dispatch} from './contracts.js';
 import type {OrderObserver} from './orderObserver.js';
 import type {OrderNetwork} from './orderRoute.js';
--- a/packages/orders/src/localOrders.ts
+++ b/packages/orders/src/localOrders.ts
@@ -6,7 +6,7 @@
   type Clock,
   type Random,
 } from '@skylarkfield/base';
-import type {ObjectStore} from '@skylarkfield/platform';
+import type {ObjectStore} from '@skylarkfield/providers';
 import type {ClaimOutcome} from '@skylarkfield/protocol';
 import {
   createFlight,
--- a/packages/orders/src/orderObserver.ts
+++ b/packages/orders/src/orderObserver.ts
@@ -1,6 +1,6 @@
 /** What a ledger tells whoever counts its work. */
 import {toServingError} from '@skylarkfield/base';
-import type {ObjectStore} from '@skylarkfield/platform';
+import type {ObjectStore} from '@skylarkfield/providers';
 import type {OrderAnswer} from './contracts.js';
 
 /** How an order of this entry's caller ended. */
--- a/packages/orders/src/shardContracts.ts
+++ b/packages/orders/src/shardContracts.ts
@@ -5,7 +5,7 @@
   Disposable,
   ServingError,
 } from '@skylarkfield/base';
-import type {ObjectStore} from '@skylarkfield/platform';
+import type {ObjectStore} from '@skylarkfield/providers';
 import type {ClaimOutcome} from '@skylarkfield/protocol';
 import type {Flight} from './flight.js';
 import type {ShardState} from './shardMachine.js';
--- a/packages/orders/src/shardSegments.ts
+++ b/packages/orders/src/shardSegments.ts
@@ -2,7 +2,7 @@
  * Sealed parts of a shard: objects of their own, written once, so that the
  * shard's object stays small however many ended orders are remembered.
  */
-import type {ObjectStore} from '@skylarkfield/platform';
+import type {ObjectStore} from '@skylarkfield/providers';
 import type {LedgerEntry} from './shardRecord.js';
 import type {ShardTable} from './shardTable.js';
 
--- a/packages/orders/src/shardWriter.ts
+++ b/packages/orders/src/shardWriter.ts
@@ -6,7 +6,7 @@
   type Clock,
   type ServingError,
 } from '@skylarkfield/base';
-import type {ObjectStore, StoredObject} from '@skylarkfield/platform';
+import type {ObjectStore, StoredObject} from '@skylarkfield/providers';
 import {LEDGER_KIND, type ShardRecord} from './shardRecord.js';
 
 export type WriteResult =
--- a/packages/orders/src/test/simulatedProcess.ts
+++ b/packages/orders/src/test/simulatedProcess.ts
@@ -6,7 +6,7 @@
   type Clock,
   type Random,
 } from '@skylarkfield/base';
-import type {ObjectStore} from '@skylarkfield/platform';
+import type {ObjectStore} from '@skylarkfield/providers';
 import type {OrderNetwork} from '../index.js';
 
 type Handler = (from: string, body: never) => unknown;
--- a/packages/orders/src/test/world.ts
+++ b/packages/orders/src/test/world.ts
@@ -9,7 +9,7 @@
   type Clock,
   type RunState,
 } from '@skylarkfield/base';
-import {memoryPlatform, type MemoryClient} from '@skylarkfield/platform';
+import {memoryPlatform, type MemoryClient} from '@skylarkfield/providers';
 import {
   createLedger,
   type Dispatch,
--- a/packages/protocol/src/contracts.ts
+++ b/packages/protocol/src/contracts.ts
@@ -12,6 +12,7 @@
 import type {OrderMessages} from './messages/orderMessages.js';
 import type {MoveMessages} from './messages/moveMessages.js';
 import type {EndpointMessages} from './messages/endpointMessages.js';
+import type {GatewayMessages} from './messages/gatewayMessages.js';
 
 /** Raised when a release changes what a message means. */
 export const PROTOCOL_VERSION = 1;
@@ -22,7 +23,8 @@
     RecordMessages,
     OrderMessages,
     MoveMessages,
-    EndpointMessages {}
+    EndpointMessages,
+    GatewayMessages {}
 
 export type MessageType = keyof Messages & string;
 
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -11,3 +11,4 @@
 export * from './messages/moveMessages.js';
 export * from './messages/endpointMessages.js';
 export {isSameKey} from './hello.js';
+export * from './messages/gatewayMessages.js';
--- /dev/null
+++ b/packages/protocol/src/messages/gatewayMessages.ts
@@ -0,0 +1,58 @@
+/** Messages by which gateways keep a common view of what the platform holds and of customers' use. */
+
+/** Kinds of objects of the platform that entries mirror. */
+export type MirrorKind = 'policy' | 'endpoints' | 'rollouts';
+
+/** Where the sender's copy of one kind stands. */
+export interface MirrorStanding {
+  /** Store revision up to which the copy is complete. */
+  readonly revision: number;
+  /** Store revision of the newest change in the copy. */
+  readonly changedAt: number;
+  /** Milliseconds since the copy was known to be the newest when this was sent; -1 for never. */
+  readonly confirmedAgoMs: number;
+  /** The sender reads this kind from the platform itself, and gets answers. */
+  readonly isReader: boolean;
+}
+
+/** One object that changed; without a value it is gone. */
+export interface MirrorChange {
+  readonly name: string;
+  readonly revision: number;
+  readonly value?: unknown;
+}
+
+export interface GatewayMessages {
+  /** Sent to every peer several times a second. */
+  digest: {
+    /** The sender's monotonic milliseconds now. */
+    readonly stamp: number;
+    /** The sender's wall-clock milliseconds now. */
+    readonly wallMs: number;
+    /** The receiver's stamp that the sender heard last; undefined before the first. */
+    readonly echo?: number;
+    readonly mirrors: Readonly<Record<MirrorKind, MirrorStanding>>;
+    /** Quota amounts that the sender let through since its start, by customer. */
+    readonly used: Readonly<Record<string, number>>;
+    /** Requests that began to run, by window and customer. */
+    readonly usage: Readonly<Record<string, Readonly<Record<string, number>>>>;
+    /** Work of the sender's callers by service, in engine milliseconds a second. */
+    readonly work: Readonly<Record<string, number>>;
+  };
+  /** Changes of one kind between two revisions, as soon as the sender reads them. */
+  mirrorChanges: {
+    readonly kind: MirrorKind;
+    readonly from: number;
+    readonly to: number;
+    readonly changes: readonly MirrorChange[];
+  };
+  /** Asks for the receiver's whole copy; answered with `MirrorCopy`. */
+  mirrorWanted: {readonly kind: MirrorKind};
+}
+
+/** Answer to `mirrorWanted`. */
+export interface MirrorCopy {
+  readonly revision: number;
+  readonly changedAt: number;
+  readonly items: readonly MirrorChange[];
+}
--- a/packages/platform/src/index.ts
+++ b/packages/providers/src/index.ts
@@ -1,5 +1,6 @@
 /** Typed clients for the platform. */
 export * from './contracts.js';
+export * from './httpCalls.js';
 export * from './httpCloud.js';
 export * from './httpHostList.js';
 export * from './httpObjectStore.js';
@@ -7,3 +8,4 @@
 export * from './memoryPlatform.js';
 export * from './objectStore.js';
 export * from './objectTable.js';
+export * from './objectTransport.js';
--- a/packages/records/src/acceptance.ts
+++ b/packages/records/src/acceptance.ts
@@ -17,7 +17,7 @@
   type Logger,
   type Random,
 } from '@skylarkfield/base';
-import type {ObjectStore} from '@skylarkfield/platform';
+import type {ObjectStore} from '@skylarkfield/providers';
 import type {RecordVersion} from '@skylarkfield/protocol';
 import {decideRecord, type AcceptanceDecision} from './acceptanceDecision.js';
 import {createAcceptanceView} from './acceptanceView.js';
--- a/packages/records/src/acceptanceView.ts
+++ b/packages/records/src/acceptanceView.ts
@@ -1,6 +1,6 @@
 /** What an acceptor sees: the records that operators wrote and their accepted forms. */
 import {disposableStore, type Disposable} from '@skylarkfield/base';
-import type {ObjectStore, StoredObject} from '@skylarkfield/platform';
+import type {ObjectStore, StoredObject} from '@skylarkfield/providers';
 import type {AcceptanceCase, SourceRecord} from './acceptanceDecision.js';
 import type {AcceptedObject} from './acceptedShapes.js';
 import {ACCEPTED_KIND} from './configuration.js';
--- a/packages/records/src/configuration.ts
+++ b/packages/records/src/configuration.ts
@@ -12,7 +12,7 @@
   type Logger,
   type Random,
 } from '@skylarkfield/base';
-import type {ObjectListing, ObjectStore} from '@skylarkfield/platform';
+import type {ObjectListing, ObjectStore} from '@skylarkfield/providers';
 import type {
   PeerNetwork,
   RecordVersion,
--- a/packages/records/src/moveClaims.ts
+++ b/packages/records/src/moveClaims.ts
@@ -6,7 +6,7 @@
  * is first written into one object per service, which only one of them can do.
  */
 import type {Clock, Fault} from '@skylarkfield/base';
-import type {ObjectStore} from '@skylarkfield/platform';
+import type {ObjectStore} from '@skylarkfield/providers';
 import {z} from 'zod';
 import type {AcceptanceView} from './acceptanceView.js';
 import type {AcceptedObject} from './acceptedShapes.js';
--- a/packages/records/src/statusWriter.ts
+++ b/packages/records/src/statusWriter.ts
@@ -1,6 +1,6 @@
 /** Writes the statuses of records, and never an older one over a newer. */
 import {isServingError, type Clock} from '@skylarkfield/base';
-import type {ObjectStore, StoredObject} from '@skylarkfield/platform';
+import type {ObjectStore, StoredObject} from '@skylarkfield/providers';
 import type {RecordVersion} from '@skylarkfield/protocol';
 import type {AcceptedObject} from './acceptedShapes.js';
 import {
--- a/packages/records/src/test/acceptance.test.ts
+++ b/packages/records/src/test/acceptance.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {isServingError, virtualClock} from '@skylarkfield/base';
-import {createMemoryObjectStore} from '@skylarkfield/platform';
+import {createMemoryObjectStore} from '@skylarkfield/providers';
 import {decideRecord, type AcceptanceCase} from '../acceptanceDecision.js';
 import {createAcceptanceView} from '../acceptanceView.js';
 import type {RecordKind} from '../contracts.js';
--- a/packages/records/src/test/recordWorld.ts
+++ b/packages/records/src/test/recordWorld.ts
@@ -7,7 +7,7 @@
   virtualClock,
   type Clock,
 } from '@skylarkfield/base';
-import {memoryPlatform, type MemoryClient} from '@skylarkfield/platform';
+import {memoryPlatform, type MemoryClient} from '@skylarkfield/providers';
 import {createMemoryNetwork, MEMORY_SCHEME} from '@skylarkfield/protocol';
 import {createAcceptance, type Acceptance} from '../acceptance.js';
 import type {AcceptedObject} from '../acceptedShapes.js';
--- a/packages/records/src/writeCondition.ts
+++ b/packages/records/src/writeCondition.ts
@@ -1,5 +1,5 @@
 /** Conditions of writes that depend on what was read. */
-import type {StoredObject, WriteCondition} from '@skylarkfield/platform';
+import type {StoredObject, WriteCondition} from '@skylarkfield/providers';
 
 /**
  * The condition that nobody has written since the object was read.
--- a/packages/routing/src/cacheView.ts
+++ b/packages/routing/src/cacheView.ts
@@ -6,6 +6,8 @@
   readonly clock: Clock;
   /** The most blocks kept; the oldest are forgotten first. */
   readonly maxBlocks?: number;
+  /** Tokens that one block stands for. */
+  readonly blockTokens?: number;
 }
 
 export interface CacheView {
@@ -50,6 +52,7 @@
  */
 export function createCacheView(options: CacheViewOptions): CacheView {
   const {clock, maxBlocks = DEFAULT_MAX_BLOCKS} = options;
+  const blockTokens = options.blockTokens ?? BLOCK_TOKENS;
   /** Blocks confirmed by events or answers, oldest first. */
   const confirmed = new Set<string>();
   /** Blocks of requests sent there, with the time of sending. */
@@ -144,7 +147,7 @@
   }
 
   return {
-    expectedTokens: blocks => countPrefix(blocks) * BLOCK_TOKENS * trust(),
+    expectedTokens: blocks => countPrefix(blocks) * blockTokens * trust(),
     has,
     noteSent(blocks) {
       for (const block of blocks) {
@@ -156,7 +159,7 @@
       forgetOldest();
     },
     noteFound(blocks, cachedTokens) {
-      const found = Math.ceil(cachedTokens / BLOCK_TOKENS);
+      const found = Math.ceil(cachedTokens / blockTokens);
       const missing = blocks.slice(found).filter(block => confirmed.has(block));
       contradictions = missing.length > 0 ? contradictions + 1 : 0;
       // The engine is computing what it lacked: true again in a moment.
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -51,8 +51,10 @@
   readonly random: Random;
   readonly self: string;
   readonly isOwn: (attempt: string) => boolean;
+  /** Tokens that each block of a journey stands for. */
+  readonly blockTokens?: number;
 }): EndpointPools {
-  const {clock, random, self, isOwn} = options;
+  const {clock, random, self, isOwn, blockTokens} = options;
   const known = new Map<string, KnownEndpoint>();
   const pools = new Map<string, KnownEndpoint[]>();
   const leaving = new Map<string, LeavingMark>();
@@ -76,7 +78,7 @@
       candidate,
       health,
       load: createLoadView({clock, isOwn}),
-      cache: createCacheView({clock}),
+      cache: createCacheView({clock, ...(blockTokens && {blockTokens})}),
     };
   }
 
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -24,6 +24,8 @@
   /** Tells this entry's attempts from others in load reports; by id prefix when not given. */
   readonly isOwn?: (attempt: string) => boolean;
   readonly weights?: Partial<RouteWeights>;
+  /** Tokens that each of a journey's blocks stands for; the engines' own blocks when not given. */
+  readonly blockTokens?: number;
 }
 
 /** Share of requests that go to an endpoint which waits to be probed: short prompts, and long ones. */
@@ -59,10 +61,17 @@
  */
 export function createRouter(options: RouterOptions): Router {
   const {clock, random, decisions, failureDomain, self} = options;
+  const blockTokens = options.blockTokens ?? BLOCK_TOKENS;
   const weights = {...defaultRouteWeights, ...options.weights};
   const isOwn =
     options.isOwn ?? ((attempt: string) => attempt.startsWith(`${self}-`));
-  const pools = createEndpointPools({clock, random, self, isOwn});
+  const pools = createEndpointPools({
+    clock,
+    random,
+    self,
+    isOwn,
+    blockTokens,
+  });
   const costsByService = new Map<string, RouteCosts>();
   const popularityByService = new Map<string, Popularity>();
   const totals = {choices: 0, probes: 0, forced: 0, ejections: 0};
@@ -136,7 +145,7 @@
       blocks[shared] ?? blocks.at(-1)!,
       candidates.map(({candidate}) => candidate.id),
     );
-    return {sharedTokens: shared * BLOCK_TOKENS, favours};
+    return {sharedTokens: shared * blockTokens, favours};
   }
 
   function pick(
--- a/packages/standins/src/platform/cloudModel.ts
+++ b/packages/standins/src/platform/cloudModel.ts
@@ -5,7 +5,7 @@
   type Clock,
   type Event,
 } from '@skylarkfield/base';
-import type {Host, Market, Offer, ReclaimNotice} from '@skylarkfield/platform';
+import type {Host, Market, Offer, ReclaimNotice} from '@skylarkfield/providers';
 import type {Faults} from './faults.js';
 
 export interface StartRequest {
--- a/packages/standins/src/platform/controlRoutes.ts
+++ b/packages/standins/src/platform/controlRoutes.ts
@@ -1,7 +1,7 @@
 /** The control port of the stand-in: fault switches and what the cloud should know. */
 import type {ServerResponse} from 'node:http';
 import {checkShape} from '@skylarkfield/base';
-import {listedEndpointShape, type ObjectTable} from '@skylarkfield/platform';
+import {listedEndpointShape, type ObjectTable} from '@skylarkfield/providers';
 import type {Polka} from 'polka';
 import {z} from 'zod';
 import type {CloudModel} from './cloudModel.js';
--- a/packages/standins/src/platform/endpointList.ts
+++ b/packages/standins/src/platform/endpointList.ts
@@ -1,6 +1,6 @@
 /** The host list of the stand-in: what is true, and what the list already shows. */
 import {emitter, type Clock, type Event} from '@skylarkfield/base';
-import type {ListedEndpoint} from '@skylarkfield/platform';
+import type {ListedEndpoint} from '@skylarkfield/providers';
 import type {Faults} from './faults.js';
 
 export interface EndpointList {
--- a/packages/standins/src/platform/objectRoutes.ts
+++ b/packages/standins/src/platform/objectRoutes.ts
@@ -7,7 +7,7 @@
   type ObjectTable,
   type ObjectWrite,
   type WriteCondition,
-} from '@skylarkfield/platform';
+} from '@skylarkfield/providers';
 import type {Polka} from 'polka';
 import type {Faults} from './faults.js';
 import {
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -2,7 +2,7 @@
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {systemClock, type Clock} from '@skylarkfield/base';
-import {createObjectTable, type ObjectTable} from '@skylarkfield/platform';
+import {createObjectTable, type ObjectTable} from '@skylarkfield/providers';
 import polka from 'polka';
 import {createCloudModel} from './cloudModel.js';
 import {addCloudRoutes} from './cloudRoutes.js';
--- a/packages/standins/src/test/objectStore.test.ts
+++ b/packages/standins/src/test/objectStore.test.ts
@@ -6,7 +6,7 @@
   ObjectClient,
   ObjectStoreSettings,
   StoredObject,
-} from '@skylarkfield/platform';
+} from '@skylarkfield/providers';
 import {subjects, until, type Subject} from './objectStoreSubjects.js';
 
 const TIMEOUT_MS = 20_000;
--- a/packages/standins/src/test/objectStoreSubjects.ts
+++ b/packages/standins/src/test/objectStoreSubjects.ts
@@ -8,7 +8,7 @@
   type ObjectFaults,
   type ObjectStoreSettings,
   type ObjectTable,
-} from '@skylarkfield/platform';
+} from '@skylarkfield/providers';
 import {startPlatformStandin} from '../platform/platformStandin.js';
 
 /** One running object API with its switches. */
--- a/packages/standins/src/test/platformStandin.test.ts
+++ b/packages/standins/src/test/platformStandin.test.ts
@@ -13,7 +13,7 @@
   createHttpWeightStore,
   type ListedEndpoint,
   type ReclaimNotice,
-} from '@skylarkfield/platform';
+} from '@skylarkfield/providers';
 import {
   startPlatformStandin,
   type PlatformStandin,
--- /dev/null
+++ b/packages/traffic/src/fleetPlan.ts
@@ -0,0 +1,113 @@
+/**
+ * How many endpoints of a service to have in each failure domain and market.
+ *
+ * Reclaimable endpoints cost a fraction and are taken back a failure domain at a
+ * time, with seconds of notice, and for a while none may be had. So the plan
+ * holds a base of endpoints that stay, as much as serves part of the demand by
+ * itself, and spreads reclaimable ones so that the loss of any one failure
+ * domain leaves enough for the demand.
+ */
+import type {FleetTerms} from './contracts.js';
+
+/** Endpoints of one service in one failure domain. */
+export interface DomainFleet {
+  /** Not reclaimable. */
+  readonly standing: number;
+  readonly reclaimable: number;
+}
+
+export type FleetPlan = Readonly<Record<string, DomainFleet>>;
+
+export interface FleetNeed {
+  readonly terms: FleetTerms;
+  /** Work that comes in, in milliseconds of one endpoint a second. */
+  readonly workRate: number;
+  /** Failure domains where no reclaimable ones are to be had at present. */
+  readonly scarce: ReadonlySet<string>;
+}
+
+/**
+ * Part of an endpoint's time that may be planned for. Prompts come in clumps and
+ * delay all streams beside them; at higher use the time to the first event of
+ * long prompts passes their callers' aim of 800 ms.
+ */
+export const PLANNED_USE = 0.5;
+
+/** Part of the demand that endpoints which can't be reclaimed carry by themselves. */
+const STANDING_PART = 0.4;
+
+const SECOND_MS = 1_000;
+
+/**
+ * Endpoints that the work needs.
+ *
+ * @example
+ * const count = endpointsNeeded(2_600); // 6 at half use
+ */
+export function endpointsNeeded(workRate: number): number {
+  return Math.max(1, Math.ceil(workRate / (SECOND_MS * PLANNED_USE)));
+}
+
+/**
+ * Plans a service's endpoints.
+ *
+ * @example
+ * const plan = planFleet({terms, workRate: 1_400, scarce: new Set()});
+ */
+export function planFleet({terms, workRate, scarce}: FleetNeed): FleetPlan {
+  const needed = endpointsNeeded(workRate);
+  const domains = Object.keys(terms.prices).sort(
+    (a, b) => terms.prices[a]! - terms.prices[b]!,
+  );
+  const counts = new Map(
+    domains.map(domain => [domain, {standing: 0, reclaimable: 0}]),
+  );
+  const isReclaimable = (domain: string) =>
+    terms.reclaimablePrice !== undefined && !scarce.has(domain);
+
+  function total(domain: string): number {
+    const {standing, reclaimable} = counts.get(domain)!;
+    return standing + reclaimable;
+  }
+
+  function addStanding(count: number): void {
+    for (let left = count; left > 0; left--) {
+      const domain = domains.find(name => total(name) < terms.most);
+      if (domain === undefined) {
+        return;
+      }
+      counts.get(domain)!.standing += 1;
+    }
+  }
+
+  /** What is left when the failure domain with most reclaimable ones loses them. */
+  function leftAfterLoss(): number {
+    let sum = 0;
+    let largest = 0;
+    for (const {standing, reclaimable} of counts.values()) {
+      sum += standing + reclaimable;
+      largest = Math.max(largest, reclaimable);
+    }
+    return sum - largest;
+  }
+
+  addStanding(Math.max(1, Math.round(needed * STANDING_PART)));
+  for (const domain of domains) {
+    const missing = terms.least - total(domain);
+    if (missing > 0) {
+      const market = isReclaimable(domain) ? 'reclaimable' : 'standing';
+      counts.get(domain)![market] += missing;
+    }
+  }
+  while (leftAfterLoss() < needed) {
+    const domain = domains
+      .filter(name => isReclaimable(name) && total(name) < terms.most)
+      .sort((a, b) => total(a) - total(b))[0];
+    if (domain === undefined) {
+      addStanding(needed - leftAfterLoss());
+      break;
+    }
+    counts.get(domain)!.reclaimable += 1;
+  }
+  return Object.fromEntries(counts);
+}
--- /dev/null
+++ b/packages/traffic/src/index.ts
@@ -0,0 +1,12 @@
+/** Routes, keys, quotas, usage and fleets: decisions about traffic, without I/O. */
+export * from './confirmation.js';
+export * from './contracts.js';
+export * from './customerTable.js';
+export * from './engineWork.js';
+export * from './fleetPlan.js';
+export * from './promptKeys.js';
+export * from './quotas.js';
+export * from './routeTable.js';
+export * from './usageWindows.js';
+export * from './weightedChoice.js';
+export * from './workMeter.js';
