Fleet demand with a memory, quotas by priority, deadline answers as timeouts

Cause: orders followed every clump of work and swapped markets on each refusal (29 replicas started in 64 s); a customer at its limit lost large requests first.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -106,11 +106,7 @@
     }
 
     function onAbort(): void {
-      giveUp(
-        new ServingError('cancelled', 'nobody waits any more', {
-          run: 'may-have-run',
-        }),
-      );
+      giveUp(reasonOf(signal));
     }
 
     function begin(): void {
@@ -202,6 +198,16 @@
   });
 }
 
+/** Why nobody waits any more: the signal's own error, or the caller has left. */
+function reasonOf(signal: AbortSignal): ServingError {
+  if (signal.reason instanceof ServingError) {
+    return signal.reason;
+  }
+  return new ServingError('cancelled', 'the caller has left', {
+    run: 'may-have-run',
+  });
+}
+
 function interrupted(message: string): ServingError {
   return new ServingError('interrupted', message, {run: 'may-have-run'});
 }
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -49,7 +49,9 @@
   /** Which group of a service's versions takes the request. */
   chooseGroup(service: string, key: string): VersionGroup;
   /** Says how much work a request brings, before it is sent. */
-  onDidAccept(service: string, head: CallHead, urgency: number): void;
+  onDidAccept(service: string, head: CallHead): void;
+  /** An answer of so many events has ended, whole or not. */
+  onDidAnswer(service: string, head: CallHead, events: number): void;
 }
 
 /** A request with what was found out about it. */
@@ -59,7 +61,8 @@
   readonly route: Route;
   readonly service: string;
   readonly customer: KeyedCustomer | undefined;
-  readonly urgency: number;
+  /** 0 is the most important. */
+  readonly priority: number;
   readonly deadlineAt: number;
 }
 
@@ -79,6 +82,13 @@
  */
 const TOKENS_PER_COST = 2_500;
 
+/** Why a request's signal is aborted when its time is over. */
+const DEADLINE_PASSED = new ServingError(
+  'deadline-exceeded',
+  'no answer came in the time that the request has',
+  {run: 'may-have-run'},
+);
+
 /** Rejected requests may come back after this when a copy of the policy is awaited, in milliseconds. */
 const NOT_READY_RETRY_MS = 400;
 
@@ -117,33 +127,33 @@
       route,
       service,
       customer,
-      urgency: Math.min(LEAST_URGENT, priority * URGENCY_PER_PRIORITY),
+      priority,
       deadlineAt: arrivedAt + patienceMs,
     };
   }
 
-  function takeQuota({customer, head}: Accepted): () => void {
+  function takeQuota({customer, head, priority}: Accepted): () => void {
     const amount = quotaAmount(customer, head);
     if (customer === undefined || amount === 0) {
       return () => {};
     }
-    if (!quotas.tryTake(customer, amount)) {
+    if (!quotas.tryTake(customer, amount, priority)) {
       throw new ServingError('overloaded', `the quota of ${customer.name} is used up`, {
         run: 'not-run',
-        retryAfterMs: quotas.waitMs(customer, amount),
+        retryAfterMs: quotas.waitMs(customer, priority),
       });
     }
     return () => quotas.giveBack(customer, amount);
   }
 
   function admit(accepted: Accepted, signal: AbortSignal): Promise<Permit> {
-    const {service, customer, urgency, deadlineAt, head} = accepted;
-    options.onDidAccept(service, head, urgency);
+    const {service, customer, priority, deadlineAt, head} = accepted;
+    options.onDidAccept(service, head);
     return admission.admit(
       {
         service,
         customer: customer?.name ?? '',
-        urgency: Math.min(urgency, LEAST_ADMITTED_URGENCY),
+        urgency: Math.min(priority, LEAST_ADMITTED_URGENCY),
         deadline: deadlineAt,
         cost: costOf(head),
       },
@@ -157,7 +167,7 @@
     accepted: Accepted,
     caller: AbortSignal,
   ): Promise<ForwardingResult> {
-    const {head, attemptId, route, service, customer, urgency, deadlineAt} =
+    const {head, attemptId, route, service, customer, priority, deadlineAt} =
       accepted;
     const body = await readBody(request, policy.limits().bodyBytes, caller);
     const giveBack = takeQuota(accepted);
@@ -170,7 +180,9 @@
     }
     const admittedAt = clock.now();
     const deadline = new AbortController();
-    const timer = clock.after(deadlineAt - admittedAt, () => deadline.abort());
+    const timer = clock.after(deadlineAt - admittedAt, () =>
+      deadline.abort(DEADLINE_PASSED),
+    );
     try {
       const result = await forwarding.forward(
         {
@@ -180,7 +192,10 @@
           service,
           version: options.chooseGroup(service, attemptId),
           customer: customer?.name,
-          urgency: head.demand === undefined ? undefined : urgency,
+          urgency:
+            head.demand === undefined
+              ? undefined
+              : Math.min(LEAST_URGENT, priority * URGENCY_PER_PRIORITY),
           method: request.method ?? 'GET',
           path: request.url ?? '/',
           rawHeaders: request.rawHeaders,
@@ -191,6 +206,7 @@
         },
         reply,
       );
+      options.onDidAnswer(service, head, reply.eventCount());
       if (result.error?.run === 'not-run') {
         giveBack();
       }
--- a/packages/gateway/src/callerReply.ts
+++ b/packages/gateway/src/callerReply.ts
@@ -10,7 +10,8 @@
   hasBegun(): boolean;
   /** The id of the last event passed on. */
   lastEventId(): number | undefined;
-  /** Milliseconds from arrival to the first byte of the answer; undefined before it. */
+  /** Events passed on so far. */
+  eventCount(): number;
   readonly sink: EventSink;
   whole(status: number, headers: ReplyHeaders, body: Buffer): void;
   refuse(error: ServingError): number;
@@ -46,6 +47,7 @@
 }): CallerReply {
   const {response, format} = options;
   let lastId: number | undefined;
+  let events = 0;
 
   function head(status: number, headers: Record<string, string | string[]>) {
     if (options.isClosing()) {
@@ -57,6 +59,7 @@
   return {
     hasBegun: () => response.headersSent,
     lastEventId: () => lastId,
+    eventCount: () => events,
     sink: {
       begin(status, headers) {
         if (!response.headersSent) {
@@ -71,6 +74,7 @@
           }
           lastId = id;
         }
+        events += 1;
         return response.write(bytes);
       },
       whenDrained: callback => response.once('drain', callback),
--- a/packages/gateway/src/fleetDuty.ts
+++ b/packages/gateway/src/fleetDuty.ts
@@ -8,10 +8,11 @@
 } from '@skylarkfield/base';
 import type {Tenure} from '@skylarkfield/duties';
 import {
-  endpointsNeeded,
+  createFleetDemand,
   planFleet,
   type DeclaredService,
   type DomainFleet,
+  type FleetDemand,
   type FleetPlan,
 } from '@skylarkfield/traffic';
 import type {EndpointOrder, PlatformOrders} from './contracts.js';
@@ -26,8 +27,8 @@
 /** How long a failure domain counts as out of reclaimable endpoints after a refusal or a reclaim. */
 const SCARCE_MS = 4_000;
 
-/** Fewer are wanted only when the plan has said so for this long: work comes in waves. */
-const CALM_MS = 4_000;
+/** Endpoints that are ordered less of may leave only when the others are there: a new one takes seconds to start. */
+const SETTLE_MS = 1_000;
 
 /** Time for one call, in milliseconds. */
 const CALL_MS = 1_500;
@@ -61,7 +62,7 @@
   const {tenure, orders, directory, clock, log} = options;
   const given = new Map<string, GivenOrder>();
   const scarceUntil = new Map<string, number>();
-  const surplusSince = new Map<string, number>();
+  const demands = new Map<string, FleetDemand>();
   const startedAt = clock.now();
   let isBusy = false;
 
@@ -93,50 +94,47 @@
   }
 
   function scarceDomains(service: string, domains: readonly string[]) {
-    return new Set(
-      domains.filter(
-        domain => (scarceUntil.get(`${service}/${domain}`) ?? 0) > clock.now(),
-      ),
+    return new Map(
+      domains
+        .filter(
+          domain =>
+            (scarceUntil.get(`${service}/${domain}`) ?? 0) > clock.now(),
+        )
+        .map(domain => [domain, present(service, domain, 'reclaimable')]),
     );
   }
 
-  /** Whether fewer may be ordered: the surplus has lasted, and enough are ready without it. */
-  function mayShrink(
-    service: string,
-    key: string,
-    surplus: number,
-    workRate: number,
-  ): boolean {
-    if (clock.now() - startedAt < CALM_MS) {
-      return false;
-    }
-    const since = surplusSince.get(key) ?? clock.now();
-    surplusSince.set(key, since);
+  function neededOf(service: string, workRate: number): number {
+    const demand = demands.get(service) ?? createFleetDemand(clock);
+    demands.set(service, demand);
+    return demand.note(workRate, readyCount(service));
+  }
+
+  /** Whether so many may leave: enough are ready without them. */
+  function mayShrink(service: string, surplus: number, needed: number): boolean {
     return (
-      clock.now() - since >= CALM_MS &&
-      readyCount(service) - surplus >= endpointsNeeded(workRate)
+      clock.now() - startedAt >= SETTLE_MS &&
+      readyCount(service) - surplus >= needed
     );
   }
 
-  function wantedOrders(service: string, plan: FleetPlan, workRate: number) {
+  function isAsked(key: string, count: number): boolean {
+    const last = given.get(key);
+    return last?.count === count && clock.now() - last.at < REPEAT_MS;
+  }
+
+  function wantedOrders(service: string, plan: FleetPlan, needed: number) {
     const wanted: EndpointOrder[] = [];
     for (const [failureDomain, fleet] of Object.entries(plan)) {
       for (const market of ['reclaimable', 'standing'] as const) {
         const key = `${service}/${failureDomain}/${market}`;
         const count = fleet[market];
         const have = present(service, failureDomain, market);
-        const last = given.get(key);
-        const isAsked =
-          last !== undefined &&
-          last.count === count &&
-          clock.now() - last.at < REPEAT_MS;
-        if (have <= count) {
-          surplusSince.delete(key);
-        }
-        if (isAsked || (have === count && (last === undefined || last.count === count))) {
+        const isSettled = have === count && (given.get(key)?.count ?? count) === count;
+        if (isSettled || isAsked(key, count)) {
           continue;
         }
-        if (have > count && !mayShrink(service, key, have - count, workRate)) {
+        if (have > count && !mayShrink(service, have - count, needed)) {
           continue;
         }
         wanted.push({
@@ -180,13 +178,17 @@
     }
     noteReclaims(name);
     const workRate = options.workRate(name);
-    const domains = Object.keys(fleet.prices);
-    const plan = planFleet({
-      terms: fleet,
-      workRate,
-      scarce: scarceDomains(name, domains),
-    });
-    for (const order of wantedOrders(name, plan, workRate)) {
+    const needed = neededOf(name, workRate);
+    const scarce = scarceDomains(name, Object.keys(fleet.prices));
+    const plan = planFleet({terms: fleet, needed, scarce});
+    const wanted = wantedOrders(name, plan, needed);
+    if (wanted.length > 0) {
+      log.info(
+        {service: name, workRate, needed, scarce: [...scarce.keys()], plan},
+        'endpoints planned',
+      );
+    }
+    for (const order of wanted) {
       await give(order);
     }
   }
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -20,12 +20,13 @@
 import {createObjectStore} from '@skylarkfield/providers';
 import {createRouter} from '@skylarkfield/routing';
 import {
+  answerWorkMs,
   createQuotas,
   createUsageWindows,
   createWorkMeter,
   DEFAULT_SPEED,
-  engineWorkMs,
   KEY_TOKENS,
+  promptWorkMs,
 } from '@skylarkfield/traffic';
 import {createAdmissionFeed} from './admissionFeed.js';
 import {createCallerFront} from './callerFront.js';
@@ -259,11 +260,22 @@
     chooseGroup: () => 'incumbent',
     onDidAccept(service: string, {demand}: CallHead) {
       if (demand !== undefined) {
-        work.note(service, engineWorkMs(demand, DEFAULT_SPEED));
+        work.note(service, promptWorkMs(demand, DEFAULT_SPEED));
+      }
+    },
+    onDidAnswer(service: string, {demand}: CallHead, events: number) {
+      if (demand !== undefined) {
+        const tokens = events * tokensPerEvent(service);
+        work.note(service, answerWorkMs(demand, tokens, DEFAULT_SPEED));
       }
     },
   });
 
+  function tokensPerEvent(name: string): number {
+    const declared = policy.services().find(service => service.name === name);
+    return declared?.engine?.tokensPerEvent ?? 1;
+  }
+
   const duties = owned.add(
     createDuties({
       clock,
--- a/packages/traffic/src/contracts.ts
+++ b/packages/traffic/src/contracts.ts
@@ -57,6 +57,8 @@
   readonly slots: number;
   /** Tokens that the engine's memory holds. */
   readonly memoryTokens: number;
+  /** Tokens of an answer that one event of its stream holds. */
+  readonly tokensPerEvent: number;
 }
 
 /** A service as operators declare it. */
--- a/packages/traffic/src/engineWork.ts
+++ b/packages/traffic/src/engineWork.ts
@@ -27,24 +27,35 @@
 
 /** Long prompts take more than their tokens: every token looks at those before it, in milliseconds for a million pairs. */
 const PAIRS_MS_PER_MILLION = 0.3;
-
-/** An answer is mostly shorter than the most that its caller allows. */
-const OUTPUT_PART = 0.6;
+const PAIRS_UNIT = 1e6;
+const THOUSAND = 1e3;
 
 /**
- * Milliseconds of one engine that the request takes when the parts that others
- * share are cached.
+ * Milliseconds of one engine that reading the prompt takes when the parts that
+ * others share are cached.
  *
  * @example
- * const ms = engineWorkMs(demand, DEFAULT_SPEED);
+ * const ms = promptWorkMs(demand, DEFAULT_SPEED);
  */
-export function engineWorkMs(demand: ModelDemand, speed: EngineSpeed): number {
+export function promptWorkMs(demand: ModelDemand, speed: EngineSpeed): number {
   const own = demand.parts.at(-1)?.tokens ?? demand.promptTokens;
-  const output = demand.mostOutputTokens * OUTPUT_PART;
-  const readMs = own / speed.promptTokensPerMs;
-  const pairs = (own * demand.promptTokens) / 1e6;
-  const stepMs =
-    speed.stepMs / SHARED_BY +
-    (speed.contextMsPerThousand * demand.promptTokens) / 1e3;
-  return readMs + pairs * PAIRS_MS_PER_MILLION + output * stepMs;
+  const pairs = (own * demand.promptTokens) / PAIRS_UNIT;
+  return own / speed.promptTokensPerMs + pairs * PAIRS_MS_PER_MILLION;
+}
+
+/**
+ * Milliseconds of one engine that an answer of so many tokens takes. Counted
+ * when it has ended: callers allow far more tokens than answers have.
+ *
+ * @example
+ * const ms = answerWorkMs(demand, 48 * 8, DEFAULT_SPEED);
+ */
+export function answerWorkMs(
+  demand: ModelDemand,
+  answerTokens: number,
+  speed: EngineSpeed,
+): number {
+  const contextMs =
+    (speed.contextMsPerThousand * demand.promptTokens) / THOUSAND;
+  return answerTokens * (speed.stepMs / SHARED_BY + contextMs);
 }
--- a/packages/traffic/src/fleetPlan.ts
+++ b/packages/traffic/src/fleetPlan.ts
@@ -3,9 +3,10 @@
  *
  * Reclaimable endpoints cost a fraction and are taken back a failure domain at a
  * time, with seconds of notice, and for a while none may be had. So the plan
- * holds a base of endpoints that stay, as much as serves part of the demand by
- * itself, and spreads reclaimable ones so that the loss of any one failure
- * domain leaves enough for the demand.
+ * holds a base of endpoints that stay, and spreads reclaimable ones so that the
+ * loss of any one failure domain leaves enough for the demand. While none may be
+ * had, endpoints that stay fill up to the demand, and no further: the reserve
+ * for the next loss is worth the price of reclaimable ones only.
  */
 import type {FleetTerms} from './contracts.js';
 
@@ -20,10 +21,10 @@
 
 export interface FleetNeed {
   readonly terms: FleetTerms;
-  /** Work that comes in, in milliseconds of one endpoint a second. */
-  readonly workRate: number;
-  /** Failure domains where no reclaimable ones are to be had at present. */
-  readonly scarce: ReadonlySet<string>;
+  /** Endpoints that the work needs. */
+  readonly needed: number;
+  /** Failure domains where no reclaimable ones are to be had at present, with how many are there. */
+  readonly scarce: ReadonlyMap<string, number>;
 }
 
 /**
@@ -34,7 +35,7 @@
 export const PLANNED_USE = 0.5;
 
 /** Part of the demand that endpoints which can't be reclaimed carry by themselves. */
-const STANDING_PART = 0.4;
+const STANDING_PART = 0.35;
 
 const SECOND_MS = 1_000;
 
@@ -52,15 +53,17 @@
  * Plans a service's endpoints.
  *
  * @example
- * const plan = planFleet({terms, workRate: 1_400, scarce: new Set()});
+ * const plan = planFleet({terms, needed: 4, scarce: new Map()});
  */
-export function planFleet({terms, workRate, scarce}: FleetNeed): FleetPlan {
-  const needed = endpointsNeeded(workRate);
+export function planFleet({terms, needed, scarce}: FleetNeed): FleetPlan {
   const domains = Object.keys(terms.prices).sort(
     (a, b) => terms.prices[a]! - terms.prices[b]!,
   );
   const counts = new Map(
-    domains.map(domain => [domain, {standing: 0, reclaimable: 0}]),
+    domains.map(domain => [
+      domain,
+      {standing: 0, reclaimable: scarce.get(domain) ?? 0},
+    ]),
   );
   const isReclaimable = (domain: string) =>
     terms.reclaimablePrice !== undefined && !scarce.has(domain);
@@ -80,23 +83,21 @@
     }
   }
 
+  function sum(): number {
+    return domains.reduce((all, domain) => all + total(domain), 0);
+  }
+
   /** What is left when the failure domain with most reclaimable ones loses them. */
   function leftAfterLoss(): number {
-    let sum = 0;
-    let largest = 0;
-    for (const {standing, reclaimable} of counts.values()) {
-      sum += standing + reclaimable;
-      largest = Math.max(largest, reclaimable);
-    }
-    return sum - largest;
+    const lost = [...counts.values()].map(({reclaimable}) => reclaimable);
+    return sum() - Math.max(0, ...lost);
   }
 
   addStanding(Math.max(1, Math.round(needed * STANDING_PART)));
   for (const domain of domains) {
     const missing = terms.least - total(domain);
-    if (missing > 0) {
-      const market = isReclaimable(domain) ? 'reclaimable' : 'standing';
-      counts.get(domain)![market] += missing;
+    if (missing > 0 && isReclaimable(domain)) {
+      counts.get(domain)!.reclaimable += missing;
     }
   }
   while (leftAfterLoss() < needed) {
@@ -104,10 +105,10 @@
       .filter(name => isReclaimable(name) && total(name) < terms.most)
       .sort((a, b) => total(a) - total(b))[0];
     if (domain === undefined) {
-      addStanding(needed - leftAfterLoss());
       break;
     }
     counts.get(domain)!.reclaimable += 1;
   }
+  addStanding(needed - sum());
   return Object.fromEntries(counts);
 }
--- a/packages/traffic/src/quotas.ts
+++ b/packages/traffic/src/quotas.ts
@@ -15,12 +15,12 @@
 export type UsedAmounts = Readonly<Record<string, number>>;
 
 export interface Quotas {
-  /** Takes from the customer's quota; false when it is used up. */
-  tryTake(customer: KeyedCustomer, amount: number): boolean;
+  /** Takes from the customer's quota; false when it is used up for requests of that priority. */
+  tryTake(customer: KeyedCustomer, amount: number, priority: number): boolean;
   /** Gives back what was taken for a request that certainly did not run. */
   giveBack(customer: KeyedCustomer, amount: number): void;
-  /** Milliseconds until the quota holds this amount again. */
-  waitMs(customer: KeyedCustomer, amount: number): number;
+  /** Milliseconds until the quota lets a request of that priority through again. */
+  waitMs(customer: KeyedCustomer, priority: number): number;
   /** What this entry has let through, for the others. */
   used(): UsedAmounts;
   /** What another process has let through; `peer` names it with its incarnation. */
@@ -43,15 +43,22 @@
  */
 const INITIAL_PART = 0.25;
 
-/** A bucket falls no lower than this many bursts, so that one surge does not silence a customer for long. */
-const DEEPEST_DEBT = 1;
+/**
+ * Part of the burst that each step of priority leaves for the more important
+ * ones. A customer at its limit loses its least important requests first;
+ * without the reserve it would lose all kinds alike.
+ */
+const RESERVE_PER_PRIORITY = 0.1;
+
+/** The least important requests leave this part of the burst at most. */
+const MOST_RESERVE = 0.5;
 
 /**
  * Makes the quotas of one entry.
  *
  * @example
  * const quotas = createQuotas(clock);
- * if (!quotas.tryTake(customer, 1_540)) { refuse(quotas.waitMs(customer, 1_540)); }
+ * if (!quotas.tryTake(customer, 1_540, 1)) { refuse(quotas.waitMs(customer, 1)); }
  */
 export function createQuotas(clock: Clock): Quotas {
   const buckets = new Map<string, Bucket>();
@@ -68,23 +75,28 @@
     buckets.set(name, bucket);
     const grown = ((now - bucket.filledAt) * quota.perSecond * part) / SECOND_MS;
     bucket.level = Math.min(quota.burst, bucket.level + grown);
-    bucket.level = Math.max(-quota.burst * DEEPEST_DEBT, bucket.level);
     bucket.filledAt = now;
     return bucket;
   }
 
+  function reserve(quota: Quota, priority: number): number {
+    const part = Math.min(MOST_RESERVE, priority * RESERVE_PER_PRIORITY);
+    return quota.burst * part;
+  }
+
   function count(name: string, amount: number): void {
     own[name] = (own[name] ?? 0) + amount;
   }
 
   return {
-    tryTake({name, quota}, amount) {
+    tryTake({name, quota}, amount, priority) {
       if (quota === undefined) {
         return true;
       }
       const bucket = bucketOf(name, quota);
-      // A request larger than the whole burst could never pass otherwise.
-      if (bucket.level < Math.min(amount, quota.burst)) {
+      // The amount does not count here: a customer at its limit would have only
+      // its small requests served, and its large ones never.
+      if (bucket.level <= reserve(quota, priority)) {
         return false;
       }
       bucket.level -= amount;
@@ -98,11 +110,11 @@
       bucketOf(name, quota).level += amount;
       count(name, -amount);
     },
-    waitMs({name, quota}, amount) {
+    waitMs({name, quota}, priority) {
       if (quota === undefined) {
         return 0;
       }
-      const missing = Math.min(amount, quota.burst) - bucketOf(name, quota).level;
+      const missing = reserve(quota, priority) - bucketOf(name, quota).level;
       return Math.max(0, (missing * SECOND_MS) / (quota.perSecond * part));
     },
     used: () => own,
--- a/packages/traffic/src/workMeter.ts
+++ b/packages/traffic/src/workMeter.ts
@@ -12,7 +12,7 @@
  * a replica takes seconds to start: following each clump would order replicas
  * that are there when it is over.
  */
-const HALF_LIFE_MS = 3_000;
+const HALF_LIFE_MS = 4_000;
 const SECOND_MS = 1_000;
 
 interface Rate {
@@ -24,7 +24,7 @@
  * Makes a meter at zero.
  *
  * @example
- * meter.note('chat', engineWorkMs(demand, speed));
+ * meter.note('chat', promptWorkMs(demand, speed));
  * const {chat} = meter.rates();
  */
 export function createWorkMeter(clock: Clock): WorkMeter {
