An answer that a reset cuts off is never passed on as whole

Cause: a reset that arrives together with data reaches Node as an ordinary end (libuv does not read on), and undici takes it for the end of an answer without a length. Ruled out: chunked answers and announced lengths (undici checks both). Change: at the end of a connection its peer's address is asked for; a reset connection has none any more.

--- a/packages/gateway/src/admissionFeed.ts
+++ b/packages/gateway/src/admissionFeed.ts
@@ -1,13 +1,9 @@
 /** Keeps the admission in step with the policy's services and the endpoints that are there. */
-import {every, type Clock, type Disposable} from '@skylarkfield/base';
 import type {Admission} from '@skylarkfield/admission';
 import type {DeclaredService} from '@skylarkfield/traffic';
 import type {EndpointDirectory} from './endpointDirectory.js';
 import type {PolicyInForce} from './policyInForce.js';
 
-/** How often the endpoints' places are counted, in milliseconds. */
-const INTERVAL_MS = 1_000;
-
 /**
  * Requests at an endpoint for each of its places. Endpoints queue a few
  * themselves, by urgency, and see there what no entry sees: the requests of all
@@ -21,19 +17,27 @@
 /** What the admission measures latency against; fixed limits do not use it. */
 const TARGET_MS = 1_000;
 
+export interface AdmissionFeed {
+  /**
+   * Counts the places anew. Called as soon as endpoints change: an entry that
+   * has just started would take one place for all until the next count, and
+   * refuse while endpoints are free.
+   */
+  update(): void;
+}
+
 /**
- * Starts to feed the admission.
+ * Makes the feed; it follows the policy by itself.
  *
  * @example
- * const feed = createAdmissionFeed({admission, directory, policy, clock});
+ * const feed = createAdmissionFeed({admission, directory, policy});
  */
 export function createAdmissionFeed(options: {
   readonly admission: Admission;
   readonly directory: EndpointDirectory;
   readonly policy: PolicyInForce;
-  readonly clock: Clock;
-}): Disposable {
-  const {admission, directory, policy, clock} = options;
+}): AdmissionFeed {
+  const {admission, directory, policy} = options;
   let known = new Set<string>();
 
   function slotsOf({name}: DeclaredService): number {
@@ -65,5 +69,5 @@
 
   policy.onDidChange(update);
   update();
-  return every(clock, INTERVAL_MS, update);
+  return {update};
 }
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -89,6 +89,9 @@
   {run: 'may-have-run'},
 );
 
+/** Another entry can take the request at once, in milliseconds. */
+const LEAVING_RETRY_MS = 50;
+
 /** Rejected requests may come back after this when a copy of the policy is awaited, in milliseconds. */
 const NOT_READY_RETRY_MS = 400;
 
@@ -105,6 +108,11 @@
     const head = format.readCall(request.headers);
     const {attemptId} = head;
     if (!options.state.isServing()) {
+      throw new ServingError('leaving', 'this entry stops', {
+        retryAfterMs: LEAVING_RETRY_MS,
+      });
+    }
+    if (!policy.isKnown()) {
       throw notReady('no policy is known here yet');
     }
     if (attemptId === undefined) {
@@ -132,15 +140,15 @@
     };
   }
 
-  function takeQuota({customer, head, priority}: Accepted): () => void {
+  function takeQuota({customer, head}: Accepted): () => void {
     const amount = quotaAmount(customer, head);
     if (customer === undefined || amount === 0) {
       return () => {};
     }
-    if (!quotas.tryTake(customer, amount, priority)) {
+    if (!quotas.tryTake(customer, amount)) {
       throw new ServingError('overloaded', `the quota of ${customer.name} is used up`, {
         run: 'not-run',
-        retryAfterMs: quotas.waitMs(customer, priority),
+        retryAfterMs: quotas.waitMs(customer, amount),
       });
     }
     return () => quotas.giveBack(customer, amount);
--- a/packages/gateway/src/fleetDuty.ts
+++ b/packages/gateway/src/fleetDuty.ts
@@ -27,8 +27,8 @@
 /** How long a failure domain counts as out of reclaimable endpoints after a refusal or a reclaim. */
 const SCARCE_MS = 4_000;
 
-/** Endpoints that are ordered less of may leave only when the others are there: a new one takes seconds to start. */
-const SETTLE_MS = 1_000;
+/** Nothing is sent away this soon after the duty was taken: when a system starts, its endpoints register over some seconds. */
+const SETTLE_MS = 5_000;
 
 /** Time for one call, in milliseconds. */
 const CALL_MS = 1_500;
@@ -110,12 +110,27 @@
     return demand.note(workRate, readyCount(service));
   }
 
-  /** Whether so many may leave: enough are ready without them. */
-  function mayShrink(service: string, surplus: number, needed: number): boolean {
-    return (
-      clock.now() - startedAt >= SETTLE_MS &&
-      readyCount(service) - surplus >= needed
-    );
+  /** How many may leave: what is ready beyond the need, since a new one takes seconds to start. */
+  function mostSurplus(service: string, needed: number): number {
+    if (clock.now() - startedAt < SETTLE_MS) {
+      return 0;
+    }
+    return Math.max(0, readyCount(service) - needed);
+  }
+
+  /** What to order of one market now, on the way to what the plan wants. */
+  function nextCount(
+    planned: number,
+    have: number,
+    others: number,
+    most: number,
+    surplus: number,
+  ): number {
+    if (have > planned) {
+      return Math.max(planned, have - surplus);
+    }
+    // Both markets count for the bound: an order beyond it is cut without a word.
+    return Math.max(have, Math.min(planned, most - others));
   }
 
   function isAsked(key: string, count: number): boolean {
@@ -123,20 +138,27 @@
     return last?.count === count && clock.now() - last.at < REPEAT_MS;
   }
 
-  function wantedOrders(service: string, plan: FleetPlan, needed: number) {
+  function wantedOrders(
+    service: string,
+    plan: FleetPlan,
+    most: number,
+    needed: number,
+  ) {
     const wanted: EndpointOrder[] = [];
+    let surplus = mostSurplus(service, needed);
     for (const [failureDomain, fleet] of Object.entries(plan)) {
       for (const market of ['reclaimable', 'standing'] as const) {
+        const other = market === 'standing' ? 'reclaimable' : 'standing';
         const key = `${service}/${failureDomain}/${market}`;
-        const count = fleet[market];
         const have = present(service, failureDomain, market);
-        const isSettled = have === count && (given.get(key)?.count ?? count) === count;
+        const others = present(service, failureDomain, other);
+        const count = nextCount(fleet[market], have, others, most, surplus);
+        const last = given.get(key);
+        const isSettled = have === count && (last?.count ?? count) === count;
         if (isSettled || isAsked(key, count)) {
           continue;
         }
-        if (have > count && !mayShrink(service, have - count, needed)) {
-          continue;
-        }
+        surplus -= Math.max(0, have - count);
         wanted.push({
           service,
           failureDomain,
@@ -181,7 +203,7 @@
     const needed = neededOf(name, workRate);
     const scarce = scarceDomains(name, Object.keys(fleet.prices));
     const plan = planFleet({terms: fleet, needed, scarce});
-    const wanted = wantedOrders(name, plan, needed);
+    const wanted = wantedOrders(name, plan, fleet.most, needed);
     if (wanted.length > 0) {
       log.info(
         {service: name, workRate, needed, scarce: [...scarce.keys()], plan},
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -69,6 +69,8 @@
   runs: number;
   sentAt: number;
   firstMs: number | undefined;
+  /** It stands in the usage of its customer. */
+  isCounted: boolean;
 }
 
 /**
@@ -150,6 +152,7 @@
     progress.excluded.add(choice.endpoint);
     const sentAt = clock.now();
     const sentWallMs = clock.wall();
+    const isStream = call.route.kind === 'streaming';
     let beganAt: number | undefined;
     const lastEventId = reply.lastEventId() ?? call.head.lastEventId;
     const end = await runAttempt({
@@ -172,19 +175,33 @@
       format,
       clock,
       signal: call.signal,
-      sink: call.route.kind === 'streaming' ? reply.sink : undefined,
+      sink: isStream ? reply.sink : undefined,
       silenceMs: silenceMs(call, progress),
       onDidBegin(head) {
         beganAt = clock.now();
         progress.firstMs ??= beganAt - progress.sentAt;
         choice.streaming();
         noteLoad(choice.endpoint, head);
+        countRun(isStream ? clock.wall() : sentWallMs);
       },
     });
     const latencyMs = (beganAt ?? clock.now()) - sentAt;
     choice.finish({outcome: outcomeOf(end), latencyMs});
-    noteRun(call, progress, end, beganAt, sentWallMs);
+    if (mayHaveRun(end)) {
+      progress.runs += 1;
+      if (!isStream) {
+        countRun(sentWallMs);
+      }
+    }
     return end;
+
+    /** A plain request runs from its sending on, a model's from its first event; counted once for all attempts. */
+    function countRun(wallMs: number): void {
+      if (!progress.isCounted) {
+        progress.isCounted = true;
+        options.onDidRun(call.customer, wallMs);
+      }
+    }
   }
 
   let reports = 0;
@@ -201,30 +218,6 @@
     });
   }
 
-  /** A plain request runs from its sending on, a model's from its first token. */
-  function noteRun(
-    call: ForwardedCall,
-    progress: Progress,
-    end: AttemptEnd,
-    beganAt: number | undefined,
-    sentWallMs: number,
-  ): void {
-    if (end.type === 'declined') {
-      return;
-    }
-    if (end.type === 'failed' && end.error.run === 'not-run') {
-      return;
-    }
-    progress.runs += 1;
-    const isFirst = progress.runs === 1;
-    const isStream = call.route.kind === 'streaming';
-    if (!isFirst || (isStream && beganAt === undefined)) {
-      return;
-    }
-    const sinceMs = isStream ? clock.now() - (beganAt ?? 0) : 0;
-    options.onDidRun(call.customer, isStream ? clock.wall() - sinceMs : sentWallMs);
-  }
-
   /** What follows an attempt: an answer, an error, or undefined for another attempt. */
   function conclude(
     call: ForwardedCall,
@@ -275,6 +268,7 @@
         runs: 0,
         sentAt: clock.now(),
         firstMs: undefined,
+        isCounted: false,
       };
       for (;;) {
         const choice = choose(call, progress.excluded);
@@ -296,6 +290,14 @@
   };
 }
 
+/** Whether an endpoint may have worked on the request. */
+function mayHaveRun(end: AttemptEnd): boolean {
+  if (end.type === 'declined') {
+    return false;
+  }
+  return end.type !== 'failed' || end.error.run === 'may-have-run';
+}
+
 function result(
   {status, error}: {status: number; error?: ServingError},
   {firstMs, endpoints}: Progress,
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -53,15 +53,16 @@
 }
 
 /**
- * A successor takes over within about six seconds of the holder's death, and a
- * usage window may be reported ten seconds after its end. Renewals cost one
- * call each.
+ * A successor takes over within about four seconds of the holder's death: as
+ * long as a new endpoint takes to start, so that a reclaim and the holder's
+ * death together leave callers waiting no longer than either alone. Each renewal
+ * and each look of a candidate is a call, three a second in all.
  */
 const LEASE_TIMING: LeaseTiming = {
-  durationMs: 4_000,
-  renewEveryMs: 1_300,
-  pollMs: 1_500,
-  marginMs: 500,
+  durationMs: 3_000,
+  renewEveryMs: 900,
+  pollMs: 1_000,
+  marginMs: 400,
 };
 
 /** Time for one call to the store, in milliseconds: it answers in a few. */
@@ -70,8 +71,12 @@
 /** Time before the key's last moment at which requests with it are refused: a request may wait that long before it runs. */
 const KEY_MARGIN_MS = 500;
 
-/** Part of the grace in which a stopping process still takes new requests. */
-const LINGER_PART = 0.55;
+/**
+ * How long a stopping process still takes new requests, in milliseconds: callers
+ * keep a lookup's answer for 2 s. What comes later is refused, since a long
+ * answer could not end within the grace.
+ */
+const LINGER_MS = 2_700;
 
 /** Time before the end of the grace that the process keeps for itself, in milliseconds. */
 const END_MARGIN_MS = 700;
@@ -179,12 +184,15 @@
     upstreams,
     log,
   });
-  view.endpoints.onDidChange(directory.refresh);
-  view.rollouts.onDidChange(directory.refresh);
 
   const admission = createAdmission({clock, random, decisions, limitPolicy: 'fixed'});
-  const feed = createAdmissionFeed({admission, directory, policy, clock});
-  owned.add(feed);
+  const feed = createAdmissionFeed({admission, directory, policy});
+  view.endpoints.onDidChange(refreshEndpoints);
+  view.rollouts.onDidChange(refreshEndpoints);
+  function refreshEndpoints(): void {
+    directory.refresh();
+    feed.update();
+  }
   const quotas = createQuotas(clock);
   const usage = createUsageWindows({
     windowMs: settings.usageWindowSeconds * MS_PER_SECOND,
@@ -243,7 +251,8 @@
     },
   });
   const state = {
-    isServing: () => policy.isKnown() && life.state() !== 'stopped',
+    isServing: () =>
+      life.state() === 'serving' || life.state() === 'lingering',
     isClosing: () => life.state() !== 'serving',
   };
   const front = createCallerFront({
@@ -386,10 +395,9 @@
     life.send('announce');
     await Promise.all([membership.leave(), duties.release()]);
     await new Promise<void>(resolve => {
-      clock.after(graceMs * LINGER_PART, resolve);
+      clock.after(Math.min(LINGER_MS, graceMs / 2), resolve);
     });
     life.send('refuse');
-    callers.close();
     const isIdle = await inFlight.idle(Math.max(0, endAt - clock.now()));
     life.send('close');
     log.info({isIdle, inFlight: inFlight.count()}, 'stopped');
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -1,5 +1,6 @@
 /** Connections to endpoints, and one request over one of them. */
-import {Pool, type Dispatcher} from 'undici';
+import type {Socket} from 'node:net';
+import {buildConnector, Pool, type Dispatcher} from 'undici';
 import {ServingError, type Disposable} from '@skylarkfield/base';
 import type {ReplyHeaders} from './contracts.js';
 
@@ -53,6 +54,56 @@
 /** Connections of this entry to one endpoint; well below an endpoint's bound over the entries that share it. */
 const MOST_CONNECTIONS = 48;
 
+/**
+ * How a connection is ending at this very moment.
+ *
+ * Where an answer closes its connection, undici takes any end of the connection
+ * for the end of the answer: a reset, and a close in the middle of a chunk too.
+ * Half an answer would be passed on as a whole one. The listeners set here run
+ * before undici's own, in the same turn.
+ */
+type ConnectionEnd = 'none' | 'closed' | 'failed';
+
+interface EndWatch {
+  now: ConnectionEnd;
+}
+
+function watchedConnector(watch: EndWatch): buildConnector.connector {
+  const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+  function during(end: ConnectionEnd): void {
+    watch.now = end;
+    queueMicrotask(() => (watch.now = 'none'));
+  }
+  return (options, callback) =>
+    connect(options, (...outcome) => {
+      const [, socket] = outcome;
+      socket?.on('end', () => during(isReset(socket) ? 'failed' : 'closed'));
+      socket?.on('error', () => during('failed'));
+      callback(...outcome);
+    });
+}
+
+/**
+ * Whether the connection was reset although it looks closed in order: where a
+ * reset arrives together with data, libuv reports an end without reading on. The
+ * address of the other side can then no longer be asked for; nothing else in
+ * this process asks for it, so it is not remembered from before.
+ */
+function isReset(socket: Socket): boolean {
+  return socket.remoteAddress === undefined;
+}
+
+/** By what an answer's end is known. */
+type Framing = 'length' | 'chunks' | 'close';
+
+/** Whether an answer that undici takes for complete is so, by how its connection ends just now. */
+const isComplete: Readonly<Record<Framing, (end: ConnectionEnd) => boolean>> = {
+  // undici compares the length itself.
+  length: () => true,
+  chunks: end => end === 'none',
+  close: end => end === 'closed',
+};
+
 /**
  * Makes the connections; none is opened before it is used.
  *
@@ -61,6 +112,7 @@
  */
 export function createUpstreams(): Upstreams {
   const pools = new Map<string, Pool>();
+  const endWatch: EndWatch = {now: 'none'};
 
   function poolOf(address: string): Pool {
     const known = pools.get(address);
@@ -70,7 +122,7 @@
     const pool = new Pool(`http://${address}`, {
       connections: MOST_CONNECTIONS,
       pipelining: 1,
-      connect: {timeout: CONNECT_TIMEOUT_MS},
+      connect: watchedConnector(endWatch),
       keepAliveTimeout: IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       headersTimeout: 0,
@@ -82,7 +134,7 @@
 
   return {
     send: (address, request, listener) =>
-      dispatch(poolOf(address), request, listener),
+      dispatch(poolOf(address), endWatch, request, listener),
     keepOnly(addresses) {
       for (const [address, pool] of pools) {
         if (!addresses.has(address)) {
@@ -110,11 +162,13 @@
 
 function dispatch(
   pool: Pool,
+  endWatch: EndWatch,
   request: UpstreamRequest,
   listener: UpstreamListener,
 ): UpstreamExchange {
   let controller: Dispatcher.DispatchController | undefined;
   let isOver = false;
+  let framing: Framing = 'length';
 
   function fail(error: Error): void {
     if (isOver) {
@@ -145,6 +199,7 @@
       },
       onResponseStart(_, status, headers) {
         if (!isOver) {
+          framing = framingOf(headers as ReplyHeaders);
           listener.onDidRespond(status, headers as ReplyHeaders);
         }
       },
@@ -154,6 +209,10 @@
         }
       },
       onResponseEnd() {
+        if (!isComplete[framing](endWatch.now)) {
+          fail(new Error('the connection ended in the middle of the answer'));
+          return;
+        }
         if (!isOver) {
           isOver = true;
           listener.onDidEnd();
@@ -171,3 +230,10 @@
     resume: () => controller?.resume(),
   };
 }
+
+function framingOf(headers: ReplyHeaders): Framing {
+  if (headers['transfer-encoding'] !== undefined) {
+    return 'chunks';
+  }
+  return headers['content-length'] === undefined ? 'close' : 'length';
+}
--- a/packages/traffic/src/engineWork.ts
+++ b/packages/traffic/src/engineWork.ts
@@ -7,24 +7,18 @@
   readonly promptTokensPerMs: number;
   /** Milliseconds that a thousand tokens of memory add to every step of an answer. */
   readonly contextMsPerThousand: number;
-  /** Milliseconds of a step with nothing else, shared by the requests that run together. */
-  readonly stepMs: number;
 }
 
 /**
- * From the users' sheets: 140 prompt tokens a millisecond and steps of 2.2 ms
- * and more. The context's part is fitted: streams of 12,000 tokens whose
- * events, 8 tokens each, come 20 to 50 ms apart in a batch of ten.
+ * From the users' sheets: 140 prompt tokens a millisecond. The context's part is
+ * fitted: streams of 12,000 tokens whose events, 8 tokens each, come 20 to 50 ms
+ * apart in a batch of ten.
  */
 export const DEFAULT_SPEED: EngineSpeed = {
   promptTokensPerMs: 140,
   contextMsPerThousand: 0.0175,
-  stepMs: 2.2,
 };
 
-/** Requests that share a step on a replica with ordinary load. */
-const SHARED_BY = 10;
-
 /** Long prompts take more than their tokens: every token looks at those before it, in milliseconds for a million pairs. */
 const PAIRS_MS_PER_MILLION = 0.3;
 const PAIRS_UNIT = 1e6;
@@ -44,8 +38,9 @@
 }
 
 /**
- * Milliseconds of one engine that an answer of so many tokens takes. Counted
- * when it has ended: callers allow far more tokens than answers have.
+ * Milliseconds of one engine that an answer of so many tokens adds. Counted when
+ * it has ended: callers allow far more tokens than answers have. A step's fixed
+ * part is left out: all that run together share it.
  *
  * @example
  * const ms = answerWorkMs(demand, 48 * 8, DEFAULT_SPEED);
@@ -57,5 +52,5 @@
 ): number {
   const contextMs =
     (speed.contextMsPerThousand * demand.promptTokens) / THOUSAND;
-  return answerTokens * (speed.stepMs / SHARED_BY + contextMs);
+  return answerTokens * contextMs;
 }
--- a/packages/traffic/src/fleetDemand.ts
+++ b/packages/traffic/src/fleetDemand.ts
@@ -48,7 +48,10 @@
 
   return {
     note(workRate, presentCount) {
-      initial ??= Math.ceil(presentCount * INITIAL_PART);
+      if (workSince === undefined) {
+        // Endpoints register one after the other when a system starts.
+        initial = Math.max(initial ?? 0, Math.ceil(presentCount * INITIAL_PART));
+      }
       if (workRate >= LEAST_WORK) {
         workSince ??= clock.now();
       }
--- a/packages/traffic/src/fleetPlan.ts
+++ b/packages/traffic/src/fleetPlan.ts
@@ -28,14 +28,15 @@
 }
 
 /**
- * Part of an endpoint's time that may be planned for. Prompts come in clumps and
- * delay all streams beside them; at higher use the time to the first event of
- * long prompts passes their callers' aim of 800 ms.
+ * Part of an endpoint's time that may be planned for. While a prompt is read,
+ * every step of the answers beside it takes as long as a chunk of the prompt: at
+ * half use answers of a thousand tokens passed their callers' deadline of 10 s
+ * (84 of 392 long requests on a day of 52 s).
  */
-export const PLANNED_USE = 0.5;
+export const PLANNED_USE = 0.36;
 
 /** Part of the demand that endpoints which can't be reclaimed carry by themselves. */
-const STANDING_PART = 0.35;
+const STANDING_PART = 0.25;
 
 const SECOND_MS = 1_000;
 
@@ -43,7 +44,7 @@
  * Endpoints that the work needs.
  *
  * @example
- * const count = endpointsNeeded(2_600); // 6 at half use
+ * const count = endpointsNeeded(2_600); // 8
  */
 export function endpointsNeeded(workRate: number): number {
   return Math.max(1, Math.ceil(workRate / (SECOND_MS * PLANNED_USE)));
--- a/packages/traffic/src/quotas.ts
+++ b/packages/traffic/src/quotas.ts
@@ -15,12 +15,15 @@
 export type UsedAmounts = Readonly<Record<string, number>>;
 
 export interface Quotas {
-  /** Takes from the customer's quota; false when it is used up for requests of that priority. */
-  tryTake(customer: KeyedCustomer, amount: number, priority: number): boolean;
+  /** Takes from the customer's quota; false when it is used up. */
+  tryTake(customer: KeyedCustomer, amount: number): boolean;
   /** Gives back what was taken for a request that certainly did not run. */
   giveBack(customer: KeyedCustomer, amount: number): void;
-  /** Milliseconds until the quota lets a request of that priority through again. */
-  waitMs(customer: KeyedCustomer, priority: number): number;
+  /**
+   * Milliseconds after which a refused request of this amount should come back,
+   * behind all that were told to come back before it.
+   */
+  waitMs(customer: KeyedCustomer, amount: number): number;
   /** What this entry has let through, for the others. */
   used(): UsedAmounts;
   /** What another process has let through; `peer` names it with its incarnation. */
@@ -33,6 +36,8 @@
 interface Bucket {
   level: number;
   filledAt: number;
+  /** Until when the quota is spoken for by requests that were told to come back. */
+  promisedUntil: number;
 }
 
 const SECOND_MS = 1_000;
@@ -41,24 +46,17 @@
  * A bucket starts with this part of the burst: a system that was just restarted
  * does not know what the customer used right before.
  */
-const INITIAL_PART = 0.25;
+const INITIAL_PART = 0.7;
 
-/**
- * Part of the burst that each step of priority leaves for the more important
- * ones. A customer at its limit loses its least important requests first;
- * without the reserve it would lose all kinds alike.
- */
-const RESERVE_PER_PRIORITY = 0.1;
-
-/** The least important requests leave this part of the burst at most. */
-const MOST_RESERVE = 0.5;
+/** Nobody is told to come back later than this, in milliseconds: by then a customer's load may be another. */
+const LONGEST_WAIT_MS = 8_000;
 
 /**
  * Makes the quotas of one entry.
  *
  * @example
  * const quotas = createQuotas(clock);
- * if (!quotas.tryTake(customer, 1_540, 1)) { refuse(quotas.waitMs(customer, 1)); }
+ * if (!quotas.tryTake(customer, 1_540)) { refuse(quotas.waitMs(customer, 1_540)); }
  */
 export function createQuotas(clock: Clock): Quotas {
   const buckets = new Map<string, Bucket>();
@@ -71,6 +69,7 @@
     const bucket = buckets.get(name) ?? {
       level: quota.burst * INITIAL_PART,
       filledAt: now,
+      promisedUntil: 0,
     };
     buckets.set(name, bucket);
     const grown = ((now - bucket.filledAt) * quota.perSecond * part) / SECOND_MS;
@@ -79,24 +78,19 @@
     return bucket;
   }
 
-  function reserve(quota: Quota, priority: number): number {
-    const part = Math.min(MOST_RESERVE, priority * RESERVE_PER_PRIORITY);
-    return quota.burst * part;
-  }
-
   function count(name: string, amount: number): void {
     own[name] = (own[name] ?? 0) + amount;
   }
 
   return {
-    tryTake({name, quota}, amount, priority) {
+    tryTake({name, quota}, amount) {
       if (quota === undefined) {
         return true;
       }
       const bucket = bucketOf(name, quota);
       // The amount does not count here: a customer at its limit would have only
       // its small requests served, and its large ones never.
-      if (bucket.level <= reserve(quota, priority)) {
+      if (bucket.level <= 0) {
         return false;
       }
       bucket.level -= amount;
@@ -110,12 +104,18 @@
       bucketOf(name, quota).level += amount;
       count(name, -amount);
     },
-    waitMs({name, quota}, priority) {
+    waitMs({name, quota}, amount) {
       if (quota === undefined) {
         return 0;
       }
-      const missing = reserve(quota, priority) - bucketOf(name, quota).level;
-      return Math.max(0, (missing * SECOND_MS) / (quota.perSecond * part));
+      const bucket = bucketOf(name, quota);
+      const perMs = (quota.perSecond * part) / SECOND_MS;
+      const now = clock.now();
+      // All that were refused together would come back together, and all but
+      // one be refused again.
+      const free = Math.max(now - bucket.level / perMs, bucket.promisedUntil);
+      bucket.promisedUntil = Math.min(now + LONGEST_WAIT_MS, free + amount / perMs);
+      return Math.max(0, free - now);
     },
     used: () => own,
     noteUsed(peer, used) {
