--- a/eslint.config.js
+++ b/eslint.config.js
@@ -35,14 +35,35 @@
   });
 }
 
+/** Names of the platform's headers, paths and fields: only the adapter knows them. */
+const PLATFORM_NAMES =
+  '/^(x-(try-id|reply-seal|duty-holder|fence-token|expect-replica|prompt-prefix|token-counts|deadline-ms|tenant|replica-|kv-)|kv-(from|fetch)|.*skylarkfield\\/(resolve|readyz|objects|report|kv-)|PathPrefix|ApiKeys|KvTokens|CurrentRev|MorePages)/i';
+
+function platformNameRule() {
+  const message = "The platform's names are decoded in platform/ alone.";
+  return {
+    files: ['packages/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {selector: `Literal[value=${PLATFORM_NAMES}]`, message},
+        {
+          selector: `Property > Identifier.key[name=${PLATFORM_NAMES}]`,
+          message,
+        },
+      ],
+    },
+  };
+}
+
 export default defineConfig([
-  {ignores: ['**/out/**', '**/dist/**', '**/node_modules/**']},
+  {ignores: ['**/out/**', '**/dist/**', '**/target/**', '**/node_modules/**']},
   ...gts,
   {
     files: ['**/*.ts'],
     languageOptions: {
       parserOptions: {
-        project: ['./packages/*/tsconfig.json'],
+        project: ['./packages/*/tsconfig.json', './platform/tsconfig.json'],
         tsconfigRootDir: import.meta.dirname,
       },
     },
@@ -87,4 +108,5 @@
     rules: {'n/no-unpublished-import': 'off', 'n/no-process-exit': 'off'},
   },
   ...layerRules(),
+  platformNameRule(),
 ]);
--- a/packages/gateway/src/admissionFeed.ts
+++ b/packages/gateway/src/admissionFeed.ts
@@ -41,9 +41,7 @@
   let known = new Set<string>();
 
   function slotsOf({name}: DeclaredService): number {
-    const present = directory
-      .of(name)
-      .filter(({state}) => state === 'ready');
+    const present = directory.of(name).filter(({state}) => state === 'ready');
     return present.reduce((sum, {slots}) => sum + slots, 0);
   }
 
--- /dev/null
+++ b/packages/gateway/src/agreementPart.ts
@@ -0,0 +1,125 @@
+/** The other entries, the store that all share, and the duties that one at a time holds. */
+import {
+  disposableStore,
+  ServingError,
+  type Disposable,
+} from '@skylarkfield/base';
+import {
+  createDuties,
+  type Duties,
+  type LeaseTiming,
+} from '@skylarkfield/duties';
+import {createMembership, type Membership} from '@skylarkfield/members';
+import {createPeerNetwork, type PeerNetwork} from '@skylarkfield/protocol';
+import {createObjectStore, type ObjectStore} from '@skylarkfield/providers';
+import type {GatewayContext} from './context.js';
+import type {Address} from './settings.js';
+
+export interface AgreementPart extends Disposable {
+  readonly network: PeerNetwork;
+  readonly store: ObjectStore;
+  readonly membership: Membership;
+  readonly duties: Duties;
+  /** Ids of the live entries, this one included. */
+  liveIds(): readonly string[];
+}
+
+/**
+ * A successor takes over within about four seconds of the holder's death: as
+ * long as a new endpoint takes to start, so that a reclaim and the holder's
+ * death together leave callers waiting no longer than either alone. Each renewal
+ * and each look of a candidate is a call, three a second in all.
+ */
+const LEASE_TIMING: LeaseTiming = {
+  durationMs: 3_000,
+  renewEveryMs: 900,
+  pollMs: 1_000,
+  marginMs: 400,
+};
+
+/** Time for one call to the store, in milliseconds: it answers in a few. */
+const STORE_CALL_MS = 1_000;
+
+/**
+ * Opens the inner port and joins the other entries. Throws `bad-settings` when
+ * the port can't be opened.
+ *
+ * @example
+ * const agreement = await createAgreementPart(context);
+ */
+export async function createAgreementPart(
+  context: GatewayContext,
+): Promise<AgreementPart> {
+  const {settings, platform, incarnation, clock, random, log, decisions} =
+    context;
+  const owned = disposableStore();
+  const self = {id: settings.id, incarnation};
+  const network = owned.add(
+    createPeerNetwork({self, clock, random, log, key: settings.innerKey}),
+  );
+  await network.listen(settings.inner);
+  const store = owned.add(
+    createObjectStore({
+      transport: platform.objects,
+      clock,
+      random,
+      writer: settings.id,
+      callDeadlineMs: STORE_CALL_MS,
+      platformCallsPerSecond: settings.platform.callsPerSecond,
+    }),
+  );
+  const membership = owned.add(
+    createMembership({
+      self: {
+        ...self,
+        callerUrl: urlOf('http', settings.callers),
+        innerUrl: urlOf('ws', settings.inner),
+        failureDomain: settings.failureDomain,
+        region: settings.region,
+      },
+      store,
+      network,
+      clock,
+      random,
+      log,
+      decisions,
+      seeds: settings.seeds.map(seed => `ws://${seed}`),
+      load: context.inFlight.count,
+    }),
+  );
+  const liveIds = () => membership.live().map(({id}) => id);
+  const duties = owned.add(
+    createDuties({
+      clock,
+      random,
+      store,
+      self,
+      members: liveIds,
+      log,
+      decisions,
+      timing: LEASE_TIMING,
+    }),
+  );
+  context.dumps.add('members', () => membership.dump());
+  context.dumps.add('network', () => network.dump());
+  context.dumps.add('store', () => store.dump());
+  context.dumps.add('duties', () => duties.dump());
+  return {
+    network,
+    store,
+    membership,
+    duties,
+    liveIds,
+    dispose: () => owned.dispose(),
+  };
+}
+
+function urlOf(scheme: string, {host, port}: Address): string {
+  if (port === 0) {
+    throw new ServingError(
+      'bad-settings',
+      'a port that others use can not be 0',
+    );
+  }
+  return `${scheme}://${host}:${port}`;
+}
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -2,7 +2,7 @@
 import {ServingError, type Clock} from '@skylarkfield/base';
 import type {CallFormat, ReplyHead, ReplyHeaders} from './contracts.js';
 import {createEventFrames, type EventFrame} from './eventFrames.js';
-import type {UpstreamExchange, UpstreamRequest, Upstreams} from './upstream.js';
+import type {UpstreamRequest, Upstreams} from './upstream.js';
 
 /** How an attempt ended. */
 export type AttemptEnd =
@@ -73,7 +73,6 @@
     let isStream = false;
     let hasBegun = false;
     let isOver = false;
-    let exchange: UpstreamExchange | undefined;
     let silence = watchSilence();
 
     function watchSilence() {
@@ -101,7 +100,7 @@
     }
 
     function giveUp(error: ServingError): void {
-      exchange?.abort();
+      exchange.abort();
       settle({type: 'failed', error});
     }
 
@@ -145,11 +144,11 @@
         sink.begin(reply.status, reply.headers);
       }
       if (!sink.write(frame)) {
-        exchange?.pause();
+        exchange.pause();
         silence?.dispose();
         sink.whenDrained(() => {
           heard();
-          exchange?.resume();
+          exchange.resume();
         });
       }
     }
@@ -189,7 +188,7 @@
       return;
     }
     signal.addEventListener('abort', onAbort, {once: true});
-    exchange = options.upstreams.send(options.address, options.request, {
+    const exchange = options.upstreams.send(options.address, options.request, {
       onDidRespond,
       onDidReceive,
       onDidEnd,
--- a/packages/gateway/src/callerBody.ts
+++ b/packages/gateway/src/callerBody.ts
@@ -41,11 +41,18 @@
 }
 
 function tooLarge(mostBytes: number): ServingError {
-  return new ServingError('too-large', `the body has more than ${mostBytes} bytes`);
+  return new ServingError(
+    'too-large',
+    `the body has more than ${mostBytes} bytes`,
+  );
 }
 
 function left(): ServingError {
-  return new ServingError('cancelled', 'the caller left while it sent its body', {
-    run: 'not-run',
-  });
+  return new ServingError(
+    'cancelled',
+    'the caller left while it sent its body',
+    {
+      run: 'not-run',
+    },
+  );
 }
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -125,7 +125,10 @@
     const customer = policy.customerOf(route, head);
     const service = chooseService(route.services, attemptId);
     if (service === undefined) {
-      throw new ServingError('endpoint-unavailable', 'the route has no service');
+      throw new ServingError(
+        'endpoint-unavailable',
+        'the route has no service',
+      );
     }
     const patienceMs = Math.min(head.patienceMs ?? Infinity, route.timeoutMs);
     const priority = customer?.priority ?? route.priority;
@@ -146,10 +149,14 @@
       return () => {};
     }
     if (!quotas.tryTake(customer, amount)) {
-      throw new ServingError('overloaded', `the quota of ${customer.name} is used up`, {
-        run: 'not-run',
-        retryAfterMs: quotas.waitMs(customer, amount),
-      });
+      throw new ServingError(
+        'overloaded',
+        `the quota of ${customer.name} is used up`,
+        {
+          run: 'not-run',
+          retryAfterMs: quotas.waitMs(customer, amount),
+        },
+      );
     }
     return () => quotas.giveBack(customer, amount);
   }
@@ -286,7 +293,8 @@
     });
     log.info(
       {
-        request: accepted?.attemptId ?? format.readCall(request.headers).attemptId,
+        request:
+          accepted?.attemptId ?? format.readCall(request.headers).attemptId,
         route: accepted?.route.name,
         service: accepted?.service,
         customer: accepted?.customer?.name,
@@ -295,7 +303,9 @@
         endpoints,
         status,
         ...(error && {kind: error.kind, run: error.run, why: error.message}),
-        ...(error?.retryAfterMs !== undefined && {retryAfterMs: Math.round(error.retryAfterMs)}),
+        ...(error?.retryAfterMs !== undefined && {
+          retryAfterMs: Math.round(error.retryAfterMs),
+        }),
         ...(hasLeft && {hasLeft}),
         ...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
         ...(accepted?.head.demand && {
--- /dev/null
+++ b/packages/gateway/src/context.ts
@@ -0,0 +1,30 @@
+/** What every part of a gateway process gets. */
+import type {
+  Clock,
+  DecisionLog,
+  Dumps,
+  InFlight,
+  Logger,
+  Metrics,
+  ProcessLife,
+  Random,
+} from '@skylarkfield/base';
+import type {Platform} from './contracts.js';
+import type {GatewaySettings} from './settings.js';
+
+export interface GatewayContext {
+  readonly settings: GatewaySettings;
+  readonly platform: Platform;
+  /** Wall-clock milliseconds of this process's start, by which a restart is told from a pause. */
+  readonly incarnation: number;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  readonly decisions: DecisionLog;
+  readonly dumps: Dumps;
+  readonly metrics: Metrics;
+  readonly life: ProcessLife;
+  readonly inFlight: InFlight;
+}
+
+export const MS_PER_SECOND = 1_000;
--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -55,7 +55,9 @@
 }
 
 /** Headers as undici gives them. */
-export type ReplyHeaders = Readonly<Record<string, string | string[] | undefined>>;
+export type ReplyHeaders = Readonly<
+  Record<string, string | string[] | undefined>
+>;
 
 /** The form in which callers and endpoints speak. */
 export interface CallFormat {
--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -112,7 +112,10 @@
   return {
     heardLately: () => lately().map(([peer]) => peer),
     commonWallMs() {
-      const offsets = [0, ...lately().map(([, {wallOffsetMs}]) => wallOffsetMs)];
+      const offsets = [
+        0,
+        ...lately().map(([, {wallOffsetMs}]) => wallOffsetMs),
+      ];
       offsets.sort((a, b) => a - b);
       return clock.wall() + offsets[Math.floor((offsets.length - 1) / 2)]!;
     },
--- /dev/null
+++ b/packages/gateway/src/dutyPart.ts
@@ -0,0 +1,54 @@
+/** What this entry does for all while it holds the duty. */
+import {disposableStore, type Disposable} from '@skylarkfield/base';
+import type {Tenure} from '@skylarkfield/duties';
+import type {AgreementPart} from './agreementPart.js';
+import {MS_PER_SECOND, type GatewayContext} from './context.js';
+import {startFleetDuty} from './fleetDuty.js';
+import type {TrafficPart} from './trafficPart.js';
+import {startUsageDuty} from './usageDuty.js';
+
+/**
+ * Competes for the duty of reporting use and ordering endpoints. One lease holds
+ * both: each lease costs calls for its renewals whether or not there is work.
+ *
+ * @example
+ * const duty = competeForDuty(context, agreement, traffic);
+ */
+export function competeForDuty(
+  context: GatewayContext,
+  agreement: AgreementPart,
+  traffic: TrafficPart,
+): Disposable {
+  const {settings, platform, clock, log} = context;
+
+  function start(tenure: Tenure): Disposable {
+    const work = disposableStore();
+    const common = {
+      tenure,
+      holder: settings.id,
+      orders: platform.orders,
+      clock,
+      log,
+    };
+    work.add(
+      startUsageDuty({
+        ...common,
+        store: agreement.store,
+        usage: traffic.usage,
+        lateMs: settings.usageLateSeconds * MS_PER_SECOND,
+        commonWallMs: traffic.digests.commonWallMs,
+      }),
+    );
+    work.add(
+      startFleetDuty({
+        ...common,
+        directory: traffic.directory,
+        services: traffic.policy.services,
+        workRate: traffic.workRate,
+      }),
+    );
+    return work;
+  }
+
+  return agreement.duties.compete('fleet', start);
+}
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -88,8 +88,12 @@
   function noteChanges(before: ReadonlyMap<string, RegisteredEndpoint>): void {
     for (const [id, endpoint] of byKey) {
       if (before.get(id)?.state !== endpoint.state) {
-        const {service, state, failureDomain, version, isReclaimable} = endpoint;
-        log.info({endpoint: id, service, state, failureDomain, version, isReclaimable}, 'endpoint registered');
+        const {service, state, failureDomain, version, isReclaimable} =
+          endpoint;
+        log.info(
+          {endpoint: id, service, state, failureDomain, version, isReclaimable},
+          'endpoint registered',
+        );
       }
     }
     for (const id of before.keys()) {
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -132,7 +132,10 @@
       return undefined;
     }
     if (call.route.kind === 'streaming') {
-      return Math.max(call.route.goalMs, call.route.longestPauseMs) * PAUSES_TO_RESUME;
+      return (
+        Math.max(call.route.goalMs, call.route.longestPauseMs) *
+        PAUSES_TO_RESUME
+      );
     }
     return (call.deadlineAt - clock.now()) * SILENCE_PART;
   }
@@ -234,7 +237,11 @@
         return undefined;
       }
       if (reply.hasBegun()) {
-        return failed(call, reply, new ServingError('interrupted', 'the stream could not go on'));
+        return failed(
+          call,
+          reply,
+          new ServingError('interrupted', 'the stream could not go on'),
+        );
       }
       reply.whole(end.status, end.headers, end.body);
       return {status: end.status};
@@ -249,10 +256,16 @@
     const mayGoOn = hasRun
       ? mayRunAgain(call, progress)
       : maySendOn(call, progress);
-    return mayGoOn ? undefined : failed(call, reply, runOf(end.error, progress));
+    return mayGoOn
+      ? undefined
+      : failed(call, reply, runOf(end.error, progress));
   }
 
-  function failed(call: ForwardedCall, reply: CallerReply, error: ServingError) {
+  function failed(
+    call: ForwardedCall,
+    reply: CallerReply,
+    error: ServingError,
+  ) {
     if (reply.hasBegun()) {
       reply.breakOff();
       return {status: 0, error};
@@ -282,7 +295,13 @@
           return result(conclusion, progress);
         }
         log.info(
-          {request: call.attemptId, endpoint: choice.endpoint, end: describe(end), runs: progress.runs, sends: progress.endpoints.length},
+          {
+            request: call.attemptId,
+            endpoint: choice.endpoint,
+            end: describe(end),
+            runs: progress.runs,
+            sends: progress.endpoints.length,
+          },
           'another endpoint',
         );
       }
@@ -340,10 +359,16 @@
 }
 
 function unavailable({service}: ForwardedCall, why: string): ServingError {
-  return new ServingError('endpoint-unavailable', `no endpoint of ${service}: ${why}`);
+  return new ServingError(
+    'endpoint-unavailable',
+    `no endpoint of ${service}: ${why}`,
+  );
 }
 
 function declined(call: ForwardedCall, progress: Progress): ServingError {
   const message = `${progress.endpoints.length} endpoints of ${call.service} have no room`;
-  return runOf(new ServingError('overloaded', message, {run: 'not-run'}), progress);
+  return runOf(
+    new ServingError('overloaded', message, {run: 'not-run'}),
+    progress,
+  );
 }
--- /dev/null
+++ b/packages/gateway/src/gatewayPorts.ts
@@ -0,0 +1,75 @@
+/** The ports of a gateway and what answers on each. */
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {AgreementPart} from './agreementPart.js';
+import {MS_PER_SECOND, type GatewayContext} from './context.js';
+import {openPort, type Port} from './listeners.js';
+import {entriesFor} from './lookup.js';
+import {createStatusHandler} from './statusPages.js';
+import type {TrafficPart} from './trafficPart.js';
+
+/** Answers are kept no longer than this, so that callers leave a lost entry soon, in milliseconds. */
+const LOOKUP_MS = 2_000;
+
+const READY = 200;
+const NOT_READY = 503;
+const NOT_FOUND = 404;
+
+/**
+ * Opens all ports. Throws `bad-settings` when one can't be opened.
+ *
+ * @example
+ * const ports = await openPorts(context, agreement, traffic);
+ */
+export async function openPorts(
+  context: GatewayContext,
+  {membership}: AgreementPart,
+  {policy, front}: TrafficPart,
+): Promise<readonly Port[]> {
+  const {settings, platform, life} = context;
+  const {lookups} = platform;
+
+  function isReady(): boolean {
+    return life.state() === 'serving' && policy.isKnown();
+  }
+
+  function answerReadiness(request: IncomingMessage, response: ServerResponse) {
+    const status = isReady() ? READY : NOT_READY;
+    end(response, lookups.isReadiness(request.url ?? '') ? status : NOT_FOUND);
+  }
+
+  function answerLookup(request: IncomingMessage, response: ServerResponse) {
+    const question = lookups.readLookup(request.url ?? '');
+    if (question === undefined) {
+      end(response, NOT_FOUND);
+      return;
+    }
+    const members = membership
+      .live()
+      .filter(({id}) => isReady() || id !== settings.id);
+    const addresses = entriesFor(members, question.failureDomain);
+    if (addresses.length === 0) {
+      end(response, NOT_READY);
+      return;
+    }
+    const ttlMs = Math.min(LOOKUP_MS, settings.lookupSeconds * MS_PER_SECOND);
+    response.setHeader('content-type', 'application/json');
+    response.end(lookups.writeAnswer(addresses, ttlMs));
+  }
+
+  const callers = await openPort(settings.callers, (request, response) => {
+    void front.handle(request, response);
+  });
+  policy.onDidChange(() => callers.setLimits(policy.limits()));
+  callers.setLimits(policy.limits());
+  return [
+    callers,
+    await openPort(settings.lookup, answerLookup),
+    await openPort(settings.readiness, answerReadiness),
+    await openPort(settings.status, createStatusHandler(context)),
+  ];
+}
+
+function end(response: ServerResponse, status: number): void {
+  response.statusCode = status;
+  response.end();
+}
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -2,7 +2,7 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import polka from 'polka';
-import {ServingError} from '@skylarkfield/base';
+import {ServingError, type Disposable} from '@skylarkfield/base';
 import type {CallerLimits} from '@skylarkfield/traffic';
 import type {Address} from './settings.js';
 
@@ -11,12 +11,9 @@
   response: ServerResponse,
 ) => void;
 
-export interface Port {
+/** Disposing it cuts its connections. */
+export interface Port extends Disposable {
   readonly port: number;
-  /** Takes no more connections and closes those without a request. */
-  close(): void;
-  /** Cuts what is left. */
-  destroy(): void;
   setLimits(limits: CallerLimits): void;
 }
 
@@ -50,11 +47,7 @@
   await listen(server, address);
   return {
     port: (server.address() as AddressInfo).port,
-    close() {
-      server.close();
-      server.closeIdleConnections();
-    },
-    destroy() {
+    dispose() {
       server.close();
       server.closeAllConnections();
     },
--- a/packages/gateway/src/lookup.ts
+++ b/packages/gateway/src/lookup.ts
@@ -23,8 +23,11 @@
   const far = live.filter(member => member.failureDomain !== failureDomain);
   const missing = Math.max(0, LEAST_ENTRIES - near.length);
   const byLoad = [...far].sort((a, b) => a.load - b.load);
-  const chosen = near.length === 0 ? byLoad : [...near, ...byLoad.slice(0, missing)];
-  return chosen.slice(0, MOST_ENTRIES).map(({callerUrl}) => addressOf(callerUrl));
+  const chosen =
+    near.length === 0 ? byLoad : [...near, ...byLoad.slice(0, missing)];
+  return chosen
+    .slice(0, MOST_ENTRIES)
+    .map(({callerUrl}) => addressOf(callerUrl));
 }
 
 function addressOf(url: string): string {
--- a/packages/gateway/src/mirror.ts
+++ b/packages/gateway/src/mirror.ts
@@ -2,12 +2,7 @@
  * This entry's copy of one kind of objects on the platform, and how it is kept
  * the newest with few calls: one entry reads, the others hear it from there.
  */
-import {
-  emitter,
-  type Clock,
-  type Event,
-  type Logger,
-} from '@skylarkfield/base';
+import {emitter, type Clock, type Event, type Logger} from '@skylarkfield/base';
 import type {
   MirrorChange,
   MirrorCopy,
@@ -96,13 +91,20 @@
     }
     changedAt = Math.max(changedAt, to);
     if (isDifferent) {
-      log.info({mirror: kind, to, changed: changes.map(({name}) => name)}, 'mirror changed');
+      log.info(
+        {mirror: kind, to, changed: changes.map(({name}) => name)},
+        'mirror changed',
+      );
       changed.fire();
     }
   }
 
   /** Takes a whole content; an older one than ours is left alone. */
-  function replace(to: number, at: number, next: readonly MirrorChange[]): void {
+  function replace(
+    to: number,
+    at: number,
+    next: readonly MirrorChange[],
+  ): void {
     if (revision !== undefined && to < revision) {
       return;
     }
--- a/packages/gateway/src/mirrorReader.ts
+++ b/packages/gateway/src/mirrorReader.ts
@@ -137,7 +137,12 @@
   void loop();
   return {
     isReading,
-    dump: () => ({calls, failures, isReading: isReading(), ageMs: mirror.ageMs()}),
+    dump: () => ({
+      calls,
+      failures,
+      isReading: isReading(),
+      ageMs: mirror.ageMs(),
+    }),
     dispose: () => stop.abort(),
   };
 }
--- a/packages/gateway/src/platformView.ts
+++ b/packages/gateway/src/platformView.ts
@@ -83,7 +83,11 @@
   const owned = disposableStore();
   const mirrors = {
     policy: createMirror<TrafficPolicy>({kind: 'policy', clock, log}),
-    endpoints: createMirror<RegisteredEndpoint>({kind: 'endpoints', clock, log}),
+    endpoints: createMirror<RegisteredEndpoint>({
+      kind: 'endpoints',
+      clock,
+      log,
+    }),
     rollouts: createMirror<Rollout>({kind: 'rollouts', clock, log}),
   };
   const kinds = Object.keys(mirrors) as MirrorKind[];
--- a/packages/gateway/src/policyInForce.ts
+++ b/packages/gateway/src/policyInForce.ts
@@ -79,7 +79,13 @@
     routes = createRouteTable(next.routes);
     customers = createCustomerTable(next.customers);
     log.info(
-      {former, version: next.version, routes: next.routes.length, customers: next.customers.length, revision: mirror.revision()},
+      {
+        former,
+        version: next.version,
+        routes: next.routes.length,
+        customers: next.customers.length,
+        revision: mirror.revision(),
+      },
       'policy in force',
     );
     listeners.forEach(listener => listener());
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -89,9 +89,13 @@
   try {
     return readFileSync(path, 'utf8');
   } catch (error) {
-    throw new ServingError('bad-settings', `cannot read ${path}: ${String(error)}`, {
-      faults: [{path, expected: 'a readable file'}],
-      cause: error,
-    });
+    throw new ServingError(
+      'bad-settings',
+      `cannot read ${path}: ${String(error)}`,
+      {
+        faults: [{path, expected: 'a readable file'}],
+        cause: error,
+      },
+    );
   }
 }
--- a/packages/gateway/src/statusPages.ts
+++ b/packages/gateway/src/statusPages.ts
@@ -1,9 +1,5 @@
 /** Metrics, state dump and decisions, for operators. */
-import type {
-  DecisionLog,
-  Dumps,
-  Metrics,
-} from '@skylarkfield/base';
+import type {DecisionLog, Dumps, Metrics} from '@skylarkfield/base';
 import type {RequestHandler} from './listeners.js';
 
 interface StatusParts {
@@ -53,5 +49,8 @@
 }
 
 function json(value: () => unknown): Page {
-  return {type: 'application/json', text: () => JSON.stringify(value(), null, 2)};
+  return {
+    type: 'application/json',
+    text: () => JSON.stringify(value(), null, 2),
+  };
 }
--- /dev/null
+++ b/packages/gateway/src/test/eventFrames.test.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createEventFrames} from '../eventFrames.js';
+
+const STREAM =
+  'x-weight-versions: 3\nid: 1\ndata: one\n\nid: 2\ndata: two\n\n: note\n\nid:30\r\ndata: three\r\n\r\nid: 4\nda';
+
+describe('event frames', () => {
+  for (const size of [1, 2, 7, 1_000]) {
+    it(`cuts a stream that comes in pieces of ${size} bytes into whole events`, () => {
+      // An endpoint may stop in the middle of an event. Its half must not stand
+      // before the first event of the endpoint that goes on.
+      const frames = createEventFrames();
+      const bytes = Buffer.from(STREAM);
+      const cut = [];
+      for (let at = 0; at < bytes.length; at += size) {
+        cut.push(...frames.push(bytes.subarray(at, at + size)));
+      }
+      assert.deepEqual(
+        cut.map(({id}) => id),
+        [1, 2, undefined, 30],
+      );
+      const whole = Buffer.concat(cut.map(frame => frame.bytes)).toString();
+      assert.equal(whole + frames.rest().toString(), STREAM);
+      assert.equal(frames.rest().toString(), 'id: 4\nda');
+    });
+  }
+});
--- /dev/null
+++ b/packages/gateway/src/test/mirror.test.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {silentLogger, virtualClock} from '@skylarkfield/base';
+import {momentOf} from '@skylarkfield/traffic';
+import {createMirror} from '../mirror.js';
+
+function setUp() {
+  const clock = virtualClock();
+  const make = () =>
+    createMirror<string>({kind: 'endpoints', clock, log: silentLogger()});
+  return {clock, make};
+}
+
+function item(name: string, revision: number, value = name) {
+  return {name, revision, value};
+}
+
+describe('mirror', () => {
+  it('hands what it reads on in steps that give others the same copy', () => {
+    const {clock, make} = setUp();
+    const reader = make();
+    const listener = make();
+    reader.takeListing(
+      {revision: 5, items: [item('a', 2), item('b', 5)]},
+      momentOf(clock),
+    );
+    listener.takeCopy(reader.copy());
+    const step = reader.takeChanges(
+      {
+        revision: 9,
+        changes: [
+          {name: 'a', item: undefined},
+          {name: 'c', item: item('c', 8)},
+        ],
+      },
+      momentOf(clock),
+    );
+    assert.ok(step !== undefined && listener.takeStep(step));
+    assert.deepEqual(listener.items(), reader.items());
+    assert.equal(listener.get('a'), undefined);
+    assert.equal(listener.get('c'), 'c');
+  });
+
+  it('refuses a step that begins after what it has', () => {
+    // A message between two entries was lost. Applying the next one would leave
+    // an endpoint in use that the lost one told to be leaving.
+    const {clock, make} = setUp();
+    const mirror = make();
+    mirror.takeListing({revision: 5, items: []}, momentOf(clock));
+    assert.ok(!mirror.takeStep({from: 7, to: 9, changes: []}));
+    assert.equal(mirror.revision(), 5);
+  });
+
+  it('never goes back to an older object or an older copy', () => {
+    const {clock, make} = setUp();
+    const mirror = make();
+    mirror.takeListing(
+      {revision: 9, items: [item('a', 9, 'new')]},
+      momentOf(clock),
+    );
+    mirror.takeStep({from: 3, to: 10, changes: [item('a', 4, 'old')]});
+    mirror.takeCopy({revision: 6, changedAt: 6, items: [item('a', 6, 'old')]});
+    mirror.takeStep({from: 3, to: 11, changes: [{name: 'a', revision: 8}]});
+    assert.equal(mirror.get('a'), 'new');
+  });
+
+  it('drops what is missing in a newer listing', () => {
+    // The store forgot its history while an endpoint left: only its absence
+    // tells.
+    const {clock, make} = setUp();
+    const mirror = make();
+    mirror.takeListing({revision: 5, items: [item('a', 2)]}, momentOf(clock));
+    mirror.takeListing({revision: 8, items: []}, momentOf(clock));
+    assert.equal(mirror.get('a'), undefined);
+  });
+
+  it('is confirmed by a peer only when it has all that the peer has', () => {
+    const {clock, make} = setUp();
+    const mirror = make();
+    mirror.takeListing({revision: 5, items: []}, momentOf(clock));
+    clock.advanceSync(4_000);
+    const standing = {confirmedAgoMs: 100, isReader: true};
+    const now = momentOf(clock);
+    assert.ok(!mirror.confirmBy({...standing, revision: 9, changedAt: 7}, now));
+    assert.equal(mirror.ageMs(), 4_000);
+    assert.ok(mirror.confirmBy({...standing, revision: 9, changedAt: 4}, now));
+    assert.equal(mirror.ageMs(), 0);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/test/testEndpoint.ts
@@ -0,0 +1,102 @@
+/** An endpoint over a plain socket, for tests of what endpoints may do. */
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+
+/** A request as it arrived. */
+export interface Arrival {
+  readonly attemptId: string;
+  readonly lastEventId: string | undefined;
+}
+
+export interface TestEndpoint {
+  readonly address: string;
+  readonly arrivals: readonly Arrival[];
+  close(): void;
+}
+
+/** What an endpoint does with a request. */
+export type Behaviour = (socket: Socket, arrival: Arrival) => void;
+
+/**
+ * Starts an endpoint; the behaviours are used in turn, the last one from then on.
+ *
+ * @example
+ * const endpoint = await startTestEndpoint([answers('hello')]);
+ */
+export async function startTestEndpoint(
+  behaviours: readonly Behaviour[],
+): Promise<TestEndpoint> {
+  const arrivals: Arrival[] = [];
+  const sockets = new Set<Socket>();
+  const server = createServer(socket => {
+    sockets.add(socket);
+    socket.on('error', () => {});
+    socket.on('close', () => sockets.delete(socket));
+    socket.on('data', bytes => {
+      const text = bytes.toString('latin1');
+      const arrival = {
+        attemptId: header(text, 'attempt') ?? '',
+        lastEventId: header(text, 'last-event'),
+      };
+      const index = Math.min(arrivals.length, behaviours.length - 1);
+      arrivals.push(arrival);
+      behaviours[index]!(socket, arrival);
+    });
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  return {
+    address: `127.0.0.1:${port}`,
+    arrivals,
+    close() {
+      server.close();
+      sockets.forEach(socket => socket.destroy());
+    },
+  };
+}
+
+function header(text: string, name: string): string | undefined {
+  return new RegExp(`^${name}: (.*)\r$`, 'im').exec(text)?.[1];
+}
+
+/** Answers with a body and its length. */
+export function answers(body: string, status = 200, id?: string): Behaviour {
+  return (socket, {attemptId}) =>
+    socket.write(
+      `HTTP/1.1 ${status} X\r\nattempt: ${id ?? attemptId}\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+    );
+}
+
+/** Promises that the request was not run. */
+export const declines: Behaviour = (socket, {attemptId}) =>
+  socket.write(
+    `HTTP/1.1 503 X\r\nattempt: ${attemptId}\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n`,
+  );
+
+/** Resets the connection without a word. */
+export const resets: Behaviour = socket => socket.resetAndDestroy();
+
+/** Streams the events from the first to the last number; `end` tells how it ends. */
+export function streams(
+  first: number,
+  last: number,
+  end: 'whole' | 'cut',
+): Behaviour {
+  return (socket, {attemptId}) => {
+    socket.write(
+      `HTTP/1.1 200 X\r\nattempt: ${attemptId}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n`,
+    );
+    for (let id = first; id <= last; id++) {
+      const event = `id: ${id}\ndata: ${id}\n\n`;
+      socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
+    }
+    const half = 'id: 99\nda';
+    socket.write(
+      end === 'whole'
+        ? '0\r\n\r\n'
+        : `${half.length.toString(16)}\r\n${half}\r\n`,
+      () => end === 'cut' && socket.end(),
+    );
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/test/usageDuty.test.ts
@@ -0,0 +1,130 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  seededRandom,
+  silentLogger,
+  virtualClock,
+  type VirtualClock,
+} from '@skylarkfield/base';
+import type {Tenure} from '@skylarkfield/duties';
+import {memoryPlatform, type ObjectStore} from '@skylarkfield/providers';
+import {createUsageWindows, type CustomerCounts} from '@skylarkfield/traffic';
+import type {OrderAnswer, PlatformOrders} from '../contracts.js';
+import {startUsageDuty} from '../usageDuty.js';
+
+const WINDOW_MS = 5_000;
+
+interface Report {
+  readonly window: number;
+  readonly counts: CustomerCounts;
+  readonly fencing: number;
+}
+
+function recorder(answers: OrderAnswer[]) {
+  const reports: Report[] = [];
+  const orders: PlatformOrders = {
+    async reportUsage({fencing}, window, counts) {
+      reports.push({window, counts, fencing});
+      return answers.shift() ?? 'accepted';
+    },
+    orderEndpoints: async () => 'accepted',
+  };
+  return {reports, orders};
+}
+
+function tenureOf(fencing: number): Tenure & {end(): void} {
+  const controller = new AbortController();
+  return {
+    duty: 'fleet',
+    fencing,
+    acquiredAt: 0,
+    isValid: () => !controller.signal.aborted,
+    signal: controller.signal,
+    end: () => controller.abort(),
+  };
+}
+
+function startHolder(options: {
+  readonly clock: VirtualClock;
+  readonly store: ObjectStore;
+  readonly orders: PlatformOrders;
+  readonly fencing: number;
+  readonly ownCount: number;
+}) {
+  const {clock} = options;
+  const usage = createUsageWindows({
+    windowMs: WINDOW_MS,
+    self: `e${options.fencing}`,
+  });
+  for (let count = 0; count < options.ownCount; count++) {
+    usage.note('chain', clock.wall());
+  }
+  const tenure = tenureOf(options.fencing);
+  const duty = startUsageDuty({
+    tenure,
+    holder: `e${options.fencing}`,
+    store: options.store,
+    orders: options.orders,
+    usage,
+    lateMs: 10_000,
+    clock,
+    commonWallMs: () => clock.wall(),
+    log: silentLogger(),
+  });
+  return {tenure, duty};
+}
+
+describe('usage duty', () => {
+  it('repeats exactly what a predecessor wrote down', async () => {
+    // The holder dies after its report has reached the platform and before it
+    // knows. Its successor has counted otherwise; a second report that differs
+    // would bill the customer twice.
+    const clock = virtualClock();
+    const platform = memoryPlatform({clock, random: seededRandom(1)});
+    const {reports, orders} = recorder(['failed', 'accepted']);
+    const store = platform.client('e1');
+    const first = startHolder({clock, store, orders, fencing: 1, ownCount: 7});
+    await clock.advance(WINDOW_MS + 2_000);
+    first.tenure.end();
+    first.duty.dispose();
+    const before = reports.length;
+    assert.ok(before >= 1);
+    startHolder({
+      clock,
+      store: platform.client('e2'),
+      orders,
+      fencing: 2,
+      ownCount: 99,
+    });
+    await clock.advance(2_000);
+    const byWindow = new Map<number, Set<string>>();
+    for (const {window, counts} of reports) {
+      const said = byWindow.get(window) ?? new Set();
+      said.add(JSON.stringify(counts));
+      byWindow.set(window, said);
+    }
+    for (const [window, said] of byWindow) {
+      assert.equal(
+        said.size,
+        1,
+        `window ${window}: ${[...said].join(' and ')}`,
+      );
+    }
+  });
+
+  it('sends nothing once its tenure has ended', async () => {
+    const clock = virtualClock();
+    const platform = memoryPlatform({clock, random: seededRandom(1)});
+    const {reports, orders} = recorder([]);
+    const {tenure} = startHolder({
+      clock,
+      store: platform.client('e1'),
+      orders,
+      fencing: 1,
+      ownCount: 1,
+    });
+    tenure.end();
+    await clock.advance(20_000);
+    assert.equal(reports.length, 0);
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/trafficPart.ts
@@ -0,0 +1,222 @@
+/** All that a caller's request goes through, and what entries tell each other about it. */
+import {createAdmission} from '@skylarkfield/admission';
+import {disposableStore, type Disposable} from '@skylarkfield/base';
+import {createRouter, type RouteWeights} from '@skylarkfield/routing';
+import {
+  answerWorkMs,
+  createQuotas,
+  createUsageWindows,
+  createWorkMeter,
+  DEFAULT_SPEED,
+  KEY_TOKENS,
+  promptWorkMs,
+  type DeclaredService,
+  type UsageWindows,
+} from '@skylarkfield/traffic';
+import {createAdmissionFeed} from './admissionFeed.js';
+import type {AgreementPart} from './agreementPart.js';
+import {createCallerFront, type CallerFront} from './callerFront.js';
+import {MS_PER_SECOND, type GatewayContext} from './context.js';
+import type {CallHead} from './contracts.js';
+import {startDigests, type Digests} from './digests.js';
+import {
+  createEndpointDirectory,
+  type EndpointDirectory,
+} from './endpointDirectory.js';
+import {createForwarding} from './forwarding.js';
+import {createPlatformView} from './platformView.js';
+import {createPolicyInForce, type PolicyInForce} from './policyInForce.js';
+import {createRequestMetrics} from './requestMetrics.js';
+import {createUpstreams} from './upstream.js';
+
+export interface TrafficPart extends Disposable {
+  readonly policy: PolicyInForce;
+  readonly front: CallerFront;
+  readonly directory: EndpointDirectory;
+  readonly usage: UsageWindows;
+  readonly digests: Digests;
+  /** Work for a service over all entries, in milliseconds of one endpoint a second. */
+  workRate(service: string): number;
+}
+
+/**
+ * Engines of the users' platform read a prompt token in about 0.007 ms, 0.011 ms
+ * with its look at the tokens before it. A token in memory adds 0.0175 µs to a
+ * step, and an answer still has some 200 steps to go: 0.0035 ms. A prefix that is
+ * read again counts four times its reading: it delays all answers beside it.
+ */
+const ROUTE_WEIGHTS: Partial<RouteWeights> = {
+  initialMsPerToken: 0.011,
+  perContextTokenMs: 0.0035,
+  perRequestMs: 3,
+  uncached: 4,
+  affinityMs: 40,
+};
+
+/** Time before the key's last moment at which requests with it are refused: a request may wait that long before it runs. */
+const KEY_MARGIN_MS = 500;
+
+/**
+ * Builds the way of a request and starts to follow the platform.
+ *
+ * @example
+ * const traffic = createTrafficPart(context, agreement);
+ */
+export function createTrafficPart(
+  context: GatewayContext,
+  agreement: AgreementPart,
+): TrafficPart {
+  const {settings, platform, clock, random, log, decisions, life} = context;
+  const {network, membership} = agreement;
+  const owned = disposableStore();
+  const view = owned.add(
+    createPlatformView({
+      platform,
+      network,
+      self: settings.id,
+      liveEntries: agreement.liveIds,
+      clock,
+      random,
+      log,
+    }),
+  );
+  const policy = createPolicyInForce({
+    mirror: view.policy,
+    clock,
+    log,
+    keyLifeMs: settings.keyRevocationMs - KEY_MARGIN_MS,
+  });
+  const declared = (name: string): DeclaredService | undefined =>
+    policy.services().find(service => service.name === name);
+  const upstreams = owned.add(createUpstreams());
+  const router = createRouter({
+    clock,
+    random,
+    decisions,
+    failureDomain: settings.failureDomain,
+    self: settings.id,
+    blockTokens: KEY_TOKENS,
+    weights: ROUTE_WEIGHTS,
+  });
+  const directory = createEndpointDirectory({
+    endpoints: view.endpoints,
+    rollouts: view.rollouts,
+    router,
+    upstreams,
+    log,
+    isModel: service => declared(service)?.engine !== undefined,
+  });
+  const admission = createAdmission({
+    clock,
+    random,
+    decisions,
+    limitPolicy: 'fixed',
+  });
+  const feed = createAdmissionFeed({admission, directory, policy});
+  view.endpoints.onDidChange(refreshEndpoints);
+  view.rollouts.onDidChange(refreshEndpoints);
+
+  const quotas = createQuotas(clock);
+  const usage = createUsageWindows({
+    windowMs: settings.usageWindowSeconds * MS_PER_SECOND,
+    self: `${settings.id}.${context.incarnation}`,
+  });
+  const work = createWorkMeter(clock);
+  const peerWork = new Map<string, Readonly<Record<string, number>>>();
+  const digests = owned.add(
+    startDigests({
+      network,
+      clock,
+      content: () => ({
+        mirrors: view.standings(),
+        used: quotas.used(),
+        usage: usage.own(),
+        loads: router.ownLoads(),
+        work: work.rates(),
+      }),
+      onDidHear(peer, digest, moment) {
+        view.noteStandings(peer, digest.mirrors, moment);
+        quotas.noteUsed(peer, digest.used);
+        usage.noteCounts(peer, digest.usage);
+        router.reportEntry(peer, digest.loads);
+        peerWork.set(peer, digest.work);
+        noteHeard();
+      },
+    }),
+  );
+
+  function refreshEndpoints(): void {
+    directory.refresh();
+    feed.update();
+  }
+
+  function noteHeard(): void {
+    const others = membership.live().length - 1;
+    const heard = digests.heardLately().length;
+    quotas.setHeard(others <= 0 ? 1 : Math.min(1, heard / others), others + 1);
+    admission.setEntryCount(others + 1);
+  }
+
+  const forwarding = createForwarding({
+    router,
+    directory,
+    admission,
+    upstreams,
+    format: platform.calls,
+    clock,
+    log,
+    onDidRun(customer, wallMs) {
+      if (customer !== undefined) {
+        usage.note(customer, wallMs + digests.commonWallMs() - clock.wall());
+      }
+    },
+  });
+  const front = createCallerFront({
+    policy,
+    quotas,
+    admission,
+    forwarding,
+    format: platform.calls,
+    state: {
+      isServing: () =>
+        life.state() === 'serving' || life.state() === 'lingering',
+      isClosing: () => life.state() !== 'serving',
+    },
+    inFlight: context.inFlight,
+    metrics: createRequestMetrics(context.metrics.meter),
+    clock,
+    log,
+    chooseGroup: () => 'incumbent',
+    onDidAccept(service: string, {demand}: CallHead) {
+      if (demand !== undefined) {
+        work.note(service, promptWorkMs(demand, DEFAULT_SPEED));
+      }
+    },
+    onDidAnswer(service: string, {demand}: CallHead, events: number) {
+      if (demand !== undefined) {
+        const perEvent = declared(service)?.engine?.tokensPerEvent ?? 1;
+        const tokens = events * perEvent;
+        work.note(service, answerWorkMs(demand, tokens, DEFAULT_SPEED));
+      }
+    },
+  });
+  context.dumps.add('view', () => view.dump());
+  context.dumps.add('routing', () => router.dump());
+  context.dumps.add('admission', () => admission.dump());
+  context.dumps.add('quotas', () => quotas.dump());
+  context.dumps.add('upstreams', () => upstreams.dump());
+  return {
+    policy,
+    front,
+    directory,
+    usage,
+    digests,
+    workRate(service) {
+      const own = work.rates()[service] ?? 0;
+      return digests
+        .heardLately()
+        .reduce((sum, id) => sum + (peerWork.get(id)?.[service] ?? 0), own);
+    },
+    dispose: () => owned.dispose(),
+  };
+}
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -148,7 +148,11 @@
       Object.fromEntries(
         [...pools].map(([address, {stats}]) => [
           address,
-          {connected: stats.connected, running: stats.running, queued: stats.queued},
+          {
+            connected: stats.connected,
+            running: stats.running,
+            queued: stats.queued,
+          },
         ]),
       ),
     dispose() {
@@ -177,7 +181,9 @@
     isOver = true;
     listener.onDidFail(
       controller === undefined
-        ? new ServingError('endpoint-unavailable', error.message, {cause: error})
+        ? new ServingError('endpoint-unavailable', error.message, {
+            cause: error,
+          })
         : new ServingError('interrupted', error.message, {cause: error}),
     );
   }
--- a/packages/gateway/src/usageDuty.ts
+++ b/packages/gateway/src/usageDuty.ts
@@ -39,7 +39,6 @@
   readonly store: ObjectStore;
   readonly orders: PlatformOrders;
   readonly usage: UsageWindows;
-  readonly windowMs: number;
   /** How long after its end a window may still be reported. */
   readonly lateMs: number;
   readonly clock: Clock;
@@ -55,7 +54,7 @@
  * duties.compete('usage', tenure => startUsageDuty({tenure, ...rest}));
  */
 export function startUsageDuty(options: UsageDutyOptions): Disposable {
-  const {tenure, store, orders, usage, windowMs, clock, log} = options;
+  const {tenure, store, orders, usage, clock, log} = options;
   const oldest = usage.windowAt(options.commonWallMs() - options.lateMs);
   const reported = new Set<number>();
   let isBusy = false;
@@ -107,14 +106,22 @@
       counts,
       AbortSignal.any([tenure.signal, AbortSignal.timeout(CALL_MS)]),
     );
-    log.info({window, counts, answer, fencing: tenure.fencing}, 'usage reported');
+    log.info(
+      {window, counts, answer, fencing: tenure.fencing},
+      'usage reported',
+    );
     if (answer !== 'accepted') {
       return;
     }
     reported.add(window);
     const past = window - KEPT_REPORTS;
     if (reported.delete(past)) {
-      await store.remove(KIND, String(past), {type: 'any'}, AbortSignal.timeout(CALL_MS));
+      await store.remove(
+        KIND,
+        String(past),
+        {type: 'any'},
+        AbortSignal.timeout(CALL_MS),
+      );
     }
   }
 
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -77,10 +77,7 @@
    * reports lag and only count requests; with this an endpoint's load is known
    * by tokens, of all entries that are heard.
    */
-  reportEntry(
-    entry: string,
-    loads: Readonly<Record<string, EntryLoad>>,
-  ): void;
+  reportEntry(entry: string, loads: Readonly<Record<string, EntryLoad>>): void;
   /** The endpoint could not be reached when it was asked for its load. */
   reportUnreachable(endpoint: string): void;
   /** Cache events in the order of arrival; returns the sequence to ask from next (-1: resync). */
--- a/packages/routing/src/loadView.ts
+++ b/packages/routing/src/loadView.ts
@@ -115,9 +115,7 @@
   }
 
   function ownLoad(): EntryLoad {
-    return sumOf(
-      [...own].map(request => ({requests: 1, ...request})),
-    );
+    return sumOf([...own].map(request => ({requests: 1, ...request})));
   }
 
   function entryLoads(): EntryLoad {
@@ -176,9 +174,10 @@
     ownLoad,
     estimate() {
       const mine = ownLoad();
-      const theirs = clock.now() - entriesHeardMs <= ENTRIES_HEARD_MS
-        ? entryLoads()
-        : reportedLoad();
+      const theirs =
+        clock.now() - entriesHeardMs <= ENTRIES_HEARD_MS
+          ? entryLoads()
+          : reportedLoad();
       return {
         requests: theirs.requests + mine.requests,
         slots,
--- a/packages/traffic/src/fleetDemand.ts
+++ b/packages/traffic/src/fleetDemand.ts
@@ -50,7 +50,10 @@
     note(workRate, presentCount) {
       if (workSince === undefined) {
         // Endpoints register one after the other when a system starts.
-        initial = Math.max(initial ?? 0, Math.ceil(presentCount * INITIAL_PART));
+        initial = Math.max(
+          initial ?? 0,
+          Math.ceil(presentCount * INITIAL_PART),
+        );
       }
       if (workRate >= LEAST_WORK) {
         workSince ??= clock.now();
--- a/packages/traffic/src/quotas.ts
+++ b/packages/traffic/src/quotas.ts
@@ -72,7 +72,8 @@
       promisedUntil: 0,
     };
     buckets.set(name, bucket);
-    const grown = ((now - bucket.filledAt) * quota.perSecond * part) / SECOND_MS;
+    const grown =
+      ((now - bucket.filledAt) * quota.perSecond * part) / SECOND_MS;
     bucket.level = Math.min(quota.burst, bucket.level + grown);
     bucket.filledAt = now;
     return bucket;
@@ -114,7 +115,10 @@
       // All that were refused together would come back together, and all but
       // one be refused again.
       const free = Math.max(now - bucket.level / perMs, bucket.promisedUntil);
-      bucket.promisedUntil = Math.min(now + LONGEST_WAIT_MS, free + amount / perMs);
+      bucket.promisedUntil = Math.min(
+        now + LONGEST_WAIT_MS,
+        free + amount / perMs,
+      );
       return Math.max(0, free - now);
     },
     used: () => own,
--- /dev/null
+++ b/packages/traffic/src/test/fleet.test.ts
@@ -0,0 +1,100 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {virtualClock} from '@skylarkfield/base';
+import type {FleetTerms} from '../contracts.js';
+import {createFleetDemand} from '../fleetDemand.js';
+import {endpointsNeeded, planFleet, type FleetPlan} from '../fleetPlan.js';
+
+const terms: FleetTerms = {
+  least: 1,
+  most: 4,
+  bootMs: 4_000,
+  reclaimablePrice: 0.22,
+  prices: {a: 1, b: 0.8, c: 1.25, d: 0.9},
+};
+
+function count(plan: FleetPlan, market: 'standing' | 'reclaimable'): number {
+  return Object.values(plan).reduce((sum, fleet) => sum + fleet[market], 0);
+}
+
+describe('fleet plan', () => {
+  for (const needed of [1, 2, 4, 6, 8]) {
+    it(`withstands the loss of any failure domain's reclaimable endpoints when ${needed} are needed`, () => {
+      // All reclaimable endpoints of a failure domain are taken back at once.
+      // If those that are left did not carry the work, callers would wait as
+      // long as a new endpoint takes to start.
+      const plan = planFleet({terms, needed, scarce: new Map()});
+      const all = count(plan, 'standing') + count(plan, 'reclaimable');
+      for (const {reclaimable} of Object.values(plan)) {
+        assert.ok(all - reclaimable >= needed, JSON.stringify(plan));
+      }
+    });
+  }
+
+  it('keeps to the bounds of every failure domain', () => {
+    for (const needed of [1, 5, 40]) {
+      const plan = planFleet({terms, needed, scarce: new Map()});
+      for (const {standing, reclaimable} of Object.values(plan)) {
+        assert.ok(standing + reclaimable >= terms.least);
+        assert.ok(standing + reclaimable <= terms.most);
+      }
+    }
+  });
+
+  it('puts endpoints that stay where they are cheapest', () => {
+    const plan = planFleet({terms, needed: 4, scarce: new Map()});
+    assert.equal(plan['b']?.standing, count(plan, 'standing'));
+  });
+
+  it('fills up with endpoints that stay while no reclaimable ones are to be had', () => {
+    // Two failure domains were reclaimed and no more are sold for a while.
+    const scarce = new Map([
+      ['a', 1],
+      ['b', 0],
+      ['c', 0],
+      ['d', 1],
+    ]);
+    const plan = planFleet({terms, needed: 5, scarce});
+    assert.equal(count(plan, 'reclaimable'), 2);
+    assert.equal(count(plan, 'standing'), 3);
+  });
+
+  it('orders none of a market that is not sold', () => {
+    const plan = planFleet({
+      terms: {...terms, reclaimablePrice: undefined},
+      needed: 3,
+      scarce: new Map(),
+    });
+    assert.equal(count(plan, 'reclaimable'), 0);
+    assert.ok(count(plan, 'standing') >= 3);
+  });
+});
+
+describe('fleet demand', () => {
+  it('keeps part of what it found until work was seen for a while', () => {
+    // The system starts before its callers. Sending the endpoints away because
+    // nobody asks yet would meet the first callers with none.
+    const clock = virtualClock();
+    const demand = createFleetDemand(clock);
+    demand.note(0, 3);
+    assert.equal(demand.note(0, 10), 6);
+    clock.advanceSync(60_000);
+    assert.equal(demand.note(0, 5), 6);
+    assert.equal(demand.note(400, 5), 6);
+    clock.advanceSync(20_000);
+    assert.equal(demand.note(400, 5), endpointsNeeded(400));
+  });
+
+  it('rises at once and falls only after a while', () => {
+    const clock = virtualClock();
+    const demand = createFleetDemand(clock);
+    demand.note(100, 1);
+    clock.advanceSync(20_000);
+    const high = demand.note(3_000, 1);
+    assert.equal(high, endpointsNeeded(3_000));
+    clock.advanceSync(4_000);
+    assert.equal(demand.note(400, 8), high);
+    clock.advanceSync(5_000);
+    assert.equal(demand.note(400, 8), endpointsNeeded(400));
+  });
+});
--- /dev/null
+++ b/packages/traffic/src/test/traffic.test.ts
@@ -0,0 +1,155 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {virtualClock} from '@skylarkfield/base';
+import {before, createConfirmation, momentOf} from '../confirmation.js';
+import type {Route} from '../contracts.js';
+import {createCustomerTable} from '../customerTable.js';
+import {promptKeys} from '../promptKeys.js';
+import {createRouteTable} from '../routeTable.js';
+import {createUsageWindows} from '../usageWindows.js';
+import {chooseService} from '../weightedChoice.js';
+
+function route(name: string, authority: string, pathPrefix: string): Route {
+  return {
+    name,
+    authority,
+    pathPrefix,
+    kind: 'idempotent',
+    timeoutMs: 1_000,
+    goalMs: 100,
+    priority: 0,
+    services: [{service: 's', weight: 1}],
+    attempts: 1,
+    isPublic: false,
+    isResumable: false,
+    longestPauseMs: 0,
+  };
+}
+
+describe('route table', () => {
+  const table = createRouteTable([
+    route('short', 'shop.example', '/a/'),
+    route('long', 'shop.example', '/a/b/'),
+    route('other', 'other.example', '/a/'),
+  ]);
+  const cases: readonly [string, string, string | undefined][] = [
+    ['shop.example', '/a/x', 'short'],
+    ['shop.example', '/a/b/x', 'long'],
+    ['shop.example', '/a/b', 'short'],
+    ['SHOP.example:8080', '/a/x?y=/a/b/', 'short'],
+    ['other.example', '/a/b/x', 'other'],
+    ['shop.example', '/c/x', undefined],
+    ['none.example', '/a/x', undefined],
+    ['shop.example', '/a', undefined],
+  ];
+  for (const [authority, path, expected] of cases) {
+    it(`finds ${expected} for ${authority}${path}`, () => {
+      assert.equal(table.match(authority, path)?.name, expected);
+    });
+  }
+});
+
+describe('customer table', () => {
+  it('finds the holder of a key and nobody for another', () => {
+    const table = createCustomerTable([
+      {name: 'a', keys: ['k1', 'k2'], priority: 1, quota: undefined},
+    ]);
+    assert.equal(table.holderOf('k2')?.name, 'a');
+    assert.equal(table.holderOf('k3'), undefined);
+    assert.ok(table.isKeyed);
+    assert.ok(!createCustomerTable([]).isKeyed);
+  });
+});
+
+describe('choice of a service by weight', () => {
+  it('follows the weights and is the same for the same key', () => {
+    const services = [
+      {service: 'a', weight: 90},
+      {service: 'b', weight: 10},
+    ];
+    const chosen = Array.from({length: 2_000}, (_, index) =>
+      chooseService(services, `request-${index}`),
+    );
+    const part = chosen.filter(service => service === 'b').length / 2_000;
+    assert.ok(part > 0.07 && part < 0.13, `${part}`);
+    assert.equal(chooseService(services, 'request-1'), chosen[1]);
+    assert.equal(chooseService([], 'x'), undefined);
+  });
+});
+
+describe('prompt keys', () => {
+  it('has the same keys for the same shared parts, and none for the last', () => {
+    const shared = [
+      {id: 'a', tokens: 512},
+      {id: 'b', tokens: 70},
+    ];
+    const one = promptKeys([...shared, {id: 'c', tokens: 9_000}]);
+    const two = promptKeys([...shared, {id: 'd', tokens: 40}]);
+    assert.deepEqual(one, two);
+    assert.equal(one.length, 9);
+    assert.deepEqual(promptKeys([]), []);
+  });
+});
+
+describe('confirmation', () => {
+  it('is as old as the question, not as the answer', () => {
+    const clock = virtualClock();
+    const confirmation = createConfirmation(clock);
+    assert.equal(confirmation.ageMs(), Infinity);
+    const asked = momentOf(clock);
+    clock.advanceSync(800);
+    confirmation.confirm(asked);
+    assert.equal(confirmation.ageMs(), 800);
+    confirmation.confirm(before(momentOf(clock), 5_000));
+    assert.equal(confirmation.ageMs(), 800);
+  });
+
+  it('counts the time that a suspended host has slept', () => {
+    // A host is suspended for ten seconds and wakes: its monotonic clock has
+    // stood still. A key that was revoked meanwhile would be served.
+    const clock = virtualClock();
+    const confirmation = createConfirmation(clock);
+    confirmation.confirm(momentOf(clock));
+    clock.shiftWall(10_000);
+    assert.equal(confirmation.ageMs(), 10_000);
+  });
+
+  it('does not get younger when the wall clock is set back', () => {
+    const clock = virtualClock();
+    const confirmation = createConfirmation(clock);
+    confirmation.confirm(momentOf(clock));
+    clock.advanceSync(3_000);
+    clock.shiftWall(-10_000);
+    assert.equal(confirmation.ageMs(), 3_000);
+  });
+});
+
+describe('usage windows', () => {
+  const WINDOW_MS = 5_000;
+
+  it('adds what all processes counted, each once', () => {
+    const usage = createUsageWindows({windowMs: WINDOW_MS, self: 'a.1'});
+    usage.note('chain', 12_000);
+    usage.note('chain', 14_999);
+    usage.noteCounts('b.1', {2: {chain: 3}});
+    usage.noteCounts('b.1', {2: {chain: 4, shop: 1}});
+    assert.deepEqual(usage.total(2), {chain: 6, shop: 1});
+    assert.deepEqual(usage.total(3), {});
+  });
+
+  it('keeps what a process counted before it was killed and started again', () => {
+    // An entry dies in the middle of a window and comes back with counts from
+    // zero. Its earlier requests were served and must stand in the report.
+    const usage = createUsageWindows({windowMs: WINDOW_MS, self: 'a.1'});
+    usage.noteCounts('b.1', {2: {chain: 40}});
+    usage.noteCounts('b.2', {2: {chain: 2}});
+    assert.deepEqual(usage.total(2), {chain: 42});
+  });
+
+  it('forgets windows that are long past', () => {
+    const usage = createUsageWindows({windowMs: WINDOW_MS, self: 'a.1'});
+    usage.note('chain', 0);
+    usage.note('chain', WINDOW_MS * 20);
+    assert.deepEqual(Object.keys(usage.own()), ['20']);
+  });
+});
--- a/tools/runTests.mjs
+++ b/tools/runTests.mjs
@@ -54,9 +54,12 @@
 }
 
 const layers = JSON.parse(readFileSync(join(root, 'layers.json'), 'utf8'));
-const packages = chosen.length > 0 ? chosen : Object.keys(layers);
+/** The adapter to the users' platform stands at the root, beside the packages. */
+const ADAPTER = 'platform';
+const packages = chosen.length > 0 ? chosen : [...Object.keys(layers), ADAPTER];
 const files = packages
-  .flatMap(name => filesBelow(join(root, 'packages', name, 'out')))
+  .map(name => (name === ADAPTER ? [ADAPTER] : ['packages', name]))
+  .flatMap(path => filesBelow(join(root, ...path, 'out')))
   .filter(path => existsSync(sourceOf(path)));
 if (files.length === 0) {
   console.error('no test files found');
