--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -45,6 +45,8 @@
   readonly sink: EventSink | undefined;
   /** Silence after which the attempt is given up, in milliseconds; undefined to wait for the signal alone. */
   readonly silenceMs: number | undefined;
+  /** Whether the endpoint was told to stop the request: an end of its connection then proves nothing. */
+  isStopping(): boolean;
   /** The endpoint's answer has begun; for a stream, its first event has come. */
   onDidBegin(head: ReplyHead): void;
 }
@@ -162,7 +164,11 @@
       frames.push(chunk).forEach(passOn);
     }
 
-    function onDidEnd(): void {
+    function onDidEnd(isProven: boolean): void {
+      if (!isProven && options.isStopping()) {
+        giveUp(interrupted('the request was stopped'));
+        return;
+      }
       if (reply === undefined || head === undefined) {
         giveUp(interrupted('the answer has no head'));
         return;
--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -37,6 +37,37 @@
   /** 0 (most important) to 9; undefined where the service has no order of its own. */
   readonly urgency: number | undefined;
   readonly lastEventId: string | undefined;
+  /** Memory of the same request from which the endpoint goes on. */
+  readonly memory: MovedMemory | undefined;
+}
+
+/** A request's memory that was copied from one engine to another. */
+export interface MovedMemory {
+  /** `IP:port` of the engine that ran the request before. */
+  readonly source: string;
+  readonly handle: string;
+}
+
+/** What came of moving a request's memory. */
+export type MoveAnswer =
+  /** The request has stopped at its source; the copy is at the target. */
+  | {readonly type: 'moved'; readonly memory: MovedMemory}
+  /** The request has stopped, and only its source has the memory. */
+  | {readonly type: 'stopped'; readonly memory: MovedMemory}
+  /** The request runs on where it is, or has ended. */
+  | {readonly type: 'refused'}
+  /** Nobody knows. */
+  | {readonly type: 'unknown'};
+
+/** Orders to model engines about single requests. */
+export interface EngineMoves {
+  /** Stops a running request and copies its memory to another engine. */
+  move(
+    source: string,
+    attemptId: string,
+    target: string,
+    signal: AbortSignal,
+  ): Promise<MoveAnswer>;
 }
 
 /** Requests at an endpoint as it says itself. */
@@ -171,6 +202,7 @@
   /** Objects of the system's own: members, leases, usage reports. */
   readonly objects: ObjectTransport;
   readonly orders: PlatformOrders;
+  readonly engines: EngineMoves;
   /** Tells the operator how a rollout stands. */
   writeRolloutState(
     name: string,
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -1,5 +1,5 @@
 /** The endpoints that may be used, kept in step with what they register. */
-import type {Logger} from '@skylarkfield/base';
+import {emitter, type Event, type Logger} from '@skylarkfield/base';
 import type {Candidate, Router} from '@skylarkfield/routing';
 import type {RegisteredEndpoint, Rollout} from '@skylarkfield/traffic';
 import type {Mirror} from './mirror.js';
@@ -17,6 +17,8 @@
   ready(service: string, group: VersionGroup): readonly RegisteredEndpoint[];
   /** Takes the present registrations over to the router. */
   refresh(): void;
+  /** Fires with the key of an endpoint that says it leaves, or is no longer registered. */
+  readonly onDidLeave: Event<string>;
 }
 
 /**
@@ -36,6 +38,7 @@
   isModel(service: string): boolean;
 }): EndpointDirectory {
   const {endpoints, rollouts, router, upstreams, log} = options;
+  const left = emitter<string>();
   let byKey = new Map<string, RegisteredEndpoint>();
 
   function targetOf(service: string): string | undefined {
@@ -74,6 +77,7 @@
           endpoint.state === 'ready' &&
           groupOf(endpoint) === group,
       ),
+    onDidLeave: left.event,
     refresh() {
       const present = endpoints.items().map(({value}) => value);
       const before = byKey;
@@ -94,11 +98,15 @@
           {endpoint: id, service, state, failureDomain, version, isReclaimable},
           'endpoint registered',
         );
+        if (state === 'draining') {
+          left.fire(id);
+        }
       }
     }
     for (const id of before.keys()) {
       if (!byKey.has(id)) {
         log.info({endpoint: id}, 'endpoint gone');
+        left.fire(id);
       }
     }
   }
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -7,6 +7,7 @@
 import type {CallerReply} from './callerReply.js';
 import type {CallFormat, CallHead, ReplyHead} from './contracts.js';
 import type {EndpointDirectory} from './endpointDirectory.js';
+import type {Continuation, StreamMoves} from './streamMove.js';
 import type {Upstreams} from './upstream.js';
 
 /** A request that has leave to be sent. */
@@ -71,6 +72,14 @@
   firstMs: number | undefined;
   /** It stands in the usage of its customer. */
   isCounted: boolean;
+  /** Where it goes on after it was moved off a leaving endpoint. */
+  continuation: Continuation | undefined;
+}
+
+/** Where an attempt is made, and from which memory it goes on. */
+interface Start {
+  readonly choice: Choice;
+  readonly memory?: Continuation['memory'];
 }
 
 /**
@@ -84,13 +93,15 @@
   readonly directory: EndpointDirectory;
   readonly admission: Admission;
   readonly upstreams: Upstreams;
+  readonly moves: StreamMoves;
   readonly format: CallFormat;
   readonly clock: Clock;
   readonly log: Logger;
   /** A request of the customer began to run at this wall-clock millisecond. */
   onDidRun(customer: string | undefined, wallMs: number): void;
 }): Forwarding {
-  const {router, directory, admission, upstreams, format, clock, log} = options;
+  const {router, directory, admission, upstreams, moves, format, clock, log} =
+    options;
 
   function choose(call: ForwardedCall, excluded: ReadonlySet<string>) {
     const {demand} = call.head;
@@ -144,7 +155,7 @@
     call: ForwardedCall,
     reply: CallerReply,
     progress: Progress,
-    choice: Choice,
+    {choice, memory}: Start,
   ): Promise<AttemptEnd> {
     const endpoint = directory.get(choice.endpoint);
     if (endpoint === undefined) {
@@ -158,6 +169,12 @@
     const isStream = call.route.kind === 'streaming';
     let beganAt: number | undefined;
     const lastEventId = reply.lastEventId() ?? call.head.lastEventId;
+    const watched = moves.watch({
+      endpoint: choice.endpoint,
+      attemptId: call.attemptId,
+      hasBegun: () => isStream && beganAt !== undefined,
+      choose: () => choose(call, progress.excluded),
+    });
     const end = await runAttempt({
       address: endpoint.address,
       request: {
@@ -170,6 +187,7 @@
           urgency: call.urgency,
           lastEventId:
             lastEventId === undefined ? undefined : String(lastEventId),
+          memory,
         }),
         body: call.body,
       },
@@ -180,6 +198,7 @@
       signal: call.signal,
       sink: isStream ? reply.sink : undefined,
       silenceMs: silenceMs(call, progress),
+      isStopping: watched.isStopping,
       onDidBegin(head) {
         beganAt = clock.now();
         progress.firstMs ??= beganAt - progress.sentAt;
@@ -188,9 +207,13 @@
         countRun(isStream ? clock.wall() : sentWallMs);
       },
     });
+    watched.dispose();
+    progress.continuation = await watched.continuation();
     const latencyMs = (beganAt ?? clock.now()) - sentAt;
-    choice.finish({outcome: outcomeOf(end), latencyMs});
-    if (mayHaveRun(end)) {
+    // A stream that was moved has stopped because it was told to.
+    const outcome = progress.continuation ? 'ok' : outcomeOf(end);
+    choice.finish({outcome, latencyMs});
+    if (mayHaveRun(end) && memory === undefined) {
       progress.runs += 1;
       if (!isStream) {
         countRun(sentWallMs);
@@ -238,7 +261,6 @@
       }
       if (reply.hasBegun()) {
         return failed(
-          call,
           reply,
           new ServingError('interrupted', 'the stream could not go on'),
         );
@@ -250,22 +272,44 @@
       if (maySendOn(call, progress)) {
         return undefined;
       }
-      return failed(call, reply, declined(call, progress));
+      return failed(reply, declined(call, progress));
     }
     const hasRun = end.error.run === 'may-have-run';
     const mayGoOn = hasRun
       ? mayRunAgain(call, progress)
       : maySendOn(call, progress);
-    return mayGoOn
-      ? undefined
-      : failed(call, reply, runOf(end.error, progress));
+    return mayGoOn ? undefined : failed(reply, runOf(end.error, progress));
   }
 
-  function failed(
-    call: ForwardedCall,
-    reply: CallerReply,
-    error: ServingError,
-  ) {
+  function next(call: ForwardedCall, progress: Progress): Start | undefined {
+    const {continuation} = progress;
+    progress.continuation = undefined;
+    if (continuation !== undefined) {
+      return continuation;
+    }
+    const choice = choose(call, progress.excluded);
+    return choice && {choice};
+  }
+
+  /** Whether the request goes on where its memory was moved to. */
+  function isMoved(
+    {signal}: ForwardedCall,
+    progress: Progress,
+    end: AttemptEnd,
+  ): boolean {
+    const {continuation} = progress;
+    if (continuation === undefined) {
+      return false;
+    }
+    if (end.type === 'failed' && !signal.aborted) {
+      return true;
+    }
+    continuation.choice.finish({outcome: 'cancelled', latencyMs: 0});
+    progress.continuation = undefined;
+    return false;
+  }
+
+  function failed(reply: CallerReply, error: ServingError) {
     if (reply.hasBegun()) {
       reply.breakOff();
       return {status: 0, error};
@@ -282,14 +326,18 @@
         sentAt: clock.now(),
         firstMs: undefined,
         isCounted: false,
+        continuation: undefined,
       };
       for (;;) {
-        const choice = choose(call, progress.excluded);
-        if (choice === undefined) {
+        const start = next(call, progress);
+        if (start === undefined) {
           const error = runOf(unavailable(call, 'none is left'), progress);
-          return result(failed(call, reply, error), progress);
+          return result(failed(reply, error), progress);
+        }
+        const end = await attempt(call, reply, progress, start);
+        if (isMoved(call, progress, end)) {
+          continue;
         }
-        const end = await attempt(call, reply, progress, choice);
         const conclusion = conclude(call, reply, progress, end);
         if (conclusion !== undefined) {
           return result(conclusion, progress);
@@ -297,7 +345,7 @@
         log.info(
           {
             request: call.attemptId,
-            endpoint: choice.endpoint,
+            endpoint: start.choice.endpoint,
             end: describe(end),
             runs: progress.runs,
             sends: progress.endpoints.length,
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -128,6 +128,13 @@
     directory: {get: id => registered.get(id)} as EndpointDirectory,
     admission,
     upstreams,
+    moves: {
+      watch: () => ({
+        isStopping: () => false,
+        continuation: async () => undefined,
+        dispose: () => {},
+      }),
+    },
     format,
     clock,
     log,
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -27,6 +27,7 @@
 import {createPlatformView} from './platformView.js';
 import {createPolicyInForce, type PolicyInForce} from './policyInForce.js';
 import {createRequestMetrics} from './requestMetrics.js';
+import {createStreamMoves} from './streamMove.js';
 import {createUpstreams} from './upstream.js';
 
 export interface TrafficPart extends Disposable {
@@ -162,6 +163,12 @@
     directory,
     admission,
     upstreams,
+    moves: createStreamMoves({
+      directory,
+      engines: platform.engines,
+      clock,
+      log,
+    }),
     format: platform.calls,
     clock,
     log,
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -17,7 +17,8 @@
 export interface UpstreamListener {
   onDidRespond(status: number, headers: ReplyHeaders): void;
   onDidReceive(chunk: Buffer): void;
-  onDidEnd(): void;
+  /** `isProven` is false for an answer that shows its end by the end of its connection alone. */
+  onDidEnd(isProven: boolean): void;
   /** `endpoint-unavailable` when no byte was sent (not run), else `interrupted` (may have run). */
   onDidFail(error: ServingError): void;
 }
@@ -221,7 +222,7 @@
         }
         if (!isOver) {
           isOver = true;
-          listener.onDidEnd();
+          listener.onDidEnd(framing !== 'close');
         }
       },
       onResponseError: (_, error) => fail(error),
