--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -310,6 +310,7 @@
         ...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
         ...(accepted?.head.demand && {
           promptTokens: accepted.head.demand.promptTokens,
+          mostOutputTokens: accepted.head.demand.mostOutputTokens,
           events,
         }),
         tookMs: Math.round(tookMs),
--- a/packages/gateway/src/policyInForce.ts
+++ b/packages/gateway/src/policyInForce.ts
@@ -84,6 +84,9 @@
         version: next.version,
         routes: next.routes.length,
         customers: next.customers.length,
+        quotas: Object.fromEntries(
+          next.customers.map(({name, quota}) => [name, quota?.perSecond ?? 0]),
+        ),
         revision: mirror.revision(),
       },
       'policy in force',
