--- a/eslint.config.js
+++ b/eslint.config.js
@@ -35,22 +35,25 @@
   });
 }
 
-/** Names of the platform's headers, paths and fields: only the adapter knows them. */
-const PLATFORM_NAMES =
-  '/^(x-(try-id|reply-seal|duty-holder|fence-token|expect-replica|prompt-prefix|token-counts|deadline-ms|tenant|replica-|kv-)|kv-(from|fetch)|.*skylarkfield\\/(resolve|readyz|objects|report|kv-)|PathPrefix|ApiKeys|KvTokens|CurrentRev|MorePages)/i';
+/** The platform's headers and paths, in any case, and its fields, as they are spelled. */
+const PLATFORM_NAMES = [
+  '/^(x-(try-id|reply-seal|duty-holder|fence-token|expect-replica|prompt-prefix|token-counts|deadline-ms|replica-|kv-)|kv-(from|fetch)|.*skylarkfield\\/(resolve|readyz|objects|report|kv-))/i',
+  '/^(PathPrefix|ApiKeys|KvTokens|CurrentRev|MorePages)$/',
+];
 
+/** Only the adapter knows the platform's names. */
 function platformNameRule() {
   const message = "The platform's names are decoded in platform/ alone.";
+  const selectors = PLATFORM_NAMES.flatMap(names => [
+    `Literal[value=${names}]`,
+    `Property > Identifier.key[name=${names}]`,
+  ]);
   return {
     files: ['packages/**/*.ts'],
     rules: {
       'no-restricted-syntax': [
         'error',
-        {selector: `Literal[value=${PLATFORM_NAMES}]`, message},
-        {
-          selector: `Property > Identifier.key[name=${PLATFORM_NAMES}]`,
-          message,
-        },
+        ...selectors.map(selector => ({selector, message})),
       ],
     },
   };
