Relays: beyond 24 entries, use and load pass through two relays a failure domain

Everyone telling everyone would be 19,500 digests a second. Ruled out: the platform's store as a board (a call is six times as dear there). Change: relayPlan decides who tells whom what; peerReports holds one speaker for each part and sums; relays pass changes of mirrors on, read the platform and compete for duties. Up to 24 entries nothing changes. Found on the way: peers were told apart by id without their incarnation, so the counters of a restarted entry fell: its customers got used quota back, and its earlier requests left the usage report.

--- a/packages/gateway/src/agreementPart.ts
+++ b/packages/gateway/src/agreementPart.ts
@@ -9,10 +9,15 @@
   type Duties,
   type LeaseTiming,
 } from '@skylarkfield/duties';
-import {createMembership, type Membership} from '@skylarkfield/members';
+import {
+  createMembership,
+  type Member,
+  type Membership,
+} from '@skylarkfield/members';
 import {createPeerNetwork, type PeerNetwork} from '@skylarkfield/protocol';
 import {createObjectStore, type ObjectStore} from '@skylarkfield/providers';
 import type {GatewayContext} from './context.js';
+import {planRelays, type RelayNode, type RelayPlan} from './relayPlan.js';
 import type {Address} from './settings.js';
 
 export interface AgreementPart extends Disposable {
@@ -20,8 +25,8 @@
   readonly store: ObjectStore;
   readonly membership: Membership;
   readonly duties: Duties;
-  /** Ids of the live entries, this one included. */
-  liveIds(): readonly string[];
+  /** Whom this entry tells of its use and load, and who takes turns at what one does for all. */
+  plan(): RelayPlan;
 }
 
 /**
@@ -87,14 +92,24 @@
       load: context.inFlight.count,
     }),
   );
-  const liveIds = () => membership.live().map(({id}) => id);
+  let known: RelayPlan | undefined;
+  owned.add(membership.onDidChange(() => (known = undefined)));
+
+  function plan(): RelayPlan {
+    known ??= planRelays(
+      toNode(membership.self),
+      membership.members().map(toNode),
+    );
+    return known;
+  }
+
   const duties = owned.add(
     createDuties({
       clock,
       random,
       store,
       self,
-      members: liveIds,
+      members: () => plan().coordinators,
       log,
       decisions,
       timing: LEASE_TIMING,
@@ -109,11 +124,15 @@
     store,
     membership,
     duties,
-    liveIds,
+    plan,
     dispose: () => owned.dispose(),
   };
 }
 
+function toNode({id, failureDomain, state}: Member): RelayNode {
+  return {id, failureDomain, isLive: state === 'live'};
+}
+
 function urlOf(scheme: string, {host, port}: Address): string {
   if (port === 0) {
     throw new ServingError(
--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -7,15 +7,17 @@
 } from '@skylarkfield/base';
 import type {Messages, PeerNetwork} from '@skylarkfield/protocol';
 import type {Moment} from '@skylarkfield/traffic';
+import type {DigestScope, RelayPlan} from './relayPlan.js';
 
 type Digest = Messages['digest'];
 
 /** What this entry says, but for the stamps. */
-export type DigestContent = Omit<Digest, 'stamp' | 'wallMs' | 'echo'>;
+export type DigestContent = Omit<
+  Digest,
+  'stamp' | 'wallMs' | 'echo' | 'scope' | 'failureDomain' | 'incarnation'
+>;
 
 export interface Digests extends Disposable {
-  /** Ids of peers heard within the last few digests. */
-  heardLately(): readonly string[];
   /** The wall clock corrected by the median of the peers' clocks, in milliseconds. */
   commonWallMs(): number;
 }
@@ -27,8 +29,8 @@
  */
 const INTERVAL_MS = 300;
 
-/** Silence after which a peer no longer counts as heard: four digests. */
-const SILENCE_MS = 1_200;
+/** Silence after which a peer no longer counts as heard, in milliseconds: four digests. */
+export const SILENCE_MS = 1_200;
 
 interface Heard {
   readonly at: number;
@@ -38,19 +40,26 @@
 }
 
 /**
- * Starts to exchange digests with all connected peers.
+ * Starts to exchange digests with those whom the plan names.
  *
  * @example
- * const digests = startDigests({network, clock, content, onDidHear});
+ * const digests = startDigests({network, clock, self, plan, content, onDidHear});
  */
 export function startDigests(options: {
   readonly network: PeerNetwork;
   readonly clock: Clock;
-  content(): DigestContent;
+  readonly self: {
+    readonly failureDomain: string;
+    readonly incarnation: number;
+  };
+  /** The plan now; it changes with the members. */
+  plan(): RelayPlan;
+  /** What a receiver is told. */
+  content(scope: DigestScope, receiver: string): DigestContent;
   /** A digest has come; it was sent after `moment`, if that is known. */
   onDidHear(peer: string, digest: Digest, moment: Moment | undefined): void;
 }): Digests {
-  const {network, clock} = options;
+  const {network, clock, self} = options;
   const owned = disposableStore();
   const heard = new Map<string, Heard>();
   /** Wall minus monotonic time when a stamp was sent, to find its wall time again. */
@@ -61,11 +70,18 @@
     const wallMs = clock.wall();
     wallAtStamp.set(stamp, wallMs);
     forgetOldStamps(stamp);
-    const content = options.content();
-    for (const peer of network.connected()) {
+    const {targets, precedence} = options.plan();
+    const isSpare = precedence !== undefined && isHeard(precedence);
+    for (const [peer, scope] of targets) {
+      // A second relay that spoke beside the first would double the traffic.
+      if (isSpare && scope !== 'own') {
+        continue;
+      }
       const echo = heard.get(peer)?.stamp;
       network.send(peer, 'digest', {
-        ...content,
+        ...options.content(scope, peer),
+        ...self,
+        scope,
         stamp,
         wallMs,
         ...(echo === undefined ? {} : {echo}),
@@ -73,6 +89,11 @@
     }
   }
 
+  function isHeard(peer: string): boolean {
+    const last = heard.get(peer);
+    return last !== undefined && clock.now() - last.at < SILENCE_MS;
+  }
+
   function forgetOldStamps(now: number): void {
     for (const stamp of wallAtStamp.keys()) {
       if (now - stamp < SILENCE_MS * 4) {
@@ -110,7 +131,6 @@
   owned.add(network.onDidReceive('digest', receive));
   owned.add(every(clock, INTERVAL_MS, send));
   return {
-    heardLately: () => lately().map(([peer]) => peer),
     commonWallMs() {
       const offsets = [
         0,
--- /dev/null
+++ b/packages/gateway/src/peerReports.ts
@@ -0,0 +1,191 @@
+/**
+ * What the other entries have said of their use and load, and sums of it for
+ * those who do not hear them.
+ *
+ * Each part of the system has one speaker at a time: an entry for itself, a
+ * relay for its failure domain or for all the rest. Two relays that both spoke
+ * for a part would count it twice.
+ */
+import type {Clock} from '@skylarkfield/base';
+import type {EndpointLoad, Messages} from '@skylarkfield/protocol';
+import type {DigestScope} from './relayPlan.js';
+
+type Digest = Messages['digest'];
+type Amounts = Readonly<Record<string, number>>;
+
+/** Use and load of one or more entries. */
+export interface ReportSum {
+  /** Entries that it covers. */
+  readonly entries: number;
+  readonly used: Amounts;
+  readonly loads: Readonly<Record<string, EndpointLoad>>;
+  readonly work: Amounts;
+}
+
+/** A digest that counts. */
+export interface TakenReport {
+  /** The part of the system that it is about. */
+  readonly part: string;
+  /** Quota amounts of that part since it was first heard. */
+  readonly used: Amounts;
+}
+
+export interface PeerReports {
+  /** Takes a digest; undefined when another speaker is heard for the same part. */
+  take(peer: string, digest: Digest): TakenReport | undefined;
+  /** The own part with what others have said, as far as a receiver of the scope does not hear it elsewhere. */
+  sumFor(scope: DigestScope, receiver: string, own: ReportSum): ReportSum;
+  /** Entries, other than this one, that the reports heard lately cover. */
+  entriesHeard(): number;
+  /** Work that the others report for a service, in engine milliseconds a second. */
+  workOf(service: string): number;
+  dump(): unknown;
+}
+
+interface Part {
+  speaker: string;
+  heardAt: number;
+  digest: Digest;
+  /** Sum of the increases heard; it never falls when a speaker restarts or changes. */
+  readonly used: Record<string, number>;
+}
+
+/** Name of the part that a relay speaks of to the entries of its own failure domain. */
+const REST = 'the rest';
+
+/**
+ * Makes the reports of one entry.
+ *
+ * @example
+ * const taken = reports.take('a2', digest);
+ * if (taken !== undefined) { quotas.noteUsed(taken.part, taken.used); }
+ */
+export function createPeerReports(options: {
+  readonly clock: Clock;
+  readonly failureDomain: string;
+  /** Silence after which a part may get another speaker, in milliseconds. */
+  readonly silenceMs: number;
+}): PeerReports {
+  const {clock, failureDomain, silenceMs} = options;
+  const parts = new Map<string, Part>();
+  const lastUsed = new Map<string, {incarnation: number; used: Amounts}>();
+
+  function partOf(peer: string, digest: Digest): string {
+    const names: Readonly<Record<DigestScope, string>> = {
+      own: peer,
+      domain: `failure domain ${digest.failureDomain ?? ''}`,
+      rest: REST,
+    };
+    return names[digest.scope ?? 'own'];
+  }
+
+  function isFresh({heardAt}: Part): boolean {
+    return clock.now() - heardAt < silenceMs;
+  }
+
+  /** What was used since this speaker's last word; nothing for its first. */
+  function increases(peer: string, digest: Digest): Record<string, number> {
+    const {incarnation = 0, used, scope = 'own'} = digest;
+    const key = `${peer} ${scope}`;
+    const before = lastUsed.get(key);
+    lastUsed.set(key, {incarnation, used});
+    if (before === undefined || before.incarnation !== incarnation) {
+      return {};
+    }
+    return Object.fromEntries(
+      Object.entries(used).map(([name, amount]) => [
+        name,
+        amount - (before.used[name] ?? 0),
+      ]),
+    );
+  }
+
+  function isNear(part: string, {digest}: Part): boolean {
+    return (
+      part !== REST &&
+      (digest.scope ?? 'own') === 'own' &&
+      digest.failureDomain === failureDomain
+    );
+  }
+
+  function partsFor(scope: DigestScope, receiver: string): Part[] {
+    const chosen: Readonly<Record<DigestScope, () => [string, Part][]>> = {
+      own: () => [],
+      domain: () => [...parts].filter(([name, part]) => isNear(name, part)),
+      rest: () => [...parts].filter(([name]) => name !== REST),
+    };
+    return chosen[scope]()
+      .filter(([name]) => name !== receiver)
+      .map(([, part]) => part);
+  }
+
+  return {
+    take(peer, digest) {
+      const name = partOf(peer, digest);
+      const increase = increases(peer, digest);
+      const part = parts.get(name);
+      if (part !== undefined && part.speaker !== peer && isFresh(part)) {
+        return undefined;
+      }
+      const used = part?.used ?? {};
+      addAmounts(used, increase);
+      parts.set(name, {speaker: peer, heardAt: clock.now(), digest, used});
+      return {part: name, used: {...used}};
+    },
+    sumFor(scope, receiver, own) {
+      const chosen = partsFor(scope, receiver);
+      const used = {...own.used};
+      const loads: Record<string, EndpointLoad> = {...own.loads};
+      const work = {...own.work};
+      let {entries} = own;
+      for (const part of chosen) {
+        addAmounts(used, part.used);
+        if (isFresh(part)) {
+          addLoads(loads, part.digest.loads);
+          addAmounts(work, part.digest.work);
+          entries += part.digest.entries ?? 1;
+        }
+      }
+      return {entries, used, loads, work};
+    },
+    entriesHeard: () =>
+      [...parts.values()]
+        .filter(isFresh)
+        .reduce((sum, {digest}) => sum + (digest.entries ?? 1), 0),
+    workOf: service =>
+      [...parts.values()]
+        .filter(isFresh)
+        .reduce((sum, {digest}) => sum + (digest.work[service] ?? 0), 0),
+    dump: () =>
+      Object.fromEntries(
+        [...parts].map(([name, part]) => [
+          name,
+          {
+            speaker: part.speaker,
+            agoMs: Math.round(clock.now() - part.heardAt),
+            entries: part.digest.entries ?? 1,
+          },
+        ]),
+      ),
+  };
+}
+
+function addAmounts(to: Record<string, number>, from: Amounts): void {
+  for (const [name, amount] of Object.entries(from)) {
+    to[name] = (to[name] ?? 0) + amount;
+  }
+}
+
+function addLoads(
+  to: Record<string, EndpointLoad>,
+  from: Readonly<Record<string, EndpointLoad>>,
+): void {
+  for (const [endpoint, load] of Object.entries(from)) {
+    const sum = to[endpoint];
+    to[endpoint] = {
+      requests: (sum?.requests ?? 0) + load.requests,
+      pendingTokens: (sum?.pendingTokens ?? 0) + load.pendingTokens,
+      contextTokens: (sum?.contextTokens ?? 0) + load.contextTokens,
+    };
+  }
+}
--- a/packages/gateway/src/platformView.ts
+++ b/packages/gateway/src/platformView.ts
@@ -1,13 +1,13 @@
 /** Copies of what the platform holds, read by few entries and told to all. */
 import {
   disposableStore,
-  rendezvousOrder,
   type Clock,
   type Disposable,
   type Logger,
   type Random,
 } from '@skylarkfield/base';
 import type {
+  Messages,
   MirrorCopy,
   MirrorKind,
   MirrorStanding,
@@ -26,6 +26,7 @@
   type MirrorReader,
   type ReadTiming,
 } from './mirrorReader.js';
+import type {RelayPlan} from './relayPlan.js';
 
 /** The standing of every mirror, as a digest carries it. */
 export type MirrorStandings = Readonly<Record<MirrorKind, MirrorStanding>>;
@@ -67,14 +68,13 @@
  * Makes the view and starts to read what is this entry's turn.
  *
  * @example
- * const view = createPlatformView({platform, network, self: 'a1', liveEntries, clock, random, log});
+ * const view = createPlatformView({platform, network, self: 'a1', plan, clock, random, log});
  */
 export function createPlatformView(options: {
   readonly platform: Platform;
   readonly network: PeerNetwork;
   readonly self: string;
-  /** Ids of the live entries, this one included. */
-  liveEntries(): readonly string[];
+  plan(): RelayPlan;
   readonly clock: Clock;
   readonly random: Random;
   readonly log: Logger;
@@ -96,26 +96,30 @@
   const copying = new Set<MirrorKind>();
 
   function isReadBy(peer: string, kind: MirrorKind): boolean {
-    const last = heard.get(peer);
-    return (
-      last !== undefined &&
-      clock.now() - last.at < HEARD_MS &&
-      last.standings[kind].isReader
-    );
+    return isHeard(peer) && heard.get(peer)!.standings[kind].isReader;
   }
 
-  /** Nobody before this entry in the order gets answers. */
+  /**
+   * Nobody before this entry in the order gets answers. An entry behind relays
+   * reads only while it hears none of them.
+   */
   function isTurn(kind: MirrorKind): boolean {
-    const order = rendezvousOrder('platform-reader', options.liveEntries());
-    for (const id of order) {
-      if (id === self) {
-        return true;
-      }
-      if (isReadBy(id, kind)) {
-        return false;
-      }
+    const {coordinators, upstream} = options.plan();
+    if (upstream.length > 0) {
+      return !upstream.some(isHeard);
     }
-    return true;
+    const place = coordinators.indexOf(self);
+    const before = place < 0 ? coordinators : coordinators.slice(0, place);
+    return !before.some(id => isReadBy(id, kind));
+  }
+
+  function isHeard(peer: string): boolean {
+    const last = heard.get(peer);
+    return last !== undefined && clock.now() - last.at < HEARD_MS;
+  }
+
+  function isRelay(): boolean {
+    return [...options.plan().targets.values()].includes('rest');
   }
 
   function startReader<T>(mirror: Mirror<T>, source: Source<T>): void {
@@ -127,8 +131,7 @@
       log,
       timing: READ_TIMINGS[mirror.kind],
       isTurn: () => isTurn(mirror.kind),
-      onDidStep: step =>
-        network.broadcast('mirrorChanges', {kind: mirror.kind, ...step}),
+      onDidStep: step => passOn({kind: mirror.kind, ...step}, self),
     });
     readers.set(mirror.kind, owned.add(reader));
   }
@@ -175,10 +178,26 @@
     });
   }
 
+  function passOn(step: Messages['mirrorChanges'], from: string): void {
+    const receivers = [...options.plan().targets.keys()];
+    network.broadcast(
+      'mirrorChanges',
+      step,
+      receivers.filter(id => id !== from),
+    );
+  }
+
   owned.add(
     network.onDidReceive('mirrorChanges', (from, step) => {
-      if (!mirrors[step.kind].takeStep(step)) {
+      const mirror = mirrors[step.kind];
+      const before = mirror.revision();
+      if (!mirror.takeStep(step)) {
         void fetchCopy(step.kind, from);
+        return;
+      }
+      // Who tells everyone has told them all; behind a relay nobody else does.
+      if (mirror.revision() > before && isRelay()) {
+        passOn(step, from);
       }
     }),
   );
--- /dev/null
+++ b/packages/gateway/src/test/relays.test.ts
@@ -0,0 +1,259 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {virtualClock} from '@skylarkfield/base';
+import type {Messages} from '@skylarkfield/protocol';
+import {createQuotas} from '@skylarkfield/traffic';
+import {createPeerReports, type PeerReports} from '../peerReports.js';
+import {
+  FLAT_ENTRIES,
+  planRelays,
+  type DigestScope,
+  type RelayNode,
+  type RelayPlan,
+} from '../relayPlan.js';
+
+type Digest = Messages['digest'];
+
+const SILENCE_MS = 1_200;
+const DIGEST_MS = 300;
+const DOMAINS = ['a', 'b', 'c', 'd'];
+
+function fleetOf(count: number): RelayNode[] {
+  return Array.from({length: count}, (_, index) => ({
+    id: `entry-${index}`,
+    failureDomain: DOMAINS[index % DOMAINS.length]!,
+    isLive: true,
+  }));
+}
+
+const standing = {
+  revision: 1,
+  changedAt: 1,
+  confirmedAgoMs: 0,
+  isReader: false,
+};
+
+/** Entries that exchange digests by the plan, each with one request at its own endpoint. */
+function createFleet(nodes: readonly RelayNode[]) {
+  const clock = virtualClock();
+  const entries = new Map(
+    nodes.map(node => [
+      node.id,
+      {
+        node,
+        incarnation: 1,
+        used: 0,
+        reports: createPeerReports({
+          clock,
+          failureDomain: node.failureDomain,
+          silenceMs: SILENCE_MS,
+        }),
+        /** Quota amounts of others, as an entry's buckets get them. */
+        heardUsed: new Map<string, number>(),
+      },
+    ]),
+  );
+  const silent = new Set<string>();
+  let sent = 0;
+
+  type Entry = NonNullable<ReturnType<typeof entries.get>>;
+
+  function digestOf(
+    {node, incarnation, used, reports}: Entry,
+    scope: DigestScope,
+    receiver: string,
+  ): Digest {
+    return {
+      scope,
+      failureDomain: node.failureDomain,
+      incarnation,
+      stamp: 0,
+      wallMs: 0,
+      mirrors: {policy: standing, endpoints: standing, rollouts: standing},
+      usage: {},
+      ...reports.sumFor(scope, receiver, {
+        entries: 1,
+        used: {chain: used},
+        loads: {
+          shared: {requests: 1, pendingTokens: 10, contextTokens: 100},
+        },
+        work: {chat: 5},
+      }),
+    };
+  }
+
+  function round(): void {
+    for (const entry of entries.values()) {
+      if (silent.has(entry.node.id)) {
+        continue;
+      }
+      const plan = planRelays(entry.node, nodes);
+      const isSpare =
+        plan.precedence !== undefined && !silent.has(plan.precedence);
+      for (const [to, scope] of plan.targets) {
+        if (silent.has(to) || (isSpare && scope !== 'own')) {
+          continue;
+        }
+        sent += 1;
+        deliver(entry, to, digestOf(entry, scope, to));
+      }
+    }
+    clock.advanceSync(DIGEST_MS);
+  }
+
+  function deliver(from: Entry, to: string, digest: Digest): void {
+    const receiver = entries.get(to)!;
+    const taken = receiver.reports.take(from.node.id, digest);
+    if (taken !== undefined) {
+      receiver.heardUsed.set(taken.part, taken.used['chain'] ?? 0);
+    }
+  }
+
+  return {
+    entries,
+    silent,
+    digestFrom: (from: string, to: string) =>
+      digestOf(entries.get(from)!, 'own', to),
+    rounds(count: number) {
+      for (let index = 0; index < count; index++) {
+        round();
+      }
+    },
+    sentIn(rounds: number): number {
+      const before = sent;
+      this.rounds(rounds);
+      return (sent - before) / rounds;
+    },
+  };
+}
+
+function heardOf({heardUsed}: {heardUsed: Map<string, number>}): number {
+  return [...heardUsed.values()].reduce((sum, amount) => sum + amount, 0);
+}
+
+function requestsSeen(reports: PeerReports, id: string): number {
+  const nothing = {entries: 0, used: {}, loads: {}, work: {}};
+  const sum = reports.sumFor('rest', id, nothing);
+  return sum.loads['shared']?.requests ?? 0;
+}
+
+function plans(nodes: readonly RelayNode[]): Map<string, RelayPlan> {
+  return new Map(nodes.map(node => [node.id, planRelays(node, nodes)]));
+}
+
+describe('relays', () => {
+  it('lets everyone tell everyone up to a bound', () => {
+    const nodes = fleetOf(FLAT_ENTRIES);
+    for (const plan of plans(nodes).values()) {
+      assert.equal(plan.targets.size, FLAT_ENTRIES - 1);
+      assert.equal(plan.coordinators.length, FLAT_ENTRIES);
+      assert.deepEqual(plan.upstream, []);
+    }
+  });
+
+  it('sends digests in proportion to the entries, not to their square', () => {
+    const perEntry = [77, 300].map(
+      count => createFleet(fleetOf(count)).sentIn(4) / count,
+    );
+    for (const digests of perEntry) {
+      assert.ok(digests < 4, `${digests} digests an entry and round`);
+    }
+  });
+
+  it('gives every entry the load, work and use of all others', () => {
+    const nodes = fleetOf(77);
+    const fleet = createFleet(nodes);
+    fleet.rounds(5);
+    fleet.entries.forEach(entry => (entry.used += 10));
+    fleet.rounds(5);
+    for (const [id, entry] of fleet.entries) {
+      const {coordinators, upstream} = planRelays(entry.node, nodes);
+      assert.equal(entry.reports.entriesHeard(), 76, id);
+      assert.equal(entry.reports.workOf('chat'), 76 * 5, id);
+      assert.equal(heardOf(entry), 76 * 10, id);
+      if (upstream.length === 0) {
+        assert.ok(coordinators.includes(id));
+        assert.equal(requestsSeen(entry.reports, id), 76, id);
+      }
+    }
+  });
+
+  it('goes on through the second relay when the first dies, and counts nothing twice', () => {
+    // A first relay is killed while a customer uses its quota all over the
+    // system. If the second one's sums were taken as new use, the customer
+    // would be refused for seconds; if nobody spoke, it would have the quota
+    // once at each entry.
+    const nodes = fleetOf(40);
+    const fleet = createFleet(nodes);
+    fleet.rounds(5);
+    const leaf = nodes.find(
+      node => planRelays(node, nodes).upstream.length > 0,
+    )!;
+    const [first = ''] = planRelays(leaf, nodes).upstream;
+    fleet.entries.forEach(entry => (entry.used += 10));
+    fleet.rounds(5);
+    fleet.silent.add(first);
+    fleet.rounds(8);
+    fleet.entries.forEach(entry => (entry.used += 1));
+    fleet.rounds(5);
+    const heard = heardOf(fleet.entries.get(leaf.id)!);
+    assert.equal(heard, 39 * 10 + 38);
+    assert.equal(fleet.entries.get(leaf.id)!.reports.entriesHeard(), 38);
+  });
+
+  it('charges a customer at this entry for what it uses at another', () => {
+    // One customer is spread over entries. If a report changed after it was
+    // handed on, the next one would show no increase, and each entry would
+    // grant the whole quota.
+    const nodes = fleetOf(2);
+    const fleet = createFleet(nodes);
+    const quotas = createQuotas(virtualClock());
+    const {reports} = fleet.entries.get('entry-0')!;
+    const quota = {unit: 'tokens', perSecond: 1, burst: 100} as const;
+    const customer = {
+      name: 'chain',
+      keys: [],
+      priority: undefined,
+      quota: {...quota, plainTokens: 1},
+    };
+    assert.ok(quotas.tryTake(customer, 1));
+    for (const used of [0, 60, 120]) {
+      const digest = {
+        ...fleet.digestFrom('entry-1', 'entry-0'),
+        used: {chain: used},
+      };
+      const taken = reports.take('entry-1', digest)!;
+      quotas.noteUsed(taken.part, taken.used);
+    }
+    assert.ok(!quotas.tryTake(customer, 1));
+  });
+
+  it('takes a restarted entry for a new one', () => {
+    // A process is killed and starts again with counters at zero. Taken as
+    // decreases, they would give its customers their used quota back.
+    const nodes = fleetOf(3);
+    const fleet = createFleet(nodes);
+    fleet.rounds(2);
+    const restarted = fleet.entries.get('entry-1')!;
+    restarted.used = 500;
+    fleet.rounds(2);
+    restarted.used = 0;
+    restarted.incarnation = 2;
+    fleet.rounds(2);
+    restarted.used = 7;
+    fleet.rounds(2);
+    assert.equal(heardOf(fleet.entries.get('entry-0')!), 507);
+  });
+
+  it('lets leaving entries speak but not relay', () => {
+    const nodes = fleetOf(40).map(node => ({
+      ...node,
+      isLive: node.failureDomain !== 'a' || node.id === 'entry-0',
+    }));
+    const leaving = nodes.find(node => !node.isLive)!;
+    const {targets, upstream, coordinators} = planRelays(leaving, nodes);
+    assert.deepEqual(upstream, ['entry-0']);
+    assert.deepEqual([...targets], [['entry-0', 'own']]);
+    assert.ok(!coordinators.includes(leaving.id));
+  });
+});
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -1,6 +1,7 @@
 /** All that a caller's request goes through, and what entries tell each other about it. */
 import {createAdmission} from '@skylarkfield/admission';
 import {disposableStore, type Disposable} from '@skylarkfield/base';
+import type {Messages} from '@skylarkfield/protocol';
 import {createRouter, type RouteWeights} from '@skylarkfield/routing';
 import {
   answerWorkMs,
@@ -12,20 +13,23 @@
   promptWorkMs,
   type DeclaredService,
   type UsageWindows,
+  type WindowCounts,
 } from '@skylarkfield/traffic';
 import {createAdmissionFeed} from './admissionFeed.js';
 import type {AgreementPart} from './agreementPart.js';
 import {createCallerFront, type CallerFront} from './callerFront.js';
 import {MS_PER_SECOND, type GatewayContext} from './context.js';
 import type {CallHead} from './contracts.js';
-import {startDigests, type Digests} from './digests.js';
+import {SILENCE_MS, startDigests, type Digests} from './digests.js';
 import {
   createEndpointDirectory,
   type EndpointDirectory,
 } from './endpointDirectory.js';
 import {createForwarding} from './forwarding.js';
+import {createPeerReports} from './peerReports.js';
 import {createPlatformView} from './platformView.js';
 import {createPolicyInForce, type PolicyInForce} from './policyInForce.js';
+import type {DigestScope} from './relayPlan.js';
 import {createRequestMetrics} from './requestMetrics.js';
 import {createStreamMoves} from './streamMove.js';
 import {createUpstreams} from './upstream.js';
@@ -75,7 +79,7 @@
       platform,
       network,
       self: settings.id,
-      liveEntries: agreement.liveIds,
+      plan: agreement.plan,
       clock,
       random,
       log,
@@ -122,30 +126,58 @@
     windowMs: settings.usageWindowSeconds * MS_PER_SECOND,
     self: `${settings.id}.${context.incarnation}`,
   });
+  /** Only who reports usage needs the others' counts, and that is a relay. */
+  const usageFor: Readonly<Record<DigestScope, () => WindowCounts>> = {
+    own: usage.own,
+    domain: usage.near,
+    rest: () => ({}),
+  };
   const work = createWorkMeter(clock);
-  const peerWork = new Map<string, Readonly<Record<string, number>>>();
+  const reports = createPeerReports({
+    clock,
+    failureDomain: settings.failureDomain,
+    silenceMs: SILENCE_MS,
+  });
   const digests = owned.add(
     startDigests({
       network,
       clock,
-      content: () => ({
+      self: {
+        failureDomain: settings.failureDomain,
+        incarnation: context.incarnation,
+      },
+      plan: agreement.plan,
+      content: (scope, receiver) => ({
         mirrors: view.standings(),
-        used: quotas.used(),
-        usage: usage.own(),
-        loads: router.ownLoads(),
-        work: work.rates(),
+        usage: usageFor[scope](),
+        ...reports.sumFor(scope, receiver, {
+          entries: 1,
+          used: quotas.used(),
+          loads: router.ownLoads(),
+          work: work.rates(),
+        }),
       }),
       onDidHear(peer, digest, moment) {
         view.noteStandings(peer, digest.mirrors, moment);
-        quotas.noteUsed(peer, digest.used);
-        usage.noteCounts(peer, digest.usage);
-        router.reportEntry(peer, digest.loads);
-        peerWork.set(peer, digest.work);
-        noteHeard();
+        noteUsage(peer, digest);
+        const taken = reports.take(peer, digest);
+        if (taken !== undefined) {
+          quotas.noteUsed(taken.part, taken.used);
+          router.reportEntry(taken.part, digest.loads);
+          noteHeard();
+        }
       },
     }),
   );
 
+  function noteUsage(peer: string, digest: Messages['digest']): void {
+    const {scope = 'own', incarnation, failureDomain, usage: counts} = digest;
+    const isOwn = scope === 'own';
+    const source = isOwn ? `${peer}.${incarnation}` : `all of ${failureDomain}`;
+    const isNear = isOwn && failureDomain === settings.failureDomain;
+    usage.noteCounts(source, counts, isNear);
+  }
+
   function refreshEndpoints(): void {
     directory.refresh();
     feed.update();
@@ -153,7 +185,7 @@
 
   function noteHeard(): void {
     const others = membership.live().length - 1;
-    const heard = digests.heardLately().length;
+    const heard = reports.entriesHeard();
     quotas.setHeard(others <= 0 ? 1 : Math.min(1, heard / others), others + 1);
     admission.setEntryCount(others + 1);
   }
@@ -210,6 +242,7 @@
   context.dumps.add('view', () => view.dump());
   context.dumps.add('routing', () => router.dump());
   context.dumps.add('admission', () => admission.dump());
+  context.dumps.add('reports', () => reports.dump());
   context.dumps.add('quotas', () => quotas.dump());
   context.dumps.add('upstreams', () => upstreams.dump());
   return {
@@ -218,12 +251,7 @@
     directory,
     usage,
     digests,
-    workRate(service) {
-      const own = work.rates()[service] ?? 0;
-      return digests
-        .heardLately()
-        .reduce((sum, id) => sum + (peerWork.get(id)?.[service] ?? 0), own);
-    },
+    workRate: service => (work.rates()[service] ?? 0) + reports.workOf(service),
     dispose: () => owned.dispose(),
   };
 }
--- a/packages/protocol/src/messages/gatewayMessages.ts
+++ b/packages/protocol/src/messages/gatewayMessages.ts
@@ -32,8 +32,16 @@
 }
 
 export interface GatewayMessages {
-  /** Sent to every peer several times a second. */
+  /** Sent several times a second: to every peer, or between entries and their relays. */
   digest: {
+    /** How much of what the sender knows `used`, `usage`, `loads` and `work` tell; its own part when absent. */
+    readonly scope?: 'own' | 'domain' | 'rest';
+    /** The sender's failure domain. */
+    readonly failureDomain?: string;
+    /** Rises with each start of the sender, whose counters then begin anew. */
+    readonly incarnation?: number;
+    /** Entries that those fields cover; one when absent. */
+    readonly entries?: number;
     /** The sender's monotonic milliseconds now. */
     readonly stamp: number;
     /** The sender's wall-clock milliseconds now. */
@@ -41,13 +49,13 @@
     /** The receiver's stamp that the sender heard last; undefined before the first. */
     readonly echo?: number;
     readonly mirrors: Readonly<Record<MirrorKind, MirrorStanding>>;
-    /** Quota amounts that the sender let through since its start, by customer. */
+    /** Quota amounts let through since the sender's start, by customer. */
     readonly used: Readonly<Record<string, number>>;
     /** Requests that began to run, by window and customer. */
     readonly usage: Readonly<Record<string, Readonly<Record<string, number>>>>;
-    /** What the sender has at each endpoint where it has something. */
+    /** What is at each endpoint where there is something. */
     readonly loads: Readonly<Record<string, EndpointLoad>>;
-    /** Work of the sender's callers by service, in engine milliseconds a second. */
+    /** Work that callers bring by service, in engine milliseconds a second. */
     readonly work: Readonly<Record<string, number>>;
   };
   /** Changes of one kind between two revisions, as soon as the sender reads them. */
--- a/packages/traffic/src/test/traffic.test.ts
+++ b/packages/traffic/src/test/traffic.test.ts
@@ -146,6 +146,21 @@
     assert.deepEqual(usage.total(2), {chain: 42});
   });
 
+  it('sums up its group, and takes no lower sum from a relay that has just started', () => {
+    // A relay dies and its successor has not heard all of the group yet. The
+    // report would lack what the first one had told before.
+    const relay = createUsageWindows({windowMs: WINDOW_MS, self: 'a.1'});
+    relay.note('chain', 12_000);
+    relay.noteCounts('b.1', {2: {chain: 3}}, true);
+    relay.noteCounts('all of another', {2: {chain: 50}});
+    assert.deepEqual(relay.near(), {2: {chain: 4}});
+
+    const reporter = createUsageWindows({windowMs: WINDOW_MS, self: 'z.1'});
+    reporter.noteCounts('all of a', {2: {chain: 4}});
+    reporter.noteCounts('all of a', {2: {chain: 1, shop: 2}});
+    assert.deepEqual(reporter.total(2), {chain: 4, shop: 2});
+  });
+
   it('forgets windows that are long past', () => {
     const usage = createUsageWindows({windowMs: WINDOW_MS, self: 'a.1'});
     usage.note('chain', 0);
--- a/packages/traffic/src/usageWindows.ts
+++ b/packages/traffic/src/usageWindows.ts
@@ -16,8 +16,13 @@
   note(customer: string, wallMs: number): void;
   /** This process's counts of the windows that are kept. */
   own(): WindowCounts;
-  /** Takes over another process's counts; `peer` names it with its incarnation. */
-  noteCounts(peer: string, counts: WindowCounts): void;
+  /** Counts of the kept windows over this process and all others that are near. */
+  near(): WindowCounts;
+  /**
+   * Takes over counts of another process, named with its incarnation, or of a
+   * group of processes. `isNear` tells whether `near` includes them.
+   */
+  noteCounts(source: string, counts: WindowCounts, isNear?: boolean): void;
   /** Counts of a window over all processes heard of. */
   total(window: number): CustomerCounts;
   windowAt(wallMs: number): number;
@@ -39,8 +44,9 @@
   readonly self: string;
 }): UsageWindows {
   const {windowMs, self} = options;
-  const byProcess = new Map<string, Record<string, Record<string, number>>>();
-  byProcess.set(self, {});
+  const bySource = new Map<string, Record<string, Record<string, number>>>();
+  const nearSources = new Set([self]);
+  bySource.set(self, {});
 
   function windowAt(wallMs: number): number {
     return Math.floor(wallMs / windowMs);
@@ -54,41 +60,73 @@
     }
   }
 
+  function forgetOldSources(newest: number): void {
+    for (const [source, counts] of bySource) {
+      if (source !== self && Object.keys(counts).every(isOlderThan(newest))) {
+        bySource.delete(source);
+        nearSources.delete(source);
+      }
+    }
+  }
+
   return {
     windowAt,
     note(customer, wallMs) {
       const window = windowAt(wallMs);
-      const counts = byProcess.get(self)!;
+      const counts = bySource.get(self)!;
       const counted = (counts[window] ??= {});
       counted[customer] = (counted[customer] ?? 0) + 1;
       dropOld(counts, window);
     },
-    own: () => byProcess.get(self)!,
-    noteCounts(peer, counts) {
-      const kept = byProcess.get(peer) ?? {};
-      // A process that drops an old window has not taken its counts back.
-      Object.assign(kept, counts);
-      const newest = Math.max(0, ...Object.keys(kept).map(Number));
-      dropOld(kept, newest);
-      byProcess.set(peer, kept);
-      for (const [process, known] of byProcess) {
-        if (process !== self && Object.keys(known).every(isOlderThan(newest))) {
-          byProcess.delete(process);
+    own: () => bySource.get(self)!,
+    near() {
+      const sum: Record<string, Record<string, number>> = {};
+      for (const source of nearSources) {
+        for (const [window, counts] of Object.entries(bySource.get(source)!)) {
+          addCounts((sum[window] ??= {}), counts);
         }
       }
+      return sum;
+    },
+    noteCounts(source, counts, isNear = false) {
+      const kept = bySource.get(source) ?? {};
+      bySource.set(source, kept);
+      if (isNear) {
+        nearSources.add(source);
+      }
+      for (const [window, counted] of Object.entries(counts)) {
+        raiseCounts((kept[window] ??= {}), counted);
+      }
+      const newest = Math.max(0, ...Object.keys(kept).map(Number));
+      dropOld(kept, newest);
+      forgetOldSources(newest);
     },
     total(window) {
       const sum: Record<string, number> = {};
-      for (const counts of byProcess.values()) {
-        for (const [customer, count] of Object.entries(counts[window] ?? {})) {
-          sum[customer] = (sum[customer] ?? 0) + count;
-        }
+      for (const counts of bySource.values()) {
+        addCounts(sum, counts[window] ?? {});
       }
       return sum;
     },
   };
 }
 
+function addCounts(to: Record<string, number>, from: CustomerCounts): void {
+  for (const [customer, count] of Object.entries(from)) {
+    to[customer] = (to[customer] ?? 0) + count;
+  }
+}
+
+/**
+ * Counts only grow: a lower one is from a relay that has not heard all of its
+ * group again since its start.
+ */
+function raiseCounts(to: Record<string, number>, from: CustomerCounts): void {
+  for (const [customer, count] of Object.entries(from)) {
+    to[customer] = Math.max(to[customer] ?? 0, count);
+  }
+}
+
 function isOlderThan(newest: number): (window: string) => boolean {
   return window => Number(window) <= newest - KEPT_WINDOWS;
 }
