Rollouts: traffic moves to a version by its deadline, or back

Cause: rollouts were read and nothing moved; an operator's order stayed without a state for ever. Ruled out: a second judge for the gateway. The package of version moves judges, splits and keeps the states; a rollout is a move between two groups of endpoints. Change: rolloutMoves turns orders into moves and states into words for the operator; rolloutPart follows, competes for the duty and writes. Nothing is read and no lease renewed while no rollout is open. A move of seconds keeps a quarter of its time for the last answers of the old version (it kept 20 s, so moves under 20 s were refused). Endpoints of a version that was taken back stay out of use; the fleet's orders for a service rest while its versions change.

--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -19,7 +19,11 @@
 import {createCallerReply, type CallerReply} from './callerReply.js';
 import type {CallFormat, CallHead} from './contracts.js';
 import type {VersionGroup} from './endpointDirectory.js';
-import type {Forwarding, ForwardingResult} from './forwarding.js';
+import type {
+  ForwardedCall,
+  Forwarding,
+  ForwardingResult,
+} from './forwarding.js';
 import type {PolicyInForce} from './policyInForce.js';
 import type {RequestMetrics} from './requestMetrics.js';
 
@@ -46,12 +50,21 @@
   readonly metrics: RequestMetrics;
   readonly clock: Clock;
   readonly log: Logger;
-  /** Which group of a service's versions takes the request. */
-  chooseGroup(service: string, key: string): VersionGroup;
+  /** Which group of a service's versions takes the request; alike at every entry for one key. */
+  chooseGroup(
+    service: string,
+    key: string,
+    isRepeatable: boolean,
+  ): VersionGroup;
   /** Says how much work a request brings, before it is sent. */
   onDidAccept(service: string, head: CallHead): void;
   /** An answer of so many events has ended, whole or not. */
   onDidAnswer(service: string, head: CallHead, events: number): void;
+  /** A request was served, or failed, by a group of a service's versions. */
+  onDidConclude(
+    call: Pick<ForwardedCall, 'service' | 'version' | 'route'>,
+    result: ForwardingResult,
+  ): void;
 }
 
 /** A request with what was found out about it. */
@@ -198,6 +211,8 @@
     const timer = clock.after(deadlineAt - admittedAt, () =>
       deadline.abort(DEADLINE_PASSED),
     );
+    const isRepeatable = route.kind === 'idempotent' || route.isResumable;
+    const version = options.chooseGroup(service, attemptId, isRepeatable);
     try {
       const result = await forwarding.forward(
         {
@@ -205,7 +220,7 @@
           attemptId,
           route,
           service,
-          version: options.chooseGroup(service, attemptId),
+          version,
           customer: customer?.name,
           urgency:
             head.demand === undefined
@@ -222,6 +237,7 @@
         reply,
       );
       options.onDidAnswer(service, head, reply.eventCount());
+      options.onDidConclude({service, version, route}, result);
       if (result.error?.run === 'not-run') {
         giveBack();
       }
--- a/packages/gateway/src/dutyPart.ts
+++ b/packages/gateway/src/dutyPart.ts
@@ -43,7 +43,11 @@
       startFleetDuty({
         ...common,
         directory: traffic.directory,
-        services: traffic.policy.services,
+        // While a version starts beside the old one, the platform decides on both.
+        services: () =>
+          traffic.policy
+            .services()
+            .filter(({name}) => !traffic.rollouts.isOpen(name)),
         workRate: traffic.workRate,
       }),
     );
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -41,16 +41,19 @@
   const left = emitter<string>();
   let byKey = new Map<string, RegisteredEndpoint>();
 
-  function targetOf(service: string): string | undefined {
-    const found = rollouts
+  /**
+   * Versions that only a rollout may send requests to. One that was taken back
+   * stays among them: its endpoints are there for some seconds more.
+   */
+  function targetsOf(service: string): string[] {
+    return rollouts
       .items()
-      .find(({value}) => value.service === service && isOpen(value));
-    return found?.value.target;
+      .filter(({value}) => value.service === service && !isDone(value))
+      .map(({value}) => value.target);
   }
 
   function groupOf(endpoint: RegisteredEndpoint): VersionGroup {
-    const target = targetOf(endpoint.service);
-    return target !== undefined && endpoint.version === target
+    return targetsOf(endpoint.service).includes(endpoint.version)
       ? 'candidate'
       : 'incumbent';
   }
@@ -112,8 +115,8 @@
   }
 }
 
-function isOpen({state, stateTarget, target}: Rollout): boolean {
-  return stateTarget !== target || state === undefined || state === 'running';
+function isDone({state, stateTarget, target}: Rollout): boolean {
+  return stateTarget === target && state === 'done';
 }
 
 /**
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -6,7 +6,7 @@
 import {runAttempt, type AttemptEnd} from './attempt.js';
 import type {CallerReply} from './callerReply.js';
 import type {CallFormat, CallHead, ReplyHead} from './contracts.js';
-import type {EndpointDirectory} from './endpointDirectory.js';
+import type {EndpointDirectory, VersionGroup} from './endpointDirectory.js';
 import type {Continuation, StreamMoves} from './streamMove.js';
 import type {Upstreams} from './upstream.js';
 
@@ -16,7 +16,7 @@
   readonly attemptId: string;
   readonly route: Route;
   readonly service: string;
-  readonly version: string;
+  readonly version: VersionGroup;
   readonly customer: string | undefined;
   readonly urgency: number | undefined;
   readonly method: string;
@@ -103,15 +103,20 @@
   const {router, directory, admission, upstreams, moves, format, clock, log} =
     options;
 
+  /** An endpoint of the call's group, else one of those that have served all along. */
   function choose(call: ForwardedCall, excluded: ReadonlySet<string>) {
     const {demand} = call.head;
-    return router.choose({
+    const journey = {
       service: call.service,
       version: call.version,
       blocks: call.promptKeys,
       promptTokens: demand?.promptTokens ?? 0,
       excluded,
-    });
+    };
+    return (
+      router.choose(journey) ??
+      router.choose({...journey, version: 'incumbent'})
+    );
   }
 
   function isRepeatable({route}: ForwardedCall): boolean {
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -1,6 +1,10 @@
 /** All that a caller's request goes through, and what entries tell each other about it. */
 import {createAdmission} from '@skylarkfield/admission';
-import {disposableStore, type Disposable} from '@skylarkfield/base';
+import {
+  disposableStore,
+  type Disposable,
+  type ErrorKind,
+} from '@skylarkfield/base';
 import type {Messages} from '@skylarkfield/protocol';
 import {createRouter, type RouteWeights} from '@skylarkfield/routing';
 import {
@@ -25,13 +29,18 @@
   createEndpointDirectory,
   type EndpointDirectory,
 } from './endpointDirectory.js';
-import {createForwarding} from './forwarding.js';
+import {
+  createForwarding,
+  type ForwardedCall,
+  type ForwardingResult,
+} from './forwarding.js';
 import {createPeerReports} from './peerReports.js';
 import {createPlatformView} from './platformView.js';
 import {createPolicyInForce, type PolicyInForce} from './policyInForce.js';
 import type {DigestScope} from './relayPlan.js';
 import {createRequestMetrics} from './requestMetrics.js';
 import {createStreamMoves} from './streamMove.js';
+import {createRolloutPart, type RolloutPart} from './rolloutPart.js';
 import {createUpstreams} from './upstream.js';
 
 export interface TrafficPart extends Disposable {
@@ -40,6 +49,7 @@
   readonly directory: EndpointDirectory;
   readonly usage: UsageWindows;
   readonly digests: Digests;
+  readonly rollouts: RolloutPart;
   /** Work for a service over all entries, in milliseconds of one endpoint a second. */
   workRate(service: string): number;
 }
@@ -190,6 +200,22 @@
     admission.setEntryCount(others + 1);
   }
 
+  const rollouts = owned.add(
+    createRolloutPart(context, {
+      rollouts: view.rollouts,
+      directory,
+      network,
+      store: agreement.store,
+      duties: agreement.duties,
+      plan: agreement.plan,
+      others: () =>
+        membership
+          .members()
+          .map(({id}) => id)
+          .filter(id => id !== settings.id),
+    }),
+  );
+
   const forwarding = createForwarding({
     router,
     directory,
@@ -225,7 +251,8 @@
     metrics: createRequestMetrics(context.metrics.meter),
     clock,
     log,
-    chooseGroup: () => 'incumbent',
+    chooseGroup: rollouts.groupFor,
+    onDidConclude: (call, result) => observe(rollouts, call, result),
     onDidAccept(service: string, {demand}: CallHead) {
       if (demand !== undefined) {
         work.note(service, promptWorkMs(demand, DEFAULT_SPEED));
@@ -251,7 +278,44 @@
     directory,
     usage,
     digests,
+    rollouts,
     workRate: service => (work.rates()[service] ?? 0) + reports.workOf(service),
     dispose: () => owned.dispose(),
   };
 }
+
+/** Errors that say nothing of the version: the caller left, or nobody had room. */
+const NEUTRAL_ERRORS: ReadonlySet<ErrorKind> = new Set([
+  'cancelled',
+  'overloaded',
+  'endpoint-unavailable',
+]);
+
+/** Statuses by which a service says that it failed. */
+const FIRST_SERVER_FAULT = 500;
+
+/** Evidence for rollouts; a request that needed a second endpoint was failed by the first. */
+function observe(
+  rollouts: RolloutPart,
+  {
+    service,
+    version,
+    route,
+  }: Pick<ForwardedCall, 'service' | 'version' | 'route'>,
+  {error, status, endpoints, firstMs}: ForwardingResult,
+): void {
+  if (error !== undefined && NEUTRAL_ERRORS.has(error.kind)) {
+    return;
+  }
+  rollouts.observe({
+    service,
+    group: version,
+    route: route.name,
+    isError:
+      error !== undefined ||
+      status >= FIRST_SERVER_FAULT ||
+      endpoints.length > 1,
+    latencyMs: firstMs ?? 0,
+    isRepeatable: route.kind === 'idempotent' || route.isResumable,
+  });
+}
--- a/packages/moves/src/moveDuty.ts
+++ b/packages/moves/src/moveDuty.ts
@@ -25,6 +25,8 @@
   readonly tenure: Tenure;
   /** Whether any endpoint runs the version; a move does not start before. */
   hasEndpoints?(service: string, version: string): boolean;
+  /** All states as they stand in the store, after each look at the moves. */
+  onDidAdvance?(states: readonly MoveState[]): void;
 }
 
 const ADVANCE_INTERVAL_MS = 1000;
@@ -178,6 +180,7 @@
       await advanceService(moves.filter(move => move.service === service));
     }
     await endWithdrawn(new Set(names));
+    options.onDidAdvance?.([...stored.values()].map(({value}) => value));
   }
 
   function tick() {
--- a/packages/moves/src/plan.ts
+++ b/packages/moves/src/plan.ts
@@ -35,6 +35,8 @@
 const RESERVE_FRACTION = 0.03;
 const LEAST_RESERVE_MS = 20_000;
 const MOST_RESERVE_MS = 600_000;
+/** A move of seconds keeps this part at most: 3 of 12 s, for the last answers of the old version. */
+const MOST_RESERVE_FRACTION = 0.25;
 
 /**
  * Evidence asked for early on, and the least that is ever enough, as log-odds.
@@ -55,9 +57,10 @@
  * const isDue = clock.wall() >= decisionTime(move, state.startedAt);
  */
 export function decisionTime(move: Move, startedAt: number): number {
-  const wanted = (move.deadline - startedAt) * RESERVE_FRACTION;
-  const reserve = Math.min(MOST_RESERVE_MS, Math.max(LEAST_RESERVE_MS, wanted));
-  return move.deadline - reserve;
+  const span = move.deadline - startedAt;
+  const wanted = Math.max(LEAST_RESERVE_MS, span * RESERVE_FRACTION);
+  const most = Math.min(MOST_RESERVE_MS, span * MOST_RESERVE_FRACTION);
+  return move.deadline - Math.min(wanted, most);
 }
 
 /**
