Duties: a process that may not hold a duty hands it over

The duty was taken in the first second, when each entry knew few others and everyone told everyone; its holder was then an entry behind relays, which hears sums of load but not the counts. Ruled out: relays telling every entry all counts (more bytes in every digest for one reader); stepping down whenever the candidates change (the duty would move with every restart). Change: duties take a condition for holding on; the gateway's is that no relay stands above the entry. Who hands over does not take the duty back for a lease and its margin, so that two holders never act by turns within a lease.

--- a/packages/duties/src/contest.ts
+++ b/packages/duties/src/contest.ts
@@ -58,6 +58,8 @@
   readonly decisions?: DecisionLog;
   /** Whether this process is among those that compete for the duty now. */
   readonly isCandidate: () => boolean;
+  /** Whether this process may go on holding the duty. */
+  readonly mayHold: () => boolean;
   readonly start: (tenure: Tenure) => Disposable;
 }
 
@@ -86,6 +88,8 @@
   let timer: Disposable = toDisposable(() => {});
   let expiry: Disposable = toDisposable(() => {});
   let isEnded = false;
+  /** Monotonic milliseconds before which a duty that was handed over is not taken again. */
+  let competesFrom = -Infinity;
 
   function current(): ContestState {
     return service.machine.current as ContestState;
@@ -112,7 +116,7 @@
 
   async function round(): Promise<void> {
     try {
-      await (holding === undefined ? look() : renew(holding));
+      await (holding === undefined ? look() : keep(holding));
     } catch (error) {
       log.debug({err: error, duty}, 'a lease round failed');
     }
@@ -131,7 +135,7 @@
   }
 
   async function look(): Promise<void> {
-    if (!options.isCandidate()) {
+    if (!options.isCandidate() || clock.now() < competesFrom) {
       service.send('stepBack');
       return;
     }
@@ -211,6 +215,29 @@
     holding = {...holding, work: options.start(tenure)};
   }
 
+  async function keep(held: Holding): Promise<void> {
+    await (options.mayHold() ? renew(held) : handOver(held));
+  }
+
+  /**
+   * Gives the duty to others while this process lives on. It does not take it
+   * back before a lease's time is over: platforms that do not check fencing
+   * numbers would see two holders act by turns.
+   */
+  async function handOver({fencing}: Holding): Promise<void> {
+    competesFrom = clock.now() + timing.durationMs + timing.marginMs;
+    end();
+    service.send('lose');
+    options.decisions?.note(
+      'duties',
+      duty,
+      'hand over',
+      'this process may not hold it',
+      {fencing},
+    );
+    await giveUp(fencing);
+  }
+
   async function renew({fencing}: Holding): Promise<void> {
     const lease = readLease(object);
     try {
--- a/packages/duties/src/duties.ts
+++ b/packages/duties/src/duties.ts
@@ -34,6 +34,11 @@
   readonly self: {readonly id: string; readonly incarnation: number};
   /** Ids of the live members, this one included. */
   readonly members: () => readonly string[];
+  /**
+   * Whether this process may go on holding a duty that it holds; it hands it
+   * over when not. Always, when not given.
+   */
+  readonly mayHold?: () => boolean;
   readonly log?: Logger;
   readonly decisions?: DecisionLog;
   readonly timing?: LeaseTiming;
@@ -72,6 +77,7 @@
           log: options.log ?? silentLogger(),
           decisions,
           isCandidate: () => isCandidate(duty),
+          mayHold: options.mayHold ?? (() => true),
           start,
         }),
       );
--- a/packages/duties/src/test/duties.test.ts
+++ b/packages/duties/src/test/duties.test.ts
@@ -9,6 +9,7 @@
 import {memoryPlatform} from '@skylarkfield/providers';
 import type {Tenure} from '../contracts.js';
 import {createDuties} from '../duties.js';
+import {defaultLeaseTiming} from '../lease.js';
 import {createOrderGate} from '../orderGate.js';
 
 /** Two processes on one platform; the second starts when it is told to. */
@@ -16,7 +17,7 @@
   const common = virtualClock();
   const platform = memoryPlatform({clock: common});
   platform.faults.setSlow(2);
-  function start(id: string) {
+  function start(id: string, mayHold = () => true) {
     const clock = pausableClock(common);
     const store = platform.client(id, {clock});
     const tenures: Tenure[] = [];
@@ -27,6 +28,7 @@
       store,
       self: {id, incarnation: 1},
       members: () => ['a', 'b'],
+      mayHold,
     });
     duties.compete('fleet', tenure => {
       tenures.push(tenure);
@@ -47,6 +49,34 @@
     assert.equal(a.running() + b.running(), 1);
   });
 
+  // A process took the duty when it knew of few others. Later it is one of those
+  // that hear sums only, and what it reports for all would be its own part. Were
+  // it to take the duty back at once, platforms without a check of fencing
+  // numbers would see two holders act by turns.
+  it('is handed over by a process that may not hold it, and not taken back within a lease', async () => {
+    const {common, start} = createPair();
+    const allowed = {a: true, b: true};
+    const a = start('a', () => allowed.a);
+    await common.advance(3_000);
+    assert.equal(a.running(), 1);
+    const b = start('b', () => allowed.b);
+    allowed.a = false;
+    await common.advance(6_000);
+    assert.equal(a.running(), 0);
+    assert.equal(b.running(), 1);
+    const handedOverAt = b.tenures[0]!.acquiredAt;
+    allowed.a = true;
+    allowed.b = false;
+    await common.advance(20_000);
+    assert.equal(a.running(), 1);
+    const takenBackAt = a.tenures[1]!.acquiredAt;
+    const {durationMs} = defaultLeaseTiming;
+    assert.ok(
+      takenBackAt - handedOverAt >= durationMs,
+      `${takenBackAt - handedOverAt}`,
+    );
+  });
+
   // The holder stops for longer than its lease, as under SIGSTOP, and goes on in
   // the middle of its work. Its next effect would undo what the new holder did.
   it('is seen as lost by a holder that wakes from a pause before it acts', async () => {
--- a/packages/gateway/src/agreementPart.ts
+++ b/packages/gateway/src/agreementPart.ts
@@ -110,6 +110,9 @@
       store,
       self,
       members: () => plan().coordinators,
+      // Behind a relay an entry does not hear what all have counted. It may have
+      // taken a duty before it knew of so many others.
+      mayHold: () => plan().upstream.length === 0,
       log,
       decisions,
       timing: LEASE_TIMING,
