--- a/packages/gateway/src/test/usageDuty.test.ts
+++ b/packages/gateway/src/test/usageDuty.test.ts
@@ -50,10 +50,11 @@
   readonly orders: PlatformOrders;
   readonly fencing: number;
   readonly ownCount: number;
+  readonly windowMs?: number;
 }) {
   const {clock} = options;
   const usage = createUsageWindows({
-    windowMs: WINDOW_MS,
+    windowMs: options.windowMs ?? WINDOW_MS,
     self: `e${options.fencing}`,
   });
   for (let count = 0; count < options.ownCount; count++) {
@@ -71,7 +72,19 @@
     commonWallMs: () => clock.wall(),
     log: silentLogger(),
   });
-  return {tenure, duty};
+  return {tenure, duty, usage};
+}
+
+function checkEachWindowIsSaidInOneWay(reports: readonly Report[]): void {
+  const byWindow = new Map<number, Set<string>>();
+  for (const {window, counts} of reports) {
+    const said = byWindow.get(window) ?? new Set();
+    said.add(JSON.stringify(counts));
+    byWindow.set(window, said);
+  }
+  for (const [window, said] of byWindow) {
+    assert.equal(said.size, 1, `window ${window}: ${[...said].join(' and ')}`);
+  }
 }
 
 describe('usage duty', () => {
@@ -97,19 +110,31 @@
       ownCount: 99,
     });
     await clock.advance(2_000);
-    const byWindow = new Map<number, Set<string>>();
-    for (const {window, counts} of reports) {
-      const said = byWindow.get(window) ?? new Set();
-      said.add(JSON.stringify(counts));
-      byWindow.set(window, said);
-    }
-    for (const [window, said] of byWindow) {
-      assert.equal(
-        said.size,
-        1,
-        `window ${window}: ${[...said].join(' and ')}`,
-      );
-    }
+    checkEachWindowIsSaidInOneWay(reports);
+  });
+
+  it('says nothing else of a window whose last counts come late', async () => {
+    // Windows are short against the time in which they may be reported, and an
+    // entry that was cut off tells its counts when the window was reported long
+    // ago. Were the report forgotten before that time, the window would be
+    // reported once more, with other counts, and the customer billed twice.
+    const clock = virtualClock();
+    const platform = memoryPlatform({clock, random: seededRandom(1)});
+    const {reports, orders} = recorder([]);
+    const startedAt = clock.wall();
+    const {usage} = startHolder({
+      clock,
+      orders,
+      windowMs: 1_000,
+      store: platform.client('e1'),
+      fencing: 1,
+      ownCount: 7,
+    });
+    await clock.advance(7_200);
+    usage.note('chain', startedAt);
+    await clock.advance(10_000);
+    assert.ok(reports.some(({counts}) => counts['chain'] === 7));
+    checkEachWindowIsSaidInOneWay(reports);
   });
 
   it('sends nothing once its tenure has ended', async () => {
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -135,6 +135,7 @@
   const usage = createUsageWindows({
     windowMs: settings.usageWindowSeconds * MS_PER_SECOND,
     self: `${settings.id}.${context.incarnation}`,
+    lateMs: settings.usageLateSeconds * MS_PER_SECOND,
   });
   /** Only who reports usage needs the others' counts, and that is a relay. */
   const usageFor: Readonly<Record<DigestScope, () => WindowCounts>> = {
--- a/packages/gateway/src/usageDuty.ts
+++ b/packages/gateway/src/usageDuty.ts
@@ -27,8 +27,11 @@
 /** Time after a window's end for the other entries' last counts to arrive: three digests and a margin. */
 const SETTLE_MS = 1_500;
 
-/** Windows kept in the store after they were reported. */
-const KEPT_REPORTS = 4;
+/**
+ * Windows kept in the store beyond those that a successor may still report: one
+ * for the window that has begun, and two for clocks that differ.
+ */
+const SPARE_REPORTS = 3;
 
 /** Time for one call, in milliseconds. */
 const CALL_MS = 1_500;
@@ -56,6 +59,7 @@
 export function startUsageDuty(options: UsageDutyOptions): Disposable {
   const {tenure, store, orders, usage, clock, log} = options;
   const oldest = usage.windowAt(options.commonWallMs() - options.lateMs);
+  const keptReports = usage.windowAt(options.lateMs) + SPARE_REPORTS;
   const reported = new Set<number>();
   let isBusy = false;
 
@@ -114,7 +118,7 @@
       return;
     }
     reported.add(window);
-    const past = window - KEPT_REPORTS;
+    const past = window - keptReports;
     if (reported.delete(past)) {
       await store.remove(
         KIND,
--- a/packages/traffic/src/usageWindows.ts
+++ b/packages/traffic/src/usageWindows.ts
@@ -28,8 +28,10 @@
   windowAt(wallMs: number): number;
 }
 
-/** Windows kept, counted back from the newest: a report may wait for the platform that long. */
-const KEPT_WINDOWS = 8;
+/** Windows kept at least, counted back from the newest: a report may wait for the platform that long. */
+const LEAST_KEPT_WINDOWS = 8;
+/** Windows kept beyond those that may still be reported, for clocks that differ. */
+const SPARE_WINDOWS = 3;
 
 /**
  * Makes the counts of one process.
@@ -42,8 +44,14 @@
   readonly windowMs: number;
   /** This process with its incarnation. */
   readonly self: string;
+  /** How long after its end a window may be reported, in milliseconds. */
+  readonly lateMs?: number;
 }): UsageWindows {
-  const {windowMs, self} = options;
+  const {windowMs, self, lateMs = 0} = options;
+  const keptWindows = Math.max(
+    LEAST_KEPT_WINDOWS,
+    Math.ceil(lateMs / windowMs) + SPARE_WINDOWS,
+  );
   const bySource = new Map<string, Record<string, Record<string, number>>>();
   const nearSources = new Set([self]);
   bySource.set(self, {});
@@ -54,12 +62,16 @@
 
   function dropOld(counts: Record<string, unknown>, newest: number): void {
     for (const window of Object.keys(counts)) {
-      if (Number(window) <= newest - KEPT_WINDOWS) {
+      if (Number(window) <= newest - keptWindows) {
         delete counts[window];
       }
     }
   }
 
+  function isOlderThan(newest: number): (window: string) => boolean {
+    return window => Number(window) <= newest - keptWindows;
+  }
+
   function forgetOldSources(newest: number): void {
     for (const [source, counts] of bySource) {
       if (source !== self && Object.keys(counts).every(isOlderThan(newest))) {
@@ -126,7 +138,3 @@
     to[customer] = Math.max(to[customer] ?? 0, count);
   }
 }
-
-function isOlderThan(newest: number): (window: string) => boolean {
-  return window => Number(window) <= newest - KEPT_WINDOWS;
-}
