--- a/eslint.config.js
+++ b/eslint.config.js
@@ -110,6 +110,17 @@
     },
     rules: {'n/no-unpublished-import': 'off', 'n/no-process-exit': 'off'},
   },
+  {
+    files: ['**/*.cjs'],
+    languageOptions: {
+      sourceType: 'commonjs',
+      globals: {
+        console: 'readonly',
+        process: 'readonly',
+        __dirname: 'readonly',
+      },
+    },
+  },
   ...layerRules(),
   platformNameRule(),
 ]);
