A gateway that can't open a port closes the others and ends

Its readiness port was taken at a restart; the start failed, but the callers' port stayed open and the process lived on, so nobody started it again and callers got 503, not ready, for ever. Ruled out: the store's link (healed; the other entries went on over theirs).

--- a/packages/gateway/src/gatewayPorts.ts
+++ b/packages/gateway/src/gatewayPorts.ts
@@ -1,8 +1,9 @@
 /** The ports of a gateway and what answers on each. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {disposableStore, type Disposable} from '@skylarkfield/base';
 import type {AgreementPart} from './agreementPart.js';
 import {MS_PER_SECOND, type GatewayContext} from './context.js';
-import {openPort, type Port} from './listeners.js';
+import {openPort} from './listeners.js';
 import {entriesFor} from './lookup.js';
 import {createStatusHandler} from './statusPages.js';
 import type {TrafficPart} from './trafficPart.js';
@@ -15,16 +16,18 @@
 const NOT_FOUND = 404;
 
 /**
- * Opens all ports. Throws `bad-settings` when one can't be opened.
+ * Opens all ports. Throws `bad-settings` when one can't be opened; those that
+ * were opened by then are closed again, since callers would keep coming to a
+ * process that has given up.
  *
  * @example
- * const ports = await openPorts(context, agreement, traffic);
+ * const ports = owned.add(await openPorts(context, agreement, traffic));
  */
 export async function openPorts(
   context: GatewayContext,
   {membership}: AgreementPart,
   {policy, front}: TrafficPart,
-): Promise<readonly Port[]> {
+): Promise<Disposable> {
   const {settings, platform, life} = context;
   const {lookups} = platform;
 
@@ -56,17 +59,22 @@
     response.end(lookups.writeAnswer(addresses, ttlMs));
   }
 
-  const callers = await openPort(settings.callers, (request, response) => {
-    void front.handle(request, response);
-  });
-  policy.onDidChange(() => callers.setLimits(policy.limits()));
-  callers.setLimits(policy.limits());
-  return [
-    callers,
-    await openPort(settings.lookup, answerLookup),
-    await openPort(settings.readiness, answerReadiness),
-    await openPort(settings.status, createStatusHandler(context)),
-  ];
+  const ports = disposableStore();
+  try {
+    ports.add(await openPort(settings.lookup, answerLookup));
+    ports.add(await openPort(settings.readiness, answerReadiness));
+    ports.add(await openPort(settings.status, createStatusHandler(context)));
+    const callers = await openPort(settings.callers, (request, response) => {
+      void front.handle(request, response);
+    });
+    ports.add(callers);
+    policy.onDidChange(() => callers.setLimits(policy.limits()));
+    callers.setLimits(policy.limits());
+    return ports;
+  } catch (error) {
+    ports.dispose();
+    throw error;
+  }
 }
 
 function end(response: ServerResponse, status: number): void {
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -55,8 +55,7 @@
     const agreement = owned.add(await createAgreementPart(context));
     const traffic = owned.add(createTrafficPart(context, agreement));
     owned.add(competeForDuty(context, agreement, traffic));
-    const ports = await openPorts(context, agreement, traffic);
-    ports.forEach(port => owned.add(port));
+    owned.add(await openPorts(context, agreement, traffic));
     log.info({incarnation: context.incarnation}, 'started');
 
     let stopping: Promise<void> | undefined;
--- a/packages/members/src/memberObjects.ts
+++ b/packages/members/src/memberObjects.ts
@@ -241,6 +241,8 @@
     },
     dump: () => ({isJoined, swept, unreachable: [...unreachable.keys()]}),
     dispose() {
+      // A failed attempt to join would else plan the next one after the end.
+      hasLeft = true;
       stop.abort();
       timers.forEach(timer => timer.dispose());
     },
