--- /dev/null
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -0,0 +1,112 @@
+/** What the end of an attempt says of its endpoint, of the request's run and to the caller. */
+import {ServingError} from '@skylarkfield/base';
+import type {Choice} from '@skylarkfield/routing';
+import type {AttemptEnd} from './attempt.js';
+
+/** How an endpoint did with an attempt. */
+export type AttemptOutcome = Parameters<Choice['finish']>[0]['outcome'];
+
+/** Statuses by which a service says that it failed. */
+const FIRST_SERVER_FAULT = 500;
+
+/**
+ * Whether a service's whole answer says that it failed.
+ *
+ * @example
+ * isServerFault(502); // true
+ */
+export function isServerFault(status: number): boolean {
+  return status >= FIRST_SERVER_FAULT;
+}
+
+/**
+ * Whether an endpoint may have worked on the request.
+ *
+ * @example
+ * runs += mayHaveRun(end) ? 1 : 0;
+ */
+export function mayHaveRun(end: AttemptEnd): boolean {
+  if (end.type === 'declined') {
+    return false;
+  }
+  return end.type !== 'failed' || end.error.run === 'may-have-run';
+}
+
+/**
+ * The end in a few words, for the log.
+ *
+ * @example
+ * log.info({end: describeEnd(end)}, 'another endpoint');
+ */
+export function describeEnd(end: AttemptEnd): string {
+  if (end.type === 'failed') {
+    return `${end.error.kind}: ${end.error.message}`;
+  }
+  return end.type;
+}
+
+/**
+ * How the endpoint did, as the router takes it.
+ *
+ * @example
+ * choice.finish({outcome: outcomeOf(end), latencyMs});
+ */
+export function outcomeOf(end: AttemptEnd): AttemptOutcome {
+  if (end.type === 'streamed') {
+    return 'ok';
+  }
+  if (end.type === 'answered') {
+    return isServerFault(end.status) ? 'failed' : 'ok';
+  }
+  if (end.type === 'declined') {
+    return 'overloaded';
+  }
+  if (end.error.kind === 'cancelled') {
+    return 'cancelled';
+  }
+  return end.error.run === 'not-run' ? 'unreachable' : 'failed';
+}
+
+/**
+ * The error with the run state of all attempts: what ran before is not undone by
+ * a later refusal. `runs` is how many endpoints may have run the request.
+ *
+ * @example
+ * reply.refuse(withRuns(error, progress.runs));
+ */
+export function withRuns(error: ServingError, runs: number): ServingError {
+  if (runs === 0 || error.run === 'may-have-run') {
+    return error;
+  }
+  return new ServingError('endpoint-failed', error.message, {
+    run: 'may-have-run',
+    cause: error,
+  });
+}
+
+/**
+ * No endpoint of a service could be asked.
+ *
+ * @example
+ * throw unavailable('chat', 'none is left');
+ */
+export function unavailable(service: string, why: string): ServingError {
+  return new ServingError(
+    'endpoint-unavailable',
+    `no endpoint of ${service}: ${why}`,
+  );
+}
+
+/**
+ * All endpoints that were asked have said that they have no room.
+ *
+ * @example
+ * throw withRuns(noRoom('chat', 3), 0);
+ */
+export function noRoom(service: string, asked: number): ServingError {
+  return new ServingError(
+    'overloaded',
+    `${asked} endpoints of ${service} have no room`,
+    {run: 'not-run'},
+  );
+}
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -262,7 +262,6 @@
         }
       });
       const reply = createCallerReply({
-        request,
         response,
         format,
         isClosing: options.state.isClosing,
--- a/packages/gateway/src/callerReply.ts
+++ b/packages/gateway/src/callerReply.ts
@@ -1,5 +1,5 @@
 /** The answer to one caller's request, written at most once. */
-import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {ServerResponse} from 'node:http';
 import {errorAnswers, type ServingError} from '@skylarkfield/base';
 import type {CallFormat, ReplyHeaders} from './contracts.js';
 import type {EventFrame} from './eventFrames.js';
@@ -35,11 +35,10 @@
  * Makes the reply of one request.
  *
  * @example
- * const reply = createCallerReply({request, response, format, isClosing});
+ * const reply = createCallerReply({response, format, isClosing});
  * reply.refuse(error);
  */
 export function createCallerReply(options: {
-  readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly format: CallFormat;
   /** Whether the connection should end with this answer. */
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -4,6 +4,15 @@
 import type {Choice, Router} from '@skylarkfield/routing';
 import type {Route} from '@skylarkfield/traffic';
 import {runAttempt, type AttemptEnd} from './attempt.js';
+import {
+  describeEnd,
+  isServerFault,
+  mayHaveRun,
+  noRoom,
+  outcomeOf,
+  unavailable,
+  withRuns,
+} from './attemptOutcome.js';
 import type {CallerReply} from './callerReply.js';
 import type {CallFormat, CallHead, ReplyHead} from './contracts.js';
 import type {EndpointDirectory, VersionGroup} from './endpointDirectory.js';
@@ -59,9 +68,6 @@
  */
 const PAUSES_TO_RESUME = 3;
 
-/** Statuses by which a service says that it failed. */
-const FIRST_SERVER_FAULT = 500;
-
 /** What one request has been through. */
 interface Progress {
   readonly endpoints: string[];
@@ -172,7 +178,10 @@
     const endpoint = directory.get(choice.endpoint);
     if (endpoint === undefined) {
       choice.finish({outcome: 'unreachable', latencyMs: 0});
-      return {type: 'failed', error: unavailable(call, 'it has just gone')};
+      return {
+        type: 'failed',
+        error: unavailable(call.service, 'it has just gone'),
+      };
     }
     progress.endpoints.push(endpoint.id);
     progress.excluded.add(choice.endpoint);
@@ -267,7 +276,7 @@
       return {status: 200};
     }
     if (end.type === 'answered') {
-      const isFault = end.status >= FIRST_SERVER_FAULT;
+      const isFault = isServerFault(end.status);
       if (isFault && !reply.hasBegun() && mayRunAgain(call, progress)) {
         return undefined;
       }
@@ -284,13 +293,17 @@
       if (maySendOn(call, progress)) {
         return undefined;
       }
-      return failed(reply, declined(call, progress));
+      const {endpoints, runs} = progress;
+      const error = noRoom(call.service, endpoints.length);
+      return failed(reply, withRuns(error, runs));
     }
     const hasRun = end.error.run === 'may-have-run';
     const mayGoOn = hasRun
       ? mayRunAgain(call, progress)
       : maySendOn(call, progress);
-    return mayGoOn ? undefined : failed(reply, runOf(end.error, progress));
+    return mayGoOn
+      ? undefined
+      : failed(reply, withRuns(end.error, progress.runs));
   }
 
   function next(call: ForwardedCall, progress: Progress): Start | undefined {
@@ -343,8 +356,9 @@
       for (;;) {
         const start = next(call, progress);
         if (start === undefined) {
-          const error = runOf(unavailable(call, 'none is left'), progress);
-          return result(failed(reply, error), progress);
+          const error = unavailable(call.service, 'none is left');
+          const refusal = withRuns(error, progress.runs);
+          return result(failed(reply, refusal), progress);
         }
         const end = await attempt(call, reply, progress, start);
         if (isMoved(call, progress, end)) {
@@ -358,7 +372,7 @@
           {
             request: call.attemptId,
             endpoint: start.choice.endpoint,
-            end: describe(end),
+            end: describeEnd(end),
             runs: progress.runs,
             sends: progress.endpoints.length,
           },
@@ -369,66 +383,9 @@
   };
 }
 
-/** Whether an endpoint may have worked on the request. */
-function mayHaveRun(end: AttemptEnd): boolean {
-  if (end.type === 'declined') {
-    return false;
-  }
-  return end.type !== 'failed' || end.error.run === 'may-have-run';
-}
-
 function result(
   {status, error}: {status: number; error?: ServingError},
   {firstMs, endpoints}: Progress,
 ): ForwardingResult {
   return {status, error, firstMs, endpoints};
 }
-
-function describe(end: AttemptEnd): string {
-  if (end.type === 'failed') {
-    return `${end.error.kind}: ${end.error.message}`;
-  }
-  return end.type;
-}
-
-function outcomeOf(end: AttemptEnd) {
-  if (end.type === 'streamed') {
-    return 'ok';
-  }
-  if (end.type === 'answered') {
-    return end.status >= FIRST_SERVER_FAULT ? 'failed' : 'ok';
-  }
-  if (end.type === 'declined') {
-    return 'overloaded';
-  }
-  if (end.error.kind === 'cancelled') {
-    return 'cancelled';
-  }
-  return end.error.run === 'not-run' ? 'unreachable' : 'failed';
-}
-
-/** The error with the run state of all attempts: what ran before is not undone by a later refusal. */
-function runOf(error: ServingError, {runs}: Progress): ServingError {
-  if (runs === 0 || error.run === 'may-have-run') {
-    return error;
-  }
-  return new ServingError('endpoint-failed', error.message, {
-    run: 'may-have-run',
-    cause: error,
-  });
-}
-
-function unavailable({service}: ForwardedCall, why: string): ServingError {
-  return new ServingError(
-    'endpoint-unavailable',
-    `no endpoint of ${service}: ${why}`,
-  );
-}
-
-function declined(call: ForwardedCall, progress: Progress): ServingError {
-  const message = `${progress.endpoints.length} endpoints of ${call.service} have no room`;
-  return runOf(
-    new ServingError('overloaded', message, {run: 'not-run'}),
-    progress,
-  );
-}
--- a/packages/gateway/src/platformView.ts
+++ b/packages/gateway/src/platformView.ts
@@ -13,11 +13,12 @@
   MirrorStanding,
   PeerNetwork,
 } from '@skylarkfield/protocol';
-import type {
-  Moment,
-  RegisteredEndpoint,
-  Rollout,
-  TrafficPolicy,
+import {
+  before,
+  type Moment,
+  type RegisteredEndpoint,
+  type Rollout,
+  type TrafficPolicy,
 } from '@skylarkfield/traffic';
 import type {Platform, Source} from './contracts.js';
 import {createMirror, type Mirror} from './mirror.js';
@@ -172,10 +173,7 @@
     if (moment === undefined || standing.confirmedAgoMs < 0) {
       return;
     }
-    mirror.confirmBy(standing, {
-      monotonicMs: moment.monotonicMs - standing.confirmedAgoMs,
-      wallMs: moment.wallMs - standing.confirmedAgoMs,
-    });
+    mirror.confirmBy(standing, before(moment, standing.confirmedAgoMs));
   }
 
   function passOn(step: Messages['mirrorChanges'], from: string): void {
@@ -190,13 +188,13 @@
   owned.add(
     network.onDidReceive('mirrorChanges', (from, step) => {
       const mirror = mirrors[step.kind];
-      const before = mirror.revision();
+      const former = mirror.revision();
       if (!mirror.takeStep(step)) {
         void fetchCopy(step.kind, from);
         return;
       }
       // Who tells everyone has told them all; behind a relay nobody else does.
-      if (mirror.revision() > before && isRelay()) {
+      if (mirror.revision() > former && isRelay()) {
         passOn(step, from);
       }
     }),
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -176,7 +176,6 @@
     const gone = new AbortController();
     response.once('close', () => gone.abort());
     const reply = createCallerReply({
-      request,
       response,
       format,
       isClosing: () => false,
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -1,10 +1,6 @@
 /** All that a caller's request goes through, and what entries tell each other about it. */
 import {createAdmission} from '@skylarkfield/admission';
-import {
-  disposableStore,
-  type Disposable,
-  type ErrorKind,
-} from '@skylarkfield/base';
+import {disposableStore, type Disposable} from '@skylarkfield/base';
 import type {Messages} from '@skylarkfield/protocol';
 import {createRouter, type RouteWeights} from '@skylarkfield/routing';
 import {
@@ -29,11 +25,7 @@
   createEndpointDirectory,
   type EndpointDirectory,
 } from './endpointDirectory.js';
-import {
-  createForwarding,
-  type ForwardedCall,
-  type ForwardingResult,
-} from './forwarding.js';
+import {createForwarding} from './forwarding.js';
 import {createPeerReports} from './peerReports.js';
 import {createPlatformView} from './platformView.js';
 import {createPolicyInForce, type PolicyInForce} from './policyInForce.js';
@@ -41,6 +33,7 @@
 import {createRequestMetrics} from './requestMetrics.js';
 import {createStreamMoves} from './streamMove.js';
 import {createRolloutPart, type RolloutPart} from './rolloutPart.js';
+import {sampleOf} from './rolloutSample.js';
 import {createUpstreams} from './upstream.js';
 
 export interface TrafficPart extends Disposable {
@@ -253,7 +246,12 @@
     clock,
     log,
     chooseGroup: rollouts.groupFor,
-    onDidConclude: (call, result) => observe(rollouts, call, result),
+    onDidConclude(call, result) {
+      const sample = sampleOf(call, result);
+      if (sample !== undefined) {
+        rollouts.observe(sample);
+      }
+    },
     onDidAccept(service: string, {demand}: CallHead) {
       if (demand !== undefined) {
         work.note(service, promptWorkMs(demand, DEFAULT_SPEED));
@@ -284,39 +282,3 @@
     dispose: () => owned.dispose(),
   };
 }
-
-/** Errors that say nothing of the version: the caller left, or nobody had room. */
-const NEUTRAL_ERRORS: ReadonlySet<ErrorKind> = new Set([
-  'cancelled',
-  'overloaded',
-  'endpoint-unavailable',
-]);
-
-/** Statuses by which a service says that it failed. */
-const FIRST_SERVER_FAULT = 500;
-
-/** Evidence for rollouts; a request that needed a second endpoint was failed by the first. */
-function observe(
-  rollouts: RolloutPart,
-  {
-    service,
-    version,
-    route,
-  }: Pick<ForwardedCall, 'service' | 'version' | 'route'>,
-  {error, status, endpoints, firstMs}: ForwardingResult,
-): void {
-  if (error !== undefined && NEUTRAL_ERRORS.has(error.kind)) {
-    return;
-  }
-  rollouts.observe({
-    service,
-    group: version,
-    route: route.name,
-    isError:
-      error !== undefined ||
-      status >= FIRST_SERVER_FAULT ||
-      endpoints.length > 1,
-    latencyMs: firstMs ?? 0,
-    isRepeatable: route.kind === 'idempotent' || route.isResumable,
-  });
-}
