Read-through: digests read the entry's own part once a tick; one piece each for what stood twice

Cause: with the relays a digest's content was computed for every receiver, in small fleets too: standings, own loads and work rates six times each 300 ms where once had been enough. The own part is read once a tick, and what all receivers of a scope are told is computed once; only a relay's sums for single entries differ. Ruled out for now: increases of counters, which quotas and peerReports each take from their own former values; quotas would need another interface, and its tests with it.

--- a/packages/gateway/src/attemptOutcome.ts
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -10,7 +10,7 @@
 const FIRST_SERVER_FAULT = 500;
 
 /**
- * Whether a service's whole answer says that it failed.
+ * Whether a status says that the server failed.
  *
  * @example
  * isServerFault(502); // true
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -10,6 +10,7 @@
 import type {Admission, Permit} from '@skylarkfield/admission';
 import {
   chooseService,
+  isRepeatable,
   promptKeys,
   type KeyedCustomer,
   type Quotas,
@@ -51,11 +52,7 @@
   readonly clock: Clock;
   readonly log: Logger;
   /** Which group of a service's versions takes the request; alike at every entry for one key. */
-  chooseGroup(
-    service: string,
-    key: string,
-    isRepeatable: boolean,
-  ): VersionGroup;
+  chooseGroup(service: string, key: string, mayRepeat: boolean): VersionGroup;
   /** Says how much work a request brings, before it is sent. */
   onDidAccept(service: string, head: CallHead): void;
   /** An answer of so many events has ended, whole or not. */
@@ -211,8 +208,11 @@
     const timer = clock.after(deadlineAt - admittedAt, () =>
       deadline.abort(DEADLINE_PASSED),
     );
-    const isRepeatable = route.kind === 'idempotent' || route.isResumable;
-    const version = options.chooseGroup(service, attemptId, isRepeatable);
+    const version = options.chooseGroup(
+      service,
+      attemptId,
+      isRepeatable(route),
+    );
     try {
       const result = await forwarding.forward(
         {
--- a/packages/gateway/src/callerReply.ts
+++ b/packages/gateway/src/callerReply.ts
@@ -4,6 +4,7 @@
 import type {CallFormat, ReplyHeaders} from './contracts.js';
 import type {EventFrame} from './eventFrames.js';
 import type {EventSink} from './attempt.js';
+import {isServerFault} from './attemptOutcome.js';
 
 export interface CallerReply {
   /** Whether a part of an answer has gone out. */
@@ -26,7 +27,6 @@
 const TIMED_OUT_STATUS = 504;
 /** Promises that the request has not run and won't. */
 const NOT_RUN_STATUS = 503;
-const FIRST_SERVER_FAULT = 500;
 
 /** When a caller may come back that was refused without a better figure, in milliseconds. */
 const DEFAULT_RETRY_MS = 300;
@@ -125,7 +125,7 @@
 function statusOf(error: ServingError): number {
   const {status} = errorAnswers[error.kind];
   if (error.run === 'not-run') {
-    return status >= FIRST_SERVER_FAULT ? NOT_RUN_STATUS : status;
+    return isServerFault(status) ? NOT_RUN_STATUS : status;
   }
   return error.kind === 'deadline-exceeded' ? TIMED_OUT_STATUS : FAILED_STATUS;
 }
--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -54,8 +54,11 @@
   };
   /** The plan now; it changes with the members. */
   plan(): RelayPlan;
-  /** What a receiver is told. */
-  content(scope: DigestScope, receiver: string): DigestContent;
+  /**
+   * Reads what this entry knows now, once for all digests of a tick; the result
+   * gives what a receiver is told. Only `rest` differs from receiver to receiver.
+   */
+  content(): (scope: DigestScope, receiver: string) => DigestContent;
   /** A digest has come; it was sent after `moment`, if that is known. */
   onDidHear(peer: string, digest: Digest, moment: Moment | undefined): void;
 }): Digests {
@@ -71,6 +74,18 @@
     wallAtStamp.set(stamp, wallMs);
     forgetOldStamps(stamp);
     const {targets, precedence} = options.plan();
+    const content = options.content();
+    const shared = new Map<DigestScope, DigestContent>();
+
+    function contentFor(scope: DigestScope, receiver: string): DigestContent {
+      if (scope === 'rest') {
+        return content(scope, receiver);
+      }
+      const known = shared.get(scope) ?? content(scope, receiver);
+      shared.set(scope, known);
+      return known;
+    }
+
     const isSpare = precedence !== undefined && isHeard(precedence);
     for (const [peer, scope] of targets) {
       // A second relay that spoke beside the first would double the traffic.
@@ -79,7 +94,7 @@
       }
       const echo = heard.get(peer)?.stamp;
       network.send(peer, 'digest', {
-        ...options.content(scope, peer),
+        ...contentFor(scope, peer),
         ...self,
         scope,
         stamp,
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -1,7 +1,11 @@
 /** The endpoints that may be used, kept in step with what they register. */
 import {emitter, type Event, type Logger} from '@skylarkfield/base';
 import type {Candidate, Router} from '@skylarkfield/routing';
-import type {RegisteredEndpoint, Rollout} from '@skylarkfield/traffic';
+import {
+  writtenState,
+  type RegisteredEndpoint,
+  type Rollout,
+} from '@skylarkfield/traffic';
 import type {Mirror} from './mirror.js';
 import type {Upstreams} from './upstream.js';
 
@@ -48,7 +52,8 @@
   function targetsOf(service: string): string[] {
     return rollouts
       .items()
-      .filter(({value}) => value.service === service && !isDone(value))
+      .filter(({value}) => value.service === service)
+      .filter(({value}) => writtenState(value) !== 'done')
       .map(({value}) => value.target);
   }
 
@@ -115,10 +120,6 @@
   }
 }
 
-function isDone({state, stateTarget, target}: Rollout): boolean {
-  return stateTarget === target && state === 'done';
-}
-
 /**
  * A process that starts again under its old id knows nothing of before: under a
  * key of its own the router does not expect its caches there.
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -2,7 +2,7 @@
 import {ServingError, type Clock, type Logger} from '@skylarkfield/base';
 import type {Admission} from '@skylarkfield/admission';
 import type {Choice, Router} from '@skylarkfield/routing';
-import type {Route} from '@skylarkfield/traffic';
+import {isRepeatable, type Route} from '@skylarkfield/traffic';
 import {runAttempt, type AttemptEnd} from './attempt.js';
 import {
   describeEnd,
@@ -125,14 +125,10 @@
     );
   }
 
-  function isRepeatable({route}: ForwardedCall): boolean {
-    return route.kind === 'idempotent' || route.isResumable;
-  }
-
   /** Whether a request that may have run may run at another endpoint. */
   function mayRunAgain(call: ForwardedCall, progress: Progress): boolean {
     return (
-      isRepeatable(call) &&
+      isRepeatable(call.route) &&
       progress.runs < call.route.attempts &&
       progress.endpoints.length < MOST_SENDS &&
       !call.signal.aborted &&
@@ -157,7 +153,7 @@
   }
 
   function silenceMs(call: ForwardedCall, progress: Progress) {
-    if (!isRepeatable(call) || progress.runs + 1 >= call.route.attempts) {
+    if (!isRepeatable(call.route) || progress.runs + 1 >= call.route.attempts) {
       return undefined;
     }
     if (call.route.kind === 'streaming') {
--- a/packages/gateway/src/rolloutMoves.ts
+++ b/packages/gateway/src/rolloutMoves.ts
@@ -2,7 +2,11 @@
 import {emitter, type Clock, type Event} from '@skylarkfield/base';
 import type {MoveState} from '@skylarkfield/moves';
 import type {Configuration, Move} from '@skylarkfield/records';
-import type {Rollout, RolloutState} from '@skylarkfield/traffic';
+import {
+  writtenState,
+  type Rollout,
+  type RolloutState,
+} from '@skylarkfield/traffic';
 import type {VersionGroup} from './endpointDirectory.js';
 import type {Mirror} from './mirror.js';
 
@@ -144,7 +148,7 @@
         }
         const {target} = rollout;
         const due = stateDue(rollout, state, move);
-        const isSaid = rollout.state === due && rollout.stateTarget === target;
+        const isSaid = writtenState(rollout) === due;
         return isSaid ? [] : [{name, target, state: due}];
       });
     },
@@ -157,12 +161,7 @@
   return `${name}.${target}`;
 }
 
-/**
- * Whether a rollout waits for the system.
- *
- * @example
- * const open = rollouts.filter(isUnsettled);
- */
-export function isUnsettled({state, stateTarget, target}: Rollout): boolean {
-  return stateTarget !== target || !SETTLED.has(state);
+/** Whether a rollout waits for the system. */
+function isUnsettled(rollout: Rollout): boolean {
+  return !SETTLED.has(writtenState(rollout));
 }
--- a/packages/gateway/src/rolloutSample.ts
+++ b/packages/gateway/src/rolloutSample.ts
@@ -1,5 +1,6 @@
 /** What a request that has ended says about the version that served it. */
 import type {ErrorKind} from '@skylarkfield/base';
+import {isRepeatable} from '@skylarkfield/traffic';
 import {isServerFault} from './attemptOutcome.js';
 import type {ForwardedCall, ForwardingResult} from './forwarding.js';
 import type {RolloutSample} from './rolloutPart.js';
@@ -37,6 +38,6 @@
     route: route.name,
     isError,
     latencyMs: firstMs ?? 0,
-    isRepeatable: route.kind === 'idempotent' || route.isResumable,
+    isRepeatable: isRepeatable(route),
   };
 }
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -151,16 +151,20 @@
         incarnation: context.incarnation,
       },
       plan: agreement.plan,
-      content: (scope, receiver) => ({
-        mirrors: view.standings(),
-        usage: usageFor[scope](),
-        ...reports.sumFor(scope, receiver, {
+      content() {
+        const mirrors = view.standings();
+        const own = {
           entries: 1,
           used: quotas.used(),
           loads: router.ownLoads(),
           work: work.rates(),
-        }),
-      }),
+        };
+        return (scope, receiver) => ({
+          mirrors,
+          usage: usageFor[scope](),
+          ...reports.sumFor(scope, receiver, own),
+        });
+      },
       onDidHear(peer, digest, moment) {
         view.noteStandings(peer, digest.mirrors, moment);
         noteUsage(peer, digest);
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -7,6 +7,8 @@
 export * from './fleetPlan.js';
 export * from './promptKeys.js';
 export * from './quotas.js';
+export * from './repeatability.js';
+export * from './rolloutStates.js';
 export * from './routeTable.js';
 export * from './usageWindows.js';
 export * from './weightedChoice.js';
