--- a/packages/bench/src/routing/policies.ts
+++ b/packages/bench/src/routing/policies.ts
@@ -44,6 +44,7 @@
   return {
     endpoint,
     cachedTokens: 0,
+    loadBefore: {requests: 0, pendingTokens: 0, contextTokens: 0},
     started() {},
     streaming() {},
     finish,
--- /dev/null
+++ b/packages/capacity/src/engineModel.ts
@@ -0,0 +1,271 @@
+/**
+ * How fast a service's engines are, learned from the requests that they serve.
+ *
+ * Engines differ by a factor of ten between customers and nobody declares their
+ * speed. Taken for faster than they are, too few are kept and requests run into
+ * their deadlines; taken for slower, they cost more than they bring.
+ */
+import type {Clock} from '@skylarkfield/base';
+import type {
+  AnswerSample,
+  CapacitySums,
+  EngineFigures,
+  PaceSums,
+  PromptSample,
+  RouteAim,
+  ServiceSums,
+} from './contracts.js';
+import {
+  addSums,
+  createRegression,
+  fitSlopes,
+  type Belief,
+  type Regression,
+  type RegressionSums,
+} from './regression.js';
+
+export interface EngineModel {
+  notePrompt(sample: PromptSample): void;
+  noteAnswer(sample: AnswerSample): void;
+  /** What this entry has seen, for the others. */
+  sums(): CapacitySums;
+}
+
+/** Half of what was seen this long ago still counts: endpoints and versions change. */
+const HALF_LIFE_MS = 20_000;
+
+const PAIRS_UNIT = 1e6;
+const CONTEXT_UNIT = 1e3;
+const SECOND_MS = 1e3;
+
+/** Samples that a belief weighs as much as. */
+const BELIEF_WEIGHT = 8;
+
+/** Prompts seen before endpoints are sent away by the figures. */
+const SURE_PROMPTS = 60;
+
+/** An operator's goal is taken for reachable: reading a prompt takes this part of it until prompts were seen. */
+const BELIEVED_GOAL_PART = 0.1;
+
+/** The usual prompt, in tokens, and goal, in milliseconds, until any were seen. */
+const BELIEVED_PROMPT_TOKENS = 1_000;
+const BELIEVED_GOAL_MS = 1_000;
+
+/** A thousand tokens in memory are taken to slow a step by this part of what a token's reading takes. */
+const BELIEVED_CONTEXT_PART = 0.5;
+
+/** Standard deviations above the mean that an answer's length is planned for. */
+const LONG_ANSWER_DEVIATIONS = 1.5;
+
+/** A route's answers shape the plan from this part of all answers on. */
+const LEAST_ROUTE_PART = 0.03;
+
+/** A pace is known from this many answers on. */
+const LEAST_ANSWERS = 5;
+
+/** The features of a prompt's reading time, in order. */
+function promptFeatures(sample: PromptSample): number[] {
+  const {ownTokens, promptTokens, rereadTokens, pendingTokens} = sample;
+  const pairs = (ownTokens * promptTokens) / PAIRS_UNIT;
+  return [ownTokens, pairs, rereadTokens, pendingTokens];
+}
+const PROMPT_FEATURES = 4;
+const ANSWER_FEATURES = 2;
+
+interface ServiceState {
+  readonly prompts: Regression;
+  readonly answers: Regression;
+  readonly paces: Map<string, {at: number; sums: PaceSums}>;
+}
+
+/**
+ * Makes the model of one entry, with nothing seen yet.
+ *
+ * @example
+ * model.notePrompt({service: 'chat', route: 'r1', ownTokens: 900, ...rest, tookMs: 62});
+ */
+export function createEngineModel(clock: Clock): EngineModel {
+  const services = new Map<string, ServiceState>();
+
+  function stateOf(service: string): ServiceState {
+    const known = services.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const common = {clock, halfLifeMs: HALF_LIFE_MS};
+    const state = {
+      prompts: createRegression({...common, features: PROMPT_FEATURES}),
+      answers: createRegression({...common, features: ANSWER_FEATURES}),
+      paces: new Map(),
+    };
+    services.set(service, state);
+    return state;
+  }
+
+  function notePace({paces}: ServiceState, sample: AnswerSample): void {
+    const {route, tokens, allowedMs} = sample;
+    const pace = (tokens * SECOND_MS) / Math.max(1, allowedMs);
+    const now = clock.now();
+    const last = paces.get(route);
+    const factor = last ? 2 ** ((last.at - now) / HALF_LIFE_MS) : 0;
+    paces.set(route, {
+      at: now,
+      sums: {
+        count: (last?.sums.count ?? 0) * factor + 1,
+        tokens: (last?.sums.tokens ?? 0) * factor + tokens,
+        total: (last?.sums.total ?? 0) * factor + pace,
+        squares: (last?.sums.squares ?? 0) * factor + pace * pace,
+      },
+    });
+  }
+
+  return {
+    notePrompt(sample) {
+      const {prompts} = stateOf(sample.service);
+      prompts.note(sample.route, promptFeatures(sample), sample.tookMs);
+    },
+    noteAnswer(sample) {
+      const state = stateOf(sample.service);
+      const {route, requests, contextTokens, stepMs} = sample;
+      const features = [requests, contextTokens / CONTEXT_UNIT];
+      state.answers.note(route, features, stepMs);
+      notePace(state, sample);
+    },
+    sums: () =>
+      Object.fromEntries(
+        [...services].map(([name, {prompts, answers, paces}]) => [
+          name,
+          {
+            prompts: prompts.sums(),
+            answers: answers.sums(),
+            paces: Object.fromEntries(
+              [...paces].map(([route, {sums}]) => [route, sums]),
+            ),
+          },
+        ]),
+      ),
+  };
+}
+
+/**
+ * Adds up what several entries have seen.
+ *
+ * @example
+ * const all = addCapacity([model.sums(), ...peers]);
+ */
+export function addCapacity(parts: readonly CapacitySums[]): CapacitySums {
+  const names = new Set(parts.flatMap(part => Object.keys(part)));
+  return Object.fromEntries(
+    [...names].map(name => [
+      name,
+      addServices(parts.flatMap(part => part[name] ?? [])),
+    ]),
+  );
+}
+
+function addServices(parts: readonly ServiceSums[]): ServiceSums {
+  const paces: Record<string, PaceSums> = {};
+  for (const [route, sums] of parts.flatMap(part =>
+    Object.entries(part.paces),
+  )) {
+    const known = paces[route];
+    paces[route] = {
+      count: (known?.count ?? 0) + sums.count,
+      tokens: (known?.tokens ?? 0) + sums.tokens,
+      total: (known?.total ?? 0) + sums.total,
+      squares: (known?.squares ?? 0) + sums.squares,
+    };
+  }
+  return {
+    prompts: addSums(
+      parts.map(({prompts}) => prompts).filter(({count}) => count > 0),
+    ),
+    answers: addSums(
+      parts.map(({answers}) => answers).filter(({count}) => count > 0),
+    ),
+    paces,
+  };
+}
+
+/**
+ * The figures that follow from what was seen. Until then they follow from what
+ * routes ask for, which operators set to what their engines can do.
+ *
+ * @example
+ * const {usualPromptMs} = engineFigures(sums.chat, [{goalMs: 800, timeoutMs: 10_000}]);
+ */
+export function engineFigures(
+  sums: ServiceSums | undefined,
+  aims: readonly RouteAim[],
+): EngineFigures {
+  const {prompts = emptySums(), answers = emptySums(), paces = {}} = sums ?? {};
+  const meanOwn = meanOf(prompts, 0, BELIEVED_PROMPT_TOKENS);
+  const meanPairs = meanOf(prompts, 1, 0);
+  const goals = aims.map(({goalMs}) => goalMs).filter(goal => goal > 0);
+  const goalMs = goals.length > 0 ? Math.min(...goals) : BELIEVED_GOAL_MS;
+  const believedMs = (goalMs * BELIEVED_GOAL_PART) / Math.max(1, meanOwn);
+  const [promptTokenMs = 0, pairsMs = 0, rereadTokenMs = 0] = fitSlopes(
+    prompts,
+    promptBelief(believedMs),
+  );
+  const usualPromptMs = promptTokenMs * meanOwn + pairsMs * meanPairs;
+  const believedContext = believedMs * BELIEVED_CONTEXT_PART;
+  const [requestStepMs = 0, contextStepMs = 0] = fitSlopes(answers, {
+    slopes: [0, believedContext],
+    weight: BELIEF_WEIGHT,
+  });
+  return {
+    promptTokenMs,
+    pairsMs,
+    rereadTokenMs,
+    usualTokenMs: usualPromptMs / Math.max(1, meanOwn),
+    usualPromptMs,
+    stepMs: meanOf(answers, ANSWER_FEATURES, 0),
+    requestStepMs,
+    contextStepMs,
+    usualAnswerTokens: usualAnswerTokens(Object.values(paces)),
+    neededPace: neededPace(Object.values(paces)),
+    prompts: Math.round(prompts.count),
+    isSure: prompts.count >= SURE_PROMPTS,
+  };
+}
+
+/** Every token is believed to take alike, whoever's it is; half of those before it are read by the time it comes. */
+function promptBelief(tokenMs: number): Belief {
+  return {
+    slopes: [tokenMs, 0, tokenMs, tokenMs / 2],
+    weight: BELIEF_WEIGHT,
+  };
+}
+
+function emptySums(): RegressionSums {
+  return {count: 0, totals: [], products: []};
+}
+
+function meanOf(sums: RegressionSums, index: number, unseen: number): number {
+  return sums.count > 0 ? (sums.totals[index] ?? 0) / sums.count : unseen;
+}
+
+function meanPace({count, total}: PaceSums): number {
+  return count > 0 ? total / count : 0;
+}
+
+function longPace(sums: PaceSums): number {
+  const mean = meanPace(sums);
+  const variance = Math.max(0, sums.squares / sums.count - mean * mean);
+  return mean + LONG_ANSWER_DEVIATIONS * Math.sqrt(variance);
+}
+
+function neededPace(paces: readonly PaceSums[]): number {
+  const all = paces.reduce((sum, {count}) => sum + count, 0);
+  const usual = paces.filter(
+    ({count}) => count >= Math.max(LEAST_ANSWERS, all * LEAST_ROUTE_PART),
+  );
+  return Math.max(0, ...usual.map(longPace));
+}
+
+function usualAnswerTokens(paces: readonly PaceSums[]): number {
+  const count = paces.reduce((sum, pace) => sum + pace.count, 0);
+  const tokens = paces.reduce((sum, pace) => sum + pace.tokens, 0);
+  return count > 0 ? tokens / count : 0;
+}
--- /dev/null
+++ b/packages/capacity/src/index.ts
@@ -0,0 +1,11 @@
+/** What model engines can do, learned from the requests they serve. */
+export * from './contracts.js';
+export {
+  addCapacity,
+  createEngineModel,
+  engineFigures,
+  type EngineModel,
+} from './engineModel.js';
+export * from './outcomeMeter.js';
+export {plannedUse} from './plannedUse.js';
+export type {RegressionSums} from './regression.js';
--- /dev/null
+++ b/packages/capacity/src/plannedUse.ts
@@ -0,0 +1,60 @@
+/** Which part of an engine's time may be planned for, from what callers hope for. */
+import type {EngineFigures, RouteAim} from './contracts.js';
+
+/**
+ * Work comes in clumps and waves, and an endpoint takes seconds to start: this
+ * part of the bearable use is planned for.
+ */
+const HEADROOM = 0.65;
+
+/** Bounds of the planned use: below, goals can't be met by more endpoints either; above, every clump makes a queue. */
+const LEAST_USE = 0.2;
+const MOST_USE = 0.6;
+
+/** Nineteen of twenty waits are shorter than this multiple of the mean one. */
+const LONG_WAIT_FACTOR = 3;
+
+/** Arrivals in clumps wait this much longer than even ones. */
+const CLUMP_FACTOR = 2;
+
+/** A long prompt takes this multiple of the usual one. */
+const LONG_PROMPT_FACTOR = 2;
+
+const SECOND_MS = 1_000;
+
+/**
+ * The part of an endpoint's time that may go to reading prompts.
+ *
+ * Two things bound it. A prompt waits for those before it, and its first event
+ * must come within the goal. And while a prompt is read every running answer
+ * waits: a long one must still be whole before its caller leaves.
+ *
+ * @example
+ * const use = plannedUse(figures, [{goalMs: 800, timeoutMs: 10_000}]); // 0.4
+ */
+export function plannedUse(
+  figures: EngineFigures,
+  aims: readonly RouteAim[],
+): number {
+  const bearable = Math.min(useForGoals(figures, aims), useForPace(figures));
+  return Math.min(MOST_USE, Math.max(LEAST_USE, bearable * HEADROOM));
+}
+
+/** From the mean wait of a queue at this use, use / (1 - use) of the usual prompt's time. */
+function useForGoals(
+  {usualPromptMs}: EngineFigures,
+  aims: readonly RouteAim[],
+): number {
+  const goals = aims.map(({goalMs}) => goalMs).filter(goal => goal > 0);
+  if (goals.length === 0 || usualPromptMs <= 0) {
+    return 1;
+  }
+  const waitMs = Math.min(...goals) - LONG_PROMPT_FACTOR * usualPromptMs;
+  const waits = waitMs / (LONG_WAIT_FACTOR * CLUMP_FACTOR * usualPromptMs);
+  return waits <= 0 ? 0 : waits / (1 + waits);
+}
+
+/** A step that takes so long at rest takes that over what the prompts leave. */
+function useForPace({stepMs, neededPace}: EngineFigures): number {
+  return neededPace <= 0 ? 1 : 1 - (stepMs * neededPace) / SECOND_MS;
+}
--- a/packages/entry/src/test/attempts.test.ts
+++ b/packages/entry/src/test/attempts.test.ts
@@ -115,6 +115,7 @@
   return {
     endpoint,
     cachedTokens: 0,
+    loadBefore: {requests: 0, pendingTokens: 0, contextTokens: 0},
     started() {},
     streaming() {},
     finish() {},
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -4,9 +4,11 @@
   ServingError,
   toServingError,
   type Clock,
+  type ErrorKind,
   type InFlight,
   type Logger,
 } from '@skylarkfield/base';
+import type {OutcomeMeter} from '@skylarkfield/capacity';
 import type {Admission, Permit} from '@skylarkfield/admission';
 import {
   chooseService,
@@ -48,6 +50,8 @@
   readonly format: CallFormat;
   readonly state: ServingState;
   readonly inFlight: InFlight;
+  /** How callers of model services fare. */
+  readonly outcomes: OutcomeMeter;
   readonly metrics: RequestMetrics;
   readonly clock: Clock;
   readonly log: Logger;
@@ -92,6 +96,12 @@
  */
 const TOKENS_PER_COST = 2_500;
 
+/** Errors by which a service shows that it has too few endpoints. */
+const SHORTAGE_ERRORS: ReadonlySet<ErrorKind> = new Set([
+  'overloaded',
+  'deadline-exceeded',
+]);
+
 /** Why a request's signal is aborted when its time is over. */
 const DEADLINE_PASSED = new ServingError(
   'deadline-exceeded',
@@ -186,6 +196,33 @@
     );
   }
 
+  /**
+   * Notes whether the first event came within the route's goal, as soon as that
+   * is known: under overload the events themselves come far too late to tell.
+   */
+  function watchOutcome(accepted: Accepted, reply: CallerReply) {
+    const {head, route, service} = accepted;
+    if (head.demand === undefined || route.goalMs <= 0) {
+      return {end() {}};
+    }
+    let isNoted = false;
+    function note(isLate: boolean): void {
+      if (!isNoted) {
+        isNoted = true;
+        options.outcomes.note(service, isLate);
+      }
+    }
+    const timer = clock.after(route.goalMs, () => note(!reply.hasBegun()));
+    return {
+      end(error: ServingError | undefined) {
+        timer.dispose();
+        if (error === undefined || SHORTAGE_ERRORS.has(error.kind)) {
+          note(error !== undefined);
+        }
+      },
+    };
+  }
+
   async function serve(
     request: IncomingMessage,
     reply: CallerReply,
@@ -196,10 +233,12 @@
       accepted;
     const body = await readBody(request, policy.limits().bodyBytes, caller);
     const giveBack = takeQuota(accepted);
+    const outcome = watchOutcome(accepted, reply);
     let permit: Permit;
     try {
       permit = await admit(accepted, caller);
     } catch (error) {
+      outcome.end(toServingError(error));
       giveBack();
       throw error;
     }
@@ -236,6 +275,7 @@
         },
         reply,
       );
+      outcome.end(result.error);
       options.onDidAnswer(service, head, reply.eventCount());
       options.onDidConclude({service, version, route}, result);
       if (result.error?.run === 'not-run') {
--- a/packages/gateway/src/dutyPart.ts
+++ b/packages/gateway/src/dutyPart.ts
@@ -48,7 +48,7 @@
           traffic.policy
             .services()
             .filter(({name}) => !traffic.rollouts.isOpen(name)),
-        workRate: traffic.workRate,
+        signs: traffic.engines.signs,
       }),
     );
     return work;
--- /dev/null
+++ b/packages/gateway/src/engineObserver.ts
@@ -0,0 +1,115 @@
+/** Sees how fast engines answer, attempt by attempt. */
+import type {EngineModel} from '@skylarkfield/capacity';
+import type {Clock} from '@skylarkfield/base';
+import type {Choice} from '@skylarkfield/routing';
+import {ownTokens, type Route} from '@skylarkfield/traffic';
+import type {EventSink} from './attempt.js';
+import type {CallHead} from './contracts.js';
+import {createStepMeter} from './stepMeter.js';
+
+/** What of a call says how much work it is. */
+export interface ObservedCall {
+  readonly head: Pick<CallHead, 'demand'>;
+  readonly route: Pick<Route, 'name' | 'goalMs' | 'timeoutMs'>;
+  readonly service: string;
+}
+
+/** One attempt of a model request while it runs. */
+export interface AttemptObserver {
+  /** The same sink, watched. */
+  watched(sink: EventSink): EventSink;
+  noteBegin(): void;
+  noteEnd(): void;
+}
+
+export interface EngineObserver {
+  /** `isFresh` is false for a request that goes on from what ran elsewhere: it reads little of its prompt. */
+  observe(
+    call: ObservedCall,
+    choice: Choice,
+    isFresh: boolean,
+  ): AttemptObserver;
+}
+
+const NOTHING_SEEN: AttemptObserver = {
+  watched: sink => sink,
+  noteBegin() {},
+  noteEnd() {},
+};
+
+/** Answers of fewer events say nothing of the steps between them. */
+const LEAST_EVENTS = 3;
+
+/**
+ * Makes the observer of one entry.
+ *
+ * @example
+ * const seen = engines.observe(call, choice, true);
+ */
+export function createEngineObserver(options: {
+  readonly model: EngineModel;
+  readonly clock: Clock;
+  /** Tokens of an answer that one event of the service's streams holds. */
+  tokensPerEvent(service: string): number;
+  /** A prompt goes to an endpoint that is thought to read so many tokens of shared parts again. */
+  onDidReread(service: string, tokens: number): void;
+}): EngineObserver {
+  const {model, clock} = options;
+  return {
+    observe({head, route, service}, choice, isFresh) {
+      const {demand} = head;
+      if (demand === undefined) {
+        return NOTHING_SEEN;
+      }
+      const own = ownTokens(demand);
+      const uncached = Math.max(0, demand.promptTokens - choice.cachedTokens);
+      const rereadTokens = Math.max(0, uncached - own);
+      const {loadBefore} = choice;
+      const sentAt = clock.now();
+      const steps = createStepMeter(clock);
+      if (isFresh) {
+        options.onDidReread(service, rereadTokens);
+      }
+      return {
+        watched: sink => ({
+          ...sink,
+          write(frame) {
+            steps.noteEvent();
+            return sink.write(frame);
+          },
+        }),
+        noteBegin() {
+          if (!isFresh) {
+            return;
+          }
+          model.notePrompt({
+            service,
+            route: route.name,
+            ownTokens: own,
+            promptTokens: demand.promptTokens,
+            rereadTokens,
+            pendingTokens: loadBefore.pendingTokens,
+            tookMs: clock.now() - sentAt,
+          });
+        },
+        noteEnd() {
+          const events = steps.events();
+          const eventMs = steps.eventMs();
+          if (events < LEAST_EVENTS || eventMs === undefined) {
+            return;
+          }
+          const perEvent = options.tokensPerEvent(service);
+          model.noteAnswer({
+            service,
+            route: route.name,
+            tokens: events * perEvent,
+            stepMs: eventMs / perEvent,
+            requests: loadBefore.requests + 1,
+            contextTokens: loadBefore.contextTokens + demand.promptTokens,
+            allowedMs: route.timeoutMs - route.goalMs,
+          });
+        },
+      };
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/enginesView.ts
@@ -0,0 +1,147 @@
+/** What is known of services' engines and of the work for them, from all entries. */
+import type {Clock} from '@skylarkfield/base';
+import {
+  addCapacity,
+  createEngineModel,
+  createOutcomeMeter,
+  engineFigures,
+  latePart,
+  plannedUse,
+  type CapacitySums,
+  type EngineFigures,
+  type EngineModel,
+  type OutcomeMeter,
+  type RouteAim,
+} from '@skylarkfield/capacity';
+import type {RouteWeights} from '@skylarkfield/routing';
+import {
+  addWork,
+  createWorkMeter,
+  NO_WORK,
+  workMs,
+  type DemandSigns,
+  type WorkMeter,
+} from '@skylarkfield/traffic';
+import type {PeerReports} from './peerReports.js';
+
+export interface EnginesView {
+  readonly model: EngineModel;
+  readonly outcomes: OutcomeMeter;
+  readonly work: WorkMeter;
+  figures(service: string): EngineFigures;
+  /** How much this service is asked for, and how its callers fare. */
+  signs(service: string): Omit<DemandSigns, 'present'>;
+  /** What a choice among its endpoints weighs. */
+  routeWeights(service: string): Partial<RouteWeights>;
+  /** What this entry has seen, for the others; undefined when they were told lately. */
+  news(): CapacitySums | undefined;
+  dump(): unknown;
+}
+
+/** How often the figures are worked out anew, in milliseconds. */
+const REFRESH_MS = 1_000;
+
+/** How often others are told, in milliseconds: what is learned changes slowly. */
+const TELL_MS = 1_000;
+
+/** The endpoint that a prefix belongs to is favoured by this many times the usual prompt's reading. */
+const AFFINITY_PROMPTS = 1.5;
+
+/** A prefix that is read again counts this many times its reading: it delays all answers beside it. */
+const REREAD_WEIGHT = 4;
+
+interface Known {
+  readonly at: number;
+  readonly figures: EngineFigures;
+  readonly weights: Partial<RouteWeights>;
+}
+
+/**
+ * Makes the view; `aims` are those of the routes to a service.
+ *
+ * @example
+ * const engines = createEnginesView({clock, reports, aims});
+ */
+export function createEnginesView(options: {
+  readonly clock: Clock;
+  readonly reports: PeerReports;
+  aims(service: string): readonly RouteAim[];
+}): EnginesView {
+  const {clock, reports} = options;
+  const model = createEngineModel(clock);
+  const outcomes = createOutcomeMeter(clock);
+  const work = createWorkMeter(clock);
+  const known = new Map<string, Known>();
+  let toldAt = -Infinity;
+
+  function learn(service: string): Known {
+    const all = addCapacity([model.sums(), ...reports.capacity()]);
+    const figures = engineFigures(all[service], options.aims(service));
+    return {at: clock.now(), figures, weights: weightsOf(figures)};
+  }
+
+  function knownOf(service: string): Known {
+    const last = known.get(service);
+    if (last !== undefined && clock.now() - last.at < REFRESH_MS) {
+      return last;
+    }
+    const fresh = learn(service);
+    known.set(service, fresh);
+    return fresh;
+  }
+
+  function workRate(service: string): number {
+    const own = work.rates()[service] ?? NO_WORK;
+    const all = addWork(own, reports.workOf(service));
+    return workMs(all, knownOf(service).figures);
+  }
+
+  function lateOf(service: string): number {
+    const parts = [outcomes.sums(), ...reports.outcomes()];
+    return latePart(parts.flatMap(part => part[service] ?? []));
+  }
+
+  function signs(service: string): Omit<DemandSigns, 'present'> {
+    const {figures} = knownOf(service);
+    return {
+      workRate: workRate(service),
+      plannedUse: plannedUse(figures, options.aims(service)),
+      latePart: lateOf(service),
+      isSure: figures.isSure,
+    };
+  }
+
+  return {
+    model,
+    outcomes,
+    work,
+    figures: service => knownOf(service).figures,
+    signs,
+    routeWeights: service => knownOf(service).weights,
+    news() {
+      if (clock.now() - toldAt < TELL_MS) {
+        return undefined;
+      }
+      toldAt = clock.now();
+      return model.sums();
+    },
+    dump: () =>
+      Object.fromEntries(
+        [...known].map(([service, {figures}]) => [
+          service,
+          {...figures, ...signs(service)},
+        ]),
+      ),
+  };
+}
+
+function weightsOf(figures: EngineFigures): Partial<RouteWeights> {
+  const {usualTokenMs, usualPromptMs, usualAnswerTokens} = figures;
+  return {
+    knownMsPerToken: usualTokenMs,
+    uncached: REREAD_WEIGHT,
+    perRequestMs: figures.requestStepMs * usualAnswerTokens,
+    perContextTokenMs: (figures.contextStepMs * usualAnswerTokens) / 1_000,
+    affinityMs: usualPromptMs * AFFINITY_PROMPTS,
+  };
+}
--- a/packages/gateway/src/fleetDuty.ts
+++ b/packages/gateway/src/fleetDuty.ts
@@ -11,6 +11,7 @@
   createFleetDemand,
   planFleet,
   type DeclaredService,
+  type DemandSigns,
   type DomainFleet,
   type FleetDemand,
   type FleetPlan,
@@ -47,8 +48,8 @@
   readonly orders: PlatformOrders;
   readonly directory: EndpointDirectory;
   services(): readonly DeclaredService[];
-  /** Work for a service over all entries, in milliseconds of one endpoint a second. */
-  workRate(service: string): number;
+  /** What a service is asked for over all entries, and how its callers fare. */
+  signs(service: string): Omit<DemandSigns, 'present'>;
   readonly clock: Clock;
   readonly log: Logger;
 }
@@ -105,10 +106,13 @@
     );
   }
 
-  function neededOf(service: string, workRate: number): number {
+  function neededOf(
+    service: string,
+    signs: Omit<DemandSigns, 'present'>,
+  ): number {
     const demand = demands.get(service) ?? createFleetDemand(clock);
     demands.set(service, demand);
-    return demand.note(workRate, readyCount(service));
+    return demand.note({...signs, present: readyCount(service)});
   }
 
   /** How many may leave: what is ready beyond the need, since a new one takes seconds to start. */
@@ -228,14 +232,14 @@
     }
     noteReclaims(name);
     await askScarce(name, fleet);
-    const workRate = options.workRate(name);
-    const needed = neededOf(name, workRate);
+    const signs = options.signs(name);
+    const needed = neededOf(name, signs);
     const scarce = scarceDomains(name, Object.keys(fleet.prices));
     const plan = planFleet({terms: fleet, needed, scarce});
     const wanted = wantedOrders(name, plan, fleet.most, needed);
     if (wanted.length > 0) {
       log.info(
-        {service: name, workRate, needed, scarce: [...scarce.keys()], plan},
+        {service: name, ...signs, needed, scarce: [...scarce.keys()], plan},
         'endpoints planned',
       );
     }
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -15,6 +15,7 @@
 } from './attemptOutcome.js';
 import type {CallerReply} from './callerReply.js';
 import type {CallFormat, CallHead, ReplyHead} from './contracts.js';
+import type {EngineObserver} from './engineObserver.js';
 import type {EndpointDirectory, VersionGroup} from './endpointDirectory.js';
 import type {Continuation, StreamMoves} from './streamMove.js';
 import type {Upstreams} from './upstream.js';
@@ -100,6 +101,7 @@
   readonly admission: Admission;
   readonly upstreams: Upstreams;
   readonly moves: StreamMoves;
+  readonly engines: EngineObserver;
   readonly format: CallFormat;
   readonly clock: Clock;
   readonly log: Logger;
@@ -108,6 +110,7 @@
 }): Forwarding {
   const {router, directory, admission, upstreams, moves, format, clock, log} =
     options;
+  const {engines} = options;
 
   /** An endpoint of the call's group, else one of those that have served all along. */
   function choose(call: ForwardedCall, excluded: ReadonlySet<string>) {
@@ -186,6 +189,8 @@
     const isStream = call.route.kind === 'streaming';
     let beganAt: number | undefined;
     const lastEventId = reply.lastEventId() ?? call.head.lastEventId;
+    const isFresh = memory === undefined && lastEventId === undefined;
+    const seen = engines.observe(call, choice, isFresh);
     const watched = moves.watch({
       endpoint: choice.endpoint,
       attemptId: call.attemptId,
@@ -213,11 +218,12 @@
       format,
       clock,
       signal: call.signal,
-      sink: isStream ? reply.sink : undefined,
+      sink: isStream ? seen.watched(reply.sink) : undefined,
       silenceMs: silenceMs(call, progress),
       isStopping: watched.isStopping,
       onDidBegin(head) {
         beganAt = clock.now();
+        seen.noteBegin();
         progress.firstMs ??= beganAt - progress.sentAt;
         choice.streaming();
         noteLoad(choice.endpoint, head);
@@ -230,6 +236,7 @@
     // A stream that was moved has stopped because it was told to.
     const outcome = progress.continuation ? 'ok' : outcomeOf(end);
     choice.finish({outcome, latencyMs});
+    seen.noteEnd();
     if (mayHaveRun(end) && memory === undefined) {
       progress.runs += 1;
       if (!isStream) {
--- a/packages/gateway/src/peerReports.ts
+++ b/packages/gateway/src/peerReports.ts
@@ -7,7 +7,14 @@
  * for a part would count it twice.
  */
 import type {Clock} from '@skylarkfield/base';
+import {
+  addCapacity,
+  type CapacitySums,
+  type OutcomeSums,
+  type WorkRate,
+} from '@skylarkfield/capacity';
 import type {EndpointLoad, Messages} from '@skylarkfield/protocol';
+import {addWork, NO_WORK} from '@skylarkfield/traffic';
 import type {DigestScope} from './relayPlan.js';
 
 type Digest = Messages['digest'];
@@ -19,7 +26,10 @@
   readonly entries: number;
   readonly used: Amounts;
   readonly loads: Readonly<Record<string, EndpointLoad>>;
-  readonly work: Amounts;
+  readonly work: Readonly<Record<string, WorkRate>>;
+  /** What was seen of engines; undefined when it is not to be told now. */
+  readonly capacity?: CapacitySums;
+  readonly outcomes: Readonly<Record<string, OutcomeSums>>;
 }
 
 /** A digest that counts. */
@@ -37,8 +47,12 @@
   sumFor(scope: DigestScope, receiver: string, own: ReportSum): ReportSum;
   /** Entries, other than this one, that the reports heard lately cover. */
   entriesHeard(): number;
-  /** Work that the others report for a service, in engine milliseconds a second. */
-  workOf(service: string): number;
+  /** Work that the others report for a service. */
+  workOf(service: string): WorkRate;
+  /** What each other part has seen of engines. */
+  capacity(): readonly CapacitySums[];
+  /** How callers fare at each other part. */
+  outcomes(): readonly Readonly<Record<string, OutcomeSums>>[];
   dump(): unknown;
 }
 
@@ -46,6 +60,8 @@
   speaker: string;
   heardAt: number;
   digest: Digest;
+  /** As last told: not every digest repeats it. */
+  capacity: CapacitySums;
   /** Sum of the increases heard; it never falls when a speaker restarts or changes. */
   readonly used: Record<string, number>;
 }
@@ -83,6 +99,10 @@
     return clock.now() - heardAt < silenceMs;
   }
 
+  function freshParts(): Part[] {
+    return [...parts.values()].filter(isFresh);
+  }
+
   /** What was used since this speaker's last word; nothing for its first. */
   function increases(peer: string, digest: Digest): Record<string, number> {
     const {incarnation = 0, used, scope = 'own'} = digest;
@@ -129,7 +149,14 @@
       }
       const used = part?.used ?? {};
       addAmounts(used, increase);
-      parts.set(name, {speaker: peer, heardAt: clock.now(), digest, used});
+      const capacity = digest.capacity ?? part?.capacity ?? {};
+      parts.set(name, {
+        speaker: peer,
+        heardAt: clock.now(),
+        digest,
+        capacity,
+        used,
+      });
       return {part: name, used: {...used}};
     },
     sumFor(scope, receiver, own) {
@@ -137,25 +164,33 @@
       const used = {...own.used};
       const loads: Record<string, EndpointLoad> = {...own.loads};
       const work = {...own.work};
+      const outcomes = {...own.outcomes};
       let {entries} = own;
       for (const part of chosen) {
         addAmounts(used, part.used);
         if (isFresh(part)) {
           addLoads(loads, part.digest.loads);
-          addAmounts(work, part.digest.work);
+          addWorkRates(work, part.digest.work);
+          addOutcomes(outcomes, part.digest.outcomes);
           entries += part.digest.entries ?? 1;
         }
       }
-      return {entries, used, loads, work};
+      const sum = {entries, used, loads, work, outcomes};
+      if (own.capacity === undefined) {
+        return sum;
+      }
+      const seen = chosen.filter(isFresh).map(({capacity}) => capacity);
+      return {...sum, capacity: addCapacity([own.capacity, ...seen])};
     },
     entriesHeard: () =>
-      [...parts.values()]
-        .filter(isFresh)
-        .reduce((sum, {digest}) => sum + (digest.entries ?? 1), 0),
+      freshParts().reduce((sum, {digest}) => sum + (digest.entries ?? 1), 0),
     workOf: service =>
-      [...parts.values()]
-        .filter(isFresh)
-        .reduce((sum, {digest}) => sum + (digest.work[service] ?? 0), 0),
+      freshParts().reduce(
+        (sum, {digest}) => addWork(sum, digest.work[service] ?? NO_WORK),
+        NO_WORK,
+      ),
+    capacity: () => freshParts().map(({capacity}) => capacity),
+    outcomes: () => freshParts().map(({digest}) => digest.outcomes),
     dump: () =>
       Object.fromEntries(
         [...parts].map(([name, part]) => [
@@ -189,3 +224,25 @@
     };
   }
 }
+
+function addWorkRates(
+  to: Record<string, WorkRate>,
+  from: Readonly<Record<string, WorkRate>>,
+): void {
+  for (const [service, work] of Object.entries(from)) {
+    to[service] = addWork(to[service] ?? NO_WORK, work);
+  }
+}
+
+function addOutcomes(
+  to: Record<string, OutcomeSums>,
+  from: Readonly<Record<string, OutcomeSums>>,
+): void {
+  for (const [service, {count, late}] of Object.entries(from)) {
+    const sum = to[service];
+    to[service] = {
+      count: (sum?.count ?? 0) + count,
+      late: (sum?.late ?? 0) + late,
+    };
+  }
+}
--- a/packages/gateway/src/policyInForce.ts
+++ b/packages/gateway/src/policyInForce.ts
@@ -20,6 +20,8 @@
   ageMs(): number;
   limits(): CallerLimits;
   services(): readonly DeclaredService[];
+  /** All routes whose requests may go to a service. */
+  routesTo(service: string): readonly Route[];
   routeOf(authority: string, path: string): Route | undefined;
   /**
    * The customer who holds the request's key; undefined on a public route.
@@ -102,6 +104,10 @@
     ageMs: () => mirror.ageMs(),
     limits: () => current?.limits ?? INITIAL_LIMITS,
     services: () => current?.services ?? [],
+    routesTo: name =>
+      (current?.routes ?? []).filter(({services}) =>
+        services.some(({service}) => service === name),
+      ),
     routeOf: (authority, path) => routes.match(authority, path),
     customerOf(route, {key}) {
       if (route.isPublic || !customers.isKeyed) {
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -9,11 +9,13 @@
   silentLogger,
   systemClock,
 } from '@skylarkfield/base';
+import {createEngineModel} from '@skylarkfield/capacity';
 import {createRouter} from '@skylarkfield/routing';
 import type {RegisteredEndpoint, Route} from '@skylarkfield/traffic';
 import {createCallerReply} from '../callerReply.js';
 import type {CallFormat} from '../contracts.js';
 import type {EndpointDirectory} from '../endpointDirectory.js';
+import {createEngineObserver} from '../engineObserver.js';
 import {createForwarding, type ForwardingResult} from '../forwarding.js';
 import type {StreamMoves} from '../streamMove.js';
 import {createUpstreams} from '../upstream.js';
@@ -166,6 +168,12 @@
     admission,
     upstreams,
     moves,
+    engines: createEngineObserver({
+      model: createEngineModel(clock),
+      clock,
+      tokensPerEvent: () => 1,
+      onDidReread: () => {},
+    }),
     format,
     clock,
     log,
--- a/packages/gateway/src/test/relays.test.ts
+++ b/packages/gateway/src/test/relays.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {virtualClock} from '@skylarkfield/base';
 import type {Messages} from '@skylarkfield/protocol';
-import {createQuotas} from '@skylarkfield/traffic';
+import {createQuotas, NO_WORK} from '@skylarkfield/traffic';
 import {createPeerReports, type PeerReports} from '../peerReports.js';
 import {
   FLAT_ENTRIES,
@@ -77,7 +77,8 @@
         loads: {
           shared: {requests: 1, pendingTokens: 10, contextTokens: 100},
         },
-        work: {chat: 5},
+        work: {chat: {...NO_WORK, ownTokens: 5}},
+        outcomes: {chat: {count: 2, late: 1}},
       }),
     };
   }
@@ -132,7 +133,7 @@
 }
 
 function requestsSeen(reports: PeerReports, id: string): number {
-  const nothing = {entries: 0, used: {}, loads: {}, work: {}};
+  const nothing = {entries: 0, used: {}, loads: {}, work: {}, outcomes: {}};
   const sum = reports.sumFor('rest', id, nothing);
   return sum.loads['shared']?.requests ?? 0;
 }
@@ -169,7 +170,7 @@
     for (const [id, entry] of fleet.entries) {
       const {coordinators, upstream} = planRelays(entry.node, nodes);
       assert.equal(entry.reports.entriesHeard(), 76, id);
-      assert.equal(entry.reports.workOf('chat'), 76 * 5, id);
+      assert.equal(entry.reports.workOf('chat').ownTokens, 76 * 5, id);
       assert.equal(heardOf(entry), 76 * 10, id);
       if (upstream.length === 0) {
         assert.ok(coordinators.includes(id));
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -2,15 +2,14 @@
 import {createAdmission} from '@skylarkfield/admission';
 import {disposableStore, type Disposable} from '@skylarkfield/base';
 import type {Messages} from '@skylarkfield/protocol';
-import {createRouter, type RouteWeights} from '@skylarkfield/routing';
+import {createRouter} from '@skylarkfield/routing';
 import {
-  answerWorkMs,
+  answerWork,
   createQuotas,
   createUsageWindows,
-  createWorkMeter,
-  DEFAULT_SPEED,
   KEY_TOKENS,
-  promptWorkMs,
+  NO_WORK,
+  promptWork,
   type DeclaredService,
   type UsageWindows,
   type WindowCounts,
@@ -25,6 +24,8 @@
   createEndpointDirectory,
   type EndpointDirectory,
 } from './endpointDirectory.js';
+import {createEngineObserver} from './engineObserver.js';
+import {createEnginesView, type EnginesView} from './enginesView.js';
 import {createForwarding} from './forwarding.js';
 import {createPeerReports} from './peerReports.js';
 import {createPlatformView} from './platformView.js';
@@ -43,24 +44,9 @@
   readonly usage: UsageWindows;
   readonly digests: Digests;
   readonly rollouts: RolloutPart;
-  /** Work for a service over all entries, in milliseconds of one endpoint a second. */
-  workRate(service: string): number;
+  readonly engines: EnginesView;
 }
 
-/**
- * Engines of the users' platform read a prompt token in about 0.007 ms, 0.011 ms
- * with its look at the tokens before it. A token in memory adds 0.0175 µs to a
- * step, and an answer still has some 200 steps to go: 0.0035 ms. A prefix that is
- * read again counts four times its reading: it delays all answers beside it.
- */
-const ROUTE_WEIGHTS: Partial<RouteWeights> = {
-  initialMsPerToken: 0.011,
-  perContextTokenMs: 0.0035,
-  perRequestMs: 3,
-  uncached: 4,
-  affinityMs: 40,
-};
-
 /** Time before the key's last moment at which requests with it are refused: a request may wait that long before it runs. */
 const KEY_MARGIN_MS = 500;
 
@@ -96,6 +82,19 @@
   });
   const declared = (name: string): DeclaredService | undefined =>
     policy.services().find(service => service.name === name);
+  const reports = createPeerReports({
+    clock,
+    failureDomain: settings.failureDomain,
+    silenceMs: SILENCE_MS,
+  });
+  const engines = createEnginesView({
+    clock,
+    reports,
+    aims: policy.routesTo,
+  });
+  const {work} = engines;
+  const tokensPerEvent = (service: string): number =>
+    declared(service)?.engine?.tokensPerEvent ?? 1;
   const upstreams = owned.add(createUpstreams());
   const router = createRouter({
     clock,
@@ -104,7 +103,7 @@
     failureDomain: settings.failureDomain,
     self: settings.id,
     blockTokens: KEY_TOKENS,
-    weights: ROUTE_WEIGHTS,
+    weightsOf: service => engines.routeWeights(service),
   });
   const directory = createEndpointDirectory({
     endpoints: view.endpoints,
@@ -136,12 +135,6 @@
     domain: usage.near,
     rest: () => ({}),
   };
-  const work = createWorkMeter(clock);
-  const reports = createPeerReports({
-    clock,
-    failureDomain: settings.failureDomain,
-    silenceMs: SILENCE_MS,
-  });
   const digests = owned.add(
     startDigests({
       network,
@@ -158,6 +151,8 @@
           used: quotas.used(),
           loads: router.ownLoads(),
           work: work.rates(),
+          outcomes: engines.outcomes.sums(),
+          capacity: engines.news(),
         };
         return (scope, receiver) => ({
           mirrors,
@@ -225,6 +220,13 @@
       clock,
       log,
     }),
+    engines: createEngineObserver({
+      model: engines.model,
+      clock,
+      tokensPerEvent,
+      onDidReread: (service, rereadTokens) =>
+        work.note(service, {...NO_WORK, rereadTokens}),
+    }),
     format: platform.calls,
     clock,
     log,
@@ -246,6 +248,7 @@
       isClosing: () => life.state() !== 'serving',
     },
     inFlight: context.inFlight,
+    outcomes: engines.outcomes,
     metrics: createRequestMetrics(context.metrics.meter),
     clock,
     log,
@@ -258,20 +261,20 @@
     },
     onDidAccept(service: string, {demand}: CallHead) {
       if (demand !== undefined) {
-        work.note(service, promptWorkMs(demand, DEFAULT_SPEED));
+        work.note(service, promptWork(demand));
       }
     },
     onDidAnswer(service: string, {demand}: CallHead, events: number) {
       if (demand !== undefined) {
-        const perEvent = declared(service)?.engine?.tokensPerEvent ?? 1;
-        const tokens = events * perEvent;
-        work.note(service, answerWorkMs(demand, tokens, DEFAULT_SPEED));
+        const tokens = events * tokensPerEvent(service);
+        work.note(service, answerWork(demand, tokens));
       }
     },
   });
   context.dumps.add('view', () => view.dump());
   context.dumps.add('routing', () => router.dump());
   context.dumps.add('admission', () => admission.dump());
+  context.dumps.add('engines', () => engines.dump());
   context.dumps.add('reports', () => reports.dump());
   context.dumps.add('quotas', () => quotas.dump());
   context.dumps.add('upstreams', () => upstreams.dump());
@@ -282,7 +285,7 @@
     usage,
     digests,
     rollouts,
-    workRate: service => (work.rates()[service] ?? 0) + reports.workOf(service),
+    engines,
     dispose: () => owned.dispose(),
   };
 }
--- a/packages/protocol/src/messages/gatewayMessages.ts
+++ b/packages/protocol/src/messages/gatewayMessages.ts
@@ -1,5 +1,7 @@
 /** Messages by which gateways keep a common view of what the platform holds and of customers' use. */
 
+import type {CapacitySums, OutcomeSums, WorkRate} from '@skylarkfield/capacity';
+
 /** Kinds of objects of the platform that entries mirror. */
 export type MirrorKind = 'policy' | 'endpoints' | 'rollouts';
 
@@ -55,8 +57,12 @@
     readonly usage: Readonly<Record<string, Readonly<Record<string, number>>>>;
     /** What is at each endpoint where there is something. */
     readonly loads: Readonly<Record<string, EndpointLoad>>;
-    /** Work that callers bring by service, in engine milliseconds a second. */
-    readonly work: Readonly<Record<string, number>>;
+    /** Work that callers bring by service. */
+    readonly work: Readonly<Record<string, WorkRate>>;
+    /** What was seen of engines; as last told when absent. */
+    readonly capacity?: CapacitySums;
+    /** How callers of each service fare. */
+    readonly outcomes: Readonly<Record<string, OutcomeSums>>;
   };
   /** Changes of one kind between two revisions, as soon as the sender reads them. */
   mirrorChanges: {
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -31,6 +31,8 @@
   readonly endpoint: string;
   /** Prompt tokens believed to be cached there. */
   readonly cachedTokens: number;
+  /** What the endpoint had before this attempt. */
+  readonly loadBefore: EntryLoad;
   /** The engine has begun and told what it found cached; optional, at most once. */
   started(cachedTokens: number): void;
   /** The first token has come, so the prompt is computed; optional, at most once. */
--- a/packages/routing/src/routeCosts.ts
+++ b/packages/routing/src/routeCosts.ts
@@ -13,6 +13,8 @@
   readonly perContextTokenMs: number;
   /** Milliseconds for computing a prompt token, before it was measured. */
   readonly initialMsPerToken: number;
+  /** The same where it is known from elsewhere; nothing is learned here then. */
+  readonly knownMsPerToken?: number;
   /** Milliseconds that the endpoint preferred by hash is favoured by when nothing is known. */
   readonly affinityMs: number;
   /** Part of the weighted cost of uncached tokens that the preferred endpoint is favoured by as well. */
@@ -58,16 +60,23 @@
 }
 
 /**
- * Makes the costs of one service, learning from what is seen.
+ * Makes the costs of one service, learning from what is seen. The weights are
+ * asked for at each use: they may follow what others learn.
  *
  * @example
- * const costs = createRouteCosts(defaultRouteWeights);
+ * const costs = createRouteCosts(() => defaultRouteWeights);
  */
-export function createRouteCosts(weights: RouteWeights): RouteCosts {
-  let msPerToken = weights.initialMsPerToken;
+export function createRouteCosts(weightsNow: () => RouteWeights): RouteCosts {
+  let learnedMsPerToken = weightsNow().initialMsPerToken;
   let stayMs = 1500;
 
+  function tokenMs(): number {
+    return weightsNow().knownMsPerToken ?? learnedMsPerToken;
+  }
+
   function waitMs(load: LoadEstimate): number {
+    const weights = weightsNow();
+    const msPerToken = tokenMs();
     const queued = Math.max(0, load.requests + 1 - load.slots);
     return (
       load.pendingTokens * msPerToken +
@@ -79,8 +88,10 @@
 
   return {
     firstTokenMs: (load, uncachedTokens) =>
-      waitMs(load) + uncachedTokens * msPerToken,
+      waitMs(load) + uncachedTokens * tokenMs(),
     score(load, ownTokens, sharedTokens, favour) {
+      const weights = weightsNow();
+      const msPerToken = tokenMs();
       const ownMs = ownTokens * weights.uncached * msPerToken;
       const sharedMs = sharedTokens * weights.uncachedShared * msPerToken;
       const favourMs =
@@ -95,11 +106,11 @@
         MAX_MS_PER_TOKEN,
         Math.max(MIN_MS_PER_TOKEN, tookMs / tokens),
       );
-      msPerToken += (seen - msPerToken) * RATE_WEIGHT;
+      learnedMsPerToken += (seen - learnedMsPerToken) * RATE_WEIGHT;
     },
     observeStay(tookMs) {
       stayMs += (tookMs - stayMs) * RATE_WEIGHT;
     },
-    dump: () => ({msPerToken, stayMs}),
+    dump: () => ({msPerToken: tokenMs(), stayMs}),
   };
 }
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -24,6 +24,8 @@
   /** Tells this entry's attempts from others in load reports; by id prefix when not given. */
   readonly isOwn?: (attempt: string) => boolean;
   readonly weights?: Partial<RouteWeights>;
+  /** Weights of one service that go before the others; asked for at each choice. */
+  weightsOf?(service: string): Partial<RouteWeights>;
   /** Tokens that each of a journey's blocks stands for; the engines' own blocks when not given. */
   readonly blockTokens?: number;
 }
@@ -76,8 +78,17 @@
   const popularityByService = new Map<string, Popularity>();
   const totals = {choices: 0, probes: 0, forced: 0, ejections: 0};
 
+  function weightsFor(service: string): RouteWeights {
+    const own = options.weightsOf?.(service);
+    return own === undefined ? weights : {...weights, ...own};
+  }
+
   function costsOf(service: string): RouteCosts {
-    const costs = costsByService.get(service) ?? createRouteCosts(weights);
+    const known = costsByService.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const costs = createRouteCosts(() => weightsFor(service));
     costsByService.set(service, costs);
     return costs;
   }
@@ -251,6 +262,7 @@
     return {
       endpoint: candidate.id,
       cachedTokens,
+      loadBefore: before,
       started(found) {
         own.pendingTokens = Math.max(0, journey.promptTokens - found);
         cache.noteFound(journey.blocks, found);
--- a/packages/traffic/src/engineWork.ts
+++ b/packages/traffic/src/engineWork.ts
@@ -1,56 +1,104 @@
-/** How much of an engine's time a model request takes. */
+/** How much of an engine's time requests take, by what is known of its speed. */
+import type {EngineFigures, WorkRate} from '@skylarkfield/capacity';
 import type {ModelDemand} from './contracts.js';
 
-/** An engine's speed, as users measure it. */
-export interface EngineSpeed {
-  /** Prompt tokens read in a millisecond. */
-  readonly promptTokensPerMs: number;
-  /** Milliseconds that a thousand tokens of memory add to every step of an answer. */
-  readonly contextMsPerThousand: number;
-}
+const PAIRS_UNIT = 1e6;
+const CONTEXT_UNIT = 1e3;
 
-/**
- * From the users' sheets: 140 prompt tokens a millisecond. The context's part is
- * fitted: streams of 12,000 tokens whose events, 8 tokens each, come 20 to 50 ms
- * apart in a batch of ten.
- */
-export const DEFAULT_SPEED: EngineSpeed = {
-  promptTokensPerMs: 140,
-  contextMsPerThousand: 0.0175,
+/** No work at all. */
+export const NO_WORK: WorkRate = {
+  ownTokens: 0,
+  pairs: 0,
+  rereadTokens: 0,
+  answerTokens: 0,
+  answerContext: 0,
 };
 
-/** Long prompts take more than their tokens: every token looks at those before it, in milliseconds for a million pairs. */
-const PAIRS_MS_PER_MILLION = 0.3;
-const PAIRS_UNIT = 1e6;
-const THOUSAND = 1e3;
+/**
+ * The tokens that no cache holds: the prompt's last part belongs to the request
+ * alone.
+ *
+ * @example
+ * const tokens = ownTokens(demand);
+ */
+export function ownTokens(demand: ModelDemand): number {
+  return demand.parts.at(-1)?.tokens ?? demand.promptTokens;
+}
 
 /**
- * Milliseconds of one engine that reading the prompt takes when the parts that
- * others share are cached.
+ * Work of a prompt whose shared parts are cached. Every token looks at those
+ * before it, so long prompts take more than their tokens.
  *
  * @example
- * const ms = promptWorkMs(demand, DEFAULT_SPEED);
+ * work.note('chat', promptWork(demand));
  */
-export function promptWorkMs(demand: ModelDemand, speed: EngineSpeed): number {
-  const own = demand.parts.at(-1)?.tokens ?? demand.promptTokens;
+export function promptWork(demand: ModelDemand): WorkRate {
+  const own = ownTokens(demand);
   const pairs = (own * demand.promptTokens) / PAIRS_UNIT;
-  return own / speed.promptTokensPerMs + pairs * PAIRS_MS_PER_MILLION;
+  return {...NO_WORK, ownTokens: own, pairs};
 }
 
 /**
- * Milliseconds of one engine that an answer of so many tokens adds. Counted when
- * it has ended: callers allow far more tokens than answers have. A step's fixed
- * part is left out: all that run together share it.
+ * Work that an answer of so many tokens adds. Counted when it has ended: callers
+ * allow far more tokens than answers have. A step's fixed part is left out: all
+ * that run together share it.
  *
  * @example
- * const ms = answerWorkMs(demand, 48 * 8, DEFAULT_SPEED);
+ * work.note('chat', answerWork(demand, 48 * 8));
  */
-export function answerWorkMs(
+export function answerWork(
   demand: ModelDemand,
   answerTokens: number,
-  speed: EngineSpeed,
-): number {
-  const contextMs =
-    (speed.contextMsPerThousand * demand.promptTokens) / THOUSAND;
-  return answerTokens * contextMs;
+): WorkRate {
+  const answerContext = (answerTokens * demand.promptTokens) / CONTEXT_UNIT;
+  return {...NO_WORK, answerTokens, answerContext};
+}
+
+/**
+ * Milliseconds of one engine that the work takes, by what is known of engines
+ * now.
+ *
+ * @example
+ * const busyMs = workMs(work.rates().chat, figures);
+ */
+export function workMs(work: WorkRate, figures: EngineFigures): number {
+  return (
+    work.ownTokens * figures.promptTokenMs +
+    work.pairs * figures.pairsMs +
+    work.rereadTokens * figures.rereadTokenMs +
+    work.answerTokens * figures.requestStepMs +
+    work.answerContext * figures.contextStepMs
+  );
+}
+
+/**
+ * Adds two amounts of work.
+ *
+ * @example
+ * const all = addWork(own, theirs);
+ */
+export function addWork(a: WorkRate, b: WorkRate): WorkRate {
+  return {
+    ownTokens: a.ownTokens + b.ownTokens,
+    pairs: a.pairs + b.pairs,
+    rereadTokens: a.rereadTokens + b.rereadTokens,
+    answerTokens: a.answerTokens + b.answerTokens,
+    answerContext: a.answerContext + b.answerContext,
+  };
+}
+
+/**
+ * Work times a factor.
+ *
+ * @example
+ * const half = scaleWork(work, 0.5);
+ */
+export function scaleWork(work: WorkRate, factor: number): WorkRate {
+  return {
+    ownTokens: work.ownTokens * factor,
+    pairs: work.pairs * factor,
+    rereadTokens: work.rereadTokens * factor,
+    answerTokens: work.answerTokens * factor,
+    answerContext: work.answerContext * factor,
+  };
 }
--- a/packages/traffic/src/fleetPlan.ts
+++ b/packages/traffic/src/fleetPlan.ts
@@ -27,27 +27,20 @@
   readonly scarce: ReadonlyMap<string, number>;
 }
 
-/**
- * Part of an endpoint's time that may be planned for. While a prompt is read,
- * every step of the answers beside it takes as long as a chunk of the prompt: at
- * half use answers of a thousand tokens passed their callers' deadline of 10 s
- * (84 of 392 long requests on a day of 52 s).
- */
-export const PLANNED_USE = 0.34;
-
 /** Part of the demand that endpoints which can't be reclaimed carry by themselves. */
 const STANDING_PART = 0.25;
 
 const SECOND_MS = 1_000;
 
 /**
- * Endpoints that the work needs.
+ * Endpoints that the work needs, in milliseconds of one endpoint a second, when
+ * such a part of their time may be planned for.
  *
  * @example
- * const count = endpointsNeeded(2_600); // 8
+ * const count = endpointsNeeded(2_600, 0.34); // 8
  */
-export function endpointsNeeded(workRate: number): number {
-  return Math.max(1, Math.ceil(workRate / (SECOND_MS * PLANNED_USE)));
+export function endpointsNeeded(workRate: number, plannedUse: number): number {
+  return Math.max(1, Math.ceil(workRate / (SECOND_MS * plannedUse)));
 }
 
 /**
--- a/packages/traffic/src/test/fleet.test.ts
+++ b/packages/traffic/src/test/fleet.test.ts
@@ -2,9 +2,11 @@
 import {describe, it} from 'node:test';
 import {virtualClock} from '@skylarkfield/base';
 import type {FleetTerms} from '../contracts.js';
-import {createFleetDemand} from '../fleetDemand.js';
+import {createFleetDemand, type DemandSigns} from '../fleetDemand.js';
 import {endpointsNeeded, planFleet, type FleetPlan} from '../fleetPlan.js';
 
+const PLANNED_USE = 0.34;
+
 const terms: FleetTerms = {
   least: 1,
   most: 4,
@@ -70,31 +72,82 @@
   });
 });
 
+/** Signs of a service whose callers are served well. */
+function signs(
+  workRate: number,
+  present: number,
+  other: Partial<DemandSigns> = {},
+): DemandSigns {
+  return {
+    workRate,
+    present,
+    plannedUse: PLANNED_USE,
+    latePart: 0,
+    isSure: true,
+    ...other,
+  };
+}
+
 describe('fleet demand', () => {
   it('keeps part of what it found until work was seen for a while', () => {
     // The system starts before its callers. Sending the endpoints away because
     // nobody asks yet would meet the first callers with none.
     const clock = virtualClock();
     const demand = createFleetDemand(clock);
-    demand.note(0, 3);
-    assert.equal(demand.note(0, 10), 6);
+    demand.note(signs(0, 3));
+    assert.equal(demand.note(signs(0, 10)), 6);
     clock.advanceSync(60_000);
-    assert.equal(demand.note(0, 5), 6);
-    assert.equal(demand.note(400, 5), 6);
+    assert.equal(demand.note(signs(0, 5)), 6);
+    assert.equal(demand.note(signs(400, 5)), 6);
     clock.advanceSync(20_000);
-    assert.equal(demand.note(400, 5), endpointsNeeded(400));
+    assert.equal(demand.note(signs(400, 5)), endpointsNeeded(400, PLANNED_USE));
+  });
+
+  it('keeps what it found for as long as engines are not known', () => {
+    // Little traffic teaches little. Endpoints sent away by a guess would be
+    // missed by the first callers of the busy hour.
+    const clock = virtualClock();
+    const demand = createFleetDemand(clock);
+    demand.note(signs(0, 10));
+    demand.note(signs(400, 10, {isSure: false}));
+    clock.advanceSync(60_000);
+    assert.equal(demand.note(signs(400, 10, {isSure: false})), 6);
+    assert.equal(demand.note(signs(400, 10)), 2);
   });
 
   it('rises at once and falls only after a while', () => {
     const clock = virtualClock();
     const demand = createFleetDemand(clock);
-    demand.note(100, 1);
+    demand.note(signs(100, 1));
     clock.advanceSync(20_000);
-    const high = demand.note(3_000, 1);
-    assert.equal(high, endpointsNeeded(3_000));
+    const high = demand.note(signs(3_000, 1));
+    assert.equal(high, endpointsNeeded(3_000, PLANNED_USE));
     clock.advanceSync(4_000);
-    assert.equal(demand.note(400, 8), high);
+    assert.equal(demand.note(signs(400, 8)), high);
     clock.advanceSync(5_000);
-    assert.equal(demand.note(400, 8), endpointsNeeded(400));
+    assert.equal(demand.note(signs(400, 8)), endpointsNeeded(400, PLANNED_USE));
+  });
+
+  it('asks for more than there is while callers are late, whatever the work says', () => {
+    // A new version reads prompts at half the speed that the old ones taught.
+    // The work looks as small as before, and callers wait in vain.
+    const clock = virtualClock();
+    const demand = createFleetDemand(clock);
+    demand.note(signs(1_200, 4));
+    clock.advanceSync(20_000);
+    assert.equal(demand.note(signs(1_200, 4)), 4);
+    assert.equal(demand.note(signs(1_200, 4, {latePart: 0.5})), 5);
+    clock.advanceSync(4_000);
+    assert.equal(demand.note(signs(1_200, 5)), 5);
+  });
+
+  it('does not order without bound when callers are late for another reason', () => {
+    // Every endpoint fails for a while. More of them would fail as well.
+    const clock = virtualClock();
+    const demand = createFleetDemand(clock);
+    demand.note(signs(1_200, 4));
+    clock.advanceSync(20_000);
+    const late = {latePart: 1};
+    assert.equal(demand.note(signs(1_200, 30, late)), 8);
   });
 });
--- a/packages/traffic/src/workMeter.ts
+++ b/packages/traffic/src/workMeter.ts
@@ -1,10 +1,12 @@
 /** Work that comes in, as a smoothed rate. */
 import type {Clock} from '@skylarkfield/base';
+import type {WorkRate} from '@skylarkfield/capacity';
+import {addWork, NO_WORK, scaleWork} from './engineWork.js';
 
 export interface WorkMeter {
-  note(service: string, workMs: number): void;
-  /** Milliseconds of engine time a second, by service. */
-  rates(): Readonly<Record<string, number>>;
+  note(service: string, work: WorkRate): void;
+  /** Work a second, by service. */
+  rates(): Readonly<Record<string, WorkRate>>;
 }
 
 /**
@@ -15,38 +17,39 @@
 const HALF_LIFE_MS = 4_000;
 const SECOND_MS = 1_000;
 
-interface Rate {
-  sum: number;
+interface Sum {
+  work: WorkRate;
   at: number;
 }
 
 /**
- * Makes a meter at zero.
+ * Makes a meter at zero. It counts tokens, not their time: what is believed of
+ * engines may change after the work has come.
  *
  * @example
- * meter.note('chat', promptWorkMs(demand, speed));
+ * meter.note('chat', promptWork(demand));
  * const {chat} = meter.rates();
  */
 export function createWorkMeter(clock: Clock): WorkMeter {
-  const rates = new Map<string, Rate>();
+  const sums = new Map<string, Sum>();
 
-  function decayed(rate: Rate): number {
-    return rate.sum * 2 ** ((rate.at - clock.now()) / HALF_LIFE_MS);
+  function decayed({work, at}: Sum): WorkRate {
+    return scaleWork(work, 2 ** ((at - clock.now()) / HALF_LIFE_MS));
   }
 
   return {
-    note(service, workMs) {
-      const rate = rates.get(service) ?? {sum: 0, at: clock.now()};
-      rate.sum = decayed(rate) + workMs;
-      rate.at = clock.now();
-      rates.set(service, rate);
+    note(service, work) {
+      const sum = sums.get(service) ?? {work: NO_WORK, at: clock.now()};
+      sum.work = addWork(decayed(sum), work);
+      sum.at = clock.now();
+      sums.set(service, sum);
     },
     rates() {
       const perSecond = (Math.LN2 * SECOND_MS) / HALF_LIFE_MS;
       return Object.fromEntries(
-        [...rates].map(([service, rate]) => [
+        [...sums].map(([service, sum]) => [
           service,
-          Math.round(decayed(rate) * perSecond),
+          scaleWork(decayed(sum), perSecond),
         ]),
       );
     },
