What was learned of engines outlives the loss of all entries; queue costs follow the usual prompt; logs tell what was ahead

Cause: after a power loss of all entries the fleet and every choice rest on a guess until some sixty prompts were read; fairness in the queue weighed prompts against 2,500 tokens, the mean of one customer; a late request's line did not say what had to be read before it. Change: the holder of the duty writes the sums of all entries every 10 s to one object; an entry reads it when it starts, at half its weight and fading. The weight of a request in the queue is its own tokens over those of the usual prompt. Request lines bear tokensAhead. Comments lose their stories of tuning.

--- a/packages/bench/src/engines/replayEntry.ts
+++ b/packages/bench/src/engines/replayEntry.ts
@@ -64,7 +64,13 @@
     goalMs,
     timeoutMs: deadlineMs,
   }));
-  const engines = createEnginesView({clock, reports, log, aims: () => aims});
+  const engines = createEnginesView({
+    clock,
+    reports,
+    log,
+    recalled: () => ({}),
+    aims: () => aims,
+  });
   const router = createRouter({
     clock,
     random,
--- a/packages/capacity/src/contracts.ts
+++ b/packages/capacity/src/contracts.ts
@@ -64,6 +64,8 @@
   readonly pairsMs: number;
   /** Milliseconds for a token of a shared part that is thought to be read again, and mostly is cached. */
   readonly rereadTokenMs: number;
+  /** Tokens of the usual prompt that no cache holds. */
+  readonly usualOwnTokens: number;
   /** Milliseconds for a prompt token of the usual prompt, all in all. */
   readonly usualTokenMs: number;
   /** Milliseconds for reading the usual prompt. */
--- a/packages/capacity/src/engineModel.ts
+++ b/packages/capacity/src/engineModel.ts
@@ -19,6 +19,7 @@
   addSums,
   createRegression,
   fitSlopes,
+  scaleSums,
   type Belief,
   type Regression,
   type RegressionSums,
@@ -32,7 +33,7 @@
 }
 
 /** Half of what was seen this long ago still counts: endpoints and versions change. */
-const HALF_LIFE_MS = 20_000;
+export const HALF_LIFE_MS = 20_000;
 
 const PAIRS_UNIT = 1e6;
 const CONTEXT_UNIT = 1e3;
@@ -115,16 +116,10 @@
     const pace = (tokens * SECOND_MS) / Math.max(1, allowedMs);
     const now = clock.now();
     const last = paces.get(route);
+    const own = {count: 1, tokens, total: pace, squares: pace * pace};
     const factor = last ? 2 ** ((last.at - now) / HALF_LIFE_MS) : 0;
-    paces.set(route, {
-      at: now,
-      sums: {
-        count: (last?.sums.count ?? 0) * factor + 1,
-        tokens: (last?.sums.tokens ?? 0) * factor + tokens,
-        total: (last?.sums.total ?? 0) * factor + pace,
-        squares: (last?.sums.squares ?? 0) * factor + pace * pace,
-      },
-    });
+    const sums = last ? addPaces(scalePace(last.sums, factor), own) : own;
+    paces.set(route, {at: now, sums});
   }
 
   return {
@@ -174,18 +169,58 @@
   );
 }
 
+/**
+ * What was seen, counting for a part of what it did.
+ *
+ * @example
+ * const older = scaleCapacity(sums, 0.5);
+ */
+export function scaleCapacity(
+  sums: CapacitySums,
+  factor: number,
+): CapacitySums {
+  return Object.fromEntries(
+    Object.entries(sums).map(([name, {prompts, answers, paces}]) => [
+      name,
+      {
+        prompts: scaleSums(prompts, factor),
+        answers: scaleSums(answers, factor),
+        paces: Object.fromEntries(
+          Object.entries(paces).map(([route, pace]) => [
+            route,
+            scalePace(pace, factor),
+          ]),
+        ),
+      },
+    ]),
+  );
+}
+
+function addPaces(a: PaceSums, b: PaceSums): PaceSums {
+  return {
+    count: a.count + b.count,
+    tokens: a.tokens + b.tokens,
+    total: a.total + b.total,
+    squares: a.squares + b.squares,
+  };
+}
+
+function scalePace(pace: PaceSums, factor: number): PaceSums {
+  return {
+    count: pace.count * factor,
+    tokens: pace.tokens * factor,
+    total: pace.total * factor,
+    squares: pace.squares * factor,
+  };
+}
+
 function addServices(parts: readonly ServiceSums[]): ServiceSums {
   const paces: Record<string, PaceSums> = {};
   for (const [route, sums] of parts.flatMap(part =>
     Object.entries(part.paces),
   )) {
     const known = paces[route];
-    paces[route] = {
-      count: (known?.count ?? 0) + sums.count,
-      tokens: (known?.tokens ?? 0) + sums.tokens,
-      total: (known?.total ?? 0) + sums.total,
-      squares: (known?.squares ?? 0) + sums.squares,
-    };
+    paces[route] = known ? addPaces(known, sums) : sums;
   }
   return {
     prompts: addSums(
@@ -226,6 +261,7 @@
     promptTokenMs,
     pairsMs,
     rereadTokenMs,
+    usualOwnTokens: meanOwn,
     usualTokenMs: usualPromptMs / Math.max(1, meanOwn),
     usualPromptMs,
     stepMs: meanOf(answers, ANSWER_FEATURES, 0),
--- a/packages/capacity/src/index.ts
+++ b/packages/capacity/src/index.ts
@@ -4,6 +4,8 @@
   addCapacity,
   createEngineModel,
   engineFigures,
+  HALF_LIFE_MS,
+  scaleCapacity,
   type EngineModel,
 } from './engineModel.js';
 export * from './outcomeMeter.js';
--- a/packages/capacity/src/regression.ts
+++ b/packages/capacity/src/regression.ts
@@ -183,6 +183,24 @@
   );
 }
 
+/**
+ * Sums that count for a part of what they did.
+ *
+ * @example
+ * const older = scaleSums(sums, 0.5);
+ */
+export function scaleSums(
+  sums: RegressionSums,
+  factor: number,
+): RegressionSums {
+  return {
+    count: sums.count * factor,
+    weight: sums.weight * factor,
+    totals: sums.totals.map(total => total * factor),
+    products: sums.products.map(product => product * factor),
+  };
+}
+
 /**
  * The slopes that fit best, none below zero: nothing that is asked for makes an
  * engine faster. The belief yields as far as the samples are clearer than it:
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -13,6 +13,7 @@
 import {
   chooseService,
   isRepeatable,
+  ownTokens,
   promptKeys,
   type KeyedCustomer,
   type Quotas,
@@ -50,6 +51,8 @@
   readonly format: CallFormat;
   readonly state: ServingState;
   readonly inFlight: InFlight;
+  /** Tokens of the usual prompt to a model service that no cache holds. */
+  usualOwnTokens(service: string): number;
   /** How callers of model services fare. */
   readonly outcomes: OutcomeMeter;
   readonly metrics: RequestMetrics;
@@ -90,11 +93,8 @@
 /** The bulkheads know eight urgencies. */
 const LEAST_ADMITTED_URGENCY = 7;
 
-/**
- * Tokens of a prompt that weigh as much as one request in the queue: about the
- * mean of what the users' model requests bring that no cache holds.
- */
-const TOKENS_PER_COST = 2_500;
+/** No request weighs less than this part of the usual one in the queue: each also takes a place. */
+const LEAST_COST = 0.1;
 
 /** Errors by which a service shows that it has too few endpoints. */
 const SHORTAGE_ERRORS: ReadonlySet<ErrorKind> = new Set([
@@ -181,6 +181,15 @@
     return () => quotas.giveBack(customer, amount);
   }
 
+  /** Fairness among customers goes by work: a long prompt weighs as much as several usual ones. */
+  function costOf(service: string, {demand}: CallHead): number {
+    if (demand === undefined) {
+      return 1;
+    }
+    const usual = Math.max(1, options.usualOwnTokens(service));
+    return Math.max(LEAST_COST, ownTokens(demand) / usual);
+  }
+
   function admit(accepted: Accepted, signal: AbortSignal): Promise<Permit> {
     const {service, customer, priority, deadlineAt, head} = accepted;
     options.onDidAccept(service, head);
@@ -190,7 +199,7 @@
         customer: customer?.name ?? '',
         urgency: Math.min(priority, LEAST_ADMITTED_URGENCY),
         deadline: deadlineAt,
-        cost: costOf(head),
+        cost: costOf(service, head),
       },
       signal,
     );
@@ -334,7 +343,7 @@
 
   function note(
     accepted: Accepted | undefined,
-    {status, error, firstMs, endpoints}: ForwardingResult,
+    {status, error, firstMs, endpoints, tokensAhead}: ForwardingResult,
     request: IncomingMessage,
     hasLeft: boolean,
     tookMs: number,
@@ -367,6 +376,9 @@
           promptTokens: accepted.head.demand.promptTokens,
           mostOutputTokens: accepted.head.demand.mostOutputTokens,
           events,
+          ...(tokensAhead !== undefined && {
+            tokensAhead: Math.round(tokensAhead),
+          }),
         }),
         tookMs: Math.round(tookMs),
       },
@@ -390,13 +402,6 @@
     : demand.promptTokens + demand.mostOutputTokens;
 }
 
-function costOf({demand}: CallHead): number {
-  if (demand === undefined) {
-    return 1;
-  }
-  return Math.max(0.1, demand.promptTokens / TOKENS_PER_COST);
-}
-
 function endingOf({error}: ForwardingResult, caller: AbortSignal) {
   if (error === undefined) {
     return 'ok';
--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -23,9 +23,8 @@
 }
 
 /**
- * Between two digests. Each costs the sender and the receiver about 60 µs of
- * processor time; at 300 ms and 7 entries that is 0.2 % of a core, and a
- * customer at four times its quota overshoots by about one second's worth.
+ * Between two digests. More often costs processor time with the square of the
+ * entries; less often, and a customer beyond its quota overshoots by more.
  */
 const INTERVAL_MS = 300;
 
--- a/packages/gateway/src/dutyPart.ts
+++ b/packages/gateway/src/dutyPart.ts
@@ -51,6 +51,7 @@
         signs: traffic.engines.signs,
       }),
     );
+    work.add(traffic.memory.keep(traffic.engines.allSeen));
     return work;
   }
 
--- a/packages/gateway/src/enginesView.ts
+++ b/packages/gateway/src/enginesView.ts
@@ -35,6 +35,8 @@
   routeWeights(service: string): Partial<RouteWeights>;
   /** What this entry has seen, for the others; undefined when they were told lately. */
   news(): CapacitySums | undefined;
+  /** What all entries have seen. */
+  allSeen(): CapacitySums;
   dump(): unknown;
 }
 
@@ -63,12 +65,14 @@
  * Makes the view; `aims` are those of the routes to a service.
  *
  * @example
- * const engines = createEnginesView({clock, reports, aims});
+ * const engines = createEnginesView({clock, reports, log, recalled: memory.recalled, aims});
  */
 export function createEnginesView(options: {
   readonly clock: Clock;
   readonly reports: PeerReports;
   readonly log: Logger;
+  /** What was known before all entries were lost, as far as it still counts. */
+  recalled(): CapacitySums;
   aims(service: string): readonly RouteAim[];
 }): EnginesView {
   const {clock, reports, log} = options;
@@ -79,8 +83,12 @@
   const logged = new Map<string, EngineFigures>();
   let toldAt = -Infinity;
 
+  function allSeen(): CapacitySums {
+    return addCapacity([model.sums(), ...reports.capacity()]);
+  }
+
   function learn(service: string): Known {
-    const all = addCapacity([model.sums(), ...reports.capacity()]);
+    const all = addCapacity([allSeen(), options.recalled()]);
     const figures = engineFigures(all[service], options.aims(service));
     return {at: clock.now(), figures, weights: weightsOf(figures)};
   }
@@ -143,6 +151,7 @@
       toldAt = clock.now();
       return model.sums();
     },
+    allSeen,
     dump: () =>
       Object.fromEntries(
         [...known].map(([service, {figures}]) => [
--- a/packages/gateway/src/fleetDuty.ts
+++ b/packages/gateway/src/fleetDuty.ts
@@ -199,9 +199,9 @@
   }
 
   /**
-   * Asks scarce failure domains for one more endpoint now and then. Planning with
-   * them again just because time has passed sent away endpoints that stay, for
-   * reclaimable ones that were not to be had.
+   * Asks scarce failure domains for one more endpoint now and then. Were they
+   * planned with again just because time has passed, endpoints that stay would be
+   * sent away for reclaimable ones that are not to be had.
    */
   async function askScarce(service: string, {most}: FleetTerms): Promise<void> {
     for (const [key, retryAt] of scarceRetryAt) {
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -49,6 +49,8 @@
   readonly firstMs: number | undefined;
   /** Endpoints it was sent to, in order. */
   readonly endpoints: readonly string[];
+  /** Prompt tokens to be read before its own where it was sent first, as known then; undefined when it was not sent. */
+  readonly tokensAhead?: number;
   /** Why it failed; undefined when an endpoint's whole answer was passed on. */
   readonly error: ServingError | undefined;
 }
@@ -74,6 +76,7 @@
 interface Progress {
   readonly endpoints: string[];
   readonly excluded: Set<string>;
+  tokensAhead: number | undefined;
   /** Endpoints that may have run it. */
   runs: number;
   sentAt: number;
@@ -187,6 +190,7 @@
     }
     progress.endpoints.push(endpoint.id);
     progress.excluded.add(choice.endpoint);
+    progress.tokensAhead ??= choice.tokensAhead;
     const sentAt = clock.now();
     const sentWallMs = clock.wall();
     const isStream = call.route.kind === 'streaming';
@@ -385,6 +389,7 @@
       const progress: Progress = {
         endpoints: [],
         excluded: new Set(),
+        tokensAhead: undefined,
         runs: 0,
         sentAt: clock.now(),
         firstMs: undefined,
@@ -427,7 +432,13 @@
 
 function result(
   {status, error}: {status: number; error?: ServingError},
-  {firstMs, endpoints}: Progress,
+  {firstMs, endpoints, tokensAhead}: Progress,
 ): ForwardingResult {
-  return {status, error, firstMs, endpoints};
+  return {
+    status,
+    error,
+    firstMs,
+    endpoints,
+    ...(tokensAhead !== undefined && {tokensAhead}),
+  };
 }
--- a/packages/gateway/src/relayPlan.ts
+++ b/packages/gateway/src/relayPlan.ts
@@ -36,7 +36,7 @@
   readonly upstream: readonly string[];
 }
 
-/** Up to this many entries, everyone tells everyone: 24 receive 77 digests a second each, 0.5 % of a core. */
+/** Up to this many entries, everyone tells everyone: the digests that each receives grow with their number. */
 export const FLAT_ENTRIES = 24;
 
 /** A second one takes over within four digests when the first dies. */
--- a/packages/gateway/src/streamMove.ts
+++ b/packages/gateway/src/streamMove.ts
@@ -46,7 +46,7 @@
  */
 const PATIENCE_MS = 800;
 
-/** Time for the copy, in milliseconds: 12,000 tokens take about 25 between failure domains, queued behind others. */
+/** Time for the copy, in milliseconds: it is queued behind those of all other streams that leave. */
 const MOVE_MS = 1_000;
 
 /**
--- /dev/null
+++ b/packages/gateway/src/test/engineMemory.test.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {seededRandom, silentLogger, virtualClock} from '@skylarkfield/base';
+import {
+  createEngineModel,
+  engineFigures,
+  type CapacitySums,
+} from '@skylarkfield/capacity';
+import {memoryPlatform, type ObjectStore} from '@skylarkfield/providers';
+import {createEngineMemory} from '../engineMemory.js';
+
+const AIMS = [{goalMs: 800, timeoutMs: 10_000}];
+const TOKEN_MS = 0.04;
+
+function createStore(): ObjectStore {
+  return memoryPlatform({clock: virtualClock()}).client('e1');
+}
+
+function learned(): CapacitySums {
+  const random = seededRandom(7);
+  const model = createEngineModel(virtualClock());
+  for (let index = 0; index < 400; index++) {
+    const ownTokens = 500 + 3_000 * random.next();
+    model.notePrompt({
+      service: 'chat',
+      route: 'r1',
+      ownTokens,
+      promptTokens: ownTokens,
+      rereadTokens: 0,
+      pendingTokens: 0,
+      tookMs: 20 * random.next() + ownTokens * TOKEN_MS,
+    });
+  }
+  return model.sums();
+}
+
+async function settle(): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve));
+}
+
+describe('engine memory', () => {
+  it('tells entries that all lost power what engines can do', async () => {
+    // A whole system loses power and starts again with its callers at the door.
+    // By a guess it would send endpoints away that they need at once.
+    const store = createStore();
+    const clock = virtualClock();
+    const log = silentLogger();
+    const before = createEngineMemory({store, clock, log});
+    const keeping = before.keep(learned);
+    clock.advanceSync(10_000);
+    await settle();
+    keeping.dispose();
+    before.dispose();
+
+    const after = createEngineMemory({store, clock, log});
+    await settle();
+    const figures = engineFigures(after.recalled()['chat'], AIMS);
+    assert.ok(Math.abs(figures.usualTokenMs - TOKEN_MS) < TOKEN_MS * 0.2);
+    assert.ok(figures.isSure);
+  });
+
+  it('forgets by and by', async () => {
+    // Engines may have been replaced while the system was down. What was kept
+    // must not outweigh what is seen now.
+    const store = createStore();
+    const clock = virtualClock();
+    const log = silentLogger();
+    await store.put('engine-capacity', 'learned', learned(), {type: 'any'});
+    const memory = createEngineMemory({store, clock, log});
+    await settle();
+    clock.advanceSync(120_000);
+    const figures = engineFigures(memory.recalled()['chat'], AIMS);
+    assert.ok(figures.prompts < 10, `${figures.prompts}`);
+  });
+
+  it('starts without what it can not read', async () => {
+    // Another program may have written under this name. An entry that failed
+    // over it would serve nobody.
+    const store = createStore();
+    await store.put('engine-capacity', 'learned', {chat: 7}, {type: 'any'});
+    const memory = createEngineMemory({
+      store,
+      clock: virtualClock(),
+      log: silentLogger(),
+    });
+    await settle();
+    assert.deepEqual(memory.recalled(), {});
+  });
+});
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -24,6 +24,7 @@
   createEndpointDirectory,
   type EndpointDirectory,
 } from './endpointDirectory.js';
+import {createEngineMemory, type EngineMemory} from './engineMemory.js';
 import {createEngineObserver} from './engineObserver.js';
 import {createEnginesView, type EnginesView} from './enginesView.js';
 import {createForwarding} from './forwarding.js';
@@ -45,6 +46,7 @@
   readonly digests: Digests;
   readonly rollouts: RolloutPart;
   readonly engines: EnginesView;
+  readonly memory: EngineMemory;
 }
 
 /** Time before the key's last moment at which requests with it are refused: a request may wait that long before it runs. */
@@ -87,10 +89,14 @@
     failureDomain: settings.failureDomain,
     silenceMs: SILENCE_MS,
   });
+  const memory = owned.add(
+    createEngineMemory({store: agreement.store, clock, log}),
+  );
   const engines = createEnginesView({
     clock,
     reports,
     log,
+    recalled: memory.recalled,
     aims: policy.routesTo,
   });
   const {work} = engines;
@@ -250,6 +256,7 @@
       isClosing: () => life.state() !== 'serving',
     },
     inFlight: context.inFlight,
+    usualOwnTokens: service => engines.figures(service).usualOwnTokens,
     outcomes: engines.outcomes,
     metrics: createRequestMetrics(context.metrics.meter),
     clock,
@@ -288,6 +295,7 @@
     digests,
     rollouts,
     engines,
+    memory,
     dispose: () => owned.dispose(),
   };
 }
--- a/packages/routing/src/routeCosts.ts
+++ b/packages/routing/src/routeCosts.ts
@@ -1,7 +1,7 @@
 /** Expected milliseconds to the first token at an endpoint. */
 import type {LoadEstimate} from './loadView.js';
 
-/** How choices are weighed; the defaults were chosen by measurement, see docs/DECISIONS/routing.md. */
+/** How choices are weighed; see docs/DECISIONS/routing.md. */
 export interface RouteWeights {
   /** Time of a token of a shared part that is thought to be computed again, relative to one that surely is; 1 when absent. */
   readonly rereadPart?: number;
--- a/packages/traffic/src/promptKeys.ts
+++ b/packages/traffic/src/promptKeys.ts
@@ -3,8 +3,7 @@
 
 /**
  * Tokens that one key stands for. Smaller ones follow caches more exactly and
- * cost a map entry each for every request: 64 makes 84 keys of a shared prefix
- * of 5,382 tokens, the longest mean in the users' sheets.
+ * cost a map entry each for every request.
  */
 export const KEY_TOKENS = 64;
 
