--- a/tools/reportPlots.mjs
+++ b/tools/reportPlots.mjs
@@ -185,6 +185,31 @@
       unit: 'share',
     }),
   ],
+  capacity: ({curves}) => [
+    lines(
+      "Learned time of the usual prompt, relative to the engine's",
+      curves,
+      {
+        x: 'second',
+        y: 'ratio',
+        by: 'profile',
+      },
+    ),
+  ],
+  shedding: ({rows}) => [
+    bars('Served within the goal at twice the capacity', rows, {
+      x: 'profile',
+      y: 'inTime',
+      by: 'refusesLate',
+      unit: 'share',
+    }),
+    bars('Without an answer until the deadline', rows, {
+      x: 'profile',
+      y: 'timedOut',
+      by: 'refusesLate',
+      unit: 'share',
+    }),
+  ],
   overhead: ({rows}) => [
     bars('Time of a request, 95th percentile', rows, {
       x: 'target',
