No engine is free, no pace outlives its route, plain services weigh requests as before

A fit without any work gives a token no time, and the router's weights then held 0 / 0: no score compared, and the first endpoint got everything. The pace of a route that was taken away stayed in the sums for ever. Plain services got the weights of an engine of which nothing is known, in which a request costs nothing. Change: a least time for a token, paces fade when they are read, weights of engines for model services only; a test each for the first two.

--- a/packages/bench/src/engines/replayEntry.ts
+++ b/packages/bench/src/engines/replayEntry.ts
@@ -69,6 +69,7 @@
     reports,
     log,
     recalled: () => ({}),
+    isModel: () => true,
     aims: () => aims,
   });
   const router = createRouter({
--- a/packages/capacity/src/engineModel.ts
+++ b/packages/capacity/src/engineModel.ts
@@ -46,6 +46,12 @@
 /** An operator's goal is taken for reachable: reading a prompt takes this part of it until prompts were seen. */
 const BELIEVED_GOAL_PART = 0.1;
 
+/**
+ * No engine is taken for faster than this part of what is believed. Where waits
+ * hide the work, a fit may find none at all, and everything would seem free.
+ */
+const LEAST_BELIEVED_PART = 0.01;
+
 /** A long look at the tokens before takes up to this part of a usual prompt's time, as far as is believed. */
 const BELIEVED_PAIRS_PART = 0.2;
 
@@ -84,7 +90,12 @@
 interface ServiceState {
   readonly prompts: Regression;
   readonly answers: Regression;
-  readonly paces: Map<string, {at: number; sums: PaceSums}>;
+  readonly paces: Map<string, NotedPace>;
+}
+
+interface NotedPace {
+  readonly at: number;
+  readonly sums: PaceSums;
 }
 
 /**
@@ -117,11 +128,14 @@
     const now = clock.now();
     const last = paces.get(route);
     const own = {count: 1, tokens, total: pace, squares: pace * pace};
-    const factor = last ? 2 ** ((last.at - now) / HALF_LIFE_MS) : 0;
-    const sums = last ? addPaces(scalePace(last.sums, factor), own) : own;
+    const sums = last ? addPaces(aged(last), own) : own;
     paces.set(route, {at: now, sums});
   }
 
+  function aged({at, sums}: NotedPace): PaceSums {
+    return scalePace(sums, 2 ** ((at - clock.now()) / HALF_LIFE_MS));
+  }
+
   return {
     notePrompt(sample) {
       const {prompts} = stateOf(sample.service);
@@ -145,7 +159,7 @@
             prompts: prompts.sums(),
             answers: answers.sums(),
             paces: Object.fromEntries(
-              [...paces].map(([route, {sums}]) => [route, sums]),
+              [...paces].map(([route, pace]) => [route, aged(pace)]),
             ),
           },
         ]),
@@ -253,7 +267,10 @@
   const pairsPerToken = meanPairs / Math.max(1, meanOwn);
   const prompt = fitSlopes(prompts, promptBelief(believedMs, pairsPerToken));
   const [promptTokenMs = 0, pairsMs = 0, rereadTokenMs = 0] = prompt.slopes;
-  const usualPromptMs = promptTokenMs * meanOwn + pairsMs * meanPairs;
+  const usualPromptMs = Math.max(
+    promptTokenMs * meanOwn + pairsMs * meanPairs,
+    believedMs * meanOwn * LEAST_BELIEVED_PART,
+  );
   const errorMs = prompt.errorAt([meanOwn, meanPairs, 0, 0]);
   const step = fitSlopes(answers, stepBelief(believedMs));
   const [requestStepMs = 0, contextStepMs = 0] = step.slopes;
--- a/packages/capacity/src/test/engineModel.test.ts
+++ b/packages/capacity/src/test/engineModel.test.ts
@@ -183,6 +183,48 @@
     within(figures.usualPromptMs, usualMs(profile!), 0.3);
   });
 
+  it('never takes an engine for infinitely fast', () => {
+    // Long answers hold all places, so that every prompt waits for seconds,
+    // long ones no longer than short ones. A model without any work would let
+    // every choice go to one endpoint and send the others away.
+    const model = createEngineModel(virtualClock());
+    const random = seededRandom(6);
+    for (let index = 0; index < 400; index++) {
+      const ownTokens = 500 + 4_000 * random.next();
+      model.notePrompt({
+        service: 'chat',
+        route: 'long',
+        ownTokens,
+        promptTokens: ownTokens,
+        rereadTokens: 0,
+        pendingTokens: 0,
+        tookMs: 6_000 - ownTokens / 2 + 2_000 * random.next(),
+      });
+    }
+    const figures = engineFigures(model.sums()['chat'], AIMS);
+    assert.ok(figures.usualTokenMs > 0);
+    assert.equal(figures.isSure, false);
+  });
+
+  it('forgets the pace of a route that is gone', () => {
+    // An operator takes the route with the longest answers away. Planned for
+    // its pace for ever, the service would keep endpoints that nobody needs.
+    const clock = virtualClock();
+    const model = createEngineModel(clock);
+    const answer = {service: 'chat', stepMs: 5, requests: 1, contextTokens: 9};
+    for (let index = 0; index < 20; index++) {
+      const long = {route: 'gone', tokens: 900, allowedMs: 9_000};
+      model.noteAnswer({...answer, ...long});
+    }
+    clock.advanceSync(180_000);
+    for (let index = 0; index < 20; index++) {
+      const short = {route: 'kept', tokens: 90, allowedMs: 9_000};
+      model.noteAnswer({...answer, ...short});
+    }
+    const {neededPace} = engineFigures(model.sums()['chat'], AIMS);
+    assert.ok(neededPace < 20, `${neededPace}`);
+  });
+
   it('takes goals for reachable until anything was seen', () => {
     const figures = engineFigures(undefined, AIMS);
     assert.equal(figures.isSure, false);
--- a/packages/gateway/src/enginesView.ts
+++ b/packages/gateway/src/enginesView.ts
@@ -31,8 +31,8 @@
   figures(service: string): EngineFigures;
   /** How much this service is asked for, and how its callers fare. */
   signs(service: string): Omit<DemandSigns, 'present'>;
-  /** What a choice among its endpoints weighs. */
-  routeWeights(service: string): Partial<RouteWeights>;
+  /** What a choice among its endpoints weighs; undefined for a plain service. */
+  routeWeights(service: string): Partial<RouteWeights> | undefined;
   /** What this entry has seen, for the others; undefined when they were told lately. */
   news(): CapacitySums | undefined;
   /** What all entries have seen. */
@@ -65,7 +65,7 @@
  * Makes the view; `aims` are those of the routes to a service.
  *
  * @example
- * const engines = createEnginesView({clock, reports, log, recalled: memory.recalled, aims});
+ * const engines = createEnginesView({clock, reports, log, recalled: memory.recalled, isModel, aims});
  */
 export function createEnginesView(options: {
   readonly clock: Clock;
@@ -73,6 +73,7 @@
   readonly log: Logger;
   /** What was known before all entries were lost, as far as it still counts. */
   recalled(): CapacitySums;
+  isModel(service: string): boolean;
   aims(service: string): readonly RouteAim[];
 }): EnginesView {
   const {clock, reports, log} = options;
@@ -143,7 +144,8 @@
     work,
     figures: service => knownOf(service).figures,
     signs,
-    routeWeights: service => knownOf(service).weights,
+    routeWeights: service =>
+      options.isModel(service) ? knownOf(service).weights : undefined,
     news() {
       if (clock.now() - toldAt < TELL_MS) {
         return undefined;
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -84,6 +84,8 @@
   });
   const declared = (name: string): DeclaredService | undefined =>
     policy.services().find(service => service.name === name);
+  const isModel = (service: string): boolean =>
+    declared(service)?.engine !== undefined;
   const reports = createPeerReports({
     clock,
     failureDomain: settings.failureDomain,
@@ -97,6 +99,7 @@
     reports,
     log,
     recalled: memory.recalled,
+    isModel,
     aims: policy.routesTo,
   });
   const {work} = engines;
@@ -118,7 +121,7 @@
     router,
     upstreams,
     log,
-    isModel: service => declared(service)?.engine !== undefined,
+    isModel,
   });
   const admission = createAdmission({
     clock,
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -26,7 +26,7 @@
   readonly isOwn?: (attempt: string) => boolean;
   readonly weights?: Partial<RouteWeights>;
   /** Weights of one service that go before the others; asked for at each choice. */
-  weightsOf?(service: string): Partial<RouteWeights>;
+  weightsOf?(service: string): Partial<RouteWeights> | undefined;
   /** Tokens that each of a journey's blocks stands for; the engines' own blocks when not given. */
   readonly blockTokens?: number;
 }
