--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -4,7 +4,6 @@
   ServingError,
   toServingError,
   type Clock,
-  type ErrorKind,
   type InFlight,
   type Logger,
 } from '@skylarkfield/base';
@@ -28,6 +27,7 @@
   Forwarding,
   ForwardingResult,
 } from './forwarding.js';
+import {watchOutcome} from './outcomeWatch.js';
 import type {PolicyInForce} from './policyInForce.js';
 import type {RequestMetrics} from './requestMetrics.js';
 
@@ -96,12 +96,6 @@
 /** No request weighs less than this part of the usual one in the queue: each also takes a place. */
 const LEAST_COST = 0.1;
 
-/** Errors by which a service shows that it has too few endpoints. */
-const SHORTAGE_ERRORS: ReadonlySet<ErrorKind> = new Set([
-  'overloaded',
-  'deadline-exceeded',
-]);
-
 /** Why a request's signal is aborted when its time is over. */
 const DEADLINE_PASSED = new ServingError(
   'deadline-exceeded',
@@ -205,33 +199,6 @@
     );
   }
 
-  /**
-   * Notes whether the first event came within the route's goal, as soon as that
-   * is known: under overload the events themselves come far too late to tell.
-   */
-  function watchOutcome(accepted: Accepted, reply: CallerReply) {
-    const {head, route, service} = accepted;
-    if (head.demand === undefined || route.goalMs <= 0) {
-      return {end() {}};
-    }
-    let isNoted = false;
-    function note(isLate: boolean): void {
-      if (!isNoted) {
-        isNoted = true;
-        options.outcomes.note(service, isLate);
-      }
-    }
-    const timer = clock.after(route.goalMs, () => note(!reply.hasBegun()));
-    return {
-      end(error: ServingError | undefined) {
-        timer.dispose();
-        if (error === undefined || SHORTAGE_ERRORS.has(error.kind)) {
-          note(error !== undefined);
-        }
-      },
-    };
-  }
-
   async function serve(
     request: IncomingMessage,
     reply: CallerReply,
@@ -242,7 +209,7 @@
       accepted;
     const body = await readBody(request, policy.limits().bodyBytes, caller);
     const giveBack = takeQuota(accepted);
-    const outcome = watchOutcome(accepted, reply);
+    const outcome = watchOutcome(accepted, reply, options);
     let permit: Permit;
     try {
       permit = await admit(accepted, caller);
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -2,7 +2,7 @@
 import {ServingError, type Clock, type Logger} from '@skylarkfield/base';
 import type {Admission} from '@skylarkfield/admission';
 import type {Choice, Router} from '@skylarkfield/routing';
-import {isRepeatable, ownTokens, type Route} from '@skylarkfield/traffic';
+import {ownTokens, type Route} from '@skylarkfield/traffic';
 import {runAttempt, type AttemptEnd} from './attempt.js';
 import {
   describeEnd,
@@ -18,6 +18,7 @@
 import type {CallFormat, CallHead, ReplyHead} from './contracts.js';
 import type {EngineObserver} from './engineObserver.js';
 import type {EndpointDirectory, VersionGroup} from './endpointDirectory.js';
+import {beginProgress, createSendRules, type Progress} from './sendRules.js';
 import type {Continuation, StreamMoves} from './streamMove.js';
 import type {Upstreams} from './upstream.js';
 
@@ -59,34 +60,6 @@
   forward(call: ForwardedCall, reply: CallerReply): Promise<ForwardingResult>;
 }
 
-/** Sends of one request that endpoints declined or could not be reached for; more say that the service has no room. */
-const MOST_SENDS = 3;
-
-/** An idempotent request waits this part of its time for one endpoint while another may still be tried. */
-const SILENCE_PART = 0.4;
-
-/**
- * A resumable stream that pauses for this multiple of its declared longest
- * pause goes on elsewhere: by then the answer is late, and callers leave after
- * eight pauses.
- */
-const PAUSES_TO_RESUME = 3;
-
-/** What one request has been through. */
-interface Progress {
-  readonly endpoints: string[];
-  readonly excluded: Set<string>;
-  tokensAhead: number | undefined;
-  /** Endpoints that may have run it. */
-  runs: number;
-  sentAt: number;
-  firstMs: number | undefined;
-  /** It stands in the usage of its customer. */
-  isCounted: boolean;
-  /** Where it goes on after it was moved off a leaving endpoint. */
-  continuation: Continuation | undefined;
-}
-
 /** Where an attempt is made, and from which memory it goes on. */
 interface Start {
   readonly choice: Choice;
@@ -112,9 +85,9 @@
   /** A request of the customer began to run at this wall-clock millisecond. */
   onDidRun(customer: string | undefined, wallMs: number): void;
 }): Forwarding {
-  const {router, directory, admission, upstreams, moves, format, clock, log} =
+  const {router, directory, upstreams, moves, engines, format, clock, log} =
     options;
-  const {engines} = options;
+  const rules = createSendRules({admission: options.admission, clock});
 
   /** An endpoint of the call's group, else one of those that have served all along. */
   function choose(call: ForwardedCall, excluded: ReadonlySet<string>) {
@@ -134,46 +107,6 @@
     );
   }
 
-  /** Whether a request that may have run may run at another endpoint. */
-  function mayRunAgain(call: ForwardedCall, progress: Progress): boolean {
-    return (
-      isRepeatable(call.route) &&
-      progress.runs < call.route.attempts &&
-      progress.endpoints.length < MOST_SENDS &&
-      !call.signal.aborted &&
-      admission.tryRetry(call.service)
-    );
-  }
-
-  /**
-   * Whether a request that has certainly not run at one endpoint may be sent on.
-   * It may have run at another one before: a stream that was moved, and whose
-   * new endpoint declines it.
-   */
-  function maySendOn(call: ForwardedCall, progress: Progress): boolean {
-    if (progress.runs > 0) {
-      return mayRunAgain(call, progress);
-    }
-    return (
-      progress.endpoints.length < MOST_SENDS &&
-      !call.signal.aborted &&
-      admission.tryRetry(call.service)
-    );
-  }
-
-  function silenceMs(call: ForwardedCall, progress: Progress) {
-    if (!isRepeatable(call.route) || progress.runs + 1 >= call.route.attempts) {
-      return undefined;
-    }
-    if (call.route.kind === 'streaming') {
-      return (
-        Math.max(call.route.goalMs, call.route.longestPauseMs) *
-        PAUSES_TO_RESUME
-      );
-    }
-    return (call.deadlineAt - clock.now()) * SILENCE_PART;
-  }
-
   async function attempt(
     call: ForwardedCall,
     reply: CallerReply,
@@ -226,7 +159,7 @@
       clock,
       signal: call.signal,
       sink: isStream ? seen.watched(reply.sink) : undefined,
-      silenceMs: silenceMs(call, progress),
+      silenceMs: rules.silenceMs(call, progress),
       isStopping: watched.isStopping,
       onDidBegin(head) {
         beganAt = clock.now();
@@ -287,7 +220,7 @@
     }
     if (end.type === 'answered') {
       const isFault = isServerFault(end.status);
-      if (isFault && !reply.hasBegun() && mayRunAgain(call, progress)) {
+      if (isFault && !reply.hasBegun() && rules.mayRunAgain(call, progress)) {
         return undefined;
       }
       if (reply.hasBegun()) {
@@ -300,7 +233,7 @@
       return {status: end.status};
     }
     if (end.type === 'declined') {
-      if (maySendOn(call, progress)) {
+      if (rules.maySendOn(call, progress)) {
         return undefined;
       }
       const {endpoints, runs} = progress;
@@ -309,8 +242,8 @@
     }
     const hasRun = end.error.run === 'may-have-run';
     const mayGoOn = hasRun
-      ? mayRunAgain(call, progress)
-      : maySendOn(call, progress);
+      ? rules.mayRunAgain(call, progress)
+      : rules.maySendOn(call, progress);
     return mayGoOn
       ? undefined
       : failed(reply, withRuns(end.error, progress.runs));
@@ -386,16 +319,7 @@
 
   return {
     async forward(call, reply) {
-      const progress: Progress = {
-        endpoints: [],
-        excluded: new Set(),
-        tokensAhead: undefined,
-        runs: 0,
-        sentAt: clock.now(),
-        firstMs: undefined,
-        isCounted: false,
-        continuation: undefined,
-      };
+      const progress = beginProgress(clock.now());
       for (;;) {
         const start = next(call, progress);
         if (start === undefined) {
--- /dev/null
+++ b/packages/gateway/src/outcomeWatch.ts
@@ -0,0 +1,60 @@
+/** Sees whether one caller of a model service gets what it hopes for. */
+import type {Clock, ErrorKind, ServingError} from '@skylarkfield/base';
+import type {OutcomeMeter} from '@skylarkfield/capacity';
+import type {Route} from '@skylarkfield/traffic';
+import type {CallerReply} from './callerReply.js';
+import type {CallHead} from './contracts.js';
+
+/** A request while it is watched. */
+export interface WatchedOutcome {
+  /** It has ended, with an error or a whole answer. */
+  end(error: ServingError | undefined): void;
+}
+
+/** Errors by which a service shows that it has too few endpoints. */
+const SHORTAGE_ERRORS: ReadonlySet<ErrorKind> = new Set([
+  'overloaded',
+  'deadline-exceeded',
+]);
+
+/** Requests to plain services, and to routes without a goal, say nothing. */
+const UNWATCHED: WatchedOutcome = {end() {}};
+
+/**
+ * Notes whether the first event comes within the route's goal, as soon as that is
+ * known: under overload the events themselves come far too late to tell.
+ *
+ * @example
+ * const outcome = watchOutcome({head, route, service}, reply, {clock, outcomes});
+ * outcome.end(result.error);
+ */
+export function watchOutcome(
+  call: {
+    readonly head: Pick<CallHead, 'demand'>;
+    readonly route: Pick<Route, 'goalMs'>;
+    readonly service: string;
+  },
+  reply: Pick<CallerReply, 'hasBegun'>,
+  {clock, outcomes}: {readonly clock: Clock; readonly outcomes: OutcomeMeter},
+): WatchedOutcome {
+  const {head, route, service} = call;
+  if (head.demand === undefined || route.goalMs <= 0) {
+    return UNWATCHED;
+  }
+  let isNoted = false;
+  function note(isLate: boolean): void {
+    if (!isNoted) {
+      isNoted = true;
+      outcomes.note(service, isLate);
+    }
+  }
+  const timer = clock.after(route.goalMs, () => note(!reply.hasBegun()));
+  return {
+    end(error) {
+      timer.dispose();
+      if (error === undefined || SHORTAGE_ERRORS.has(error.kind)) {
+        note(error !== undefined);
+      }
+    },
+  };
+}
