--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -1,7 +1,10 @@
 /**
  * `capacity`: what entries learn of engines that nobody described, against their
- * true speed, over time; and how long it takes until they are within 20 %.
+ * true speed, over time; and what callers get of a plan by it, by the truth, and
+ * by figures that were fixed for another engine.
  */
+import {plannedUse, type EngineFigures} from '@skylarkfield/capacity';
+import {endpointsNeeded, workMs} from '@skylarkfield/traffic';
 import {
   ENGINE_PROFILES,
   kindsFor,
@@ -9,7 +12,7 @@
   type EngineProfile,
 } from './engines/profiles.js';
 import {playEngines} from './engines/engineReplay.js';
-import {SERVICE} from './engines/replayEntry.js';
+import {SERVICE, type ReplayEntry} from './engines/replayEntry.js';
 import type {MeasureOptions} from './measurements.js';
 
 const DEFAULT_SECONDS = 40;
@@ -18,6 +21,11 @@
 const LOAD = 0.4;
 const NEAR = 0.2;
 
+/** What the program believed of every engine before it learned. */
+const FIXED = {promptTokenMs: 1 / 140, pairsMs: 0.3, use: 0.34};
+
+type PlanName = 'learned' | 'true' | 'fixed';
+
 /**
  * Runs the measurement.
  *
@@ -27,35 +35,103 @@
 export async function measureCapacity(options: MeasureOptions) {
   const seconds = options.seconds ?? DEFAULT_SECONDS;
   const rows = [];
+  const plans = [];
   const curves: object[] = [];
   for (const profile of ENGINE_PROFILES) {
-    const trueMs = usualPromptMs(profile);
-    const learned: number[] = [];
-    let usualUse = 0;
-    await playEngines({
-      seed: options.seed,
-      seconds,
-      profile,
-      engines: ENGINES,
-      entries: ENTRIES,
-      loadAt: () => LOAD,
-      refusesLate: true,
-      onDidSecond(second, {engines}) {
-        const {usualPromptMs: ms} = engines.figures(SERVICE);
-        usualUse = engines.signs(SERVICE).use.usual;
-        learned.push(ms / trueMs);
-        curves.push({profile: profile.name, second, ratio: ms / trueMs});
-      },
-    });
-    rows.push({
+    const learning = await learn(options.seed, seconds, profile);
+    rows.push(learning.row);
+    curves.push(...learning.curve);
+    for (const [plan, engines] of Object.entries(learning.needed)) {
+      const served = await serveWith(options.seed, seconds, profile, engines);
+      plans.push({profile: profile.name, plan, engines, ...served});
+    }
+  }
+  return {engines: ENGINES, entries: ENTRIES, load: LOAD, rows, plans, curves};
+}
+
+async function learn(seed: number, seconds: number, profile: EngineProfile) {
+  const trueMs = usualPromptMs(profile);
+  const ratios: number[] = [];
+  let needed: Record<PlanName, number> = {learned: 1, true: 1, fixed: 1};
+  let usualUse = 0;
+  await playEngines({
+    seed,
+    seconds,
+    profile,
+    engines: ENGINES,
+    entries: ENTRIES,
+    loadAt: () => LOAD,
+    refusesLate: true,
+    onDidSecond(_, entry) {
+      const {engines} = entry;
+      ratios.push(engines.figures(SERVICE).usualPromptMs / trueMs);
+      usualUse = engines.signs(SERVICE).use.usual;
+      needed = neededBy(entry, profile);
+    },
+  });
+  return {
+    needed,
+    curve: ratios.map((ratio, index) => ({
+      profile: profile.name,
+      second: index + 1,
+      ratio,
+    })),
+    row: {
       profile: profile.name,
       trueMs,
-      ratioAtEnd: learned.at(-1),
-      secondsUntilNear: secondsUntilNear(learned),
+      ratioAtEnd: ratios.at(-1),
+      secondsUntilNear: secondsUntilNear(ratios),
       usualUse,
-    });
-  }
-  return {engines: ENGINES, entries: ENTRIES, load: LOAD, rows, curves};
+    },
+  };
+}
+
+/** Engines that the same work needs, by what is known of them in three ways. */
+function neededBy(
+  {engines}: ReplayEntry,
+  profile: EngineProfile,
+): Record<PlanName, number> {
+  const learned = engines.figures(SERVICE);
+  const signs = engines.signs(SERVICE);
+  const truth: EngineFigures = {
+    ...learned,
+    promptTokenMs: profile.tokenMs,
+    pairsMs: profile.pairsMs,
+    requestStepMs: profile.requestStepMs,
+    contextStepMs: profile.contextStepMs,
+    usualPromptMs: usualPromptMs(profile),
+  };
+  const aims = kindsFor(profile).map(({goalMs, deadlineMs}) => ({
+    goalMs,
+    timeoutMs: deadlineMs,
+  }));
+  const work = engines.workOf(SERVICE);
+  const fixedMs = workMs(work, {...learned, ...FIXED});
+  return {
+    learned: endpointsNeeded(signs.workRate, signs.use.usual),
+    true: endpointsNeeded(workMs(work, truth), plannedUse(truth, aims).usual),
+    fixed: endpointsNeeded(fixedMs, FIXED.use),
+  };
+}
+
+async function serveWith(
+  seed: number,
+  seconds: number,
+  profile: EngineProfile,
+  engines: number,
+) {
+  const outcomes = await playEngines({
+    seed,
+    seconds,
+    profile,
+    engines,
+    fullEngines: ENGINES,
+    entries: ENTRIES,
+    loadAt: () => LOAD,
+    refusesLate: true,
+  });
+  const inTime = outcomes.filter(({result}) => result === 'in-time').length;
+  return {inTime: inTime / Math.max(1, outcomes.length)};
 }
 
 /** The second from which on the ratio stays near one; -1 when it does not. */
--- a/packages/bench/src/engines/engineReplay.ts
+++ b/packages/bench/src/engines/engineReplay.ts
@@ -6,7 +6,7 @@
   type Clock,
   type Random,
 } from '@skylarkfield/base';
-import type {ModelDemand} from '@skylarkfield/traffic';
+import {answerWork, promptWork, type ModelDemand} from '@skylarkfield/traffic';
 import {
   kindsFor,
   promptMs,
@@ -29,6 +29,8 @@
   readonly seconds: number;
   readonly profile: EngineProfile;
   readonly engines: number;
+  /** Engines whose whole time a load of 1 takes; those that are there when absent. */
+  readonly fullEngines?: number;
   readonly entries: number;
   /** Work offered relative to what the engines can read, by the second. */
   loadAt(second: number): number;
@@ -114,6 +116,7 @@
       return;
     }
     const call = callOf(kind, demand.model);
+    entry.engines.work.note(SERVICE, promptWork(demand.model));
     const wait = entry.observer.wait(call, choice, kind.deadlineMs);
     if (options.refusesLate && wait.isTooLong) {
       choice.finish({outcome: 'cancelled', latencyMs: 0});
@@ -143,6 +146,10 @@
       onDidEnd() {
         timer.dispose();
         seen.noteEnd();
+        entry.engines.work.note(
+          SERVICE,
+          answerWork(demand.model, demand.answerTokens),
+        );
         choice.finish({outcome: 'ok', latencyMs: firstMs ?? 0});
         note((firstMs ?? Infinity) <= kind.goalMs ? 'in-time' : 'late');
       },
@@ -174,7 +181,7 @@
 
 /** Requests a millisecond that would take all of the engines' time for reading. */
 function fullRate(
-  {profile, engines}: ReplayOptions,
+  {profile, engines, fullEngines = engines}: ReplayOptions,
   kinds: readonly RequestKind[],
 ): number {
   const weights = kinds.reduce((sum, {weight}) => sum + weight, 0);
@@ -182,7 +189,7 @@
     (sum, kind) => sum + (kind.weight / weights) * promptMs(kind, profile),
     0,
   );
-  return engines / meanMs;
+  return fullEngines / meanMs;
 }
 
 function scheduleArrivals(
--- a/packages/gateway/src/enginesView.ts
+++ b/packages/gateway/src/enginesView.ts
@@ -12,6 +12,7 @@
   type EngineModel,
   type OutcomeMeter,
   type RouteAim,
+  type WorkRate,
 } from '@skylarkfield/capacity';
 import type {RouteWeights} from '@skylarkfield/routing';
 import {
@@ -29,6 +30,8 @@
   readonly outcomes: OutcomeMeter;
   readonly work: WorkMeter;
   figures(service: string): EngineFigures;
+  /** Work for a service over all entries. */
+  workOf(service: string): WorkRate;
   /** How much this service is asked for, and how its callers fare. */
   signs(service: string): Omit<DemandSigns, 'present'>;
   /** What a choice among its endpoints weighs; undefined for a plain service. */
@@ -117,10 +120,9 @@
     log.info({service, ...figures}, 'engines known');
   }
 
-  function workRate(service: string): number {
+  function workOf(service: string): WorkRate {
     const own = work.rates()[service] ?? NO_WORK;
-    const all = addWork(own, reports.workOf(service));
-    return workMs(all, knownOf(service).figures);
+    return addWork(own, reports.workOf(service));
   }
 
   function lateOf(service: string): number {
@@ -131,7 +133,7 @@
   function signs(service: string): Omit<DemandSigns, 'present'> {
     const {figures} = knownOf(service);
     return {
-      workRate: workRate(service),
+      workRate: workMs(workOf(service), figures),
       use: plannedUse(figures, options.aims(service)),
       latePart: lateOf(service),
       isSure: figures.isSure,
@@ -143,6 +145,7 @@
     outcomes,
     work,
     figures: service => knownOf(service).figures,
+    workOf,
     signs,
     routeWeights: service =>
       options.isModel(service) ? knownOf(service).weights : undefined,
