Sizes that no engine can hold are no work; plots of plans

Cause: found in reading. A request's token counts come from its caller. Counted as work before the request was sent, one size of 1e200 would make the demand infinite for good, and drown the sums of the model in all entries and in the store. Change: work and samples are taken only of prompts that the service's declared memory holds; an own part is no longer than its prompt; a test for each. Real sizes are not touched.

--- a/packages/bench/src/engines/replayEntry.ts
+++ b/packages/bench/src/engines/replayEntry.ts
@@ -95,6 +95,7 @@
     clock,
     figures: engines.figures,
     tokensPerEvent: () => profile.tokensPerEvent,
+    fits: () => true,
     onDidReread() {},
   });
   return {
--- a/packages/gateway/src/engineObserver.ts
+++ b/packages/gateway/src/engineObserver.ts
@@ -2,7 +2,7 @@
 import type {EngineFigures, EngineModel} from '@skylarkfield/capacity';
 import type {Clock} from '@skylarkfield/base';
 import type {Choice} from '@skylarkfield/routing';
-import {ownTokens, type Route} from '@skylarkfield/traffic';
+import {ownTokens, type ModelDemand, type Route} from '@skylarkfield/traffic';
 import type {EventSink} from './attempt.js';
 import type {CallHead} from './contracts.js';
 import {createStepMeter} from './stepMeter.js';
@@ -66,6 +66,8 @@
   readonly model: EngineModel;
   readonly clock: Clock;
   figures(service: string): EngineFigures;
+  /** Whether an engine can hold the request at all. */
+  fits(service: string, demand: ModelDemand): boolean;
   /** Tokens of an answer that one event of the service's streams holds. */
   tokensPerEvent(service: string): number;
   /** A prompt goes to an endpoint that is thought to read so many tokens of shared parts again. */
@@ -85,7 +87,7 @@
     },
     observe({head, route, service}, choice, isFresh) {
       const {demand} = head;
-      if (demand === undefined) {
+      if (demand === undefined || !options.fits(service, demand)) {
         return NOTHING_SEEN;
       }
       const own = ownTokens(demand);
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -173,6 +173,7 @@
       clock,
       figures: () => engineFigures(undefined, []),
       tokensPerEvent: () => 1,
+      fits: () => true,
       onDidReread: () => {},
     }),
     format,
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -7,10 +7,12 @@
   answerWork,
   createQuotas,
   createUsageWindows,
+  fitsMemory,
   KEY_TOKENS,
   NO_WORK,
   promptWork,
   type DeclaredService,
+  type ModelDemand,
   type UsageWindows,
   type WindowCounts,
 } from '@skylarkfield/traffic';
@@ -86,6 +88,8 @@
     policy.services().find(service => service.name === name);
   const isModel = (service: string): boolean =>
     declared(service)?.engine !== undefined;
+  const fits = (service: string, demand: ModelDemand): boolean =>
+    fitsMemory(demand, declared(service)?.engine);
   const reports = createPeerReports({
     clock,
     failureDomain: settings.failureDomain,
@@ -235,6 +239,7 @@
       clock,
       figures: engines.figures,
       tokensPerEvent,
+      fits,
       onDidReread: (service, rereadTokens) =>
         work.note(service, {...NO_WORK, rereadTokens}),
     }),
@@ -272,12 +277,12 @@
       }
     },
     onDidAccept(service: string, {demand}: CallHead) {
-      if (demand !== undefined) {
+      if (demand !== undefined && fits(service, demand)) {
         work.note(service, promptWork(demand));
       }
     },
     onDidAnswer(service: string, {demand}: CallHead, events: number) {
-      if (demand !== undefined) {
+      if (demand !== undefined && fits(service, demand)) {
         const tokens = events * tokensPerEvent(service);
         work.note(service, answerWork(demand, tokens));
       }
--- a/packages/traffic/src/engineWork.ts
+++ b/packages/traffic/src/engineWork.ts
@@ -1,6 +1,6 @@
 /** How much of an engine's time requests take, by what is known of its speed. */
 import type {EngineFigures, WorkRate} from '@skylarkfield/capacity';
-import type {ModelDemand} from './contracts.js';
+import type {EngineTerms, ModelDemand} from './contracts.js';
 
 const PAIRS_UNIT = 1e6;
 const CONTEXT_UNIT = 1e3;
@@ -22,7 +22,23 @@
  * const tokens = ownTokens(demand);
  */
 export function ownTokens(demand: ModelDemand): number {
-  return demand.parts.at(-1)?.tokens ?? demand.promptTokens;
+  const {parts, promptTokens} = demand;
+  return Math.min(promptTokens, parts.at(-1)?.tokens ?? promptTokens);
+}
+
+/**
+ * Whether an engine's memory can hold the prompt at all. Callers write what they
+ * like into a request: counted as work, one absurd size would order endpoints
+ * without end and drown all that was learned.
+ *
+ * @example
+ * if (fitsMemory(demand, service.engine)) { work.note(name, promptWork(demand)); }
+ */
+export function fitsMemory(
+  {promptTokens}: ModelDemand,
+  engine: EngineTerms | undefined,
+): boolean {
+  return engine !== undefined && promptTokens <= engine.memoryTokens;
 }
 
 /**
--- a/packages/traffic/src/test/fleet.test.ts
+++ b/packages/traffic/src/test/fleet.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {virtualClock} from '@skylarkfield/base';
-import type {FleetTerms} from '../contracts.js';
+import type {FleetTerms, ModelDemand} from '../contracts.js';
+import {fitsMemory, promptWork} from '../engineWork.js';
 import {
   createFleetDemand,
   type DemandSigns,
@@ -195,3 +196,26 @@
     assert.equal(usual(demand, signs(1_200, 30, late)), 8);
   });
 });
+
+describe('work of a request', () => {
+  const engine = {slots: 48, memoryTokens: 300_000, tokensPerEvent: 4};
+
+  function demandOf(promptTokens: number, ownPart: number): ModelDemand {
+    const parts = [{id: 'own', tokens: ownPart}];
+    return {model: 'm', promptTokens, mostOutputTokens: 100, parts};
+  }
+
+  it('leaves out sizes that no engine can hold', () => {
+    // A caller's header says that its prompt has as many tokens as there are
+    // atoms. Counted, it would order every endpoint that is sold.
+    assert.equal(fitsMemory(demandOf(1e200, 10), engine), false);
+    assert.equal(fitsMemory(demandOf(12_000, 4_000), engine), true);
+    assert.equal(fitsMemory(demandOf(12_000, 4_000), undefined), false);
+  });
+
+  it('takes no part for longer than its prompt', () => {
+    const {ownTokens, pairs} = promptWork(demandOf(2_000, 1e200));
+    assert.equal(ownTokens, 2_000);
+    assert.equal(pairs, 4);
+  });
+});
--- a/tools/reportPlots.mjs
+++ b/tools/reportPlots.mjs
@@ -185,7 +185,7 @@
       unit: 'share',
     }),
   ],
-  capacity: ({curves}) => [
+  capacity: ({curves, plans}) => [
     lines(
       "Learned time of the usual prompt, relative to the engine's",
       curves,
@@ -195,6 +195,17 @@
         by: 'profile',
       },
     ),
+    bars('Engines planned for the same work', plans, {
+      x: 'profile',
+      y: 'engines',
+      by: 'plan',
+    }),
+    bars('Served within the goal by that plan', plans, {
+      x: 'profile',
+      y: 'inTime',
+      by: 'plan',
+      unit: 'share',
+    }),
   ],
   shedding: ({rows}) => [
     bars('Served within the goal at twice the capacity', rows, {
