--- a/packages/capacity/src/index.ts
+++ b/packages/capacity/src/index.ts
@@ -1,11 +1,10 @@
 /** What model engines can do, learned from the requests they serve. */
 export * from './contracts.js';
+export {addCapacity, scaleCapacity} from './capacitySums.js';
+export {engineFigures} from './engineFigures.js';
 export {
-  addCapacity,
   createEngineModel,
-  engineFigures,
   HALF_LIFE_MS,
-  scaleCapacity,
   type EngineModel,
 } from './engineModel.js';
 export * from './outcomeMeter.js';
