standins: end a cloud's timers with its stop

Cause: a reclaim's notice timer of 60 s outlived the stand-in, and the tests' clock keeps the process alive for its timers, so platformStandin.test.ts ended 60 s after its last test. Ruled out: open sockets (only the timer and the runner's pipes were active). Change: the cloud owns its timers and disposes them.

--- a/packages/standins/src/engine/engineRequestShapes.ts
+++ b/packages/standins/src/engine/engineRequestShapes.ts
@@ -1,5 +1,5 @@
 /** Shapes of the requests that the engine stand-in takes. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const count = z.number().int().nonnegative();
 
--- a/packages/standins/src/platform/cloudModel.ts
+++ b/packages/standins/src/platform/cloudModel.ts
@@ -3,6 +3,7 @@
   emitter,
   ServingError,
   type Clock,
+  type Disposable,
   type Event,
 } from '@skylarkfield/base';
 import type {Host, Market, Offer, ReclaimNotice} from '@skylarkfield/providers';
@@ -15,7 +16,7 @@
   readonly market: Market;
 }
 
-export interface CloudModel {
+export interface CloudModel extends Disposable {
   offers(): readonly Offer[];
   setOffers(offers: readonly Offer[]): void;
   hosts(): readonly Host[];
@@ -72,6 +73,7 @@
   const noticed = emitter<ReclaimNotice>();
   let offers = defaultOffers;
   let nextHost = 0;
+  const timers = createTimers(clock);
 
   function update(id: string, change: Partial<Host>): void {
     const host = hosts.get(id);
@@ -106,7 +108,7 @@
         state: 'starting',
       };
       hosts.set(host.id, host);
-      clock.after(faults.startMs, () => {
+      timers.after(faults.startMs, () => {
         if (hosts.get(host.id)?.state === 'starting') {
           update(host.id, {state: 'running'});
         }
@@ -126,7 +128,7 @@
         const goneAt = clock.wall() + noticeMs;
         update(id, {state: 'leaving', goneAt});
         noticed.fire({host: id, goneAt});
-        clock.after(noticeMs, () => update(id, {state: 'gone'}));
+        timers.after(noticeMs, () => update(id, {state: 'gone'}));
       }
       return meant;
     },
@@ -135,5 +137,24 @@
         .filter(host => host.state === 'leaving')
         .map(host => ({host: host.id, goneAt: host.goneAt ?? clock.wall()})),
     onDidNotice: noticed.event,
+    dispose: timers.dispose,
+  };
+}
+
+/** Timers that end with the cloud: a notice may run for longer than anybody waits. */
+function createTimers(clock: Clock) {
+  const pending = new Set<Disposable>();
+  return {
+    after(delayMs: number, callback: () => void) {
+      const timer = clock.after(delayMs, () => {
+        pending.delete(timer);
+        callback();
+      });
+      pending.add(timer);
+    },
+    dispose() {
+      pending.forEach(timer => timer.dispose());
+      pending.clear();
+    },
   };
 }
--- a/packages/standins/src/platform/cloudRoutes.ts
+++ b/packages/standins/src/platform/cloudRoutes.ts
@@ -2,7 +2,7 @@
 import type {ServerResponse} from 'node:http';
 import {checkShape, ServingError, type Clock} from '@skylarkfield/base';
 import type {Polka} from 'polka';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {CloudModel} from './cloudModel.js';
 import type {EndpointList} from './endpointList.js';
 import type {Faults} from './faults.js';
--- a/packages/standins/src/platform/controlRoutes.ts
+++ b/packages/standins/src/platform/controlRoutes.ts
@@ -3,7 +3,7 @@
 import {checkShape} from '@skylarkfield/base';
 import {listedEndpointShape, type ObjectTable} from '@skylarkfield/providers';
 import type {Polka} from 'polka';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {CloudModel} from './cloudModel.js';
 import type {EndpointList} from './endpointList.js';
 import {faultsShape, type Faults} from './faults.js';
--- a/packages/standins/src/platform/faults.ts
+++ b/packages/standins/src/platform/faults.ts
@@ -1,5 +1,5 @@
 /** The fault switches of the platform stand-in. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** What `POST /control/faults` takes; only the fields given change. */
 export const faultsShape = z
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -62,7 +62,10 @@
     table,
     faults,
     dropWatches,
-    stop: () => close(server),
+    stop() {
+      cloud.dispose();
+      return close(server);
+    },
   };
 }
 
--- a/packages/standins/src/service/serviceFaults.ts
+++ b/packages/standins/src/service/serviceFaults.ts
@@ -1,5 +1,5 @@
 /** Faults that a test switches on in the plain-service stand-in. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /**
  * What goes wrong:
--- a/packages/standins/src/service/serviceStandin.ts
+++ b/packages/standins/src/service/serviceStandin.ts
@@ -10,7 +10,7 @@
 import type {AddressInfo} from 'node:net';
 import {checkShape, parseJson, seededRandom} from '@skylarkfield/base';
 import polka from 'polka';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
   createServiceFaults,
   serviceFault,
