gateway: load less at a start, and cache the code of a warmed-up life

By profile of the load: undici's index (fetch, mocks, Node's own copy), HTTP/2, HTTPS, child processes and worker threads that nothing uses, all of zod's locales, the metrics SDK; after the load, compiling of functions that the code cache did not hold. Change: the bundle leaves out or loads later what a gateway does not use; zod is imported as a namespace; the metrics SDK is loaded when its page is read; the build lives a short life of two gateways before it writes the code cache.

--- /dev/null
+++ b/deploy/warmUp.cjs
@@ -0,0 +1,314 @@
+'use strict';
+/**
+ * A short life of two gateways in one process, against a platform and an
+ * endpoint made here. The build runs it so that V8's code cache holds the
+ * functions that a process needs to serve its first requests.
+ */
+const {mkdtempSync, rmSync, writeFileSync} = require('node:fs');
+const http = require('node:http');
+const {tmpdir} = require('node:os');
+const {join} = require('node:path');
+
+const HOST = 'warm.example';
+const KEY = 'warm-key';
+const GATEWAYS = 2;
+const PORTS = ['callers', 'readiness', 'lookup', 'inner', 'status'];
+const OBJECTS = '/skylarkfield/objects/';
+
+/** Time until both gateways serve, in milliseconds; a build on a busy machine may give up sooner. */
+const READY_TIMEOUT_MS = 10_000;
+const POLL_MS = 50;
+
+/** Time for digests, heartbeats and duties to come round, in milliseconds. */
+const LIFE_MS = 2_000;
+const WATCH_MS = 200;
+const EVENTS = 5;
+
+function listen(handler) {
+  return new Promise(resolve => {
+    const server = http.createServer(handler);
+    server.listen(0, '127.0.0.1', () => resolve(server));
+  });
+}
+
+function addressOf(server) {
+  return `127.0.0.1:${server.address().port}`;
+}
+
+async function freePorts(count) {
+  const servers = await Promise.all(
+    Array.from({length: count}, () => listen(() => {})),
+  );
+  const ports = servers.map(server => server.address().port);
+  servers.forEach(server => server.close());
+  return ports;
+}
+
+function toObject(name, spec) {
+  return {
+    Metadata: {
+      Name: name,
+      Rev: 2,
+      CreateRev: 1,
+      Finalizers: [],
+      Deleting: false,
+    },
+    Spec: spec,
+    Status: null,
+  };
+}
+
+function route(name, kind, service) {
+  return {
+    Name: name,
+    Host: HOST,
+    PathPrefix: `/${name}/`,
+    Kind: kind,
+    TimeoutMs: 3000,
+    GoalMs: 400,
+    GapAimMs: 400,
+    Service: service,
+    Attempts: 2,
+    Priority: 1,
+  };
+}
+
+function configuration() {
+  return toObject('main', {
+    Version: 1,
+    Routes: [
+      route('plain', 'idempotent', 'desk'),
+      route('stream', 'streaming', 'engine'),
+    ],
+    Services: [
+      {Name: 'desk', MaxConns: 100, Slots: 6},
+      {Name: 'engine', MaxConns: 100, Slots: 16, KvTokens: 400000},
+    ],
+    Limits: {
+      HeaderBytes: 16384,
+      BodyBytes: 65536,
+      HeaderMs: 3000,
+      IdleMs: 15000,
+    },
+    Tenants: [
+      {
+        Name: 'chain',
+        ApiKeys: [KEY],
+        RatePerS: 90000,
+        Burst: 90000,
+        Unit: 'tokens',
+        PlainTokens: 100,
+      },
+    ],
+  });
+}
+
+function endpoint(name, service, address) {
+  return toObject(name, {
+    Service: service,
+    Addr: address,
+    Zone: 'a',
+    Version: 'v1',
+    Slots: 16,
+    State: 'ready',
+    ColdLeftMs: 0,
+    Seq: 1,
+    born: 1,
+    Stage: 'unified',
+  });
+}
+
+function readText(request) {
+  return new Promise(resolve => {
+    let text = '';
+    request.on('data', chunk => (text += chunk));
+    request.on('end', () => resolve(text));
+  });
+}
+
+/** Keeps what is written, and gives every watch an empty answer. */
+async function startPlatform(endpointAddress) {
+  const objects = new Map([
+    ['config', new Map([['main', configuration()]])],
+    [
+      'servers',
+      new Map([
+        ['w-1', endpoint('w-1', 'desk', endpointAddress)],
+        ['w-2', endpoint('w-2', 'engine', endpointAddress)],
+      ]),
+    ],
+  ]);
+
+  function read(kind, name) {
+    const held = objects.get(kind) ?? new Map();
+    if (name === undefined) {
+      return {Items: [...held.values()], MorePages: false, CurrentRev: 2};
+    }
+    return held.get(name);
+  }
+
+  function write(kind, name, text) {
+    const {Metadata = {}, Spec} = JSON.parse(text || '{}');
+    const object = toObject(name ?? Metadata.Name, Spec);
+    const held = objects.get(kind) ?? new Map();
+    objects.set(kind, held.set(object.Metadata.Name, object));
+    return object;
+  }
+
+  async function answer(request, response) {
+    const text = await readText(request);
+    const url = new URL(request.url, 'http://platform');
+    const [kind, name] = url.pathname.slice(OBJECTS.length).split('/');
+    if (url.searchParams.has('Watch')) {
+      await delay(WATCH_MS);
+      end(response, 200, {events: [], CurrentRev: 2});
+      return;
+    }
+    if (!url.pathname.startsWith(OBJECTS) || request.method === 'DELETE') {
+      end(response, 200, {});
+      return;
+    }
+    const body =
+      request.method === 'GET' ? read(kind, name) : write(kind, name, text);
+    end(response, body === undefined ? 404 : 200, body ?? {});
+  }
+
+  return listen((request, response) => void answer(request, response));
+}
+
+function end(response, status, body) {
+  response.writeHead(status, {'content-type': 'application/json'});
+  response.end(JSON.stringify(body));
+}
+
+function startEndpoint() {
+  return listen(async (request, response) => {
+    await readText(request);
+    response.writeHead(200, {
+      'X-Try-Id': request.headers['x-try-id'],
+      'X-Reply-Seal': 'warm',
+      'X-Replica-Load': '1,0,16',
+    });
+    if (!request.url.startsWith('/stream/')) {
+      response.end('x'.repeat(800));
+      return;
+    }
+    for (let id = 1; id <= EVENTS; id++) {
+      response.write(`id: ${id}\ndata: ${'x'.repeat(80)}\n\n`);
+      await delay(5);
+    }
+    response.end();
+  });
+}
+
+function settingsOf(index, ports, platform) {
+  const [own] = ports.slice(index);
+  return {
+    id: `warm-${index}`,
+    failureDomain: 'a',
+    region: 'r',
+    ...Object.fromEntries(
+      PORTS.map((name, place) => [name, `127.0.0.1:${own[place]}`]),
+    ),
+    seeds: ports.map(([, , , inner]) => `127.0.0.1:${inner}`),
+    platform: {store: platform, orders: platform, callsPerSecond: 400},
+    innerKey: 'known-to-all-entries',
+    graceSeconds: 2,
+    lookupSeconds: 5,
+    keyRevocationMs: 5000,
+    usageWindowSeconds: 1,
+    usageLateSeconds: 2,
+  };
+}
+
+/** Sends one request and reads its answer; the status is 0 when none came. */
+function send(port, path, headers, body) {
+  return new Promise(resolve => {
+    const request = http.request(
+      {
+        host: '127.0.0.1',
+        port,
+        path,
+        headers,
+        method: body === undefined ? 'GET' : 'POST',
+        agent: false,
+      },
+      response => {
+        response.resume();
+        response.once('end', () => resolve(response.statusCode));
+        response.once('error', () => resolve(0));
+      },
+    );
+    request.once('error', () => resolve(0));
+    request.end(body);
+  });
+}
+
+function delay(ms) {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+async function untilReady(port) {
+  const endAt = Date.now() + READY_TIMEOUT_MS;
+  while (Date.now() < endAt) {
+    if ((await send(port, '/skylarkfield/readyz', {})) === 200) {
+      return;
+    }
+    await delay(POLL_MS);
+  }
+}
+
+async function callBoth(port, round) {
+  const common = {Host: HOST, 'X-Key': KEY, 'X-Deadline-Ms': '3000'};
+  await send(port, '/plain/x', {...common, 'X-Try-Id': `p${round}`});
+  await send(
+    port,
+    '/stream/x',
+    {
+      ...common,
+      'X-Try-Id': `s${round}`,
+      'X-Model': 'm',
+      'X-Token-Counts': '900,80',
+      'X-Prompt-Prefix': '5c1e07a2:500,91bd3f06:400',
+    },
+    '{}',
+  );
+}
+
+/**
+ * Lives through a start and some requests. `start` runs the gateway's program
+ * with a settings file and returns at once.
+ */
+async function warmUp(start) {
+  const folder = mkdtempSync(join(tmpdir(), 'skylarkfield-warm-'));
+  try {
+    const target = await startEndpoint();
+    const platform = await startPlatform(addressOf(target));
+    const flat = await freePorts(GATEWAYS * PORTS.length);
+    const ports = Array.from({length: GATEWAYS}, (_, index) =>
+      flat.slice(index * PORTS.length, (index + 1) * PORTS.length),
+    );
+    ports.forEach((_, index) => {
+      const path = join(folder, `${index}.json`);
+      const settings = settingsOf(index, ports, addressOf(platform));
+      writeFileSync(path, JSON.stringify(settings));
+      start(path);
+    });
+    for (const [callers, readiness, lookup] of ports) {
+      await untilReady(readiness);
+      await send(
+        lookup,
+        `/skylarkfield/resolve?Name=${HOST}&Region=r&Zone=a`,
+        {},
+      );
+      for (let round = 0; round < 3; round++) {
+        await callBoth(callers, round);
+      }
+    }
+    await delay(LIFE_MS);
+  } finally {
+    rmSync(folder, {recursive: true, force: true});
+  }
+}
+
+module.exports = {warmUp};
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -117,6 +117,8 @@
       globals: {
         console: 'readonly',
         process: 'readonly',
+        setTimeout: 'readonly',
+        URL: 'readonly',
         __dirname: 'readonly',
       },
     },
--- a/packages/base/src/clock.ts
+++ b/packages/base/src/clock.ts
@@ -11,6 +11,9 @@
   after(delayMs: number, callback: () => void): Disposable;
 }
 
+const MS_PER_SECOND = 1_000;
+const NS_PER_MS = 1_000_000;
+
 /**
  * The clock of the running process.
  *
@@ -23,7 +26,11 @@
  */
 export function systemClock(): Clock {
   return {
-    now: () => performance.now(),
+    // `performance` would load several modules of Node at every start.
+    now() {
+      const [seconds, nanoseconds] = process.hrtime();
+      return seconds * MS_PER_SECOND + nanoseconds / NS_PER_MS;
+    },
     wall: () => Date.now(),
     after(delayMs, callback) {
       const timer = setTimeout(callback, Math.max(0, delayMs));
--- a/packages/base/src/metrics.ts
+++ b/packages/base/src/metrics.ts
@@ -1,10 +1,4 @@
 /** OpenTelemetry metrics of one process, with a Prometheus text page. */
-import {resourceFromAttributes} from '@opentelemetry/resources';
-import {MeterProvider} from '@opentelemetry/sdk-metrics';
-import {
-  PrometheusExporter,
-  PrometheusSerializer,
-} from '@opentelemetry/exporter-prometheus';
 import type {Meter} from '@opentelemetry/api';
 
 export type {Meter};
@@ -18,19 +12,28 @@
 
 /**
  * Makes the metrics of a process. The exporter's own server stays off: the
- * admin port serves the page.
+ * admin port serves the page. The SDK is loaded here, not with this module, so
+ * that a process which puts it off until somebody reads starts sooner.
  *
  * @example
- * const metrics = createMetrics('skylarkfield-entry');
+ * const metrics = await createMetrics('skylarkfield-entry');
  * const requests = metrics.meter.createCounter('skylarkfield.requests');
  */
-export function createMetrics(name: string): Metrics {
-  const exporter = new PrometheusExporter({preventServerStart: true});
+export async function createMetrics(name: string): Promise<Metrics> {
+  const [{resourceFromAttributes}, {MeterProvider}, prometheus] =
+    await Promise.all([
+      import('@opentelemetry/resources'),
+      import('@opentelemetry/sdk-metrics'),
+      import('@opentelemetry/exporter-prometheus'),
+    ]);
+  const exporter = new prometheus.PrometheusExporter({
+    preventServerStart: true,
+  });
   const provider = new MeterProvider({
     readers: [exporter],
     resource: resourceFromAttributes({'service.name': name}),
   });
-  const serializer = new PrometheusSerializer();
+  const serializer = new prometheus.PrometheusSerializer();
   return {
     meter: provider.getMeter(name),
     async render() {
--- a/packages/base/src/shapes.ts
+++ b/packages/base/src/shapes.ts
@@ -1,5 +1,5 @@
 /** Checks of values from outside against a schema, with every fault named. */
-import type {z} from 'zod';
+import type * as z from 'zod';
 import {ServingError, type ErrorKind, type Fault} from './errors.js';
 
 /**
--- a/packages/endpoints/src/engineShapes.ts
+++ b/packages/endpoints/src/engineShapes.ts
@@ -1,6 +1,6 @@
 /** Checks of what engines send, by hand on the path of tokens and with zod elsewhere. */
 import {ServingError} from '@skylarkfield/base';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {GenerationEvent} from './contracts.js';
 
 const count = z.number().int().nonnegative();
--- a/packages/endpoints/src/httpEngine.ts
+++ b/packages/endpoints/src/httpEngine.ts
@@ -7,7 +7,7 @@
 } from '@skylarkfield/base';
 import {createParser} from 'eventsource-parser';
 import {Pool} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Engine, Generation, GenerationEvent} from './contracts.js';
 import {
   cacheEventsShape,
--- a/packages/endpoints/src/plainServiceLoad.ts
+++ b/packages/endpoints/src/plainServiceLoad.ts
@@ -1,6 +1,6 @@
 /** Reads the load report of a plain service. */
 import {checkShape, parseJson, ServingError} from '@skylarkfield/base';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {LoadReport, ServiceReply} from './contracts.js';
 
 const loadReport = z.object({
--- a/packages/entry/src/callers/modelRequest.ts
+++ b/packages/entry/src/callers/modelRequest.ts
@@ -1,6 +1,6 @@
 /** The bodies of `POST /v1/chat/completions` and `POST /v1/completions`. */
 import {checkShape, hash32, parseJson} from '@skylarkfield/base';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const DEFAULT_MAX_TOKENS = 256;
 const MOST_TOKENS = 32_768;
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -71,7 +71,7 @@
   settings: EntrySettings,
   owned: DisposableStore,
 ): Promise<EntryProcess> {
-  const metrics = createMetrics('skylarkfield');
+  const metrics = await createMetrics('skylarkfield');
   owned.add(toDisposable(() => void metrics.shutDown()));
   const context = createContext(settings, metrics.meter);
   const {clock, log, decisions, dumps} = context;
--- a/packages/entry/src/parts/sharedHostList.ts
+++ b/packages/entry/src/parts/sharedHostList.ts
@@ -14,7 +14,7 @@
   type ListedEndpoint,
 } from '@skylarkfield/providers';
 import type {PeerNetwork} from '@skylarkfield/protocol';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** How often a peer is asked while there is no list, in milliseconds. */
 const ASK_INTERVAL_MS = 500;
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -1,7 +1,7 @@
 /** Settings of an entry process: schema, defaults, and how they are read. */
 import {readFileSync} from 'node:fs';
 import {checkShape, parseJson, ServingError} from '@skylarkfield/base';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const port = z.number().int().min(0).max(65_535);
 const milliseconds = z.number().int().min(1).max(3_600_000);
--- a/packages/entry/src/test/callerServer.test.ts
+++ b/packages/entry/src/test/callerServer.test.ts
@@ -43,6 +43,7 @@
   /** A server whose plain service answers with a large body at once. */
   async function startServer() {
     const clock = systemClock();
+    const {meter} = await createMetrics('test');
     const server = createServer();
     const inFlight = createInFlight(clock);
     const configuration = {
@@ -59,7 +60,7 @@
           exchange.response.end(Buffer.alloc(BODY_BYTES, 'x'));
         },
       },
-      metrics: createRequestMetrics(createMetrics('test').meter, () => true),
+      metrics: createRequestMetrics(meter, () => true),
       limits,
       clock,
       log: silentLogger(),
--- a/packages/entry/src/test/orderMetrics.test.ts
+++ b/packages/entry/src/test/orderMetrics.test.ts
@@ -13,10 +13,10 @@
 const reply: OrderReply = {status: 201, headers: {}, body: new Uint8Array()};
 
 /** A ledger alone on its platform, with a service that answers or loses each call. */
-function createCounted() {
+async function createCounted() {
   const clock = virtualClock();
   const random = seededRandom(1);
-  const metrics = createMetrics('test');
+  const metrics = await createMetrics('test');
   const platform = memoryPlatform({clock, random});
   const ledger = createLedger({
     store: platform.client('a'),
@@ -58,7 +58,7 @@
 
 describe('counters of orders', () => {
   it('count each outcome once, by known services only', async () => {
-    const {ledger, metrics, platform, submit} = createCounted();
+    const {ledger, metrics, platform, submit} = await createCounted();
     await submit('k1');
     await submit('k1');
     await submit('k1', 'booking', 'other');
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -5,11 +5,11 @@
   Dumps,
   InFlight,
   Logger,
-  Metrics,
   ProcessLife,
   Random,
 } from '@skylarkfield/base';
 import type {Platform} from './contracts.js';
+import type {RequestMetrics} from './requestMetrics.js';
 import type {GatewaySettings} from './settings.js';
 
 export interface GatewayContext {
@@ -22,7 +22,7 @@
   readonly log: Logger;
   readonly decisions: DecisionLog;
   readonly dumps: Dumps;
-  readonly metrics: Metrics;
+  readonly metrics: RequestMetrics;
   readonly life: ProcessLife;
   readonly inFlight: InFlight;
 }
--- a/packages/gateway/src/engineMemory.ts
+++ b/packages/gateway/src/engineMemory.ts
@@ -18,7 +18,7 @@
   type CapacitySums,
 } from '@skylarkfield/capacity';
 import type {ObjectStore} from '@skylarkfield/providers';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Kind and name of the object. */
 const KIND = 'engine-capacity';
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -16,6 +16,7 @@
 import type {Platform} from './contracts.js';
 import {competeForDuty} from './dutyPart.js';
 import {openPorts} from './gatewayPorts.js';
+import {createRequestMetrics} from './requestMetrics.js';
 import type {GatewaySettings} from './settings.js';
 import {createTrafficPart} from './trafficPart.js';
 
@@ -93,7 +94,7 @@
     log,
     decisions: decisionLog(clock, log),
     dumps: createDumps(),
-    metrics: createMetrics('skylarkfield'),
+    metrics: createRequestMetrics(() => createMetrics('skylarkfield'), log),
     life: createProcessLife(),
     inFlight: createInFlight(clock),
   };
--- a/packages/gateway/src/requestMetrics.ts
+++ b/packages/gateway/src/requestMetrics.ts
@@ -1,5 +1,5 @@
 /** Counters and latency histograms of callers' requests. */
-import type {ErrorKind, Meter} from '@skylarkfield/base';
+import type {ErrorKind, Logger, Meter, Metrics} from '@skylarkfield/base';
 
 /** One request as the metrics count it. */
 export interface RequestObservation {
@@ -12,19 +12,75 @@
 
 export interface RequestMetrics {
   note(observation: RequestObservation): void;
+  /** All metrics in Prometheus text form. */
+  render(): Promise<string>;
+  shutDown(): Promise<void>;
 }
 
 /** Bucket bounds in milliseconds: from a quick plain answer to the longest timeout. */
 const BOUNDARIES_MS = [10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 10_000];
 
+/** Upper bound of the observations that wait for the metrics library. */
+const MAX_PENDING = 4_096;
+
 /**
- * Makes the metrics. Services are the only label with names from outside, and
- * the policy bounds their number.
+ * Makes the metrics. The library behind them is loaded when the page is first
+ * read, or when many observations wait: a process that has just been restarted
+ * serves callers first. Services are the only label with names from outside,
+ * and the policy bounds their number.
  *
  * @example
+ * const metrics = createRequestMetrics(() => createMetrics('skylarkfield'), log);
  * metrics.note({service: 'booking', kind: 'ok', firstMs: 21, tookMs: 23});
  */
-export function createRequestMetrics(meter: Meter): RequestMetrics {
+export function createRequestMetrics(
+  load: () => Promise<Metrics>,
+  log: Logger,
+): RequestMetrics {
+  let pending: RequestObservation[] = [];
+  let loading: Promise<Metrics> | undefined;
+  let record = (observation: RequestObservation): void => {
+    pending.push(observation);
+    if (pending.length >= MAX_PENDING) {
+      loadOnce().catch(error => {
+        log.warn(
+          {reason: String(error), dropped: pending.length},
+          'no metrics',
+        );
+        pending = [];
+      });
+    }
+  };
+
+  async function loadMetrics(): Promise<Metrics> {
+    const metrics = await load();
+    record = createRecorder(metrics.meter);
+    pending.forEach(record);
+    pending = [];
+    return metrics;
+  }
+
+  function loadOnce(): Promise<Metrics> {
+    loading ??= loadMetrics();
+    return loading;
+  }
+
+  return {
+    note: observation => record(observation),
+    async render() {
+      const metrics = await loadOnce();
+      return metrics.render();
+    },
+    async shutDown() {
+      const metrics = await loading;
+      await metrics?.shutDown();
+    },
+  };
+}
+
+function createRecorder(
+  meter: Meter,
+): (observation: RequestObservation) => void {
   const requests = meter.createCounter('skylarkfield.gateway.requests', {
     description: 'Requests by service and outcome',
   });
@@ -39,13 +95,11 @@
     advice,
     description: 'Time from arrival to the end of the answer',
   });
-  return {
-    note({service = '', kind, firstMs, tookMs}) {
-      requests.add(1, {service, kind});
-      whole.record(tookMs, {service});
-      if (firstMs !== undefined) {
-        first.record(firstMs, {service});
-      }
-    },
+  return ({service = '', kind, firstMs, tookMs}) => {
+    requests.add(1, {service, kind});
+    whole.record(tookMs, {service});
+    if (firstMs !== undefined) {
+      first.record(firstMs, {service});
+    }
   };
 }
--- a/packages/gateway/src/statusPages.ts
+++ b/packages/gateway/src/statusPages.ts
@@ -1,9 +1,10 @@
 /** Metrics, state dump and decisions, for operators. */
-import type {DecisionLog, Dumps, Metrics} from '@skylarkfield/base';
+import type {DecisionLog, Dumps} from '@skylarkfield/base';
 import type {RequestHandler} from './listeners.js';
+import type {RequestMetrics} from './requestMetrics.js';
 
 interface StatusParts {
-  readonly metrics: Metrics;
+  readonly metrics: RequestMetrics;
   readonly dumps: Dumps;
   readonly decisions: DecisionLog;
 }
--- /dev/null
+++ b/packages/gateway/src/test/requestMetrics.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {createMetrics, silentLogger} from '@skylarkfield/base';
+import {createRequestMetrics} from '../requestMetrics.js';
+
+function observed(tookMs: number) {
+  return {service: 'booking', kind: 'ok', firstMs: tookMs, tookMs} as const;
+}
+
+test('observations from before the first read are on the page', async () => {
+  let loads = 0;
+  const metrics = createRequestMetrics(() => {
+    loads += 1;
+    return createMetrics('test');
+  }, silentLogger());
+  metrics.note(observed(7));
+  metrics.note(observed(30));
+  assert.equal(loads, 0);
+  const page = await metrics.render();
+  metrics.note(observed(30));
+  const later = await metrics.render();
+  assert.match(page, /gateway_requests_total\{[^}]*\} 2\b/);
+  assert.match(page, /gateway_duration_bucket\{[^}]*le="10"[^}]*\} 1\b/);
+  assert.match(later, /gateway_requests_total\{[^}]*\} 3\b/);
+  assert.equal(loads, 1);
+  await metrics.shutDown();
+});
+
+// Guards against observations that pile up in a process whose page nobody reads.
+test('the library is loaded when many observations wait', async () => {
+  let loads = 0;
+  const metrics = createRequestMetrics(() => {
+    loads += 1;
+    return createMetrics('test');
+  }, silentLogger());
+  for (let count = 0; count < 4_095; count++) {
+    metrics.note(observed(1));
+  }
+  assert.equal(loads, 0);
+  metrics.note(observed(1));
+  assert.equal(loads, 1);
+  assert.match(
+    await metrics.render(),
+    /gateway_requests_total\{[^}]*\} 4096\b/,
+  );
+  await metrics.shutDown();
+});
+
+test('a process that nobody asked for metrics stops without loading them', async () => {
+  const metrics = createRequestMetrics(
+    () => Promise.reject(new Error('loaded')),
+    silentLogger(),
+  );
+  metrics.note(observed(1));
+  await metrics.shutDown();
+});
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -34,7 +34,6 @@
 import {createPlatformView} from './platformView.js';
 import {createPolicyInForce, type PolicyInForce} from './policyInForce.js';
 import type {DigestScope} from './relayPlan.js';
-import {createRequestMetrics} from './requestMetrics.js';
 import {createStreamMoves} from './streamMove.js';
 import {createRolloutPart, type RolloutPart} from './rolloutPart.js';
 import {sampleOf} from './rolloutSample.js';
@@ -266,7 +265,7 @@
     inFlight: context.inFlight,
     usualOwnTokens: service => engines.figures(service).usualOwnTokens,
     outcomes: engines.outcomes,
-    metrics: createRequestMetrics(context.metrics.meter),
+    metrics: context.metrics,
     clock,
     log,
     chooseGroup: rollouts.groupFor,
--- a/packages/providers/src/httpCalls.ts
+++ b/packages/providers/src/httpCalls.ts
@@ -1,6 +1,6 @@
 /** One HTTP call to the platform, with errors told apart by whether it may have had an effect. */
 import {createInterface} from 'node:readline';
-import {Agent, request, type Dispatcher} from 'undici';
+import {Agent, type Dispatcher} from 'undici';
 import {ServingError, toDisposable, type Disposable} from '@skylarkfield/base';
 
 export interface HttpReply {
@@ -59,13 +59,15 @@
     headersTimeout: 0,
     bodyTimeout: 0,
   });
-  const base = url.replace(/\/$/, '');
+  const {origin, pathname} = new URL(url);
+  const prefix = pathname.replace(/\/$/, '');
 
   return {
     async send({method, path, headers, body, hasEffect, signal}) {
       try {
-        const reply = await request(`${base}${path}`, {
-          dispatcher,
+        const reply = await dispatcher.request({
+          origin,
+          path: `${prefix}${path}`,
           method,
           headers: {'content-type': 'application/json', ...headers},
           body,
@@ -79,7 +81,8 @@
     },
     stream(path, listener) {
       const controller = new AbortController();
-      void readLines(`${base}${path}`, dispatcher, controller.signal, listener);
+      const target = {origin, path: `${prefix}${path}`};
+      void readLines(target, dispatcher, controller.signal, listener);
       return toDisposable(() => controller.abort());
     },
     dispose() {
@@ -89,7 +92,7 @@
 }
 
 async function readLines(
-  url: string,
+  target: {readonly origin: string; readonly path: string},
   dispatcher: Dispatcher,
   signal: AbortSignal,
   listener: LineListener,
@@ -97,7 +100,7 @@
   let status = 0;
   let retryAfterMs = 0;
   try {
-    const reply = await request(url, {dispatcher, signal});
+    const reply = await dispatcher.request({...target, method: 'GET', signal});
     status = reply.statusCode;
     retryAfterMs = retryAfter(reply.headers);
     if (status !== 200) {
--- a/packages/providers/src/httpCloud.ts
+++ b/packages/providers/src/httpCloud.ts
@@ -9,7 +9,7 @@
   type Clock,
   type Random,
 } from '@skylarkfield/base';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Cloud} from './contracts.js';
 import {withDeadline} from './deadline.js';
 import {checkStatus, createHttpCaller, type HttpCall} from './httpCalls.js';
--- a/packages/providers/src/httpHostList.ts
+++ b/packages/providers/src/httpHostList.ts
@@ -6,7 +6,7 @@
   type Clock,
   type Random,
 } from '@skylarkfield/base';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {HostList} from './contracts.js';
 import {createHttpCaller} from './httpCalls.js';
 import {keepStream} from './streamLoop.js';
--- a/packages/providers/src/httpObjectStore.ts
+++ b/packages/providers/src/httpObjectStore.ts
@@ -8,7 +8,7 @@
   type Clock,
   type Random,
 } from '@skylarkfield/base';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {StoredObject, WriteCondition} from './contracts.js';
 import {
   checkStatus,
--- a/packages/providers/src/httpWeightStore.ts
+++ b/packages/providers/src/httpWeightStore.ts
@@ -6,7 +6,7 @@
   systemClock,
   type Clock,
 } from '@skylarkfield/base';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {WeightStore} from './contracts.js';
 import {withDeadline} from './deadline.js';
 import {checkStatus, createHttpCaller} from './httpCalls.js';
--- a/packages/records/src/acceptedShapes.ts
+++ b/packages/records/src/acceptedShapes.ts
@@ -6,7 +6,7 @@
  */
 import {isServingError, checkShape} from '@skylarkfield/base';
 import type {RelayedRecord} from '@skylarkfield/protocol';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {AcceptedRecords, RecordKind} from './contracts.js';
 
 /** What an accepted object holds; its name is the record's key. */
--- a/packages/records/src/messageShapes.ts
+++ b/packages/records/src/messageShapes.ts
@@ -3,7 +3,7 @@
   RecordDifference,
   RecordsInForceAnswer,
 } from '@skylarkfield/protocol';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const version = z.object({
   kind: z.string(),
--- a/packages/records/src/moveClaims.ts
+++ b/packages/records/src/moveClaims.ts
@@ -7,7 +7,7 @@
  */
 import type {Clock, Fault} from '@skylarkfield/base';
 import type {ObjectStore} from '@skylarkfield/providers';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {AcceptanceView} from './acceptanceView.js';
 import type {AcceptedObject} from './acceptedShapes.js';
 import {ACCEPTED_KIND} from './configuration.js';
--- a/packages/records/src/recordStatus.ts
+++ b/packages/records/src/recordStatus.ts
@@ -1,6 +1,6 @@
 /** What operators read about a record: the object kind `status`, named like the record. */
 import type {Fault} from '@skylarkfield/base';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** The kind of the objects that report on records. */
 export const STATUS_KIND = 'status';
--- a/packages/records/src/schemas/conversion.ts
+++ b/packages/records/src/schemas/conversion.ts
@@ -1,6 +1,6 @@
 /** How a schema version of a record kind becomes the accepted form. */
 import {checkShape} from '@skylarkfield/base';
-import type {z} from 'zod';
+import type * as z from 'zod';
 
 /** Checks a record of one schema version and converts it; throws `bad-record` with its faults. */
 export type Conversion<Accepted> = (name: string, value: unknown) => Accepted;
--- a/packages/records/src/schemas/customerSchemas.ts
+++ b/packages/records/src/schemas/customerSchemas.ts
@@ -1,5 +1,5 @@
 /** The two schema versions of customer records. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Customer} from '../contracts.js';
 import {keyHashField, nameField, urgencyField, weightField} from './fields.js';
 import {conversion, type Conversions} from './conversion.js';
--- a/packages/records/src/schemas/endpointClassSchemas.ts
+++ b/packages/records/src/schemas/endpointClassSchemas.ts
@@ -1,5 +1,5 @@
 /** The two schema versions of endpoint class records. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {EndpointClass} from '../contracts.js';
 import {conversion, type Conversions} from './conversion.js';
 
--- a/packages/records/src/schemas/fields.ts
+++ b/packages/records/src/schemas/fields.ts
@@ -1,5 +1,5 @@
 /** Fields that several record kinds share. */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MAX_NAME_LENGTH = 80;
 
--- a/packages/records/src/schemas/moveSchemas.ts
+++ b/packages/records/src/schemas/moveSchemas.ts
@@ -1,5 +1,5 @@
 /** The two schema versions of move records. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Move} from '../contracts.js';
 import {conversion, type Conversions} from './conversion.js';
 import {nameField} from './fields.js';
--- a/packages/records/src/schemas/serviceSchemas.ts
+++ b/packages/records/src/schemas/serviceSchemas.ts
@@ -1,5 +1,5 @@
 /** The two schema versions of service records. */
-import {z} from 'zod';
+import * as z from 'zod';
 import type {Service} from '../contracts.js';
 import {conversion, type Conversions} from './conversion.js';
 import {
--- a/tools/buildGateway.mjs
+++ b/tools/buildGateway.mjs
@@ -8,6 +8,7 @@
 import {fileURLToPath} from 'node:url';
 import {join} from 'node:path';
 import {build} from 'esbuild';
+import {lazyBuiltins, undiciParts, withoutUnused} from './leanBundle.mjs';
 import {run} from './run.mjs';
 
 const root = fileURLToPath(new URL('..', import.meta.url));
@@ -31,10 +32,12 @@
   platform: 'node',
   target: 'node20',
   format: 'cjs',
-  minify: true,
-  keepNames: true,
+  // Names stay as they are: logs and stack traces show them, and code from a cache is not parsed.
+  minifyWhitespace: true,
+  minifySyntax: true,
   treeShaking: true,
-  external: ['msgpackr-extract'],
+  mainFields: ['module', 'main'],
+  plugins: [lazyBuiltins(), withoutUnused(), undiciParts()],
   logOverride: {'empty-import-meta': 'silent'},
 });
 // The flags are those of deploy/system.toml: V8 takes a cache only under the flags it was made with.
--- a/tools/writeCodeCache.cjs
+++ b/tools/writeCodeCache.cjs
@@ -1,20 +1,37 @@
 'use strict';
 /**
- * Runs a bundle up to its first turn and writes V8's code cache of it, with the
- * functions that a start has compiled. Arguments: the bundle and the cache.
+ * Writes V8's code cache of a gateway's bundle, with the functions that a short
+ * life of the program has compiled. Arguments: the bundle and the cache.
  */
 const {readFileSync, writeFileSync} = require('node:fs');
 const Module = require('node:module');
 const {dirname} = require('node:path');
 const {Script} = require('node:vm');
+const {warmUp} = require('../deploy/warmUp.cjs');
 
 const [, , bundle, cache] = process.argv;
 const script = new Script(Module.wrap(readFileSync(bundle, 'utf8')), {
   filename: bundle,
 });
-const main = {exports: {}};
-process.argv.length = 2;
-script.runInThisContext()(main.exports, require, main, bundle, dirname(bundle));
-// The bundle ends at once with its usage, since it was given no settings.
-process.exitCode = 0;
-writeFileSync(cache, script.createCachedData());
+
+function start(settingsPath) {
+  process.argv[2] = settingsPath;
+  const main = {exports: {}};
+  script.runInThisContext()(
+    main.exports,
+    require,
+    main,
+    bundle,
+    dirname(bundle),
+  );
+}
+
+warmUp(start)
+  .catch(error => {
+    // A cache of fewer functions only makes starts slower.
+    console.error(`the warm-up ended early: ${error}`);
+  })
+  .finally(() => {
+    writeFileSync(cache, script.createCachedData());
+    process.exit(0);
+  });
