gateway: give callers and relays to entries by their cores

Cause: hosts differ by four in processor (0.324 to 1.35 cores), and lookups named the same first 16 entries of a failure domain, all alike; relays, which spend 39 to 84 ms/s where others spend 12, were drawn without regard to it. Change: members say their cores (share times speed, from the settings); a caller gets up to 8 entries by weighted rendezvous hashing of its address, the same ones while they live, since it closes connections to those that an answer no longer names; relays are the entries with the most cores. Test: shares over 400 callers follow the cores within 40 %.

--- a/packages/gateway/src/agreementPart.ts
+++ b/packages/gateway/src/agreementPart.ts
@@ -19,6 +19,7 @@
 import type {GatewayContext} from './context.js';
 import {planRelays, type RelayNode, type RelayPlan} from './relayPlan.js';
 import type {Address} from './settings.js';
+import {DEFAULT_CORES} from './lookup.js';
 
 export interface AgreementPart extends Disposable {
   readonly network: PeerNetwork;
@@ -81,6 +82,7 @@
         innerUrl: urlOf('ws', settings.inner),
         failureDomain: settings.failureDomain,
         region: settings.region,
+        ...settings.processor,
       },
       store,
       network,
@@ -132,8 +134,13 @@
   };
 }
 
-function toNode({id, failureDomain, state}: Member): RelayNode {
-  return {id, failureDomain, isLive: state === 'live'};
+function toNode({id, failureDomain, state, cores}: Member): RelayNode {
+  return {
+    id,
+    failureDomain,
+    isLive: state === 'live',
+    cores: cores ?? DEFAULT_CORES,
+  };
 }
 
 function urlOf(scheme: string, {host, port}: Address): string {
--- a/packages/gateway/src/gatewayPorts.ts
+++ b/packages/gateway/src/gatewayPorts.ts
@@ -49,7 +49,8 @@
     const members = membership
       .live()
       .filter(({id}) => isReady() || id !== settings.id);
-    const addresses = entriesFor(members, question.failureDomain);
+    const caller = request.socket.remoteAddress ?? '';
+    const addresses = entriesFor(members, question.failureDomain, caller);
     if (addresses.length === 0) {
       end(response, NOT_READY);
       return;
--- a/packages/gateway/src/relayPlan.ts
+++ b/packages/gateway/src/relayPlan.ts
@@ -23,6 +23,8 @@
   readonly failureDomain: string;
   /** Takes new work; one that leaves is told and heard, and relays nothing. */
   readonly isLive: boolean;
+  /** Processor cores that it may use. */
+  readonly cores: number;
 }
 
 export interface RelayPlan {
@@ -98,12 +100,22 @@
   return new Map(
     [...domains].map(domain => {
       const members = live.filter(node => node.failureDomain === domain);
-      const order = rendezvousOrder(`${RELAY_KEY}/${domain}`, idsOf(members));
+      const order = byCores(members).flatMap(equal =>
+        rendezvousOrder(`${RELAY_KEY}/${domain}`, idsOf(equal)),
+      );
       return [domain, order.slice(0, RELAYS_PER_DOMAIN)];
     }),
   );
 }
 
+/** Groups of nodes with equal cores, most cores first: a relay works for its whole failure domain. */
+function byCores(nodes: readonly RelayNode[]): RelayNode[][] {
+  const sizes = new Set(nodes.map(({cores}) => cores));
+  return [...sizes]
+    .sort((a, b) => b - a)
+    .map(size => nodes.filter(({cores}) => cores === size));
+}
+
 /** All first relays before all second ones: a second one is not heard outside its failure domain while the first is. */
 function inTurns(relays: readonly (readonly string[])[]): string[] {
   return Array.from({length: RELAYS_PER_DOMAIN}, (_, place) =>
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -1,7 +1,7 @@
 /** Settings of a gateway process: schema, defaults, and how they are read. */
 import {readFileSync} from 'node:fs';
 import {checkShape, parseJson, ServingError} from '@skylarkfield/base';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** An address as `IP:port`; port 0 takes any free one. */
 const address = z
@@ -31,6 +31,16 @@
   inner: address,
   /** Where metrics and the state dump are served. */
   status: address,
+  /** What this process may use of its host's processor; all entries count as equal where it is left out. */
+  processor: z
+    .strictObject({
+      /** Part of a core. */
+      share: z.number().positive().max(1_024),
+      /** Speed of a core against the usual one. */
+      speed: z.number().positive().max(1_024).default(1),
+    })
+    .transform(({share, speed}) => ({cores: share * speed}))
+    .optional(),
   /** `IP:port` of other entries' inner ports; some may be stale. */
   seeds: z.array(z.string()).default([]),
   platform: z.strictObject({
--- /dev/null
+++ b/packages/gateway/src/test/lookup.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {Member} from '@skylarkfield/members';
+import {entriesFor} from '../lookup.js';
+
+function member(
+  id: number,
+  failureDomain: string,
+  cores?: number,
+  load = 0,
+): Member {
+  return {
+    id: `${failureDomain}${id}`,
+    incarnation: 1,
+    state: 'live',
+    callerUrl: `http://10.0.${failureDomain.charCodeAt(0)}.${id}:8080`,
+    innerUrl: 'ws://10.0.0.1:81',
+    failureDomain,
+    region: 'r',
+    load,
+    ...(cores !== undefined && {cores}),
+  };
+}
+
+function domain(name: string, strong: number, weak: number): Member[] {
+  return Array.from({length: strong + weak}, (_, index) =>
+    member(index + 1, name, index < strong ? 1.35 : 0.324),
+  );
+}
+
+const CALLERS = Array.from(
+  {length: 400},
+  (_, index) => `10.9.${index >> 8}.${index & 255}`,
+);
+
+/** Share of the requests that each entry gets when callers choose evenly among their answers. */
+function shares(members: readonly Member[]): Map<string, number> {
+  const share = new Map<string, number>();
+  for (const caller of CALLERS) {
+    const addresses = entriesFor(members, 'a', caller);
+    for (const address of addresses) {
+      const part = 1 / addresses.length / CALLERS.length;
+      share.set(address, (share.get(address) ?? 0) + part);
+    }
+  }
+  return share;
+}
+
+describe('lookup', () => {
+  it('names the entries beside the caller, and farther ones only where there are too few', () => {
+    const members = [member(1, 'a'), member(1, 'b', 1, 5), member(2, 'b', 1)];
+    assert.deepEqual(entriesFor(members, 'a', 'x'), [
+      '10.0.97.1:8080',
+      '10.0.98.2:8080',
+    ]);
+    assert.deepEqual(entriesFor(members, 'c', 'x'), [
+      '10.0.97.1:8080',
+      '10.0.98.2:8080',
+      '10.0.98.1:8080',
+    ]);
+  });
+
+  // Guards against slow hosts that get as many callers as fast ones.
+  it('gives entries requests in proportion to their cores', () => {
+    const members = domain('a', 3, 27);
+    const share = shares(members);
+    const cores = members.reduce((sum, each) => sum + each.cores!, 0);
+    for (const {callerUrl, cores: own} of members) {
+      const wanted = own! / cores;
+      const got = share.get(new URL(callerUrl).host) ?? 0;
+      assert.ok(
+        got > wanted * 0.6 && got < wanted * 1.4,
+        `${callerUrl} gets ${got} of ${wanted}`,
+      );
+    }
+  });
+
+  // Guards against callers that close their connections at every new answer.
+  it('gives a caller the same entries while they live', () => {
+    const members = domain('a', 3, 27);
+    const first = entriesFor(members, 'a', '10.9.0.1');
+    assert.deepEqual(entriesFor(members, 'a', '10.9.0.1'), first);
+    const fewer = members.filter(
+      ({callerUrl}) => new URL(callerUrl).host !== first[0],
+    );
+    const next = entriesFor(fewer, 'a', '10.9.0.1');
+    assert.equal(next.filter(address => first.includes(address)).length, 7);
+  });
+
+  it('treats entries that do not say as equal', () => {
+    const members = Array.from({length: 20}, (_, index) =>
+      member(index + 1, 'a'),
+    );
+    const got = [...shares(members).values()];
+    assert.equal(got.length, 20);
+    assert.ok(Math.max(...got) < 0.08);
+  });
+});
--- a/packages/gateway/src/test/relays.test.ts
+++ b/packages/gateway/src/test/relays.test.ts
@@ -23,6 +23,7 @@
     id: `entry-${index}`,
     failureDomain: DOMAINS[index % DOMAINS.length]!,
     isLive: true,
+    cores: 1,
   }));
 }
 
@@ -257,4 +258,17 @@
     assert.deepEqual([...targets], [['entry-0', 'own']]);
     assert.ok(!coordinators.includes(leaving.id));
   });
+
+  // Guards against a relay on a host that its own callers keep busy.
+  it('relays on the entries with the most cores', () => {
+    const nodes = fleetOf(120).map((node, index) => ({
+      ...node,
+      cores: index < 12 ? 1.35 : 0.324,
+    }));
+    const relays = nodes.filter(
+      node => planRelays(node, nodes).upstream.length === 0,
+    );
+    assert.equal(relays.length, 2 * DOMAINS.length);
+    assert.ok(relays.every(({cores}) => cores === 1.35));
+  });
 });
--- a/packages/members/src/contracts.ts
+++ b/packages/members/src/contracts.ts
@@ -16,6 +16,8 @@
   readonly region: string;
   /** Requests in flight there when last heard of. */
   readonly load: number;
+  /** Processor cores that it may use; undefined where its settings do not say. */
+  readonly cores?: number;
 }
 
 /** The entries as this one sees them, and its own leaving. */
--- a/packages/members/src/memberView.ts
+++ b/packages/members/src/memberView.ts
@@ -13,7 +13,8 @@
   state: MemberState,
   load: number,
 ): Member {
-  const {id, incarnation, callerUrl, innerUrl, failureDomain, region} = news;
+  const {id, incarnation, callerUrl, innerUrl, failureDomain, region, cores} =
+    news;
   return {
     id,
     incarnation,
@@ -23,5 +24,6 @@
     failureDomain,
     region,
     load,
+    ...(cores !== undefined && {cores}),
   };
 }
--- a/packages/members/src/newsShape.ts
+++ b/packages/members/src/newsShape.ts
@@ -26,12 +26,17 @@
   const isValid =
     TEXT_FIELDS.every(field => isText(given[field])) &&
     NUMBER_FIELDS.every(field => Number.isFinite(given[field])) &&
-    STATES.includes(given.state);
+    STATES.includes(given.state) &&
+    (given.cores === undefined || isPositive(given.cores));
   if (!isValid) {
     throw new ServingError('protocol-violation', 'malformed news of a member');
   }
 }
 
+function isPositive(value: unknown): boolean {
+  return typeof value === 'number' && Number.isFinite(value) && value > 0;
+}
+
 function isText(value: unknown): boolean {
   return typeof value === 'string' && value.length <= TEXT_LIMIT;
 }
--- a/packages/members/src/ownEntry.ts
+++ b/packages/members/src/ownEntry.ts
@@ -13,6 +13,8 @@
   readonly innerUrl: string;
   readonly failureDomain: string;
   readonly region: string;
+  /** Processor cores that this process may use; undefined when nobody says. */
+  readonly cores?: number;
 }
 
 /** This entry as it is announced to the others. */
--- a/packages/protocol/src/messages/memberMessages.ts
+++ b/packages/protocol/src/messages/memberMessages.ts
@@ -13,6 +13,8 @@
   readonly region: string;
   /** Requests in flight when the news was made, to spread callers. */
   readonly load: number;
+  /** Processor cores that it may use; absent where its settings do not say. */
+  readonly cores?: number;
 }
 
 /** That a known member leaves or is gone; without the addresses that all have. */
