gateway, duties: read what may be old where that is enough

The store gives readings that may be seconds old for a tenth of the price and outside its rate. Ruled out: waiting for peers instead of listing (nobody is there after a kill of all). Change: ObjectStore takes a freshness; candidates look cheaply and read the newest state before they take a duty; first listings of endpoints, rollouts and members may be old, changes after them are read as before, and they do not confirm a copy; the policy is confirmed each second, not each 0.6 s. Tests: a candidate with old readings takes no living holder's lease; an old listing confirms nothing.

--- a/packages/duties/src/contest.ts
+++ b/packages/duties/src/contest.ts
@@ -12,7 +12,11 @@
   type Logger,
   type Random,
 } from '@skylarkfield/base';
-import type {ObjectStore, StoredObject} from '@skylarkfield/providers';
+import type {
+  Freshness,
+  ObjectStore,
+  StoredObject,
+} from '@skylarkfield/providers';
 import type {DutyName, Tenure} from './contracts.js';
 import {
   LEASE_KIND,
@@ -140,13 +144,18 @@
       return;
     }
     service.send('compete');
-    object = await store.get(LEASE_KIND, duty);
-    observer.note(object);
-    if (!isEnded && observer.isFree()) {
+    // A look that finds the lease held, as nearly all do, may be a cheap one.
+    if ((await isFreeBy('recent')) && (await isFreeBy('latest'))) {
       await acquire();
     }
   }
 
+  async function isFreeBy(freshness: Freshness): Promise<boolean> {
+    object = await store.get(LEASE_KIND, duty, undefined, freshness);
+    observer.note(object);
+    return !isEnded && observer.isFree();
+  }
+
   async function acquire(): Promise<void> {
     service.send('acquire');
     const former = readLease(object);
--- a/packages/duties/src/leaseObserver.ts
+++ b/packages/duties/src/leaseObserver.ts
@@ -34,6 +34,10 @@
 
   return {
     note(object) {
+      // A reading that may be old says nothing once a newer one has come.
+      if ((object?.version ?? Infinity) < (seen?.version ?? 0)) {
+        return;
+      }
       if (!hasLooked || object?.version !== seen?.version) {
         seenAt = clock.now();
       }
--- a/packages/duties/src/test/duties.test.ts
+++ b/packages/duties/src/test/duties.test.ts
@@ -6,7 +6,12 @@
   toDisposable,
   virtualClock,
 } from '@skylarkfield/base';
-import {memoryPlatform} from '@skylarkfield/providers';
+import {
+  memoryPlatform,
+  type Freshness,
+  type MemoryClient,
+  type StoredObject,
+} from '@skylarkfield/providers';
 import type {Tenure} from '../contracts.js';
 import {createDuties} from '../duties.js';
 import {defaultLeaseTiming} from '../lease.js';
@@ -17,9 +22,13 @@
   const common = virtualClock();
   const platform = memoryPlatform({clock: common});
   platform.faults.setSlow(2);
-  function start(id: string, mayHold = () => true) {
+  function start(
+    id: string,
+    mayHold = () => true,
+    through = (client: MemoryClient) => client,
+  ) {
     const clock = pausableClock(common);
-    const store = platform.client(id, {clock});
+    const store = through(platform.client(id, {clock}));
     const tenures: Tenure[] = [];
     let running = 0;
     const duties = createDuties({
@@ -40,6 +49,30 @@
   return {common, platform, start};
 }
 
+/** A store whose cheap readings all show what the first of them did. */
+function withOldReadings(client: MemoryClient): MemoryClient {
+  const first = new Map<string, StoredObject | undefined>();
+  return {
+    ...client,
+    async get<T>(
+      kind: string,
+      name: string,
+      signal?: AbortSignal,
+      freshness?: Freshness,
+    ) {
+      const reading = await client.get<T>(kind, name, signal);
+      const key = `${kind}/${name}`;
+      if (freshness !== 'recent') {
+        return reading;
+      }
+      if (!first.has(key)) {
+        first.set(key, reading);
+      }
+      return first.get(key) as StoredObject<T> | undefined;
+    },
+  };
+}
+
 describe('duties', () => {
   it('gives the duty to one process and keeps it there', async () => {
     const {common, start} = createPair();
@@ -49,6 +82,20 @@
     assert.equal(a.running() + b.running(), 1);
   });
 
+  // Guards against a candidate that takes a renewed lease for one that ran out.
+  it('is not taken from a living holder by a candidate that reads old states', async () => {
+    const {common, start} = createPair();
+    const a = start('a');
+    await common.advance(3_000);
+    const b = start('b', () => true, withOldReadings);
+    await common.advance(60_000);
+    assert.equal(a.running(), 1);
+    assert.equal(b.tenures.length, 0);
+    a.clock.kill();
+    await common.advance(30_000);
+    assert.equal(b.tenures.length, 1);
+  });
+
   // A process took the duty when it knew of few others. Later it is one of those
   // that hear sums only, and what it reports for all would be its own part. Were
   // it to take the duty back at once, platforms without a check of fencing
--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -3,7 +3,7 @@
  * implements these; nothing here knows the platform's names or formats.
  */
 import type {IncomingHttpHeaders} from 'node:http';
-import type {ObjectTransport} from '@skylarkfield/providers';
+import type {Freshness, ObjectTransport} from '@skylarkfield/providers';
 import type {
   CustomerCounts,
   ModelDemand,
@@ -142,7 +142,7 @@
  * Errors: `platform-unavailable`, `overloaded`, `cancelled`.
  */
 export interface Source<T> {
-  list(signal: AbortSignal): Promise<SourceListing<T>>;
+  list(signal: AbortSignal, freshness: Freshness): Promise<SourceListing<T>>;
   /**
    * Changes after a revision; waits up to so many milliseconds for the first.
    * Undefined when the store no longer keeps them.
--- a/packages/gateway/src/engineMemory.ts
+++ b/packages/gateway/src/engineMemory.ts
@@ -87,7 +87,7 @@
   async function read(): Promise<void> {
     readings += 1;
     try {
-      const kept = await store.get<unknown>(KIND, NAME);
+      const kept = await store.get<unknown>(KIND, NAME, undefined, 'recent');
       if (kept === undefined) {
         return;
       }
--- a/packages/gateway/src/mirror.ts
+++ b/packages/gateway/src/mirror.ts
@@ -30,8 +30,9 @@
   ageMs(): number;
   /** Fires after the content has changed. */
   readonly onDidChange: Event<void>;
-  /** Takes what this entry read itself; returns the step for the others, if anything changed. */
-  takeListing(listing: SourceListing<T>, asked: Moment): void;
+  /** Takes a listing that this entry read itself; `asked` is undefined for one that may be old. */
+  takeListing(listing: SourceListing<T>, asked: Moment | undefined): void;
+  /** Takes changes that this entry read itself; returns the step for the others, if anything changed. */
   takeChanges(changes: SourceChanges<T>, asked: Moment): MirrorStep | undefined;
   /** Takes a step from a peer; false when it does not fit and the whole copy is needed. */
   takeStep(step: MirrorStep): boolean;
@@ -134,7 +135,9 @@
     onDidChange: changed.event,
     takeListing(listing, asked) {
       replace(listing.revision, listing.revision, listing.items);
-      confirmation.confirm(asked);
+      if (asked !== undefined) {
+        confirmation.confirm(asked);
+      }
     },
     takeChanges(read, asked) {
       const from = revision ?? 0;
--- a/packages/gateway/src/mirrorReader.ts
+++ b/packages/gateway/src/mirrorReader.ts
@@ -13,6 +13,7 @@
   type Logger,
   type Random,
 } from '@skylarkfield/base';
+import type {Freshness} from '@skylarkfield/providers';
 import {momentOf} from '@skylarkfield/traffic';
 import type {Source} from './contracts.js';
 import type {Mirror, MirrorStep} from './mirror.js';
@@ -23,6 +24,8 @@
   readonly waitMs: number;
   /** Time beyond the wait after which a call counts as lost. */
   readonly graceMs: number;
+  /** How new the first listing must be; changes since then are read next, or come from peers. */
+  readonly firstListing: Freshness;
 }
 
 export interface MirrorReader extends Disposable {
@@ -83,10 +86,12 @@
 
   async function readList(): Promise<void> {
     const asked = momentOf(clock);
+    // After a lost history an old listing could lead back to before the loss.
+    const freshness = isCompacted ? 'latest' : timing.firstListing;
     const listing = await bounded(timing.graceMs, signal =>
-      source.list(signal),
+      source.list(signal, freshness),
     );
-    mirror.takeListing(listing, asked);
+    mirror.takeListing(listing, freshness === 'latest' ? asked : undefined);
     isCompacted = false;
   }
 
--- a/packages/gateway/src/platformView.ts
+++ b/packages/gateway/src/platformView.ts
@@ -48,15 +48,14 @@
 
 /**
  * The policy is read most often: the age of its copy decides whether a key
- * still counts. 600 ms makes 1.7 calls a second for the whole fleet and keeps
- * copies within 2 s of the store, of the 5 s that a revoked key may still work.
- * Changes of the other kinds come as soon as they happen; their wait only
- * bounds how long a connection that died silently goes unnoticed.
+ * still counts, and its first listing counts for that too. Changes of the other
+ * kinds come as soon as they happen; their wait only bounds how long a
+ * connection that died silently goes unnoticed.
  */
 const READ_TIMINGS: Readonly<Record<MirrorKind, ReadTiming>> = {
-  policy: {waitMs: 600, graceMs: 700},
-  endpoints: {waitMs: 1_500, graceMs: 700},
-  rollouts: {waitMs: 6_000, graceMs: 1_500},
+  policy: {waitMs: 1_000, graceMs: 700, firstListing: 'latest'},
+  endpoints: {waitMs: 1_500, graceMs: 700, firstListing: 'recent'},
+  rollouts: {waitMs: 6_000, graceMs: 1_500, firstListing: 'recent'},
 };
 
 /** Time for a peer to send its whole copy. */
--- a/packages/gateway/src/test/mirror.test.ts
+++ b/packages/gateway/src/test/mirror.test.ts
@@ -51,6 +51,18 @@
     assert.equal(mirror.revision(), 5);
   });
 
+  // Guards against a revoked key that counts because an old listing does.
+  it('does not take a listing that may be old for the newest', () => {
+    const {clock, make} = setUp();
+    const mirror = make();
+    mirror.takeListing({revision: 5, items: [item('a', 2)]}, undefined);
+    assert.ok(mirror.isKnown());
+    assert.equal(mirror.get('a'), 'a');
+    assert.equal(mirror.ageMs(), Infinity);
+    mirror.takeChanges({revision: 6, changes: []}, momentOf(clock));
+    assert.equal(mirror.ageMs(), 0);
+  });
+
   it('never goes back to an older object or an older copy', () => {
     const {clock, make} = setUp();
     const mirror = make();
--- a/packages/members/src/memberObjects.ts
+++ b/packages/members/src/memberObjects.ts
@@ -100,10 +100,17 @@
     await store.put(KIND, id, ownValue(), {type: 'any'}, stop.signal);
   }
 
-  /** First written, then listed: of two that start at once, one sees the other. */
+  /**
+   * First written, then listed: of two that start at once, one sees the other,
+   * or hears of it from the members that it contacts and the seeds.
+   */
   async function tryJoin(): Promise<void> {
     await writeOwn();
-    const {objects} = await store.list<MemberObject>(KIND, stop.signal);
+    const {objects} = await store.list<MemberObject>(
+      KIND,
+      stop.signal,
+      'recent',
+    );
     isJoined = true;
     const {id} = options.ownNews();
     void contactSome(objects.filter(object => object.name !== id));
--- a/packages/providers/src/contracts.ts
+++ b/packages/providers/src/contracts.ts
@@ -37,6 +37,12 @@
 /** `up`: calls succeed. `down`: calls fail at once but for a probe now and then. */
 export type PlatformState = 'up' | 'doubtful' | 'down';
 
+/**
+ * How new a reading is. `latest`: as of a moment after the call began. `recent`:
+ * may be seconds old, and costs the platform a fraction.
+ */
+export type Freshness = 'latest' | 'recent';
+
 /**
  * The object API. Every call has a deadline and counts against the process's budget.
  *
@@ -49,8 +55,13 @@
     kind: string,
     name: string,
     signal?: AbortSignal,
+    freshness?: Freshness,
   ): Promise<StoredObject<T> | undefined>;
-  list<T>(kind: string, signal?: AbortSignal): Promise<ObjectListing<T>>;
+  list<T>(
+    kind: string,
+    signal?: AbortSignal,
+    freshness?: Freshness,
+  ): Promise<ObjectListing<T>>;
   /** Writes; after a lost reply it reads back and tells by the write id what happened. */
   put<T>(
     kind: string,
--- a/packages/providers/src/objectStore.ts
+++ b/packages/providers/src/objectStore.ts
@@ -5,7 +5,12 @@
   type Clock,
   type Random,
 } from '@skylarkfield/base';
-import type {ObjectStore, StoredObject, WriteCondition} from './contracts.js';
+import type {
+  Freshness,
+  ObjectStore,
+  StoredObject,
+  WriteCondition,
+} from './contracts.js';
 import type {ObjectWrite} from './objectTable.js';
 import type {ObjectTransport} from './objectTransport.js';
 import {createStoreCalls, type CallUse} from './storeCalls.js';
@@ -116,16 +121,25 @@
   }
 
   return {
-    async get<T>(kind: string, name: string, signal?: AbortSignal) {
+    async get<T>(
+      kind: string,
+      name: string,
+      signal?: AbortSignal,
+      freshness: Freshness = 'latest',
+    ) {
       const reading = await call('get', Infinity, signal, inner =>
-        transport.get(kind, name, inner),
+        transport.get(kind, name, inner, freshness),
       ).catch(rethrowRefusal);
       saw(reading.version);
       return reading.object as StoredObject<T> | undefined;
     },
-    async list<T>(kind: string, signal?: AbortSignal) {
+    async list<T>(
+      kind: string,
+      signal?: AbortSignal,
+      freshness: Freshness = 'latest',
+    ) {
       const listing = await call('list', Infinity, signal, inner =>
-        transport.list(kind, inner),
+        transport.list(kind, inner, freshness),
       ).catch(rethrowRefusal);
       saw(listing.version);
       return listing as {version: number; objects: StoredObject<T>[]};
--- a/packages/providers/src/objectTransport.ts
+++ b/packages/providers/src/objectTransport.ts
@@ -1,6 +1,6 @@
 /** What the object client needs of the wire; HTTP and the in-process fake both give it. */
 import type {Disposable} from '@skylarkfield/base';
-import type {ObjectListing, StoredObject} from './contracts.js';
+import type {Freshness, ObjectListing, StoredObject} from './contracts.js';
 import type {ObjectChange, ObjectWrite} from './objectTable.js';
 
 /** An object as read, with the store's version at the time. */
@@ -29,8 +29,17 @@
  * had no effect; `outcome-unknown` when a write may have had one.
  */
 export interface ObjectTransport extends Disposable {
-  get(kind: string, name: string, signal: AbortSignal): Promise<ObjectReading>;
-  list(kind: string, signal: AbortSignal): Promise<ObjectListing>;
+  get(
+    kind: string,
+    name: string,
+    signal: AbortSignal,
+    freshness?: Freshness,
+  ): Promise<ObjectReading>;
+  list(
+    kind: string,
+    signal: AbortSignal,
+    freshness?: Freshness,
+  ): Promise<ObjectListing>;
   /** Resolves with the version that the write made. */
   put(
     write: ObjectWrite,
