gateway, members: cheaper digests and heartbeats in large fleets

Cause (profile of 59 entries): half of an idle entry's time is messages. An entry told both relays of its failure domain everything, though the second only stands by; each digest that came counted all members; each heartbeat, sent or received, hashed 32 buckets anew. Change: the standby relay is told every third time while the first one is heard, and each time once it is not; members are counted once a tick; the digest of members is kept until they change. Tests: digests.test.ts (rates, and what a silent first relay changes).

--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -31,6 +31,9 @@
 /** Silence after which a peer no longer counts as heard, in milliseconds: four digests. */
 export const SILENCE_MS = 1_200;
 
+/** Every so many digests also go to the relay that only stands by: often enough that its knowledge counts as fresh when it takes over. */
+const STANDBY_EVERY = 3;
+
 interface Heard {
   readonly at: number;
   readonly stamp: number;
@@ -66,13 +69,21 @@
   const heard = new Map<string, Heard>();
   /** Wall minus monotonic time when a stamp was sent, to find its wall time again. */
   const wallAtStamp = new Map<number, number>();
+  let ticks = 0;
+
+  /** Whether a target only stands by while the relay before it is heard. */
+  function isStandby(peer: string, upstream: readonly string[]): boolean {
+    const place = upstream.indexOf(peer);
+    return place > 0 && upstream.slice(0, place).some(isHeard);
+  }
 
   function send(): void {
+    ticks += 1;
     const stamp = clock.now();
     const wallMs = clock.wall();
     wallAtStamp.set(stamp, wallMs);
     forgetOldStamps(stamp);
-    const {targets, precedence} = options.plan();
+    const {targets, precedence, upstream} = options.plan();
     const content = options.content();
     const shared = new Map<DigestScope, DigestContent>();
 
@@ -91,6 +102,9 @@
       if (isSpare && scope !== 'own') {
         continue;
       }
+      if (ticks % STANDBY_EVERY !== 0 && isStandby(peer, upstream)) {
+        continue;
+      }
       const echo = heard.get(peer)?.stamp;
       network.send(peer, 'digest', {
         ...contentFor(scope, peer),
--- /dev/null
+++ b/packages/gateway/src/test/digests.test.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {toDisposable, virtualClock} from '@skylarkfield/base';
+import type {Messages, PeerNetwork} from '@skylarkfield/protocol';
+import {startDigests, type DigestContent} from '../digests.js';
+import type {RelayPlan} from '../relayPlan.js';
+
+type Digest = Messages['digest'];
+
+const standing = {
+  revision: 1,
+  changedAt: 1,
+  confirmedAgoMs: 0,
+  isReader: false,
+};
+
+const CONTENT: DigestContent = {
+  mirrors: {policy: standing, endpoints: standing, rollouts: standing},
+  usage: {},
+  used: {},
+  loads: {},
+  work: {},
+  outcomes: {},
+  entries: 1,
+};
+
+/** One entry behind two relays, and what it sends to each. */
+function setUp() {
+  const clock = virtualClock();
+  const sent: Record<string, number> = {first: 0, second: 0};
+  let receive: (peer: string, digest: Digest) => void = () => {};
+  const network = {
+    send(to: string) {
+      sent[to] = (sent[to] ?? 0) + 1;
+      return true;
+    },
+    onDidReceive(_: string, handler: typeof receive) {
+      receive = handler;
+      return toDisposable(() => {});
+    },
+  } as unknown as PeerNetwork;
+  const plan: RelayPlan = {
+    targets: new Map([
+      ['first', 'own'],
+      ['second', 'own'],
+    ]),
+    precedence: undefined,
+    coordinators: [],
+    upstream: ['first', 'second'],
+  };
+  startDigests({
+    network,
+    clock,
+    self: {failureDomain: 'a', incarnation: 1},
+    plan: () => plan,
+    content: () => () => CONTENT,
+    onDidHear: () => {},
+  });
+  return {
+    sent,
+    async run(ticks: number, isFirstHeard: boolean) {
+      sent['first'] = 0;
+      sent['second'] = 0;
+      for (let tick = 0; tick < ticks; tick++) {
+        if (isFirstHeard) {
+          receive('first', {...CONTENT, stamp: tick, wallMs: clock.wall()});
+        }
+        await clock.advance(300);
+      }
+    },
+  };
+}
+
+describe('digests', () => {
+  it('go to a relay that stands by at a third of the rate', async () => {
+    const {sent, run} = setUp();
+    await run(12, true);
+    assert.deepEqual(sent, {first: 12, second: 4});
+  });
+
+  // Guards against a relay that takes over and knows its entries only as they were.
+  it('go to the second relay each time once the first is silent', async () => {
+    const {sent, run} = setUp();
+    await run(6, true);
+    await run(4, false);
+    await run(6, false);
+    assert.deepEqual(sent, {first: 6, second: 6});
+  });
+});
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -158,6 +158,7 @@
       },
       plan: agreement.plan,
       content() {
+        noteHeard();
         const mirrors = view.standings();
         const own = {
           entries: 1,
@@ -180,7 +181,6 @@
         if (taken !== undefined) {
           quotas.noteUsed(taken.part, taken.used);
           router.reportEntry(taken.part, digest.loads);
-          noteHeard();
         }
       },
     }),
--- a/packages/members/src/memberTable.ts
+++ b/packages/members/src/memberTable.ts
@@ -74,6 +74,8 @@
   const members = new Map<string, KnownMember>();
   const buckets = new Array<number>(BUCKETS).fill(0);
   let revision = 0;
+  /** The last digest that was asked for, valid while neither the buckets nor the own news change. */
+  let digest: {readonly own: MemberNews; readonly hash: number} | undefined;
 
   /** Adds a member's hash to its bucket, or takes it out: XOR does both. */
   function toggleHash(known: KnownMember) {
@@ -81,6 +83,7 @@
       return;
     }
     buckets[known.bucket] = (buckets[known.bucket]! ^ hashOf(known.news)) >>> 0;
+    digest = undefined;
   }
 
   function send(known: KnownMember, event: MemberEvent): boolean {
@@ -170,8 +173,16 @@
       revision += 1;
     },
     bucketsWith,
-    digestWith: own =>
-      bucketsWith(own).reduce((sum, hash) => hash32(`${sum} ${hash}`), 0),
+    digestWith(own) {
+      if (digest?.own !== own) {
+        const hash = bucketsWith(own).reduce(
+          (sum, bucket) => hash32(`${sum} ${bucket}`),
+          0,
+        );
+        digest = {own, hash};
+      }
+      return digest.hash;
+    },
     differing(theirs, own) {
       const ours = bucketsWith(own);
       const isDifferent = (bucket: number) => theirs[bucket] !== ours[bucket];
