gateway: one call of each kind at a start, no loop over a lost history

Cause: an entry that has just started knows nobody, takes every turn for its own and opens three watches beside its listings; a store that answers every watch as compacted would have been asked without a pause. Change: a pause of about a second after the first listing, in which entries hear who reads; a pause after a listing that follows a lost history. Tests: mirrorReader.test.ts.

--- a/packages/gateway/src/mirrorReader.ts
+++ b/packages/gateway/src/mirrorReader.ts
@@ -38,6 +38,12 @@
 const FIRST_RETRY_MS = 100;
 const LONGEST_RETRY_MS = 500;
 
+/**
+ * Pause after the first listing, in milliseconds: a process that has just
+ * started knows nobody yet and would take every turn for its own.
+ */
+const SETTLE_MS = 1_000;
+
 /** How often an entry looks whether it is its turn. */
 const TURN_CHECK_MS = 150;
 
@@ -132,7 +138,14 @@
 
   async function loop(): Promise<void> {
     while (!stop.signal.aborted) {
-      const pauseMs = options.isTurn() ? await readOnce() : TURN_CHECK_MS;
+      const wasKnown = mirror.isKnown();
+      const wasCompacted = isCompacted;
+      let pauseMs = options.isTurn() ? await readOnce() : TURN_CHECK_MS;
+      if (!wasKnown && mirror.isKnown()) {
+        pauseMs = SETTLE_MS * (0.75 + random.next() / 2);
+      } else if (wasCompacted) {
+        pauseMs = Math.max(pauseMs, FIRST_RETRY_MS);
+      }
       if (pauseMs > 0) {
         await new Promise<void>(resolve => clock.after(pauseMs, resolve));
       }
--- /dev/null
+++ b/packages/gateway/src/test/mirrorReader.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {seededRandom, silentLogger, virtualClock} from '@skylarkfield/base';
+import type {Source} from '../contracts.js';
+import {createMirror} from '../mirror.js';
+import {startMirrorReader} from '../mirrorReader.js';
+
+const TIMING = {
+  waitMs: 1_000,
+  graceMs: 700,
+  firstListing: 'recent',
+} as const;
+
+function setUp() {
+  const clock = virtualClock();
+  const log = silentLogger();
+  const mirror = createMirror<string>({kind: 'endpoints', clock, log});
+  const calls: string[] = [];
+  let isTurn = true;
+  let isCompacted = false;
+  const source: Source<string> = {
+    list(_, freshness) {
+      calls.push(`list ${freshness}`);
+      return Promise.resolve({revision: 5, items: []});
+    },
+    async changes(after, waitMs) {
+      calls.push('changes');
+      if (isCompacted) {
+        return undefined;
+      }
+      await new Promise<void>(resolve => clock.after(waitMs, resolve));
+      return {revision: after, changes: []};
+    },
+  };
+  const reader = startMirrorReader({
+    mirror,
+    source,
+    clock,
+    random: seededRandom(1),
+    log,
+    timing: TIMING,
+    isTurn: () => isTurn,
+    onDidStep: () => {},
+  });
+  return {
+    clock,
+    mirror,
+    calls,
+    reader,
+    setTurn: (next: boolean) => (isTurn = next),
+    compact: () => (isCompacted = true),
+  };
+}
+
+describe('mirror reader', () => {
+  // Guards against a wave of calls when all entries start at once.
+  it('makes one call at its start, and none more where others read', async () => {
+    const {clock, calls, setTurn} = setUp();
+    await clock.advance(500);
+    setTurn(false);
+    await clock.advance(10_000);
+    assert.deepEqual(calls, ['list recent']);
+  });
+
+  it('reads changes once it has settled, and confirms the copy by them alone', async () => {
+    const {clock, calls, mirror} = setUp();
+    await clock.advance(700);
+    assert.equal(mirror.ageMs(), Infinity);
+    await clock.advance(3_000);
+    assert.deepEqual(calls.slice(0, 2), ['list recent', 'changes']);
+    assert.ok(mirror.ageMs() <= TIMING.waitMs * 2);
+  });
+
+  // Guards against a listing from before the lost history, read again and again.
+  it('lists the newest state after the history is lost', async () => {
+    const {clock, calls, compact} = setUp();
+    await clock.advance(1_300);
+    compact();
+    await clock.advance(3_000);
+    const lost = calls.indexOf('list latest');
+    assert.ok(lost > 0);
+    assert.equal(calls[lost - 1], 'changes');
+  });
+});
