traffic: grant a quota's whole allowance in every window

Ruled out, by trials on a virtual clock: a sliding window alone (entries see room at the same time and swing: 184,000 of 9,000 in a window with 195 entries that hear each other 0.9 s late), shares of what is left (gives up what they leave, or swings). Change: the bucket fills by rate and the burst's part of a window, pays back what entries granted unheard, and is capped by what the window holds; a lowered quota scales what was counted. The window's length is a setting.

--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -59,6 +59,8 @@
   lookupSeconds: seconds,
   /** How long a revoked key may still be served. */
   keyRevocationMs: milliseconds,
+  /** Window over which a customer's quota counts. */
+  quotaWindowSeconds: seconds.default(8),
   /** Length of a window of the usage reports. */
   usageWindowSeconds: seconds,
   /** How long after its end a window may be reported. */
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -136,7 +136,10 @@
   view.endpoints.onDidChange(refreshEndpoints);
   view.rollouts.onDidChange(refreshEndpoints);
 
-  const quotas = createQuotas(clock);
+  const quotas = createQuotas(
+    clock,
+    settings.quotaWindowSeconds * MS_PER_SECOND,
+  );
   const usage = createUsageWindows({
     windowMs: settings.usageWindowSeconds * MS_PER_SECOND,
     self: `${settings.id}.${context.incarnation}`,
--- /dev/null
+++ b/packages/traffic/src/quotaWindow.ts
@@ -0,0 +1,109 @@
+/** What one customer used in the last seconds, at this entry and at the others. */
+
+/** Parts of a window; what falls out of it falls out by one part at a time. */
+const SLOTS = 32;
+
+export interface QuotaWindow {
+  /** Counts use; a negative amount takes back what was counted before. */
+  add(now: number, source: UsageSource, amount: number): void;
+  /** Use within the window, with the others' use weighted. */
+  used(now: number, weightOfOthers: number): number;
+  /** Milliseconds until use falls below a limit if nothing is added; at most the window. */
+  msUntilBelow(now: number, weightOfOthers: number, limit: number): number;
+  /** Scales all that was counted. */
+  scale(factor: number): void;
+}
+
+/** `before`: what may have been used before this process knew anything. */
+export type UsageSource = 'own' | 'others' | 'before';
+
+const SOURCES = ['own', 'others', 'before'] as const;
+
+/**
+ * Makes a window that ends at `now`, a monotonic millisecond, with so much use
+ * spread evenly over it.
+ *
+ * @example
+ * const window = createQuotaWindow({windowMs: 8_000, now: clock.now(), initial: 700});
+ * window.add(clock.now(), 'own', 1_540);
+ */
+export function createQuotaWindow(options: {
+  readonly windowMs: number;
+  readonly now: number;
+  readonly initial: number;
+}): QuotaWindow {
+  const slotMs = options.windowMs / SLOTS;
+  // One slot more than the window: the newest one is still being filled.
+  const length = SLOTS + 1;
+  const slots: Record<UsageSource, number[]> = {
+    own: new Array<number>(length).fill(0),
+    others: new Array<number>(length).fill(0),
+    before: new Array<number>(length).fill(options.initial / length),
+  };
+  const totals: Record<UsageSource, number> = {
+    own: 0,
+    others: 0,
+    before: options.initial,
+  };
+  let newest = Math.floor(options.now / slotMs);
+
+  function advance(now: number): void {
+    const target = Math.floor(now / slotMs);
+    newest = Math.max(newest, target - length);
+    while (newest < target) {
+      newest += 1;
+      SOURCES.forEach(source => drop(source, newest % length));
+    }
+  }
+
+  function drop(source: UsageSource, place: number): void {
+    totals[source] -= slots[source][place]!;
+    slots[source][place] = 0;
+  }
+
+  function weighted(
+    {own, others, before}: Readonly<Record<UsageSource, number>>,
+    weight: number,
+  ): number {
+    return own + others * weight + before;
+  }
+
+  function slotAt(place: number): Record<UsageSource, number> {
+    return {
+      own: slots.own[place]!,
+      others: slots.others[place]!,
+      before: slots.before[place]!,
+    };
+  }
+
+  return {
+    add(now, source, amount) {
+      advance(now);
+      const place = newest % length;
+      slots[source][place] = slots[source][place]! + amount;
+      totals[source] += amount;
+    },
+    used(now, weight) {
+      advance(now);
+      return weighted(totals, weight);
+    },
+    msUntilBelow(now, weight, limit) {
+      advance(now);
+      let rest = weighted(totals, weight);
+      for (let step = 1; step <= length; step++) {
+        if (rest < limit) {
+          return step === 1 ? 0 : (newest + step - 1) * slotMs - now;
+        }
+        const place = (newest + step) % length;
+        rest -= weighted(slotAt(place), weight);
+      }
+      return options.windowMs;
+    },
+    scale(factor) {
+      for (const source of SOURCES) {
+        slots[source] = slots[source].map(amount => amount * factor);
+        totals[source] *= factor;
+      }
+    },
+  };
+}
--- a/packages/traffic/src/quotas.ts
+++ b/packages/traffic/src/quotas.ts
@@ -1,15 +1,16 @@
 /**
  * Customers' quotas over all entries, without asking anybody on a request's way.
  *
- * Each entry tells the others, several times a second, how much it has let
- * through in all. Every entry keeps one bucket a customer for the whole system
- * and takes from it what it hears the others have used. An entry that does not
+ * A quota allows, in any window, the rate times the window and the burst. Each
+ * entry tells the others, several times a second, how much it has let through
+ * in all, and keeps one window a customer for the whole system, with what it
+ * used itself and what it hears the others have used. An entry that does not
  * hear from others may use only its own part: else two halves of a cut system
- * would each grant the whole quota, which operators would see as a customer at
- * twice its limit.
+ * would each grant the whole quota.
  */
 import type {Clock} from '@skylarkfield/base';
 import type {KeyedCustomer, Quota} from './contracts.js';
+import {createQuotaWindow, type QuotaWindow} from './quotaWindow.js';
 
 /** Amounts used so far, by customer; only ever grows within one process. */
 export type UsedAmounts = Readonly<Record<string, number>>;
@@ -33,53 +34,95 @@
   dump(): unknown;
 }
 
-interface Bucket {
+interface Account {
+  /** Below 0 while entries have granted more than they knew of: the next seconds make up for it. */
   level: number;
   filledAt: number;
+  readonly window: QuotaWindow;
+  /** What the quota allowed in a window when it was last looked at. */
+  allowance: number;
   /** Until when the quota is spoken for by requests that were told to come back. */
   promisedUntil: number;
 }
 
 const SECOND_MS = 1_000;
 
+/** Window over which a quota counts where nothing else is set, in milliseconds. */
+const DEFAULT_WINDOW_MS = 8_000;
+
 /**
- * A bucket starts with this part of the burst: a system that was just restarted
- * does not know what the customer used right before.
+ * A process that has just started grants this part of the burst at once, as if
+ * all the rest were used: it does not know what the customer used right before.
  */
 const INITIAL_PART = 0.7;
 
-/** Nobody is told to come back later than this, in milliseconds: by then a customer's load may be another. */
-const LONGEST_WAIT_MS = 8_000;
+/** Upper bound of the time after which a refused request comes back, in milliseconds. */
+const MAX_WAIT_MS = 8_000;
 
 /**
  * Makes the quotas of one entry.
  *
  * @example
- * const quotas = createQuotas(clock);
+ * const quotas = createQuotas(clock, 8_000);
  * if (!quotas.tryTake(customer, 1_540)) { refuse(quotas.waitMs(customer, 1_540)); }
  */
-export function createQuotas(clock: Clock): Quotas {
-  const buckets = new Map<string, Bucket>();
+export function createQuotas(
+  clock: Clock,
+  windowMs = DEFAULT_WINDOW_MS,
+): Quotas {
+  const accounts = new Map<string, Account>();
   const own: Record<string, number> = {};
   const heardOf = new Map<string, UsedAmounts>();
+  /** Part of the quota that this entry may grant with what it hears. */
   let part = 1;
+  let heard = 1;
+
+  function allowanceOf({perSecond, burst}: Quota): number {
+    return (perSecond * windowMs) / SECOND_MS + burst;
+  }
 
-  function bucketOf(name: string, quota: Quota): Bucket {
+  /** Rate at which a quota that is used all the time gives its whole allowance in each window. */
+  function perMs({perSecond, burst}: Quota): number {
+    return (perSecond / SECOND_MS + burst / windowMs) * part;
+  }
+
+  function openAccount(quota: Quota): Account {
     const now = clock.now();
-    const bucket = buckets.get(name) ?? {
-      level: quota.burst * INITIAL_PART,
+    const allowance = allowanceOf(quota);
+    const granted = quota.burst * INITIAL_PART;
+    const initial = (allowance - granted) * part;
+    return {
+      level: granted,
       filledAt: now,
+      window: createQuotaWindow({windowMs, now, initial}),
+      allowance,
       promisedUntil: 0,
     };
-    buckets.set(name, bucket);
-    const grown =
-      ((now - bucket.filledAt) * quota.perSecond * part) / SECOND_MS;
-    bucket.level = Math.min(quota.burst, bucket.level + grown);
-    bucket.filledAt = now;
-    return bucket;
   }
 
-  function count(name: string, amount: number): void {
+  function accountOf(name: string, quota: Quota): Account {
+    const account = accounts.get(name) ?? openAccount(quota);
+    accounts.set(name, account);
+    const now = clock.now();
+    const grown = (now - account.filledAt) * perMs(quota);
+    account.level = Math.min(quota.burst, account.level + grown);
+    account.filledAt = now;
+    const allowance = allowanceOf(quota);
+    if (allowance < account.allowance) {
+      // What a higher quota allowed would else shut the customer out for a window.
+      account.window.scale(allowance / account.allowance);
+    }
+    account.allowance = allowance;
+    return account;
+  }
+
+  function usedOf({window}: Account): number {
+    return window.used(clock.now(), heard);
+  }
+
+  function count(name: string, account: Account, amount: number): void {
+    account.window.add(clock.now(), 'own', amount);
+    account.level -= amount;
     own[name] = (own[name] ?? 0) + amount;
   }
 
@@ -88,37 +131,37 @@
       if (quota === undefined) {
         return true;
       }
-      const bucket = bucketOf(name, quota);
+      const account = accountOf(name, quota);
       // The amount does not count here: a customer at its limit would have only
       // its small requests served, and its large ones never.
-      if (bucket.level <= 0) {
+      const isUsedUp =
+        account.level <= 0 || usedOf(account) >= account.allowance * part;
+      if (isUsedUp) {
         return false;
       }
-      bucket.level -= amount;
-      count(name, amount);
+      count(name, account, amount);
       return true;
     },
     giveBack({name, quota}, amount) {
-      if (quota === undefined) {
-        return;
+      if (quota !== undefined) {
+        count(name, accountOf(name, quota), -amount);
       }
-      bucketOf(name, quota).level += amount;
-      count(name, -amount);
     },
     waitMs({name, quota}, amount) {
       if (quota === undefined) {
         return 0;
       }
-      const bucket = bucketOf(name, quota);
-      const perMs = (quota.perSecond * part) / SECOND_MS;
+      const account = accountOf(name, quota);
       const now = clock.now();
+      const rate = perMs(quota);
+      const freeInMs = Math.max(
+        -account.level / rate,
+        account.window.msUntilBelow(now, heard, account.allowance * part),
+      );
       // All that were refused together would come back together, and all but
       // one be refused again.
-      const free = Math.max(now - bucket.level / perMs, bucket.promisedUntil);
-      bucket.promisedUntil = Math.min(
-        now + LONGEST_WAIT_MS,
-        free + amount / perMs,
-      );
+      const free = Math.max(now + freeInMs, account.promisedUntil);
+      account.promisedUntil = Math.min(now + MAX_WAIT_MS, free + amount / rate);
       return Math.max(0, free - now);
     },
     used: () => own,
@@ -129,16 +172,31 @@
         return;
       }
       for (const [name, amount] of Object.entries(used)) {
-        const bucket = buckets.get(name);
-        if (bucket !== undefined) {
-          bucket.level -= amount - (before[name] ?? 0);
+        const account = accounts.get(name);
+        if (account !== undefined) {
+          const increase = amount - (before[name] ?? 0);
+          account.level -= increase;
+          account.window.add(clock.now(), 'others', increase);
         }
       }
     },
     setHeard(heardFraction, entryCount) {
       const others = Math.max(0, entryCount - 1);
+      heard = heardFraction;
       part = (1 + others * heardFraction) / Math.max(1, entryCount);
     },
-    dump: () => ({part, buckets: Object.fromEntries(buckets)}),
+    dump: () => ({
+      part,
+      accounts: Object.fromEntries(
+        [...accounts].map(([name, account]) => [
+          name,
+          {
+            level: Math.round(account.level),
+            used: Math.round(usedOf(account)),
+            allowance: Math.round(account.allowance),
+          },
+        ]),
+      ),
+    }),
   };
 }
