traffic: let a process that has heard nobody grant its part of the burst

Change: what may have been used before counts by the entry's part; the whole burst is free at a start. Test: a seventh of the burst is granted before anybody is heard.

--- a/packages/traffic/src/quotaWindow.ts
+++ b/packages/traffic/src/quotaWindow.ts
@@ -6,14 +6,20 @@
 export interface QuotaWindow {
   /** Counts use; a negative amount takes back what was counted before. */
   add(now: number, source: UsageSource, amount: number): void;
-  /** Use within the window, with the others' use weighted. */
-  used(now: number, weightOfOthers: number): number;
+  /** Use within the window. */
+  used(now: number, weights: UsageWeights): number;
   /** Milliseconds until use falls below a limit if nothing is added; at most the window. */
-  msUntilBelow(now: number, weightOfOthers: number, limit: number): number;
+  msUntilBelow(now: number, weights: UsageWeights, limit: number): number;
   /** Scales all that was counted. */
   scale(factor: number): void;
 }
 
+/** How much of what did not happen here counts, 0 to 1. */
+export interface UsageWeights {
+  readonly others: number;
+  readonly before: number;
+}
+
 /** `before`: what may have been used before this process knew anything. */
 export type UsageSource = 'own' | 'others' | 'before';
 
@@ -63,9 +69,9 @@
 
   function weighted(
     {own, others, before}: Readonly<Record<UsageSource, number>>,
-    weight: number,
+    weights: UsageWeights,
   ): number {
-    return own + others * weight + before;
+    return own + others * weights.others + before * weights.before;
   }
 
   function slotAt(place: number): Record<UsageSource, number> {
@@ -83,19 +89,19 @@
       slots[source][place] = slots[source][place]! + amount;
       totals[source] += amount;
     },
-    used(now, weight) {
+    used(now, weights) {
       advance(now);
-      return weighted(totals, weight);
+      return weighted(totals, weights);
     },
-    msUntilBelow(now, weight, limit) {
+    msUntilBelow(now, weights, limit) {
       advance(now);
-      let rest = weighted(totals, weight);
+      let rest = weighted(totals, weights);
       for (let step = 1; step <= length; step++) {
         if (rest < limit) {
           return step === 1 ? 0 : (newest + step - 1) * slotMs - now;
         }
         const place = (newest + step) % length;
-        rest -= weighted(slotAt(place), weight);
+        rest -= weighted(slotAt(place), weights);
       }
       return options.windowMs;
     },
--- a/packages/traffic/src/quotas.ts
+++ b/packages/traffic/src/quotas.ts
@@ -10,7 +10,11 @@
  */
 import type {Clock} from '@skylarkfield/base';
 import type {KeyedCustomer, Quota} from './contracts.js';
-import {createQuotaWindow, type QuotaWindow} from './quotaWindow.js';
+import {
+  createQuotaWindow,
+  type QuotaWindow,
+  type UsageWeights,
+} from './quotaWindow.js';
 
 /** Amounts used so far, by customer; only ever grows within one process. */
 export type UsedAmounts = Readonly<Record<string, number>>;
@@ -50,12 +54,6 @@
 /** Window over which a quota counts where nothing else is set, in milliseconds. */
 const DEFAULT_WINDOW_MS = 8_000;
 
-/**
- * A process that has just started grants this part of the burst at once, as if
- * all the rest were used: it does not know what the customer used right before.
- */
-const INITIAL_PART = 0.7;
-
 /** Upper bound of the time after which a refused request comes back, in milliseconds. */
 const MAX_WAIT_MS = 8_000;
 
@@ -75,7 +73,7 @@
   const heardOf = new Map<string, UsedAmounts>();
   /** Part of the quota that this entry may grant with what it hears. */
   let part = 1;
-  let heard = 1;
+  let weights: UsageWeights = {others: 1, before: 1};
 
   function allowanceOf({perSecond, burst}: Quota): number {
     return (perSecond * windowMs) / SECOND_MS + burst;
@@ -89,12 +87,15 @@
   function openAccount(quota: Quota): Account {
     const now = clock.now();
     const allowance = allowanceOf(quota);
-    const granted = quota.burst * INITIAL_PART;
-    const initial = (allowance - granted) * part;
     return {
-      level: granted,
+      level: quota.burst,
       filledAt: now,
-      window: createQuotaWindow({windowMs, now, initial}),
+      // What the customer used before is not known here: all but the burst counts as used.
+      window: createQuotaWindow({
+        windowMs,
+        now,
+        initial: allowance - quota.burst,
+      }),
       allowance,
       promisedUntil: 0,
     };
@@ -117,7 +118,7 @@
   }
 
   function usedOf({window}: Account): number {
-    return window.used(clock.now(), heard);
+    return window.used(clock.now(), weights);
   }
 
   function count(name: string, account: Account, amount: number): void {
@@ -156,7 +157,7 @@
       const rate = perMs(quota);
       const freeInMs = Math.max(
         -account.level / rate,
-        account.window.msUntilBelow(now, heard, account.allowance * part),
+        account.window.msUntilBelow(now, weights, account.allowance * part),
       );
       // All that were refused together would come back together, and all but
       // one be refused again.
@@ -182,8 +183,8 @@
     },
     setHeard(heardFraction, entryCount) {
       const others = Math.max(0, entryCount - 1);
-      heard = heardFraction;
       part = (1 + others * heardFraction) / Math.max(1, entryCount);
+      weights = {others: heardFraction, before: part};
     },
     dump: () => ({
       part,
--- a/packages/traffic/src/test/quotas.test.ts
+++ b/packages/traffic/src/test/quotas.test.ts
@@ -125,6 +125,21 @@
     assert.ok(passed >= allowed * 0.9, `${passed}`);
   });
 
+  // Guards against refusals after a restart of all, before entries hear each other.
+  it('grants a part of the burst while it has heard nobody yet', () => {
+    const clock = virtualClock();
+    const quotas = createQuotas(clock, WINDOW_SECONDS * 1_000);
+    assert.ok(quotas.tryTake(customer, 1));
+    quotas.setHeard(0, 7);
+    clock.advanceSync(100);
+    let passed = 0;
+    while (quotas.tryTake(customer, 10)) {
+      passed += 10;
+    }
+    assert.ok(passed >= BURST / 7 - 20, `${passed}`);
+    assert.ok(passed <= BURST / 7 + 50, `${passed}`);
+  });
+
   // Guards against an outage for a customer whose quota an operator lowers.
   it('goes on granting by a quota that was lowered', () => {
     const clock = virtualClock();
