base: let long timers fire together

Cause: an idle entry woke 51 times a second, 35 of them for timers of its own: three mirrors looked every 150 ms whose turn it is, the log was flushed every 250 ms with nothing to write, five ports looked for late senders each second, heartbeats, digests and connection checks each on their own. Change: timers of 200 ms or more fire in common slots of 50 ms; the log is flushed when it was written to; only the callers' port checks senders each second; turns are looked at every 200 ms. Short timers stay exact, and none fires early.

--- a/packages/base/src/clock.ts
+++ b/packages/base/src/clock.ts
@@ -1,6 +1,7 @@
 /** Time as the decisions see it, so that tests can drive it. */
 import {toDisposable, type Disposable} from './disposables.js';
 import {ServingError} from './errors.js';
+import {createTimerWheel} from './timerWheel.js';
 
 export interface Clock {
   /** Monotonic milliseconds from an arbitrary start; never goes back. */
@@ -14,32 +15,45 @@
 const MS_PER_SECOND = 1_000;
 const NS_PER_MS = 1_000_000;
 
+/** Timers of this length or more, in milliseconds, fire in slots together with others. */
+const FROM_MS = 200;
+const SLOT_MS = 50;
+
 /**
  * The clock of the running process.
  *
  * Timers do not keep the process alive: what serves holds sockets, and a
- * process with nothing but timers left is finished.
+ * process with nothing but timers left is finished. Long ones fire up to 50 ms
+ * late, together.
  *
  * @example
  * const clock = systemClock();
  * const start = clock.now();
  */
 export function systemClock(): Clock {
+  const wheel = createTimerWheel({slotMs: SLOT_MS, now, arm});
   return {
-    // `performance` would load several modules of Node at every start.
-    now() {
-      const [seconds, nanoseconds] = process.hrtime();
-      return seconds * MS_PER_SECOND + nanoseconds / NS_PER_MS;
-    },
+    now,
     wall: () => Date.now(),
-    after(delayMs, callback) {
-      const timer = setTimeout(callback, Math.max(0, delayMs));
-      timer.unref();
-      return toDisposable(() => clearTimeout(timer));
-    },
+    after: (delayMs, callback) =>
+      delayMs < FROM_MS
+        ? arm(Math.max(0, delayMs), callback)
+        : wheel.at(now() + delayMs, callback),
   };
 }
 
+/** Monotonic milliseconds. `performance` would load several modules of Node at every start. */
+function now(): number {
+  const [seconds, nanoseconds] = process.hrtime();
+  return seconds * MS_PER_SECOND + nanoseconds / NS_PER_MS;
+}
+
+function arm(delayMs: number, callback: () => void): Disposable {
+  const timer = setTimeout(callback, Math.ceil(delayMs));
+  timer.unref();
+  return toDisposable(() => clearTimeout(timer));
+}
+
 /**
  * Calls back every interval until disposed; the next call is planned after the
  * previous returned, so a slow callback never piles up.
--- a/packages/base/src/logger.ts
+++ b/packages/base/src/logger.ts
@@ -19,7 +19,7 @@
  */
 const MOST_WAITING_BYTES = 1_048_576;
 
-/** Lines are written out at least this often, in milliseconds. */
+/** Longest time that a line waits to be written out, in milliseconds. */
 const FLUSH_MS = 250;
 
 const destinations: Readonly<Record<LogSink, () => pino.DestinationStream>> = {
@@ -34,7 +34,11 @@
     minLength: GATHERED_BYTES,
     maxLength: MOST_WAITING_BYTES,
   });
-  setInterval(() => stream.flush(), FLUSH_MS).unref();
+  let isPlanned = false;
+  function flush() {
+    isPlanned = false;
+    stream.flush();
+  }
   process.once('exit', () => {
     try {
       stream.flushSync();
@@ -42,7 +46,15 @@
       // Nobody is left to tell when standard output itself is gone.
     }
   });
-  return stream;
+  return {
+    write(line) {
+      stream.write(line);
+      if (!isPlanned) {
+        isPlanned = true;
+        setTimeout(flush, FLUSH_MS).unref();
+      }
+    },
+  };
 }
 
 /**
--- /dev/null
+++ b/packages/base/src/timerWheel.ts
@@ -0,0 +1,84 @@
+/**
+ * Timers that fire together. A process with many periodic tasks would else wake
+ * up for each of them alone, and a wake-up costs more than most of the tasks.
+ */
+import {toDisposable, type Disposable} from './disposables.js';
+
+export interface TimerWheel {
+  /** Calls back at the first slot at or after the given millisecond of the wheel's clock. */
+  at(dueMs: number, callback: () => void): Disposable;
+}
+
+/**
+ * Makes a wheel whose slots are so many milliseconds apart.
+ *
+ * @example
+ * const wheel = createTimerWheel({slotMs: 50, now, arm});
+ * const timer = wheel.at(now() + 300, sendDigest);
+ */
+export function createTimerWheel(options: {
+  readonly slotMs: number;
+  now(): number;
+  /** Calls back once after a delay in milliseconds, never sooner. */
+  arm(delayMs: number, callback: () => void): Disposable;
+}): TimerWheel {
+  const {slotMs, now} = options;
+  const slots = new Map<number, Set<() => void>>();
+  let armed: {readonly slot: number; readonly timer: Disposable} | undefined;
+
+  function armFor(slot: number): void {
+    armed?.timer.dispose();
+    const delayMs = Math.max(0, slot * slotMs - now());
+    armed = {slot, timer: options.arm(delayMs, turn)};
+  }
+
+  function turn(): void {
+    armed = undefined;
+    const present = Math.floor(now() / slotMs);
+    const due = [...slots.keys()].filter(slot => slot <= present);
+    for (const slot of due.sort((a, b) => a - b)) {
+      const callbacks = slots.get(slot) ?? new Set();
+      slots.delete(slot);
+      callbacks.forEach(run);
+    }
+    armNext();
+  }
+
+  function armNext(): void {
+    if (slots.size === 0) {
+      return;
+    }
+    const next = Math.min(...slots.keys());
+    if (armed === undefined || next < armed.slot) {
+      armFor(next);
+    }
+  }
+
+  return {
+    at(dueMs, callback) {
+      const slot = Math.ceil(dueMs / slotMs);
+      const callbacks = slots.get(slot) ?? new Set();
+      // A callback of its own for each call: the same function may be due twice.
+      const own = () => callback();
+      slots.set(slot, callbacks.add(own));
+      armNext();
+      return toDisposable(() => {
+        callbacks.delete(own);
+        if (callbacks.size === 0 && slots.get(slot) === callbacks) {
+          slots.delete(slot);
+        }
+      });
+    },
+  };
+}
+
+/** One that throws must not keep the others of its slot from running. */
+function run(callback: () => void): void {
+  try {
+    callback();
+  } catch (error) {
+    process.nextTick(() => {
+      throw error;
+    });
+  }
+}
--- a/packages/gateway/src/gatewayPorts.ts
+++ b/packages/gateway/src/gatewayPorts.ts
@@ -65,9 +65,11 @@
     ports.add(await openPort(settings.lookup, answerLookup));
     ports.add(await openPort(settings.readiness, answerReadiness));
     ports.add(await openPort(settings.status, createStatusHandler(context)));
-    const callers = await openPort(settings.callers, (request, response) => {
-      void front.handle(request, response);
-    });
+    const callers = await openPort(
+      settings.callers,
+      (request, response) => void front.handle(request, response),
+      'limited',
+    );
     ports.add(callers);
     policy.onDidChange(() => callers.setLimits(policy.limits()));
     callers.setLimits(policy.limits());
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -17,8 +17,8 @@
   setLimits(limits: CallerLimits): void;
 }
 
-/** Node looks for late senders this often, in milliseconds. */
-const CHECK_MS = 1_000;
+/** How often Node looks for late senders where a policy limits them, and elsewhere, in milliseconds. */
+const CHECK_MS = {limited: 1_000, free: 30_000};
 
 /** Connections that may wait to be taken: a burst of callers after an entry was lost. */
 const BACKLOG = 1_024;
@@ -35,10 +35,11 @@
 export async function openPort(
   address: Address,
   handler: RequestHandler,
+  senders: keyof typeof CHECK_MS = 'free',
 ): Promise<Port> {
   const server = http.createServer({
     maxHeaderSize: HEADER_BYTES,
-    connectionsCheckingInterval: CHECK_MS,
+    connectionsCheckingInterval: CHECK_MS[senders],
     // A whole request may take as long as its body; only its head is timed.
     requestTimeout: 0,
   });
--- a/packages/gateway/src/mirrorReader.ts
+++ b/packages/gateway/src/mirrorReader.ts
@@ -45,7 +45,7 @@
 const SETTLE_MS = 1_000;
 
 /** How often an entry looks whether it is its turn. */
-const TURN_CHECK_MS = 150;
+const TURN_CHECK_MS = 200;
 
 /**
  * Starts to read when it is this entry's turn.
