--- a/packages/base/src/clock.ts
+++ b/packages/base/src/clock.ts
@@ -15,7 +15,7 @@
 const MS_PER_SECOND = 1_000;
 const NS_PER_MS = 1_000_000;
 
-/** Timers of this length or more, in milliseconds, fire in slots together with others. */
+/** Delay from which timers are coalesced, and the distance of their slots, in milliseconds. */
 const FROM_MS = 200;
 const SLOT_MS = 50;
 
--- a/packages/base/src/timerWheel.ts
+++ b/packages/base/src/timerWheel.ts
@@ -1,16 +1,16 @@
 /**
- * Timers that fire together. A process with many periodic tasks would else wake
- * up for each of them alone, and a wake-up costs more than most of the tasks.
+ * Coalesces timers into common slots, so that a process with many periodic tasks
+ * wakes up once for all that are due.
  */
 import {toDisposable, type Disposable} from './disposables.js';
 
 export interface TimerWheel {
-  /** Calls back at the first slot at or after the given millisecond of the wheel's clock. */
+  /** Calls back in the first slot at or after the given time of the wheel's clock, in milliseconds. */
   at(dueMs: number, callback: () => void): Disposable;
 }
 
 /**
- * Makes a wheel whose slots are so many milliseconds apart.
+ * Creates a wheel with the given distance between slots.
  *
  * @example
  * const wheel = createTimerWheel({slotMs: 50, now, arm});
@@ -58,7 +58,7 @@
     at(dueMs, callback) {
       const slot = Math.ceil(dueMs / slotMs);
       const callbacks = slots.get(slot) ?? new Set();
-      // A callback of its own for each call: the same function may be due twice.
+      // Wrapped, since the same function may be scheduled twice.
       const own = () => callback();
       slots.set(slot, callbacks.add(own));
       armNext();
@@ -72,7 +72,7 @@
   };
 }
 
-/** One that throws must not keep the others of its slot from running. */
+/** Runs a callback; an exception does not keep the rest of the slot from running. */
 function run(callback: () => void): void {
   try {
     callback();
--- a/packages/duties/src/contest.ts
+++ b/packages/duties/src/contest.ts
@@ -144,7 +144,7 @@
       return;
     }
     service.send('compete');
-    // A look that finds the lease held, as nearly all do, may be a cheap one.
+    // Most polls find the lease held; only one that does not is repeated with the latest state.
     if ((await isFreeBy('recent')) && (await isFreeBy('latest'))) {
       await acquire();
     }
--- a/packages/duties/src/leaseObserver.ts
+++ b/packages/duties/src/leaseObserver.ts
@@ -34,7 +34,7 @@
 
   return {
     note(object) {
-      // A reading that may be old says nothing once a newer one has come.
+      // Readings may be stale and arrive out of order.
       if ((object?.version ?? Infinity) < (seen?.version ?? 0)) {
         return;
       }
--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -1,4 +1,4 @@
-/** What entries tell each other several times a second. */
+/** Periodic reports between entries: usage, load, and sync status of the mirrors. */
 import {
   disposableStore,
   every,
@@ -11,38 +11,38 @@
 
 type Digest = Messages['digest'];
 
-/** What this entry says, but for the stamps. */
+/** A digest without its timestamps and sender. */
 export type DigestContent = Omit<
   Digest,
   'stamp' | 'wallMs' | 'echo' | 'scope' | 'failureDomain' | 'incarnation'
 >;
 
 export interface Digests extends Disposable {
-  /** The wall clock corrected by the median of the peers' clocks, in milliseconds. */
+  /** Wall clock corrected to the median of the peers' clocks, in milliseconds. */
   commonWallMs(): number;
 }
 
 /**
- * Between two digests. More often costs processor time with the square of the
- * entries; less often, and a customer beyond its quota overshoots by more.
+ * Interval of digests, in milliseconds. Processor time grows as it shrinks, and
+ * overshoot of quotas as it grows.
  */
 const INTERVAL_MS = 300;
 
-/** Silence after which a peer no longer counts as heard, in milliseconds: four digests. */
+/** Time without a digest after which a peer counts as silent, in milliseconds. */
 export const SILENCE_MS = 1_200;
 
-/** Every so many digests also go to the relay that only stands by: often enough that its knowledge counts as fresh when it takes over. */
+/** One digest in so many goes to the standby relay; its data must be fresh when it takes over. */
 const STANDBY_EVERY = 3;
 
 interface Heard {
   readonly at: number;
   readonly stamp: number;
-  /** The peer's wall clock minus ours, in milliseconds. */
+  /** Peer's wall clock minus the local one, in milliseconds. */
   readonly wallOffsetMs: number;
 }
 
 /**
- * Starts to exchange digests with those whom the plan names.
+ * Starts to exchange digests with the targets of the relay plan.
  *
  * @example
  * const digests = startDigests({network, clock, self, plan, content, onDidHear});
@@ -54,24 +54,24 @@
     readonly failureDomain: string;
     readonly incarnation: number;
   };
-  /** The plan now; it changes with the members. */
+  /** Present relay plan; it changes with the members. */
   plan(): RelayPlan;
   /**
-   * Reads what this entry knows now, once for all digests of a tick; the result
-   * gives what a receiver is told. Only `rest` differs from receiver to receiver.
+   * Snapshots the local state once per tick; the result renders it for a scope.
+   * Only `rest` depends on the receiver.
    */
   content(): (scope: DigestScope, receiver: string) => DigestContent;
-  /** A digest has come; it was sent after `moment`, if that is known. */
+  /** Called for each digest; `moment` is a local time before it was sent, if known. */
   onDidHear(peer: string, digest: Digest, moment: Moment | undefined): void;
 }): Digests {
   const {network, clock, self} = options;
   const owned = disposableStore();
   const heard = new Map<string, Heard>();
-  /** Wall minus monotonic time when a stamp was sent, to find its wall time again. */
+  /** Wall time of each stamp sent, by stamp. */
   const wallAtStamp = new Map<number, number>();
   let ticks = 0;
 
-  /** Whether a target only stands by while the relay before it is heard. */
+  /** Whether a target is a standby relay whose predecessor is alive. */
   function isStandby(peer: string, upstream: readonly string[]): boolean {
     const place = upstream.indexOf(peer);
     return place > 0 && upstream.slice(0, place).some(isHeard);
@@ -98,7 +98,7 @@
 
     const isSpare = precedence !== undefined && isHeard(precedence);
     for (const [peer, scope] of targets) {
-      // A second relay that spoke beside the first would double the traffic.
+      // Two active relays would double the traffic.
       if (isSpare && scope !== 'own') {
         continue;
       }
@@ -132,8 +132,8 @@
   }
 
   /**
-   * The moment of ours that the sender had seen when it sent: its word may have
-   * been on the way for seconds, and must not look newer than it is.
+   * Local time that the sender had echoed, a lower bound of when it sent: a
+   * digest may have been delayed for seconds and must not look newer than it is.
    */
   function sentAfter({echo}: Digest): Moment | undefined {
     const wallMs = echo === undefined ? undefined : wallAtStamp.get(echo);
--- a/packages/gateway/src/gatewayPorts.ts
+++ b/packages/gateway/src/gatewayPorts.ts
@@ -1,4 +1,4 @@
-/** The ports of a gateway and what answers on each. */
+/** Listening ports of a gateway and their handlers. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {disposableStore, type Disposable} from '@skylarkfield/base';
 import type {AgreementPart} from './agreementPart.js';
@@ -8,7 +8,7 @@
 import {createStatusHandler} from './statusPages.js';
 import type {TrafficPart} from './trafficPart.js';
 
-/** Answers are kept no longer than this, so that callers leave a lost entry soon, in milliseconds. */
+/** Upper bound of a lookup answer's TTL, in milliseconds, so that callers drop a failed entry soon. */
 const LOOKUP_MS = 2_000;
 
 const READY = 200;
@@ -16,9 +16,8 @@
 const NOT_FOUND = 404;
 
 /**
- * Opens all ports. Throws `bad-settings` when one can't be opened; those that
- * were opened by then are closed again, since callers would keep coming to a
- * process that has given up.
+ * Opens all ports. Throws `bad-settings` when one cannot be opened, and closes
+ * the others, which would still accept callers.
  *
  * @example
  * const ports = owned.add(await openPorts(context, agreement, traffic));
--- a/packages/gateway/src/listeners.ts
+++ b/packages/gateway/src/listeners.ts
@@ -11,19 +11,19 @@
   response: ServerResponse,
 ) => void;
 
-/** Disposing it cuts its connections. */
+/** An open port; disposing it closes its connections. */
 export interface Port extends Disposable {
   readonly port: number;
   setLimits(limits: CallerLimits): void;
 }
 
-/** How often Node looks for late senders where a policy limits them, and elsewhere, in milliseconds. */
+/** Interval of Node's checks for request timeouts, in milliseconds: on the port with caller limits, and elsewhere. */
 const CHECK_MS = {limited: 1_000, free: 30_000};
 
-/** Connections that may wait to be taken: a burst of callers after an entry was lost. */
+/** Listen backlog; callers reconnect in bursts when an entry fails. */
 const BACKLOG = 1_024;
 
-/** The largest head that any policy may allow, in bytes; Node fixes it when a server is made. */
+/** Upper bound of a request's headers, in bytes; fixed per server, so policies can only lower it. */
 const HEADER_BYTES = 16_384;
 
 /**
@@ -40,7 +40,7 @@
   const server = http.createServer({
     maxHeaderSize: HEADER_BYTES,
     connectionsCheckingInterval: CHECK_MS[senders],
-    // A whole request may take as long as its body; only its head is timed.
+    // Only the headers are timed; bodies may be long.
     requestTimeout: 0,
   });
   const app = polka({server, onNoMatch: handler});
--- a/packages/gateway/src/lookup.ts
+++ b/packages/gateway/src/lookup.ts
@@ -1,30 +1,28 @@
-/** Tells callers which entries to connect to. */
+/** Selects the entries that a caller may connect to. */
 import {hash32} from '@skylarkfield/base';
 import type {Member} from '@skylarkfield/members';
 
 /**
- * Upper bound of the entries in one answer. A caller spreads its requests evenly
- * over them, so few of many let each caller's own choice follow the cores.
+ * Upper bound of the entries in one answer. Callers spread their requests evenly
+ * over them, so a weighted subset shifts load to larger entries.
  */
 const MAX_ENTRIES = 8;
 
-/** With fewer near entries than this, farther ones are named too: callers must have one left when an entry dies. */
+/** Minimum of the entries in one answer, so that a caller has another one when an entry fails. */
 const MIN_ENTRIES = 2;
 
-/** Cores of an entry that does not say. */
+/** Cores assumed for an entry that does not report them. */
 export const DEFAULT_CORES = 1;
 
-/** Makes a hash a fraction between 0 and 1, both excluded. */
+/** Divisor that maps a 32-bit hash plus one to a fraction between 0 and 1, exclusive. */
 const HASH_RANGE = 2 ** 32 + 1;
 
 /**
- * Addresses of the entries that take new work, for a caller in a failure domain:
- * those beside it, since every byte between failure domains is paid for, and
- * others only where there are too few.
+ * Returns addresses of live entries in the caller's failure domain, where
+ * traffic is free, and of others only when there are too few.
  *
- * Of many entries each caller gets its own few, those with more cores more
- * often. The same caller gets the same ones for as long as they live, since it
- * closes its connections to those that an answer no longer names.
+ * Large failure domains are subset per caller, weighted by cores. The subset is
+ * stable, since callers close connections to entries that are no longer listed.
  *
  * @example
  * const addresses = entriesFor(membership.live(), 'zone-a', '10.9.0.4');
@@ -45,7 +43,7 @@
   );
 }
 
-/** Weighted rendezvous hashing: an entry is chosen in proportion to its cores. */
+/** Weighted rendezvous hashing by cores. */
 function chooseByCores(
   members: readonly Member[],
   caller: string,
--- a/packages/gateway/src/mirror.ts
+++ b/packages/gateway/src/mirror.ts
@@ -1,6 +1,6 @@
 /**
- * This entry's copy of one kind of objects on the platform, and how it is kept
- * the newest with few calls: one entry reads, the others hear it from there.
+ * Local replica of one kind of objects in the platform's store, updated by this
+ * entry's own reads or by steps and copies from peers.
  */
 import {emitter, type Clock, type Event, type Logger} from '@skylarkfield/base';
 import type {
@@ -21,31 +21,31 @@
 
 export interface Mirror<T> {
   readonly kind: MirrorKind;
-  /** False until the first listing or copy has come. */
+  /** False until the first listing or copy has arrived. */
   isKnown(): boolean;
   get(name: string): T | undefined;
   items(): readonly SourceItem<T>[];
   revision(): number;
-  /** Milliseconds since the copy was known to be the newest. */
+  /** Milliseconds since the replica was last confirmed up to date; Infinity before that. */
   ageMs(): number;
   /** Fires after the content has changed. */
   readonly onDidChange: Event<void>;
-  /** Takes a listing that this entry read itself; `asked` is undefined for one that may be old. */
+  /** Applies a listing; `asked` is when it was requested, undefined for one that may be stale. */
   takeListing(listing: SourceListing<T>, asked: Moment | undefined): void;
-  /** Takes changes that this entry read itself; returns the step for the others, if anything changed. */
+  /** Applies changes read from the store; returns the step to pass on, if anything changed. */
   takeChanges(changes: SourceChanges<T>, asked: Moment): MirrorStep | undefined;
-  /** Takes a step from a peer; false when it does not fit and the whole copy is needed. */
+  /** Applies a step from a peer; false on a gap, when the whole copy is needed. */
   takeStep(step: MirrorStep): boolean;
   takeCopy(copy: MirrorCopy): void;
-  /** A peer's copy was the newest at that moment; true when ours is the same. */
+  /** Confirms the replica by a peer's, up to date at that moment; true when both are the same. */
   confirmBy(standing: MirrorStanding, moment: Moment): boolean;
   copy(): MirrorCopy;
-  /** The standing for the others; `isReader` tells whether this entry reads itself. */
+  /** Sync status for the peers; `isReader` is whether this entry reads the store itself. */
   standing(isReader: boolean): MirrorStanding;
 }
 
 /**
- * Makes an empty copy.
+ * Creates an empty replica.
  *
  * @example
  * const endpoints = createMirror<RegisteredEndpoint>({kind: 'endpoints', clock, log});
@@ -60,7 +60,7 @@
   const changed = emitter<void>();
   const confirmation = createConfirmation(clock);
   const items = new Map<string, SourceItem<T>>();
-  /** The store's revision up to which the copy is complete; undefined before the first listing. */
+  /** Store revision up to which the replica is complete; undefined before the first listing. */
   let revision: number | undefined;
   let changedAt = 0;
 
@@ -78,7 +78,7 @@
       return put(name, at, value as T);
     }
     const known = items.get(name);
-    // The object may have been made again after the removal that is told here.
+    // The object may have been recreated after this removal.
     if (known === undefined || known.revision > at) {
       return false;
     }
@@ -100,7 +100,7 @@
     }
   }
 
-  /** Takes a whole content; an older one than ours is left alone. */
+  /** Replaces the content unless the new one is older. */
   function replace(
     to: number,
     at: number,
@@ -142,7 +142,7 @@
     takeChanges(read, asked) {
       const from = revision ?? 0;
       if (read.revision < from) {
-        // A peer has told of newer ones while this answer was on its way.
+        // A peer's step has overtaken this answer.
         return undefined;
       }
       const changes = read.changes.map(({name, item}) =>
--- a/packages/gateway/src/mirrorReader.ts
+++ b/packages/gateway/src/mirrorReader.ts
@@ -1,10 +1,9 @@
 /**
- * Reads one kind from the platform while it is this entry's turn.
+ * Reads one kind of objects from the platform on behalf of all entries.
  *
- * Calls are dear and rated for the whole fleet, so the first live entry in a
- * fixed order reads and the others hear it from there. An entry reads as well
- * while no entry before it in the order shows that it gets answers: the first
- * one may be dead, or the platform may turn it away while it serves others.
+ * Calls are priced and rate-limited for the whole fleet, so one entry reads and
+ * passes changes on. Entries take over in a fixed order when no predecessor
+ * reports successful reads: it may be dead, or the platform may reject it alone.
  */
 import {
   toServingError,
@@ -18,37 +17,37 @@
 import type {Source} from './contracts.js';
 import type {Mirror, MirrorStep} from './mirror.js';
 
-/** How often a kind is read and how soon a silent reader is replaced, in milliseconds. */
+/** Timing of one kind's reads, in milliseconds. */
 export interface ReadTiming {
-  /** How long one call waits for changes. */
+  /** Long-poll timeout of one call. */
   readonly waitMs: number;
-  /** Time beyond the wait after which a call counts as lost. */
+  /** Time beyond the long poll after which a call counts as failed. */
   readonly graceMs: number;
-  /** How new the first listing must be; changes since then are read next, or come from peers. */
+  /** Freshness of the first listing; later changes come from the next read or from peers. */
   readonly firstListing: Freshness;
 }
 
 export interface MirrorReader extends Disposable {
-  /** Whether this entry reads, and got an answer lately. */
+  /** Whether this entry reads and its last call succeeded recently. */
   isReading(): boolean;
   dump(): unknown;
 }
 
-/** First and longest pause after a failed call; the platform's return must be noticed well under a second. */
+/** Backoff after a failed call, in milliseconds; short enough to notice the platform's return within a second. */
 const FIRST_RETRY_MS = 100;
 const LONGEST_RETRY_MS = 500;
 
 /**
- * Pause after the first listing, in milliseconds: a process that has just
- * started knows nobody yet and would take every turn for its own.
+ * Pause after the first listing, in milliseconds. Until it knows its peers, a
+ * new process would act as a reader beside the present ones.
  */
 const SETTLE_MS = 1_000;
 
-/** How often an entry looks whether it is its turn. */
+/** Interval of checks whether this entry has to read, in milliseconds. */
 const TURN_CHECK_MS = 200;
 
 /**
- * Starts to read when it is this entry's turn.
+ * Starts the reader.
  *
  * @example
  * const reader = startMirrorReader({mirror, source, clock, random, log, timing, isTurn, onDidStep});
@@ -60,9 +59,9 @@
   readonly random: Random;
   readonly log: Logger;
   readonly timing: ReadTiming;
-  /** Whether no entry before this one reads. */
+  /** Whether no entry before this one in the order reads. */
   isTurn(): boolean;
-  /** Changes that the others should hear of. */
+  /** Changes to pass on to the other entries. */
   onDidStep(step: MirrorStep): void;
 }): MirrorReader {
   const {mirror, source, clock, random, log, timing} = options;
@@ -92,7 +91,7 @@
 
   async function readList(): Promise<void> {
     const asked = momentOf(clock);
-    // After a lost history an old listing could lead back to before the loss.
+    // A stale listing could predate the compaction, and its changes are gone.
     const freshness = isCompacted ? 'latest' : timing.firstListing;
     const listing = await bounded(timing.graceMs, signal =>
       source.list(signal, freshness),
--- a/packages/gateway/src/relayPlan.ts
+++ b/packages/gateway/src/relayPlan.ts
@@ -1,58 +1,56 @@
 /**
- * Which entries tell which others about use and load.
+ * Topology of the digests: a full mesh in small fleets, relays in large ones.
  *
- * Everyone telling everyone costs the square of their number: 77 entries would
- * send 19,500 digests a second. Beyond a bound, two relays in each failure
- * domain collect what its entries say and pass sums on: an entry talks to two
- * others, and a relay to its failure domain and the other relays.
+ * A full mesh costs the square of the entries. Beyond a bound, an entry reports
+ * to the two relays of its failure domain; relays aggregate and exchange sums.
  */
 import {rendezvousOrder} from '@skylarkfield/base';
 
-/** How much of what a sender knows a digest tells. */
+/** Part of the fleet that a digest covers. */
 export type DigestScope =
-  /** The sender's own part. */
+  /** The sender. */
   | 'own'
   /** The sender's failure domain. */
   | 'domain'
-  /** The whole system but for the receiver. */
+  /** All entries except the receiver. */
   | 'rest';
 
-/** What the plan needs to know of an entry. */
+/** Inputs of the plan for one entry. */
 export interface RelayNode {
   readonly id: string;
   readonly failureDomain: string;
-  /** Takes new work; one that leaves is told and heard, and relays nothing. */
+  /** False while it drains; it exchanges digests but is no relay. */
   readonly isLive: boolean;
   /** Processor cores that it may use. */
   readonly cores: number;
 }
 
 export interface RelayPlan {
-  /** Whom this entry sends digests, and what they tell. */
+  /** Receivers of this entry's digests, with the scope for each. */
   readonly targets: ReadonlyMap<string, DigestScope>;
-  /** The relay of this entry's failure domain that goes before this one; while it is heard, this one only listens. */
+  /** Active relay of the failure domain while this entry is its standby; undefined otherwise. */
   readonly precedence: string | undefined;
-  /** Entries that read the platform and compete for duties, in the order of their turn. */
+  /** Entries that read the platform and compete for leases, in order of precedence. */
   readonly coordinators: readonly string[];
-  /** Relays from which this entry hears of the others; empty when it is a relay or everyone tells everyone. */
+  /** Relays of this entry, active one first; empty for a relay and in a full mesh. */
   readonly upstream: readonly string[];
 }
 
-/** Up to this many entries, everyone tells everyone: the digests that each receives grow with their number. */
+/** Largest fleet that uses a full mesh. */
 export const FLAT_ENTRIES = 24;
 
-/** A second one takes over within four digests when the first dies. */
+/** One active and one standby. */
 const RELAYS_PER_DOMAIN = 2;
 
-/** What is ordered is named, so that the same entries do not come first in everything. */
+/** Hash keys, so that the same entries do not come first in every order. */
 const RELAY_KEY = 'relay';
 const COORDINATOR_KEY = 'platform-reader';
 
 /**
- * Plans for one entry; the same entries give plans that fit together.
+ * Plans for one entry; plans from the same nodes are consistent.
  *
  * @example
- * const {targets} = planRelays({id: 'a1', failureDomain: 'a', isLive: true}, nodes);
+ * const {targets} = planRelays({id: 'a1', failureDomain: 'a', isLive: true, cores: 1}, nodes);
  */
 export function planRelays(
   self: RelayNode,
@@ -108,7 +106,7 @@
   );
 }
 
-/** Groups of nodes with equal cores, most cores first: a relay works for its whole failure domain. */
+/** Groups of nodes with equal cores, largest first, since a relay carries its whole failure domain. */
 function byCores(nodes: readonly RelayNode[]): RelayNode[][] {
   const sizes = new Set(nodes.map(({cores}) => cores));
   return [...sizes]
@@ -116,7 +114,7 @@
     .map(size => nodes.filter(({cores}) => cores === size));
 }
 
-/** All first relays before all second ones: a second one is not heard outside its failure domain while the first is. */
+/** Active relays before standbys, which other failure domains do not hear. */
 function inTurns(relays: readonly (readonly string[])[]): string[] {
   return Array.from({length: RELAYS_PER_DOMAIN}, (_, place) =>
     rendezvousOrder(
--- a/packages/gateway/src/requestMetrics.ts
+++ b/packages/gateway/src/requestMetrics.ts
@@ -20,14 +20,13 @@
 /** Bucket bounds in milliseconds: from a quick plain answer to the longest timeout. */
 const BOUNDARIES_MS = [10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 10_000];
 
-/** Upper bound of the observations that wait for the metrics library. */
+/** Observations buffered before the metrics SDK is loaded. */
 const MAX_PENDING = 4_096;
 
 /**
- * Makes the metrics. The library behind them is loaded when the page is first
- * read, or when many observations wait: a process that has just been restarted
- * serves callers first. Services are the only label with names from outside,
- * and the policy bounds their number.
+ * Creates the metrics. The SDK is loaded when the page is first read or the
+ * buffer is full, so that a restarted process serves callers first. The policy
+ * bounds the number of services, the only label with external names.
  *
  * @example
  * const metrics = createRequestMetrics(() => createMetrics('skylarkfield'), log);
--- a/packages/members/src/memberTable.ts
+++ b/packages/members/src/memberTable.ts
@@ -74,7 +74,7 @@
   const members = new Map<string, KnownMember>();
   const buckets = new Array<number>(BUCKETS).fill(0);
   let revision = 0;
-  /** The last digest that was asked for, valid while neither the buckets nor the own news change. */
+  /** Cached digest, valid until the buckets or the own news change. */
   let digest: {readonly own: MemberNews; readonly hash: number} | undefined;
 
   /** Adds a member's hash to its bucket, or takes it out: XOR does both. */
--- a/packages/traffic/src/quotaWindow.ts
+++ b/packages/traffic/src/quotaWindow.ts
@@ -1,33 +1,33 @@
-/** What one customer used in the last seconds, at this entry and at the others. */
+/** Sliding window over one customer's usage, at this entry and at its peers. */
 
-/** Parts of a window; what falls out of it falls out by one part at a time. */
+/** Resolution of a window. */
 const SLOTS = 32;
 
 export interface QuotaWindow {
-  /** Counts use; a negative amount takes back what was counted before. */
+  /** Records usage; negative amounts are refunds. */
   add(now: number, source: UsageSource, amount: number): void;
-  /** Use within the window. */
+  /** Weighted usage within the window. */
   used(now: number, weights: UsageWeights): number;
-  /** Milliseconds until use falls below a limit if nothing is added; at most the window. */
+  /** Milliseconds until usage falls below a limit without new requests, at most the window. */
   msUntilBelow(now: number, weights: UsageWeights, limit: number): number;
-  /** Scales all that was counted. */
+  /** Scales all recorded usage. */
   scale(factor: number): void;
 }
 
-/** How much of what did not happen here counts, 0 to 1. */
+/** Weights of usage outside this entry, 0 to 1. */
 export interface UsageWeights {
   readonly others: number;
   readonly before: number;
 }
 
-/** `before`: what may have been used before this process knew anything. */
+/** `before` is the usage assumed from before the process started. */
 export type UsageSource = 'own' | 'others' | 'before';
 
 const SOURCES = ['own', 'others', 'before'] as const;
 
 /**
- * Makes a window that ends at `now`, a monotonic millisecond, with so much use
- * spread evenly over it.
+ * Creates a window that ends at `now`, in monotonic milliseconds, with an initial
+ * usage spread evenly over it.
  *
  * @example
  * const window = createQuotaWindow({windowMs: 8_000, now: clock.now(), initial: 700});
@@ -39,7 +39,7 @@
   readonly initial: number;
 }): QuotaWindow {
   const slotMs = options.windowMs / SLOTS;
-  // One slot more than the window: the newest one is still being filled.
+  // One more than the window, since the newest slot is incomplete.
   const length = SLOTS + 1;
   const slots: Record<UsageSource, number[]> = {
     own: new Array<number>(length).fill(0),
--- a/packages/traffic/src/quotas.ts
+++ b/packages/traffic/src/quotas.ts
@@ -1,12 +1,10 @@
 /**
- * Customers' quotas over all entries, without asking anybody on a request's way.
+ * Distributed rate limits per customer, enforced without a call per request.
  *
- * A quota allows, in any window, the rate times the window and the burst. Each
- * entry tells the others, several times a second, how much it has let through
- * in all, and keeps one window a customer for the whole system, with what it
- * used itself and what it hears the others have used. An entry that does not
- * hear from others may use only its own part: else two halves of a cut system
- * would each grant the whole quota.
+ * A quota allows rate times window plus burst in any window. Entries exchange
+ * their cumulative usage, and each enforces the fleet-wide quota on its own and
+ * the reported usage. An entry that hears only some peers grants a proportional
+ * part, so that both sides of a partition together stay within the quota.
  */
 import type {Clock} from '@skylarkfield/base';
 import type {KeyedCustomer, Quota} from './contracts.js';
@@ -16,49 +14,49 @@
   type UsageWeights,
 } from './quotaWindow.js';
 
-/** Amounts used so far, by customer; only ever grows within one process. */
+/** Cumulative usage by customer since the process started. */
 export type UsedAmounts = Readonly<Record<string, number>>;
 
 export interface Quotas {
-  /** Takes from the customer's quota; false when it is used up. */
+  /** Charges the customer's quota; false when it is exhausted. */
   tryTake(customer: KeyedCustomer, amount: number): boolean;
-  /** Gives back what was taken for a request that certainly did not run. */
+  /** Refunds a request that has not run. */
   giveBack(customer: KeyedCustomer, amount: number): void;
   /**
-   * Milliseconds after which a refused request of this amount should come back,
-   * behind all that were told to come back before it.
+   * Retry-After of a rejected request, in milliseconds, queued behind the
+   * retries that were announced before it.
    */
   waitMs(customer: KeyedCustomer, amount: number): number;
-  /** What this entry has let through, for the others. */
+  /** Usage at this entry, to report to peers. */
   used(): UsedAmounts;
-  /** What another process has let through; `peer` names it with its incarnation. */
+  /** Takes a peer's cumulative usage; `peer` identifies the process, with its incarnation. */
   noteUsed(peer: string, used: UsedAmounts): void;
-  /** Part of the other entries that were heard lately, 0 to 1, and how many entries there are. */
+  /** Fraction of the peers heard recently, 0 to 1, and the number of entries. */
   setHeard(heardFraction: number, entryCount: number): void;
   dump(): unknown;
 }
 
 interface Account {
-  /** Below 0 while entries have granted more than they knew of: the next seconds make up for it. */
+  /** Tokens left; negative after an overshoot, which later requests pay back. */
   level: number;
   filledAt: number;
   readonly window: QuotaWindow;
-  /** What the quota allowed in a window when it was last looked at. */
+  /** Allowance per window under the quota last seen. */
   allowance: number;
-  /** Until when the quota is spoken for by requests that were told to come back. */
+  /** End of the announced retries, in monotonic milliseconds. */
   promisedUntil: number;
 }
 
 const SECOND_MS = 1_000;
 
-/** Window over which a quota counts where nothing else is set, in milliseconds. */
+/** Default quota window, in milliseconds. */
 const DEFAULT_WINDOW_MS = 8_000;
 
-/** Upper bound of the time after which a refused request comes back, in milliseconds. */
+/** Upper bound of Retry-After, in milliseconds. */
 const MAX_WAIT_MS = 8_000;
 
 /**
- * Makes the quotas of one entry.
+ * Creates the quotas of one entry.
  *
  * @example
  * const quotas = createQuotas(clock, 8_000);
@@ -71,7 +69,7 @@
   const accounts = new Map<string, Account>();
   const own: Record<string, number> = {};
   const heardOf = new Map<string, UsedAmounts>();
-  /** Part of the quota that this entry may grant with what it hears. */
+  /** Fraction of the quota that this entry may grant. */
   let part = 1;
   let weights: UsageWeights = {others: 1, before: 1};
 
@@ -79,7 +77,7 @@
     return (perSecond * windowMs) / SECOND_MS + burst;
   }
 
-  /** Rate at which a quota that is used all the time gives its whole allowance in each window. */
+  /** Refill rate in tokens per millisecond; spreads the whole allowance over the window. */
   function perMs({perSecond, burst}: Quota): number {
     return (perSecond / SECOND_MS + burst / windowMs) * part;
   }
@@ -90,7 +88,7 @@
     return {
       level: quota.burst,
       filledAt: now,
-      // What the customer used before is not known here: all but the burst counts as used.
+      // Earlier usage is unknown, so all but the burst counts as used.
       window: createQuotaWindow({
         windowMs,
         now,
@@ -110,7 +108,7 @@
     account.filledAt = now;
     const allowance = allowanceOf(quota);
     if (allowance < account.allowance) {
-      // What a higher quota allowed would else shut the customer out for a window.
+      // Usage under a higher quota would otherwise block the customer for a window.
       account.window.scale(allowance / account.allowance);
     }
     account.allowance = allowance;
@@ -133,8 +131,7 @@
         return true;
       }
       const account = accountOf(name, quota);
-      // The amount does not count here: a customer at its limit would have only
-      // its small requests served, and its large ones never.
+      // The amount is not compared: at the limit, large requests would starve.
       const isUsedUp =
         account.level <= 0 || usedOf(account) >= account.allowance * part;
       if (isUsedUp) {
@@ -159,8 +156,7 @@
         -account.level / rate,
         account.window.msUntilBelow(now, weights, account.allowance * part),
       );
-      // All that were refused together would come back together, and all but
-      // one be refused again.
+      // Staggered, since requests that return together would be rejected again.
       const free = Math.max(now + freeInMs, account.promisedUntil);
       account.promisedUntil = Math.min(now + MAX_WAIT_MS, free + amount / rate);
       return Math.max(0, free - now);
