gateway: one silence timer a stream, and the time before the first send in the log

Change: the timer compares with the time of the last data and waits on for what is left; queuedMs stands in the request line. Tests: forwarding.test.ts (silence as before; the time of the first send).

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,5 +1,5 @@
 /** One attempt of a request at one endpoint. */
-import {ServingError, type Clock} from '@skylarkfield/base';
+import {ServingError, type Clock, type Disposable} from '@skylarkfield/base';
 import type {CallFormat, ReplyHead, ReplyHeaders} from './contracts.js';
 import {createEventFrames, type EventFrame} from './eventFrames.js';
 import type {UpstreamRequest, Upstreams} from './upstream.js';
@@ -75,20 +75,23 @@
     let isStream = false;
     let hasBegun = false;
     let isOver = false;
-    let silence = watchSilence();
-
-    function watchSilence() {
-      if (silenceMs === undefined) {
-        return undefined;
-      }
-      return clock.after(silenceMs, () =>
-        giveUp(interrupted(`no word for ${silenceMs} ms`)),
-      );
+    let heardAt = clock.now();
+    let silence = silenceMs === undefined ? undefined : watch(silenceMs);
+
+    /** Gives up after a silence; a check in between is cheaper than a timer for each event. */
+    function watch(limitMs: number): Disposable {
+      const remainingMs = limitMs - (clock.now() - heardAt);
+      return clock.after(remainingMs, () => {
+        if (clock.now() - heardAt < limitMs) {
+          silence = watch(limitMs);
+          return;
+        }
+        giveUp(interrupted(`no data for ${limitMs} ms`));
+      });
     }
 
     function heard(): void {
-      silence?.dispose();
-      silence = watchSilence();
+      heardAt = clock.now();
     }
 
     function settle(end: AttemptEnd): void {
@@ -150,6 +153,7 @@
         silence?.dispose();
         sink.whenDrained(() => {
           heard();
+          silence = silenceMs === undefined ? undefined : watch(silenceMs);
           exchange.resume();
         });
       }
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -302,7 +302,7 @@
         result,
         request,
         gone.signal.aborted,
-        clock.now() - arrivedAt,
+        arrivedAt,
         reply.eventCount(),
       );
     },
@@ -310,12 +310,20 @@
 
   function note(
     accepted: Accepted | undefined,
-    {status, error, firstMs, endpoints, tokensAhead}: ForwardingResult,
+    {
+      status,
+      error,
+      firstMs,
+      endpoints,
+      tokensAhead,
+      firstSendAt,
+    }: ForwardingResult,
     request: IncomingMessage,
     hasLeft: boolean,
-    tookMs: number,
+    arrivedAt: number,
     events: number,
   ): void {
+    const tookMs = clock.now() - arrivedAt;
     options.metrics.note({
       service: accepted?.service,
       kind: error?.kind ?? 'ok',
@@ -338,6 +346,9 @@
           retryAfterMs: Math.round(error.retryAfterMs),
         }),
         ...(hasLeft && {hasLeft}),
+        ...(firstSendAt !== undefined && {
+          queuedMs: Math.round(firstSendAt - arrivedAt),
+        }),
         ...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
         ...(accepted?.head.demand && {
           promptTokens: accepted.head.demand.promptTokens,
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -50,6 +50,8 @@
   readonly firstMs: number | undefined;
   /** Endpoints it was sent to, in order. */
   readonly endpoints: readonly string[];
+  /** Monotonic milliseconds of the first send; undefined when it was not sent. */
+  readonly firstSendAt?: number;
   /** Prompt tokens to be read before its own where it was sent first, as known then; undefined when it was not sent. */
   readonly tokensAhead?: number;
   /** Why it failed; undefined when an endpoint's whole answer was passed on. */
@@ -125,6 +127,7 @@
     progress.excluded.add(choice.endpoint);
     progress.tokensAhead ??= choice.tokensAhead;
     const sentAt = clock.now();
+    progress.firstSendAt ??= sentAt;
     const sentWallMs = clock.wall();
     const isStream = call.route.kind === 'streaming';
     let beganAt: number | undefined;
@@ -356,7 +359,7 @@
 
 function result(
   {status, error}: {status: number; error?: ServingError},
-  {firstMs, endpoints, tokensAhead}: Progress,
+  {firstMs, endpoints, tokensAhead, firstSendAt}: Progress,
 ): ForwardingResult {
   return {
     status,
@@ -364,5 +367,6 @@
     firstMs,
     endpoints,
     ...(tokensAhead !== undefined && {tokensAhead}),
+    ...(firstSendAt !== undefined && {firstSendAt}),
   };
 }
--- a/packages/gateway/src/sendRules.ts
+++ b/packages/gateway/src/sendRules.ts
@@ -25,6 +25,8 @@
   /** Endpoints that may have run it. */
   runs: number;
   sentAt: number;
+  /** Monotonic milliseconds of the first send to an endpoint; undefined before. */
+  firstSendAt: number | undefined;
   firstMs: number | undefined;
   /** It stands in the usage of its customer. */
   isCounted: boolean;
@@ -72,6 +74,7 @@
     tokensAhead: undefined,
     runs: 0,
     sentAt: now,
+    firstSendAt: undefined,
     firstMs: undefined,
     isCounted: false,
     continuation: undefined,
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -288,6 +288,14 @@
     assert.equal(outcome.status, 502);
   });
 
+  it('tells when a request was first sent, whatever came of that send', async () => {
+    const before = systemClock().now();
+    const {result} = await forwardTo(plain, [resets, answers('ok')]);
+    const at = result.firstSendAt ?? NaN;
+    assert.ok(at >= before && at <= systemClock().now());
+    assert.ok((result.firstMs ?? NaN) >= 0);
+  });
+
   it('gives the answer of the second endpoint when the first one fails', async () => {
     const outcome = await forwardTo(plain, [resets, answers('ok')]);
     assert.equal(outcome.status, 200);
