--- a/packages/bench/src/routing/decisionTime.ts
+++ b/packages/bench/src/routing/decisionTime.ts
@@ -52,7 +52,7 @@
     });
     router.setEntries(entries);
     router.setEndpoints(describe(replicas));
-    const journey = {
+    const routingRequest = {
       service: 's',
       version: 'v1',
       blocks,
@@ -61,7 +61,7 @@
     };
     const start = process.cpuUsage();
     for (let index = 0; index < DECISIONS; index++) {
-      const choice = router.choose(journey);
+      const choice = router.choose(routingRequest);
       const cachedTokens = choice?.cachedTokens ?? 0;
       choice?.finish({outcome: 'ok', latencyMs: 50, cachedTokens});
     }
--- a/packages/bench/src/routing/policies.ts
+++ b/packages/bench/src/routing/policies.ts
@@ -11,13 +11,13 @@
   createRouter,
   type Candidate,
   type Choice,
-  type Journey,
+  type RoutingRequest,
   type RouteWeights,
 } from '@skylarkfield/routing';
 
 /** One entry's way of choosing. */
 export interface Policy {
-  choose(journey: Journey): Choice;
+  choose(routingRequest: RoutingRequest): Choice;
   reportLoad(endpoint: string, report: LoadReport): void;
   reportCache(endpoint: string, events: readonly CacheEvent[]): number;
 }
@@ -85,8 +85,8 @@
 function prefixHash(options: PolicyOptions): Policy {
   const ids = options.endpoints.map(({id}) => id);
   return {
-    choose(journey) {
-      const {blocks} = journey;
+    choose(routingRequest) {
+      const {blocks} = routingRequest;
       const depth = Math.min(options.sharedBlocks, blocks.length - 1);
       return plainChoice(rendezvousOrder(blocks[depth] ?? '', ids)[0]!);
     },
@@ -107,8 +107,8 @@
   });
   router.setEndpoints(options.endpoints);
   return {
-    choose(journey) {
-      const choice = router.choose(journey);
+    choose(routingRequest) {
+      const choice = router.choose(routingRequest);
       if (choice === undefined) {
         throw new Error('the router found no endpoint');
       }
--- a/packages/bench/src/routing/replay.ts
+++ b/packages/bench/src/routing/replay.ts
@@ -12,7 +12,11 @@
   promptTokens,
   type Generation,
 } from '@skylarkfield/endpoints';
-import type {Candidate, Journey, RouteWeights} from '@skylarkfield/routing';
+import type {
+  Candidate,
+  RoutingRequest,
+  RouteWeights,
+} from '@skylarkfield/routing';
 import {
   createEngineModel,
   type EngineCosts,
@@ -103,7 +107,7 @@
   ) {
     const tokens = promptTokens(prompt);
     const blocks = promptBlocks(tokens);
-    const journey: Journey = {
+    const routingRequest: RoutingRequest = {
       service: workload.name,
       version: 'v1',
       blocks,
@@ -117,7 +121,7 @@
       sums.boundTokens += countNew(blocks, tokens.length);
     }
     blocks.forEach(block => seen.add(block));
-    const choice = entries[entry]!.choose(journey);
+    const choice = entries[entry]!.choose(routingRequest);
     counts.set(choice.endpoint, (counts.get(choice.endpoint) ?? 0) + 1);
     const startMs = clock.now();
     let latencyMs = 0;
--- a/packages/entry/src/test/serveModel.test.ts
+++ b/packages/entry/src/test/serveModel.test.ts
@@ -24,10 +24,11 @@
   const serving = {
     router: {
       cachedTokens: () => 0,
-      choose(journey: {version: string; excluded: ReadonlySet<string>}) {
+      choose(routingRequest: {version: string; excluded: ReadonlySet<string>}) {
         const found = listed.find(
           ({listed: {id, version}}) =>
-            version === journey.version && !journey.excluded.has(id),
+            version === routingRequest.version &&
+            !routingRequest.excluded.has(id),
         );
         return (
           found && {
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -94,7 +94,7 @@
   /** An endpoint of the call's group, else one of those that have served all along. */
   function choose(call: ForwardedCall, excluded: ReadonlySet<string>) {
     const {demand} = call.head;
-    const journey = {
+    const routingRequest = {
       service: call.service,
       version: call.version,
       blocks: call.promptKeys,
@@ -104,8 +104,8 @@
       excluded,
     };
     return (
-      router.choose(journey) ??
-      router.choose({...journey, version: 'incumbent'})
+      router.choose(routingRequest) ??
+      router.choose({...routingRequest, version: 'incumbent'})
     );
   }
 
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -16,7 +16,7 @@
 }
 
 /** A request that needs an endpoint. */
-export interface Journey {
+export interface RoutingRequest {
   readonly service: string;
   readonly version: string;
   /** Hashes of the prompt's blocks; empty for plain services. */
@@ -69,7 +69,7 @@
   /** Ids of the live entries, this one included: they share out the endpoints of large services. */
   setEntries(entries: readonly string[]): void;
   /** Chooses; undefined when no endpoint may take the request. */
-  choose(journey: Journey): Choice | undefined;
+  choose(routingRequest: RoutingRequest): Choice | undefined;
   /**
    * Tokens of a prompt's start believed to be cached at the endpoint that has
    * most of it, for the cost of a request before an endpoint is chosen.
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -2,7 +2,7 @@
 import type {Clock, DecisionLog, Random} from '@skylarkfield/base';
 import {BLOCK_TOKENS, type AttemptResult} from '@skylarkfield/endpoints';
 import {favoursFor} from './affinity.js';
-import type {Choice, Journey, Router} from './contracts.js';
+import type {Choice, RoutingRequest, Router} from './contracts.js';
 import {doubtedByDomain, ejectionReason} from './ejection.js';
 import {createEndpointPools, type KnownEndpoint} from './endpointPool.js';
 import {tokensAhead} from './loadView.js';
@@ -117,12 +117,13 @@
   }
 
   /** Endpoints that may get the request; those aside only when no other is left. */
-  function usable(journey: Journey): readonly KnownEndpoint[] {
+  function usable(routingRequest: RoutingRequest): readonly KnownEndpoint[] {
     const present = pools
-      .of(journey.service, journey.version)
+      .of(routingRequest.service, routingRequest.version)
       .filter(
         ({candidate, health}) =>
-          health.state !== 'leaving' && !journey.excluded.has(candidate.id),
+          health.state !== 'leaving' &&
+          !routingRequest.excluded.has(candidate.id),
       );
     const admitting = present.filter(({health}) => health.admits());
     if (admitting.length > 0 || present.length === 0) {
@@ -134,17 +135,17 @@
 
   function score(
     endpoint: KnownEndpoint,
-    journey: Journey,
+    routingRequest: RoutingRequest,
     costs: RouteCosts,
     place: PrefixPlace,
   ): Scored {
     const {candidate, cache, load} = endpoint;
     const cachedTokens = Math.min(
-      journey.promptTokens,
-      cache.expectedTokens(journey.blocks),
+      routingRequest.promptTokens,
+      cache.expectedTokens(routingRequest.blocks),
     );
     const sharedTokens = Math.max(0, place.sharedTokens - cachedTokens);
-    const ownTokens = journey.promptTokens - cachedTokens - sharedTokens;
+    const ownTokens = routingRequest.promptTokens - cachedTokens - sharedTokens;
     let total = costs.score(
       load.estimate(),
       ownTokens,
@@ -160,14 +161,14 @@
 
   /** Where a prefix belongs by hash, beyond what all endpoints have to serve. */
   function placePrefix(
-    journey: Journey,
+    routingRequest: RoutingRequest,
     candidates: readonly KnownEndpoint[],
   ): PrefixPlace {
-    const {blocks} = journey;
+    const {blocks} = routingRequest;
     if (blocks.length === 0) {
       return {sharedTokens: 0, favours: new Map()};
     }
-    const popularity = popularityOf(journey.service);
+    const popularity = popularityOf(routingRequest.service);
     const shared = popularity.sharedBlocks(blocks, candidates.length);
     const favours = favoursFor(
       blocks[shared] ?? blocks.at(-1)!,
@@ -177,14 +178,14 @@
   }
 
   function pick(
-    journey: Journey,
+    routingRequest: RoutingRequest,
     candidates: readonly KnownEndpoint[],
   ): Scored | undefined {
-    const costs = costsOf(journey.service);
-    const place = placePrefix(journey, candidates);
+    const costs = costsOf(routingRequest.service);
+    const place = placePrefix(routingRequest, candidates);
     let best: Scored | undefined;
     for (const endpoint of candidates) {
-      const scored = score(endpoint, journey, costs, place);
+      const scored = score(endpoint, routingRequest, costs, place);
       if (best === undefined || scored.score < best.score) {
         best = scored;
       }
@@ -193,7 +194,7 @@
   }
 
   function probeTarget(
-    journey: Journey,
+    routingRequest: RoutingRequest,
     candidates: readonly KnownEndpoint[],
   ): KnownEndpoint[] | undefined {
     const waiting = candidates.filter(({health}) => health.wantsProbe());
@@ -201,8 +202,8 @@
     if (first === undefined) {
       return undefined;
     }
-    const cached = first.cache.expectedTokens(journey.blocks);
-    const isLong = journey.promptTokens - cached > LONG_PROBE_TOKENS;
+    const cached = first.cache.expectedTokens(routingRequest.blocks);
+    const isLong = routingRequest.promptTokens - cached > LONG_PROBE_TOKENS;
     if (!random.chance(isLong ? LONG_PROBE_SHARE : PROBE_SHARE)) {
       return undefined;
     }
@@ -241,30 +242,30 @@
   }
 
   /** Tokens as far as they take an engine's time: shared parts that are thought to be read again mostly are cached after all. */
-  function pendingOf(journey: Journey, uncached: number): number {
-    const {service, ownTokens = uncached} = journey;
+  function pendingOf(routingRequest: RoutingRequest, uncached: number): number {
+    const {service, ownTokens = uncached} = routingRequest;
     const own = Math.min(uncached, ownTokens);
     const part = weightsFor(service).rereadPart ?? 1;
     return own + (uncached - own) * part;
   }
 
-  function open(journey: Journey, scored: Scored): Choice {
+  function open(routingRequest: RoutingRequest, scored: Scored): Choice {
     const {endpoint, cachedTokens} = scored;
     const {candidate, cache, health, load} = endpoint;
-    const costs = costsOf(journey.service);
-    const uncached = Math.max(0, journey.promptTokens - cachedTokens);
+    const costs = costsOf(routingRequest.service);
+    const uncached = Math.max(0, routingRequest.promptTokens - cachedTokens);
     const before = load.estimate();
     const expectedMs = costs.firstTokenMs(before, uncached);
-    const urgency = journey.urgency ?? DEFAULT_URGENCY;
+    const urgency = routingRequest.urgency ?? DEFAULT_URGENCY;
     const own = load.add(
-      pendingOf(journey, uncached),
-      journey.promptTokens,
+      pendingOf(routingRequest, uncached),
+      routingRequest.promptTokens,
       urgency,
     );
     const startMs = clock.now();
     let isFinished = false;
-    cache.noteSent(journey.blocks);
-    popularityOf(journey.service).note(journey.blocks);
+    cache.noteSent(routingRequest.blocks);
+    popularityOf(routingRequest.service).note(routingRequest.blocks);
     health.noteSent();
     totals.choices += 1;
 
@@ -275,7 +276,7 @@
       isFinished = true;
       load.remove(own);
       if (result.cachedTokens !== undefined) {
-        cache.noteFound(journey.blocks, result.cachedTokens);
+        cache.noteFound(routingRequest.blocks, result.cachedTokens);
       }
       const slowness = result.latencyMs / Math.max(MIN_EXPECTED_MS, expectedMs);
       health.note(result.outcome, slowness);
@@ -295,8 +296,8 @@
       loadBefore: before,
       tokensAhead: tokensAhead(before, urgency),
       started(found) {
-        own.pendingTokens = Math.max(0, journey.promptTokens - found);
-        cache.noteFound(journey.blocks, found);
+        own.pendingTokens = Math.max(0, routingRequest.promptTokens - found);
+        cache.noteFound(routingRequest.blocks, found);
       },
       streaming() {
         own.pendingTokens = 0;
@@ -315,13 +316,13 @@
       pools.markLeaving(endpoint);
     },
     markReturned: endpoint => pools.markReturned(endpoint),
-    choose(journey) {
-      const candidates = usable(journey);
+    choose(routingRequest) {
+      const candidates = usable(routingRequest);
       const scored = pick(
-        journey,
-        probeTarget(journey, candidates) ?? candidates,
+        routingRequest,
+        probeTarget(routingRequest, candidates) ?? candidates,
       );
-      return scored === undefined ? undefined : open(journey, scored);
+      return scored === undefined ? undefined : open(routingRequest, scored);
     },
     cachedTokens(service, version, blocks) {
       const counts = pools
--- a/packages/routing/src/test/ejection.test.ts
+++ b/packages/routing/src/test/ejection.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {candidate, createRig, journey, loadReport} from './routerRig.js';
+import {candidate, createRig, routingRequest, loadReport} from './routerRig.js';
 
 const eight = Array.from({length: 8}, (_, index) =>
   candidate(`r${index}`, `d${index % 4}`),
@@ -59,7 +59,7 @@
     clock.pause(5000);
     const chosen = Array.from(
       {length: 60},
-      () => router.choose(journey())?.endpoint,
+      () => router.choose(routingRequest())?.endpoint,
     );
     assert.equal(chosen.filter(id => id === 'r3').length, 1);
   });
@@ -84,6 +84,6 @@
   it('still serves when every endpoint is aside', () => {
     const {send, router} = createRig([candidate('r0'), candidate('r1')]);
     send(20, () => 'unreachable');
-    assert.notEqual(router.choose(journey()), undefined);
+    assert.notEqual(router.choose(routingRequest()), undefined);
   });
 });
--- a/packages/routing/src/test/router.test.ts
+++ b/packages/routing/src/test/router.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {candidate, createRig, journey, loadReport} from './routerRig.js';
+import {candidate, createRig, routingRequest, loadReport} from './routerRig.js';
 
 const blocks = Array.from({length: 60}, (_, index) => `b${index}`);
-const long = journey({blocks, promptTokens: 960});
+const long = routingRequest({blocks, promptTokens: 960});
 const four = ['a', 'b', 'c', 'd'].map(id => candidate(id, id));
 
 describe('router', () => {
@@ -11,7 +11,7 @@
     const {router} = createRig(four);
     const chosen = Array.from(
       {length: 8},
-      () => router.choose(journey())?.endpoint,
+      () => router.choose(routingRequest())?.endpoint,
     );
     assert.deepEqual([...new Set(chosen)].sort(), ['a', 'b', 'c', 'd']);
   });
@@ -22,7 +22,7 @@
     const attempts = ['e1-1#1', 'e1-2#1', 'e1-3#1'];
     router.reportLoad('a', loadReport({running: 3, attempts}));
     router.reportLoad('b', loadReport({running: 1, attempts: ['e2-1#1']}));
-    assert.equal(router.choose(journey())?.endpoint, 'a');
+    assert.equal(router.choose(routingRequest())?.endpoint, 'a');
   });
 
   it('sends a prompt to where its prefix is, unless the wait there is longer', () => {
@@ -59,7 +59,7 @@
     for (let session = 0; session < 80; session++) {
       const own = Array.from({length: 20}, (_, i) => `s${session}-${i}`);
       const choice = router.choose(
-        journey({blocks: [...blocks, ...own], promptTokens: 1280}),
+        routingRequest({blocks: [...blocks, ...own], promptTokens: 1280}),
       );
       assert.ok(choice);
       counts.set(choice.endpoint, (counts.get(choice.endpoint) ?? 0) + 1);
@@ -108,7 +108,7 @@
     router.setEndpoints(four);
     assert.equal(send(40, () => 'ok').has('a'), false);
     assert.equal(
-      router.choose(journey({excluded: new Set(['b', 'c', 'd'])})),
+      router.choose(routingRequest({excluded: new Set(['b', 'c', 'd'])})),
       undefined,
     );
   });
--- a/packages/routing/src/test/routerRig.ts
+++ b/packages/routing/src/test/routerRig.ts
@@ -6,7 +6,7 @@
   virtualClock,
 } from '@skylarkfield/base';
 import type {AttemptResult, LoadReport} from '@skylarkfield/endpoints';
-import type {Candidate, Journey} from '../contracts.js';
+import type {Candidate, RoutingRequest} from '../contracts.js';
 import {createRouter} from '../router.js';
 
 export function candidate(id: string, failureDomain = 'a'): Candidate {
@@ -20,7 +20,9 @@
   };
 }
 
-export function journey(overrides: Partial<Journey> = {}): Journey {
+export function routingRequest(
+  overrides: Partial<RoutingRequest> = {},
+): RoutingRequest {
   return {
     service: 's',
     version: 'v1',
@@ -63,7 +65,7 @@
   ): Map<string, number> {
     const counts = new Map<string, number>();
     for (let sent = 0; sent < count; sent++) {
-      const choice = router.choose(journey());
+      const choice = router.choose(routingRequest());
       if (choice === undefined) {
         continue;
       }
