--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -51,7 +51,7 @@
   readonly random: Random;
   readonly self: string;
   readonly isOwn: (attempt: string) => boolean;
-  /** Tokens that each block of a journey stands for. */
+  /** Tokens that each block of a routing request stands for. */
   readonly blockTokens?: number;
 }): EndpointPools {
   const {clock, random, self, isOwn, blockTokens} = options;
--- a/packages/routing/src/popularity.ts
+++ b/packages/routing/src/popularity.ts
@@ -31,7 +31,7 @@
  *
  * @example
  * const popularity = createPopularity();
- * popularity.note(journey.blocks);
+ * popularity.note(routingRequest.blocks);
  */
 export function createPopularity(): Popularity {
   let current = new Map<string, number>();
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -27,7 +27,7 @@
   readonly weights?: Partial<RouteWeights>;
   /** Weights of one service that go before the others; asked for at each choice. */
   weightsOf?(service: string): Partial<RouteWeights> | undefined;
-  /** Tokens that each of a journey's blocks stands for; the engines' own blocks when not given. */
+  /** Tokens that each of a routing request's blocks stands for; the engines' own blocks when not given. */
   readonly blockTokens?: number;
 }
 
@@ -62,7 +62,7 @@
  * @example
  * const router = createRouter({clock, random, decisions, failureDomain: 'a', self: 'e1'});
  * router.setEndpoints(candidates);
- * const choice = router.choose(journey);
+ * const choice = router.choose(routingRequest);
  */
 export function createRouter(options: RouterOptions): Router {
   const {clock, random, decisions, failureDomain, self} = options;
