--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -144,7 +144,7 @@
         'the route has no service',
       );
     }
-    const patienceMs = Math.min(head.patienceMs ?? Infinity, route.timeoutMs);
+    const timeoutMs = Math.min(head.timeoutMs ?? Infinity, route.timeoutMs);
     const priority = customer?.priority ?? route.priority;
     return {
       head,
@@ -153,7 +153,7 @@
       service,
       customer,
       priority,
-      deadlineAt: arrivedAt + patienceMs,
+      deadlineAt: arrivedAt + timeoutMs,
     };
   }
 
--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -20,7 +20,7 @@
   readonly authority: string;
   readonly key: string | undefined;
   /** How long the caller waits, in milliseconds; undefined when it does not say. */
-  readonly patienceMs: number | undefined;
+  readonly timeoutMs: number | undefined;
   /** Undefined for a request to a plain service. */
   readonly demand: ModelDemand | undefined;
   /** The last event that the caller has of an earlier answer. */
@@ -30,7 +30,7 @@
 /** What the gateway tells an endpoint besides the caller's own request. */
 export interface SendTerms {
   /** How long the answer is of use, in milliseconds. */
-  readonly patienceMs: number;
+  readonly timeoutMs: number;
   /** The process that must answer; any other one refuses. */
   readonly endpointId: string;
   readonly customer: string | undefined;
--- a/packages/gateway/src/engineObserver.ts
+++ b/packages/gateway/src/engineObserver.ts
@@ -54,7 +54,7 @@
 const NO_WAIT: ExpectedWait = {ms: 0, longestMs: Infinity, isTooLong: false};
 
 /** Part of a caller's time that a request may wait: the answer takes time as well. */
-const PATIENCE_TO_WAIT = 0.6;
+const MAX_WAIT_PART = 0.6;
 
 /**
  * Makes the observer of one entry.
@@ -82,7 +82,7 @@
         return NO_WAIT;
       }
       const ms = tokensAhead * figures.usualTokenMs;
-      const longestMs = leftMs * PATIENCE_TO_WAIT;
+      const longestMs = leftMs * MAX_WAIT_PART;
       return {ms, longestMs, isTooLong: ms > longestMs};
     },
     observe({head, route, service}, choice, isFresh) {
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -146,7 +146,7 @@
         method: call.method,
         path: call.path,
         headers: format.sendHeaders(call.rawHeaders, {
-          patienceMs: Math.max(1, Math.floor(call.deadlineAt - sentAt)),
+          timeoutMs: Math.max(1, Math.floor(call.deadlineAt - sentAt)),
           endpointId: endpoint.id,
           customer: call.customer,
           urgency: call.urgency,
--- a/packages/gateway/src/streamMove.ts
+++ b/packages/gateway/src/streamMove.ts
@@ -44,7 +44,7 @@
  * Time from the notice to the move, in milliseconds: most answers end within it,
  * and of a notice of two seconds half is left for the copy.
  */
-const PATIENCE_MS = 800;
+const GRACE_MS = 800;
 
 /** Time for the copy, in milliseconds: it is queued behind those of all other streams that leave. */
 const MOVE_MS = 1_000;
@@ -117,7 +117,7 @@
         if (left !== endpoint || timer !== undefined) {
           return;
         }
-        timer = clock.after(PATIENCE_MS, () => {
+        timer = clock.after(GRACE_MS, () => {
           if (hasBegun()) {
             moving = move(endpoint, attemptId, choose);
           }
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -197,7 +197,7 @@
             attemptId: 'r1',
             authority: 'a',
             key: undefined,
-            patienceMs: undefined,
+            timeoutMs: undefined,
             demand: undefined,
             lastEventId: undefined,
           },
--- a/packages/protocol/src/peerNetwork.ts
+++ b/packages/protocol/src/peerNetwork.ts
@@ -148,8 +148,8 @@
     const now = clock.now();
     for (const connection of connections.values()) {
       const isWanted = links.get(connection.peer)?.isWanted === true;
-      const patience = connection.isOurs ? limits.idleMs : 2 * limits.idleMs;
-      if (!isWanted && now - connection.usedAt() > patience) {
+      const idleLimitMs = connection.isOurs ? limits.idleMs : 2 * limits.idleMs;
+      if (!isWanted && now - connection.usedAt() > idleLimitMs) {
         connection.dispose();
       }
     }
