--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -6,7 +6,7 @@
   type Disposable,
 } from '@skylarkfield/base';
 import type {Messages, PeerNetwork} from '@skylarkfield/protocol';
-import type {Moment} from '@skylarkfield/traffic';
+import type {Timestamp} from '@skylarkfield/traffic';
 import type {DigestScope, RelayPlan} from './relayPlan.js';
 
 type Digest = Messages['digest'];
@@ -61,8 +61,12 @@
    * Only `rest` depends on the receiver.
    */
   content(): (scope: DigestScope, receiver: string) => DigestContent;
-  /** Called for each digest; `moment` is a local time before it was sent, if known. */
-  onDidHear(peer: string, digest: Digest, moment: Moment | undefined): void;
+  /** Called for each digest; `timestamp` is a local time before it was sent, if known. */
+  onDidHear(
+    peer: string,
+    digest: Digest,
+    timestamp: Timestamp | undefined,
+  ): void;
 }): Digests {
   const {network, clock, self} = options;
   const owned = disposableStore();
@@ -135,7 +139,7 @@
    * Local time that the sender had echoed, a lower bound of when it sent: a
    * digest may have been delayed for seconds and must not look newer than it is.
    */
-  function sentAfter({echo}: Digest): Moment | undefined {
+  function sentAfter({echo}: Digest): Timestamp | undefined {
     const wallMs = echo === undefined ? undefined : wallAtStamp.get(echo);
     if (echo === undefined || wallMs === undefined) {
       return undefined;
--- a/packages/gateway/src/mirror.ts
+++ b/packages/gateway/src/mirror.ts
@@ -9,7 +9,7 @@
   MirrorKind,
   MirrorStanding,
 } from '@skylarkfield/protocol';
-import {createConfirmation, type Moment} from '@skylarkfield/traffic';
+import {createConfirmation, type Timestamp} from '@skylarkfield/traffic';
 import type {SourceChanges, SourceItem, SourceListing} from './contracts.js';
 
 /** Changes that take a copy from one revision to another. */
@@ -31,14 +31,17 @@
   /** Fires after the content has changed. */
   readonly onDidChange: Event<void>;
   /** Applies a listing; `asked` is when it was requested, undefined for one that may be stale. */
-  takeListing(listing: SourceListing<T>, asked: Moment | undefined): void;
+  takeListing(listing: SourceListing<T>, asked: Timestamp | undefined): void;
   /** Applies changes read from the store; returns the step to pass on, if anything changed. */
-  takeChanges(changes: SourceChanges<T>, asked: Moment): MirrorStep | undefined;
+  takeChanges(
+    changes: SourceChanges<T>,
+    asked: Timestamp,
+  ): MirrorStep | undefined;
   /** Applies a step from a peer; false on a gap, when the whole copy is needed. */
   takeStep(step: MirrorStep): boolean;
   takeCopy(copy: MirrorCopy): void;
   /** Confirms the replica by a peer's, up to date at that moment; true when both are the same. */
-  confirmBy(standing: MirrorStanding, moment: Moment): boolean;
+  confirmBy(standing: MirrorStanding, timestamp: Timestamp): boolean;
   copy(): MirrorCopy;
   /** Sync status for the peers; `isReader` is whether this entry reads the store itself. */
   standing(isReader: boolean): MirrorStanding;
@@ -169,12 +172,12 @@
       return true;
     },
     takeCopy: copy => replace(copy.revision, copy.changedAt, copy.items),
-    confirmBy(standing, moment) {
+    confirmBy(standing, timestamp) {
       if (revision === undefined || revision < standing.changedAt) {
         return false;
       }
       revision = Math.max(revision, standing.revision);
-      confirmation.confirm(moment);
+      confirmation.confirm(timestamp);
       return true;
     },
     copy: () => ({
--- a/packages/gateway/src/mirrorReader.ts
+++ b/packages/gateway/src/mirrorReader.ts
@@ -13,7 +13,7 @@
   type Random,
 } from '@skylarkfield/base';
 import type {Freshness} from '@skylarkfield/providers';
-import {momentOf} from '@skylarkfield/traffic';
+import {timestampOf} from '@skylarkfield/traffic';
 import type {Source} from './contracts.js';
 import type {Mirror, MirrorStep} from './mirror.js';
 
@@ -90,7 +90,7 @@
   }
 
   async function readList(): Promise<void> {
-    const asked = momentOf(clock);
+    const asked = timestampOf(clock);
     // A stale listing could predate the compaction, and its changes are gone.
     const freshness = isCompacted ? 'latest' : timing.firstListing;
     const listing = await bounded(timing.graceMs, signal =>
@@ -101,7 +101,7 @@
   }
 
   async function readChanges(): Promise<void> {
-    const asked = momentOf(clock);
+    const asked = timestampOf(clock);
     const changes = await bounded(timing.waitMs + timing.graceMs, signal =>
       source.changes(mirror.revision(), timing.waitMs, signal),
     );
--- a/packages/gateway/src/platformView.ts
+++ b/packages/gateway/src/platformView.ts
@@ -15,7 +15,7 @@
 } from '@skylarkfield/protocol';
 import {
   before,
-  type Moment,
+  type Timestamp,
   type RegisteredEndpoint,
   type Rollout,
   type TrafficPolicy,
@@ -37,11 +37,11 @@
   readonly endpoints: Mirror<RegisteredEndpoint>;
   readonly rollouts: Mirror<Rollout>;
   standings(): MirrorStandings;
-  /** What a peer's digest says; it was sent after `moment`, on this entry's clocks. */
+  /** What a peer's digest says; it was sent after `timestamp`, on this entry's clocks. */
   noteStandings(
     peer: string,
     standings: MirrorStandings,
-    moment: Moment | undefined,
+    timestamp: Timestamp | undefined,
   ): void;
   dump(): unknown;
 }
@@ -160,7 +160,7 @@
     kind: MirrorKind,
     peer: string,
     standing: MirrorStanding,
-    moment: Moment | undefined,
+    timestamp: Timestamp | undefined,
   ): void {
     const mirror = mirrors[kind];
     if (!mirror.isKnown() || mirror.revision() < standing.changedAt) {
@@ -169,10 +169,10 @@
       }
       return;
     }
-    if (moment === undefined || standing.confirmedAgoMs < 0) {
+    if (timestamp === undefined || standing.confirmedAgoMs < 0) {
       return;
     }
-    mirror.confirmBy(standing, before(moment, standing.confirmedAgoMs));
+    mirror.confirmBy(standing, before(timestamp, standing.confirmedAgoMs));
   }
 
   function passOn(step: Messages['mirrorChanges'], from: string): void {
@@ -212,10 +212,10 @@
       endpoints: mirrors.endpoints.standing(isReading('endpoints')),
       rollouts: mirrors.rollouts.standing(isReading('rollouts')),
     }),
-    noteStandings(peer, standings, moment) {
+    noteStandings(peer, standings, timestamp) {
       heard.set(peer, {at: clock.now(), standings});
       for (const kind of kinds) {
-        noteStanding(kind, peer, standings[kind], moment);
+        noteStanding(kind, peer, standings[kind], timestamp);
       }
     },
     dump: () =>
--- a/packages/gateway/src/test/mirror.test.ts
+++ b/packages/gateway/src/test/mirror.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {silentLogger, virtualClock} from '@skylarkfield/base';
-import {momentOf} from '@skylarkfield/traffic';
+import {timestampOf} from '@skylarkfield/traffic';
 import {createMirror} from '../mirror.js';
 
 function setUp() {
@@ -22,7 +22,7 @@
     const listener = make();
     reader.takeListing(
       {revision: 5, items: [item('a', 2), item('b', 5)]},
-      momentOf(clock),
+      timestampOf(clock),
     );
     listener.takeCopy(reader.copy());
     const step = reader.takeChanges(
@@ -33,7 +33,7 @@
           {name: 'c', item: item('c', 8)},
         ],
       },
-      momentOf(clock),
+      timestampOf(clock),
     );
     assert.ok(step !== undefined && listener.takeStep(step));
     assert.deepEqual(listener.items(), reader.items());
@@ -46,7 +46,7 @@
     // an endpoint in use that the lost one told to be leaving.
     const {clock, make} = setUp();
     const mirror = make();
-    mirror.takeListing({revision: 5, items: []}, momentOf(clock));
+    mirror.takeListing({revision: 5, items: []}, timestampOf(clock));
     assert.ok(!mirror.takeStep({from: 7, to: 9, changes: []}));
     assert.equal(mirror.revision(), 5);
   });
@@ -59,7 +59,7 @@
     assert.ok(mirror.isKnown());
     assert.equal(mirror.get('a'), 'a');
     assert.equal(mirror.ageMs(), Infinity);
-    mirror.takeChanges({revision: 6, changes: []}, momentOf(clock));
+    mirror.takeChanges({revision: 6, changes: []}, timestampOf(clock));
     assert.equal(mirror.ageMs(), 0);
   });
 
@@ -68,7 +68,7 @@
     const mirror = make();
     mirror.takeListing(
       {revision: 9, items: [item('a', 9, 'new')]},
-      momentOf(clock),
+      timestampOf(clock),
     );
     mirror.takeStep({from: 3, to: 10, changes: [item('a', 4, 'old')]});
     mirror.takeCopy({revision: 6, changedAt: 6, items: [item('a', 6, 'old')]});
@@ -81,18 +81,21 @@
     // tells.
     const {clock, make} = setUp();
     const mirror = make();
-    mirror.takeListing({revision: 5, items: [item('a', 2)]}, momentOf(clock));
-    mirror.takeListing({revision: 8, items: []}, momentOf(clock));
+    mirror.takeListing(
+      {revision: 5, items: [item('a', 2)]},
+      timestampOf(clock),
+    );
+    mirror.takeListing({revision: 8, items: []}, timestampOf(clock));
     assert.equal(mirror.get('a'), undefined);
   });
 
   it('is confirmed by a peer only when it has all that the peer has', () => {
     const {clock, make} = setUp();
     const mirror = make();
-    mirror.takeListing({revision: 5, items: []}, momentOf(clock));
+    mirror.takeListing({revision: 5, items: []}, timestampOf(clock));
     clock.advanceSync(4_000);
     const standing = {confirmedAgoMs: 100, isReader: true};
-    const now = momentOf(clock);
+    const now = timestampOf(clock);
     assert.ok(!mirror.confirmBy({...standing, revision: 9, changedAt: 7}, now));
     assert.equal(mirror.ageMs(), 4_000);
     assert.ok(mirror.confirmBy({...standing, revision: 9, changedAt: 4}, now));
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -177,8 +177,8 @@
           ...reports.sumFor(scope, receiver, own),
         });
       },
-      onDidHear(peer, digest, moment) {
-        view.noteStandings(peer, digest.mirrors, moment);
+      onDidHear(peer, digest, timestamp) {
+        view.noteStandings(peer, digest.mirrors, timestamp);
         noteUsage(peer, digest);
         const taken = reports.take(peer, digest);
         if (taken !== undefined) {
--- a/packages/traffic/src/confirmation.ts
+++ b/packages/traffic/src/confirmation.ts
@@ -8,42 +8,42 @@
  */
 import type {Clock} from '@skylarkfield/base';
 
-/** A moment on both clocks. */
-export interface Moment {
+/** A point in time on the monotonic and the wall clock. */
+export interface Timestamp {
   readonly monotonicMs: number;
   readonly wallMs: number;
 }
 
 export interface Confirmation {
-  /** The copy was the newest at this moment or later; an older one changes nothing. */
-  confirm(moment: Moment): void;
+  /** Confirms that the replica was up to date at this time; older confirmations are ignored. */
+  confirm(timestamp: Timestamp): void;
   /** Milliseconds since the copy was last known to be the newest; infinite before the first time. */
   ageMs(): number;
 }
 
 /**
- * The present moment, for `confirm`. Taken before the question is sent: an
+ * The present time, for `confirm`. Taken before the question is sent: an
  * answer may have been made any time after that.
  *
  * @example
- * const asked = momentOf(clock);
+ * const asked = timestampOf(clock);
  * await store.get('policy', 'main');
  * confirmation.confirm(asked);
  */
-export function momentOf(clock: Clock): Moment {
+export function timestampOf(clock: Clock): Timestamp {
   return {monotonicMs: clock.now(), wallMs: clock.wall()};
 }
 
 /**
- * A moment so many milliseconds before another one.
+ * Returns the timestamp so many milliseconds earlier.
  *
  * @example
  * confirmation.confirm(before(heard, ageThereMs));
  */
-export function before(moment: Moment, spanMs: number): Moment {
+export function before(timestamp: Timestamp, spanMs: number): Timestamp {
   return {
-    monotonicMs: moment.monotonicMs - spanMs,
-    wallMs: moment.wallMs - spanMs,
+    monotonicMs: timestamp.monotonicMs - spanMs,
+    wallMs: timestamp.wallMs - spanMs,
   };
 }
 
@@ -59,11 +59,11 @@
  * if (confirmation.ageMs() > 4_500) { refuse(); }
  */
 export function createConfirmation(clock: Clock): Confirmation {
-  let last: Moment | undefined;
+  let last: Timestamp | undefined;
   return {
-    confirm(moment) {
-      if (last === undefined || moment.monotonicMs > last.monotonicMs) {
-        last = moment;
+    confirm(timestamp) {
+      if (last === undefined || timestamp.monotonicMs > last.monotonicMs) {
+        last = timestamp;
       }
     },
     ageMs() {
--- a/packages/traffic/src/test/traffic.test.ts
+++ b/packages/traffic/src/test/traffic.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {virtualClock} from '@skylarkfield/base';
-import {before, createConfirmation, momentOf} from '../confirmation.js';
+import {before, createConfirmation, timestampOf} from '../confirmation.js';
 import type {Route} from '../contracts.js';
 import {createCustomerTable} from '../customerTable.js';
 import {promptKeys} from '../promptKeys.js';
@@ -96,11 +96,11 @@
     const clock = virtualClock();
     const confirmation = createConfirmation(clock);
     assert.equal(confirmation.ageMs(), Infinity);
-    const asked = momentOf(clock);
+    const asked = timestampOf(clock);
     clock.advanceSync(800);
     confirmation.confirm(asked);
     assert.equal(confirmation.ageMs(), 800);
-    confirmation.confirm(before(momentOf(clock), 5_000));
+    confirmation.confirm(before(timestampOf(clock), 5_000));
     assert.equal(confirmation.ageMs(), 800);
   });
 
@@ -109,7 +109,7 @@
     // stood still. A key that was revoked meanwhile would be served.
     const clock = virtualClock();
     const confirmation = createConfirmation(clock);
-    confirmation.confirm(momentOf(clock));
+    confirmation.confirm(timestampOf(clock));
     clock.shiftWall(10_000);
     assert.equal(confirmation.ageMs(), 10_000);
   });
@@ -117,7 +117,7 @@
   it('does not get younger when the wall clock is set back', () => {
     const clock = virtualClock();
     const confirmation = createConfirmation(clock);
-    confirmation.confirm(momentOf(clock));
+    confirmation.confirm(timestampOf(clock));
     clock.advanceSync(3_000);
     clock.shiftWall(-10_000);
     assert.equal(confirmation.ageMs(), 3_000);
