--- a/packages/gateway/src/fleetDuty.ts
+++ b/packages/gateway/src/fleetDuty.ts
@@ -153,8 +153,8 @@
     const wanted: EndpointOrder[] = [];
     let surplus = mostSurplus(service, needed);
     for (const [failureDomain, fleet] of Object.entries(plan)) {
-      for (const market of ['reclaimable', 'standing'] as const) {
-        const other = market === 'standing' ? 'reclaimable' : 'standing';
+      for (const market of ['reclaimable', 'onDemand'] as const) {
+        const other = market === 'onDemand' ? 'reclaimable' : 'onDemand';
         const key = `${service}/${failureDomain}/${market}`;
         const have = present(service, failureDomain, market);
         const others = present(service, failureDomain, other);
@@ -177,7 +177,7 @@
   }
 
   async function give(order: EndpointOrder): Promise<OrderAnswer> {
-    const market: Market = order.isReclaimable ? 'reclaimable' : 'standing';
+    const market: Market = order.isReclaimable ? 'reclaimable' : 'onDemand';
     const key = `${order.service}/${order.failureDomain}/${market}`;
     if (!tenure.isValid()) {
       return 'failed';
@@ -207,7 +207,7 @@
     for (const [key, retryAt] of scarceRetryAt) {
       const [name, failureDomain = ''] = key.split('/');
       const have = present(service, failureDomain, 'reclaimable');
-      const others = present(service, failureDomain, 'standing');
+      const others = present(service, failureDomain, 'onDemand');
       if (name !== service || retryAt > clock.now()) {
         continue;
       }
--- a/packages/gateway/src/mirror.ts
+++ b/packages/gateway/src/mirror.ts
@@ -7,7 +7,7 @@
   MirrorChange,
   MirrorCopy,
   MirrorKind,
-  MirrorStanding,
+  SyncStatus,
 } from '@skylarkfield/protocol';
 import {createConfirmation, type Timestamp} from '@skylarkfield/traffic';
 import type {SourceChanges, SourceItem, SourceListing} from './contracts.js';
@@ -41,10 +41,10 @@
   takeStep(step: MirrorStep): boolean;
   takeCopy(copy: MirrorCopy): void;
   /** Confirms the replica by a peer's, up to date at that moment; true when both are the same. */
-  confirmBy(standing: MirrorStanding, timestamp: Timestamp): boolean;
+  confirmBy(syncStatus: SyncStatus, timestamp: Timestamp): boolean;
   copy(): MirrorCopy;
   /** Sync status for the peers; `isReader` is whether this entry reads the store itself. */
-  standing(isReader: boolean): MirrorStanding;
+  syncStatus(isReader: boolean): SyncStatus;
 }
 
 /**
@@ -172,11 +172,11 @@
       return true;
     },
     takeCopy: copy => replace(copy.revision, copy.changedAt, copy.items),
-    confirmBy(standing, timestamp) {
-      if (revision === undefined || revision < standing.changedAt) {
+    confirmBy(syncStatus, timestamp) {
+      if (revision === undefined || revision < syncStatus.changedAt) {
         return false;
       }
-      revision = Math.max(revision, standing.revision);
+      revision = Math.max(revision, syncStatus.revision);
       confirmation.confirm(timestamp);
       return true;
     },
@@ -185,7 +185,7 @@
       changedAt,
       items: [...items.values()],
     }),
-    standing: isReader => ({
+    syncStatus: isReader => ({
       revision: revision ?? 0,
       changedAt,
       confirmedAgoMs: Number.isFinite(confirmation.ageMs())
--- a/packages/gateway/src/platformView.ts
+++ b/packages/gateway/src/platformView.ts
@@ -10,7 +10,7 @@
   Messages,
   MirrorCopy,
   MirrorKind,
-  MirrorStanding,
+  SyncStatus,
   PeerNetwork,
 } from '@skylarkfield/protocol';
 import {
@@ -29,18 +29,18 @@
 } from './mirrorReader.js';
 import type {RelayPlan} from './relayPlan.js';
 
-/** The standing of every mirror, as a digest carries it. */
-export type MirrorStandings = Readonly<Record<MirrorKind, MirrorStanding>>;
+/** Sync status of every mirror, as carried by digests. */
+export type SyncStatuses = Readonly<Record<MirrorKind, SyncStatus>>;
 
 export interface PlatformView extends Disposable {
   readonly policy: Mirror<TrafficPolicy>;
   readonly endpoints: Mirror<RegisteredEndpoint>;
   readonly rollouts: Mirror<Rollout>;
-  standings(): MirrorStandings;
+  syncStatuses(): SyncStatuses;
   /** What a peer's digest says; it was sent after `timestamp`, on this entry's clocks. */
-  noteStandings(
+  noteSyncStatuses(
     peer: string,
-    standings: MirrorStandings,
+    syncStatuses: SyncStatuses,
     timestamp: Timestamp | undefined,
   ): void;
   dump(): unknown;
@@ -92,11 +92,11 @@
   };
   const kinds = Object.keys(mirrors) as MirrorKind[];
   const readers = new Map<MirrorKind, MirrorReader>();
-  const heard = new Map<string, {at: number; standings: MirrorStandings}>();
+  const heard = new Map<string, {at: number; syncStatuses: SyncStatuses}>();
   const copying = new Set<MirrorKind>();
 
   function isReadBy(peer: string, kind: MirrorKind): boolean {
-    return isHeard(peer) && heard.get(peer)!.standings[kind].isReader;
+    return isHeard(peer) && heard.get(peer)!.syncStatuses[kind].isReader;
   }
 
   /**
@@ -156,23 +156,23 @@
     }
   }
 
-  function noteStanding(
+  function noteSyncStatus(
     kind: MirrorKind,
     peer: string,
-    standing: MirrorStanding,
+    syncStatus: SyncStatus,
     timestamp: Timestamp | undefined,
   ): void {
     const mirror = mirrors[kind];
-    if (!mirror.isKnown() || mirror.revision() < standing.changedAt) {
-      if (standing.revision > 0) {
+    if (!mirror.isKnown() || mirror.revision() < syncStatus.changedAt) {
+      if (syncStatus.revision > 0) {
         void fetchCopy(kind, peer);
       }
       return;
     }
-    if (timestamp === undefined || standing.confirmedAgoMs < 0) {
+    if (timestamp === undefined || syncStatus.confirmedAgoMs < 0) {
       return;
     }
-    mirror.confirmBy(standing, before(timestamp, standing.confirmedAgoMs));
+    mirror.confirmBy(syncStatus, before(timestamp, syncStatus.confirmedAgoMs));
   }
 
   function passOn(step: Messages['mirrorChanges'], from: string): void {
@@ -207,15 +207,15 @@
 
   return {
     ...mirrors,
-    standings: () => ({
-      policy: mirrors.policy.standing(isReading('policy')),
-      endpoints: mirrors.endpoints.standing(isReading('endpoints')),
-      rollouts: mirrors.rollouts.standing(isReading('rollouts')),
+    syncStatuses: () => ({
+      policy: mirrors.policy.syncStatus(isReading('policy')),
+      endpoints: mirrors.endpoints.syncStatus(isReading('endpoints')),
+      rollouts: mirrors.rollouts.syncStatus(isReading('rollouts')),
     }),
-    noteStandings(peer, standings, timestamp) {
-      heard.set(peer, {at: clock.now(), standings});
+    noteSyncStatuses(peer, syncStatuses, timestamp) {
+      heard.set(peer, {at: clock.now(), syncStatuses});
       for (const kind of kinds) {
-        noteStanding(kind, peer, standings[kind], timestamp);
+        noteSyncStatus(kind, peer, syncStatuses[kind], timestamp);
       }
     },
     dump: () =>
@@ -223,7 +223,7 @@
         kinds.map(kind => [
           kind,
           {
-            ...mirrors[kind].standing(isReading(kind)),
+            ...mirrors[kind].syncStatus(isReading(kind)),
             objects: mirrors[kind].items().length,
             reader: readers.get(kind)?.dump(),
           },
--- a/packages/gateway/src/test/digests.test.ts
+++ b/packages/gateway/src/test/digests.test.ts
@@ -7,7 +7,7 @@
 
 type Digest = Messages['digest'];
 
-const standing = {
+const syncStatus = {
   revision: 1,
   changedAt: 1,
   confirmedAgoMs: 0,
@@ -15,7 +15,7 @@
 };
 
 const CONTENT: DigestContent = {
-  mirrors: {policy: standing, endpoints: standing, rollouts: standing},
+  mirrors: {policy: syncStatus, endpoints: syncStatus, rollouts: syncStatus},
   usage: {},
   used: {},
   loads: {},
--- a/packages/gateway/src/test/mirror.test.ts
+++ b/packages/gateway/src/test/mirror.test.ts
@@ -94,11 +94,15 @@
     const mirror = make();
     mirror.takeListing({revision: 5, items: []}, timestampOf(clock));
     clock.advanceSync(4_000);
-    const standing = {confirmedAgoMs: 100, isReader: true};
+    const syncStatus = {confirmedAgoMs: 100, isReader: true};
     const now = timestampOf(clock);
-    assert.ok(!mirror.confirmBy({...standing, revision: 9, changedAt: 7}, now));
+    assert.ok(
+      !mirror.confirmBy({...syncStatus, revision: 9, changedAt: 7}, now),
+    );
     assert.equal(mirror.ageMs(), 4_000);
-    assert.ok(mirror.confirmBy({...standing, revision: 9, changedAt: 4}, now));
+    assert.ok(
+      mirror.confirmBy({...syncStatus, revision: 9, changedAt: 4}, now),
+    );
     assert.equal(mirror.ageMs(), 0);
   });
 });
--- a/packages/gateway/src/test/relays.test.ts
+++ b/packages/gateway/src/test/relays.test.ts
@@ -27,7 +27,7 @@
   }));
 }
 
-const standing = {
+const syncStatus = {
   revision: 1,
   changedAt: 1,
   confirmedAgoMs: 0,
@@ -70,7 +70,11 @@
       incarnation,
       stamp: 0,
       wallMs: 0,
-      mirrors: {policy: standing, endpoints: standing, rollouts: standing},
+      mirrors: {
+        policy: syncStatus,
+        endpoints: syncStatus,
+        rollouts: syncStatus,
+      },
       usage: {},
       ...reports.sumFor(scope, receiver, {
         entries: 1,
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -162,7 +162,7 @@
       plan: agreement.plan,
       content() {
         noteHeard();
-        const mirrors = view.standings();
+        const mirrors = view.syncStatuses();
         const own = {
           entries: 1,
           used: quotas.used(),
@@ -178,7 +178,7 @@
         });
       },
       onDidHear(peer, digest, timestamp) {
-        view.noteStandings(peer, digest.mirrors, timestamp);
+        view.noteSyncStatuses(peer, digest.mirrors, timestamp);
         noteUsage(peer, digest);
         const taken = reports.take(peer, digest);
         if (taken !== undefined) {
--- a/packages/protocol/src/messages/gatewayMessages.ts
+++ b/packages/protocol/src/messages/gatewayMessages.ts
@@ -6,7 +6,7 @@
 export type MirrorKind = 'policy' | 'endpoints' | 'rollouts';
 
 /** Where the sender's copy of one kind stands. */
-export interface MirrorStanding {
+export interface SyncStatus {
   /** Store revision up to which the copy is complete. */
   readonly revision: number;
   /** Store revision of the newest change in the copy. */
@@ -52,7 +52,7 @@
     readonly wallMs: number;
     /** The receiver's stamp that the sender heard last; undefined before the first. */
     readonly echo?: number;
-    readonly mirrors: Readonly<Record<MirrorKind, MirrorStanding>>;
+    readonly mirrors: Readonly<Record<MirrorKind, SyncStatus>>;
     /** Quota amounts let through since the sender's start, by customer. */
     readonly used: Readonly<Record<string, number>>;
     /** Requests that began to run, by window and customer. */
--- a/packages/records/src/statusWriter.ts
+++ b/packages/records/src/statusWriter.ts
@@ -65,10 +65,10 @@
     status: Omit<RecordStatus, 'at'>,
   ): Promise<boolean> {
     const present = await read(key);
-    const standing = readStatus(present?.value);
+    const syncStatus = readStatus(present?.value);
     const next = {...status, at: clock.wall()};
-    if (standing !== undefined) {
-      if (isOvertaken(next, standing) || isSameStatus(standing, next)) {
+    if (syncStatus !== undefined) {
+      if (isOvertaken(next, syncStatus) || isSameStatus(syncStatus, next)) {
         return false;
       }
     }
@@ -82,12 +82,12 @@
   }
 
   async function sayInForce(record: RecordVersion, key: string): Promise<void> {
-    const standing = readStatus((await read(key))?.value);
-    if (standing?.state === 'removed') {
+    const syncStatus = readStatus((await read(key))?.value);
+    if (syncStatus?.state === 'removed') {
       await removeStatus(key);
       return;
     }
-    if (standing?.state !== 'accepted') {
+    if (syncStatus?.state !== 'accepted') {
       return;
     }
     await write(key, {
@@ -112,9 +112,9 @@
     waitingSaidAt = clock.now();
     const waitingFor = [...lacking].sort().slice(0, MAX_WAITING_NAMES);
     for (const key of pending.keys()) {
-      const standing = readStatus((await read(key))?.value);
-      if (standing !== undefined) {
-        await write(key, {...standing, waitingFor});
+      const syncStatus = readStatus((await read(key))?.value);
+      if (syncStatus !== undefined) {
+        await write(key, {...syncStatus, waitingFor});
       }
     }
   }
@@ -122,13 +122,13 @@
   return {
     write,
     async isInForce(key, accepted) {
-      const standing = readStatus((await read(key))?.value);
+      const syncStatus = readStatus((await read(key))?.value);
       if (accepted.isRemoved) {
-        return standing === undefined;
+        return syncStatus === undefined;
       }
       return (
-        standing?.state === 'in-force' &&
-        standing.sourceVersion === accepted.sourceVersion
+        syncStatus?.state === 'in-force' &&
+        syncStatus.sourceVersion === accepted.sourceVersion
       );
     },
     expectConfirmation(key, {sourceVersion}) {
@@ -185,14 +185,14 @@
 /** Whether another acceptor has already reported something newer. */
 function isOvertaken(
   next: Omit<RecordStatus, 'at'>,
-  standing: RecordStatus,
+  syncStatus: RecordStatus,
 ): boolean {
-  if (standing.sourceVersion > next.sourceVersion) {
+  if (syncStatus.sourceVersion > next.sourceVersion) {
     return true;
   }
   // An acceptor with an old view refuses what has been accepted since.
   return (
     next.state === 'refused' &&
-    (standing.acceptedVersion ?? -1) >= next.sourceVersion
+    (syncStatus.acceptedVersion ?? -1) >= next.sourceVersion
   );
 }
--- a/packages/traffic/src/fleetPlan.ts
+++ b/packages/traffic/src/fleetPlan.ts
@@ -13,7 +13,7 @@
 /** Endpoints of one service in one failure domain. */
 export interface DomainFleet {
   /** Not reclaimable. */
-  readonly standing: number;
+  readonly onDemand: number;
   readonly reclaimable: number;
 }
 
@@ -63,15 +63,15 @@
   const counts = new Map(
     domains.map(domain => [
       domain,
-      {standing: 0, reclaimable: scarce.get(domain) ?? 0},
+      {onDemand: 0, reclaimable: scarce.get(domain) ?? 0},
     ]),
   );
   const isReclaimable = (domain: string) =>
     terms.reclaimablePrice !== undefined && !scarce.has(domain);
 
   function total(domain: string): number {
-    const {standing, reclaimable} = counts.get(domain)!;
-    return standing + reclaimable;
+    const {onDemand, reclaimable} = counts.get(domain)!;
+    return onDemand + reclaimable;
   }
 
   function addStanding(count: number): void {
@@ -80,7 +80,7 @@
       if (domain === undefined) {
         return;
       }
-      counts.get(domain)!.standing += 1;
+      counts.get(domain)!.onDemand += 1;
     }
   }
 
--- a/packages/traffic/src/test/fleet.test.ts
+++ b/packages/traffic/src/test/fleet.test.ts
@@ -20,7 +20,7 @@
   prices: {a: 1, b: 0.8, c: 1.25, d: 0.9},
 };
 
-function count(plan: FleetPlan, market: 'standing' | 'reclaimable'): number {
+function count(plan: FleetPlan, market: 'onDemand' | 'reclaimable'): number {
   return Object.values(plan).reduce((sum, fleet) => sum + fleet[market], 0);
 }
 
@@ -35,7 +35,7 @@
         needed: {usual: needed, brief: needed},
         scarce: new Map(),
       });
-      const all = count(plan, 'standing') + count(plan, 'reclaimable');
+      const all = count(plan, 'onDemand') + count(plan, 'reclaimable');
       for (const {reclaimable} of Object.values(plan)) {
         assert.ok(all - reclaimable >= needed, JSON.stringify(plan));
       }
@@ -49,9 +49,9 @@
         needed: {usual: needed, brief: needed},
         scarce: new Map(),
       });
-      for (const {standing, reclaimable} of Object.values(plan)) {
-        assert.ok(standing + reclaimable >= terms.least);
-        assert.ok(standing + reclaimable <= terms.most);
+      for (const {onDemand, reclaimable} of Object.values(plan)) {
+        assert.ok(onDemand + reclaimable >= terms.least);
+        assert.ok(onDemand + reclaimable <= terms.most);
       }
     }
   });
@@ -62,7 +62,7 @@
       needed: {usual: 4, brief: 4},
       scarce: new Map(),
     });
-    assert.equal(plan['b']?.standing, count(plan, 'standing'));
+    assert.equal(plan['b']?.onDemand, count(plan, 'onDemand'));
   });
 
   it('fills up with endpoints that stay while no reclaimable ones are to be had', () => {
@@ -75,7 +75,7 @@
     ]);
     const plan = planFleet({terms, needed: {usual: 5, brief: 5}, scarce});
     assert.equal(count(plan, 'reclaimable'), 2);
-    assert.equal(count(plan, 'standing'), 3);
+    assert.equal(count(plan, 'onDemand'), 3);
   });
 
   it('keeps what is bearable after a loss, and what is usual before', () => {
@@ -83,7 +83,7 @@
     // as for an ordinary hour would pay for a third that is rarely of use.
     const needed = {usual: 8, brief: 5};
     const plan = planFleet({terms, needed, scarce: new Map()});
-    const all = count(plan, 'standing') + count(plan, 'reclaimable');
+    const all = count(plan, 'onDemand') + count(plan, 'reclaimable');
     assert.ok(all >= needed.usual && all <= needed.usual + 1, `${all}`);
     for (const {reclaimable} of Object.values(plan)) {
       assert.ok(all - reclaimable >= needed.brief, JSON.stringify(plan));
@@ -97,7 +97,7 @@
       scarce: new Map(),
     });
     assert.equal(count(plan, 'reclaimable'), 0);
-    assert.ok(count(plan, 'standing') >= 3);
+    assert.ok(count(plan, 'onDemand') >= 3);
   });
 });
 
