--- a/packages/admission/src/bulkhead.ts
+++ b/packages/admission/src/bulkhead.ts
@@ -12,13 +12,18 @@
 import {createBulkheadMachine, type BulkheadState} from './bulkheadMachine.js';
 import {createCapacityShare} from './capacityShare.js';
 import {createConcurrencyLimit, type LimitPolicy} from './concurrencyLimit.js';
-import type {Ask, Ending, GuardedService, Permit} from './contracts.js';
+import type {
+  AdmissionRequest,
+  Ending,
+  GuardedService,
+  Permit,
+} from './contracts.js';
 import {createFairQueue} from './fairQueue.js';
 import {createRetryBudget} from './retryBudget.js';
 import {createWaitEstimate} from './waitEstimate.js';
 
 export interface Bulkhead {
-  admit(ask: Ask, signal: AbortSignal): Promise<Permit>;
+  admit(ask: AdmissionRequest, signal: AbortSignal): Promise<Permit>;
   tryRetry(): boolean;
   configure(service: GuardedService): void;
   setEntryCount(count: number): void;
@@ -42,7 +47,7 @@
 
 /** A request in the queue. */
 interface Waiter {
-  readonly ask: Ask;
+  readonly ask: AdmissionRequest;
   readonly customer: string;
   readonly urgency: number;
   readonly cost: number;
@@ -128,11 +133,11 @@
   }
 
   /** Nobody who is as important waits: what waits may have no place where this request has one. */
-  function isNext(ask: Ask): boolean {
+  function isNext(ask: AdmissionRequest): boolean {
     return ask.urgency < (queue.headUrgency() ?? Infinity);
   }
 
-  function expectedWaitMs(ask: Ask): number {
+  function expectedWaitMs(ask: AdmissionRequest): number {
     if (inFlight < currentLimit(ask.urgency) && isNext(ask)) {
       return 0;
     }
@@ -141,13 +146,13 @@
     return estimate.waitMs(ahead, currentLimit(ask.urgency), ask.urgency);
   }
 
-  function retryAfterMs(ask: Ask): number {
+  function retryAfterMs(ask: AdmissionRequest): number {
     const jitter = 1 + random.next() * RETRY_AFTER_JITTER;
     const waitMs = Math.max(LEAST_RETRY_AFTER_MS, expectedWaitMs(ask));
     return Math.ceil(Math.min(waitMs * jitter, MOST_RETRY_AFTER_MS));
   }
 
-  function overloaded(ask: Ask): ServingError {
+  function overloaded(ask: AdmissionRequest): ServingError {
     refusals += 1;
     machine.send('refuse');
     const message = `all places of ${service.name} are taken and its queue is full`;
@@ -157,7 +162,7 @@
     });
   }
 
-  function tooLate(ask: Ask): ServingError {
+  function tooLate(ask: AdmissionRequest): ServingError {
     refusals += 1;
     machine.send('refuse');
     const message = `${service.name} cannot answer before the deadline`;
@@ -173,7 +178,7 @@
    * be refused for ever, since only requests let through can show that it is
    * fast again.
    */
-  function isHopeless(ask: Ask, waitMs: number): boolean {
+  function isHopeless(ask: AdmissionRequest, waitMs: number): boolean {
     const leftMs = ask.deadline - clock.now();
     if (leftMs <= 0) {
       return true;
@@ -181,7 +186,7 @@
     return inFlight > 0 && waitMs + estimate.serviceMs() > leftMs;
   }
 
-  function start(ask: Ask, askedAt: number): Permit {
+  function start(ask: AdmissionRequest, askedAt: number): Permit {
     const startedAt = clock.now();
     inFlight += 1;
     estimate.noteStart();
@@ -201,7 +206,7 @@
     };
   }
 
-  function learn(ask: Ask, startedAt: number, ending: Ending) {
+  function learn(ask: AdmissionRequest, startedAt: number, ending: Ending) {
     const isLimitUsed = inFlight >= currentLimit() || queue.size > 0;
     estimate.noteEnd(startedAt, ask.cost);
     if (ending.outcome === 'ok') {
@@ -263,7 +268,10 @@
     return {dispose: () => timer.dispose()};
   }
 
-  function enqueue(ask: Ask, signal: AbortSignal): Promise<Permit> {
+  function enqueue(
+    ask: AdmissionRequest,
+    signal: AbortSignal,
+  ): Promise<Permit> {
     return new Promise((resolve, reject) => {
       const waiter: Waiter = {
         ask,
--- a/packages/admission/src/contracts.ts
+++ b/packages/admission/src/contracts.ts
@@ -6,7 +6,7 @@
   Pick<Service, 'name' | 'concurrency' | 'queue' | 'targetMs'>;
 
 /** A request that asks for capacity. */
-export interface Ask {
+export interface AdmissionRequest {
   readonly service: string;
   readonly customer: string;
   /** RFC 9218 urgency after the customer's bound, 0 (most important) to 7. */
@@ -38,7 +38,7 @@
    * `deadline-exceeded` as soon as the deadline cannot be met, or `cancelled`;
    * each of them `not-run`.
    */
-  admit(ask: Ask, signal: AbortSignal): Promise<Permit>;
+  admit(ask: AdmissionRequest, signal: AbortSignal): Promise<Permit>;
   /** Takes one retry from the service's budget; false when it is used up. */
   tryRetry(service: string): boolean;
   /** Adds, changes or removes (undefined) a service's bulkhead. */
--- a/packages/admission/src/test/admission.fuzz.test.ts
+++ b/packages/admission/src/test/admission.fuzz.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {isServingError, settlePromises} from '@skylarkfield/base';
-import type {Ask, Permit} from '../index.js';
+import type {AdmissionRequest, Permit} from '../index.js';
 import {createFairQueue} from '../fairQueue.js';
 import {booking, setUp} from './fixtures.js';
 
@@ -50,7 +50,7 @@
   return (admission.dump() as {services: Dump[]}).services[0] as Dump;
 }
 
-function track(oracle: Oracle, wanted: Partial<Ask>) {
+function track(oracle: Oracle, wanted: Partial<AdmissionRequest>) {
   const {setup} = oracle;
   const stop = new AbortController();
   const request: Tracked = {
--- a/packages/admission/src/test/admission.test.ts
+++ b/packages/admission/src/test/admission.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {isServingError, settlePromises} from '@skylarkfield/base';
-import type {Admission, Ask} from '../index.js';
+import type {Admission, AdmissionRequest} from '../index.js';
 import {booking, ok, setUp} from './fixtures.js';
 
 describe('admission', () => {
@@ -30,9 +30,9 @@
 
   const refusals: readonly {
     readonly title: string;
-    readonly held: Partial<Ask>;
-    readonly queued: Partial<Ask>;
-    readonly newcomer: Partial<Ask>;
+    readonly held: Partial<AdmissionRequest>;
+    readonly queued: Partial<AdmissionRequest>;
+    readonly newcomer: Partial<AdmissionRequest>;
     readonly loser: 'queued' | 'newcomer';
   }[] = [
     {
--- a/packages/admission/src/test/fixtures.ts
+++ b/packages/admission/src/test/fixtures.ts
@@ -6,7 +6,7 @@
   virtualClock,
 } from '@skylarkfield/base';
 import type {Service} from '@skylarkfield/records';
-import {createAdmission, type Ask, type Permit} from '../index.js';
+import {createAdmission, type AdmissionRequest, type Permit} from '../index.js';
 
 export const booking: Service = {
   name: 'booking',
@@ -33,7 +33,7 @@
   });
   admission.setService('booking', {...booking, ...change});
   function ask(
-    wanted: Partial<Ask> = {},
+    wanted: Partial<AdmissionRequest> = {},
     signal: AbortSignal = new AbortController().signal,
   ): Promise<Permit> {
     const defaults = {
--- a/packages/bench/src/replay/gates.ts
+++ b/packages/bench/src/replay/gates.ts
@@ -8,7 +8,7 @@
 } from '@skylarkfield/base';
 import {
   createAdmission,
-  type Ask,
+  type AdmissionRequest,
   type LimitPolicy,
   type Permit,
 } from '@skylarkfield/admission';
@@ -16,7 +16,7 @@
 
 /** One entry's gate. */
 export interface Gate {
-  admit(ask: Ask, signal: AbortSignal): Promise<Permit>;
+  admit(ask: AdmissionRequest, signal: AbortSignal): Promise<Permit>;
   reportSlots(service: string, slots: number, busy: number): void;
 }
 
--- a/packages/capacity/src/regression.ts
+++ b/packages/capacity/src/regression.ts
@@ -41,7 +41,7 @@
 }
 
 /** Slopes with what is known of their errors. */
-export interface Fit {
+export interface RegressionFit {
   readonly slopes: readonly number[];
   /** Standard error of the outcome that the slopes give for so much of each feature. */
   errorAt(features: readonly number[]): number;
@@ -209,7 +209,7 @@
  * @example
  * const {slopes} = fitSlopes(sums, {slopes: [0.02], deviations: [0.02]});
  */
-export function fitSlopes(sums: RegressionSums, belief: Belief): Fit {
+export function fitSlopes(sums: RegressionSums, belief: Belief): RegressionFit {
   const width = belief.slopes.length;
   const isSeen = sums.count > 1 && sums.totals.length === width + 1;
   const product = isSeen ? triangle(sums.products, width + 1) : () => 0;
--- a/packages/entry/src/callers/serveModel.ts
+++ b/packages/entry/src/callers/serveModel.ts
@@ -1,6 +1,6 @@
 /** The way of a model request: version, admission, attempts, answer. */
 import {ServingError, toServingError, type Clock} from '@skylarkfield/base';
-import type {Ask, Permit} from '@skylarkfield/admission';
+import type {AdmissionRequest, Permit} from '@skylarkfield/admission';
 import {promptBlocks, promptTokens} from '@skylarkfield/endpoints';
 import type {Service} from '@skylarkfield/records';
 import type {
@@ -41,7 +41,7 @@
 
 /** What is decided about a request before it asks for capacity. */
 interface ModelPlan {
-  readonly ask: Ask;
+  readonly ask: AdmissionRequest;
   readonly version: string;
   readonly answering: AnsweringVersion;
   readonly promptTokens: number;
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -63,7 +63,7 @@
 }
 
 /** Where an attempt is made, and from which memory it goes on. */
-interface Start {
+interface AttemptStart {
   readonly choice: Choice;
   readonly memory?: Continuation['memory'];
 }
@@ -113,7 +113,7 @@
     call: ForwardedCall,
     reply: CallerReply,
     progress: Progress,
-    {choice, memory}: Start,
+    {choice, memory}: AttemptStart,
   ): Promise<AttemptEnd> {
     const endpoint = directory.get(choice.endpoint);
     if (endpoint === undefined) {
@@ -252,7 +252,10 @@
       : failed(reply, withRuns(end.error, progress.runs));
   }
 
-  function next(call: ForwardedCall, progress: Progress): Start | undefined {
+  function next(
+    call: ForwardedCall,
+    progress: Progress,
+  ): AttemptStart | undefined {
     const {continuation} = progress;
     progress.continuation = undefined;
     if (continuation !== undefined) {
@@ -270,7 +273,7 @@
   function refusal(
     call: ForwardedCall,
     progress: Progress,
-    {choice, memory}: Start,
+    {choice, memory}: AttemptStart,
   ): ServingError | undefined {
     if (progress.runs > 0 || memory !== undefined) {
       return undefined;
