--- a/tools/writeCodeCache.cjs
+++ b/tools/writeCodeCache.cjs
@@ -26,12 +26,18 @@
   );
 }
 
+/** Upper bound of the warm-up, in milliseconds; a build must not hang on it. */
+const WARM_UP_MS = 60_000;
+
+function finish() {
+  writeFileSync(cache, script.createCachedData());
+  process.exit(0);
+}
+
+setTimeout(finish, WARM_UP_MS);
 warmUp(start)
   .catch(error => {
     // A cache of fewer functions only makes starts slower.
     console.error(`the warm-up ended early: ${error}`);
   })
-  .finally(() => {
-    writeFileSync(cache, script.createCachedData());
-    process.exit(0);
-  });
+  .finally(finish);
