traffic: log how quota accounts open, the part granted, and use near a limit

Whether an entry that has just started grants too much because of what it assumes or because it does not know the others could not be read from logs.

--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -139,6 +139,7 @@
   const quotas = createQuotas(
     clock,
     settings.quotaWindowSeconds * MS_PER_SECOND,
+    log,
   );
   const usage = createUsageWindows({
     windowMs: settings.usageWindowSeconds * MS_PER_SECOND,
--- a/packages/traffic/src/quotas.ts
+++ b/packages/traffic/src/quotas.ts
@@ -6,7 +6,7 @@
  * the reported usage. An entry that hears only some peers grants a proportional
  * part, so that both sides of a partition together stay within the quota.
  */
-import type {Clock} from '@skylarkfield/base';
+import type {Clock, Logger} from '@skylarkfield/base';
 import type {KeyedCustomer, Quota} from './contracts.js';
 import {
   createQuotaWindow,
@@ -45,6 +45,8 @@
   allowance: number;
   /** End of the announced retries, in monotonic milliseconds. */
   promisedUntil: number;
+  /** Time of the last log line about its usage, in monotonic milliseconds. */
+  loggedAt: number;
 }
 
 const SECOND_MS = 1_000;
@@ -55,6 +57,13 @@
 /** Upper bound of Retry-After, in milliseconds. */
 const MAX_WAIT_MS = 8_000;
 
+/** Fraction of the allowance from which usage is logged, and the least time between two lines. */
+const LOGGED_FRACTION = 0.5;
+const LOG_EVERY_MS = 1_000;
+
+/** Least change of the granted fraction that is logged. */
+const LOGGED_CHANGE = 0.05;
+
 /**
  * Creates the quotas of one entry.
  *
@@ -65,6 +74,7 @@
 export function createQuotas(
   clock: Clock,
   windowMs = DEFAULT_WINDOW_MS,
+  log?: Logger,
 ): Quotas {
   const accounts = new Map<string, Account>();
   const own: Record<string, number> = {};
@@ -72,6 +82,7 @@
   /** Fraction of the quota that this entry may grant. */
   let part = 1;
   let weights: UsageWeights = {others: 1, before: 1};
+  let loggedPart = part;
 
   function allowanceOf({perSecond, burst}: Quota): number {
     return (perSecond * windowMs) / SECOND_MS + burst;
@@ -96,12 +107,22 @@
       }),
       allowance,
       promisedUntil: 0,
+      loggedAt: now,
     };
   }
 
-  function accountOf(name: string, quota: Quota): Account {
-    const account = accounts.get(name) ?? openAccount(quota);
+  function opened(name: string, quota: Quota): Account {
+    const account = openAccount(quota);
     accounts.set(name, account);
+    log?.info(
+      {customer: name, part, ...stateOf(account)},
+      'quota account opened',
+    );
+    return account;
+  }
+
+  function accountOf(name: string, quota: Quota): Account {
+    const account = accounts.get(name) ?? opened(name, quota);
     const now = clock.now();
     const grown = (now - account.filledAt) * perMs(quota);
     account.level = Math.min(quota.burst, account.level + grown);
@@ -119,18 +140,40 @@
     return window.used(clock.now(), weights);
   }
 
+  function stateOf(account: Account) {
+    return {
+      level: Math.round(account.level),
+      used: Math.round(usedOf(account)),
+      allowance: Math.round(account.allowance),
+    };
+  }
+
   function count(name: string, account: Account, amount: number): void {
     account.window.add(clock.now(), 'own', amount);
     account.level -= amount;
     own[name] = (own[name] ?? 0) + amount;
   }
 
+  function noteUsage(name: string, account: Account): void {
+    const now = clock.now();
+    const isDue = now - account.loggedAt >= LOG_EVERY_MS;
+    const limit = account.allowance * part * LOGGED_FRACTION;
+    if (log !== undefined && isDue && usedOf(account) > limit) {
+      account.loggedAt = now;
+      log.info(
+        {customer: name, part, own: own[name], ...stateOf(account)},
+        'quota in use',
+      );
+    }
+  }
+
   return {
     tryTake({name, quota}, amount) {
       if (quota === undefined) {
         return true;
       }
       const account = accountOf(name, quota);
+      noteUsage(name, account);
       // The amount is not compared: at the limit, large requests would starve.
       const isUsedUp =
         account.level <= 0 || usedOf(account) >= account.allowance * part;
@@ -181,18 +224,15 @@
       const others = Math.max(0, entryCount - 1);
       part = (1 + others * heardFraction) / Math.max(1, entryCount);
       weights = {others: heardFraction, before: part};
+      if (Math.abs(part - loggedPart) >= LOGGED_CHANGE) {
+        loggedPart = part;
+        log?.info({part, heardFraction, entryCount}, 'quota part changed');
+      }
     },
     dump: () => ({
       part,
       accounts: Object.fromEntries(
-        [...accounts].map(([name, account]) => [
-          name,
-          {
-            level: Math.round(account.level),
-            used: Math.round(usedOf(account)),
-            allowance: Math.round(account.allowance),
-          },
-        ]),
+        [...accounts].map(([name, account]) => [name, stateOf(account)]),
       ),
     }),
   };
