gateway, members: know how many entries there are before they are heard

What callers saw: a customer was served beyond its quota after entries restarted. Cause: an entry that had just started counted itself as the whole fleet until peers told it of others, 0.3 to 1.0 s in the logs (`part` 1, `entryCount` 2, 3, 5), and granted whole bursts. Endpoints' capacity was shared out by the same wrong count. Change: the members that the platform lists at the join count for the first 5 s, heard or not. Until that listing is there, at most 0.9 s, requests that a quota limits are rejected as not run (503, Retry-After 0.4 s).

--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -22,6 +22,7 @@
 import {createCallerReply, type CallerReply} from './callerReply.js';
 import type {CallFormat, CallHead} from './contracts.js';
 import type {VersionGroup} from './endpointDirectory.js';
+import type {FleetShare} from './fleetShare.js';
 import type {
   ForwardedCall,
   Forwarding,
@@ -46,6 +47,7 @@
 interface FrontOptions {
   readonly policy: PolicyInForce;
   readonly quotas: Quotas;
+  readonly share: FleetShare;
   readonly admission: Admission;
   readonly forwarding: Forwarding;
   readonly format: CallFormat;
@@ -162,6 +164,9 @@
     if (customer === undefined || amount === 0) {
       return () => {};
     }
+    if (!options.share.isKnown()) {
+      throw notReady('the other entries are not known here yet');
+    }
     if (!quotas.tryTake(customer, amount)) {
       throw new ServingError(
         'overloaded',
--- /dev/null
+++ b/packages/gateway/src/fleetShare.ts
@@ -0,0 +1,56 @@
+/**
+ * How much of the fleet an entry knows of, which decides the part of what all
+ * entries share (quotas, endpoints' capacity) that it may give out by itself.
+ */
+import type {Clock} from '@skylarkfield/base';
+
+export interface FleetShare {
+  /** Takes over what is known now. */
+  refresh(): void;
+  /** False for a moment after the start, while it is not known how many entries there are. */
+  isKnown(): boolean;
+}
+
+/** Time after the start from which an entry that was told of no others counts as the only one, in milliseconds. */
+const JOIN_LIMIT_MS = 900;
+
+/**
+ * Makes the share of an entry that has just started.
+ *
+ * @example
+ * const share = createFleetShare({clock, membership, reports, onDidRefresh: quotas.setHeard});
+ */
+export function createFleetShare(options: {
+  readonly clock: Clock;
+  readonly membership: {entryCount(): number | undefined};
+  readonly reports: {entriesHeard(): number};
+  /** Gets the fraction of the other entries that are heard, 0 to 1, and the number of entries. */
+  onDidRefresh(heardFraction: number, entryCount: number): void;
+}): FleetShare {
+  const {clock, membership, reports} = options;
+  const startedAt = clock.now();
+  let isKnown = false;
+
+  function refresh(): void {
+    const others = (membership.entryCount() ?? 1) - 1;
+    const heard = reports.entriesHeard();
+    const heardFraction = others <= 0 ? 1 : Math.min(1, heard / others);
+    options.onDidRefresh(heardFraction, others + 1);
+  }
+
+  return {
+    refresh,
+    isKnown() {
+      if (isKnown) {
+        return true;
+      }
+      isKnown =
+        membership.entryCount() !== undefined ||
+        clock.now() - startedAt >= JOIN_LIMIT_MS;
+      if (isKnown) {
+        refresh();
+      }
+      return isKnown;
+    },
+  };
+}
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -29,6 +29,7 @@
 import {createEngineMemory, type EngineMemory} from './engineMemory.js';
 import {createEngineObserver} from './engineObserver.js';
 import {createEnginesView, type EnginesView} from './enginesView.js';
+import {createFleetShare} from './fleetShare.js';
 import {createForwarding} from './forwarding.js';
 import {createPeerReports} from './peerReports.js';
 import {createPlatformView} from './platformView.js';
@@ -144,6 +145,15 @@
     self: `${settings.id}.${context.incarnation}`,
     lateMs: settings.usageLateSeconds * MS_PER_SECOND,
   });
+  const share = createFleetShare({
+    clock,
+    membership,
+    reports,
+    onDidRefresh(heardFraction, entryCount) {
+      quotas.setHeard(heardFraction, entryCount);
+      admission.setEntryCount(entryCount);
+    },
+  });
   /** Only who reports usage needs the others' counts, and that is a relay. */
   const usageFor: Readonly<Record<DigestScope, () => WindowCounts>> = {
     own: usage.own,
@@ -160,7 +170,7 @@
       },
       plan: agreement.plan,
       content() {
-        noteHeard();
+        share.refresh();
         const mirrors = view.syncStatuses();
         const own = {
           entries: 1,
@@ -201,13 +211,6 @@
     feed.update();
   }
 
-  function noteHeard(): void {
-    const others = membership.live().length - 1;
-    const heard = reports.entriesHeard();
-    quotas.setHeard(others <= 0 ? 1 : Math.min(1, heard / others), others + 1);
-    admission.setEntryCount(others + 1);
-  }
-
   const rollouts = owned.add(
     createRolloutPart(context, {
       rollouts: view.rollouts,
@@ -256,6 +259,7 @@
   const front = createCallerFront({
     policy,
     quotas,
+    share,
     admission,
     forwarding,
     format: platform.calls,
--- a/packages/members/src/contracts.ts
+++ b/packages/members/src/contracts.ts
@@ -27,6 +27,12 @@
   members(): readonly Member[];
   /** Those that take new work. */
   live(): readonly Member[];
+  /**
+   * Number of entries that take work. For some seconds after the start those
+   * that the platform listed count as well, heard or not; undefined until the
+   * platform or a peer has told of others.
+   */
+  entryCount(): number | undefined;
   onDidChange(listener: (member: Member) => void): Disposable;
   /** Announces that this entry leaves; before anything else in a shutdown. */
   leave(): Promise<void>;
--- a/packages/members/src/memberObjects.ts
+++ b/packages/members/src/memberObjects.ts
@@ -31,6 +31,8 @@
   join(): void;
   /** Looks at this entry's object soon: somebody took us for gone. */
   checkOwn(): void;
+  /** Members that the platform listed when this entry joined, itself included; undefined before. */
+  listedCount(): number | undefined;
   /** Removes this entry's object. */
   leave(signal: AbortSignal): Promise<void>;
   /** Whether the platform answers a read that starts now. */
@@ -73,6 +75,7 @@
   const timers = new Set<Disposable>();
   let retryMs = FIRST_RETRY_MS;
   let isJoined = false;
+  let listedCount: number | undefined;
   let hasLeft = false;
   let swept = 0;
 
@@ -112,6 +115,7 @@
       'recent',
     );
     isJoined = true;
+    listedCount = objects.length;
     const {id} = options.ownNews();
     void contactSome(objects.filter(object => object.name !== id));
     after(timing.sweepMs, sweep);
@@ -233,6 +237,7 @@
         after(timing.heartbeatMs, checkOwn);
       }
     },
+    listedCount: () => listedCount,
     async leave(signal) {
       hasLeft = true;
       const {id} = options.ownNews();
--- a/packages/members/src/membership.ts
+++ b/packages/members/src/membership.ts
@@ -236,6 +236,25 @@
       owned.add(every(clock, timing.heartbeatMs, tick));
     }),
   );
+  const startedAt = clock.now();
+
+  function live(): Member[] {
+    return [own.member(), ...table.present().map(toMember)].filter(
+      member => member.state === 'live',
+    );
+  }
+
+  /** The listing counts only until all that are alive have been heard of: it also holds the dead. */
+  function entryCount(): number | undefined {
+    const count = live().length;
+    const listed = objects.listedCount();
+    if (listed === undefined) {
+      return count > 1 ? count : undefined;
+    }
+    const isNew = clock.now() - startedAt < timing.contactMs;
+    return isNew ? Math.max(count, listed) : count;
+  }
+
   gossip.add(own.news());
   objects.join();
   lostMembers.contactSeeds();
@@ -245,10 +264,8 @@
       return own.member();
     },
     members: () => [own.member(), ...table.present().map(toMember)],
-    live: () =>
-      [own.member(), ...table.present().map(toMember)].filter(
-        member => member.state === 'live',
-      ),
+    live,
+    entryCount,
     onDidChange: changed.event,
     leave,
     isCurrent: () => guard.isCurrent(),
--- a/packages/members/src/test/membership.test.ts
+++ b/packages/members/src/test/membership.test.ts
@@ -115,6 +115,22 @@
     });
   }
 
+  // Guards against new processes that each count themselves as the whole fleet.
+  it('knows of how many entries there are before it has heard of them', async () => {
+    const cluster = createCluster();
+    const ids = cluster.startMany(9);
+    await cluster.clock.advance(10_000);
+    ids.forEach(id => cluster.crash(id));
+    await cluster.clock.advance(1_000);
+    const again = cluster.start('m0');
+    assert.equal(again.entryCount(), undefined);
+    await cluster.clock.advance(200);
+    assert.equal(again.live().length, 1);
+    assert.equal(again.entryCount(), 9);
+    await cluster.clock.advance(10_000);
+    assert.equal(again.entryCount(), 1);
+  });
+
   it('finds both sides of a long cut again', async () => {
     // Two regions lose each other: each side counts the other as gone, removes
     // its objects and goes on. When the cut heals both must list all again.
