traffic: assume an overdrawn burst when a quota's account opens

Cause: usage is kept in memory. An entry that starts opened an account with a whole burst and a refill at once, as if the customer had been at rest, while it had just spent its burst at the process before. Ruled out: writing usage to the store each second (a call a second for what is needed after a loss of all only); nothing at all until the past is known (0.9 s of refusals after each loss of all). Change: the bucket starts with what the least time of a start refills, at most the burst, and gets no more until that and a burst are paid back (1.8 s where the burst is a second's rate). Where less than 1 s passes between the last request of the old process and the first of its successor, a window may be over by the refill of the difference. Test: a process that restarts ten times in 10 s under a flood granted 14,000 of 9,000 tokens in a window; now within 9,900.

--- a/packages/traffic/src/quotas.ts
+++ b/packages/traffic/src/quotas.ts
@@ -54,6 +54,9 @@
 /** Default quota window, in milliseconds. */
 const DEFAULT_WINDOW_MS = 8_000;
 
+/** Least time between the last request that a process admits and the first of its successor, in milliseconds. */
+const START_MS = 1_000;
+
 /** Upper bound of Retry-After, in milliseconds. */
 const MAX_WAIT_MS = 8_000;
 
@@ -82,6 +85,7 @@
   let part = 1;
   let weights: UsageWeights = {others: 1, before: 1};
   let loggedPart = part;
+  const startedAt = clock.now();
 
   function allowanceOf({perSecond, burst}: Quota): number {
     return (perSecond * windowMs) / SECOND_MS + burst;
@@ -92,12 +96,20 @@
     return (perSecond / SECOND_MS + burst / windowMs) * part;
   }
 
+  /**
+   * An entry that starts does not know what was granted before. At worst the
+   * customer has just overdrawn its burst, so the bucket starts with what a
+   * start takes to refill, and gets nothing more until that is paid back.
+   */
   function openAccount(quota: Quota): Account {
     const now = clock.now();
     const allowance = allowanceOf(quota);
+    const refill = allowance / windowMs;
+    const level = Math.min(quota.burst, refill * START_MS);
+    const paidBackAt = startedAt + (quota.burst + level) / refill;
     return {
-      level: quota.burst,
-      filledAt: now,
+      level,
+      filledAt: Math.max(now, paidBackAt),
       // Earlier usage is unknown, so all but the burst counts as used.
       window: createQuotaWindow({
         windowMs,
@@ -123,9 +135,9 @@
   function accountOf(name: string, quota: Quota): Account {
     const account = accounts.get(name) ?? opened(name, quota);
     const now = clock.now();
-    const grown = (now - account.filledAt) * perMs(quota);
+    const grown = Math.max(0, now - account.filledAt) * perMs(quota);
     account.level = Math.min(quota.burst, account.level + grown);
-    account.filledAt = now;
+    account.filledAt = Math.max(now, account.filledAt);
     const allowance = allowanceOf(quota);
     if (allowance < account.allowance) {
       // Usage under a higher quota would otherwise block the customer for a window.
@@ -194,8 +206,9 @@
       const account = accountOf(name, quota);
       const now = clock.now();
       const rate = perMs(quota);
+      const {level, filledAt} = account;
       const freeInMs = Math.max(
-        -account.level / rate,
+        level > 0 ? 0 : filledAt - now - level / rate,
         account.window.msUntilBelow(now, weights, account.allowance * part),
       );
       // Staggered, since requests that return together would be rejected again.
--- a/packages/traffic/src/test/quotas.test.ts
+++ b/packages/traffic/src/test/quotas.test.ts
@@ -254,6 +254,20 @@
     assert.ok(most <= allowed * OVER, `${most} of ${allowed}`);
   });
 
+  // Guards against a burst and an empty window at each start of a process that crashes in a loop.
+  it('keeps the quota while a process restarts again and again', () => {
+    const fleet = floodedFleet(1);
+    fleet.idle(9);
+    fleet.flood(2);
+    for (let restarts = 0; restarts < 10; restarts++) {
+      fleet.restart([0]);
+      fleet.flood(1);
+    }
+    const allowed = PER_SECOND * WINDOW_SECONDS + BURST;
+    const most = fleet.mostInWindow();
+    assert.ok(most <= allowed * OVER, `${most} of ${allowed}`);
+  });
+
   // Guards against refusals after a restart of all, before entries hear each other.
   it('grants a part of the burst while it has heard nobody yet', () => {
     const clock = virtualClock();
