gateway, routing: keep to the limit that an endpoint names, over all entries

What endpoints saw: one in need that had named 3 requests a second got 36 in 4 s, where 23 are allowed; another with 1.1 got 26 of 12. Cause: nobody read the header. Load, health and registrations were the only signs by which requests were placed, and none of them shows such a need. Ruled out: sends past a limit that is kept (no code names it; the requests in the logs name one endpoint each, at all seven entries alike). Change: answers are read for a limit; digests tell the newest to the others, relays pass it on. As many entries as the limit allows requests a second hold an equal share, chosen alike everywhere by rendezvous hashing, each with a bucket of a quarter of a second's share, one request at least; the others send nothing there. So 4 s see at most 4N + max(N, 1) + N/4 requests, below the bound of 6N + 5. A request that only limits keep from an endpoint is rejected at once, as not run, with the time until the next one may be sent. Each change of a limit is logged as a decision; /dump shows `limits`.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -47,6 +47,8 @@
   readonly silenceMs: number | undefined;
   /** Whether the endpoint was told to stop the request: an end of its connection then proves nothing. */
   isStopping(): boolean;
+  /** The head of the endpoint's answer to this attempt has come, whatever it says. */
+  onDidRespond(head: ReplyHead): void;
   /** The endpoint's answer has begun; for a stream, its first event has come. */
   onDidBegin(head: ReplyHead): void;
 }
@@ -133,6 +135,7 @@
         giveUp(violation('the answer is encoded'));
         return;
       }
+      options.onDidRespond(head);
       const isSuccess = status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
       isStream = sink !== undefined && isSuccess;
       if (!isStream && !head.isNotRun) {
--- a/packages/gateway/src/attemptOutcome.ts
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -131,3 +131,17 @@
     {run: 'not-run', retryAfterMs: Math.max(LEAST_RETRY_MS, ms - longestMs)},
   );
 }
+
+/**
+ * The endpoints of a service that are left have named limits, and those are used up.
+ *
+ * @example
+ * throw limited('chat', 350);
+ */
+export function limited(service: string, waitMs: number): ServingError {
+  return new ServingError(
+    'overloaded',
+    `the endpoints of ${service} take no more requests for ${Math.round(waitMs)} ms`,
+    {run: 'not-run', retryAfterMs: Math.max(LEAST_RETRY_MS, waitMs)},
+  );
+}
--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -83,6 +83,8 @@
   /** The endpoint promises that it has not run the request and won't. */
   readonly isNotRun: boolean;
   readonly load: SelfReportedLoad | undefined;
+  /** Requests a second that the endpoint takes from all entries together; undefined when it names no limit. */
+  readonly limitPerSecond: number | undefined;
 }
 
 /** Headers as undici gives them. */
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -1,12 +1,13 @@
 /** Takes an admitted request to an endpoint, and to another one where that is allowed. */
 import {ServingError, type Clock, type Logger} from '@skylarkfield/base';
 import type {Admission} from '@skylarkfield/admission';
-import type {Choice, Router} from '@skylarkfield/routing';
+import type {Choice, RequestLimits, Router} from '@skylarkfield/routing';
 import {ownTokens, type Route} from '@skylarkfield/traffic';
 import {runAttempt, type AttemptEnd} from './attempt.js';
 import {
   describeEnd,
   isServerFault,
+  limited,
   mayHaveRun,
   noPlaceInTime,
   noRoom,
@@ -76,6 +77,7 @@
  */
 export function createForwarding(options: {
   readonly router: Router;
+  readonly limits: Pick<RequestLimits, 'note'>;
   readonly directory: EndpointDirectory;
   readonly admission: Admission;
   readonly upstreams: Upstreams;
@@ -164,6 +166,8 @@
       sink: isStream ? seen.watched(reply.sink) : undefined,
       silenceMs: rules.silenceMs(call, progress),
       isStopping: watched.isStopping,
+      onDidRespond: ({limitPerSecond}) =>
+        options.limits.note(choice.endpoint, limitPerSecond),
       onDidBegin(head) {
         beganAt = clock.now();
         seen.noteBegin();
@@ -265,6 +269,14 @@
     return choice && {choice};
   }
 
+  /** Why no endpoint of a service may be asked. */
+  function noEndpoint(service: string): ServingError {
+    const waitMs = router.limitWaitMs(service);
+    return waitMs === undefined
+      ? unavailable(service, 'none is left')
+      : limited(service, waitMs);
+  }
+
   /**
    * Refuses a request that nobody has run yet and that can't be answered in its
    * caller's time even at the endpoint that suits it best: the caller learns now
@@ -329,7 +341,7 @@
       for (;;) {
         const start = next(call, progress);
         if (start === undefined) {
-          const error = unavailable(call.service, 'none is left');
+          const error = noEndpoint(call.service);
           const refusal = withRuns(error, progress.runs);
           return result(failed(reply, refusal), progress);
         }
--- a/packages/gateway/src/peerReports.ts
+++ b/packages/gateway/src/peerReports.ts
@@ -14,7 +14,7 @@
   type WorkRate,
 } from '@skylarkfield/capacity';
 import type {EndpointLoad, Messages} from '@skylarkfield/protocol';
-import {addLoads} from '@skylarkfield/routing';
+import {addLoads, newestLimits, type LimitReports} from '@skylarkfield/routing';
 import {addWork, NO_WORK} from '@skylarkfield/traffic';
 import type {DigestScope} from './relayPlan.js';
 
@@ -27,6 +27,8 @@
   readonly entries: number;
   readonly used: Amounts;
   readonly loads: Readonly<Record<string, EndpointLoad>>;
+  /** Limits that endpoints have named to them. */
+  readonly limits: LimitReports;
   readonly work: Readonly<Record<string, WorkRate>>;
   /** What was seen of engines; undefined when it is not to be told now. */
   readonly capacity?: CapacitySums;
@@ -180,17 +182,19 @@
       const loads: Record<string, EndpointLoad> = {...own.loads};
       const work = {...own.work};
       const outcomes = {...own.outcomes};
-      let {entries} = own;
+      let {entries, limits} = own;
       for (const part of chosen) {
         addAmounts(used, part.used);
         if (isFresh(part)) {
           addLoadsTo(loads, part.digest.loads);
           addWorkRates(work, part.digest.work);
           addOutcomes(outcomes, part.digest.outcomes);
+          const sinceMs = clock.now() - part.heardAt;
+          limits = newestLimits(limits, part.digest.limits ?? {}, sinceMs);
           entries += part.digest.entries ?? 1;
         }
       }
-      const sum = {entries, used, loads, work, outcomes};
+      const sum = {entries, used, loads, limits, work, outcomes};
       if (own.capacity === undefined) {
         return sum;
       }
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -42,6 +42,7 @@
     attemptId: headers['attempt'] as string | undefined,
     isNotRun: headers['not-run'] !== undefined,
     load: undefined,
+    limitPerSecond: undefined,
   }),
   replyHeaders: () => ({}),
 };
@@ -164,6 +165,7 @@
   const upstreams = createUpstreams();
   const forwarding = createForwarding({
     router,
+    limits: {note: () => {}},
     directory: {get: id => registered.get(id)} as EndpointDirectory,
     admission,
     upstreams,
--- a/packages/gateway/src/test/relays.test.ts
+++ b/packages/gateway/src/test/relays.test.ts
@@ -87,6 +87,7 @@
         loads: {
           shared: {requests: 1, pendingTokens: 10, contextTokens: 100},
         },
+        limits: {},
         work: {chat: {...NO_WORK, ownTokens: 5}},
         outcomes: {chat: {count: 2, late: 1}},
       }),
@@ -147,7 +148,14 @@
 }
 
 function requestsSeen(reports: PeerReports, id: string): number {
-  const nothing = {entries: 0, used: {}, loads: {}, work: {}, outcomes: {}};
+  const nothing = {
+    entries: 0,
+    used: {},
+    loads: {},
+    limits: {},
+    work: {},
+    outcomes: {},
+  };
   const sum = reports.sumFor('rest', id, nothing);
   return sum.loads['shared']?.requests ?? 0;
 }
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -2,7 +2,7 @@
 import {createAdmission} from '@skylarkfield/admission';
 import {disposableStore, type Disposable} from '@skylarkfield/base';
 import type {Messages} from '@skylarkfield/protocol';
-import {createRouter} from '@skylarkfield/routing';
+import {createRequestLimits, createRouter} from '@skylarkfield/routing';
 import {
   answerWork,
   createQuotas,
@@ -112,10 +112,12 @@
   const tokensPerEvent = (service: string): number =>
     declared(service)?.engine?.tokensPerEvent ?? 1;
   const upstreams = owned.add(createUpstreams());
+  const limits = createRequestLimits({clock, self: settings.id, decisions});
   const router = createRouter({
     clock,
     random,
     decisions,
+    limits,
     failureDomain: settings.failureDomain,
     self: settings.id,
     blockTokens: KEY_TOKENS,
@@ -176,6 +178,7 @@
           entries: 1,
           used: quotas.used(),
           loads: router.ownLoads(),
+          limits: limits.own(),
           work: work.rates(),
           outcomes: engines.outcomes.sums(),
           capacity: engines.news(),
@@ -187,6 +190,7 @@
         });
       },
       onDidHear(peer, digest, timestamp) {
+        limits.report(digest.limits ?? {});
         view.noteSyncStatuses(peer, digest.mirrors, timestamp);
         noteUsage(peer, digest);
         const taken = reports.take(peer, digest);
@@ -206,8 +210,16 @@
     usage.noteCounts(source, counts, isNear);
   }
 
+  function shareLimits(): void {
+    limits.setEntries(membership.live().map(({id}) => id));
+  }
+
+  owned.add(membership.onDidChange(shareLimits));
+  shareLimits();
+
   function refreshEndpoints(): void {
     directory.refresh();
+    limits.keepOnly(new Set(router.held().map(({id}) => id)));
     feed.update();
   }
 
@@ -229,6 +241,7 @@
 
   const forwarding = createForwarding({
     router,
+    limits,
     directory,
     admission,
     upstreams,
@@ -298,6 +311,7 @@
   context.dumps.add('admission', () => admission.dump());
   context.dumps.add('engines', () => engines.dump());
   context.dumps.add('reports', () => reports.dump());
+  context.dumps.add('limits', () => limits.dump());
   context.dumps.add('quotas', () => quotas.dump());
   context.dumps.add('upstreams', () => upstreams.dump());
   return {
--- a/packages/protocol/src/messages/gatewayMessages.ts
+++ b/packages/protocol/src/messages/gatewayMessages.ts
@@ -61,6 +61,10 @@
     readonly usage: Readonly<Record<string, Readonly<Record<string, number>>>>;
     /** What is at each endpoint where there is something. */
     readonly loads: Readonly<Record<string, EndpointLoad>>;
+    /** What answers said about limits that endpoints have named, by endpoint. */
+    readonly limits?: Readonly<
+      Record<string, {readonly perSecond?: number; readonly agoMs: number}>
+    >;
     /** Work that callers bring by service. */
     readonly work: Readonly<Record<string, WorkRate>>;
     /** What was seen of engines; as last told when absent. */
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -70,6 +70,11 @@
   setEntries(entries: readonly string[]): void;
   /** Chooses; undefined when no endpoint may take the request. */
   choose(routingRequest: RoutingRequest): Choice | undefined;
+  /**
+   * Milliseconds until an endpoint of the service may get a request within the
+   * limit that it has named; undefined when no limit keeps one from it now.
+   */
+  limitWaitMs(service: string): number | undefined;
   /**
    * Tokens of a prompt's start believed to be cached at the endpoint that has
    * most of it, for the cost of a request before an endpoint is chosen.
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -7,6 +7,7 @@
 import {createEndpointPools, type KnownEndpoint} from './endpointPool.js';
 import {tokensAhead} from './loadView.js';
 import {createPopularity, type Popularity} from './popularity.js';
+import type {RequestLimits} from './requestLimits.js';
 import {
   createRouteCosts,
   defaultRouteWeights,
@@ -27,6 +28,8 @@
   readonly weights?: Partial<RouteWeights>;
   /** Weights of one service that go before the others; asked for at each choice. */
   weightsOf?(service: string): Partial<RouteWeights> | undefined;
+  /** Limits that endpoints have named; none when absent. */
+  readonly limits?: Pick<RequestLimits, 'mayTake' | 'take' | 'waitMs'>;
   /** Tokens that each of a routing request's blocks stands for; the engines' own blocks when not given. */
   readonly blockTokens?: number;
 }
@@ -39,6 +42,8 @@
 /** Expected milliseconds below which a latency says nothing about slowness. */
 const MIN_EXPECTED_MS = 40;
 const PERCENT = 100;
+/** Time after which to try again where other entries hold an endpoint's limit, in milliseconds. */
+const ELSEWHERE_MS = 300;
 /** Urgency of a request that names none, in the middle of ten. */
 const DEFAULT_URGENCY = 5;
 
@@ -65,7 +70,7 @@
  * const choice = router.choose(routingRequest);
  */
 export function createRouter(options: RouterOptions): Router {
-  const {clock, random, decisions, failureDomain, self} = options;
+  const {clock, random, decisions, failureDomain, self, limits} = options;
   const blockTokens = options.blockTokens ?? BLOCK_TOKENS;
   const weights = {...defaultRouteWeights, ...options.weights};
   const isOwn =
@@ -123,7 +128,8 @@
       .filter(
         ({candidate, health}) =>
           health.state !== 'leaving' &&
-          !routingRequest.excluded.has(candidate.id),
+          !routingRequest.excluded.has(candidate.id) &&
+          limits?.mayTake(candidate.id) !== false,
       );
     const admitting = present.filter(({health}) => health.admits());
     if (admitting.length > 0 || present.length === 0) {
@@ -267,6 +273,7 @@
     cache.noteSent(routingRequest.blocks);
     popularityOf(routingRequest.service).note(routingRequest.blocks);
     health.noteSent();
+    limits?.take(candidate.id);
     totals.choices += 1;
 
     function finish(result: AttemptResult) {
@@ -324,6 +331,21 @@
       );
       return scored === undefined ? undefined : open(routingRequest, scored);
     },
+    limitWaitMs(service) {
+      const limited = pools
+        .all()
+        .map(({candidate}) => candidate)
+        .filter(
+          candidate =>
+            candidate.service === service &&
+            limits?.mayTake(candidate.id) === false,
+        );
+      return limited.length === 0
+        ? undefined
+        : Math.min(
+            ...limited.map(({id}) => limits?.waitMs(id) ?? ELSEWHERE_MS),
+          );
+    },
     cachedTokens(service, version, blocks) {
       const counts = pools
         .of(service, version)
--- /dev/null
+++ b/packages/routing/src/test/requestLimits.test.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {decisionLog, silentLogger, virtualClock} from '@skylarkfield/base';
+import {
+  createRequestLimits,
+  newestLimits,
+  type RequestLimits,
+} from '../requestLimits.js';
+
+const WINDOW_SECONDS = 4;
+const STEP_MS = 20;
+const DIGEST_MS = 300;
+const ENDPOINT = 'i-1@7';
+
+/** Entries of which each sends the endpoint what it may. */
+function createFleet(count: number) {
+  const clock = virtualClock();
+  const ids = Array.from({length: count}, (_, index) => `entry-${index}`);
+  const entries = ids.map(self => {
+    const decisions = decisionLog(clock, silentLogger());
+    const limits = createRequestLimits({clock, self, decisions});
+    limits.setEntries(ids);
+    return limits;
+  });
+  const sent: number[] = [];
+
+  function exchangeDigests(): void {
+    const told = entries.map(entry => entry.own());
+    entries.forEach((to, index) =>
+      told
+        .filter((_, from) => from !== index)
+        .forEach(reports => to.report(reports)),
+    );
+  }
+
+  function sendFrom(entry: RequestLimits, limit: number | undefined): number {
+    if (!entry.mayTake(ENDPOINT)) {
+      return 0;
+    }
+    entry.take(ENDPOINT);
+    entry.note(ENDPOINT, limit);
+    return 1;
+  }
+
+  return {
+    clock,
+    entries,
+    /** Every entry sends all that it may to an endpoint that names this limit. */
+    flood(seconds: number, limit: number | undefined): void {
+      for (let at = 0; at < seconds * 1_000; at += STEP_MS) {
+        if (at % DIGEST_MS === 0) {
+          exchangeDigests();
+        }
+        sent.push(
+          entries.reduce((sum, entry) => sum + sendFrom(entry, limit), 0),
+        );
+        clock.advanceSync(STEP_MS);
+      }
+    },
+    /** The most requests in a window since so many seconds ago, and their number in all. */
+    seen(seconds: number): {most: number; total: number} {
+      const recent = sent.slice((-seconds * 1_000) / STEP_MS);
+      const length = (WINDOW_SECONDS * 1_000) / STEP_MS;
+      const sums = recent.map((_, at) => sum(recent.slice(at, at + length)));
+      return {most: Math.max(...sums), total: sum(recent)};
+    },
+  };
+}
+
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((total, number) => total + number, 0);
+}
+
+describe('limits that endpoints name', () => {
+  // Guards against entries that each take the whole limit, and against a limit that is hardly used.
+  it('hold for all entries together and are used', () => {
+    for (const count of [1, 2, 7, 60]) {
+      for (const limit of [0.4, 1.2, 2.9, 12, 300]) {
+        const fleet = createFleet(count);
+        fleet.flood(0.4, limit);
+        fleet.flood(12, limit);
+        const {most, total} = fleet.seen(11);
+        const allowed = 1.5 * limit * WINDOW_SECONDS + 5;
+        assert.ok(most <= allowed, `${count}, ${limit}: ${most} of ${allowed}`);
+        const least = 0.8 * Math.min(limit, count / (STEP_MS / 1_000)) * 11 - 2;
+        assert.ok(total >= least, `${count}, ${limit}: ${total} of ${least}`);
+      }
+    }
+  });
+
+  // Guards against a limit that is kept when the endpoint no longer names it.
+  it('end when an answer names none', () => {
+    const fleet = createFleet(7);
+    fleet.flood(5, 2);
+    fleet.flood(5, undefined);
+    assert.ok(fleet.entries.every(entry => entry.mayTake(ENDPOINT)));
+    assert.ok(fleet.seen(2).total > 100);
+  });
+
+  // Guards against two shares when the entry that held a limit dies.
+  it('pass to other entries when their holder is gone', () => {
+    const fleet = createFleet(3);
+    fleet.flood(5, 1);
+    const holder = fleet.entries.findIndex(
+      entry => entry.waitMs(ENDPOINT) !== undefined,
+    );
+    const rest = [0, 1, 2]
+      .filter(index => index !== holder)
+      .map(index => `entry-${index}`);
+    fleet.entries.forEach(entry => entry.setEntries(rest));
+    const holders = fleet.entries.filter(
+      entry => entry.waitMs(ENDPOINT) !== undefined,
+    );
+    assert.equal(holders.length, 1);
+    assert.notEqual(holders[0], fleet.entries[holder]);
+  });
+
+  it('follow the newest answer, wherever it came', () => {
+    const {clock, entries} = createFleet(2);
+    const [first, second] = entries as [RequestLimits, RequestLimits];
+    first.note(ENDPOINT, 1);
+    clock.advanceSync(100);
+    second.note(ENDPOINT, 5);
+    clock.advanceSync(100);
+    second.report(first.own());
+    first.report(second.own());
+    for (const entry of entries) {
+      const {perSecond} = (entry.dump() as Record<string, {perSecond: number}>)[
+        ENDPOINT
+      ]!;
+      assert.equal(perSecond, 5);
+    }
+    const sums = newestLimits(first.own(), second.own(), 50);
+    assert.deepEqual(sums[ENDPOINT], {perSecond: 5, agoMs: 150});
+  });
+
+  it('are not made up for endpoints that name none', () => {
+    const {entries} = createFleet(1);
+    entries[0]!.note(ENDPOINT, undefined);
+    assert.deepEqual(entries[0]!.own(), {});
+    assert.ok(entries[0]!.mayTake(ENDPOINT));
+  });
+});
