gateway: give sums of relays the whole silence before they are overdue

A sum comes over two or three hops of 0.3 s. Where it is the only report of all other entries, as behind a relay, taking it for overdue after 0.7 s would cut an entry's part of every quota to its own. Found in reading; not played on a site with relays.

--- a/packages/gateway/src/peerReports.ts
+++ b/packages/gateway/src/peerReports.ts
@@ -70,8 +70,9 @@
 }
 
 /**
- * Age from which a report is overdue, in milliseconds: two digests are missed. A
- * part may be cut off then, and both sides would grant from the same quota.
+ * Age from which an entry's report is overdue, in milliseconds: two digests are
+ * missed. It may be cut off, and both sides would grant from the same quota.
+ * Sums of relays come over more hops and are given the whole silence.
  */
 export const OVERDUE_MS = 700;
 
@@ -110,6 +111,11 @@
     return clock.now() - heardAt < silenceMs;
   }
 
+  function isOverdue({heardAt, digest}: Part): boolean {
+    const isOwn = (digest.scope ?? 'own') === 'own';
+    return clock.now() - heardAt >= (isOwn ? OVERDUE_MS : silenceMs);
+  }
+
   function freshParts(): Part[] {
     return [...parts.values()].filter(isFresh);
   }
@@ -203,7 +209,7 @@
     },
     entriesHeard: () =>
       [...parts.values()]
-        .filter(({heardAt}) => clock.now() - heardAt < OVERDUE_MS)
+        .filter(part => !isOverdue(part))
         .reduce((sum, {digest}) => sum + (digest.entries ?? 1), 0),
     workOf: service =>
       freshParts().reduce(
