routing: tell the newest answer about a limit only

An entry that had been told a limit went on telling it after it had heard of its end; one that started later than 10 s after that end took the old limit for the newest and sent nothing to the endpoint. The new test failed before.

--- a/packages/routing/src/requestLimits.ts
+++ b/packages/routing/src/requestLimits.ts
@@ -27,7 +27,7 @@
   note(endpoint: string, perSecond: number | undefined): void;
   /** Takes what other entries were told. */
   report(reports: LimitReports): void;
-  /** What this entry was told itself, as far as others may need it. */
+  /** What answers told this entry, where it knows of no newer answer. */
   own(): LimitReports;
   /** Ids of the entries that take work; this one holds no share while it is not among them. */
   setEntries(entries: readonly string[]): void;
@@ -46,12 +46,12 @@
   readonly perSecond: number | undefined;
   /** Monotonic milliseconds. */
   readonly at: number;
+  /** The answer came to this entry. */
+  readonly isOwn: boolean;
 }
 
 interface Limit {
   newest: Observation;
-  /** Newest of this entry's own; undefined when only others were told. */
-  own: Observation | undefined;
   /** Requests that may be sent now. */
   level: number;
   filledAt: number;
@@ -89,26 +89,23 @@
   /** Rate of this entry's share by endpoint, in requests per second; 0 where others hold it. */
   const shares = new Map<string, number>();
 
-  function observe(endpoint: string, observation: Observation): Limit {
+  function hasLimit(endpoint: string): boolean {
+    return limits.get(endpoint)?.newest.perSecond !== undefined;
+  }
+
+  function observe(endpoint: string, newest: Observation): void {
     const known = limits.get(endpoint);
     if (known === undefined) {
-      const limit: Limit = {
-        newest: observation,
-        own: undefined,
-        level: 0,
-        filledAt: clock.now(),
-      };
-      limits.set(endpoint, limit);
-      logChange(endpoint, undefined, observation);
-      return limit;
+      limits.set(endpoint, {newest, level: 0, filledAt: clock.now()});
+      logChange(endpoint, undefined, newest);
+      return;
     }
-    if (observation.at > known.newest.at) {
-      logChange(endpoint, known.newest, observation);
+    if (newest.at >= known.newest.at) {
+      logChange(endpoint, known.newest, newest);
       fill(endpoint, known);
-      known.newest = observation;
+      known.newest = newest;
       shares.delete(endpoint);
     }
-    return known;
   }
 
   function logChange(
@@ -167,31 +164,31 @@
 
   return {
     note(endpoint, perSecond) {
-      if (perSecond === undefined && !limits.has(endpoint)) {
+      if (perSecond === undefined && !hasLimit(endpoint)) {
         return;
       }
-      const observation = {perSecond, at: clock.now()};
-      observe(endpoint, observation).own = observation;
+      observe(endpoint, {perSecond, at: clock.now(), isOwn: true});
     },
     report(reports) {
       for (const [endpoint, {perSecond, agoMs}] of Object.entries(reports)) {
-        observe(endpoint, {perSecond, at: clock.now() - agoMs});
+        if (perSecond !== undefined || hasLimit(endpoint)) {
+          const at = clock.now() - agoMs;
+          observe(endpoint, {perSecond, at, isOwn: false});
+        }
       }
     },
     own() {
-      const now = clock.now();
-      const told = [...limits].flatMap(([endpoint, {own}]) => {
-        const isOver = own?.perSecond === undefined;
-        if (own === undefined || (isOver && now - own.at > END_TOLD_MS)) {
-          return [];
+      const told: Record<string, LimitReport> = {};
+      for (const [endpoint, {newest}] of limits) {
+        const {perSecond, at, isOwn} = newest;
+        const agoMs = clock.now() - at;
+        if (isOwn && perSecond !== undefined) {
+          told[endpoint] = {perSecond, agoMs};
+        } else if (isOwn && agoMs <= END_TOLD_MS) {
+          told[endpoint] = {agoMs};
         }
-        const {perSecond} = own;
-        const agoMs = now - own.at;
-        return [
-          [endpoint, {...(perSecond !== undefined && {perSecond}), agoMs}],
-        ];
-      });
-      return Object.fromEntries(told) as LimitReports;
+      }
+      return told;
     },
     setEntries(ids) {
       // What has grown so far belongs to the shares until now.
--- a/packages/routing/src/test/requestLimits.test.ts
+++ b/packages/routing/src/test/requestLimits.test.ts
@@ -134,6 +134,25 @@
     assert.deepEqual(sums[ENDPOINT], {perSecond: 5, agoMs: 150});
   });
 
+  // Guards against an end that is told to nobody who starts later.
+  it('are no longer told by who has heard of their end', () => {
+    const {clock, entries} = createFleet(3);
+    const [first, second, late] = entries as [
+      RequestLimits,
+      RequestLimits,
+      RequestLimits,
+    ];
+    first.note(ENDPOINT, 1);
+    second.report(first.own());
+    clock.advanceSync(100);
+    second.note(ENDPOINT, undefined);
+    first.report(second.own());
+    clock.advanceSync(20_000);
+    late.report(first.own());
+    late.report(second.own());
+    assert.ok(late.mayTake(ENDPOINT));
+  });
+
   it('are not made up for endpoints that name none', () => {
     const {entries} = createFleet(1);
     entries[0]!.note(ENDPOINT, undefined);
