members, gateway: count entries behind a cut for 15 s in quotas

Cause: 2.6 to 4.0 s after a cut of half of the entries each side counted the other as suspect or gone and granted the whole quota; both did so until the cut healed. Ruled out: the silence before a report is overdue (the parts fell to 0.44 and 0.56 within 0.6 s of the cut, and rose with the number of entries). Change: members that are suspect, or were lost without leaving in the last 15 s, count among the entries for quotas. Where hosts are really lost, customers near their limit get the smaller part for that time. Capacity of endpoints is shared by the live entries, as it was. Test: nine entries cut 4 to 5 counted 4 and 5 after 12 s; now 9, and the side alone after 32 s.

--- a/packages/gateway/src/fleetShare.ts
+++ b/packages/gateway/src/fleetShare.ts
@@ -1,6 +1,6 @@
 /**
- * How much of the fleet an entry knows of, which decides the part of what all
- * entries share (quotas, endpoints' capacity) that it may give out by itself.
+ * How much of the fleet an entry hears, which decides the part of customers'
+ * quotas that it may grant by itself.
  */
 import type {Clock} from '@skylarkfield/base';
 
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -153,7 +153,6 @@
     reports,
     onDidRefresh(heardFraction, entryCount) {
       quotas.setHeard(heardFraction, entryCount, OVERDUE_MS);
-      admission.setEntryCount(entryCount);
     },
   });
   /** Only who reports usage needs the others' counts, and that is a relay. */
@@ -173,6 +172,7 @@
       plan: agreement.plan,
       content() {
         share.refresh();
+        admission.setEntryCount(membership.live().length);
         const mirrors = view.syncStatuses();
         const own = {
           entries: 1,
--- a/packages/members/src/contracts.ts
+++ b/packages/members/src/contracts.ts
@@ -28,9 +28,10 @@
   /** Those that take new work. */
   live(): readonly Member[];
   /**
-   * Number of entries that take work. For some seconds after the start those
-   * that the platform listed count as well, heard or not; undefined until the
-   * platform or a peer has told of others.
+   * Number of entries that may take work: those that do, those lost a short
+   * while ago, which may be alive behind a cut, and for some seconds after the
+   * start those that the platform listed. Undefined until the platform or a peer
+   * has told of others.
    */
   entryCount(): number | undefined;
   onDidChange(listener: (member: Member) => void): Disposable;
--- a/packages/members/src/membership.ts
+++ b/packages/members/src/membership.ts
@@ -244,9 +244,20 @@
     );
   }
 
+  /** Members that are silent, or were lost so lately that they may still serve. */
+  function doubtfulCount(): number {
+    const suspects = table
+      .present()
+      .filter(({machine}) => machine.state() === 'suspect');
+    const lost = book
+      .lost()
+      .filter(({changedAt}) => clock.now() - changedAt < timing.lostCountMs);
+    return suspects.length + lost.length;
+  }
+
   /** The listing counts only until all that are alive have been heard of: it also holds the dead. */
   function entryCount(): number | undefined {
-    const count = live().length;
+    const count = live().length + doubtfulCount();
     const listed = objects.listedCount();
     if (listed === undefined) {
       return count > 1 ? count : undefined;
--- a/packages/members/src/test/membership.test.ts
+++ b/packages/members/src/test/membership.test.ts
@@ -131,6 +131,19 @@
     assert.equal(again.entryCount(), 1);
   });
 
+  // Guards against two sides of a cut that each take themselves for the whole fleet within seconds.
+  it('counts entries behind a cut for a while', async () => {
+    const {cluster, ids} = await settledCluster(9);
+    const [side, others] = [ids.slice(0, 4), ids.slice(4)];
+    side.forEach(id => cluster.cutOff(id, others));
+    await cluster.clock.advance(12_000);
+    assert.equal(cluster.running.get('m0')!.live().length, 4);
+    assert.equal(cluster.running.get('m0')!.entryCount(), 9);
+    assert.equal(cluster.running.get('m8')!.entryCount(), 9);
+    await cluster.clock.advance(20_000);
+    assert.equal(cluster.running.get('m0')!.entryCount(), 4);
+  });
+
   it('finds both sides of a long cut again', async () => {
     // Two regions lose each other: each side counts the other as gone, removes
     // its objects and goes on. When the cut heals both must list all again.
--- a/packages/members/src/timing.ts
+++ b/packages/members/src/timing.ts
@@ -15,6 +15,8 @@
   readonly pauseMs: number;
   /** Between two attempts to reach a member that is gone without having left. */
   readonly contactMs: number;
+  /** How long a lost member is counted among the entries: it may be alive behind a cut. */
+  readonly lostCountMs: number;
   /** How long a gone member is remembered, against old news of it. */
   readonly tombstoneMs: number;
   /** Difference of digests that lasts this long is reconciled. */
@@ -33,6 +35,7 @@
   probeMs: 1_000,
   pauseMs: 2_500,
   contactMs: 5_000,
+  lostCountMs: 15_000,
   tombstoneMs: 2 * 3_600_000,
   reconcileMs: 5_000,
   sweepMs: 60_000,
