gateway, routing: log a fingerprint of requests that endpoints leave

Callers saw 502s of a request that crashes each engine that runs it; the logs showed attempts with new ids and nothing by which two of them are known to be the same request, so nobody could tell whether each entry learned for itself. Change: a request has a fingerprint over customer, authority, method, path and body. It is computed once an endpoint has closed its connection on the request and stands in the lines 'request' and 'another endpoint'. Ends of an attempt tell whether the endpoint closed its connection or fell silent. No request is treated differently.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -18,7 +18,18 @@
   /** The endpoint promised that it has not run the request and won't. */
   | {readonly type: 'declined'; readonly status: number}
   /** No complete answer; the error tells whether the request may have run. */
-  | {readonly type: 'failed'; readonly error: ServingError};
+  | {
+      readonly type: 'failed';
+      readonly error: ServingError;
+      /** How the endpoint left the request; undefined when it was not the endpoint that ended the attempt. */
+      readonly loss?: AttemptLoss;
+    };
+
+/**
+ * How an endpoint left a request that it may have been running. `closed`: its
+ * connection ended. `silent`: nothing came any more.
+ */
+export type AttemptLoss = 'closed' | 'silent';
 
 /** Takes the events of a stream, over all attempts of one request. */
 export interface EventSink {
@@ -88,7 +99,7 @@
           silence = watch(limitMs);
           return;
         }
-        giveUp(interrupted(`no data for ${limitMs} ms`));
+        giveUp(interrupted(`no data for ${limitMs} ms`), 'silent');
       });
     }
 
@@ -106,13 +117,13 @@
       resolve(end);
     }
 
-    function giveUp(error: ServingError): void {
+    function giveUp(error: ServingError, loss?: AttemptLoss): void {
       exchange.abort();
-      settle({type: 'failed', error});
+      settle({type: 'failed', error, ...(loss && {loss})});
     }
 
     function onAbort(): void {
-      giveUp(reasonOf(signal));
+      giveUp(reasonOf(signal), 'silent');
     }
 
     function begin(): void {
@@ -177,7 +188,7 @@
         return;
       }
       if (reply === undefined || head === undefined) {
-        giveUp(interrupted('the answer has no head'));
+        giveUp(interrupted('the answer has no head'), 'closed');
         return;
       }
       if (head.isNotRun) {
@@ -205,11 +216,18 @@
       onDidRespond,
       onDidReceive,
       onDidEnd,
-      onDidFail: error => settle({type: 'failed', error}),
+      onDidFail: error => settle(lost(error)),
     });
   });
 }
 
+/** The end of a connection; before the request was sent it tells nothing about the endpoint's runs. */
+function lost(error: ServingError): AttemptEnd {
+  return error.run === 'not-run'
+    ? {type: 'failed', error}
+    : {type: 'failed', error, loss: 'closed'};
+}
+
 /** Why nobody waits any more: the signal's own error, or the caller has left. */
 function reasonOf(signal: AbortSignal): ServingError {
   if (signal.reason instanceof ServingError) {
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -9,6 +9,7 @@
 } from '@skylarkfield/base';
 import type {OutcomeMeter} from '@skylarkfield/capacity';
 import type {Admission, Permit} from '@skylarkfield/admission';
+import {requestFingerprint} from '@skylarkfield/routing';
 import {
   chooseService,
   isRepeatable,
@@ -213,6 +214,15 @@
     const {head, attemptId, route, service, customer, priority, deadlineAt} =
       accepted;
     const body = await readBody(request, policy.limits().bodyBytes, caller);
+    const fingerprint = once(() =>
+      requestFingerprint({
+        customer: customer?.name,
+        authority: head.authority,
+        method: request.method ?? 'GET',
+        path: request.url ?? '/',
+        body,
+      }),
+    );
     const giveBack = takeQuota(accepted);
     const outcome = watchOutcome(accepted, reply, options);
     let permit: Permit;
@@ -250,6 +260,7 @@
           path: request.url ?? '/',
           rawHeaders: request.rawHeaders,
           body,
+          fingerprint,
           promptKeys: promptKeys(head.demand?.parts ?? []),
           deadlineAt,
           signal: AbortSignal.any([caller, deadline.signal]),
@@ -322,6 +333,7 @@
       endpoints,
       tokensAhead,
       firstSendAt,
+      fingerprint,
     }: ForwardingResult,
     request: IncomingMessage,
     hasLeft: boolean,
@@ -350,6 +362,7 @@
         ...(error?.retryAfterMs !== undefined && {
           retryAfterMs: Math.round(error.retryAfterMs),
         }),
+        ...(fingerprint !== undefined && {fingerprint}),
         ...(hasLeft && {hasLeft}),
         ...(firstSendAt !== undefined && {
           queuedMs: Math.round(firstSendAt - arrivedAt),
@@ -400,3 +413,12 @@
     retryAfterMs: NOT_READY_RETRY_MS,
   });
 }
+
+/** Computes a value when it is first asked for. */
+function once<T>(compute: () => T): () => T {
+  let known: {readonly value: T} | undefined;
+  return () => {
+    known ??= {value: compute()};
+    return known.value;
+  };
+}
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -36,6 +36,8 @@
   readonly path: string;
   readonly rawHeaders: readonly string[];
   readonly body: Buffer | undefined;
+  /** The same for each attempt of the caller; computed when it is first asked for. */
+  fingerprint(): string;
   /** Keys of the prompt's shared parts; empty for a plain service. */
   readonly promptKeys: readonly string[];
   /** Monotonic milliseconds. */
@@ -55,6 +57,8 @@
   readonly firstSendAt?: number;
   /** Prompt tokens to be read before its own where it was sent first, as known then; undefined when it was not sent. */
   readonly tokensAhead?: number;
+  /** Present when an endpoint left the request without a whole answer. */
+  readonly fingerprint?: string;
   /** Why it failed; undefined when an endpoint's whole answer was passed on. */
   readonly error: ServingError | undefined;
 }
@@ -184,6 +188,9 @@
     const outcome = progress.continuation ? 'ok' : outcomeOf(end);
     choice.finish({outcome, latencyMs});
     seen.noteEnd();
+    if (end.type === 'failed' && end.loss === 'closed') {
+      progress.fingerprint = call.fingerprint();
+    }
     if (mayHaveRun(end) && memory === undefined) {
       progress.runs += 1;
       if (!isStream) {
@@ -364,6 +371,7 @@
             end: describeEnd(end),
             runs: progress.runs,
             sends: progress.endpoints.length,
+            fingerprint: progress.fingerprint,
           },
           'another endpoint',
         );
@@ -374,7 +382,7 @@
 
 function result(
   {status, error}: {status: number; error?: ServingError},
-  {firstMs, endpoints, tokensAhead, firstSendAt}: Progress,
+  {firstMs, endpoints, tokensAhead, firstSendAt, fingerprint}: Progress,
 ): ForwardingResult {
   return {
     status,
@@ -383,5 +391,6 @@
     endpoints,
     ...(tokensAhead !== undefined && {tokensAhead}),
     ...(firstSendAt !== undefined && {firstSendAt}),
+    ...(fingerprint !== undefined && {fingerprint}),
   };
 }
--- a/packages/gateway/src/sendRules.ts
+++ b/packages/gateway/src/sendRules.ts
@@ -28,6 +28,8 @@
   /** Monotonic milliseconds of the first send to an endpoint; undefined before. */
   firstSendAt: number | undefined;
   firstMs: number | undefined;
+  /** The request's fingerprint, once an endpoint has closed its connection on it. */
+  fingerprint: string | undefined;
   /** It stands in the usage of its customer. */
   isCounted: boolean;
   /** Where it goes on after it was moved off a leaving endpoint. */
@@ -76,6 +78,7 @@
     sentAt: now,
     firstSendAt: undefined,
     firstMs: undefined,
+    fingerprint: undefined,
     isCounted: false,
     continuation: undefined,
   };
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -213,6 +213,7 @@
           path: '/',
           rawHeaders: [],
           body: undefined,
+          fingerprint: () => 'f1',
           promptKeys: [],
           deadlineAt: clock.now() + 5_000,
           signal: gone.signal,
--- /dev/null
+++ b/packages/routing/src/test/requestFingerprint.test.ts
@@ -0,0 +1,51 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  requestFingerprint,
+  type RequestContent,
+} from '../requestFingerprint.js';
+
+const CONTENT: RequestContent = {
+  customer: 'chain',
+  authority: 'shop.example',
+  method: 'POST',
+  path: '/lookup/7?full=1',
+  body: Buffer.from('parcel 7'),
+};
+
+describe('the fingerprint of a request', () => {
+  it('stays the same in every release', () => {
+    assert.equal(requestFingerprint(CONTENT), 'd261d160c512ed0b');
+  });
+
+  const others: Readonly<Record<string, Partial<RequestContent>>> = {
+    customer: {customer: 'shop'},
+    'missing customer': {customer: undefined},
+    authority: {authority: 'other.example'},
+    method: {method: 'PUT'},
+    path: {path: '/lookup/8?full=1'},
+    query: {path: '/lookup/7'},
+    body: {body: Buffer.from('parcel 8')},
+    'missing body': {body: undefined},
+  };
+  for (const [name, change] of Object.entries(others)) {
+    it(`differs for another or a ${name}`, () => {
+      const other = requestFingerprint({...CONTENT, ...change});
+      assert.notEqual(other, requestFingerprint(CONTENT));
+    });
+  }
+
+  it('does not take a part of the body for a part of the path', () => {
+    const split = requestFingerprint({
+      ...CONTENT,
+      path: '/a',
+      body: Buffer.from('bc'),
+    });
+    const other = requestFingerprint({
+      ...CONTENT,
+      path: '/ab',
+      body: Buffer.from('c'),
+    });
+    assert.notEqual(split, other);
+  });
+});
