routing, gateway: quarantine requests that crash endpoints

What callers saw: requests in flight broke off with one endpoint after the other (7 to 36 at a time), and nobody had room while these were away. Cause: entries know a request by the id of its attempt alone, so one that crashes each endpoint that runs it went on to the next, at every entry. Change: endpoints that crash are counted by the fingerprint of what they were running. From the third on a request is rejected at once, as not run and with the time after which it may come back, and is neither sent on nor moved. A suspected request goes where the fewest others run. A whole answer clears, so that a popular request is not blamed for endpoints that it happened to sit on. Digests carry it, relays too. Why it works: the verdict follows the request, not the attempt or the entry.

--- a/packages/base/src/errors.ts
+++ b/packages/base/src/errors.ts
@@ -28,6 +28,7 @@
   | 'version-conflict'
   | 'fenced'
   | 'endpoint-unavailable'
+  | 'quarantined'
   | 'endpoint-failed'
   | 'interrupted'
   | 'outcome-unknown'
@@ -87,6 +88,12 @@
     'not-run',
     true,
   ),
+  quarantined: answer(
+    503,
+    'Endpoints crash under this request',
+    'not-run',
+    true,
+  ),
   'endpoint-failed': answer(502, 'The endpoint failed', 'may-have-run', true),
   interrupted: answer(502, 'The answer was cut off', 'may-have-run', true),
   'outcome-unknown': answer(
--- a/packages/gateway/src/attemptOutcome.ts
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -132,6 +132,26 @@
   );
 }
 
+/**
+ * Endpoints crashed under the request, so it is not sent to any other.
+ *
+ * @example
+ * throw quarantined({crashes: 3, retryAfterMs: 60_000});
+ */
+export function quarantined({
+  crashes,
+  retryAfterMs,
+}: {
+  readonly crashes: number;
+  readonly retryAfterMs: number;
+}): ServingError {
+  return new ServingError(
+    'quarantined',
+    `${crashes} endpoints crashed under this request`,
+    {run: 'not-run', retryAfterMs},
+  );
+}
+
 /**
  * The endpoints of a service that are left have named limits, and those are used up.
  *
--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -9,7 +9,7 @@
 } from '@skylarkfield/base';
 import type {OutcomeMeter} from '@skylarkfield/capacity';
 import type {Admission, Permit} from '@skylarkfield/admission';
-import {requestFingerprint} from '@skylarkfield/routing';
+import {requestFingerprint, type CrashSuspects} from '@skylarkfield/routing';
 import {
   chooseService,
   isRepeatable,
@@ -19,6 +19,7 @@
   type Quotas,
   type Route,
 } from '@skylarkfield/traffic';
+import {quarantined} from './attemptOutcome.js';
 import {readBody} from './callerBody.js';
 import {createCallerReply, type CallerReply} from './callerReply.js';
 import type {CallFormat, CallHead} from './contracts.js';
@@ -48,6 +49,7 @@
 interface FrontOptions {
   readonly policy: PolicyInForce;
   readonly quotas: Quotas;
+  readonly suspects: Pick<CrashSuspects, 'isEmpty' | 'judge'>;
   readonly share: FleetShare;
   readonly admission: Admission;
   readonly forwarding: Forwarding;
@@ -160,6 +162,16 @@
     };
   }
 
+  function rejectQuarantined(fingerprint: () => string): void {
+    if (options.suspects.isEmpty()) {
+      return;
+    }
+    const verdict = options.suspects.judge(fingerprint());
+    if (verdict.type === 'quarantined') {
+      throw quarantined(verdict);
+    }
+  }
+
   function takeQuota({customer, head}: Accepted): () => void {
     const amount = quotaAmount(customer, head);
     if (customer === undefined || amount === 0) {
@@ -223,6 +235,7 @@
         body,
       }),
     );
+    rejectQuarantined(fingerprint);
     const giveBack = takeQuota(accepted);
     const outcome = watchOutcome(accepted, reply, options);
     let permit: Permit;
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -23,6 +23,8 @@
   refresh(): void;
   /** Fires with the key of an endpoint that says it leaves, or is no longer registered. */
   readonly onDidLeave: Event<string>;
+  /** Fires with the key of an endpoint that is no longer registered and has not said that it leaves. */
+  readonly onDidVanish: Event<string>;
 }
 
 /**
@@ -43,6 +45,7 @@
 }): EndpointDirectory {
   const {endpoints, rollouts, router, upstreams, log} = options;
   const left = emitter<string>();
+  const vanished = emitter<string>();
   let byKey = new Map<string, RegisteredEndpoint>();
 
   /**
@@ -86,6 +89,7 @@
           groupOf(endpoint) === group,
       ),
     onDidLeave: left.event,
+    onDidVanish: vanished.event,
     refresh() {
       const present = endpoints.items().map(({value}) => value);
       const before = byKey;
@@ -111,10 +115,13 @@
         }
       }
     }
-    for (const id of before.keys()) {
+    for (const [id, {state}] of before) {
       if (!byKey.has(id)) {
         log.info({endpoint: id}, 'endpoint gone');
         left.fire(id);
+        if (state === 'ready') {
+          vanished.fire(id);
+        }
       }
     }
   }
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -1,7 +1,12 @@
 /** Takes an admitted request to an endpoint, and to another one where that is allowed. */
 import {ServingError, type Clock, type Logger} from '@skylarkfield/base';
 import type {Admission} from '@skylarkfield/admission';
-import type {Choice, RequestLimits, Router} from '@skylarkfield/routing';
+import type {
+  Choice,
+  CrashSuspects,
+  RequestLimits,
+  Router,
+} from '@skylarkfield/routing';
 import {ownTokens, type Route} from '@skylarkfield/traffic';
 import {runAttempt, type AttemptEnd} from './attempt.js';
 import {
@@ -12,6 +17,7 @@
   noPlaceInTime,
   noRoom,
   outcomeOf,
+  quarantined,
   unavailable,
   withRuns,
 } from './attemptOutcome.js';
@@ -20,6 +26,7 @@
 import type {EngineObserver} from './engineObserver.js';
 import type {EndpointDirectory, VersionGroup} from './endpointDirectory.js';
 import {beginProgress, createSendRules, type Progress} from './sendRules.js';
+import {createSuspicion} from './suspicion.js';
 import type {Continuation, StreamMoves} from './streamMove.js';
 import type {Upstreams} from './upstream.js';
 
@@ -82,6 +89,7 @@
 export function createForwarding(options: {
   readonly router: Router;
   readonly limits: Pick<RequestLimits, 'note'>;
+  readonly suspects: CrashSuspects;
   readonly directory: EndpointDirectory;
   readonly admission: Admission;
   readonly upstreams: Upstreams;
@@ -95,6 +103,7 @@
 }): Forwarding {
   const {router, directory, upstreams, moves, engines, format, clock, log} =
     options;
+  const suspicion = createSuspicion(options);
   const rules = createSendRules({admission: options.admission, clock});
 
   /** An endpoint of the call's group, else one of those that have served all along. */
@@ -108,6 +117,7 @@
       ...(demand && {ownTokens: ownTokens(demand)}),
       ...(call.urgency !== undefined && {urgency: call.urgency}),
       excluded,
+      isSuspected: suspicion.isSuspected(call),
     };
     return (
       router.choose(routingRequest) ??
@@ -144,7 +154,10 @@
       endpoint: choice.endpoint,
       attemptId: call.attemptId,
       hasBegun: () => isStream && beganAt !== undefined,
-      choose: () => choose(call, progress.excluded),
+      choose: () =>
+        suspicion.isQuarantined(call)
+          ? undefined
+          : choose(call, progress.excluded),
     });
     const end = await runAttempt({
       address: endpoint.address,
@@ -170,8 +183,10 @@
       sink: isStream ? seen.watched(reply.sink) : undefined,
       silenceMs: rules.silenceMs(call, progress),
       isStopping: watched.isStopping,
-      onDidRespond: ({limitPerSecond}) =>
-        options.limits.note(choice.endpoint, limitPerSecond),
+      onDidRespond({limitPerSecond}) {
+        options.limits.note(choice.endpoint, limitPerSecond);
+        options.suspects.noteHeard(choice.endpoint, sentAt);
+      },
       onDidBegin(head) {
         beganAt = clock.now();
         seen.noteBegin();
@@ -191,6 +206,9 @@
     if (end.type === 'failed' && end.loss === 'closed') {
       progress.fingerprint = call.fingerprint();
     }
+    if (!watched.isStopping()) {
+      suspicion.noteEnd(call, choice.endpoint, end);
+    }
     if (mayHaveRun(end) && memory === undefined) {
       progress.runs += 1;
       if (!isStream) {
@@ -346,6 +364,11 @@
     async forward(call, reply) {
       const progress = beginProgress(clock.now());
       for (;;) {
+        const verdict = suspicion.judge(call, progress);
+        if (verdict.type === 'quarantined') {
+          const error = withRuns(quarantined(verdict), progress.runs);
+          return result(failed(reply, error), progress);
+        }
         const start = next(call, progress);
         if (start === undefined) {
           const error = noEndpoint(call.service);
--- a/packages/gateway/src/peerReports.ts
+++ b/packages/gateway/src/peerReports.ts
@@ -14,7 +14,13 @@
   type WorkRate,
 } from '@skylarkfield/capacity';
 import type {EndpointLoad, Messages} from '@skylarkfield/protocol';
-import {addLoads, newestLimits, type LimitReports} from '@skylarkfield/routing';
+import {
+  addLoads,
+  mergeReports,
+  newestLimits,
+  type CrashReport,
+  type LimitReports,
+} from '@skylarkfield/routing';
 import {addWork, NO_WORK} from '@skylarkfield/traffic';
 import type {DigestScope} from './relayPlan.js';
 
@@ -29,6 +35,8 @@
   readonly loads: Readonly<Record<string, EndpointLoad>>;
   /** Limits that endpoints have named to them. */
   readonly limits: LimitReports;
+  /** Crashes of endpoints that are told now; undefined when there are none. */
+  readonly crashes?: CrashReport | undefined;
   readonly work: Readonly<Record<string, WorkRate>>;
   /** What was seen of engines; undefined when it is not to be told now. */
   readonly capacity?: CapacitySums;
@@ -188,7 +196,7 @@
       const loads: Record<string, EndpointLoad> = {...own.loads};
       const work = {...own.work};
       const outcomes = {...own.outcomes};
-      let {entries, limits} = own;
+      let {entries, limits, crashes} = own;
       for (const part of chosen) {
         addAmounts(used, part.used);
         if (isFresh(part)) {
@@ -197,10 +205,19 @@
           addOutcomes(outcomes, part.digest.outcomes);
           const sinceMs = clock.now() - part.heardAt;
           limits = newestLimits(limits, part.digest.limits ?? {}, sinceMs);
+          crashes = addCrashes(crashes, part.digest.crashes);
           entries += part.digest.entries ?? 1;
         }
       }
-      const sum = {entries, used, loads, limits, work, outcomes};
+      const sum = {
+        entries,
+        used,
+        loads,
+        limits,
+        work,
+        outcomes,
+        ...(crashes && {crashes}),
+      };
       if (own.capacity === undefined) {
         return sum;
       }
@@ -257,6 +274,13 @@
   }
 }
 
+function addCrashes(
+  a: CrashReport | undefined,
+  b: CrashReport | undefined,
+): CrashReport | undefined {
+  return a === undefined || b === undefined ? (a ?? b) : mergeReports(a, b);
+}
+
 function addOutcomes(
   to: Record<string, OutcomeSums>,
   from: Readonly<Record<string, OutcomeSums>>,
--- a/packages/gateway/src/rolloutSample.ts
+++ b/packages/gateway/src/rolloutSample.ts
@@ -10,6 +10,7 @@
   'cancelled',
   'overloaded',
   'endpoint-unavailable',
+  'quarantined',
 ]);
 
 /**
--- /dev/null
+++ b/packages/gateway/src/suspicion.ts
@@ -0,0 +1,95 @@
+/** Keeps requests that crash endpoints from being sent on, and notes what shows which they are. */
+import type {CrashSuspects, Verdict} from '@skylarkfield/routing';
+import type {AttemptEnd} from './attempt.js';
+import {isServerFault} from './attemptOutcome.js';
+import type {EndpointDirectory} from './endpointDirectory.js';
+import type {Progress} from './sendRules.js';
+
+interface SuspectedCall {
+  fingerprint(): string;
+}
+
+export interface Suspicion {
+  /** Whether the request may be sent now; a trial begins with its first send and allows no second one. */
+  judge(
+    call: SuspectedCall,
+    progress: Pick<Progress, 'endpoints' | 'continuation'>,
+  ): Verdict;
+  isSuspected(call: SuspectedCall): boolean;
+  isQuarantined(call: SuspectedCall): boolean;
+  /** An attempt at an endpoint has ended, and nobody had told the endpoint to stop it. */
+  noteEnd(call: SuspectedCall, endpoint: string, end: AttemptEnd): void;
+}
+
+const CLEAR: Verdict = {type: 'clear'};
+
+/**
+ * Makes the suspicion of one entry's forwarding.
+ *
+ * @example
+ * const verdict = suspicion.judge(call, progress);
+ */
+export function createSuspicion(options: {
+  readonly suspects: CrashSuspects;
+  readonly directory: Pick<EndpointDirectory, 'get'>;
+}): Suspicion {
+  const {suspects, directory} = options;
+
+  /** Fingerprints cost processor time, so none is computed while nothing is suspected. */
+  function verdictOf(call: SuspectedCall): Verdict {
+    return suspects.isEmpty() ? CLEAR : suspects.judge(call.fingerprint());
+  }
+
+  function isServed(end: AttemptEnd): boolean {
+    return (
+      end.type === 'streamed' ||
+      (end.type === 'answered' && !isServerFault(end.status))
+    );
+  }
+
+  function noteLoss(
+    call: SuspectedCall,
+    endpoint: string,
+    loss: 'closed' | 'silent',
+  ): void {
+    const state = directory.get(endpoint)?.state;
+    if (state === 'draining') {
+      return;
+    }
+    const lost = {request: call.fingerprint(), endpoint};
+    if (loss === 'closed' && state === 'ready') {
+      suspects.noteClosed(lost);
+    } else {
+      suspects.noteSilent(lost);
+    }
+  }
+
+  return {
+    judge(call, {endpoints, continuation}) {
+      // A stream that is being moved off its endpoint runs well so far.
+      if (continuation !== undefined) {
+        return CLEAR;
+      }
+      const verdict = verdictOf(call);
+      if (verdict.type !== 'trial') {
+        return verdict;
+      }
+      if (endpoints.length > 0) {
+        return {...verdict, type: 'quarantined', retryAfterMs: 0};
+      }
+      suspects.beginTrial(call.fingerprint());
+      return verdict;
+    },
+    isSuspected: call => verdictOf(call).type !== 'clear',
+    isQuarantined: call => verdictOf(call).type === 'quarantined',
+    noteEnd(call, endpoint, end) {
+      if (end.type === 'failed' && end.loss !== undefined) {
+        noteLoss(call, endpoint, end.loss);
+        return;
+      }
+      if (isServed(end) && !suspects.isEmpty()) {
+        suspects.noteServed(call.fingerprint());
+      }
+    },
+  };
+}
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -10,7 +10,7 @@
   systemClock,
 } from '@skylarkfield/base';
 import {createEngineModel, engineFigures} from '@skylarkfield/capacity';
-import {createRouter} from '@skylarkfield/routing';
+import {createCrashSuspects, createRouter} from '@skylarkfield/routing';
 import type {RegisteredEndpoint, Route} from '@skylarkfield/traffic';
 import {createCallerReply} from '../callerReply.js';
 import type {CallFormat} from '../contracts.js';
@@ -166,6 +166,12 @@
   const forwarding = createForwarding({
     router,
     limits: {note: () => {}},
+    suspects: createCrashSuspects({
+      clock,
+      self: 'x',
+      decisions,
+      wallMs: () => clock.wall(),
+    }),
     directory: {get: id => registered.get(id)} as EndpointDirectory,
     admission,
     upstreams,
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -2,7 +2,11 @@
 import {createAdmission} from '@skylarkfield/admission';
 import {disposableStore, type Disposable} from '@skylarkfield/base';
 import type {Messages} from '@skylarkfield/protocol';
-import {createRequestLimits, createRouter} from '@skylarkfield/routing';
+import {
+  createCrashSuspects,
+  createRequestLimits,
+  createRouter,
+} from '@skylarkfield/routing';
 import {
   answerWork,
   createQuotas,
@@ -131,6 +135,13 @@
     log,
     isModel,
   });
+  const suspects = createCrashSuspects({
+    clock,
+    self: settings.id,
+    decisions,
+    wallMs: () => digests.commonWallMs(),
+  });
+  directory.onDidVanish(suspects.noteGone);
   const admission = createAdmission({
     clock,
     random,
@@ -179,6 +190,7 @@
           used: quotas.used(),
           loads: router.ownLoads(),
           limits: limits.own(),
+          crashes: suspects.recent(),
           work: work.rates(),
           outcomes: engines.outcomes.sums(),
           capacity: engines.news(),
@@ -191,6 +203,9 @@
       },
       onDidHear(peer, digest, timestamp) {
         limits.report(digest.limits ?? {});
+        if (digest.crashes !== undefined) {
+          suspects.hear(digest.crashes);
+        }
         view.noteSyncStatuses(peer, digest.mirrors, timestamp);
         noteUsage(peer, digest);
         const taken = reports.take(peer, digest);
@@ -210,12 +225,14 @@
     usage.noteCounts(source, counts, isNear);
   }
 
-  function shareLimits(): void {
-    limits.setEntries(membership.live().map(({id}) => id));
+  function shareEntries(): void {
+    const ids = membership.live().map(({id}) => id);
+    limits.setEntries(ids);
+    suspects.setEntries(ids);
   }
 
-  owned.add(membership.onDidChange(shareLimits));
-  shareLimits();
+  owned.add(membership.onDidChange(shareEntries));
+  shareEntries();
 
   function refreshEndpoints(): void {
     directory.refresh();
@@ -242,6 +259,7 @@
   const forwarding = createForwarding({
     router,
     limits,
+    suspects,
     directory,
     admission,
     upstreams,
@@ -272,6 +290,7 @@
   const front = createCallerFront({
     policy,
     quotas,
+    suspects,
     share,
     admission,
     forwarding,
@@ -312,6 +331,7 @@
   context.dumps.add('engines', () => engines.dump());
   context.dumps.add('reports', () => reports.dump());
   context.dumps.add('limits', () => limits.dump());
+  context.dumps.add('crashes', () => suspects.dump());
   context.dumps.add('quotas', () => quotas.dump());
   context.dumps.add('upstreams', () => upstreams.dump());
   return {
--- a/packages/protocol/src/messages/gatewayMessages.ts
+++ b/packages/protocol/src/messages/gatewayMessages.ts
@@ -55,6 +55,15 @@
     /** The receiver's stamp that the sender heard last; undefined before the first. */
     readonly echo?: number;
     readonly mirrors: Readonly<Record<MirrorKind, SyncStatus>>;
+    /** Endpoints that crashed lately, by the requests that they were running, and which of these were served. */
+    readonly crashes?: {
+      readonly crashes: readonly {
+        readonly request: string;
+        readonly endpoint: string;
+        readonly atMs: number;
+      }[];
+      readonly served: Readonly<Record<string, number>>;
+    };
     /** Quota amounts let through since the sender's start, by customer. */
     readonly used: Readonly<Record<string, number>>;
     /** Requests that began to run, by window and customer. */
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -28,6 +28,8 @@
   readonly urgency?: number;
   /** Endpoints already tried in vain for this request. */
   readonly excluded: ReadonlySet<string>;
+  /** May crash its endpoint: goes where it takes the fewest other requests along. */
+  readonly isSuspected?: boolean;
 }
 
 /** The endpoint for one attempt; finished exactly once. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,3 +6,16 @@
 export {addLoads} from './loadView.js';
 export {defaultRouteWeights, type RouteWeights} from './routeCosts.js';
 export {pickSubset, SUBSET_SIZE} from './subset.js';
+export {
+  createCrashSuspects,
+  CRASH_MEMORY_MS,
+  type CrashSuspects,
+  type Verdict,
+} from './crashSuspects.js';
+export {
+  EMPTY_REPORT,
+  mergeReports,
+  type Crash,
+  type CrashReport,
+} from './crashEvidence.js';
+export type {LostRequest} from './crashLosses.js';
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -61,6 +61,15 @@
   readonly score: number;
 }
 
+/** The endpoints that have the fewest requests. */
+function leastUsed(
+  endpoints: readonly KnownEndpoint[],
+): readonly KnownEndpoint[] {
+  const counts = endpoints.map(({load}) => load.estimate().requests);
+  const least = Math.min(...counts);
+  return endpoints.filter((_, index) => counts[index] === least);
+}
+
 /**
  * Makes a router that knows no endpoint yet.
  *
@@ -324,7 +333,8 @@
     },
     markReturned: endpoint => pools.markReturned(endpoint),
     choose(routingRequest) {
-      const candidates = usable(routingRequest);
+      const all = usable(routingRequest);
+      const candidates = routingRequest.isSuspected ? leastUsed(all) : all;
       const scored = pick(
         routingRequest,
         probeTarget(routingRequest, candidates) ?? candidates,
