gateway: keep what crashes endpoints in the platform's store

What callers would see: after a restart of all entries, or with entries that do not reach each other, a request convicted before crashes three endpoints more for each side. Change: every entry keeps one object with the crashes that it saw (200 at most, an hour) and mirrors those of the others, also of entries that are gone. It is written as soon as a crash is confirmed and until the store takes it. Taking an object away lifts its verdicts. Calls: one waiting read more, about 0.4 a second for any number of entries, and one write for each crash and entry that had a request there.

--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -201,8 +201,10 @@
   readonly policy: Source<TrafficPolicy>;
   readonly endpoints: Source<RegisteredEndpoint>;
   readonly rollouts: Source<Rollout>;
-  /** Objects of the system's own: members, leases, usage reports. */
+  /** Objects of the system's own: members, leases, usage reports, crashes. */
   readonly objects: ObjectTransport;
+  /** One kind of them as a source to mirror; `read` throws on a value that it does not understand. */
+  ownObjects<T>(kind: string, read: (value: unknown) => T): Source<T>;
   readonly orders: PlatformOrders;
   readonly engines: EngineMoves;
   /** Tells the operator how a rollout stands. */
--- /dev/null
+++ b/packages/gateway/src/crashMemory.ts
@@ -0,0 +1,170 @@
+/**
+ * Keeps in the platform's store which requests crash endpoints.
+ *
+ * Entries restart, are cut off from each other and are lost together; each of
+ * them must still know within seconds what any of them has learned. Every entry
+ * keeps one object with what it has seen itself, and mirrors those of the others.
+ */
+import {
+  disposableStore,
+  every,
+  toServingError,
+  type Clock,
+  type Disposable,
+  type Logger,
+  type Random,
+} from '@skylarkfield/base';
+import type {ObjectStore} from '@skylarkfield/providers';
+import {
+  CRASH_MEMORY_MS,
+  type CrashReport,
+  type CrashSuspects,
+} from '@skylarkfield/routing';
+import * as z from 'zod';
+import type {Platform, Source} from './contracts.js';
+import type {Mirror} from './mirror.js';
+
+/** Kind of the objects; each is named after the entry that keeps it. */
+const KIND = 'endpoint-crashes';
+
+/** Time for one call, in milliseconds. */
+const CALL_MS = 1_000;
+
+/** Pause before a write that failed is repeated, in milliseconds, of which half to all is waited. */
+const WRITE_AGAIN_MS = 500;
+
+/** Interval in which objects are removed that hold nothing that still counts, in milliseconds. */
+const CLEAN_MS = 300_000;
+
+const reportShape = z.object({
+  crashes: z.array(
+    z.object({request: z.string(), endpoint: z.string(), atMs: z.number()}),
+  ),
+  served: z.record(z.string(), z.number()),
+});
+
+/**
+ * The kept reports, to be mirrored.
+ *
+ * @example
+ * const view = createPlatformView({crashReports: crashReportsOf(platform), ...rest});
+ */
+export function crashReportsOf(platform: Platform): Source<CrashReport> {
+  return platform.ownObjects(KIND, value => reportShape.parse(value));
+}
+
+/**
+ * Starts to keep what this entry sees and to take what the others have kept.
+ *
+ * @example
+ * const memory = owned.add(startCrashMemory({mirror: view.crashes, suspects, store, self, ...rest}));
+ */
+export function startCrashMemory(options: {
+  readonly mirror: Mirror<CrashReport>;
+  readonly suspects: CrashSuspects;
+  readonly store: ObjectStore;
+  readonly self: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log: Logger;
+  /** Whether this entry mirrors the objects on behalf of others, and so cleans up. */
+  isReader(): boolean;
+}): Disposable {
+  const {mirror, suspects, store, self, clock, random, log} = options;
+  const owned = disposableStore();
+  const revisions = new Map<string, number>();
+  let isRestored = false;
+  let isDirty = false;
+  let isWriting = false;
+  let isDisposed = false;
+
+  function takeItems(): void {
+    const items = mirror.items();
+    for (const {name, revision, value} of items) {
+      if (revisions.get(name) !== revision) {
+        revisions.set(name, revision);
+        take(name, value);
+      }
+    }
+    for (const name of revisions.keys()) {
+      if (mirror.get(name) === undefined) {
+        revisions.delete(name);
+        log.info({entry: name}, 'crashes taken away');
+        suspects.dropKept(name);
+      }
+    }
+    isRestored = true;
+  }
+
+  function take(name: string, report: CrashReport): void {
+    if (name !== self) {
+      suspects.takeKept(name, report);
+    } else if (!isRestored) {
+      suspects.restore(report);
+    }
+  }
+
+  /** Writes until the store has what is known here. */
+  async function write(): Promise<void> {
+    if (isWriting) {
+      return;
+    }
+    isWriting = true;
+    let failures = 0;
+    while (isDirty && !isDisposed) {
+      // Before the object of an earlier process is known it would be lost.
+      const isDone = isRestored && (await writeOnce(failures));
+      if (!isDone) {
+        failures += 1;
+        const waitMs = WRITE_AGAIN_MS * (0.5 + random.next() / 2);
+        await new Promise<void>(resolve => clock.after(waitMs, resolve));
+      }
+    }
+    isWriting = false;
+  }
+
+  async function writeOnce(failures: number): Promise<boolean> {
+    isDirty = false;
+    const report = suspects.own();
+    try {
+      const signal = AbortSignal.timeout(CALL_MS);
+      await store.put(KIND, self, report, {type: 'any'}, signal);
+      log.info({crashes: report.crashes.length, failures}, 'crashes kept');
+      return true;
+    } catch (error) {
+      isDirty = true;
+      const {kind, message} = toServingError(error);
+      if (failures === 0) {
+        log.warn({kind, message}, 'crashes not kept');
+      }
+      return false;
+    }
+  }
+
+  function clean(): void {
+    if (!options.isReader()) {
+      return;
+    }
+    const from = clock.wall() - CRASH_MEMORY_MS;
+    for (const {name, revision, value} of mirror.items()) {
+      if (value.crashes.some(({atMs}) => atMs >= from)) {
+        continue;
+      }
+      store
+        .remove(KIND, name, {type: 'version', version: revision})
+        .catch(error => {
+          const {kind, message} = toServingError(error);
+          log.warn({kind, message, entry: name}, 'old crashes not removed');
+        });
+    }
+  }
+
+  mirror.onDidChange(takeItems);
+  suspects.onDidChange(() => {
+    isDirty = true;
+    void write();
+  });
+  owned.add(every(clock, CLEAN_MS, clean));
+  owned.add({dispose: () => (isDisposed = true)});
+  return owned;
+}
--- a/packages/gateway/src/platformView.ts
+++ b/packages/gateway/src/platformView.ts
@@ -20,6 +20,7 @@
   type Rollout,
   type TrafficPolicy,
 } from '@skylarkfield/traffic';
+import type {CrashReport} from '@skylarkfield/routing';
 import type {Platform, Source} from './contracts.js';
 import {createMirror, type Mirror} from './mirror.js';
 import {
@@ -30,12 +31,14 @@
 import type {RelayPlan} from './relayPlan.js';
 
 /** Sync status of every mirror, as carried by digests. */
-export type SyncStatuses = Readonly<Record<MirrorKind, SyncStatus>>;
+export type SyncStatuses = Messages['digest']['mirrors'];
 
 export interface PlatformView extends Disposable {
   readonly policy: Mirror<TrafficPolicy>;
   readonly endpoints: Mirror<RegisteredEndpoint>;
   readonly rollouts: Mirror<Rollout>;
+  /** What each entry has kept of endpoints that crashed. */
+  readonly crashes: Mirror<CrashReport>;
   syncStatuses(): SyncStatuses;
   /** What a peer's digest says; it was sent after `timestamp`, on this entry's clocks. */
   noteSyncStatuses(
@@ -50,12 +53,14 @@
  * The policy is read most often: the age of its copy decides whether a key
  * still counts, and its first listing counts for that too. Changes of the other
  * kinds come as soon as they happen; their wait only bounds how long a
- * connection that died silently goes unnoticed.
+ * connection that died silently goes unnoticed. What crashes endpoints has to be
+ * known to all entries within three seconds.
  */
 const READ_TIMINGS: Readonly<Record<MirrorKind, ReadTiming>> = {
   policy: {waitMs: 1_000, graceMs: 700, firstListing: 'latest'},
   endpoints: {waitMs: 1_500, graceMs: 700, firstListing: 'recent'},
   rollouts: {waitMs: 6_000, graceMs: 1_500, firstListing: 'recent'},
+  crashes: {waitMs: 2_400, graceMs: 600, firstListing: 'recent'},
 };
 
 /** Time for a peer to send its whole copy. */
@@ -68,10 +73,11 @@
  * Makes the view and starts to read what is this entry's turn.
  *
  * @example
- * const view = createPlatformView({platform, network, self: 'a1', plan, clock, random, log});
+ * const view = createPlatformView({platform, crashReports, network, self: 'a1', plan, clock, random, log});
  */
 export function createPlatformView(options: {
   readonly platform: Platform;
+  readonly crashReports: Source<CrashReport>;
   readonly network: PeerNetwork;
   readonly self: string;
   plan(): RelayPlan;
@@ -89,6 +95,7 @@
       log,
     }),
     rollouts: createMirror<Rollout>({kind: 'rollouts', clock, log}),
+    crashes: createMirror<CrashReport>({kind: 'crashes', clock, log}),
   };
   const kinds = Object.keys(mirrors) as MirrorKind[];
   const readers = new Map<MirrorKind, MirrorReader>();
@@ -96,7 +103,9 @@
   const copying = new Set<MirrorKind>();
 
   function isReadBy(peer: string, kind: MirrorKind): boolean {
-    return isHeard(peer) && heard.get(peer)!.syncStatuses[kind].isReader;
+    return (
+      isHeard(peer) && heard.get(peer)!.syncStatuses[kind]?.isReader === true
+    );
   }
 
   /**
@@ -204,6 +213,7 @@
   startReader(mirrors.policy, platform.policy);
   startReader(mirrors.endpoints, platform.endpoints);
   startReader(mirrors.rollouts, platform.rollouts);
+  startReader(mirrors.crashes, options.crashReports);
 
   return {
     ...mirrors,
@@ -211,11 +221,15 @@
       policy: mirrors.policy.syncStatus(isReading('policy')),
       endpoints: mirrors.endpoints.syncStatus(isReading('endpoints')),
       rollouts: mirrors.rollouts.syncStatus(isReading('rollouts')),
+      crashes: mirrors.crashes.syncStatus(isReading('crashes')),
     }),
     noteSyncStatuses(peer, syncStatuses, timestamp) {
       heard.set(peer, {at: clock.now(), syncStatuses});
       for (const kind of kinds) {
-        noteSyncStatus(kind, peer, syncStatuses[kind], timestamp);
+        const syncStatus = syncStatuses[kind];
+        if (syncStatus !== undefined) {
+          noteSyncStatus(kind, peer, syncStatus, timestamp);
+        }
       }
     },
     dump: () =>
--- a/packages/gateway/src/trafficPart.ts
+++ b/packages/gateway/src/trafficPart.ts
@@ -25,6 +25,7 @@
 import {createCallerFront, type CallerFront} from './callerFront.js';
 import {MS_PER_SECOND, type GatewayContext} from './context.js';
 import type {CallHead} from './contracts.js';
+import {crashReportsOf, startCrashMemory} from './crashMemory.js';
 import {SILENCE_MS, startDigests, type Digests} from './digests.js';
 import {
   createEndpointDirectory,
@@ -74,6 +75,7 @@
   const view = owned.add(
     createPlatformView({
       platform,
+      crashReports: crashReportsOf(platform),
       network,
       self: settings.id,
       plan: agreement.plan,
@@ -142,6 +144,18 @@
     wallMs: () => digests.commonWallMs(),
   });
   directory.onDidVanish(suspects.noteGone);
+  owned.add(
+    startCrashMemory({
+      mirror: view.crashes,
+      suspects,
+      store: agreement.store,
+      self: settings.id,
+      clock,
+      random,
+      log,
+      isReader: () => view.syncStatuses().crashes?.isReader === true,
+    }),
+  );
   const admission = createAdmission({
     clock,
     random,
--- a/packages/protocol/src/messages/gatewayMessages.ts
+++ b/packages/protocol/src/messages/gatewayMessages.ts
@@ -3,7 +3,7 @@
 import type {CapacitySums, OutcomeSums, WorkRate} from '@skylarkfield/capacity';
 
 /** Kinds of objects of the platform that entries mirror. */
-export type MirrorKind = 'policy' | 'endpoints' | 'rollouts';
+export type MirrorKind = 'policy' | 'endpoints' | 'rollouts' | 'crashes';
 
 /** Where the sender's copy of one kind stands. */
 export interface SyncStatus {
@@ -54,7 +54,11 @@
     readonly wallMs: number;
     /** The receiver's stamp that the sender heard last; undefined before the first. */
     readonly echo?: number;
-    readonly mirrors: Readonly<Record<MirrorKind, SyncStatus>>;
+    /** Without `crashes` from a release that does not know them. */
+    readonly mirrors: Readonly<
+      Record<Exclude<MirrorKind, 'crashes'>, SyncStatus> &
+        Partial<Record<'crashes', SyncStatus>>
+    >;
     /** Endpoints that crashed lately, by the requests that they were running, and which of these were served. */
     readonly crashes?: {
       readonly crashes: readonly {
