gateway: gather the requests that one crash takes down into one write

Found by its own test: 40 requests in flight at a crashed endpoint made up to 40 writes where the store answers at once, two otherwise; one now. Removed: a second check for trials, which the verdict makes by itself.

--- a/packages/gateway/src/crashMemory.ts
+++ b/packages/gateway/src/crashMemory.ts
@@ -30,6 +30,9 @@
 /** Time for one call, in milliseconds. */
 const CALL_MS = 1_000;
 
+/** Time in which the requests that one endpoint takes down are gathered into one write, in milliseconds. */
+const GATHER_MS = 50;
+
 /** Pause before a write that failed is repeated, in milliseconds, of which half to all is waited. */
 const WRITE_AGAIN_MS = 500;
 
@@ -110,19 +113,23 @@
       return;
     }
     isWriting = true;
+    await pause(GATHER_MS);
     let failures = 0;
     while (isDirty && !isDisposed) {
       // Before the object of an earlier process is known it would be lost.
       const isDone = isRestored && (await writeOnce(failures));
       if (!isDone) {
         failures += 1;
-        const waitMs = WRITE_AGAIN_MS * (0.5 + random.next() / 2);
-        await new Promise<void>(resolve => clock.after(waitMs, resolve));
+        await pause(WRITE_AGAIN_MS * (0.5 + random.next() / 2));
       }
     }
     isWriting = false;
   }
 
+  function pause(spanMs: number): Promise<void> {
+    return new Promise(resolve => clock.after(spanMs, resolve));
+  }
+
   async function writeOnce(failures: number): Promise<boolean> {
     isDirty = false;
     const report = suspects.own();
--- a/packages/gateway/src/suspicion.ts
+++ b/packages/gateway/src/suspicion.ts
@@ -10,11 +10,8 @@
 }
 
 export interface Suspicion {
-  /** Whether the request may be sent now; a trial begins with its first send and allows no second one. */
-  judge(
-    call: SuspectedCall,
-    progress: Pick<Progress, 'endpoints' | 'continuation'>,
-  ): Verdict;
+  /** Whether the request may be sent now; begins its trial where the verdict allows one. */
+  judge(call: SuspectedCall, progress: Pick<Progress, 'continuation'>): Verdict;
   isSuspected(call: SuspectedCall): boolean;
   isQuarantined(call: SuspectedCall): boolean;
   /** An attempt at an endpoint has ended, and nobody had told the endpoint to stop it. */
@@ -65,19 +62,15 @@
   }
 
   return {
-    judge(call, {endpoints, continuation}) {
+    judge(call, {continuation}) {
       // A stream that is being moved off its endpoint runs well so far.
       if (continuation !== undefined) {
         return CLEAR;
       }
       const verdict = verdictOf(call);
-      if (verdict.type !== 'trial') {
-        return verdict;
-      }
-      if (endpoints.length > 0) {
-        return {...verdict, type: 'quarantined', retryAfterMs: 0};
+      if (verdict.type === 'trial') {
+        suspects.beginTrial(call.fingerprint());
       }
-      suspects.beginTrial(call.fingerprint());
       return verdict;
     },
     isSuspected: call => verdictOf(call).type !== 'clear',
--- a/packages/gateway/src/test/relays.test.ts
+++ b/packages/gateway/src/test/relays.test.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import {virtualClock} from '@skylarkfield/base';
 import type {Messages} from '@skylarkfield/protocol';
+import type {CrashReport} from '@skylarkfield/routing';
 import {createQuotas, NO_WORK} from '@skylarkfield/traffic';
 import {createPeerReports, type PeerReports} from '../peerReports.js';
 import {
@@ -55,10 +56,14 @@
         upMs: 3_600_000,
         /** Quota amounts of others, as an entry's buckets get them. */
         heardUsed: new Map<string, number>(),
+        /** Fingerprints under which endpoints crashed, as others tell. */
+        heardCrashes: new Set<string>(),
       },
     ]),
   );
   const silent = new Set<string>();
+  /** Crashes that entries tell. */
+  const crashes = new Map<string, CrashReport>();
   let sent = 0;
 
   type Entry = NonNullable<ReturnType<typeof entries.get>>;
@@ -88,6 +93,7 @@
           shared: {requests: 1, pendingTokens: 10, contextTokens: 100},
         },
         limits: {},
+        ...(crashes.get(node.id) && {crashes: crashes.get(node.id)}),
         work: {chat: {...NO_WORK, ownTokens: 5}},
         outcomes: {chat: {count: 2, late: 1}},
       }),
@@ -115,6 +121,9 @@
 
   function deliver(from: Entry, to: string, digest: Digest): void {
     const receiver = entries.get(to)!;
+    for (const {request} of digest.crashes?.crashes ?? []) {
+      receiver.heardCrashes.add(request);
+    }
     const taken = receiver.reports.take(from.node.id, digest);
     if (taken !== undefined) {
       const heard = receiver.heardUsed.get(taken.part) ?? 0;
@@ -128,6 +137,7 @@
   return {
     entries,
     silent,
+    crashes,
     digestFrom: (from: string, to: string) =>
       digestOf(entries.get(from)!, 'own', to),
     rounds(count: number) {
@@ -183,6 +193,18 @@
     }
   });
 
+  // Guards against a crashing request that entries behind other relays go on sending.
+  it('tells every entry of the crashes that others saw', () => {
+    const fleet = createFleet(fleetOf(77));
+    const [first, ...others] = fleet.entries.keys();
+    const crash = {request: 'f00d', endpoint: 'i-1@7', atMs: 0};
+    fleet.crashes.set(first!, {crashes: [crash], served: {}});
+    fleet.rounds(5);
+    for (const id of others) {
+      assert.ok(fleet.entries.get(id)!.heardCrashes.has('f00d'), id);
+    }
+  });
+
   it('gives every entry the load, work and use of all others', () => {
     const nodes = fleetOf(77);
     const fleet = createFleet(nodes);
--- a/packages/routing/src/test/router.test.ts
+++ b/packages/routing/src/test/router.test.ts
@@ -16,6 +16,18 @@
     assert.deepEqual([...new Set(chosen)].sort(), ['a', 'b', 'c', 'd']);
   });
 
+  // Guards against a crashing request that takes many others along.
+  it('sends a suspected request where the fewest others run', () => {
+    const {router} = createRig(four);
+    const others = ['a', 'b', 'd'];
+    for (const id of others) {
+      router.reportLoad(id, loadReport({running: 3, attempts: ['e2-1#1']}));
+    }
+    router.reportCache('a', [{sequence: 1, type: 'stored', blocks}]);
+    const choice = router.choose({...long, isSuspected: true});
+    assert.equal(choice?.endpoint, 'c');
+  });
+
   it('replaces its own part of a late report by what it knows', () => {
     const {router} = createRig([candidate('a'), candidate('b')]);
     // Late: counts three requests of this entry that have ended since.
