routing, gateway: tell crashes in digests only until they are kept

Cause: digests repeated what an entry had seen for 10 s, up to 14 kB each, and a whole answer that cleared a popular request stayed in the report for an hour, though the mirror brings both to all entries once the store has them. Change: digests carry what is not kept yet and what is younger than 1.5 s. A whole answer after a single crash matters to its own entry only. A report that brings nothing new is not merged. 100 crashes an entry are kept, 200 before.

--- a/packages/gateway/src/crashMemory.ts
+++ b/packages/gateway/src/crashMemory.ts
@@ -136,6 +136,7 @@
     try {
       const signal = AbortSignal.timeout(CALL_MS);
       await store.put(KIND, self, report, {type: 'any'}, signal);
+      suspects.noteKept(report);
       log.info({crashes: report.crashes.length, failures}, 'crashes kept');
       return true;
     } catch (error) {
--- a/packages/routing/src/crashEvidence.ts
+++ b/packages/routing/src/crashEvidence.ts
@@ -129,7 +129,7 @@
 export function mergeReports(a: CrashReport, b: CrashReport): CrashReport {
   const crashes = new Map<string, Crash>();
   for (const crash of [...a.crashes, ...b.crashes]) {
-    const key = `${crash.request} ${crash.endpoint}`;
+    const key = keyOf(crash);
     if (!crashes.has(key)) {
       crashes.set(key, crash);
     }
@@ -141,6 +141,26 @@
   return {crashes: [...crashes.values()], served};
 }
 
+/**
+ * Whether a report tells of a crash or a whole answer that another one lacks.
+ *
+ * @example
+ * if (isNews(evidence.of(source), report)) { evidence.put(source, mergeReports(known, report)); }
+ */
+export function isNews(known: CrashReport, report: CrashReport): boolean {
+  const keys = new Set(known.crashes.map(keyOf));
+  return (
+    report.crashes.some(crash => !keys.has(keyOf(crash))) ||
+    Object.entries(report.served).some(
+      ([request, atMs]) => atMs > (known.served[request] ?? -Infinity),
+    )
+  );
+}
+
+function keyOf({request, endpoint}: Crash): string {
+  return `${request} ${endpoint}`;
+}
+
 /**
  * The part of a report that is not older than a time; whole answers matter only
  * beside crashes.
--- a/packages/routing/src/crashSuspects.ts
+++ b/packages/routing/src/crashSuspects.ts
@@ -15,7 +15,9 @@
 } from '@skylarkfield/base';
 import {
   boundReport,
+  EMPTY_REPORT,
   createCrashEvidence,
+  isNews,
   mergeReports,
   reportSince,
   type Crash,
@@ -54,7 +56,9 @@
   restore(report: CrashReport): void;
   /** What this entry has to keep. */
   own(): CrashReport;
-  /** What this entry tells the others; undefined when it has nothing new. */
+  /** A report of this entry was kept, and reaches the others by that. */
+  noteKept(report: CrashReport): void;
+  /** What this entry tells the others: what is new, or not kept yet; undefined when there is nothing. */
   recent(): CrashReport | undefined;
   /** Ids of the entries that take work: one of them tries a request after its quarantine. */
   setEntries(entries: readonly string[]): void;
@@ -83,14 +87,14 @@
 /** Time after which a trial without a result may be repeated, in milliseconds. */
 const TRIAL_MS = 10_000;
 
-/** How long crashes are told to the other entries, in milliseconds: several digests over relays. */
-const TOLD_MS = 10_000;
+/** How long what has been kept is told to the other entries, in milliseconds: several digests. */
+const TOLD_MS = 1_500;
 
 /** Crashes from which on a suspicion is logged, and a whole answer told to the others. */
 const NOTABLE_CRASHES = 2;
 
 /** Most crashes that one entry keeps, and most that it remembers of what others told. */
-const MOST_KEPT = 200;
+const MOST_KEPT = 100;
 const MOST_HEARD = 1_000;
 
 /** Most requests that a dump shows. */
@@ -99,6 +103,8 @@
 /** Sources of evidence besides what entries have kept. */
 const OWN = 'own';
 const HEARD = 'heard';
+/** Whole answers that matter to this entry only. */
+const LOCAL = 'local';
 
 function keptBy(entry: string): string {
   return `kept by ${entry}`;
@@ -124,6 +130,7 @@
   const quarantined = new Set<string>();
   /** Monotonic milliseconds at which requests were tried. */
   const trials = new Map<string, number>();
+  let kept: CrashReport = EMPTY_REPORT;
   let entries: readonly string[] = [self];
   const losses = createCrashLosses({
     clock,
@@ -191,20 +198,28 @@
     const from = wallMs() - CRASH_MEMORY_MS;
     const merged = mergeReports(evidence.of(OWN), report);
     const {crashes, served} = reportSince(merged, from);
-    const counting = crashes.filter(
-      ({request, atMs}) => atMs > (served[request] ?? -Infinity),
+    // A whole answer matters only beside crashes that others tell of.
+    const marks = Object.entries(served).filter(([request]) =>
+      evidence.has(request),
     );
-    const kept = {
-      crashes: counting,
-      // A whole answer matters only beside crashes that others tell of.
-      served: Object.fromEntries(
-        Object.entries(served).filter(([request]) => evidence.has(request)),
-      ),
-    };
-    const bounded = boundReport(kept, MOST_KEPT, countOf);
+    const current = {crashes, served: Object.fromEntries(marks)};
+    const bounded = boundReport(current, MOST_KEPT, countOf);
     logVerdicts(evidence.put(OWN, bounded));
   }
 
+  /** Notes a whole answer; what one source says of it need not be told or kept. */
+  function clear(request: string, source: typeof OWN | typeof LOCAL): void {
+    const {crashes, served} = evidence.of(OWN);
+    const rest = crashes.filter(crash => crash.request !== request);
+    logVerdicts(evidence.put(OWN, {crashes: rest, served}));
+    const marks = Object.entries(evidence.of(source).served).filter(([other]) =>
+      evidence.has(other),
+    );
+    marks.push([request, Math.round(wallMs())]);
+    const report = {...evidence.of(source), served: Object.fromEntries(marks)};
+    logVerdicts(evidence.put(source, report));
+  }
+
   function dropOwn({request, endpoint}: Crash): void {
     const {crashes, served} = evidence.of(OWN);
     const rest = crashes.filter(
@@ -251,8 +266,9 @@
         return;
       }
       trials.delete(request);
-      addOwn({crashes: [], served: {[request]: Math.round(wallMs())}});
-      if (crashes >= NOTABLE_CRASHES) {
+      const isTold = crashes >= NOTABLE_CRASHES;
+      clear(request, isTold ? OWN : LOCAL);
+      if (isTold) {
         changed.fire();
       }
     },
@@ -264,18 +280,29 @@
       logVerdicts(evidence.remove(HEARD));
     },
     hear(report) {
-      const heard = mergeReports(evidence.of(HEARD), report);
+      const known = evidence.of(HEARD);
+      if (!isNews(known, report)) {
+        return;
+      }
+      const heard = mergeReports(known, report);
       const current = reportSince(heard, wallMs() - CRASH_MEMORY_MS);
       const bounded = boundReport(current, MOST_HEARD, countOf);
       logVerdicts(evidence.put(HEARD, bounded));
     },
     restore: addOwn,
     own,
+    noteKept(report) {
+      kept = report;
+    },
     recent() {
       if (evidence.isEmpty()) {
         return undefined;
       }
-      const report = reportSince(own(), wallMs() - TOLD_MS);
+      const current = own();
+      if (isNews(kept, current)) {
+        return current;
+      }
+      const report = reportSince(current, wallMs() - TOLD_MS);
       const count = report.crashes.length + Object.keys(report.served).length;
       return count > 0 ? report : undefined;
     },
