routing: forget that an endpoint was gone once it answers

Registrations lapse while the platform's store is down. For 15 s after that each request that such an endpoint did not answer would have counted as its crash.

--- a/packages/routing/src/crashLosses.ts
+++ b/packages/routing/src/crashLosses.ts
@@ -108,6 +108,7 @@
       lost.forEach(({crash}) => options.onDidConfirm(crash));
     },
     noteHeard(endpoint, sentAt) {
+      gone.delete(endpoint);
       if (closed.size === 0 && silent.length === 0) {
         return;
       }
--- a/packages/routing/src/test/crashSuspects.test.ts
+++ b/packages/routing/src/test/crashSuspects.test.ts
@@ -104,6 +104,15 @@
     assert.equal(verdict(), 'suspected');
   });
 
+  // Guards against registrations that lapse while the platform's store is down.
+  it('are not suspected for an endpoint that is registered again and answers', () => {
+    const {suspects, clock, verdict} = createEntry();
+    suspects.noteGone('e1');
+    suspects.noteHeard('e1', clock.now());
+    suspects.noteSilent({request: REQUEST, endpoint: 'e1'});
+    assert.equal(verdict(), 'clear');
+  });
+
   it('fire for what is to be kept once a crash is confirmed', () => {
     const {suspects, clock} = createEntry();
     let fired = 0;
