--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -21,6 +21,7 @@
 } from '@skylarkfield/traffic';
 import {quarantined} from './attemptOutcome.js';
 import {readBody} from './callerBody.js';
+import {checkPresence} from './callerPresence.js';
 import {createCallerReply, type CallerReply} from './callerReply.js';
 import type {CallFormat, CallHead} from './contracts.js';
 import type {VersionGroup} from './endpointDirectory.js';
@@ -32,6 +33,7 @@
 } from './forwarding.js';
 import {watchOutcome} from './outcomeWatch.js';
 import type {PolicyInForce} from './policyInForce.js';
+import {createRequestLog} from './requestLog.js';
 import type {RequestMetrics} from './requestMetrics.js';
 
 /** What the process as a whole allows at the moment. */
@@ -121,7 +123,8 @@
  * const server = http.createServer((request, response) => void front.handle(request, response));
  */
 export function createCallerFront(options: FrontOptions): CallerFront {
-  const {policy, quotas, admission, forwarding, format, clock, log} = options;
+  const {policy, quotas, admission, forwarding, format, clock} = options;
+  const requestLog = createRequestLog(options);
 
   function accept(request: IncomingMessage, arrivedAt: number): Accepted {
     const head = format.readCall(request.headers);
@@ -226,12 +229,7 @@
     const {head, attemptId, route, service, customer, priority, deadlineAt} =
       accepted;
     const body = await readBody(request, policy.limits().bodyBytes, caller);
-    await callersEnds();
-    if (caller.aborted) {
-      throw new ServingError('cancelled', 'the caller has left', {
-        run: 'not-run',
-      });
-    }
+    await checkPresence(caller);
     const fingerprint = once(() =>
       requestFingerprint({
         customer: customer?.name,
@@ -332,74 +330,17 @@
       } finally {
         options.inFlight.end();
       }
-      note(
+      requestLog.note({
         accepted,
+        attemptId:
+          accepted?.attemptId ?? format.readCall(request.headers).attemptId,
         result,
-        request,
-        gone.signal.aborted,
+        hasLeft: gone.signal.aborted,
         arrivedAt,
-        reply.eventCount(),
-      );
+        events: reply.eventCount(),
+      });
     },
   };
-
-  function note(
-    accepted: Accepted | undefined,
-    {
-      status,
-      error,
-      firstMs,
-      endpoints,
-      tokensAhead,
-      firstSendAt,
-      fingerprint,
-    }: ForwardingResult,
-    request: IncomingMessage,
-    hasLeft: boolean,
-    arrivedAt: number,
-    events: number,
-  ): void {
-    const tookMs = clock.now() - arrivedAt;
-    options.metrics.note({
-      service: accepted?.service,
-      kind: error?.kind ?? 'ok',
-      firstMs,
-      tookMs,
-    });
-    log.info(
-      {
-        request:
-          accepted?.attemptId ?? format.readCall(request.headers).attemptId,
-        route: accepted?.route.name,
-        service: accepted?.service,
-        customer: accepted?.customer?.name,
-        policy: policy.version(),
-        policyAgeMs: Math.round(policy.ageMs()),
-        endpoints,
-        status,
-        ...(error && {kind: error.kind, run: error.run, why: error.message}),
-        ...(error?.retryAfterMs !== undefined && {
-          retryAfterMs: Math.round(error.retryAfterMs),
-        }),
-        ...(fingerprint !== undefined && {fingerprint}),
-        ...(hasLeft && {hasLeft}),
-        ...(firstSendAt !== undefined && {
-          queuedMs: Math.round(firstSendAt - arrivedAt),
-        }),
-        ...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
-        ...(accepted?.head.demand && {
-          promptTokens: accepted.head.demand.promptTokens,
-          mostOutputTokens: accepted.head.demand.mostOutputTokens,
-          events,
-          ...(tokensAhead !== undefined && {
-            tokensAhead: Math.round(tokensAhead),
-          }),
-        }),
-        tookMs: Math.round(tookMs),
-      },
-      'request',
-    );
-  }
 }
 
 function quotaAmount(
@@ -433,20 +374,6 @@
   });
 }
 
-/**
- * Waits until connections that ended before now are known to have ended. A
- * process that was behind reads a request and the end of its connection in two
- * turns of the event loop, and would send on what nobody waits for.
- */
-async function callersEnds(): Promise<void> {
-  await nextTurn();
-  await nextTurn();
-}
-
-function nextTurn(): Promise<void> {
-  return new Promise(resolve => setImmediate(resolve));
-}
-
 /** Computes a value when it is first asked for. */
 function once<T>(compute: () => T): () => T {
   let known: {readonly value: T} | undefined;
--- /dev/null
+++ b/packages/gateway/src/requestLog.ts
@@ -0,0 +1,99 @@
+/** The log line and the metrics of a caller's request that has ended. */
+import type {Clock, Logger} from '@skylarkfield/base';
+import type {KeyedCustomer, Route} from '@skylarkfield/traffic';
+import type {CallHead} from './contracts.js';
+import type {ForwardingResult} from './forwarding.js';
+import type {PolicyInForce} from './policyInForce.js';
+import type {RequestMetrics} from './requestMetrics.js';
+
+/** A request that has ended. */
+export interface EndedRequest {
+  /** What was found out about it; undefined when it was rejected before that. */
+  readonly accepted:
+    | {
+        readonly head: CallHead;
+        readonly route: Route;
+        readonly service: string;
+        readonly customer: KeyedCustomer | undefined;
+      }
+    | undefined;
+  readonly attemptId: string | undefined;
+  readonly result: ForwardingResult;
+  /** The caller has left before its answer was complete. */
+  readonly hasLeft: boolean;
+  /** Monotonic milliseconds. */
+  readonly arrivedAt: number;
+  /** Events that were passed on. */
+  readonly events: number;
+}
+
+export interface RequestLog {
+  note(request: EndedRequest): void;
+}
+
+/**
+ * Creates the log of one entry's requests.
+ *
+ * @example
+ * requestLog.note({accepted, attemptId, result, hasLeft: false, arrivedAt, events: 0});
+ */
+export function createRequestLog(options: {
+  readonly policy: Pick<PolicyInForce, 'version' | 'ageMs'>;
+  readonly metrics: RequestMetrics;
+  readonly clock: Clock;
+  readonly log: Logger;
+}): RequestLog {
+  const {policy, metrics, clock, log} = options;
+  return {
+    note({accepted, attemptId, result, hasLeft, arrivedAt, events}) {
+      const {status, error, firstMs, firstSendAt, fingerprint} = result;
+      const tookMs = clock.now() - arrivedAt;
+      metrics.note({
+        service: accepted?.service,
+        kind: error?.kind ?? 'ok',
+        firstMs,
+        tookMs,
+      });
+      log.info(
+        {
+          request: attemptId,
+          route: accepted?.route.name,
+          service: accepted?.service,
+          customer: accepted?.customer?.name,
+          policy: policy.version(),
+          policyAgeMs: Math.round(policy.ageMs()),
+          endpoints: result.endpoints,
+          status,
+          ...(error && {kind: error.kind, run: error.run, why: error.message}),
+          ...(error?.retryAfterMs !== undefined && {
+            retryAfterMs: Math.round(error.retryAfterMs),
+          }),
+          ...(fingerprint !== undefined && {fingerprint}),
+          ...(hasLeft && {hasLeft}),
+          ...(firstSendAt !== undefined && {
+            queuedMs: Math.round(firstSendAt - arrivedAt),
+          }),
+          ...(firstMs !== undefined && {firstMs: Math.round(firstMs)}),
+          ...demandFigures(accepted?.head, result, events),
+          tookMs: Math.round(tookMs),
+        },
+        'request',
+      );
+    },
+  };
+}
+
+function demandFigures(
+  head: CallHead | undefined,
+  {tokensAhead}: ForwardingResult,
+  events: number,
+) {
+  return (
+    head?.demand && {
+      promptTokens: head.demand.promptTokens,
+      mostOutputTokens: head.demand.mostOutputTokens,
+      events,
+      ...(tokensAhead !== undefined && {tokensAhead: Math.round(tokensAhead)}),
+    }
+  );
+}
--- a/packages/routing/src/crashSuspects.ts
+++ b/packages/routing/src/crashSuspects.ts
@@ -207,7 +207,7 @@
     logVerdicts(evidence.put(OWN, bounded));
   }
 
-  /** Notes a whole answer; what one source says of it need not be told or kept. */
+  /** Notes a whole answer, to be kept and told (`own`) or for this entry alone (`local`). */
   function clear(request: string, source: typeof OWN | typeof LOCAL): void {
     const {crashes, served} = evidence.of(OWN);
     const rest = crashes.filter(crash => crash.request !== request);
