--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -21,13 +21,13 @@
   | {
       readonly type: 'failed';
       readonly error: ServingError;
-      /** How the endpoint left the request; undefined when it was not the endpoint that ended the attempt. */
+      /** Undefined when the attempt did not end by the endpoint's close or silence. */
       readonly loss?: AttemptLoss;
     };
 
 /**
- * How an endpoint left a request that it may have been running. `closed`: its
- * connection ended. `silent`: nothing came any more.
+ * How a request that may have been running lost its endpoint. `closed`: the
+ * connection ended. `silent`: nothing had come until the attempt was given up.
  */
 export type AttemptLoss = 'closed' | 'silent';
 
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -64,7 +64,7 @@
   readonly firstSendAt?: number;
   /** Prompt tokens to be read before its own where it was sent first, as known then; undefined when it was not sent. */
   readonly tokensAhead?: number;
-  /** Present when an endpoint left the request without a whole answer. */
+  /** Present when an endpoint closed its connection on the request. */
   readonly fingerprint?: string;
   /** Why it failed; undefined when an endpoint's whole answer was passed on. */
   readonly error: ServingError | undefined;
