--- a/packages/gateway/src/callerFront.ts
+++ b/packages/gateway/src/callerFront.ts
@@ -35,6 +35,7 @@
 import type {PolicyInForce} from './policyInForce.js';
 import {createRequestLog} from './requestLog.js';
 import type {RequestMetrics} from './requestMetrics.js';
+import {verdictOn} from './suspicion.js';
 
 /** What the process as a whole allows at the moment. */
 export interface ServingState {
@@ -166,10 +167,7 @@
   }
 
   function rejectQuarantined(fingerprint: () => string): void {
-    if (options.suspects.isEmpty()) {
-      return;
-    }
-    const verdict = options.suspects.judge(fingerprint());
+    const verdict = verdictOn({fingerprint}, options.suspects);
     if (verdict.type === 'quarantined') {
       throw quarantined(verdict);
     }
--- a/packages/gateway/src/suspicion.ts
+++ b/packages/gateway/src/suspicion.ts
@@ -20,6 +20,20 @@
 
 const CLEAR: Verdict = {type: 'clear'};
 
+/**
+ * The verdict on a call. Fingerprints cost processor time, so none is computed
+ * while nothing is suspected.
+ *
+ * @example
+ * if (verdictOn(call, suspects).type === 'quarantined') { return reject(); }
+ */
+export function verdictOn(
+  call: SuspectedCall,
+  suspects: Pick<CrashSuspects, 'isEmpty' | 'judge'>,
+): Verdict {
+  return suspects.isEmpty() ? CLEAR : suspects.judge(call.fingerprint());
+}
+
 /**
  * Makes the suspicion of one entry's forwarding.
  *
@@ -32,11 +46,6 @@
 }): Suspicion {
   const {suspects, directory} = options;
 
-  /** Fingerprints cost processor time, so none is computed while nothing is suspected. */
-  function verdictOf(call: SuspectedCall): Verdict {
-    return suspects.isEmpty() ? CLEAR : suspects.judge(call.fingerprint());
-  }
-
   function isServed(end: AttemptEnd): boolean {
     return (
       end.type === 'streamed' ||
@@ -67,14 +76,14 @@
       if (continuation !== undefined) {
         return CLEAR;
       }
-      const verdict = verdictOf(call);
+      const verdict = verdictOn(call, suspects);
       if (verdict.type === 'trial') {
         suspects.beginTrial(call.fingerprint());
       }
       return verdict;
     },
-    isSuspected: call => verdictOf(call).type !== 'clear',
-    isQuarantined: call => verdictOf(call).type === 'quarantined',
+    isSuspected: call => verdictOn(call, suspects).type !== 'clear',
+    isQuarantined: call => verdictOn(call, suspects).type === 'quarantined',
     noteEnd(call, endpoint, end) {
       if (end.type === 'failed' && end.loss !== undefined) {
         noteLoss(call, endpoint, end.loss);
