routing: bound the requests to endpoints that are warming up

Cause: an endpoint that has just started is idle, so every entry prefers it; it crashes when it gets far more requests than it tolerates while cold.

Candidates may have a region, and requests a list of regions.

--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -11,6 +11,8 @@
   readonly service: string;
   readonly version: string;
   readonly failureDomain: string;
+  /** Undefined if not known. */
+  readonly region?: string | undefined;
   readonly host: string;
   readonly type: 'model' | 'plain';
 }
@@ -29,6 +31,8 @@
   readonly ownTokens?: number;
   /** 0 (served first) to 9, for endpoints that serve by urgency. */
   readonly urgency?: number;
+  /** Regions in which the request may run; absent for all. */
+  readonly regions?: readonly string[] | undefined;
   /** Endpoints on which an attempt of this request has already failed. */
   readonly excluded: ReadonlySet<string>;
   /**
--- /dev/null
+++ b/packages/routing/src/endpointLimits.ts
@@ -0,0 +1,37 @@
+/** Limits on the requests that an entry sends to single endpoints. */
+
+export interface EndpointLimits {
+  /** Whether a request may be sent to the endpoint now. */
+  allowsRequest(endpoint: string): boolean;
+  /** Takes a token for a request that is sent to the endpoint. */
+  consumeToken(endpoint: string): void;
+  /**
+   * Returns the milliseconds until this entry may send the endpoint a request:
+   * 0 if requests are not limited, undefined if this entry has no share.
+   */
+  waitMs(endpoint: string): number | undefined;
+}
+
+/**
+ * Returns limits that allow a request if all of the given limits allow it.
+ *
+ * @example
+ * const limits = combineLimits([rateLimits, warmUps]);
+ */
+export function combineLimits(
+  limits: readonly EndpointLimits[],
+): EndpointLimits {
+  return {
+    allowsRequest: endpoint =>
+      limits.every(limit => limit.allowsRequest(endpoint)),
+    consumeToken: endpoint =>
+      limits.forEach(limit => limit.consumeToken(endpoint)),
+    waitMs(endpoint) {
+      const waits = limits.map(limit => limit.waitMs(endpoint));
+      const knownWaits = waits.filter(wait => wait !== undefined);
+      return knownWaits.length === waits.length
+        ? Math.max(...knownWaits)
+        : undefined;
+    },
+  };
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,6 +2,8 @@
 export * from './contracts.js';
 export * from './router.js';
 export * from './rateLimits.js';
+export * from './endpointLimits.js';
+export * from './warmUp.js';
 export * from './requestFingerprint.js';
 export {addLoads} from './loadView.js';
 export {defaultRouteWeights, type RouteWeights} from './routeCosts.js';
--- a/packages/routing/src/rateLimits.ts
+++ b/packages/routing/src/rateLimits.ts
@@ -12,6 +12,7 @@
   type Clock,
   type DecisionLog,
 } from '@skylarkfield/base';
+import type {EndpointLimits} from './endpointLimits.js';
 
 /** Rate limit from an endpoint's response, as entries gossip it. */
 export interface RateLimitReport {
@@ -27,7 +28,7 @@
 /** Newest report by endpoint. */
 export type RateLimitReports = Readonly<Record<string, RateLimitReport>>;
 
-export interface RateLimits {
+export interface RateLimits extends EndpointLimits {
   /** Records the limit in a response; undefined when the response sets none. */
   recordLimit(endpoint: string, perSecond: number | undefined): void;
   /** Merges the reports of another entry. */
@@ -44,15 +45,6 @@
   setEntries(entries: readonly string[]): void;
   /** Drops the limits of endpoints that are not in the set. */
   retainEndpoints(endpoints: ReadonlySet<string>): void;
-  /** Whether a request may be sent to the endpoint now. */
-  allowsRequest(endpoint: string): boolean;
-  /** Takes a token for a request that is sent to the endpoint. */
-  consumeToken(endpoint: string): void;
-  /**
-   * Returns the milliseconds until this entry may send the endpoint a request:
-   * 0 if the endpoint has no limit, undefined if this entry has no share of it.
-   */
-  waitMs(endpoint: string): number | undefined;
   dump(): unknown;
 }
 
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -4,10 +4,11 @@
 import {affinitiesFor} from './affinity.js';
 import type {Choice, RoutingRequest, Router} from './contracts.js';
 import {liveEndpointsOfLostDomain, ejectionReason} from './ejection.js';
+import {isInRegions, leastLoaded} from './endpointFilters.js';
 import {createEndpointPools, type PooledEndpoint} from './endpointPool.js';
 import {tokensAhead} from './loadView.js';
 import {createPrefixPopularity, type PrefixPopularity} from './popularity.js';
-import type {RateLimits} from './rateLimits.js';
+import type {EndpointLimits} from './endpointLimits.js';
 import {
   createRouteCosts,
   defaultRouteWeights,
@@ -31,11 +32,8 @@
   readonly weights?: Partial<RouteWeights>;
   /** Returns overrides of `weights` for one service; called at each choice. */
   weightOverrides?(service: string): Partial<RouteWeights> | undefined;
-  /** Rate limits set by endpoints; none when absent. */
-  readonly rateLimits?: Pick<
-    RateLimits,
-    'allowsRequest' | 'consumeToken' | 'waitMs'
-  >;
+  /** Limits on the requests to single endpoints; none when absent. */
+  readonly endpointLimits?: EndpointLimits;
   /** Prompt tokens per block; the engines' block size when absent. */
   readonly blockTokens?: number;
 }
@@ -70,15 +68,6 @@
   readonly score: number;
 }
 
-/** Returns the endpoints with the fewest requests. */
-function leastLoaded(
-  endpoints: readonly PooledEndpoint[],
-): readonly PooledEndpoint[] {
-  const requestCounts = endpoints.map(({load}) => load.estimate().requests);
-  const minRequests = Math.min(...requestCounts);
-  return endpoints.filter((_, index) => requestCounts[index] === minRequests);
-}
-
 /**
  * Creates a router without endpoints.
  *
@@ -90,7 +79,8 @@
  * const choice = router.choose(routingRequest);
  */
 export function createRouter(options: RouterOptions): Router {
-  const {clock, random, decisions, failureDomain, self, rateLimits} = options;
+  const {clock, random, decisions, failureDomain, self, endpointLimits} =
+    options;
   const blockTokens = options.blockTokens ?? TOKENS_PER_BLOCK;
   const weights = {...defaultRouteWeights, ...options.weights};
   const isOwnAttempt =
@@ -156,8 +146,9 @@
       .filter(
         ({candidate, health}) =>
           health.state !== 'leaving' &&
+          isInRegions(candidate, routingRequest.regions) &&
           !routingRequest.excluded.has(candidate.id) &&
-          rateLimits?.allowsRequest(candidate.id) !== false,
+          endpointLimits?.allowsRequest(candidate.id) !== false,
       );
     const availableEndpoints = permittedEndpoints.filter(({health}) =>
       health.allowsRequest(),
@@ -316,7 +307,7 @@
     cache.recordSentBlocks(routingRequest.blocks);
     popularityOf(routingRequest.service).recordRequest(routingRequest.blocks);
     health.recordRequestSent();
-    rateLimits?.consumeToken(candidate.id);
+    endpointLimits?.consumeToken(candidate.id);
     totals.choices += 1;
 
     function finish(result: AttemptResult) {
@@ -388,13 +379,13 @@
         .filter(
           candidate =>
             candidate.service === service &&
-            rateLimits?.allowsRequest(candidate.id) === false,
+            endpointLimits?.allowsRequest(candidate.id) === false,
         );
       return limitedEndpoints.length === 0
         ? undefined
         : Math.min(
             ...limitedEndpoints.map(
-              ({id}) => rateLimits?.waitMs(id) ?? NO_SHARE_RETRY_MS,
+              ({id}) => endpointLimits?.waitMs(id) ?? NO_SHARE_RETRY_MS,
             ),
           );
     },
