gateway: drain failure domains, warm up endpoints and keep to regions

Cause: the operator's request to send nothing to a failure domain's endpoints, the warm-up that endpoints report and the regions that routes and customers allow were read nowhere.

Change: a mirror of the drained failure domains; their endpoints count as draining everywhere (routing, retries, admission, fleet plan) but streams that run there are left to end. No endpoints are ordered in such a domain. When it returns, its endpoints are treated as warming up for the service's whole warm-up time. Registrations report the warm-up that is left; each report counts once. Routing keeps to the regions of route and customer; lookups name entries of other regions only if the caller's own has none.

--- a/packages/gateway/src/callerHandler.ts
+++ b/packages/gateway/src/callerHandler.ts
@@ -12,6 +12,7 @@
 import {requestFingerprint, type CrashQuarantine} from '@skylarkfield/routing';
 import {
   chooseService,
+  commonRegions,
   isRepeatable,
   countOwnTokens,
   promptKeys,
@@ -319,6 +320,7 @@
           service,
           version,
           customer: customer?.name,
+          regions: commonRegions(route.regions, customer?.regions),
           urgency:
             head.demand === undefined
               ? undefined
--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -8,6 +8,7 @@
 import type {
   CustomerCounts,
   ModelDemand,
+  DomainDrain,
   RegisteredEndpoint,
   Rollout,
   RolloutState,
@@ -120,8 +121,14 @@
 
 /** Codec for service discovery by callers and for readiness checks. */
 export interface LookupFormat {
-  /** Returns the failure domain of a lookup; undefined for other URLs. */
-  parseLookup(url: string): {readonly failureDomain: string} | undefined;
+  /** Returns the caller's location; undefined for URLs other than lookups. */
+  parseLookup(url: string):
+    | {
+        readonly failureDomain: string;
+        /** Undefined if the caller does not declare it. */
+        readonly region: string | undefined;
+      }
+    | undefined;
   /** Returns the response body of a lookup; addresses are `IP:port`. */
   formatLookupResponse(addresses: readonly string[], ttlMs: number): string;
   /** Whether the URL is that of the readiness check. */
@@ -222,6 +229,7 @@
   readonly policySource: ObjectSource<TrafficPolicy>;
   readonly endpointSource: ObjectSource<RegisteredEndpoint>;
   readonly rolloutSource: ObjectSource<Rollout>;
+  readonly domainDrainSource: ObjectSource<DomainDrain>;
   /** Objects that the gateway writes: members, leases, usage, crashes. */
   readonly objectTransport: ObjectTransport;
   /**
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -1,8 +1,9 @@
 /** The registered endpoints, updated from the mirrored registrations. */
 import {createEmitter, type Event, type Logger} from '@skylarkfield/base';
-import type {Candidate, Router} from '@skylarkfield/routing';
+import type {Candidate, Router, WarmUps} from '@skylarkfield/routing';
 import {
   currentRolloutState,
+  type DomainDrain,
   type RegisteredEndpoint,
   type Rollout,
 } from '@skylarkfield/traffic';
@@ -16,6 +17,8 @@
 export type VersionGroup = 'incumbent' | 'candidate';
 
 export interface EndpointDirectory {
+  /** Whether no requests may be sent to endpoints of a failure domain. */
+  isDrained(failureDomain: string): boolean;
   /** Returns an endpoint by its router key. */
   get(key: string): RegisteredEndpoint | undefined;
   /** Returns all endpoints of a service, including draining endpoints. */
@@ -48,16 +51,28 @@
 export function createEndpointDirectory(options: {
   readonly endpoints: Mirror<RegisteredEndpoint>;
   readonly rollouts: Mirror<Rollout>;
+  readonly domainDrains: Mirror<DomainDrain>;
   readonly router: Router;
+  readonly warmUps: Pick<WarmUps, 'recordWarmUp' | 'retainEndpoints'>;
   readonly upstreams: Upstreams;
   readonly log: Logger;
   /** Whether a service's endpoints are model engines. */
   isModel(service: string): boolean;
+  /** Returns the duration of a service's warm-up, in milliseconds. */
+  warmUpMs(service: string): number;
+  /** Returns the region of a failure domain; undefined if not known. */
+  regionOf(failureDomain: string): string | undefined;
 }): EndpointDirectory {
-  const {endpoints, rollouts, router, upstreams, log} = options;
+  const {endpoints, rollouts, domainDrains, router, warmUps, upstreams, log} =
+    options;
   const leaveEmitter = createEmitter<string>();
   const vanishEmitter = createEmitter<string>();
+  let registrationsByKey = new Map<string, RegisteredEndpoint>();
+  /** Registrations with the state that the drains of domains leave them. */
   let endpointsByKey = new Map<string, RegisteredEndpoint>();
+  /** Revision of the last registration that was applied, by router key. */
+  let revisionsByKey = new Map<string, number>();
+  let drainedDomains: ReadonlySet<string> = new Set();
 
   /**
    * Returns the versions of a service that receive requests only through a
@@ -84,12 +99,64 @@
       service: endpoint.service,
       version: groupOf(endpoint),
       failureDomain: endpoint.failureDomain,
+      region: options.regionOf(endpoint.failureDomain),
       host: endpoint.address,
       type: options.isModel(endpoint.service) ? 'model' : 'plain',
     };
   }
 
+  /** Endpoints of a drained domain accept no requests but do not leave. */
+  function toEffective(endpoint: RegisteredEndpoint): RegisteredEndpoint {
+    return drainedDomains.has(endpoint.failureDomain)
+      ? {...endpoint, state: 'draining'}
+      : endpoint;
+  }
+
+  function updateDrainedDomains(): void {
+    const newDomains = new Set(
+      domainDrains.items().map(({value}) => value.failureDomain),
+    );
+    const returnedDomains = [...drainedDomains].filter(
+      domain => !newDomains.has(domain),
+    );
+    const addedDomains = [...newDomains].filter(
+      domain => !drainedDomains.has(domain),
+    );
+    drainedDomains = newDomains;
+    if (returnedDomains.length > 0 || addedDomains.length > 0) {
+      log.info(
+        {
+          drained: addedDomains,
+          returned: returnedDomains,
+          revision: domainDrains.revision(),
+        },
+        'drained failure domains changed',
+      );
+    }
+    for (const [key, {service, failureDomain}] of endpointsByKey) {
+      if (returnedDomains.includes(failureDomain)) {
+        warmUps.recordWarmUp(key, options.warmUpMs(service));
+      }
+    }
+  }
+
+  /** Records the warm-up that each new or changed registration reports. */
+  function recordReportedWarmUps(): void {
+    const revisions = new Map<string, number>();
+    for (const {revision, value} of endpoints.items()) {
+      const key = keyOf(value);
+      revisions.set(key, revision);
+      const {warmForMs = 0} = value;
+      if (warmForMs > 0 && revisionsByKey.get(key) !== revision) {
+        warmUps.recordWarmUp(key, warmForMs);
+      }
+    }
+    revisionsByKey = revisions;
+    warmUps.retainEndpoints(new Set(revisions.keys()));
+  }
+
   return {
+    isDrained: failureDomain => drainedDomains.has(failureDomain),
     get: key => endpointsByKey.get(key),
     endpointsOf: service =>
       [...endpointsByKey.values()].filter(
@@ -105,11 +172,19 @@
     onDidLeave: leaveEmitter.event,
     onDidVanish: vanishEmitter.event,
     refresh() {
-      const registeredEndpoints = endpoints.items().map(({value}) => value);
-      const previousByKey = endpointsByKey;
+      updateDrainedDomains();
+      recordReportedWarmUps();
+      const previousByKey = registrationsByKey;
+      registrationsByKey = new Map(
+        endpoints.items().map(({value}) => [keyOf(value), value]),
+      );
       endpointsByKey = new Map(
-        registeredEndpoints.map(endpoint => [keyOf(endpoint), endpoint]),
+        [...registrationsByKey].map(([key, value]) => [
+          key,
+          toEffective(value),
+        ]),
       );
+      const registeredEndpoints = [...endpointsByKey.values()];
       const readyEndpoints = registeredEndpoints.filter(
         ({state}) => state === 'ready',
       );
@@ -124,7 +199,7 @@
   function reportChanges(
     previousByKey: ReadonlyMap<string, RegisteredEndpoint>,
   ): void {
-    for (const [key, endpoint] of endpointsByKey) {
+    for (const [key, endpoint] of registrationsByKey) {
       if (previousByKey.get(key)?.state !== endpoint.state) {
         const {service, state, failureDomain, version, isReclaimable} =
           endpoint;
@@ -145,7 +220,7 @@
       }
     }
     for (const [key, {state}] of previousByKey) {
-      if (!endpointsByKey.has(key)) {
+      if (!registrationsByKey.has(key)) {
         log.info({endpoint: key}, 'endpoint no longer registered');
         leaveEmitter.fire(key);
         if (state === 'ready') {
--- a/packages/gateway/src/fleetDuty.ts
+++ b/packages/gateway/src/fleetDuty.ts
@@ -114,8 +114,13 @@
    */
   function recordReclaims(service: string): void {
     for (const endpoint of directory.endpointsOf(service)) {
-      if (endpoint.isReclaimable && endpoint.state === 'draining') {
-        markScarce(service, endpoint.failureDomain);
+      const {failureDomain, isReclaimable, state} = endpoint;
+      if (
+        isReclaimable &&
+        state === 'draining' &&
+        !directory.isDrained(failureDomain)
+      ) {
+        markScarce(service, failureDomain);
       }
     }
   }
@@ -283,7 +288,11 @@
         failureDomain,
         'onDemand',
       );
-      if (serviceOfKey !== service || retryAt > clock.now()) {
+      if (
+        serviceOfKey !== service ||
+        retryAt > clock.now() ||
+        directory.isDrained(failureDomain)
+      ) {
         continue;
       }
       if (readyCount + otherMarketCount >= most) {
@@ -302,10 +311,17 @@
     }
   }
 
-  async function scaleService({name, fleet}: ServiceConfig): Promise<void> {
-    if (fleet === undefined || directory.endpointsOf(name).length === 0) {
+  async function scaleService({
+    name,
+    fleet: configuredFleet,
+  }: ServiceConfig): Promise<void> {
+    if (
+      configuredFleet === undefined ||
+      directory.endpointsOf(name).length === 0
+    ) {
       return;
     }
+    const fleet = withoutDomains(configuredFleet, directory.isDrained);
     recordReclaims(name);
     await probeScarceDomains(name, fleet);
     const signals = options.demandSignals(name);
@@ -360,3 +376,14 @@
     () => void scaleAllServices(),
   );
 }
+
+/** Returns the configuration without the failure domains to be left alone. */
+function withoutDomains(
+  fleet: FleetConfig,
+  isExcluded: (failureDomain: string) => boolean,
+): FleetConfig {
+  const prices = Object.entries(fleet.prices).filter(
+    ([failureDomain]) => !isExcluded(failureDomain),
+  );
+  return {...fleet, prices: Object.fromEntries(prices)};
+}
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -6,6 +6,7 @@
   CrashQuarantine,
   RateLimits,
   Router,
+  WarmUps,
 } from '@skylarkfield/routing';
 import {countOwnTokens, type Route} from '@skylarkfield/traffic';
 import {runAttempt, type AttemptResult} from './attempt.js';
@@ -38,6 +39,8 @@
   readonly service: string;
   readonly version: VersionGroup;
   readonly customer: string | undefined;
+  /** Regions in which the call may run; absent for all. */
+  readonly regions?: readonly string[] | undefined;
   readonly urgency: number | undefined;
   readonly method: string;
   readonly path: string;
@@ -95,6 +98,7 @@
 export function createForwarding(options: {
   readonly router: Router;
   readonly rateLimits: Pick<RateLimits, 'recordLimit'>;
+  readonly warmUps: Pick<WarmUps, 'recordUnreachable' | 'recordResponse'>;
   readonly crashQuarantine: CrashQuarantine;
   readonly directory: EndpointDirectory;
   readonly admission: AdmissionController;
@@ -136,6 +140,7 @@
       promptTokens: demand?.promptTokens ?? 0,
       ...(demand && {ownTokens: countOwnTokens(demand)}),
       ...(call.urgency !== undefined && {urgency: call.urgency}),
+      regions: call.regions,
       excluded: excludedEndpoints,
       isSuspected: crashGuard.isSuspected(call),
     };
@@ -209,6 +214,7 @@
       isStopRequested: watchedStream.isStopRequested,
       onDidRespond({limitPerSecond}) {
         options.rateLimits.recordLimit(choice.endpoint, limitPerSecond);
+        options.warmUps.recordResponse(choice.endpoint);
         options.crashQuarantine.recordResponse(choice.endpoint, sentAt);
       },
       onDidBegin(head) {
@@ -227,6 +233,9 @@
     // stream is not a failure of the endpoint.
     const outcome = progress.continuation ? 'ok' : outcomeOf(result);
     choice.finish({outcome, latencyMs});
+    if (outcome === 'unreachable') {
+      options.warmUps.recordUnreachable(choice.endpoint);
+    }
     observer.recordEnd();
     if (result.type === 'failed' && result.loss === 'closed') {
       progress.fingerprint = call.fingerprint();
--- a/packages/gateway/src/gatewayPorts.ts
+++ b/packages/gateway/src/gatewayPorts.ts
@@ -58,11 +58,10 @@
       .liveMembers()
       .filter(({id}) => isReady() || id !== settings.id);
     const callerAddress = request.socket.remoteAddress ?? '';
-    const addresses = selectEntries(
-      members,
-      query.failureDomain,
-      callerAddress,
-    );
+    const addresses = selectEntries(members, {
+      ...query,
+      address: callerAddress,
+    });
     if (addresses.length === 0) {
       sendStatus(response, NOT_READY_STATUS);
       return;
--- a/packages/gateway/src/lookup.ts
+++ b/packages/gateway/src/lookup.ts
@@ -18,23 +18,32 @@
 /** Divisor that maps a 32-bit hash plus one to a fraction in (0, 1). */
 const HASH_RANGE = 2 ** 32 + 1;
 
+/** A caller that looks up entries. */
+export interface LookupCaller {
+  readonly failureDomain: string;
+  /** Undefined if the caller does not declare its region. */
+  readonly region: string | undefined;
+  /** IP address. */
+  readonly address: string;
+}
+
 /**
  * Returns the addresses of live entries in the caller's failure domain, where
  * traffic is free, and adds remote entries only if there are fewer local
- * entries than the minimum.
+ * entries than the minimum. Remote entries in the caller's region come first:
+ * requests may be restricted to regions.
  *
  * In large failure domains each caller gets a subset of the entries, chosen by
  * rendezvous hashing weighted by cores. The subset is stable because callers
  * close their connections to entries that are no longer listed.
  *
  * @example
- * const addresses = selectEntries(membership.liveMembers(), 'zone-a',
- *   '10.9.0.4');
+ * const addresses = selectEntries(membership.liveMembers(),
+ *   {failureDomain: 'zone-a', region: 'north', address: '10.9.0.4'});
  */
 export function selectEntries(
   liveMembers: readonly Member[],
-  failureDomain: string,
-  callerAddress: string,
+  {failureDomain, region, address: callerAddress}: LookupCaller,
 ): readonly string[] {
   const localMembers = liveMembers.filter(
     member => member.failureDomain === failureDomain,
@@ -43,13 +52,21 @@
     member => member.failureDomain !== failureDomain,
   );
   const missingCount = Math.max(0, MIN_ENTRIES - localMembers.length);
-  const remoteMembersByLoad = [...remoteMembers].sort(
+  const regionalMembers = remoteMembers.filter(
+    member => region === undefined || member.region === region,
+  );
+  // Entries in other regions are listed only if the caller's region has none.
+  const eligibleMembers =
+    localMembers.length + regionalMembers.length > 0
+      ? regionalMembers
+      : remoteMembers;
+  const eligibleMembersByLoad = [...eligibleMembers].sort(
     (a, b) => a.load - b.load,
   );
   const selectedMembers =
     localMembers.length === 0
-      ? remoteMembersByLoad
-      : [...localMembers, ...remoteMembersByLoad.slice(0, missingCount)];
+      ? eligibleMembersByLoad
+      : [...localMembers, ...eligibleMembersByLoad.slice(0, missingCount)];
   return limitByCores(selectedMembers, callerAddress).map(({callerUrl}) =>
     addressOf(callerUrl),
   );
--- a/packages/gateway/src/platformView.ts
+++ b/packages/gateway/src/platformView.ts
@@ -19,6 +19,7 @@
 import {
   earlierTimestamp,
   type Timestamp,
+  type DomainDrain,
   type RegisteredEndpoint,
   type Rollout,
   type TrafficPolicy,
@@ -42,6 +43,7 @@
   readonly rollouts: Mirror<Rollout>;
   /** Reports of endpoint crashes, one persisted by each entry. */
   readonly crashes: Mirror<CrashReport>;
+  readonly domainDrains: Mirror<DomainDrain>;
   syncStatuses(): SyncStatuses;
   /**
    * Applies the sync statuses in a peer's digest: fetches a copy of each mirror
@@ -61,14 +63,15 @@
  * and its first listing must be up to date, since the age of the mirrored
  * policy decides whether a key is accepted. Changes of the other kinds are
  * received as they happen; the long-poll timeout only bounds how long a dead
- * connection goes undetected. Crashes have to reach all entries within three
- * seconds.
+ * connection goes undetected. Crashes and drains of failure domains have to reach
+ * all entries within a few seconds.
  */
 const READ_TIMINGS: Readonly<Record<MirrorKind, ReadTiming>> = {
   policy: {waitMs: 1_000, graceMs: 700, firstListing: 'latest'},
   endpoints: {waitMs: 1_500, graceMs: 700, firstListing: 'recent'},
   rollouts: {waitMs: 6_000, graceMs: 1_500, firstListing: 'recent'},
   crashes: {waitMs: 2_400, graceMs: 600, firstListing: 'recent'},
+  domainDrains: {waitMs: 2_400, graceMs: 600, firstListing: 'recent'},
 };
 
 /** Timeout of fetching a copy of a mirror from a peer, in milliseconds. */
@@ -108,6 +111,11 @@
     }),
     rollouts: createMirror<Rollout>({kind: 'rollouts', clock, log}),
     crashes: createMirror<CrashReport>({kind: 'crashes', clock, log}),
+    domainDrains: createMirror<DomainDrain>({
+      kind: 'domainDrains',
+      clock,
+      log,
+    }),
   };
   const mirrorKinds = Object.keys(mirrors) as MirrorKind[];
   const mirrorReaders = new Map<MirrorKind, MirrorReader>();
@@ -242,15 +250,17 @@
   startReader(mirrors.endpoints, platform.endpointSource);
   startReader(mirrors.rollouts, platform.rolloutSource);
   startReader(mirrors.crashes, options.crashReports);
+  startReader(mirrors.domainDrains, platform.domainDrainSource);
 
   return {
     ...mirrors,
-    syncStatuses: () => ({
-      policy: mirrors.policy.syncStatus(isReading('policy')),
-      endpoints: mirrors.endpoints.syncStatus(isReading('endpoints')),
-      rollouts: mirrors.rollouts.syncStatus(isReading('rollouts')),
-      crashes: mirrors.crashes.syncStatus(isReading('crashes')),
-    }),
+    syncStatuses: () =>
+      Object.fromEntries(
+        mirrorKinds.map(kind => [
+          kind,
+          mirrors[kind].syncStatus(isReading(kind)),
+        ]),
+      ) as Record<MirrorKind, SyncStatus>,
     recordSyncStatuses(peer, syncStatuses, timestamp) {
       peerStatuses.set(peer, {receivedAt: clock.now(), syncStatuses});
       for (const kind of mirrorKinds) {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -75,6 +75,18 @@
    * seconds.
    */
   usageLateSeconds: secondsSchema,
+  /** Region of each failure domain; endpoints elsewhere count as local. */
+  regions: z.record(z.string(), z.string()).default({}),
+  /**
+   * Bound of the requests that a warming endpoint receives in one second:
+   * `factor` times the rate that it tolerates, plus `slack`.
+   */
+  warmUpBound: z
+    .strictObject({
+      factor: z.number().min(1).max(100).default(1),
+      slack: z.number().min(0).max(10_000).default(0),
+    })
+    .prefault({}),
   log: z
     .strictObject({
       level: z
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -174,6 +174,7 @@
   const forwarding = createForwarding({
     router,
     rateLimits: {recordLimit: () => {}},
+    warmUps: {recordUnreachable: () => {}, recordResponse: () => {}},
     crashQuarantine: createCrashQuarantine({
       clock,
       self: 'x',
--- a/packages/gateway/src/test/lookup.test.ts
+++ b/packages/gateway/src/test/lookup.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import type {Member} from '@skylarkfield/members';
-import {selectEntries} from '../lookup.js';
+import {selectEntries, type LookupCaller} from '../lookup.js';
 
 function createMember(
   id: number,
@@ -22,6 +22,10 @@
   };
 }
 
+function createCaller(failureDomain: string, address = 'x'): LookupCaller {
+  return {failureDomain, region: 'r', address};
+}
+
 function createDomain(
   name: string,
   fastCount: number,
@@ -43,7 +47,7 @@
 function requestShares(members: readonly Member[]): Map<string, number> {
   const shares = new Map<string, number>();
   for (const caller of CALLER_ADDRESSES) {
-    const addresses = selectEntries(members, 'a', caller);
+    const addresses = selectEntries(members, createCaller('a', caller));
     for (const address of addresses) {
       const part = 1 / addresses.length / CALLER_ADDRESSES.length;
       shares.set(address, (shares.get(address) ?? 0) + part);
@@ -59,11 +63,11 @@
       createMember(1, 'b', 1, 5),
       createMember(2, 'b', 1),
     ];
-    assert.deepEqual(selectEntries(members, 'a', 'x'), [
+    assert.deepEqual(selectEntries(members, createCaller('a')), [
       '10.0.97.1:8080',
       '10.0.98.2:8080',
     ]);
-    assert.deepEqual(selectEntries(members, 'c', 'x'), [
+    assert.deepEqual(selectEntries(members, createCaller('c')), [
       '10.0.97.1:8080',
       '10.0.98.2:8080',
       '10.0.98.1:8080',
@@ -89,12 +93,21 @@
   // connections.
   it('returns a stable subset for a caller', () => {
     const members = createDomain('a', 3, 27);
-    const firstAddresses = selectEntries(members, 'a', '10.9.0.1');
-    assert.deepEqual(selectEntries(members, 'a', '10.9.0.1'), firstAddresses);
+    const firstAddresses = selectEntries(
+      members,
+      createCaller('a', '10.9.0.1'),
+    );
+    assert.deepEqual(
+      selectEntries(members, createCaller('a', '10.9.0.1')),
+      firstAddresses,
+    );
     const remainingMembers = members.filter(
       ({callerUrl}) => new URL(callerUrl).host !== firstAddresses[0],
     );
-    const newAddresses = selectEntries(remainingMembers, 'a', '10.9.0.1');
+    const newAddresses = selectEntries(
+      remainingMembers,
+      createCaller('a', '10.9.0.1'),
+    );
     assert.equal(
       newAddresses.filter(address => firstAddresses.includes(address)).length,
       7,
--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -3,9 +3,12 @@
 import {createDisposableStore, type Disposable} from '@skylarkfield/base';
 import type {Messages} from '@skylarkfield/protocol';
 import {
+  combineLimits,
   createCrashQuarantine,
   createRateLimits,
   createRouter,
+  createWarmUps,
+  type WarmUps,
 } from '@skylarkfield/routing';
 import {
   answerWork,
@@ -134,23 +137,36 @@
     findService(service)?.engine?.tokensPerEvent ?? 1;
   const upstreams = disposables.add(createUpstreams());
   const rateLimits = createRateLimits({clock, self: settings.id, decisions});
+  const warmUpOf = (service: string) => findService(service)?.warmUp;
+  const warmUps: WarmUps = createWarmUps({
+    clock,
+    self: settings.id,
+    decisions,
+    bound: settings.warmUpBound,
+    isEntryListKnown: () => membership.entryCount() !== undefined,
+    configOf: endpoint => warmUpOf(directory.get(endpoint)?.service ?? ''),
+  });
   const router = createRouter({
     clock,
     random,
     decisions,
-    rateLimits,
+    endpointLimits: combineLimits([rateLimits, warmUps]),
     failureDomain: settings.failureDomain,
     self: settings.id,
     blockTokens: TOKENS_PER_KEY,
     weightOverrides: service => engineEstimates.routeWeights(service),
   });
-  const directory = createEndpointDirectory({
+  const directory: EndpointDirectory = createEndpointDirectory({
     endpoints: platformView.endpoints,
     rollouts: platformView.rollouts,
+    domainDrains: platformView.domainDrains,
     router,
+    warmUps,
     upstreams,
     log,
     isModel,
+    warmUpMs: service => warmUpOf(service)?.durationMs ?? 0,
+    regionOf: failureDomain => settings.regions[failureDomain],
   });
   const crashQuarantine = createCrashQuarantine({
     clock,
@@ -184,6 +200,7 @@
   });
   platformView.endpoints.onDidChange(refreshEndpoints);
   platformView.rollouts.onDidChange(refreshEndpoints);
+  platformView.domainDrains.onDidChange(refreshEndpoints);
 
   const quotas = createQuotas(clock, quotaWindowMs, log);
   const usageWindows = createUsageWindows({
@@ -268,6 +285,8 @@
     const ids = membership.liveMembers().map(({id}) => id);
     rateLimits.setEntries(ids);
     crashQuarantine.setEntries(ids);
+    // Draining entries still send requests, and suspected ones may.
+    warmUps.setEntries(membership.members().map(({id}) => id));
   }
 
   disposables.add(membership.onDidChange(updateEntries));
@@ -300,6 +319,7 @@
   const forwarding = createForwarding({
     router,
     rateLimits,
+    warmUps,
     crashQuarantine,
     directory,
     admission,
@@ -376,6 +396,7 @@
   context.dumps.add('engines', () => engineEstimates.dump());
   context.dumps.add('reports', () => peerReports.dump());
   context.dumps.add('limits', () => rateLimits.dump());
+  context.dumps.add('warmUps', () => warmUps.dump());
   context.dumps.add('crashes', () => crashQuarantine.dump());
   context.dumps.add('quotas', () => quotas.dump());
   context.dumps.add('upstreams', () => upstreams.dump());
--- a/packages/protocol/src/messages/gatewayMessages.ts
+++ b/packages/protocol/src/messages/gatewayMessages.ts
@@ -7,7 +7,15 @@
 } from '@skylarkfield/capacity';
 
 /** Kinds of platform objects that entries mirror. */
-export type MirrorKind = 'policy' | 'endpoints' | 'rollouts' | 'crashes';
+export type MirrorKind =
+  | 'policy'
+  | 'endpoints'
+  | 'rollouts'
+  | 'crashes'
+  | 'domainDrains';
+
+/** Kinds that earlier releases do not mirror. */
+type LaterMirrorKind = 'crashes' | 'domainDrains';
 
 /** State of the sender's copy of the platform objects of one kind. */
 export interface SyncStatus {
@@ -64,10 +72,10 @@
     readonly wallMs: number;
     /** Last `stamp` from the receiver; undefined before its first digest. */
     readonly echo?: number;
-    /** Releases without crash reports omit `crashes`. */
+    /** Earlier releases omit the kinds that they do not mirror. */
     readonly mirrors: Readonly<
-      Record<Exclude<MirrorKind, 'crashes'>, SyncStatus> &
-        Partial<Record<'crashes', SyncStatus>>
+      Record<Exclude<MirrorKind, LaterMirrorKind>, SyncStatus> &
+        Partial<Record<LaterMirrorKind, SyncStatus>>
     >;
     /** Recent crashes; `served`: last success of a request, by fingerprint. */
     readonly crashes?: {
--- a/packages/traffic/src/contracts.ts
+++ b/packages/traffic/src/contracts.ts
@@ -31,6 +31,8 @@
   readonly isPublic: boolean;
   /** Whether a broken stream may resume after the last event delivered. */
   readonly isResumable: boolean;
+  /** Regions in which requests may run; absent for all. */
+  readonly regions?: readonly string[] | undefined;
   /** Longest pause between events of a stream, in milliseconds; 0 if unset. */
   readonly longestPauseMs: number;
 }
@@ -62,6 +64,14 @@
   readonly tokensPerEvent: number;
 }
 
+/** Warm-up of a service's endpoints, which may crash under load meanwhile. */
+export interface WarmUpConfig {
+  /** Duration of the warm-up after a start, in milliseconds. */
+  readonly durationMs: number;
+  /** Requests per second that a warming endpoint tolerates. */
+  readonly requestsPerSecond: number;
+}
+
 /** Configuration of a service. */
 export interface ServiceConfig {
   readonly name: string;
@@ -71,6 +81,8 @@
   readonly engine: EngineConfig | undefined;
   /** Undefined when its endpoints are not autoscaled. */
   readonly fleet: FleetConfig | undefined;
+  /** Absent when its endpoints tolerate full load from the start. */
+  readonly warmUp?: WarmUpConfig | undefined;
 }
 
 /** Rate limit of a customer, for all entries together. */
@@ -92,6 +104,8 @@
   readonly priority: number | undefined;
   /** Undefined if the customer has no rate limit. */
   readonly quota: Quota | undefined;
+  /** Regions in which the customer's requests may run; absent for all. */
+  readonly regions?: readonly string[] | undefined;
 }
 
 /** Limits on the requests and connections of callers. */
@@ -133,6 +147,16 @@
   readonly state: 'ready' | 'draining';
   /** Whether the platform can reclaim the endpoint's host at short notice. */
   readonly isReclaimable: boolean;
+  /** Remaining warm-up when it was registered, in ms; absent for none. */
+  readonly warmForMs?: number;
+}
+
+/**
+ * An operator's request to send no requests to the endpoints of a failure
+ * domain; in force while it exists.
+ */
+export interface DomainDrain {
+  readonly failureDomain: string;
 }
 
 export type RolloutState = 'running' | 'done' | 'rolled-back';
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -7,6 +7,7 @@
 export * from './fleetPlan.js';
 export * from './promptKeys.js';
 export * from './quotas.js';
+export * from './regions.js';
 export * from './repeatability.js';
 export * from './rolloutStates.js';
 export * from './routeTable.js';
