--- a/packages/routing/src/routeCosts.ts
+++ b/packages/routing/src/routeCosts.ts
@@ -1,7 +1,7 @@
 /** Cost model that ranks endpoints, in milliseconds to the first token. */
 import type {LoadEstimate} from './loadView.js';
 
-/** Weights of the cost model; see docs/DECISIONS/routing.md. */
+/** Weights of the cost model; see docs/design/routing.md. */
 export interface RouteWeights {
   /**
    * Share of the seemingly uncached shareable tokens that are in fact computed,
