--- a/packages/traffic/src/test/quotas.test.ts
+++ b/packages/traffic/src/test/quotas.test.ts
@@ -281,6 +281,22 @@
     assert.ok(peak <= allowance * MAX_OVERSHOOT, `${peak} of ${allowance}`);
   });
 
+  // Guards against a second's refill granted by each of many entries that start
+  // within one window, on top of what the running entries grant.
+  it('stays within the quota while groups of entries restart in turn', () => {
+    const fleet = createFleet(58);
+    fleet.idle(9);
+    fleet.flood(4);
+    for (let first = 0; first < 56; first += 14) {
+      fleet.restart(Array.from({length: 14}, (_, index) => first + index));
+      fleet.flood(1);
+    }
+    fleet.flood(4);
+    const allowance = PER_SECOND * WINDOW_SECONDS + BURST;
+    const peak = fleet.peakWindow();
+    assert.ok(peak <= allowance * MAX_OVERSHOOT, `${peak} of ${allowance}`);
+  });
+
   // Guards against a burst and an empty window at each start in a crash loop.
   it('stays within the quota while a process restarts repeatedly', () => {
     const fleet = createFleet(1);
