members: check the own object at most once a minute

Cause: an entry that is cut off, or slow, declares the others gone; each of them refutes that and reads its own object from the platform to see whether it was removed. One entry that flaps makes all entries read, and the calls and their gossip slow them down further: 124 calls in 3 minutes for 12 entries and ten cuts of one of them.

After a pause, the platform is asked only if no peer answers.

Ruled out as a mend: repeating a write whose reply was lost instead of looking it up, as a write costs three times a read.

--- a/packages/members/src/memberObjects.ts
+++ b/packages/members/src/memberObjects.ts
@@ -33,8 +33,8 @@
    */
   join(): void;
   /**
-   * Schedules a check that this entry's object exists. Needed after a refuted
-   * update, as another entry may have removed the object.
+   * Schedules a check that this entry's object exists, unless one is scheduled.
+   * Needed after a refuted update, as another entry may have removed the object.
    */
   scheduleOwnObjectCheck(): void;
   /**
@@ -98,6 +98,8 @@
   let listedCount: number | undefined;
   let isStopped = false;
   let removedCount = 0;
+  let isOwnObjectCheckPending = false;
+  let lastOwnObjectCheckAt = -Infinity;
 
   function schedule(delayMs: number, action: () => Promise<void>) {
     const timer = clock.after(delayMs * (0.75 + random.next() / 2), () => {
@@ -290,9 +292,21 @@
   return {
     join,
     scheduleOwnObjectCheck() {
-      if (isJoined) {
-        schedule(timing.heartbeatIntervalMs, restoreOwnObject);
+      if (!isJoined || isOwnObjectCheckPending) {
+        return;
       }
+      isOwnObjectCheckPending = true;
+      // An object is removed no sooner than a sweep interval after its member
+      // was declared gone, so more frequent checks find nothing.
+      const nextCheckAt = lastOwnObjectCheckAt + timing.sweepIntervalMs;
+      schedule(
+        Math.max(timing.heartbeatIntervalMs, nextCheckAt - clock.now()),
+        async () => {
+          isOwnObjectCheckPending = false;
+          lastOwnObjectCheckAt = clock.now();
+          await restoreOwnObject();
+        },
+      );
     },
     listedCount: () => listedCount,
     async leave(signal) {
--- a/packages/members/src/pauseRecovery.ts
+++ b/packages/members/src/pauseRecovery.ts
@@ -63,20 +63,19 @@
       pauseDetector.recordResponse(requestedAt);
       return;
     }
-    const platformAnswer = memberObjects.isPlatformReachable();
     const peers = network.connectedPeers().slice(0, MAX_PROBES);
-    const answers = [
-      ...peers.map(peer => failureDetector.probe(peer)),
-      platformAnswer,
-    ];
-    for (const answer of answers) {
-      void answer.then(isAnswered => {
-        if (isAnswered) {
-          pauseDetector.recordResponse(requestedAt);
-        }
-      });
+    const answers = peers.map(async peer => {
+      const isAnswered = await failureDetector.probe(peer);
+      if (isAnswered) {
+        pauseDetector.recordResponse(requestedAt);
+      }
+      return isAnswered;
+    });
+    const hasPeerAnswered = (await Promise.all(answers)).includes(true);
+    // A call to the platform is billed, so it is made only if no peer answers.
+    if (!hasPeerAnswered && (await memberObjects.isPlatformReachable())) {
+      pauseDetector.recordResponse(requestedAt);
     }
-    await Promise.all(answers);
   }
 
   return {
--- a/packages/members/src/test/membership.test.ts
+++ b/packages/members/src/test/membership.test.ts
@@ -240,4 +240,24 @@
     const calls = cluster.platformCalls() - callsBefore;
     assert.ok(calls <= 12, `${calls} calls`);
   });
+
+  // An entry that is cut off or slow declares all others gone, again and again.
+  // If each refutation costs a read, the calls of all entries slow them down.
+  it('reads each own object at most once a minute, however often entries are declared gone', async () => {
+    const {cluster, ids} = await createSettledCluster(12);
+    const others = ids.filter(id => id !== 'm3');
+    const callsBefore = cluster.platformCalls();
+    const cycles = 10;
+    for (let cycle = 0; cycle < cycles; cycle++) {
+      cluster.isolate('m3', others);
+      await cluster.clock.advance(9_000);
+      cluster.net.healAll();
+      await cluster.clock.advance(9_000);
+    }
+    const minutes = (cycles * 18_000) / 60_000;
+    const calls = cluster.platformCalls() - callsBefore;
+    // Both sides of the partition sweep the objects of dead members.
+    const maxCalls = (ids.length + 2) * (minutes + 1);
+    assert.ok(calls <= maxCalls, `${calls} calls`);
+  });
 });
