--- a/packages/gateway/src/fleetDuty.ts
+++ b/packages/gateway/src/fleetDuty.ts
@@ -9,6 +9,7 @@
 import type {DutyTerm} from '@skylarkfield/duties';
 import {
   createDemandEstimator,
+  createRemovalHold,
   planFleet,
   type ServiceConfig,
   type DemandSignals,
@@ -85,6 +86,7 @@
    */
   const nextProbeAtByKey = new Map<string, number>();
   const demandEstimators = new Map<string, DemandEstimator>();
+  const removalHold = createRemovalHold(clock);
   const startedAt = clock.now();
   let isScaling = false;
 
@@ -121,6 +123,7 @@
         !directory.isDrained(failureDomain)
       ) {
         markScarce(service, failureDomain);
+        removalHold.recordReclaim(service);
       }
     }
   }
@@ -164,7 +167,8 @@
    * start.
    */
   function maxRemovalsOf(service: string, neededCount: number): number {
-    if (clock.now() - startedAt < SCALE_DOWN_DELAY_MS) {
+    const isStarting = clock.now() - startedAt < SCALE_DOWN_DELAY_MS;
+    if (isStarting || removalHold.isHeld(service)) {
       return 0;
     }
     return Math.max(0, countReady(service) - neededCount);
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -8,6 +8,7 @@
 export * from './promptKeys.js';
 export * from './quotas.js';
 export * from './regions.js';
+export * from './removalHold.js';
 export * from './repeatability.js';
 export * from './rolloutStates.js';
 export * from './routeTable.js';
--- a/packages/traffic/src/test/fleet.test.ts
+++ b/packages/traffic/src/test/fleet.test.ts
@@ -8,6 +8,7 @@
   type DemandSignals,
   type DemandEstimator,
 } from '../demandEstimator.js';
+import {createRemovalHold} from '../removalHold.js';
 import {countEndpointsNeeded, planFleet, type FleetPlan} from '../fleetPlan.js';
 
 const UTILIZATION = {usual: 0.34, brief: 0.5};
@@ -113,6 +114,24 @@
   });
 });
 
+describe('removal hold', () => {
+  // Endpoints that a falling need releases between two reclaims of a group are
+  // missed when the second failure domain is reclaimed.
+  it('lasts fifteen seconds from the last reclaim of the service', () => {
+    const clock = createVirtualClock();
+    const hold = createRemovalHold(clock);
+    assert.ok(!hold.isHeld('chat'));
+    hold.recordReclaim('chat');
+    clock.advanceSync(10_000);
+    hold.recordReclaim('chat');
+    clock.advanceSync(14_900);
+    assert.ok(hold.isHeld('chat'));
+    assert.ok(!hold.isHeld('booking'));
+    clock.advanceSync(100);
+    assert.ok(!hold.isHeld('chat'));
+  });
+});
+
 /** Creates the signals of a service whose requests are on time. */
 function createSignals(
   workRate: number,
