traffic: cover a further loss with on-demand endpoints

Cause: while no reclaimable endpoints are available, the plan covered the brief need with what was present, but not after the loss of one more failure domain, as it does otherwise; reclaims come in groups. Change: on-demand endpoints cover the brief need less the largest failure domain's reclaimable endpoints. The test of the plan after two reclaims asserted the old sum of 3 on-demand endpoints; it asserts 4, one more for the loss of a third domain.

--- a/packages/traffic/src/fleetPlan.ts
+++ b/packages/traffic/src/fleetPlan.ts
@@ -7,8 +7,8 @@
  * base of on-demand endpoints and spreads reclaimable endpoints so that the
  * loss of any failure domain leaves enough for the brief need until
  * replacements have started. If reclaimable endpoints are not available,
- * on-demand endpoints cover the brief need only: covering the usual need is not
- * worth their price.
+ * on-demand endpoints cover the brief need, also after a further loss, but not
+ * the usual need, which is not worth their price.
  */
 import type {FleetConfig} from './contracts.js';
 
@@ -128,6 +128,6 @@
     }
     fleetsByDomain.get(domain)!.reclaimable += 1;
   }
-  addOnDemand(needed.brief - fleetTotal());
+  addOnDemand(needed.brief - minTotalAfterLoss());
   return Object.fromEntries(fleetsByDomain);
 }
