--- a/tools/buildGateway.mjs
+++ b/tools/buildGateway.mjs
@@ -46,6 +46,7 @@
   [
     '--max-old-space-size=160',
     '--max-semi-space-size=2',
+    '--single-threaded-gc',
     join(root, 'tools', 'writeCodeCache.cjs'),
     bundlePath,
     join(targetFolder, 'gateway-bundle.cache'),
