gateway: apply reported warm-ups after the registrations

Cause: the first decision about a new endpoint was logged with a share of 0, since its service was not known yet. Change: reports are applied once the directory has the endpoint. Result: tests of the directory pass unchanged.

--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -173,7 +173,6 @@
     onDidVanish: vanishEmitter.event,
     refresh() {
       updateDrainedDomains();
-      recordReportedWarmUps();
       const previousByKey = registrationsByKey;
       registrationsByKey = new Map(
         endpoints.items().map(({value}) => [keyOf(value), value]),
@@ -184,6 +183,7 @@
           toEffective(value),
         ]),
       );
+      recordReportedWarmUps();
       const registeredEndpoints = [...endpointsByKey.values()];
       const readyEndpoints = registeredEndpoints.filter(
         ({state}) => state === 'ready',
