--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -75,7 +75,10 @@
    * seconds.
    */
   usageLateSeconds: secondsSchema,
-  /** Region of each failure domain; endpoints elsewhere count as local. */
+  /**
+   * Region of each failure domain. Endpoints in other failure domains get no
+   * requests that are restricted to regions.
+   */
   regions: z.record(z.string(), z.string()).default({}),
   /**
    * Bound of the requests that a warming endpoint receives in one second:
--- a/packages/gateway/src/test/lookup.test.ts
+++ b/packages/gateway/src/test/lookup.test.ts
@@ -57,6 +57,19 @@
 }
 
 describe('lookup', () => {
+  // Requests of callers may be restricted to their region.
+  it('returns entries in other regions only if the own region has none', () => {
+    const remote = {...createMember(1, 'z'), region: 'elsewhere'};
+    const regional = createMember(1, 'b', 1, 9);
+    const addressesFor = (members: readonly Member[]) =>
+      selectEntries(members, createCaller('a'));
+    assert.deepEqual(addressesFor([remote, regional]), ['10.0.98.1:8080']);
+    assert.deepEqual(addressesFor([remote, createMember(1, 'a')]), [
+      '10.0.97.1:8080',
+    ]);
+    assert.deepEqual(addressesFor([remote]), ['10.0.122.1:8080']);
+  });
+
   it('returns remote entries only if there are too few local entries', () => {
     const members = [
       createMember(1, 'a'),
--- a/packages/routing/src/test/router.test.ts
+++ b/packages/routing/src/test/router.test.ts
@@ -16,6 +16,22 @@
     assert.deepEqual([...new Set(chosen)].sort(), ['a', 'b', 'c', 'd']);
   });
 
+  // Some requests may not leave their region, whatever is idle elsewhere.
+  it('sends a restricted request only to endpoints in known regions that it allows', () => {
+    const {router} = createRig([
+      {...candidate('a'), region: 'north'},
+      {...candidate('b'), region: 'south'},
+      candidate('c'),
+    ]);
+    const request = routingRequest({regions: ['south', 'west']});
+    const chosen = Array.from(
+      {length: 6},
+      () => router.choose(request)?.endpoint,
+    );
+    assert.deepEqual([...new Set(chosen)], ['b']);
+    assert.equal(router.choose(routingRequest({regions: []})), undefined);
+  });
+
   // A request that crashes its endpoint also fails the other requests there.
   it('sends a suspected request to the endpoint with the fewest requests', () => {
     const {router} = createRig(candidates);
--- a/packages/traffic/src/test/traffic.test.ts
+++ b/packages/traffic/src/test/traffic.test.ts
@@ -9,6 +9,7 @@
 import type {Route} from '../contracts.js';
 import {createCustomerTable} from '../customerTable.js';
 import {promptKeys} from '../promptKeys.js';
+import {commonRegions} from '../regions.js';
 import {createRouteTable} from '../routeTable.js';
 import {createUsageWindows} from '../usageWindows.js';
 import {chooseService} from '../weightedChoice.js';
@@ -57,6 +58,15 @@
   }
 });
 
+describe('regions of a request', () => {
+  it('are those that both its route and its customer allow', () => {
+    assert.equal(commonRegions(undefined, undefined), undefined);
+    assert.deepEqual(commonRegions(['eu'], undefined), ['eu']);
+    assert.deepEqual(commonRegions(['eu', 'us'], ['us', 'asia']), ['us']);
+    assert.deepEqual(commonRegions(['eu'], ['us']), []);
+  });
+});
+
 describe('customer table', () => {
   it('finds the customer of a key, and undefined for an unknown key', () => {
     const table = createCustomerTable([
