gateway: apply changed endpoints at most ten times a second

Change: a change is applied at once, or with all others 100 ms after the last time. The view is not copied while no failure domain is drained.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -16,4 +16,5 @@
 export * from './processLifecycle.js';
 export * from './random.js';
 export * from './shapes.js';
+export * from './throttle.js';
 export * from './virtualClock.js';
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -152,7 +152,7 @@
       }
     }
     revisionsByKey = revisions;
-    warmUps.retainEndpoints(new Set(revisions.keys()));
+    warmUps.retainEndpoints(revisions);
   }
 
   return {
@@ -177,12 +177,15 @@
       registrationsByKey = new Map(
         endpoints.items().map(({value}) => [keyOf(value), value]),
       );
-      endpointsByKey = new Map(
-        [...registrationsByKey].map(([key, value]) => [
-          key,
-          toEffective(value),
-        ]),
-      );
+      endpointsByKey =
+        drainedDomains.size === 0
+          ? registrationsByKey
+          : new Map(
+              [...registrationsByKey].map(([key, value]) => [
+                key,
+                toEffective(value),
+              ]),
+            );
       recordReportedWarmUps();
       const registeredEndpoints = [...endpointsByKey.values()];
       const readyEndpoints = registeredEndpoints.filter(
--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -1,6 +1,10 @@
 /** The request path of a gateway, and its state exchange with other entries. */
 import {createAdmissionController} from '@skylarkfield/admission';
-import {createDisposableStore, type Disposable} from '@skylarkfield/base';
+import {
+  createDisposableStore,
+  throttle,
+  type Disposable,
+} from '@skylarkfield/base';
 import type {Messages} from '@skylarkfield/protocol';
 import {
   combineLimits,
@@ -75,6 +79,13 @@
  */
 const KEY_MARGIN_MS = 500;
 
+/**
+ * Minimum interval of applying changed endpoints, in milliseconds. Applying
+ * them takes time in proportion to all endpoints, and each registers and
+ * changes by itself.
+ */
+const REFRESH_INTERVAL_MS = 100;
+
 /**
  * Creates the request path, and starts to mirror the platform's objects and to
  * exchange digests.
@@ -198,9 +209,10 @@
     directory,
     policy,
   });
-  platformView.endpoints.onDidChange(refreshEndpoints);
-  platformView.rollouts.onDidChange(refreshEndpoints);
-  platformView.domainDrains.onDidChange(refreshEndpoints);
+  const refreshSoon = throttle(clock, REFRESH_INTERVAL_MS, refreshEndpoints);
+  platformView.endpoints.onDidChange(refreshSoon);
+  platformView.rollouts.onDidChange(refreshSoon);
+  platformView.domainDrains.onDidChange(refreshSoon);
 
   const quotas = createQuotas(clock, quotaWindowMs, log);
   const usageWindows = createUsageWindows({
--- a/packages/routing/src/warmUp.ts
+++ b/packages/routing/src/warmUp.ts
@@ -45,8 +45,8 @@
   recordUnreachable(endpoint: string): void;
   /** Records that the endpoint sent a response. */
   recordResponse(endpoint: string): void;
-  /** Drops the state of endpoints that are not in the set. */
-  retainEndpoints(endpoints: ReadonlySet<string>): void;
+  /** Drops the state of endpoints that are not in the collection. */
+  retainEndpoints(endpoints: {has(endpoint: string): boolean}): void;
   dump(): unknown;
 }
 
