gateway: log and count the prompt parts of requests that lost their endpoint

Cause: no line of the log named the parts of a prompt, so nobody could tell crashes with a part in common from crashes by chance.

Change: request, retry and handover lines have the parts beside the fingerprint, 16 at most; the metrics count requests whose endpoint closed the connection, by progress.

--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -25,6 +25,7 @@
 } from './endpointAttempts.js';
 import type {ForwardedCall, ForwardingResult} from './forwardedCall.js';
 import type {Handovers} from './handovers.js';
+import {lossFields} from './requestLog.js';
 import {createProgress, type Progress} from './retryRules.js';
 
 /** How a call is tried next. */
@@ -297,7 +298,7 @@
   }
 
   function logRetry(
-    {attemptId}: ForwardedCall,
+    {attemptId, head}: ForwardedCall,
     progress: Progress,
     attempt: Attempt,
     result: AttemptResult,
@@ -311,7 +312,7 @@
         end: describeResult(result),
         runs: progress.runCount,
         sends: progress.endpoints.length,
-        fingerprint: progress.fingerprint,
+        ...lossFields(progress.fingerprint, head),
       },
       'retrying at another endpoint',
     );
--- a/packages/gateway/src/handoverHandler.ts
+++ b/packages/gateway/src/handoverHandler.ts
@@ -28,7 +28,7 @@
 import type {ForwardedCall, ForwardingResult} from './forwardedCall.js';
 import type {Forwarding} from './forwarding.js';
 import {memoize} from './memoize.js';
-import {endFields} from './requestLog.js';
+import {endFields, lossFields} from './requestLog.js';
 
 type Handover = Messages['handover'];
 
@@ -115,8 +115,8 @@
   }
 
   function logResult(
-    {attemptId, service, handover}: ForwardedCall,
-    {status, error, endpoints, responseEnd}: ForwardingResult,
+    {attemptId, head, service, handover}: ForwardedCall,
+    {status, error, endpoints, fingerprint, responseEnd}: ForwardingResult,
     tookMs: number,
   ): void {
     log.info(
@@ -127,6 +127,7 @@
         endpoints,
         status,
         ...(error && {kind: error.kind, run: error.run, why: error.message}),
+        ...lossFields(fingerprint, head),
         ...endFields(responseEnd),
         tookMs: Math.round(tookMs),
       },
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -71,6 +71,7 @@
         kind: error?.kind ?? 'ok',
         firstByteMs,
         tookMs,
+        hasLostEndpoint: fingerprint !== undefined,
       });
       log.info(
         {
@@ -88,7 +89,7 @@
           ...(error?.retryAfterMs !== undefined && {
             retryAfterMs: Math.round(error.retryAfterMs),
           }),
-          ...(fingerprint !== undefined && {fingerprint}),
+          ...lossFields(fingerprint, acceptedRequest?.head),
           ...endFields(responseEnd),
           ...(hasDisconnected && {hasLeft: hasDisconnected}),
           ...(firstSendAt !== undefined && {
@@ -118,6 +119,29 @@
   };
 }
 
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 16;
+
+/**
+ * Returns the log fields by which requests that lost their endpoint can be
+ * compared: the fingerprint, and the ids of the prompt parts that other requests
+ * may have.
+ *
+ * @example
+ * log.info({...lossFields(result.fingerprint, call.head)}, 'request');
+ */
+export function lossFields(
+  fingerprint: string | undefined,
+  head: Pick<CallHead, 'demand'> | undefined,
+): {readonly fingerprint?: string; readonly parts?: readonly string[]} {
+  if (fingerprint === undefined) {
+    return {};
+  }
+  const sharedParts = head?.demand?.parts.slice(0, -1) ?? [];
+  const parts = sharedParts.slice(0, MAX_LOGGED_PARTS).map(({id}) => id);
+  return {fingerprint, ...(parts.length > 0 && {parts})};
+}
+
 function demandFields(
   head: CallHead | undefined,
   {tokensAhead}: ForwardingResult,
--- a/packages/gateway/src/requestMetrics.ts
+++ b/packages/gateway/src/requestMetrics.ts
@@ -15,6 +15,8 @@
    * Milliseconds from the arrival of the request to the end of its response.
    */
   readonly tookMs: number;
+  /** Whether an endpoint closed its connection on the request. */
+  readonly hasLostEndpoint?: boolean;
 }
 
 /** Decision on a request of a customer with a quota. */
@@ -126,6 +128,9 @@
   const reports = meter.createCounter('skylarkfield.gateway.reports', {
     description: 'Endpoints that reported that they leave or want a rest',
   });
+  const losses = meter.createCounter('skylarkfield.gateway.lost', {
+    description: 'Requests whose endpoint closed the connection, by progress',
+  });
   const reportAge = meter.createHistogram(
     'skylarkfield.gateway.quota.report.age',
     {
@@ -152,6 +157,10 @@
     }
     const {service = '', kind, firstByteMs, tookMs} = observation;
     requests.add(1, {service, kind});
+    if (observation.hasLostEndpoint) {
+      const progress = firstByteMs === undefined ? 'not-begun' : 'begun';
+      losses.add(1, {service, progress});
+    }
     duration.record(tookMs, {service});
     if (firstByteMs !== undefined) {
       timeToFirstByte.record(firstByteMs, {service});
--- a/packages/gateway/src/test/requestMetrics.test.ts
+++ b/packages/gateway/src/test/requestMetrics.test.ts
@@ -56,6 +56,25 @@
   await metrics.shutDown();
 });
 
+test('requests that lost their endpoint are counted by progress', async () => {
+  const metrics = createRequestMetrics(
+    () => createMetrics('test'),
+    createSilentLogger(),
+  );
+  const lost = {...createObservation(7), hasLostEndpoint: true};
+  metrics.record(lost);
+  metrics.record({...lost, firstByteMs: undefined});
+  metrics.record({...lost, firstByteMs: undefined});
+  metrics.record(createObservation(7));
+  const page = await metrics.render();
+  assert.match(page, /gateway_lost_total\{[^}]*progress="begun"[^}]*\} 1\b/);
+  assert.match(
+    page,
+    /gateway_lost_total\{[^}]*progress="not-begun"[^}]*\} 2\b/,
+  );
+  await metrics.shutDown();
+});
+
 test('shutting down does not load the SDK if the metrics were never rendered', async () => {
   const metrics = createRequestMetrics(
     () => Promise.reject(new Error('loaded')),
