routing, gateway: quarantine prompt parts that crash endpoints

Callers saw 502 and 503 on the requests of all customers: one part of a prompt crashed each endpoint that began to answer on it, in requests of which no two were alike.

Cause: verdicts were on whole requests (customer, host, path, body), so each such request was new.

Change: the shared parts of the requests that lost their endpoint are suspected as well, per model; a complete answer on a part clears it at all entries. A crash weighs less while many requests are lost, and a part that has had answers takes more crashes, so that popular and new sound parts are not convicted by chance. crashQuarantine is parted into verdict, trials, sources of evidence, served parts and loss rate.

--- a/packages/bench/src/handover.ts
+++ b/packages/bench/src/handover.ts
@@ -156,6 +156,7 @@
     rawHeaders: [],
     body: undefined,
     fingerprint: () => '',
+    suspectParts: [],
     promptKeys: [],
     deadlineAt: now + TIMEOUT_MS,
     signal: new AbortController().signal,
--- a/packages/gateway/src/callerHandler.ts
+++ b/packages/gateway/src/callerHandler.ts
@@ -34,7 +34,7 @@
 import type {QuotaCharge, QuotaDecision} from './quotaCharge.js';
 import {createRequestLog} from './requestLog.js';
 import type {RequestMetrics} from './requestMetrics.js';
-import {verdictFor} from './crashGuard.js';
+import {suspectPartsOf, verdictFor} from './crashGuard.js';
 
 /** Serving state of the process. */
 export interface ServingState {
@@ -193,8 +193,10 @@
     };
   }
 
-  function rejectQuarantined(fingerprint: () => string): void {
-    const verdict = verdictFor({fingerprint}, options.crashQuarantine);
+  function rejectQuarantined(
+    call: Pick<ForwardedCall, 'fingerprint' | 'suspectParts'>,
+  ): void {
+    const verdict = verdictFor(call, options.crashQuarantine);
     if (verdict.type === 'quarantined') {
       throw quarantinedError(verdict);
     }
@@ -256,7 +258,8 @@
         body,
       }),
     );
-    rejectQuarantined(fingerprint);
+    const suspectParts = suspectPartsOf(head.demand);
+    rejectQuarantined({fingerprint, suspectParts});
     const refundQuota = await chargeQuota(acceptedRequest);
     const watchedOutcome = watchOutcome(acceptedRequest, reply, options);
     let permit: Permit;
@@ -293,6 +296,7 @@
           rawHeaders: request.rawHeaders,
           body,
           fingerprint,
+          suspectParts,
           promptKeys: promptKeys(head.demand?.parts ?? []),
           deadlineAt,
           signal: deadline.signal,
--- a/packages/gateway/src/crashGuard.ts
+++ b/packages/gateway/src/crashGuard.ts
@@ -2,14 +2,21 @@
  * Stops sending requests that crash endpoints, and records which requests were
  * running when an endpoint was lost.
  */
-import type {CrashQuarantine, QuarantineVerdict} from '@skylarkfield/routing';
+import {
+  promptPartSuspects,
+  type CrashQuarantine,
+  type QuarantineVerdict,
+} from '@skylarkfield/routing';
+import type {ModelDemand} from '@skylarkfield/traffic';
 import type {AttemptResult} from './attempt.js';
 import {isServerError} from './attemptOutcome.js';
 import type {EndpointDirectory} from './endpointDirectory.js';
 import type {Progress} from './retryRules.js';
 
-interface CallWithFingerprint {
+/** What a call is known by when its endpoint crashes. */
+interface SuspectCall {
   fingerprint(): string;
+  readonly suspectParts: readonly string[];
 }
 
 export interface CrashGuard {
@@ -18,20 +25,30 @@
    * `trial`. A migrated stream is always `clear`.
    */
   checkSend(
-    call: CallWithFingerprint,
+    call: SuspectCall,
     progress: Pick<Progress, 'continuation'>,
   ): QuarantineVerdict;
   /** Whether the verdict on the call is any other than `clear`. */
-  isSuspected(call: CallWithFingerprint): boolean;
-  isQuarantined(call: CallWithFingerprint): boolean;
-  /** Records an attempt's result, unless the attempt was stopped on request. */
+  isSuspected(call: SuspectCall): boolean;
+  isQuarantined(call: SuspectCall): boolean;
+  /**
+   * Records an attempt's result, unless the attempt was stopped on request.
+   * `answeredForMs` is the time since the response began; 0 if it has not.
+   */
   recordAttemptResult(
-    call: CallWithFingerprint,
+    call: SuspectCall,
     endpoint: string,
     result: AttemptResult,
+    answeredForMs: number,
   ): void;
 }
 
+/**
+ * Time after which a response that goes on shows that the parts of its prompt
+ * crash no endpoint, in milliseconds: they do so when the response begins.
+ */
+const PART_SURVIVAL_MS = 1_000;
+
 const CLEAR_VERDICT: QuarantineVerdict = {type: 'clear'};
 
 /**
@@ -42,12 +59,29 @@
  * if (verdictFor(call, crashQuarantine).type === 'quarantined') { reject(); }
  */
 export function verdictFor(
-  call: CallWithFingerprint,
+  call: SuspectCall,
   crashQuarantine: Pick<CrashQuarantine, 'isEmpty' | 'verdictFor'>,
 ): QuarantineVerdict {
   return crashQuarantine.isEmpty()
     ? CLEAR_VERDICT
-    : crashQuarantine.verdictFor(call.fingerprint());
+    : crashQuarantine.verdictFor(call.fingerprint(), call.suspectParts);
+}
+
+/**
+ * Returns the keys by which the parts of a prompt are suspected.
+ *
+ * @example
+ * const suspectParts = suspectPartsOf(head.demand);
+ */
+export function suspectPartsOf(
+  demand: Pick<ModelDemand, 'model' | 'parts'> | undefined,
+): readonly string[] {
+  return demand === undefined
+    ? []
+    : promptPartSuspects(
+        demand.model,
+        demand.parts.map(({id}) => id),
+      );
 }
 
 /**
@@ -62,23 +96,18 @@
 }): CrashGuard {
   const {crashQuarantine, directory} = options;
 
-  function isSuccess(result: AttemptResult): boolean {
-    return (
-      result.type === 'streamed' ||
-      (result.type === 'answered' && !isServerError(result.status))
-    );
-  }
-
   function recordLoss(
-    call: CallWithFingerprint,
+    call: SuspectCall,
     endpoint: string,
     loss: 'closed' | 'silent',
+    answeredForMs: number,
   ): void {
     const state = directory.get(endpoint)?.state;
     if (state === 'draining') {
       return;
     }
-    const lostRequest = {request: call.fingerprint(), endpoint};
+    const parts = answeredForMs < PART_SURVIVAL_MS ? call.suspectParts : [];
+    const lostRequest = {request: call.fingerprint(), parts, endpoint};
     if (loss === 'closed' && state === 'ready') {
       crashQuarantine.recordConnectionLost(lostRequest);
     } else {
@@ -86,6 +115,14 @@
     }
   }
 
+  function recordCompleted(call: SuspectCall): void {
+    if (crashQuarantine.isEmpty()) {
+      crashQuarantine.recordPartsServed(call.suspectParts);
+      return;
+    }
+    crashQuarantine.recordCompleted(call.fingerprint(), call.suspectParts);
+  }
+
   return {
     checkSend(call, {continuation}) {
       // A stream that is being migrated has not failed.
@@ -94,21 +131,28 @@
       }
       const verdict = verdictFor(call, crashQuarantine);
       if (verdict.type === 'trial') {
-        crashQuarantine.beginTrial(call.fingerprint());
+        crashQuarantine.beginTrial(call.fingerprint(), call.suspectParts);
       }
       return verdict;
     },
     isSuspected: call => verdictFor(call, crashQuarantine).type !== 'clear',
     isQuarantined: call =>
       verdictFor(call, crashQuarantine).type === 'quarantined',
-    recordAttemptResult(call, endpoint, result) {
-      if (result.type === 'failed' && result.loss !== undefined) {
-        recordLoss(call, endpoint, result.loss);
+    recordAttemptResult(call, endpoint, result, answeredForMs) {
+      if (isSuccess(result)) {
+        recordCompleted(call);
         return;
       }
-      if (isSuccess(result) && !crashQuarantine.isEmpty()) {
-        crashQuarantine.recordCompleted(call.fingerprint());
+      if (result.type === 'failed' && result.loss !== undefined) {
+        recordLoss(call, endpoint, result.loss, answeredForMs);
       }
     },
   };
 }
+
+function isSuccess(result: AttemptResult): boolean {
+  return (
+    result.type === 'streamed' ||
+    (result.type === 'answered' && !isServerError(result.status))
+  );
+}
--- a/packages/gateway/src/crashPersistence.ts
+++ b/packages/gateway/src/crashPersistence.ts
@@ -46,7 +46,12 @@
 
 const reportSchema = z.object({
   crashes: z.array(
-    z.object({request: z.string(), endpoint: z.string(), atMs: z.number()}),
+    z.object({
+      request: z.string(),
+      endpoint: z.string(),
+      atMs: z.number(),
+      weight: z.number().optional(),
+    }),
   ),
   served: z.record(z.string(), z.number()),
 });
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -295,14 +295,17 @@
   function recordEvidence(
     call: ForwardedCall,
     endpoint: string,
-    {watchedStream}: RunningAttempt,
+    {watchedStream, beganAt}: RunningAttempt,
     result: AttemptResult,
   ): void {
     if (watchedStream.isStopRequested()) {
       return;
     }
+    const answeredForMs = beganAt === undefined ? 0 : clock.now() - beganAt;
+    const record = () =>
+      crashGuard.recordAttemptResult(call, endpoint, result, answeredForMs);
     if (result.type !== 'failed') {
-      crashGuard.recordAttemptResult(call, endpoint, result);
+      record();
       return;
     }
     const isUnreachable = outcomeOf(result) === 'unreachable';
@@ -317,7 +320,7 @@
       if (isUnreachable) {
         options.warmUps.recordUnreachable(endpoint);
       }
-      crashGuard.recordAttemptResult(call, endpoint, result);
+      record();
     });
   }
 
--- a/packages/gateway/src/forwardedCall.ts
+++ b/packages/gateway/src/forwardedCall.ts
@@ -25,6 +25,8 @@
    * makes; computed on first use.
    */
   fingerprint(): string;
+  /** Keys of the parts of the prompt that other requests may have. */
+  readonly suspectParts: readonly string[];
   /** Keys of the prompt's shared parts; empty for a plain service. */
   readonly promptKeys: readonly string[];
   /** Deadline of the response, in monotonic milliseconds. */
--- a/packages/gateway/src/handoverHandler.ts
+++ b/packages/gateway/src/handoverHandler.ts
@@ -23,6 +23,7 @@
 import {watchDisconnect} from './callerPresence.js';
 import {createCallerReply, type CallerReply} from './callerReply.js';
 import type {CallFormat} from './contracts.js';
+import {suspectPartsOf} from './crashGuard.js';
 import {createDeadline} from './deadline.js';
 import {acceptsDepartures, encodeDepartures} from './departureHeader.js';
 import type {ForwardedCall, ForwardingResult} from './forwardedCall.js';
@@ -211,6 +212,7 @@
     fingerprint: memoize(() =>
       requestFingerprint({customer, authority, method, path, body}),
     ),
+    suspectParts: suspectPartsOf(demand),
     promptKeys: promptKeys(demand?.parts ?? []),
     deadlineAt,
     signal,
--- a/packages/gateway/src/test/crashGuard.test.ts
+++ b/packages/gateway/src/test/crashGuard.test.ts
@@ -11,7 +11,7 @@
 import type {AttemptResult, ConnectionLoss} from '../attempt.js';
 import {createCrashGuard} from '../crashGuard.js';
 
-const CALL = {fingerprint: () => 'f00d'};
+const CALL = {fingerprint: () => 'f00d', suspectParts: []};
 const FIRST_ATTEMPT = {continuation: undefined};
 const SUCCESS = {
   type: 'answered',
@@ -51,7 +51,7 @@
       loss: ConnectionLoss = 'closed',
     ) {
       for (const endpoint of endpoints) {
-        guard.recordAttemptResult(CALL, endpoint, createLossResult(loss));
+        guard.recordAttemptResult(CALL, endpoint, createLossResult(loss), 0);
         clock.advanceSync(2_000);
       }
     },
@@ -74,14 +74,14 @@
   it('clears a quarantined request after a complete response', () => {
     const {guard, loseConnections} = createGuard(READY);
     loseConnections(['e1', 'e2', 'e3']);
-    guard.recordAttemptResult(CALL, 'e4', SUCCESS);
+    guard.recordAttemptResult(CALL, 'e4', SUCCESS, 0);
     assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'clear');
   });
 
   it('keeps a request quarantined after a server error', () => {
     const {guard, loseConnections} = createGuard(READY);
     loseConnections(['e1', 'e2', 'e3']);
-    guard.recordAttemptResult(CALL, 'e4', {...SUCCESS, status: 500});
+    guard.recordAttemptResult(CALL, 'e4', {...SUCCESS, status: 500}, 0);
     assert.ok(guard.isQuarantined(CALL));
   });
 
--- a/packages/gateway/src/test/testForwarding.ts
+++ b/packages/gateway/src/test/testForwarding.ts
@@ -214,6 +214,7 @@
           rawHeaders: [],
           body: undefined,
           fingerprint: () => 'f1',
+          suspectParts: [],
           promptKeys: [],
           deadlineAt: clock.now() + 5_000,
           signal: disconnectController.signal,
--- a/packages/protocol/src/messages/gatewayMessages.ts
+++ b/packages/protocol/src/messages/gatewayMessages.ts
@@ -96,12 +96,17 @@
       Record<Exclude<MirrorKind, LaterMirrorKind>, SyncStatus> &
         Partial<Record<LaterMirrorKind, SyncStatus>>
     >;
-    /** Recent crashes; `served`: last success of a request, by fingerprint. */
+    /**
+     * Recent crashes; `request` is the fingerprint of a request, or a part of its
+     * prompt; `served`: last success, by `request`.
+     */
     readonly crashes?: {
       readonly crashes: readonly {
         readonly request: string;
         readonly endpoint: string;
         readonly atMs: number;
+        /** Weight against a part of a prompt; 1 if absent. */
+        readonly weight?: number | undefined;
       }[];
       readonly served: Readonly<Record<string, number>>;
     };
--- a/packages/routing/src/crashDetector.ts
+++ b/packages/routing/src/crashDetector.ts
@@ -12,6 +12,8 @@
 export interface LostRequest {
   /** Fingerprint of the request. */
   readonly request: string;
+  /** Keys of the parts of its prompt that are suspected too. */
+  readonly parts?: readonly string[];
   readonly endpoint: string;
 }
 
@@ -33,8 +35,8 @@
    * in monotonic milliseconds.
    */
   recordResponse(endpoint: string, sentAt: number): void;
-  /** Returns whether a response can still refute that this was a crash. */
-  isUnconfirmed(lostRequest: LostRequest): boolean;
+  /** Returns whether a response can still refute this crash. */
+  isUnconfirmed(crash: Pick<Crash, 'request' | 'endpoint'>): boolean;
   dump(): unknown;
 }
 
@@ -44,12 +46,16 @@
 /** Time for which unanswered requests and deregistrations are kept, in ms. */
 const UNANSWERED_TTL_MS = 15_000;
 
-/** Maximum number of unanswered requests kept, and of deregistrations kept. */
+/**
+ * Maximum number of unanswered requests kept, and of deregistrations kept.
+ */
 const MAX_UNANSWERED = 500;
 
 /** A crash that a response may refute. */
 interface PossibleCrash {
-  readonly crash: Crash;
+  readonly lostRequest: LostRequest;
+  /** One for each suspect of the request. */
+  readonly crashes: readonly Crash[];
   /** Time at which the request was lost, in monotonic milliseconds. */
   readonly lostAtMs: number;
 }
@@ -65,31 +71,40 @@
   /** Returns wall-clock milliseconds, comparable between entries. */
   wallMs(): number;
   /**
-   * Called for a possible crash, which is confirmed or refuted shortly after.
+   * Called for a possible crash, which is confirmed or refuted shortly after,
+   * with one element for each suspect.
    */
-  onDidSuspect(crash: Crash): void;
-  onDidRefute(crash: Crash): void;
-  onDidConfirm(crash: Crash): void;
+  onDidSuspect(crashes: readonly Crash[]): void;
+  onDidRefute(crashes: readonly Crash[]): void;
+  onDidConfirm(crashes: readonly Crash[]): void;
 }): CrashDetector {
   const {clock, wallMs} = options;
   const unconfirmedCrashes = new Set<PossibleCrash>();
-  let unansweredRequests: PossibleCrash[] = [];
+  let unansweredRequests: readonly PossibleCrash[] = [];
   /** Deregistrations without a leave notice, in monotonic ms, by endpoint. */
   const deregistrationTimes = new Map<string, number>();
 
-  function createPossibleCrash({
-    request,
-    endpoint,
-  }: LostRequest): PossibleCrash {
-    const crash = {request, endpoint, atMs: Math.round(wallMs())};
-    return {crash, lostAtMs: clock.now()};
+  function createPossibleCrash(lostRequest: LostRequest): PossibleCrash {
+    const {request, parts = [], endpoint} = lostRequest;
+    const atMs = Math.round(wallMs());
+    return {
+      lostRequest,
+      crashes: [request, ...parts].map(suspect => ({
+        request: suspect,
+        endpoint,
+        atMs,
+      })),
+      lostAtMs: clock.now(),
+    };
   }
 
   function removeExpired(): void {
     const oldestAt = clock.now() - UNANSWERED_TTL_MS;
-    unansweredRequests = unansweredRequests
-      .filter(({lostAtMs}) => lostAtMs >= oldestAt)
-      .slice(-MAX_UNANSWERED);
+    const keepRecent = (possibleCrashes: readonly PossibleCrash[]) =>
+      possibleCrashes
+        .filter(({lostAtMs}) => lostAtMs >= oldestAt)
+        .slice(-MAX_UNANSWERED);
+    unansweredRequests = keepRecent(unansweredRequests);
     for (const [endpoint, deregisteredAt] of deregistrationTimes) {
       if (
         deregisteredAt < oldestAt ||
@@ -100,14 +115,31 @@
     }
   }
 
+  function confirm(possibleCrashes: readonly PossibleCrash[]): void {
+    possibleCrashes.forEach(({crashes}) => options.onDidConfirm(crashes));
+  }
+
+  /** Applies a response to the requests that were lost before it was sent. */
+  function refuteLosses(
+    isRefuted: (possibleCrash: PossibleCrash) => boolean,
+  ): void {
+    unansweredRequests = unansweredRequests.filter(
+      possibleCrash => !isRefuted(possibleCrash),
+    );
+    for (const possibleCrash of [...unconfirmedCrashes].filter(isRefuted)) {
+      unconfirmedCrashes.delete(possibleCrash);
+      options.onDidRefute(possibleCrash.crashes);
+    }
+  }
+
   return {
     recordConnectionLost(lostRequest) {
       const possibleCrash = createPossibleCrash(lostRequest);
       unconfirmedCrashes.add(possibleCrash);
-      options.onDidSuspect(possibleCrash.crash);
+      options.onDidSuspect(possibleCrash.crashes);
       clock.after(CONFIRMATION_DELAY_MS, () => {
         if (unconfirmedCrashes.delete(possibleCrash)) {
-          options.onDidConfirm(possibleCrash.crash);
+          confirm([possibleCrash]);
         }
       });
     },
@@ -115,40 +147,35 @@
       removeExpired();
       const possibleCrash = createPossibleCrash(lostRequest);
       if (deregistrationTimes.has(lostRequest.endpoint)) {
-        options.onDidConfirm(possibleCrash.crash);
+        confirm([possibleCrash]);
         return;
       }
-      unansweredRequests.push(possibleCrash);
+      unansweredRequests = [...unansweredRequests, possibleCrash];
     },
     recordDeregistered(endpoint) {
       removeExpired();
       deregistrationTimes.set(endpoint, clock.now());
-      const confirmedCrashes = unansweredRequests.filter(
-        ({crash}) => crash.endpoint === endpoint,
+      const [unanswered, others] = partitionByEndpoint(
+        unansweredRequests,
+        endpoint,
       );
-      unansweredRequests = unansweredRequests.filter(
-        ({crash}) => crash.endpoint !== endpoint,
-      );
-      confirmedCrashes.forEach(({crash}) => options.onDidConfirm(crash));
+      unansweredRequests = others;
+      confirm(unanswered);
     },
     recordResponse(endpoint, sentAt) {
       deregistrationTimes.delete(endpoint);
-      if (unconfirmedCrashes.size === 0 && unansweredRequests.length === 0) {
-        return;
-      }
-      const isRefuted = ({crash, lostAtMs}: PossibleCrash) =>
-        crash.endpoint === endpoint && lostAtMs < sentAt;
-      unansweredRequests = unansweredRequests.filter(
-        possibleCrash => !isRefuted(possibleCrash),
-      );
-      for (const possibleCrash of [...unconfirmedCrashes].filter(isRefuted)) {
-        unconfirmedCrashes.delete(possibleCrash);
-        options.onDidRefute(possibleCrash.crash);
+      if (unconfirmedCrashes.size + unansweredRequests.length > 0) {
+        refuteLosses(
+          ({lostRequest, lostAtMs}) =>
+            lostRequest.endpoint === endpoint && lostAtMs < sentAt,
+        );
       }
     },
     isUnconfirmed: ({request, endpoint}) =>
       [...unconfirmedCrashes].some(
-        ({crash}) => crash.request === request && crash.endpoint === endpoint,
+        ({lostRequest, crashes}) =>
+          lostRequest.endpoint === endpoint &&
+          crashes.some(crash => crash.request === request),
       ),
     dump: () => ({
       unconfirmed: unconfirmedCrashes.size,
@@ -157,3 +184,16 @@
     }),
   };
 }
+
+/** Returns the possible crashes of an endpoint, and the others. */
+function partitionByEndpoint(
+  possibleCrashes: readonly PossibleCrash[],
+  endpoint: string,
+): readonly [readonly PossibleCrash[], readonly PossibleCrash[]] {
+  const isOf = ({lostRequest}: PossibleCrash) =>
+    lostRequest.endpoint === endpoint;
+  return [
+    possibleCrashes.filter(isOf),
+    possibleCrashes.filter(possibleCrash => !isOf(possibleCrash)),
+  ];
+}
--- a/packages/routing/src/crashEvidence.ts
+++ b/packages/routing/src/crashEvidence.ts
@@ -1,27 +1,35 @@
-/** Evidence of which requests crash endpoints, merged from several sources. */
+/** Evidence of which suspects crash endpoints, merged from several sources. */
 
-/** An endpoint that crashed while it was running a request. */
+/** An endpoint that crashed while it was running a request with the suspect. */
 export interface Crash {
-  /** Fingerprint of the request. */
+  /** The suspect: fingerprint of a request, or key of a part of its prompt. */
   readonly request: string;
   readonly endpoint: string;
   /** Wall-clock milliseconds, comparable between entries. */
   readonly atMs: number;
+  /**
+   * Weight as evidence against a prompt part, up to 1, the weight if absent: a
+   * crash tells less while many requests are lost.
+   */
+  readonly weight?: number | undefined;
 }
 
+/** A crash under one suspect. */
+export type CountedCrash = Pick<Crash, 'atMs'> & {readonly weight: number};
+
 /** Crash evidence of one entry, as it is stored and gossiped. */
 export interface CrashReport {
   readonly crashes: readonly Crash[];
   /**
-   * Wall-clock milliseconds of the last complete response, by request
-   * fingerprint.
+   * Wall-clock milliseconds of the last complete response, by suspect. May be
+   * before the crashes.
    */
   readonly served: Readonly<Record<string, number>>;
 }
 
 export const EMPTY_CRASH_REPORT: CrashReport = {crashes: [], served: {}};
 
-/** Crash reports by source. Requests are identified by their fingerprints. */
+/** Crash reports by source. */
 export interface CrashEvidence {
   /** Whether no source reports a crash. */
   isEmpty(): boolean;
@@ -35,10 +43,15 @@
   reportOf(source: string): CrashReport;
   sources(): readonly string[];
   /**
-   * Returns the wall-clock milliseconds of crashes under a request since its
-   * last complete response, ascending, each crashed endpoint once.
+   * Returns the crashes under a suspect since its last complete response, in the
+   * order of their times, each crashed endpoint once.
    */
-  crashTimesMs(request: string): readonly number[];
+  crashesSinceServed(request: string): readonly CountedCrash[];
+  /**
+   * Returns the wall-clock milliseconds of the last complete response that any
+   * source reports; -Infinity if none does.
+   */
+  servedAtMs(request: string): number;
   /** Returns the requests under which an endpoint crashed. */
   requests(): readonly string[];
 }
@@ -48,89 +61,142 @@
  *
  * @example
  * evidence.setReport('own', {crashes: [crash], served: {}});
- * evidence.crashTimesMs(crash.request).length; // 1
+ * evidence.crashesSinceServed(crash.request).length; // 1
  */
 export function createCrashEvidence(): CrashEvidence {
   const reportsBySource = new Map<string, CrashReport>();
-  /** Sources that report crashes, by request. */
-  const sourcesByRequest = new Map<string, Set<string>>();
-
-  function indexCrashes(source: string, {crashes}: CrashReport): void {
-    for (const {request} of crashes) {
-      const sources = sourcesByRequest.get(request) ?? new Set<string>();
-      sourcesByRequest.set(request, sources.add(source));
-    }
-  }
-
-  function removeReport(source: string): Set<string> {
-    const {crashes, served} = reportOf(source);
-    for (const {request} of crashes) {
-      const sources = sourcesByRequest.get(request);
-      sources?.delete(source);
-      if (sources?.size === 0) {
-        sourcesByRequest.delete(request);
-      }
-    }
-    reportsBySource.delete(source);
-    return requestsOf({crashes, served});
-  }
+  const crashesBySuspect = createSourceIndex<readonly Crash[]>();
+  const servedBySuspect = createSourceIndex<number>();
 
   function reportOf(source: string): CrashReport {
     return reportsBySource.get(source) ?? EMPTY_CRASH_REPORT;
   }
 
   function setReport(source: string, report: CrashReport): Set<string> {
-    const affectedRequests = removeReport(source);
+    const previous = reportOf(source);
     reportsBySource.set(source, report);
-    indexCrashes(source, report);
-    requestsOf(report).forEach(request => affectedRequests.add(request));
-    return affectedRequests;
+    const crashes = groupBySuspect(report.crashes);
+    const affected = new Set<string>();
+    for (const suspect of suspectsOf(previous, report)) {
+      const suspectCrashes = crashes.get(suspect);
+      const servedMs = report.served[suspect];
+      const hasChanged =
+        servedMs !== previous.served[suspect] ||
+        !isSameList(suspectCrashes, crashesBySuspect.of(suspect)?.get(source));
+      if (hasChanged) {
+        crashesBySuspect.set(suspect, source, suspectCrashes);
+        servedBySuspect.set(suspect, source, servedMs);
+        affected.add(suspect);
+      }
+    }
+    return affected;
   }
 
-  function lastServedAtMs(request: string): number {
-    const servedTimesMs = [...reportsBySource.values()].map(
-      ({served}) => served[request] ?? -Infinity,
-    );
-    return Math.max(-Infinity, ...servedTimesMs);
+  function lastServedAtMs(suspect: string): number {
+    const times = servedBySuspect.of(suspect)?.values() ?? [];
+    return Math.max(-Infinity, ...times);
   }
 
   return {
-    isEmpty: () => sourcesByRequest.size === 0,
-    hasCrashes: request => sourcesByRequest.has(request),
+    isEmpty: crashesBySuspect.isEmpty,
+    hasCrashes: suspect => crashesBySuspect.of(suspect) !== undefined,
     setReport,
-    removeReport,
+    removeReport(source) {
+      const affected = setReport(source, EMPTY_CRASH_REPORT);
+      reportsBySource.delete(source);
+      return affected;
+    },
     reportOf,
     sources: () => [...reportsBySource.keys()],
-    crashTimesMs(request) {
-      const sources = sourcesByRequest.get(request);
-      if (sources === undefined) {
-        return [];
-      }
-      const servedAtMs = lastServedAtMs(request);
-      const crashMsByEndpoint = new Map<string, number>();
-      for (const source of sources) {
-        for (const crash of reportOf(source).crashes) {
-          if (crash.request === request && crash.atMs > servedAtMs) {
-            const earliestMs =
-              crashMsByEndpoint.get(crash.endpoint) ?? Infinity;
-            crashMsByEndpoint.set(
-              crash.endpoint,
-              Math.min(earliestMs, crash.atMs),
-            );
+    crashesSinceServed(suspect) {
+      const servedAtMs = lastServedAtMs(suspect);
+      const crashByEndpoint = new Map<string, CountedCrash>();
+      for (const crashes of crashesBySuspect.of(suspect)?.values() ?? []) {
+        for (const crash of crashes) {
+          if (crash.atMs > servedAtMs) {
+            const {endpoint} = crash;
+            const known = crashByEndpoint.get(endpoint);
+            crashByEndpoint.set(endpoint, combineCounts(known, crash));
           }
         }
       }
-      return [...crashMsByEndpoint.values()].sort((a, b) => a - b);
+      return [...crashByEndpoint.values()].sort((a, b) => a.atMs - b.atMs);
+    },
+    servedAtMs: lastServedAtMs,
+    requests: crashesBySuspect.suspects,
+  };
+}
+
+/** Counts two reports of one crash as the earlier and the weaker one. */
+function combineCounts(
+  known: CountedCrash | undefined,
+  {atMs, weight = 1}: Crash,
+): CountedCrash {
+  return {
+    atMs: Math.min(known?.atMs ?? Infinity, atMs),
+    weight: Math.min(known?.weight ?? Infinity, weight),
+  };
+}
+
+/** Values by suspect and source. */
+interface SourceIndex<T> {
+  isEmpty(): boolean;
+  suspects(): readonly string[];
+  of(suspect: string): ReadonlyMap<string, T> | undefined;
+  /** Sets the value of a source; undefined removes it. */
+  set(suspect: string, source: string, value: T | undefined): void;
+}
+
+function createSourceIndex<T>(): SourceIndex<T> {
+  const valuesBySuspect = new Map<string, Map<string, T>>();
+  return {
+    isEmpty: () => valuesBySuspect.size === 0,
+    suspects: () => [...valuesBySuspect.keys()],
+    of: suspect => valuesBySuspect.get(suspect),
+    set(suspect, source, value) {
+      const values = valuesBySuspect.get(suspect) ?? new Map<string, T>();
+      if (value === undefined) {
+        values.delete(source);
+      } else {
+        values.set(source, value);
+      }
+      if (values.size === 0) {
+        valuesBySuspect.delete(suspect);
+      } else {
+        valuesBySuspect.set(suspect, values);
+      }
     },
-    requests: () => [...sourcesByRequest.keys()],
   };
 }
 
-function requestsOf({crashes, served}: CrashReport): Set<string> {
-  return new Set([
-    ...crashes.map(({request}) => request),
-    ...Object.keys(served),
-  ]);
+function groupBySuspect(
+  crashes: readonly Crash[],
+): ReadonlyMap<string, readonly Crash[]> {
+  const groups = new Map<string, Crash[]>();
+  for (const crash of crashes) {
+    const group = groups.get(crash.request) ?? [];
+    group.push(crash);
+    groups.set(crash.request, group);
+  }
+  return groups;
+}
+
+function isSameList<T>(
+  a: readonly T[] | undefined,
+  b: readonly T[] | undefined,
+): boolean {
+  return (
+    a?.length === b?.length && (a ?? []).every((item, i) => item === b?.[i])
+  );
+}
+
+function suspectsOf(...reports: readonly CrashReport[]): Set<string> {
+  const suspects = new Set<string>();
+  for (const {crashes, served} of reports) {
+    crashes.forEach(({request}) => suspects.add(request));
+    Object.keys(served).forEach(suspect => suspects.add(suspect));
+  }
+  return suspects;
 }
 
 /**
@@ -177,7 +243,13 @@
   );
 }
 
-function crashKey({request, endpoint}: Crash): string {
+/**
+ * Returns a text that differs between crashes.
+ *
+ * @example
+ * const knownKeys = new Set(report.crashes.map(crashKey));
+ */
+export function crashKey({request, endpoint}: Crash): string {
   return `${request} ${endpoint}`;
 }
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -16,10 +16,10 @@
 export {pickSubset, SUBSET_SIZE} from './subset.js';
 export {
   createCrashQuarantine,
-  CRASH_TTL_MS,
   type CrashQuarantine,
-  type QuarantineVerdict,
 } from './crashQuarantine.js';
+export {CRASH_TTL_MS, type QuarantineVerdict} from './crashVerdict.js';
+export {promptPartSuspects} from './crashSuspects.js';
 export {
   EMPTY_CRASH_REPORT,
   mergeCrashReports,
--- a/packages/routing/src/test/crashQuarantine.test.ts
+++ b/packages/routing/src/test/crashQuarantine.test.ts
@@ -6,8 +6,9 @@
   createSilentLogger,
   createVirtualClock,
 } from '@skylarkfield/base';
-import {CRASH_TTL_MS, createCrashQuarantine} from '../crashQuarantine.js';
 import type {CrashReport} from '../crashEvidence.js';
+import {createCrashQuarantine} from '../crashQuarantine.js';
+import {CRASH_TTL_MS} from '../crashVerdict.js';
 
 const REQUEST = 'f00d';
 const CONFIRMATION_DELAY_MS = 300;
