routing, gateway: confirm the end of answers that nothing marks

Cause: such an answer ends with its connection, so one that a crash ends looks complete. It cleared its request and the parts of its prompt instead of accusing them.

Change: it is complete once its endpoint answers a later request. It accuses its request if the endpoint refuses a connection, is lost to another request, or is deregistered without a notice. Of endpoints that drain it says nothing.

--- a/packages/gateway/src/crashGuard.ts
+++ b/packages/gateway/src/crashGuard.ts
@@ -9,7 +9,7 @@
 } from '@skylarkfield/routing';
 import type {ModelDemand} from '@skylarkfield/traffic';
 import type {AttemptResult} from './attempt.js';
-import {isServerError} from './attemptOutcome.js';
+import {isServerError, outcomeOf} from './attemptOutcome.js';
 import type {EndpointDirectory} from './endpointDirectory.js';
 import type {Progress} from './retryRules.js';
 
@@ -115,6 +115,22 @@
     }
   }
 
+  function recordSuccess(
+    call: SuspectCall,
+    endpoint: string,
+    {end}: Extract<AttemptResult, {type: 'streamed' | 'answered'}>,
+  ): void {
+    const {suspectParts: parts} = call;
+    if (end.framing !== 'close') {
+      recordCompleted(call);
+      return;
+    }
+    if (directory.get(endpoint)?.state === 'ready') {
+      const request = call.fingerprint();
+      crashQuarantine.recordUnmarkedEnd({request, parts, endpoint});
+    }
+  }
+
   function recordCompleted(call: SuspectCall): void {
     if (crashQuarantine.isEmpty()) {
       crashQuarantine.recordPartsServed(call.suspectParts);
@@ -140,17 +156,26 @@
       verdictFor(call, crashQuarantine).type === 'quarantined',
     recordAttemptResult(call, endpoint, result, answeredForMs) {
       if (isSuccess(result)) {
-        recordCompleted(call);
+        recordSuccess(call, endpoint, result);
+        return;
+      }
+      if (result.type !== 'failed') {
         return;
       }
-      if (result.type === 'failed' && result.loss !== undefined) {
+      if (result.loss !== undefined) {
         recordLoss(call, endpoint, result.loss, answeredForMs);
+        return;
+      }
+      if (outcomeOf(result) === 'unreachable') {
+        crashQuarantine.recordUnreachable(endpoint);
       }
     },
   };
 }
 
-function isSuccess(result: AttemptResult): boolean {
+function isSuccess(
+  result: AttemptResult,
+): result is Extract<AttemptResult, {type: 'streamed' | 'answered'}> {
   return (
     result.type === 'streamed' ||
     (result.type === 'answered' && !isServerError(result.status))
--- a/packages/gateway/src/test/crashGuard.test.ts
+++ b/packages/gateway/src/test/crashGuard.test.ts
@@ -101,6 +101,82 @@
     assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'suspected');
   });
 
+  describe('after a response with an unmarked end', () => {
+    const UNMARKED = {
+      ...SUCCESS,
+      end: {framing: 'close', remainderBytes: 0},
+    } as const satisfies AttemptResult;
+    const REFUSED = {
+      type: 'failed',
+      error: new ServingError('endpoint-unavailable', 'ECONNREFUSED'),
+    } as const satisfies AttemptResult;
+    const OTHER_CALL = {fingerprint: () => 'beef', suspectParts: []};
+
+    // Guards against clearing a request by the begin of a response that ended
+    // with its endpoint.
+    it('suspects the request if the endpoint refuses connections', () => {
+      const {guard} = createGuard(READY);
+      guard.recordAttemptResult(CALL, 'e1', UNMARKED, 60);
+      assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'clear');
+      guard.recordAttemptResult(OTHER_CALL, 'e1', REFUSED, 0);
+      assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'suspected');
+    });
+
+    it('suspects the request if another one loses the endpoint', () => {
+      const {guard, clock} = createGuard(READY);
+      guard.recordAttemptResult(CALL, 'e1', UNMARKED, 60);
+      guard.recordAttemptResult(
+        OTHER_CALL,
+        'e1',
+        createLossResult('closed'),
+        0,
+      );
+      clock.advanceSync(1_000);
+      assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'suspected');
+    });
+
+    it('suspects the request if the endpoint is deregistered', () => {
+      const {guard, crashQuarantine} = createGuard(READY);
+      guard.recordAttemptResult(CALL, 'e1', UNMARKED, 60);
+      crashQuarantine.recordDeregistered('e1');
+      assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'suspected');
+    });
+
+    it('clears the request once the endpoint answers a later one', () => {
+      const {guard, crashQuarantine, clock, loseConnections} =
+        createGuard(READY);
+      loseConnections(['e1', 'e2']);
+      guard.recordAttemptResult(CALL, 'e3', UNMARKED, 60);
+      assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'suspected');
+      clock.advanceSync(1);
+      crashQuarantine.recordResponse('e3', clock.now());
+      assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'clear');
+      crashQuarantine.recordDeregistered('e3');
+      assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'clear');
+    });
+
+    it('ignores endpoints that drain', () => {
+      const {guard, crashQuarantine} = createGuard({e1: 'draining'});
+      guard.recordAttemptResult(CALL, 'e1', UNMARKED, 60);
+      crashQuarantine.recordDeregistered('e1');
+      assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'clear');
+    });
+  });
+
+  // Guards against suspecting the prompts of long responses that any crash
+  // breaks off.
+  it('suspects no prompt part of a response that has gone on for a second', () => {
+    const {guard} = createGuard(READY);
+    const parts = {suspectParts: ['part m/a']};
+    const call = {fingerprint: () => 'f1', ...parts};
+    const sameParts = {fingerprint: () => 'f2', ...parts};
+    guard.recordAttemptResult(call, 'e1', createLossResult('closed'), 1_000);
+    assert.equal(guard.checkSend(sameParts, FIRST_ATTEMPT).type, 'clear');
+    assert.equal(guard.checkSend(call, FIRST_ATTEMPT).type, 'suspected');
+    guard.recordAttemptResult(call, 'e2', createLossResult('closed'), 999);
+    assert.equal(guard.checkSend(sameParts, FIRST_ATTEMPT).type, 'suspected');
+  });
+
   it('does not abort a stream that is being migrated', () => {
     const {guard, loseConnections} = createGuard(READY);
     loseConnections(['e1', 'e2', 'e3']);
--- a/packages/routing/src/crashDetector.ts
+++ b/packages/routing/src/crashDetector.ts
@@ -28,6 +28,14 @@
    * if the endpoint was or will soon be deregistered.
    */
   recordUnanswered(lostRequest: LostRequest): void;
+  /**
+   * Records a response whose end only the close of its connection marks. It is
+   * complete if the endpoint answers a later request, and was broken off by a
+   * crash if the endpoint refuses connections or is deregistered.
+   */
+  recordUnmarkedEnd(lostRequest: LostRequest): void;
+  /** Records that the endpoint did not accept a connection. */
+  recordUnreachable(endpoint: string): void;
   /** Records that the endpoint was deregistered without a leave notice. */
   recordDeregistered(endpoint: string): void;
   /**
@@ -47,7 +55,8 @@
 const UNANSWERED_TTL_MS = 15_000;
 
 /**
- * Maximum number of unanswered requests kept, and of deregistrations kept.
+ * Maximum number of unanswered requests kept, of unmarked ends kept, and of
+ * deregistrations kept.
  */
 const MAX_UNANSWERED = 500;
 
@@ -77,10 +86,13 @@
   onDidSuspect(crashes: readonly Crash[]): void;
   onDidRefute(crashes: readonly Crash[]): void;
   onDidConfirm(crashes: readonly Crash[]): void;
+  /** Called when a response with an unmarked end proves to be complete. */
+  onDidComplete(request: string, parts: readonly string[]): void;
 }): CrashDetector {
   const {clock, wallMs} = options;
   const unconfirmedCrashes = new Set<PossibleCrash>();
   let unansweredRequests: readonly PossibleCrash[] = [];
+  let unmarkedEnds: readonly PossibleCrash[] = [];
   /** Deregistrations without a leave notice, in monotonic ms, by endpoint. */
   const deregistrationTimes = new Map<string, number>();
 
@@ -105,6 +117,7 @@
         .filter(({lostAtMs}) => lostAtMs >= oldestAt)
         .slice(-MAX_UNANSWERED);
     unansweredRequests = keepRecent(unansweredRequests);
+    unmarkedEnds = keepRecent(unmarkedEnds);
     for (const [endpoint, deregisteredAt] of deregistrationTimes) {
       if (
         deregisteredAt < oldestAt ||
@@ -119,6 +132,12 @@
     possibleCrashes.forEach(({crashes}) => options.onDidConfirm(crashes));
   }
 
+  function confirmUnmarkedEnds(endpoint: string): void {
+    const [ended, others] = partitionByEndpoint(unmarkedEnds, endpoint);
+    unmarkedEnds = others;
+    confirm(ended);
+  }
+
   /** Applies a response to the requests that were lost before it was sent. */
   function refuteLosses(
     isRefuted: (possibleCrash: PossibleCrash) => boolean,
@@ -130,6 +149,13 @@
       unconfirmedCrashes.delete(possibleCrash);
       options.onDidRefute(possibleCrash.crashes);
     }
+    const completed = unmarkedEnds.filter(isRefuted);
+    if (completed.length > 0) {
+      unmarkedEnds = unmarkedEnds.filter(end => !isRefuted(end));
+      completed.forEach(({lostRequest: {request, parts = []}}) =>
+        options.onDidComplete(request, parts),
+      );
+    }
   }
 
   return {
@@ -140,6 +166,7 @@
       clock.after(CONFIRMATION_DELAY_MS, () => {
         if (unconfirmedCrashes.delete(possibleCrash)) {
           confirm([possibleCrash]);
+          confirmUnmarkedEnds(lostRequest.endpoint);
         }
       });
     },
@@ -152,6 +179,16 @@
       }
       unansweredRequests = [...unansweredRequests, possibleCrash];
     },
+    recordUnmarkedEnd(lostRequest) {
+      removeExpired();
+      unmarkedEnds = [...unmarkedEnds, createPossibleCrash(lostRequest)];
+    },
+    recordUnreachable(endpoint) {
+      if (unmarkedEnds.length > 0) {
+        removeExpired();
+        confirmUnmarkedEnds(endpoint);
+      }
+    },
     recordDeregistered(endpoint) {
       removeExpired();
       deregistrationTimes.set(endpoint, clock.now());
@@ -161,10 +198,14 @@
       );
       unansweredRequests = others;
       confirm(unanswered);
+      confirmUnmarkedEnds(endpoint);
     },
     recordResponse(endpoint, sentAt) {
       deregistrationTimes.delete(endpoint);
-      if (unconfirmedCrashes.size + unansweredRequests.length > 0) {
+      if (
+        unconfirmedCrashes.size + unansweredRequests.length > 0 ||
+        unmarkedEnds.length > 0
+      ) {
         refuteLosses(
           ({lostRequest, lostAtMs}) =>
             lostRequest.endpoint === endpoint && lostAtMs < sentAt,
@@ -180,6 +221,7 @@
     dump: () => ({
       unconfirmed: unconfirmedCrashes.size,
       silent: unansweredRequests.length,
+      unmarked: unmarkedEnds.length,
       gone: deregistrationTimes.size,
     }),
   };
--- a/packages/routing/src/crashQuarantine.ts
+++ b/packages/routing/src/crashQuarantine.ts
@@ -101,6 +101,7 @@
     onDidSuspect: addPossibleCrashes,
     onDidRefute: crashes => sources.removeOwn(crashes),
     onDidConfirm: addConfirmedCrashes,
+    onDidComplete: recordCompleted,
   });
   const sources = createCrashSources({
     self,
--- a/packages/routing/src/test/crashFleet.ts
+++ b/packages/routing/src/test/crashFleet.ts
@@ -306,6 +306,7 @@
     const endpoint = chooseEndpoint(verdict.type !== 'clear');
     request.sends += 1;
     if (endpoint.upAtMs > clock.now()) {
+      entry.quarantine.recordUnreachable(endpoint.id);
       if (request.sends < MAX_SENDS) {
         send(entry, request);
       }
