gateway: send requests on without the retry budget if nobody listens

Cause: each entry learns of a crashed endpoint from two refused connections, and each of them took a retry of the budget of 0.1 a request. The budget bounds what endpoints receive; a refused connection reaches none.

Change: a request whose connection was refused is sent on within its three sends. Resets and timeouts, which may mean overload, still take a retry.

--- a/packages/gateway/src/attemptOutcome.ts
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -40,6 +40,22 @@
   return result.type !== 'failed' || result.error.run === 'may-have-run';
 }
 
+/**
+ * Whether no process listens at the endpoint's address. Unlike a reset or a
+ * timeout, this does not mean that the endpoint is overloaded.
+ *
+ * @example
+ * if (isConnectionRefused(result.error)) { return tryAnotherEndpoint(); }
+ */
+export function isConnectionRefused({run, cause}: ServingError): boolean {
+  return (
+    run === 'not-run' &&
+    cause instanceof Error &&
+    'code' in cause &&
+    cause.code === 'ECONNREFUSED'
+  );
+}
+
 /**
  * Returns a short description of the result for the log.
  *
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -9,6 +9,7 @@
 import {
   allDeclinedError,
   describeResult,
+  isConnectionRefused,
   isServerError,
   quarantinedError,
   rateLimitedError,
@@ -134,6 +135,7 @@
     }
     const isUnsent = progress.hasFailedToConnect && progress.runCount === 0;
     return (
+      (isConnectionRefused(error) && retryRules.hasSendsLeft(progress)) ||
       (isUnsent && mayRetryUnsent(call, progress)) ||
       retryRules.mayResend(call, progress)
     );
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -52,6 +52,41 @@
     assert.equal(outcome.receivedCount, 1);
   });
 
+  // Guards against rejecting requests while endpoints run, since connections to
+  // crashed ones used up the retry budget.
+  it('sends a request on without a retry budget if no endpoint listens', async () => {
+    for (const route of [idempotentRoute, orderRoute]) {
+      for (const refusing of [
+        [0, 1],
+        [0, 2],
+        [1, 2],
+      ]) {
+        const outcome = await forwardTo(
+          route,
+          [respondWith('done')],
+          undefined,
+          undefined,
+          {refusing, hasRetryBudget: false},
+        );
+        assert.equal(outcome.status, 200);
+        assert.equal(outcome.receivedCount, 1);
+      }
+    }
+  });
+
+  it('rejects a request as not run if no endpoint listens at all', async () => {
+    const outcome = await forwardTo(
+      orderRoute,
+      [respondWith('done')],
+      undefined,
+      undefined,
+      {refusing: [0, 1, 2], hasRetryBudget: false},
+    );
+    assert.equal(outcome.status, 503);
+    assert.equal(outcome.result.error?.run, 'not-run');
+    assert.equal(outcome.result.endpoints.length, 3);
+  });
+
   it('limits the runs of a request to the attempts of its route', async () => {
     const outcome = await forwardTo(idempotentRoute, [
       resetConnection,
--- a/packages/gateway/src/test/testForwarding.ts
+++ b/packages/gateway/src/test/testForwarding.ts
@@ -90,6 +90,12 @@
   readonly result: ForwardingResult;
 }
 
+export interface ForwardingFaults {
+  /** Indices of endpoints that refuse connections. */
+  readonly refusing?: readonly number[];
+  readonly hasRetryBudget?: boolean;
+}
+
 const ENDPOINT_COUNT = 3;
 
 /**
@@ -101,6 +107,7 @@
   behaviours: readonly Behaviour[],
   streamMigrator: StreamMigrator = noMigrator,
   isResting: () => boolean = () => false,
+  {refusing = [], hasRetryBudget = true}: ForwardingFaults = {},
 ): Promise<ForwardingOutcome> {
   const clock = systemClock();
   const log = createSilentLogger();
@@ -110,6 +117,7 @@
   const endpoints = await Promise.all(
     Array.from({length: ENDPOINT_COUNT}, () => startTestEndpoint(behaviour)),
   );
+  refusing.forEach(index => endpoints[index]!.close());
   const registeredEndpoints = new Map<string, RegisteredEndpoint>(
     endpoints.map(({address}, index) => [
       `e${index}`,
@@ -165,7 +173,13 @@
     reach: createOpenReach(clock),
     directory: {get: id => registeredEndpoints.get(id)} as EndpointDirectory,
     onDidStopAccepting: createEmitter<string>().event,
-    retryRules: createRetryRules({admission, clock}),
+    retryRules: createRetryRules({
+      admission: {
+        tryAcquireRetry: service =>
+          hasRetryBudget && admission.tryAcquireRetry(service),
+      },
+      clock,
+    }),
     handovers: noHandovers,
     rests: {isResting},
     upstreams,
