routing: quarantine no popular request for crashes beside it

Callers who send the same request often (a lookup without a body) saw 503 quarantined while another request crashed endpoints: each crash accuses all that ran beside it, and between three crashes in a second no answer may come.

Change: a request that was answered since the first crash is known as served, also in the reports of crashes, and takes a weight of five crashes on three occasions like a served prompt part. Requests that were never answered are quarantined from the third crash on, as before.

--- a/packages/routing/src/crashQuarantine.ts
+++ b/packages/routing/src/crashQuarantine.ts
@@ -29,7 +29,7 @@
   type QuarantineVerdict,
 } from './crashVerdict.js';
 import {createLossRate} from './lossRate.js';
-import {createServedParts} from './servedParts.js';
+import {createServedSuspects} from './servedSuspects.js';
 
 /** Quarantine of one entry. Requests are identified by their fingerprints. */
 export interface CrashQuarantine extends Omit<CrashDetector, 'isUnconfirmed'> {
@@ -93,7 +93,7 @@
   const changeEmitter = createEmitter<void>();
   const quarantinedSuspects = new Set<string>();
   const trials = createCrashTrials(clock, self);
-  const servedParts = createServedParts();
+  const servedSuspects = createServedSuspects();
   const lossRate = createLossRate(clock);
   const detector = createCrashDetector({
     clock,
@@ -161,10 +161,10 @@
     }
   }
 
-  /** Adds crashes, and when their prompt parts were served before them. */
+  /** Adds crashes, and when their suspects were served before them. */
   function addCrashes(crashes: readonly Crash[]): void {
     const weight = lossRate.crashWeight();
-    const served = servedParts.timesOf(crashes.map(({request}) => request));
+    const served = servedSuspects.timesOf(crashes.map(({request}) => request));
     const weightedCrashes = crashes.map(crash => ({...crash, weight}));
     sources.addOwn({crashes: weightedCrashes, served});
   }
@@ -221,7 +221,7 @@
 
   function recordPartsServed(parts: readonly string[]): void {
     lossRate.recordServed();
-    servedParts.record(parts, wallMs());
+    servedSuspects.record(parts, wallMs());
   }
 
   function recordCompleted(
@@ -229,6 +229,7 @@
     parts: readonly string[] = [],
   ): void {
     recordPartsServed(parts);
+    servedSuspects.record([request], wallMs());
     const suspects = [request, ...parts].filter(
       suspect => sources.historyOf(suspect).crashes.length > 0,
     );
--- a/packages/routing/src/crashVerdict.ts
+++ b/packages/routing/src/crashVerdict.ts
@@ -67,6 +67,17 @@
   quarantineMs: [10_000, 60_000, CRASH_TTL_MS],
 };
 
+/**
+ * A request that has had complete responses, which callers may repeat often. It
+ * takes as many crashes as such a part.
+ */
+const SERVED_REQUEST_RULES: QuarantineRules = {
+  ...REQUEST_RULES,
+  weigh: ({weight}) => weight,
+  threshold: 5,
+  minIncidents: 3,
+};
+
 const PART_QUARANTINE_MS = [10_000, 60_000, 300_000, CRASH_TTL_MS] as const;
 
 const UNSERVED_PART_RULES: QuarantineRules = {
@@ -95,7 +106,7 @@
     {readonly served: QuarantineRules; readonly unserved: QuarantineRules}
   >
 > = {
-  request: {served: REQUEST_RULES, unserved: REQUEST_RULES},
+  request: {served: SERVED_REQUEST_RULES, unserved: REQUEST_RULES},
   'prompt-part': {served: SERVED_PART_RULES, unserved: UNSERVED_PART_RULES},
 };
 
--- a/packages/routing/src/test/crashQuarantine.test.ts
+++ b/packages/routing/src/test/crashQuarantine.test.ts
@@ -197,6 +197,39 @@
     assert.equal(verdict(), 'suspected');
   });
 
+  // Guards against rejecting a popular request, since it ran on all endpoints
+  // that another one crashed.
+  it('are not quarantined by crashes beside them if they are served often', () => {
+    const {
+      crashQuarantine,
+      crashEndpoints: crash,
+      clock,
+      verdictType: verdict,
+    } = createEntry();
+    crash(['e1']);
+    crashQuarantine.recordCompleted(REQUEST);
+    clock.advanceSync(1);
+    crash(['e2', 'e3', 'e4', 'e5'], 300);
+    assert.equal(verdict(), 'suspected');
+    const restarted = createEntry('a1', clock);
+    restarted.crashQuarantine.restoreOwnReport(crashQuarantine.reportToStore());
+    assert.equal(restarted.verdictType(), 'suspected');
+  });
+
+  it('are quarantined although they were served if they crash on', () => {
+    const {
+      crashQuarantine,
+      crashEndpoints: crash,
+      clock,
+      verdictType: verdict,
+    } = createEntry();
+    crash(['e1']);
+    crashQuarantine.recordCompleted(REQUEST);
+    clock.advanceSync(1);
+    crash(['e2', 'e3', 'e4', 'e5', 'e6'], 5_000);
+    assert.equal(verdict(), 'quarantined');
+  });
+
   it('are restored after a restart from the stored report', () => {
     const stopped = createEntry();
     stopped.crashEndpoints(['e1', 'e2', 'e3']);
