gateway, routing: take no other process for a sign of life

Addresses of crashed endpoints are used again. A misdirected response (421) of the process that has one now counted as a response of the crashed endpoint, so it refuted crashes, and an end that nothing marks became a complete answer up to 15 s later, also by an endpoint that restarted under its id.

Change: misdirected responses are no sign of life, and an unmarked end is complete only if the endpoint answers a later request within a second.

--- a/packages/gateway/src/endpointReports.ts
+++ b/packages/gateway/src/endpointReports.ts
@@ -70,11 +70,11 @@
   return {
     recordHead(endpoint, head, sentAt) {
       warmUps.recordResponse(endpoint);
-      options.crashQuarantine.recordResponse(endpoint, sentAt);
       if (head.isMisdirected) {
         recordMisdirected(endpoint, head);
         return;
       }
+      options.crashQuarantine.recordResponse(endpoint, sentAt);
       rateLimits.recordLimit(endpoint, head.limitPerSecond);
       slotShares.recordTolerance(endpoint, head.rejectionsPerSecond);
       if (head.restMs === undefined) {
--- a/packages/gateway/src/test/crashGuard.test.ts
+++ b/packages/gateway/src/test/crashGuard.test.ts
@@ -155,6 +155,17 @@
       assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'clear');
     });
 
+    // Guards against clearing a request by the process that restarted after it.
+    it('clears the request only by a response that comes soon', () => {
+      const {guard, crashQuarantine, clock, loseConnections} =
+        createGuard(READY);
+      loseConnections(['e1', 'e2']);
+      guard.recordAttemptResult(CALL, 'e3', UNMARKED, 60);
+      clock.advanceSync(1_000);
+      crashQuarantine.recordResponse('e3', clock.now());
+      assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'suspected');
+    });
+
     it('ignores endpoints that drain', () => {
       const {guard, crashQuarantine} = createGuard({e1: 'draining'});
       guard.recordAttemptResult(CALL, 'e1', UNMARKED, 60);
--- a/packages/gateway/src/test/endpointReports.test.ts
+++ b/packages/gateway/src/test/endpointReports.test.ts
@@ -19,12 +19,15 @@
   const rests: [string, number | undefined][] = [];
   const departed: string[] = [];
   const limited: string[] = [];
+  const responded: string[] = [];
   const reports = createEndpointReports({
     router: {recordLoadReport() {}},
     rateLimits: {recordLimit: endpoint => void limited.push(endpoint)},
     slotShares: {recordTolerance() {}},
     warmUps: {recordResponse() {}},
-    crashQuarantine: {recordResponse() {}},
+    crashQuarantine: {
+      recordResponse: endpoint => void responded.push(endpoint),
+    },
     departures: {recordAnnouncement: endpoint => void departed.push(endpoint)},
     rests: {
       recordRest: (endpoint, restMs) => void rests.push([endpoint, restMs]),
@@ -33,7 +36,7 @@
     endpointsAtAddressOf: endpoint =>
       endpoint === 'other' ? ['other'] : ['old', 'new'],
   });
-  return {reports, departed, limited, rests};
+  return {reports, departed, limited, responded, rests};
 }
 
 describe('reports of endpoints', () => {
@@ -54,6 +57,16 @@
     assert.deepEqual(departed, ['new']);
   });
 
+  // Guards against clearing a request of a crash because another process has the
+  // address of the crashed endpoint.
+  it('do not take a misdirected response for a sign of life', () => {
+    const {reports, responded} = createRig();
+    reports.recordHead('old', {...LEAVING, isMisdirected: true}, 0);
+    assert.deepEqual(responded, []);
+    reports.recordHead('old', LEAVING, 0);
+    assert.deepEqual(responded, ['old']);
+  });
+
   // Guards against probes that reach a resting endpoint again and again.
   it('record the rest that a response asks for, also to a probe', () => {
     const {reports, rests} = createRig();
--- a/packages/routing/src/crashDetector.ts
+++ b/packages/routing/src/crashDetector.ts
@@ -51,6 +51,12 @@
 /** Milliseconds within which a response to a later request refutes a crash. */
 const CONFIRMATION_DELAY_MS = 300;
 
+/**
+ * Milliseconds within which a response to a later request shows that a response
+ * with an unmarked end was complete; later it may come from a restarted process.
+ */
+const COMPLETION_DELAY_MS = 1_000;
+
 /** Time for which unanswered requests and deregistrations are kept, in ms. */
 const UNANSWERED_TTL_MS = 15_000;
 
@@ -149,13 +155,13 @@
       unconfirmedCrashes.delete(possibleCrash);
       options.onDidRefute(possibleCrash.crashes);
     }
-    const completed = unmarkedEnds.filter(isRefuted);
-    if (completed.length > 0) {
-      unmarkedEnds = unmarkedEnds.filter(end => !isRefuted(end));
-      completed.forEach(({lostRequest: {request, parts = []}}) =>
+    const refutedEnds = unmarkedEnds.filter(isRefuted);
+    unmarkedEnds = unmarkedEnds.filter(end => !isRefuted(end));
+    refutedEnds
+      .filter(({lostAtMs}) => clock.now() - lostAtMs < COMPLETION_DELAY_MS)
+      .forEach(({lostRequest: {request, parts = []}}) =>
         options.onDidComplete(request, parts),
       );
-    }
   }
 
   return {
