routing: bound the answers that peers report for prompt parts

Cause: answers on parts are gossiped since parts are suspected, and kept for an hour whether anybody reports a crash under the part or not, so memory grew with the parts that callers name.

--- a/packages/routing/src/crashEvidence.ts
+++ b/packages/routing/src/crashEvidence.ts
@@ -52,7 +52,9 @@
    * source reports; -Infinity if none does.
    */
   servedAtMs(request: string): number;
-  /** Returns the requests under which an endpoint crashed. */
+  /** Returns the number of suspects to which a source reports a response. */
+  servedCount(): number;
+  /** Returns the suspects under which an endpoint crashed. */
   requests(): readonly string[];
 }
 
@@ -123,6 +125,7 @@
       return [...crashByEndpoint.values()].sort((a, b) => a.atMs - b.atMs);
     },
     servedAtMs: lastServedAtMs,
+    servedCount: () => servedBySuspect.suspects().length,
     requests: crashesBySuspect.suspects,
   };
 }
--- a/packages/routing/src/crashQuarantine.ts
+++ b/packages/routing/src/crashQuarantine.ts
@@ -270,6 +270,7 @@
     dump: () => ({
       requests: sources.suspects().length,
       sources: sources.sourceCount(),
+      served: sources.servedCount(),
       losses: detector.dump(),
       most: sources
         .suspects()
--- a/packages/routing/src/crashSources.ts
+++ b/packages/routing/src/crashSources.ts
@@ -28,6 +28,8 @@
   suspects(): readonly string[];
   /** Returns the number of sources. */
   sourceCount(): number;
+  /** Returns the number of suspects with a reported complete response. */
+  servedCount(): number;
   /** Adds own observations. */
   addOwn(report: CrashReport): void;
   /** Removes own crashes that were refuted. */
@@ -117,11 +119,17 @@
     setReport(source, truncateReport(currentReport, maxCrashes, countOf));
   }
 
-  /** Removes the responses to suspects without crashes. */
-  function withRelevantServed({crashes, served}: CrashReport): CrashReport {
+  /** Removes the responses to suspects without crashes, up to a time. */
+  function withRelevantServed(
+    {crashes, served}: CrashReport,
+    untilMs = Infinity,
+  ): CrashReport {
     const suspects = new Set(crashes.map(({request}) => request));
     const relevantServed = Object.entries(served).filter(
-      ([suspect]) => suspects.has(suspect) || evidence.hasCrashes(suspect),
+      ([suspect, atMs]) =>
+        atMs >= untilMs ||
+        suspects.has(suspect) ||
+        evidence.hasCrashes(suspect),
     );
     return {crashes, served: Object.fromEntries(relevantServed)};
   }
@@ -158,6 +166,7 @@
     }),
     suspects: evidence.requests,
     sourceCount: () => evidence.sources().length,
+    servedCount: evidence.servedCount,
     addOwn(report) {
       const merged = mergeCrashReports(evidence.reportOf(OWN_SOURCE), report);
       setBounded(OWN_SOURCE, withRelevantServed(merged), MAX_STORED_CRASHES);
@@ -190,7 +199,11 @@
     mergeGossip(report) {
       const known = evidence.reportOf(GOSSIP_SOURCE);
       if (hasNewEvidence(known, report)) {
-        const merged = mergeCrashReports(known, report);
+        // The crash that a recent response clears may not be known here yet.
+        const merged = withRelevantServed(
+          mergeCrashReports(known, report),
+          wallMs() - GOSSIP_MS,
+        );
         setBounded(GOSSIP_SOURCE, merged, MAX_GOSSIPED_CRASHES);
       }
     },
--- a/packages/routing/src/test/promptParts.test.ts
+++ b/packages/routing/src/test/promptParts.test.ts
@@ -106,6 +106,18 @@
     assert.equal(writeCount, 0);
   });
 
+  // Guards against memory that grows with the parts that callers name.
+  it('leave no evidence behind once nobody reports a crash under them', () => {
+    const {crashQuarantine, clock} = createEntry('a1');
+    for (let index = 0; index < 200; index++) {
+      const served = {[`part m/${index}`]: clock.wall()};
+      crashQuarantine.mergeGossip({crashes: [], served});
+      clock.advanceSync(100);
+    }
+    const {served} = crashQuarantine.dump() as {served: number};
+    assert.ok(served <= 20, `${served} parts`);
+  });
+
   // Guards against a crash that is reported after a response has cleared it.
   it('stay clear if they were served between a crash and its confirmation', () => {
     const {crash, serve, crashQuarantine, clock} = createEntry();
