gateway: log why a failed request was not sent on

The log of streams that were ended for silence did not tell whether the retry budget, the attempts of the route or the choice of an endpoint kept them from being resumed. Failed requests now have the field retryDenial.

--- a/packages/gateway/src/forwardedCall.ts
+++ b/packages/gateway/src/forwardedCall.ts
@@ -4,6 +4,7 @@
 import type {ResponseEnd} from './attempt.js';
 import type {CallHead} from './contracts.js';
 import type {VersionGroup} from './endpointDirectory.js';
+import type {RetryDenial} from './retryRules.js';
 
 /** A request that was admitted. */
 export interface ForwardedCall {
@@ -65,6 +66,8 @@
   readonly tokensAhead?: number;
   /** Crash fingerprint; set if an endpoint closed its connection. */
   readonly fingerprint?: string;
+  /** Why the call that failed was not sent to a further endpoint. */
+  readonly retryDenial?: RetryDenial;
   /** How the response that was passed on ended. */
   readonly responseEnd?: ResponseEnd;
   /** Undefined if an endpoint's complete response was passed on. */
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -352,6 +352,7 @@
     tokensAhead,
     firstSendAt,
     fingerprint,
+    retryDenial,
   }: Progress,
 ): ForwardingResult {
   return {
@@ -364,5 +365,6 @@
     ...(firstSendAt !== undefined && {firstSendAt}),
     ...(fingerprint !== undefined && {fingerprint}),
     ...(responseEnd && {responseEnd}),
+    ...(error !== undefined && retryDenial !== undefined && {retryDenial}),
   };
 }
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -64,6 +64,7 @@
         firstSendAt,
         fingerprint,
         responseEnd,
+        retryDenial,
       } = result;
       const tookMs = clock.now() - arrivedAt;
       metrics.record({
@@ -89,6 +90,7 @@
           ...(error?.retryAfterMs !== undefined && {
             retryAfterMs: Math.round(error.retryAfterMs),
           }),
+          ...(retryDenial && {retryDenial}),
           ...lossFields(fingerprint, acceptedRequest?.head),
           ...endFields(responseEnd),
           ...(hasDisconnected && {hasLeft: hasDisconnected}),
--- a/packages/gateway/src/retryRules.ts
+++ b/packages/gateway/src/retryRules.ts
@@ -17,6 +17,14 @@
   readonly signal: AbortSignal;
 }
 
+/** Why a request is not sent to a further endpoint. */
+export type RetryDenial =
+  | 'not-repeatable'
+  | 'attempts-used'
+  | 'sends-used'
+  | 'ended'
+  | 'no-retry-budget';
+
 /** Progress of one request over all its attempts. */
 export interface Progress {
   /** Ids of the endpoints that the request was sent to, in order. */
@@ -41,6 +49,8 @@
   fingerprint: string | undefined;
   /** Whether the request has been counted in the customer's usage. */
   isCounted: boolean;
+  /** Why the request was not sent on when it was last considered. */
+  retryDenial: RetryDenial | undefined;
   /** Target of the request's migration off a draining endpoint. */
   continuation: Continuation | undefined;
 }
@@ -109,6 +119,7 @@
     firstByteMs: undefined,
     fingerprint: undefined,
     isCounted: handover?.isCounted ?? false,
+    retryDenial: undefined,
     continuation: undefined,
   };
 }
@@ -130,25 +141,46 @@
     return endpoints.length < MAX_SENDS;
   }
 
+  /** Returns why the request may not be sent again; consumes a retry if it may. */
+  function denySend(
+    call: RetryableCall,
+    progress: Progress,
+  ): RetryDenial | undefined {
+    if (!hasSendsLeft(progress)) {
+      return 'sends-used';
+    }
+    if (call.signal.aborted) {
+      return 'ended';
+    }
+    return admission.tryAcquireRetry(call.service)
+      ? undefined
+      : 'no-retry-budget';
+  }
+
+  function denyRerun(
+    call: RetryableCall,
+    progress: Progress,
+  ): RetryDenial | undefined {
+    if (!isRepeatable(call.route)) {
+      return 'not-repeatable';
+    }
+    if (progress.runCount >= call.route.attempts) {
+      return 'attempts-used';
+    }
+    return denySend(call, progress);
+  }
+
   function mayRerun(call: RetryableCall, progress: Progress): boolean {
-    return (
-      isRepeatable(call.route) &&
-      progress.runCount < call.route.attempts &&
-      hasSendsLeft(progress) &&
-      !call.signal.aborted &&
-      admission.tryAcquireRetry(call.service)
-    );
+    progress.retryDenial = denyRerun(call, progress);
+    return progress.retryDenial === undefined;
   }
 
   function mayResend(call: RetryableCall, progress: Progress): boolean {
-    if (progress.runCount > 0) {
-      return mayRerun(call, progress);
-    }
-    return (
-      hasSendsLeft(progress) &&
-      !call.signal.aborted &&
-      admission.tryAcquireRetry(call.service)
-    );
+    progress.retryDenial =
+      progress.runCount > 0
+        ? denyRerun(call, progress)
+        : denySend(call, progress);
+    return progress.retryDenial === undefined;
   }
 
   function idleTimeoutMs(call: RetryableCall, progress: Progress) {
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -87,6 +87,23 @@
     assert.equal(outcome.result.endpoints.length, 3);
   });
 
+  // Guards against requests whose log line does not tell why they were not retried.
+  it('returns why a failed request was not retried', async () => {
+    const denialOf = async (route: Route, hasRetryBudget: boolean) => {
+      const {result} = await forwardTo(
+        route,
+        [resetConnection],
+        undefined,
+        undefined,
+        {hasRetryBudget},
+      );
+      return result.retryDenial;
+    };
+    assert.equal(await denialOf(resumableRoute, false), 'no-retry-budget');
+    assert.equal(await denialOf(resumableRoute, true), 'attempts-used');
+    assert.equal(await denialOf(orderRoute, true), 'not-repeatable');
+  });
+
   it('limits the runs of a request to the attempts of its route', async () => {
     const outcome = await forwardTo(idempotentRoute, [
       resetConnection,
