gateway: keep a silent attempt open beside its hedge

Callers lost resumable streams, and answers in one piece, of sound endpoints that stood still for more than 1200 ms (for 0.4 of the time of an answer in one piece).

Cause: the entry closed the connection of a silent attempt first and only then asked for a retry. If the retry budget was used up, no other endpoint could be chosen, or that one was silent, full or failed as well, the only answer was gone.

An attempt without data now stalls and goes on. While it is stalled, the request may be sent to a second endpoint, or to another entry if this one is cut off. The first attempt that has an event or an answer to pass on supersedes the other one, which is cancelled. An attempt that is superseded by a later one while it is stalled counts as a silent failure, as before; one that is superseded by an earlier one tells nothing about its endpoint.

--- a/packages/bench/src/handover.ts
+++ b/packages/bench/src/handover.ts
@@ -13,6 +13,7 @@
   systemClock,
 } from '@skylarkfield/base';
 import {
+  createAttemptRace,
   createCallerReply,
   createHandoverHandler,
   createHandovers,
@@ -80,10 +81,17 @@
 const retryRules: RetryRules = {
   mayRerun: () => false,
   mayResend: () => false,
+  canHedge: () => false,
+  mayHedge: () => false,
   hasSendsLeft: () => false,
-  idleTimeoutMs: () => undefined,
+  stallTimeoutMs: () => undefined,
 };
 
+/** Creates the race of an attempt without rivals. */
+function createOnlyAttempt() {
+  return {race: createAttemptRace().enter(), onDidStall() {}};
+}
+
 async function listen(
   handler: (request: IncomingMessage, response: ServerResponse) => void,
 ) {
@@ -190,8 +198,8 @@
       clock,
       signal: call.signal,
       sink: call.route.kind === 'streaming' ? reply.sink : undefined,
-      idleTimeoutMs: undefined,
-      mayRepeat: false,
+      ...createOnlyAttempt(),
+      stallTimeoutMs: undefined,
       isStopRequested: () => false,
       onDidReceive() {},
       onDidRespond() {},
@@ -254,7 +262,13 @@
     direct: forward,
     async 'handed over'(call, reply) {
       const progress = createProgress(clock.now());
-      const result = await handovers.run(call, reply, progress, receiver);
+      const result = await handovers.run(
+        call,
+        reply,
+        progress,
+        receiver,
+        createOnlyAttempt(),
+      );
       if (result.type === 'answered') {
         reply.sendResponse(result);
       }
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -7,7 +7,10 @@
   type ResponseFraming,
 } from '@skylarkfield/base';
 import type {CallFormat, ResponseHead, ResponseHeaders} from './contracts.js';
+import type {RaceEntry, RivalOrder} from './attemptRace.js';
+import {isServerError} from './attemptOutcome.js';
 import {createEventFramer, type EventFrame} from './eventFramer.js';
+import {createStallTimer, type Stall} from './stallTimer.js';
 import type {UpstreamRequest, Upstreams} from './upstream.js';
 
 /** Result of an attempt. */
@@ -103,25 +106,27 @@
    * Receives the events of a stream; undefined if the route is not streaming.
    */
   readonly sink: EventSink | undefined;
+  /** The attempt's part in the race of its request. */
+  readonly race: Pick<RaceEntry, 'lead' | 'onDidSupersede'>;
   /**
-   * Time without received data after which the attempt is aborted, in
-   * milliseconds; undefined if only the signal aborts the attempt.
+   * Time without received data after which the attempt has stalled, in
+   * milliseconds; undefined if it never does.
    */
-  readonly idleTimeoutMs: number | undefined;
+  readonly stallTimeoutMs: number | undefined;
   /**
    * Whether the endpoint was requested to stop the request, so that a closed
    * connection does not mean that the response is complete.
    */
   isStopRequested(): boolean;
-  /**
-   * Whether the request may be given up, to be run elsewhere, although it may
-   * be running.
-   */
-  readonly mayRepeat: boolean;
   /** Fires when the endpoint can no longer be reached. */
   readonly onDidLosePath?: Occurrence;
   /** Fires when the endpoint stops accepting requests. */
   readonly onDidStopAccepting?: Occurrence;
+  /**
+   * Called repeatedly while the attempt has stalled, and when the paths of this
+   * entry are lost. The attempt goes on until another one responds.
+   */
+  onDidStall(stall: Stall): void;
   /** Called whenever bytes arrive from the endpoint. */
   onDidReceive(): void;
   /** Called with the response head of this attempt, whatever its status. */
@@ -133,9 +138,6 @@
   onDidBegin(head: ResponseHead): void;
 }
 
-/** Lateness of a timer from which this process was paused, in milliseconds. */
-const PAUSE_MS = 200;
-
 /** Bounds of the success statuses, 200 to 299, which a stream requires. */
 const FIRST_SUCCESS_STATUS = 200;
 const FIRST_REDIRECT_STATUS = 300;
@@ -153,7 +155,7 @@
  */
 export function runAttempt(options: AttemptOptions): Promise<AttemptResult> {
   return new Promise(resolve => {
-    const {clock, format, signal, sink, idleTimeoutMs} = options;
+    const {clock, format, signal, sink, race, stallTimeoutMs} = options;
     const chunks: Buffer[] = [];
     const framer = createEventFramer();
     let responseHead: StreamHead | undefined;
@@ -162,39 +164,14 @@
     let hasBegun = false;
     let isSettled = false;
     const subscriptions = createDisposableStore();
-    let lastActivityAt = clock.now();
-    let idleTimer =
-      idleTimeoutMs === undefined ? undefined : startIdleTimer(idleTimeoutMs);
-
-    /**
-     * Aborts the attempt when no data has arrived for `timeoutMs`. Rechecking
-     * on expiry is cheaper than restarting the timer for each event.
-     */
-    function startIdleTimer(timeoutMs: number): Disposable {
-      const remainingMs = timeoutMs - (clock.now() - lastActivityAt);
-      const dueAt = clock.now() + remainingMs;
-      return clock.after(remainingMs, () => {
-        if (clock.now() - dueAt > PAUSE_MS) {
-          // This process was paused; the response may wait in the socket.
-          recordActivity();
-        }
-        if (clock.now() - lastActivityAt < timeoutMs) {
-          idleTimer = startIdleTimer(timeoutMs);
-          return;
-        }
-        abort(
-          interruptedError(`no data received for ${timeoutMs} ms`),
-          'silent',
-        );
-      });
-    }
-
-    function recordActivity(): void {
-      lastActivityAt = clock.now();
-    }
+    const stallTimer = createStallTimer({
+      clock,
+      timeoutMs: stallTimeoutMs,
+      onDidStall: options.onDidStall,
+    });
 
     function recordReceived(): void {
-      recordActivity();
+      stallTimer.recordActivity();
       options.onDidReceive();
     }
 
@@ -203,7 +180,7 @@
         return;
       }
       isSettled = true;
-      idleTimer?.dispose();
+      stallTimer.dispose();
       subscriptions.dispose();
       signal.removeEventListener('abort', onAbort);
       resolve(result);
@@ -228,9 +205,23 @@
         abort(unreachableError());
         return;
       }
-      if (options.mayRepeat) {
-        abort(interruptedError('the paths to all endpoints are lost'));
+      options.onDidStall({silentMs: 0, timeoutMs: 0});
+    }
+
+    /**
+     * Ends the attempt, since another one responds. If that one started later,
+     * this endpoint has failed to respond in its time.
+     */
+    function onDidSupersede(rival: RivalOrder): void {
+      if (rival === 'later' && stallTimer.isStalled()) {
+        abort(
+          interruptedError(`no data received for ${stallTimeoutMs} ms`),
+          'silent',
+        );
+        return;
       }
+      const error = supersededError();
+      abort(exchange.hasStarted() ? error : notSentError(error));
     }
 
     function subscribe(event: Occurrence | undefined, listener: () => void) {
@@ -285,19 +276,16 @@
       if (responseHead === undefined || sink === undefined) {
         return;
       }
+      race.lead();
       if (!hasBegun) {
         reportBegin();
         sink.begin(responseHead);
       }
       if (!sink.write(frame)) {
         exchange.pause();
-        idleTimer?.dispose();
+        stallTimer.pause();
         sink.whenDrained(() => {
-          recordActivity();
-          idleTimer =
-            idleTimeoutMs === undefined
-              ? undefined
-              : startIdleTimer(idleTimeoutMs);
+          stallTimer.resume();
           exchange.resume();
         });
       }
@@ -334,6 +322,7 @@
         return;
       }
       if (isStream && sink !== undefined) {
+        race.lead();
         if (!hasBegun) {
           reportBegin();
           sink.begin(responseHead);
@@ -352,6 +341,9 @@
         });
         return;
       }
+      if (!isServerError(responseHead.status)) {
+        race.lead();
+      }
       settle({
         type: 'answered',
         status: responseHead.status,
@@ -373,6 +365,7 @@
       onDidFail: error => settle(resultOfLostConnection(error)),
     });
     if (!isSettled) {
+      subscriptions.add(race.onDidSupersede(onDidSupersede));
       subscribe(options.onDidLosePath, onDidLosePath);
       subscribe(options.onDidStopAccepting, onDidStopAccepting);
     }
@@ -409,6 +402,12 @@
   });
 }
 
+function supersededError(): ServingError {
+  return new ServingError('cancelled', 'another endpoint responded', {
+    run: 'may-have-run',
+  });
+}
+
 function unreachableError(): ServingError {
   return new ServingError(
     'endpoint-unavailable',
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -8,12 +8,9 @@
   SlotShares,
   WarmUps,
 } from '@skylarkfield/routing';
-import {
-  countOwnTokens,
-  isRepeatable,
-  type RegisteredEndpoint,
-} from '@skylarkfield/traffic';
+import {countOwnTokens, type RegisteredEndpoint} from '@skylarkfield/traffic';
 import {runAttempt, type AttemptResult} from './attempt.js';
+import {createAttemptEvidence} from './attemptEvidence.js';
 import {mayHaveRun, outcomeOf, unavailableError} from './attemptOutcome.js';
 import type {CallerReply} from './callerReply.js';
 import type {CallFormat, ResponseHead} from './contracts.js';
@@ -22,6 +19,7 @@
 import type {EndpointDirectory} from './endpointDirectory.js';
 import type {EngineObserver, AttemptObserver} from './engineObserver.js';
 import type {ForwardedCall} from './forwardedCall.js';
+import type {RacingAttempt} from './hedging.js';
 import type {Progress, RetryRules} from './retryRules.js';
 import type {
   Continuation,
@@ -45,12 +43,21 @@
     call: ForwardedCall,
     progress: Progress,
   ): EndpointTarget | undefined;
+  /**
+   * Returns an endpoint for a call whose attempt has stalled; undefined if there
+   * is no other one.
+   */
+  chooseHedgeTarget(
+    call: ForwardedCall,
+    progress: Progress,
+  ): EndpointTarget | undefined;
   /** Runs one attempt at the target and records its outcome. */
   run(
     call: ForwardedCall,
     reply: CallerReply,
     progress: Progress,
     target: EndpointTarget,
+    racingAttempt: RacingAttempt,
   ): Promise<AttemptResult>;
 }
 
@@ -101,6 +108,7 @@
   options: EndpointAttemptOptions,
 ): EndpointAttempts {
   const {router, directory, crashGuard, reach, format, clock} = options;
+  const evidence = createAttemptEvidence(options);
 
   /**
    * Chooses an endpoint of the call's version group or, if none is available,
@@ -202,6 +210,7 @@
     {choice, kvCache}: EndpointTarget,
     attempt: RunningAttempt,
     lastEventId: string | undefined,
+    {race, onDidStall}: RacingAttempt,
   ): Promise<AttemptResult> {
     const {endpoint, observer, watchedStream, sentAt} = attempt;
     const {goalMs, longestPauseMs} = call.route;
@@ -231,8 +240,13 @@
       clock,
       signal: call.signal,
       sink: isStream(call) ? observer.wrap(reply.sink) : undefined,
-      idleTimeoutMs: options.retryRules.idleTimeoutMs(call, progress),
-      mayRepeat: isRepeatable(call.route),
+      race,
+      stallTimeoutMs: options.retryRules.stallTimeoutMs(call, progress),
+      onDidStall(stall) {
+        if (!watchedStream.isStopRequested()) {
+          onDidStall(stall);
+        }
+      },
       onDidLosePath: listener =>
         reach.onDidCutOff(service => service === call.service && listener()),
       onDidStopAccepting: listener =>
@@ -253,11 +267,12 @@
     {choice, kvCache}: EndpointTarget,
     attempt: RunningAttempt,
     result: AttemptResult,
+    isMigrated: boolean,
   ): void {
     const latencyMs = (attempt.beganAt ?? clock.now()) - attempt.sentAt;
     // The endpoint stopped a migrated stream on request, so the end of the
     // stream is not a failure of the endpoint.
-    const outcome = progress.continuation ? 'ok' : outcomeOf(result);
+    const outcome = isMigrated ? 'ok' : outcomeOf(result);
     choice.finish({
       outcome: outcome !== 'ok' && isCutOff(call) ? 'cancelled' : outcome,
       latencyMs,
@@ -278,7 +293,11 @@
     if (result.type === 'failed' && result.loss === 'closed') {
       progress.fingerprint = call.fingerprint();
     }
-    recordEvidence(call, choice.endpoint, attempt, result);
+    if (!attempt.watchedStream.isStopRequested()) {
+      const answeredForMs =
+        attempt.beganAt === undefined ? 0 : clock.now() - attempt.beganAt;
+      evidence.record(call, choice.endpoint, result, answeredForMs);
+    }
     if (mayHaveRun(result) && kvCache === undefined) {
       progress.runCount += 1;
       // A call that was lost with the paths has hardly reached its endpoint.
@@ -288,42 +307,6 @@
     }
   }
 
-  /**
-   * Records what the result tells about the endpoint. A loss while this entry
-   * is cut off tells nothing, so it is recorded once that is ruled out.
-   */
-  function recordEvidence(
-    call: ForwardedCall,
-    endpoint: string,
-    {watchedStream, beganAt}: RunningAttempt,
-    result: AttemptResult,
-  ): void {
-    if (watchedStream.isStopRequested()) {
-      return;
-    }
-    const answeredForMs = beganAt === undefined ? 0 : clock.now() - beganAt;
-    const record = () =>
-      crashGuard.recordAttemptResult(call, endpoint, result, answeredForMs);
-    if (result.type !== 'failed') {
-      record();
-      return;
-    }
-    const isUnreachable = outcomeOf(result) === 'unreachable';
-    if (!isUnreachable && result.loss === undefined) {
-      return;
-    }
-    reach.recordFailure(call.service, endpoint);
-    reach.whenDecided(call.service, isEvidence => {
-      if (!isEvidence) {
-        return;
-      }
-      if (isUnreachable) {
-        options.warmUps.recordUnreachable(endpoint);
-      }
-      record();
-    });
-  }
-
   function isCutOff({service}: ForwardedCall): boolean {
     return reach.stateOf(service) === 'cut-off';
   }
@@ -338,7 +321,11 @@
       const choice = chooseEndpoint(call, progress.excludedEndpoints);
       return choice && {choice};
     },
-    async run(call, reply, progress, target) {
+    chooseHedgeTarget(call, progress) {
+      const choice = chooseEndpoint(call, progress.excludedEndpoints);
+      return choice && {choice};
+    },
+    async run(call, reply, progress, target, racingAttempt) {
       const {choice} = target;
       const endpoint = directory.get(choice.endpoint);
       if (endpoint === undefined) {
@@ -368,15 +355,31 @@
         target,
         attempt,
         lastEventId,
+        racingAttempt,
       );
       attempt.watchedStream.dispose();
-      progress.continuation = await attempt.watchedStream.continuation();
-      recordEnd(call, progress, target, attempt, result);
+      const continuation = await attempt.watchedStream.continuation();
+      keepContinuation(progress, continuation, racingAttempt);
+      const isMigrated = continuation !== undefined;
+      recordEnd(call, progress, target, attempt, result, isMigrated);
       return result;
     },
   };
 }
 
+/** Keeps the migration target of the attempt that decides on the call. */
+function keepContinuation(
+  progress: Progress,
+  continuation: Continuation | undefined,
+  {race}: RacingAttempt,
+): void {
+  if (race.isSuperseded() || progress.continuation !== undefined) {
+    continuation?.choice.finish({outcome: 'cancelled', latencyMs: 0});
+    return;
+  }
+  progress.continuation = continuation;
+}
+
 function isStream({route}: ForwardedCall): boolean {
   return route.kind === 'streaming';
 }
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -26,13 +26,17 @@
 } from './endpointAttempts.js';
 import type {ForwardedCall, ForwardingResult} from './forwardedCall.js';
 import type {Handovers} from './handovers.js';
+import {
+  createHedging,
+  type Destination,
+  type RacingAttempt,
+} from './hedging.js';
 import {lossFields} from './requestLog.js';
 import {createProgress, type Progress} from './retryRules.js';
 
 /** How a call is tried next. */
 type NextStep =
-  | {readonly type: 'endpoint'; readonly target: EndpointTarget}
-  | {readonly type: 'peer'; readonly peer: Member}
+  | Destination
   /** The call is not tried again; the error does not cover earlier runs. */
   | {readonly type: 'reject'; readonly error: ServingError};
 
@@ -40,8 +44,6 @@
 type Conclusion = Pick<ForwardingResult, 'status'> &
   Partial<Pick<ForwardingResult, 'error' | 'responseEnd'>>;
 
-type Attempt = Exclude<NextStep, {type: 'reject'}>;
-
 export interface Forwarding {
   forward(call: ForwardedCall, reply: CallerReply): Promise<ForwardingResult>;
 }
@@ -69,6 +71,7 @@
     options;
   const crashGuard = createCrashGuard(options);
   const attempts = createEndpointAttempts({...options, crashGuard});
+  const hedging = createHedging({runAttempt, chooseHedge, log});
 
   /**
    * Returns undefined if the call is to be retried; else responds to the caller
@@ -78,7 +81,7 @@
     call: ForwardedCall,
     reply: CallerReply,
     progress: Progress,
-    attempt: Attempt,
+    destination: Destination,
     result: AttemptResult,
   ): Conclusion | undefined {
     if (result.type === 'streamed') {
@@ -109,7 +112,7 @@
       const error = allDeclinedError(call.service, endpoints.length);
       return respondWithError(reply, withRunState(error, runCount));
     }
-    return mayRetryFailed(call, progress, attempt, result.error)
+    return mayRetryFailed(call, progress, destination, result.error)
       ? undefined
       : respondWithError(reply, withRunState(result.error, progress.runCount));
   }
@@ -121,7 +124,7 @@
   function mayRetryFailed(
     call: ForwardedCall,
     progress: Progress,
-    attempt: Attempt,
+    destination: Destination,
     error: ServingError,
   ): boolean {
     if (call.signal.aborted) {
@@ -130,7 +133,7 @@
     if (error.run === 'may-have-run') {
       return retryRules.mayRerun(call, progress);
     }
-    if (attempt.type === 'peer') {
+    if (destination.type === 'peer') {
       return handovers.mayHandOn(progress, error);
     }
     const isUnsent = progress.hasFailedToConnect && progress.runCount === 0;
@@ -292,25 +295,53 @@
     call: ForwardedCall,
     reply: CallerReply,
     progress: Progress,
-    attempt: Attempt,
+    destination: Destination,
+    racingAttempt: RacingAttempt,
   ): Promise<AttemptResult> {
-    return attempt.type === 'endpoint'
-      ? attempts.run(call, reply, progress, attempt.target)
-      : handovers.run(call, reply, progress, attempt.peer);
+    return destination.type === 'endpoint'
+      ? attempts.run(call, reply, progress, destination.target, racingAttempt)
+      : handovers.run(call, reply, progress, destination.peer, racingAttempt);
+  }
+
+  /** Chooses where a call whose attempt has stalled is sent as well. */
+  function chooseHedge(
+    call: ForwardedCall,
+    progress: Progress,
+  ): Destination | undefined {
+    if (!retryRules.canHedge(call, progress) || crashGuard.isSuspected(call)) {
+      return undefined;
+    }
+    const peer = choosePeer(call, progress);
+    if (peer !== undefined) {
+      return retryRules.mayHedge(call, progress)
+        ? {type: 'peer', peer}
+        : undefined;
+    }
+    const target = reach.isLost(call.service)
+      ? undefined
+      : attempts.chooseHedgeTarget(call, progress);
+    if (target === undefined) {
+      return undefined;
+    }
+    if (!retryRules.mayHedge(call, progress)) {
+      target.choice.finish({outcome: 'cancelled', latencyMs: 0});
+      return undefined;
+    }
+    return {type: 'endpoint', target};
   }
 
   function logRetry(
     {attemptId, head}: ForwardedCall,
     progress: Progress,
-    attempt: Attempt,
+    destination: Destination,
     result: AttemptResult,
   ): void {
     log.info(
       {
         request: attemptId,
-        ...(attempt.type === 'endpoint'
-          ? {endpoint: attempt.target.choice.endpoint}
-          : {peer: attempt.peer.id}),
+        ...(destination.type === 'endpoint'
+          ? {endpoint: destination.target.choice.endpoint}
+          : {peer: destination.peer.id}),
         end: describeResult(result),
         runs: progress.runCount,
         sends: progress.endpoints.length,
@@ -329,15 +360,20 @@
           const rejection = withRunState(step.error, progress.runCount);
           return toResult(respondWithError(reply, rejection), progress);
         }
-        const result = await runAttempt(call, reply, progress, step);
+        const {destination, result} = await hedging.run(
+          call,
+          reply,
+          progress,
+          step,
+        );
         if (confirmMigration(call, progress, result)) {
           continue;
         }
-        const conclusion = conclude(call, reply, progress, step, result);
+        const conclusion = conclude(call, reply, progress, destination, result);
         if (conclusion !== undefined) {
           return toResult(conclusion, progress);
         }
-        logRetry(call, progress, step, result);
+        logRetry(call, progress, destination, result);
       }
     },
   };
--- a/packages/gateway/src/handovers.ts
+++ b/packages/gateway/src/handovers.ts
@@ -21,7 +21,6 @@
   HANDOVER_PATH,
   type Messages,
 } from '@skylarkfield/protocol';
-import {isRepeatable} from '@skylarkfield/traffic';
 import {runAttempt, type AttemptResult, type EventSink} from './attempt.js';
 import {mayHaveRun} from './attemptOutcome.js';
 import type {CallerReply} from './callerReply.js';
@@ -32,6 +31,7 @@
   withoutDepartures,
 } from './departureHeader.js';
 import type {ForwardedCall} from './forwardedCall.js';
+import type {RacingAttempt} from './hedging.js';
 import {choosePeer} from './peerChoice.js';
 import type {Progress, RetryRules} from './retryRules.js';
 import type {Upstreams} from './upstream.js';
@@ -45,6 +45,7 @@
     reply: CallerReply,
     progress: Progress,
     peer: Member,
+    racingAttempt: RacingAttempt,
   ): Promise<AttemptResult>;
   /** Whether the call may be handed over to a further entry after the error. */
   mayHandOn(progress: Progress, error: ServingError): boolean;
@@ -124,6 +125,7 @@
     reply: CallerReply,
     progress: Progress,
     peer: Member,
+    racingAttempt: RacingAttempt,
   ): Promise<AttemptResult> {
     const body = encodeFrame({
       type: 'handover',
@@ -161,8 +163,8 @@
       clock,
       signal: call.signal,
       sink: call.route.kind === 'streaming' ? callerSink(reply) : undefined,
-      idleTimeoutMs: options.retryRules.idleTimeoutMs(call, progress),
-      mayRepeat: isRepeatable(call.route),
+      stallTimeoutMs: options.retryRules.stallTimeoutMs(call, progress),
+      ...racingAttempt,
       isStopRequested: () => false,
       onDidReceive() {},
       onDidRespond() {},
@@ -194,13 +196,13 @@
         {random, ownRequestsAt},
       );
     },
-    async run(call, reply, progress, peer) {
+    async run(call, reply, progress, peer, racingAttempt) {
       progress.peers.push(peer.id);
       progress.firstSendAt ??= clock.now();
       handoverCount += 1;
       requestsByPeer.set(peer.id, ownRequestsAt(peer.id) + 1);
       try {
-        const result = await send(call, reply, progress, peer);
+        const result = await send(call, reply, progress, peer, racingAttempt);
         recordResult(progress, peer, result);
         return result;
       } finally {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,7 @@
   type EngineEstimates,
 } from './engineEstimates.js';
 export {runAttempt} from './attempt.js';
+export {createAttemptRace} from './attemptRace.js';
 export {createCallerReply, type CallerReply} from './callerReply.js';
 export type {ForwardedCall, ForwardingResult} from './forwardedCall.js';
 export * from './gatewayProcess.js';
--- a/packages/gateway/src/retryRules.ts
+++ b/packages/gateway/src/retryRules.ts
@@ -1,4 +1,4 @@
-/** Rules for retries at other endpoints and for idle timeouts of attempts. */
+/** Rules for retries at other endpoints and for stall timeouts of attempts. */
 import type {AdmissionController} from '@skylarkfield/admission';
 import type {Clock} from '@skylarkfield/base';
 import {isRepeatable, type Route} from '@skylarkfield/traffic';
@@ -72,10 +72,21 @@
   /** Whether the request may be sent to a further endpoint at all. */
   hasSendsLeft(progress: Pick<Progress, 'endpoints'>): boolean;
   /**
-   * Returns the idle timeout of the next attempt, in milliseconds; undefined if
-   * the attempt may use all the time until the deadline.
+   * Whether a request may be sent to a further endpoint while an attempt of it
+   * runs, as far as its attempts and sends are concerned.
    */
-  idleTimeoutMs(call: RetryableCall, progress: Progress): number | undefined;
+  canHedge(call: RetryableCall, progress: Progress): boolean;
+  /**
+   * Whether a request may be sent to a further endpoint while an attempt of it
+   * runs. Consumes one retry of the service's retry budget if so.
+   */
+  mayHedge(call: RetryableCall, progress: Progress): boolean;
+  /**
+   * Returns the time without data after which the next attempt has stalled, in
+   * milliseconds; undefined if the attempt may use all the time until the
+   * deadline.
+   */
+  stallTimeoutMs(call: RetryableCall, progress: Progress): number | undefined;
 }
 
 /**
@@ -85,17 +96,17 @@
 const MAX_SENDS = 3;
 
 /**
- * Idle timeout of an idempotent request while a retry is left, as a fraction of
+ * Stall timeout of an idempotent request while a retry is left, as a fraction of
  * the time until the request's deadline.
  */
-const IDLE_TIMEOUT_FRACTION = 0.4;
+const STALL_TIMEOUT_FRACTION = 0.4;
 
 /**
- * Idle timeout of a resumable stream, as a multiple of its route's latency
+ * Stall timeout of a resumable stream, as a multiple of its route's latency
  * target or longest pause, whichever is longer. After that time the response is
  * late anyway; callers disconnect after eight such pauses.
  */
-const RESUME_IDLE_TIMEOUT_MULTIPLE = 3;
+const RESUME_STALL_TIMEOUT_MULTIPLE = 3;
 
 /**
  * Returns the progress of a request before its first attempt at this entry.
@@ -183,7 +194,20 @@
     return progress.retryDenial === undefined;
   }
 
-  function idleTimeoutMs(call: RetryableCall, progress: Progress) {
+  function canHedge(call: RetryableCall, progress: Progress): boolean {
+    return (
+      isRepeatable(call.route) &&
+      progress.runCount + 1 < call.route.attempts &&
+      hasSendsLeft(progress) &&
+      !call.signal.aborted
+    );
+  }
+
+  function mayHedge(call: RetryableCall, progress: Progress): boolean {
+    return canHedge(call, progress) && admission.tryAcquireRetry(call.service);
+  }
+
+  function stallTimeoutMs(call: RetryableCall, progress: Progress) {
     if (
       !isRepeatable(call.route) ||
       progress.runCount + 1 >= call.route.attempts
@@ -193,11 +217,18 @@
     if (call.route.kind === 'streaming') {
       return (
         Math.max(call.route.goalMs, call.route.longestPauseMs) *
-        RESUME_IDLE_TIMEOUT_MULTIPLE
+        RESUME_STALL_TIMEOUT_MULTIPLE
       );
     }
-    return (call.deadlineAt - clock.now()) * IDLE_TIMEOUT_FRACTION;
+    return (call.deadlineAt - clock.now()) * STALL_TIMEOUT_FRACTION;
   }
 
-  return {mayRerun, mayResend, hasSendsLeft, idleTimeoutMs};
+  return {
+    mayRerun,
+    mayResend,
+    canHedge,
+    mayHedge,
+    hasSendsLeft,
+    stallTimeoutMs,
+  };
 }
--- /dev/null
+++ b/packages/gateway/src/test/hedging.test.ts
@@ -0,0 +1,157 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createSilentLogger, ServingError} from '@skylarkfield/base';
+import type {AttemptResult} from '../attempt.js';
+import type {CallerReply} from '../callerReply.js';
+import type {ForwardedCall} from '../forwardedCall.js';
+import {
+  createHedging,
+  type Destination,
+  type RacingAttempt,
+} from '../hedging.js';
+import {createProgress} from '../retryRules.js';
+
+const STALL = {silentMs: 1_200, timeoutMs: 1_200};
+const END = {framing: 'chunks', remainderBytes: 0} as const;
+
+const STREAMED: AttemptResult = {type: 'streamed', end: END};
+const CLOSED: AttemptResult = {
+  type: 'failed',
+  error: new ServingError('interrupted', 'closed', {run: 'may-have-run'}),
+  loss: 'closed',
+};
+
+function answered(status: number): AttemptResult {
+  return {
+    type: 'answered',
+    status,
+    headers: {},
+    body: Buffer.from(''),
+    end: END,
+  };
+}
+
+/** An attempt whose end the test controls. */
+interface TestAttempt extends RacingAttempt {
+  end(result: AttemptResult): void;
+}
+
+function destinationOf(endpoint: string): Destination {
+  return {type: 'endpoint', target: {choice: {endpoint} as never}};
+}
+
+/** Runs a call at endpoint `a`, and at the endpoints of `hedges` if it stalls. */
+function startCall(hedges: readonly string[]) {
+  const attempts: TestAttempt[] = [];
+  const remainingHedges = [...hedges];
+  const hedging = createHedging({
+    runAttempt: (_call, _reply, _progress, _destination, racingAttempt) =>
+      new Promise(resolve => {
+        attempts.push({...racingAttempt, end: resolve});
+      }),
+    chooseHedge() {
+      const endpoint = remainingHedges.shift();
+      return endpoint === undefined ? undefined : destinationOf(endpoint);
+    },
+    log: createSilentLogger(),
+  });
+  const end = hedging.run(
+    {attemptId: 'r1'} as ForwardedCall,
+    {} as CallerReply,
+    createProgress(0),
+    destinationOf('a'),
+  );
+  return {
+    attempts,
+    async settled() {
+      const {destination, result} = await end;
+      assert.ok(destination.type === 'endpoint');
+      return {endpoint: destination.target.choice.endpoint, result};
+    },
+  };
+}
+
+describe('hedging', () => {
+  it('returns the result of an attempt that never stalls', async () => {
+    const {attempts, settled} = startCall(['b']);
+    attempts[0]!.end(CLOSED);
+    assert.deepEqual(await settled(), {endpoint: 'a', result: CLOSED});
+    assert.equal(attempts.length, 1);
+  });
+
+  // Guards against streams that are lost because their silent endpoint was given up first.
+  it('keeps the silent attempt, which may go on before the other one', async () => {
+    const {attempts, settled} = startCall(['b']);
+    attempts[0]!.onDidStall(STALL);
+    assert.ok(!attempts[0]!.race.isSuperseded());
+    attempts[0]!.race.lead();
+    assert.ok(attempts[1]!.race.isSuperseded());
+    attempts[1]!.end(CLOSED);
+    attempts[0]!.end(STREAMED);
+    assert.deepEqual(await settled(), {endpoint: 'a', result: STREAMED});
+  });
+
+  it('supersedes the silent attempt when the other one responds', async () => {
+    const {attempts, settled} = startCall(['b']);
+    attempts[0]!.onDidStall(STALL);
+    attempts[1]!.race.lead();
+    assert.ok(attempts[0]!.race.isSuperseded());
+    attempts[0]!.end(CLOSED);
+    attempts[1]!.end(STREAMED);
+    assert.deepEqual(await settled(), {endpoint: 'b', result: STREAMED});
+  });
+
+  // Guards against events of two attempts in one stream.
+  it('lets a superseded attempt not take the lead again', () => {
+    const {attempts} = startCall(['b']);
+    attempts[0]!.onDidStall(STALL);
+    attempts[1]!.race.lead();
+    attempts[0]!.race.lead();
+    assert.ok(!attempts[1]!.race.isSuperseded());
+  });
+
+  // Guards against ending a call whose endpoint goes on because its hedge failed.
+  it('waits for the silent attempt if the other one fails', async () => {
+    const {attempts, settled} = startCall(['b']);
+    attempts[0]!.onDidStall(STALL);
+    attempts[1]!.end(CLOSED);
+    await new Promise(resolve => setImmediate(resolve));
+    attempts[0]!.end(STREAMED);
+    assert.deepEqual(await settled(), {endpoint: 'a', result: STREAMED});
+  });
+
+  it('waits for the other attempt if the silent one fails', async () => {
+    const {attempts, settled} = startCall(['b']);
+    attempts[0]!.onDidStall(STALL);
+    attempts[0]!.end(CLOSED);
+    await new Promise(resolve => setImmediate(resolve));
+    attempts[1]!.end(STREAMED);
+    assert.deepEqual(await settled(), {endpoint: 'b', result: STREAMED});
+  });
+
+  // Guards against replacing an endpoint's own error by one of this entry.
+  it('returns the answer of an endpoint rather than a failure', async () => {
+    const {attempts, settled} = startCall(['b']);
+    attempts[0]!.onDidStall(STALL);
+    attempts[0]!.end(answered(500));
+    attempts[1]!.end(CLOSED);
+    assert.equal((await settled()).endpoint, 'a');
+  });
+
+  // Guards against one stall that occupies the slots of many endpoints.
+  it('runs at most two attempts at a time', async () => {
+    const {attempts, settled} = startCall(['b', 'c']);
+    attempts[0]!.onDidStall(STALL);
+    attempts[0]!.onDidStall(STALL);
+    attempts[1]!.onDidStall(STALL);
+    assert.equal(attempts.length, 2);
+    attempts[1]!.end(CLOSED);
+    await new Promise(resolve => setImmediate(resolve));
+    attempts[0]!.onDidStall(STALL);
+    assert.equal(attempts.length, 3);
+    attempts[2]!.race.lead();
+    attempts[0]!.end(CLOSED);
+    attempts[2]!.end(STREAMED);
+    assert.equal((await settled()).endpoint, 'c');
+  });
+});
