gateway: hedge only at endpoints that respond and have a free slot

While all endpoints of a service were silent, each stalled request was sent to another silent one: of the retry budget, slots and prompts read again nothing came back.

A hedge now goes to an endpoint from which bytes have arrived, on any request or probe of this entry, since the first one fell silent; there is none while all are silent. Probes, which were due after a silence of the service already, begin with endpoints without silent requests, so that an entry with a single stream learns of one. The endpoint needs a free slot, so that hedges do not delay the requests of other callers.

--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -19,8 +19,10 @@
 import type {EndpointDirectory} from './endpointDirectory.js';
 import type {EngineObserver, AttemptObserver} from './engineObserver.js';
 import type {ForwardedCall} from './forwardedCall.js';
+import {createHedgeTargets} from './hedgeTargets.js';
 import type {RacingAttempt} from './hedging.js';
 import type {Progress, RetryRules} from './retryRules.js';
+import type {Stall} from './stallTimer.js';
 import type {
   Continuation,
   StreamMigrator,
@@ -44,12 +46,14 @@
     progress: Progress,
   ): EndpointTarget | undefined;
   /**
-   * Returns an endpoint for a call whose attempt has stalled; undefined if there
-   * is no other one.
+   * Returns an endpoint for a call whose attempt has stalled; undefined unless
+   * one with a free slot has responded since then. While all of them are silent,
+   * another one would be as silent.
    */
   chooseHedgeTarget(
     call: ForwardedCall,
     progress: Progress,
+    stall: Stall,
   ): EndpointTarget | undefined;
   /** Runs one attempt at the target and records its outcome. */
   run(
@@ -109,6 +113,7 @@
 ): EndpointAttempts {
   const {router, directory, crashGuard, reach, format, clock} = options;
   const evidence = createAttemptEvidence(options);
+  const hedgeTargets = createHedgeTargets(options);
 
   /**
    * Chooses an endpoint of the call's version group or, if none is available,
@@ -321,9 +326,23 @@
       const choice = chooseEndpoint(call, progress.excludedEndpoints);
       return choice && {choice};
     },
-    chooseHedgeTarget(call, progress) {
-      const choice = chooseEndpoint(call, progress.excludedEndpoints);
-      return choice && {choice};
+    chooseHedgeTarget(call, progress, stall) {
+      const silentEndpoints = hedgeTargets.findSilentEndpoints(
+        call.service,
+        stall,
+      );
+      if (silentEndpoints === undefined) {
+        return undefined;
+      }
+      const choice = chooseEndpoint(
+        call,
+        new Set([...progress.excludedEndpoints, ...silentEndpoints]),
+      );
+      if (choice === undefined || hedgeTargets.hasFreeSlot(choice)) {
+        return choice && {choice};
+      }
+      choice.finish({outcome: 'cancelled', latencyMs: 0});
+      return undefined;
     },
     async run(call, reply, progress, target, racingAttempt) {
       const {choice} = target;
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -33,6 +33,7 @@
 } from './hedging.js';
 import {lossFields} from './requestLog.js';
 import {createProgress, type Progress} from './retryRules.js';
+import type {Stall} from './stallTimer.js';
 
 /** How a call is tried next. */
 type NextStep =
@@ -307,6 +308,7 @@
   function chooseHedge(
     call: ForwardedCall,
     progress: Progress,
+    stall: Stall,
   ): Destination | undefined {
     if (!retryRules.canHedge(call, progress) || crashGuard.isSuspected(call)) {
       return undefined;
@@ -319,7 +321,7 @@
     }
     const target = reach.isLost(call.service)
       ? undefined
-      : attempts.chooseHedgeTarget(call, progress);
+      : attempts.chooseHedgeTarget(call, progress, stall);
     if (target === undefined) {
       return undefined;
     }
--- a/packages/routing/src/endpointReach.ts
+++ b/packages/routing/src/endpointReach.ts
@@ -24,6 +24,7 @@
 import type {ReachState} from './reachMachine.js';
 import {
   createServicePaths,
+  findDoubtfulEndpoints,
   isLost,
   MIN_URGENT_INTERVAL_MS,
   QUIET_MS,
@@ -63,6 +64,11 @@
     endpoint: string,
     expectedMs?: number,
   ): PendingExchange;
+  /**
+   * Whether bytes have arrived from the endpoint since a time, in monotonic
+   * milliseconds.
+   */
+  hasRespondedSince(service: string, endpoint: string, since: number): boolean;
   /** Records that an endpoint closed its connection or did not respond. */
   recordFailure(service: string, endpoint: string): void;
   /** Records that no connection to the endpoint could be opened. */
@@ -184,6 +190,12 @@
     }
   }
 
+  function recordBytes(paths: ServicePaths, endpoint: string): void {
+    paths.failedEndpoints.delete(endpoint);
+    paths.lastBytesAt.set(endpoint, clock.now());
+    recordContact(paths);
+  }
+
   /** Starts a round of probes when it is due; rechecks when its timer fires. */
   function scheduleRound(paths: ServicePaths): void {
     const canStart =
@@ -225,9 +237,8 @@
     totals.probes += 1;
     const isAnswered = await options.probe(id, PROBE_TIMEOUT_MS);
     if (isAnswered && !isDisposed) {
-      paths.failedEndpoints.delete(id);
       paths.unconnectableEndpoints.clear();
-      recordContact(paths);
+      recordBytes(paths, id);
     }
     return isAnswered;
   }
@@ -240,7 +251,10 @@
     totals.rounds += 1;
     const targets = pickProbeTargets(
       options.endpointsOf(paths.service),
-      paths,
+      {
+        failedEndpoints: findDoubtfulEndpoints(paths, clock.now()),
+        probedAt: paths.probedAt,
+      },
       isLost(paths) ? MAX_RECOVERY_PROBES : MAX_PROBES,
     );
     const isAnyAnswered = await probeInTurn(clock, targets, target =>
@@ -286,7 +300,7 @@
       {
         probes: probeCount,
         endpoints: options.endpointsOf(service).length,
-        unanswered: paths.quietUntil.size,
+        unanswered: paths.exchanges.size,
         contactAgoMs: Math.round(clock.now() - paths.lastContactAt),
       },
     );
@@ -301,8 +315,7 @@
     }
     const state = paths.machine.current;
     if (state !== 'cut-off' && state !== 'gone') {
-      const endpoints = options.endpointsOf(paths.service);
-      retainEndpoints(paths, new Set(endpoints.map(({id}) => id)));
+      forgetRemovedEndpoints(paths);
       scheduleRound(paths);
       return;
     }
@@ -314,6 +327,11 @@
     });
   }
 
+  function forgetRemovedEndpoints(paths: ServicePaths): void {
+    const endpoints = options.endpointsOf(paths.service);
+    retainEndpoints(paths, new Set(endpoints.map(({id}) => id)));
+  }
+
   function whenDecided(
     service: string,
     callback: (isEvidence: boolean) => void,
@@ -342,19 +360,20 @@
     beginExchange(service, endpoint, expectedMs = QUIET_MS) {
       const paths = pathsOf(service);
       const quietMs = Math.max(QUIET_MS, expectedMs);
-      const exchange: PendingExchange = {
+      const exchange = {endpoint, quietUntil: clock.now() + quietMs};
+      paths.exchanges.add(exchange);
+      scheduleRound(paths);
+      return {
         recordContact() {
-          if (paths.quietUntil.has(exchange)) {
-            paths.quietUntil.set(exchange, clock.now() + quietMs);
-          }
-          paths.failedEndpoints.delete(endpoint);
-          recordContact(paths);
+          exchange.quietUntil = clock.now() + quietMs;
+          recordBytes(paths, endpoint);
         },
-        dispose: () => void paths.quietUntil.delete(exchange),
+        dispose: () => void paths.exchanges.delete(exchange),
       };
-      paths.quietUntil.set(exchange, clock.now() + quietMs);
-      scheduleRound(paths);
-      return exchange;
+    },
+    hasRespondedSince(service, endpoint, since) {
+      const bytesAt = pathsByService.get(service)?.lastBytesAt.get(endpoint);
+      return bytesAt !== undefined && bytesAt >= since;
     },
     recordFailure: (service, endpoint) =>
       void pathsOf(service).failedEndpoints.add(endpoint),
@@ -367,6 +386,7 @@
     },
     recordEndpointsChanged() {
       for (const paths of pathsByService.values()) {
+        forgetRemovedEndpoints(paths);
         const isRecent =
           clock.now() - paths.lastRoundAt < MIN_URGENT_INTERVAL_MS;
         if (isLost(paths) && !paths.isProbing && !isRecent) {
@@ -401,7 +421,7 @@
           service,
           {
             state: paths.machine.current,
-            unanswered: paths.quietUntil.size,
+            unanswered: paths.exchanges.size,
             unconnectable: paths.unconnectableEndpoints.size,
             contactAgoMs: Math.round(clock.now() - paths.lastContactAt),
           },
--- a/packages/routing/src/servicePaths.ts
+++ b/packages/routing/src/servicePaths.ts
@@ -22,12 +22,20 @@
  */
 export const MIN_URGENT_INTERVAL_MS = 250;
 
+/** An unanswered request. */
+export interface PathExchange {
+  readonly endpoint: string;
+  /** Time until which it may be quiet. */
+  quietUntil: number;
+}
+
 /** Paths from this entry to the endpoints of one service. */
 export interface ServicePaths {
   readonly service: string;
   readonly machine: ReachMachine;
-  /** Time until which each unanswered request may be quiet, by request. */
-  readonly quietUntil: Map<object, number>;
+  readonly exchanges: Set<PathExchange>;
+  /** Time of the last bytes from each endpoint. */
+  readonly lastBytesAt: Map<string, number>;
   readonly unconnectableEndpoints: Set<string>;
   /** Endpoints that have failed since they last sent bytes. */
   readonly failedEndpoints: Set<string>;
@@ -56,7 +64,8 @@
   return {
     service,
     machine: createReachMachine(),
-    quietUntil: new Map(),
+    exchanges: new Set(),
+    lastBytesAt: new Map(),
     unconnectableEndpoints: new Set(),
     failedEndpoints: new Set(),
     probedAt: new Map(),
@@ -82,8 +91,32 @@
 }
 
 /** Time at which an unanswered request will have been quiet for too long. */
-function quietEndsAt({quietUntil, lastContactAt}: ServicePaths): number {
-  return Math.max(Math.min(...quietUntil.values()), lastContactAt + QUIET_MS);
+function quietEndsAt({exchanges, lastContactAt}: ServicePaths): number {
+  let quietUntil = Infinity;
+  for (const exchange of exchanges) {
+    quietUntil = Math.min(quietUntil, exchange.quietUntil);
+  }
+  return Math.max(quietUntil, lastContactAt + QUIET_MS);
+}
+
+/**
+ * Returns the endpoints that are less likely to answer a probe: those that have
+ * failed, and those whose requests have been quiet for too long.
+ *
+ * @example
+ * const doubtfulEndpoints = findDoubtfulEndpoints(paths, clock.now());
+ */
+export function findDoubtfulEndpoints(
+  {failedEndpoints, exchanges}: ServicePaths,
+  now: number,
+): ReadonlySet<string> {
+  const doubtfulEndpoints = new Set(failedEndpoints);
+  for (const {endpoint, quietUntil} of exchanges) {
+    if (quietUntil <= now) {
+      doubtfulEndpoints.add(endpoint);
+    }
+  }
+  return doubtfulEndpoints;
 }
 
 /**
@@ -113,10 +146,10 @@
   paths: ServicePaths,
   ids: ReadonlySet<string>,
 ): void {
-  for (const id of paths.probedAt.keys()) {
-    if (!ids.has(id)) {
-      paths.probedAt.delete(id);
-    }
+  for (const times of [paths.probedAt, paths.lastBytesAt]) {
+    [...times.keys()]
+      .filter(id => !ids.has(id))
+      .forEach(id => times.delete(id));
   }
   for (const failed of [paths.failedEndpoints, paths.unconnectableEndpoints]) {
     [...failed].filter(id => !ids.has(id)).forEach(id => failed.delete(id));
--- a/packages/routing/src/test/endpointReach.test.ts
+++ b/packages/routing/src/test/endpointReach.test.ts
@@ -96,6 +96,29 @@
     assert.deepEqual(cutOffServices, []);
   });
 
+  it('tells which endpoints have sent bytes since a time', async () => {
+    const {clock, reach} = createPaths();
+    const exchange = reach.beginExchange(SERVICE, 'a1');
+    reach.beginExchange(SERVICE, 'b1');
+    assert.equal(reach.hasRespondedSince(SERVICE, 'a1', 0), false);
+    await clock.advance(100);
+    exchange.recordContact();
+    await clock.advance(100);
+    assert.equal(reach.hasRespondedSince(SERVICE, 'a1', 100), true);
+    assert.equal(reach.hasRespondedSince(SERVICE, 'a1', 101), false);
+    assert.equal(reach.hasRespondedSince(SERVICE, 'b1', 0), false);
+  });
+
+  // Guards against probes of the silent endpoint that show no other one to go on at.
+  it('probes an endpoint without silent requests first', async () => {
+    const {clock, reach, probed} = createPaths();
+    reach.beginExchange(SERVICE, 'a1');
+    await clock.advance(1_000);
+    assert.equal(probed.length, 1);
+    assert.notEqual(probed[0], 'a1');
+    assert.equal(reach.hasRespondedSince(SERVICE, probed[0]!, 0), true);
+  });
+
   // Guards against taking the loss of a failure domain for a cut of this entry.
   it('is not lost while one failure domain does not respond', async () => {
     const {clock, reach, setMode, cutOffServices} = createPaths();
