gateway: continue a begun stream while no endpoint responds

A stream whose endpoint crashes while all others stand still was broken off at once: no endpoint of the service responded, so its retry was rejected. A response that has begun cannot be rejected as not run, and the silent endpoints may go on within the time that its caller waits.

The retry, if the budget grants it, now goes to an endpoint all the same.

--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -251,8 +251,16 @@
     return {status: reply.sendError(error), error};
   }
 
-  /** Chooses the next endpoint, or the entry that takes the call over. */
-  function chooseNextStep(call: ForwardedCall, progress: Progress): NextStep {
+  /**
+   * Chooses the next endpoint, or the entry that takes the call over. A response
+   * that has begun cannot be rejected, so it goes on at an endpoint even if none
+   * responds at the moment.
+   */
+  function chooseNextStep(
+    call: ForwardedCall,
+    reply: CallerReply,
+    progress: Progress,
+  ): NextStep {
     if (progress.continuation !== undefined) {
       return chooseEndpointStep(call, progress);
     }
@@ -260,7 +268,7 @@
     if (peer !== undefined) {
       return {type: 'peer', peer};
     }
-    return reach.isLost(call.service)
+    return reach.isLost(call.service) && !reply.hasBegun()
       ? {type: 'reject', error: lostError(call.service)}
       : chooseEndpointStep(call, progress);
   }
@@ -357,7 +365,7 @@
     async forward(call, reply) {
       const progress = createProgress(clock.now(), call.handover);
       for (;;) {
-        const step = chooseNextStep(call, progress);
+        const step = chooseNextStep(call, reply, progress);
         if (step.type === 'reject') {
           const rejection = withRunState(step.error, progress.runCount);
           return toResult(respondWithError(reply, rejection), progress);
