gateway: learn no prompt time from endpoints that were silent

Attempts that are kept open beside a hedge may have their first event after a pause of seconds; before, they had been given up by then. That time went into the learned speed of the engines, which decides on how many endpoints are ordered and which requests are rejected as too late.

engineObserver.test.ts fails without the change.

--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -248,6 +248,7 @@
       race,
       stallTimeoutMs: options.retryRules.stallTimeoutMs(call, progress),
       onDidStall(stall) {
+        observer.recordStall();
         if (!watchedStream.isStopRequested()) {
           onDidStall(stall);
         }
--- a/packages/gateway/src/engineObserver.ts
+++ b/packages/gateway/src/engineObserver.ts
@@ -22,6 +22,11 @@
 export interface AttemptObserver {
   /** Returns a sink that also measures the intervals of the events. */
   wrap(sink: EventSink): EventSink;
+  /**
+   * Records that the endpoint is silent. The time of its first event then tells
+   * nothing about the speed of its engine.
+   */
+  recordStall(): void;
   /** Records that the first event has arrived. */
   recordBegin(): void;
   /** Records that the attempt has ended. */
@@ -60,6 +65,7 @@
 
 const NO_OBSERVER: AttemptObserver = {
   wrap: sink => sink,
+  recordStall() {},
   recordBegin() {},
   recordEnd() {},
 };
@@ -127,6 +133,7 @@
       const {loadBefore} = choice;
       const sentAt = clock.now();
       const stepMeter = createStepMeter(clock);
+      let hasStalled = false;
       if (isFresh) {
         options.onDidRecompute(service, rereadTokens);
       }
@@ -138,8 +145,9 @@
             return sink.write(frame);
           },
         }),
+        recordStall: () => void (hasStalled = true),
         recordBegin() {
-          if (!isFresh) {
+          if (!isFresh || hasStalled) {
             return;
           }
           model.recordPrompt({
--- a/packages/gateway/src/test/engineObserver.test.ts
+++ b/packages/gateway/src/test/engineObserver.test.ts
@@ -81,3 +81,41 @@
     assert.equal(wait.isTooLong, false);
   });
 });
+
+describe('observed attempt', () => {
+  /** Observes an attempt whose first event comes late; returns its records. */
+  async function observePrompt(isSilent: boolean) {
+    const clock = createVirtualClock();
+    const tookMs: number[] = [];
+    const observer = createEngineObserver({
+      model: {
+        ...createEngineModel(clock),
+        recordPrompt: prompt => void tookMs.push(prompt.tookMs),
+      },
+      clock,
+      estimateFor: () => reliableEstimate,
+      fitsKvCache: () => true,
+      tokensPerEvent: () => 4,
+      onDidRecompute() {},
+    });
+    const call = {
+      head: {demand},
+      route: {name: 'r1', goalMs: 800, timeoutMs: 4_000},
+      service: 'chat',
+    };
+    const choice = {tokensAhead: 0, cachedTokens: 0} as Choice;
+    const attempt = observer.observe(call, choice, true);
+    await clock.advance(1_500);
+    if (isSilent) {
+      attempt.recordStall();
+    }
+    attempt.recordBegin();
+    return tookMs;
+  }
+
+  // Guards against engines that seem slow, so that too many are ordered, after they stood still.
+  it('records no prompt time of an endpoint that was silent', async () => {
+    assert.deepEqual(await observePrompt(false), [1_500]);
+    assert.deepEqual(await observePrompt(true), []);
+  });
+});
