gateway: count a hedge that lost not against its version

A request with a second endpoint was an error of its version, since the first one had failed or declined it. With hedges, the first one may stand still and go on: a pause of a second would count as often as a fault and could roll a good version back.

The result of a request now tells whether an attempt failed or was declined. rolloutSample.test.ts: the first test fails without the change.

--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -283,6 +283,7 @@
       outcome: outcome !== 'ok' && isCutOff(call) ? 'cancelled' : outcome,
       latencyMs,
     });
+    progress.hasFailedAttempt ||= outcome !== 'ok' && outcome !== 'cancelled';
     progress.hasFailedToConnect = outcome === 'unreachable';
     if (progress.hasFailedToConnect) {
       reach.recordConnectFailure(call.service, choice.endpoint);
--- a/packages/gateway/src/forwardedCall.ts
+++ b/packages/gateway/src/forwardedCall.ts
@@ -58,6 +58,8 @@
   readonly firstByteMs: number | undefined;
   /** Ids of the endpoints that the call was sent to, in order. */
   readonly endpoints: readonly string[];
+  /** Whether an endpoint failed or declined the call. */
+  readonly hasFailedAttempt?: boolean;
   /** Ids of the entries that the call was handed over to, in order. */
   readonly peers?: readonly string[];
   /** Monotonic milliseconds of the first send; undefined if never sent. */
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -399,6 +399,7 @@
     firstSendAt,
     fingerprint,
     retryDenial,
+    hasFailedAttempt,
   }: Progress,
 ): ForwardingResult {
   return {
@@ -406,6 +407,7 @@
     error,
     firstByteMs,
     endpoints,
+    ...(hasFailedAttempt && {hasFailedAttempt}),
     ...(peers.length > 0 && {peers}),
     ...(tokensAhead !== undefined && {tokensAhead}),
     ...(firstSendAt !== undefined && {firstSendAt}),
--- a/packages/gateway/src/retryRules.ts
+++ b/packages/gateway/src/retryRules.ts
@@ -35,6 +35,8 @@
   readonly peers: string[];
   /** Whether the last attempt could not open a connection to its endpoint. */
   hasFailedToConnect: boolean;
+  /** Whether an endpoint failed or declined the request. */
+  hasFailedAttempt: boolean;
   /** Prompt tokens queued at the first endpoint before the first send. */
   tokensAhead: number | undefined;
   /** Number of endpoints that may have run the request. */
@@ -123,6 +125,7 @@
     excludedEndpoints: new Set(handover?.excludedEndpoints),
     peers: [],
     hasFailedToConnect: false,
+    hasFailedAttempt: false,
     tokensAhead: undefined,
     runCount: 0,
     startedAt: now,
--- a/packages/gateway/src/rolloutSample.ts
+++ b/packages/gateway/src/rolloutSample.ts
@@ -18,8 +18,8 @@
 
 /**
  * Returns the evidence from one request; undefined if the request is no
- * evidence about the version. A request that needed a second endpoint counts as
- * an error, since its first endpoint failed or declined it.
+ * evidence about the version. A request that an endpoint failed or declined
+ * counts as an error, even if another one answered it.
  *
  * @example
  * const sample = sampleOf(call, result);
@@ -30,7 +30,7 @@
     version,
     route,
   }: Pick<ForwardedCall, 'service' | 'version' | 'route'>,
-  {error, status, endpoints, peers, firstByteMs}: ForwardingResult,
+  {error, status, hasFailedAttempt, peers, firstByteMs}: ForwardingResult,
 ): RolloutSample | undefined {
   // The entry that took the request over has the evidence.
   if (peers !== undefined) {
@@ -40,7 +40,7 @@
     return undefined;
   }
   const isError =
-    error !== undefined || isServerError(status) || endpoints.length > 1;
+    error !== undefined || isServerError(status) || hasFailedAttempt === true;
   return {
     service,
     group: version,
