gateway: hedge a silent stream whose migration has failed

A draining endpoint that went dark after its notice kept its streams until their deadline: from the begin of a migration on, also after it had failed, no hedge was sent. Before the hedges, the idle timeout ended the attempt, and the stream was resumed.

A stall now only waits for a migration whose result is not known yet.

silentLeavers.test.ts: all 3 streams of the dark endpoint cut at their deadline before, in 3 of 3 runs; all 18 streams whole after.

--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -249,7 +249,7 @@
       stallTimeoutMs: options.retryRules.stallTimeoutMs(call, progress),
       onDidStall(stall) {
         observer.recordStall();
-        if (!watchedStream.isStopRequested()) {
+        if (!watchedStream.isMigrating()) {
           onDidStall(stall);
         }
       },
--- a/packages/gateway/src/streamMigration.ts
+++ b/packages/gateway/src/streamMigration.ts
@@ -26,6 +26,8 @@
 export interface WatchedStream extends Disposable {
   /** Whether the endpoint was requested to stop the stream. */
   isStopRequested(): boolean;
+  /** Whether a migration has begun and its result is not known yet. */
+  isMigrating(): boolean;
   /**
    * Waits for a migration in progress and returns its target; undefined if no
    * migration was started, or if it failed.
@@ -124,6 +126,7 @@
   return {
     watch({endpoint, attemptId, hasBegun, chooseEndpoint}) {
       let migration: Promise<Continuation | undefined> | undefined;
+      let isMigrating = false;
       let timer: Disposable | undefined;
       const subscription = directory.onDidLeave(leavingEndpoint => {
         if (leavingEndpoint !== endpoint || timer !== undefined) {
@@ -131,12 +134,16 @@
         }
         timer = clock.after(MIGRATION_DELAY_MS, () => {
           if (hasBegun()) {
-            migration = migrate(endpoint, attemptId, chooseEndpoint);
+            isMigrating = true;
+            migration = migrate(endpoint, attemptId, chooseEndpoint).finally(
+              () => (isMigrating = false),
+            );
           }
         });
       });
       return {
         isStopRequested: () => migration !== undefined,
+        isMigrating: () => isMigrating,
         continuation: () => migration ?? Promise.resolve(undefined),
         dispose() {
           subscription.dispose();
--- a/packages/gateway/src/test/testForwarding.ts
+++ b/packages/gateway/src/test/testForwarding.ts
@@ -52,6 +52,7 @@
 const noMigrator: StreamMigrator = {
   watch: () => ({
     isStopRequested: () => false,
+    isMigrating: () => false,
     continuation: async () => undefined,
     dispose: () => {},
   }),
@@ -66,6 +67,7 @@
       isFirst = false;
       return {
         isStopRequested: () => isMigrated,
+        isMigrating: () => false,
         async continuation() {
           const choice = isMigrated ? choose() : undefined;
           const kvCache = {source: '10.0.0.1:1', handle: 'h'};
