gateway: let no plain answer end a stream that has begun

A silent stream was hedged, and the second endpoint answered with 404 or another plain response below 500. That answer took the lead: the first attempt was aborted, and as its events had been passed on, the caller's connection was broken.

A plain answer now takes the lead only while nothing has been passed on. hedgedAttempts.test.ts: the case of 404 failed before.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -63,6 +63,8 @@
 
 /** Receives the events of a stream over all attempts of one request. */
 export interface EventSink {
+  /** Whether a head has been passed on. */
+  hasBegun(): boolean;
   /**
    * Passes on status, headers and how the end will be marked; ignored if they
    * have already been sent.
@@ -341,7 +343,7 @@
         });
         return;
       }
-      if (!isServerError(responseHead.status)) {
+      if (!isServerError(responseHead.status) && sink?.hasBegun() !== true) {
         race.lead();
       }
       settle({
--- a/packages/gateway/src/callerReply.ts
+++ b/packages/gateway/src/callerReply.ts
@@ -82,6 +82,7 @@
     lastEventId: () => lastEventId,
     eventCount: () => eventCount,
     sink: {
+      hasBegun: () => response.headersSent,
       begin({status, headers, framing}) {
         if (!response.headersSent) {
           writeHead(status, format.buildCallerHeaders(headers), framing);
