gateway: start no hedge after the end of a call

An attempt that was paused for a slow caller and ended meanwhile restarted its stall timer when the caller had read on, and a stall then started an attempt that nobody waited for.

hedging.test.ts and stallTimer.test.ts: one test each failed before.

--- a/packages/bench/src/engines/engineReplay.ts
+++ b/packages/bench/src/engines/engineReplay.ts
@@ -134,6 +134,7 @@
     }
     const observation = entry.observer.observe(call, choice, true);
     const sink = observation.wrap({
+      hasBegun: () => false,
       begin() {},
       write: () => true,
       whenDrained() {},
--- a/packages/gateway/src/hedging.ts
+++ b/packages/gateway/src/hedging.ts
@@ -97,7 +97,7 @@
       }
 
       function hedge(stalledDestination: Destination, stall: Stall): void {
-        if (runningCount > 1) {
+        if (runningCount !== 1) {
           return;
         }
         const destination = chooseHedge(call, progress, stall);
--- a/packages/gateway/src/stallTimer.ts
+++ b/packages/gateway/src/stallTimer.ts
@@ -99,6 +99,9 @@
       timer.dispose();
     },
     resume() {
+      if (isDisposed) {
+        return;
+      }
       isPaused = false;
       lastActivityAt = clock.now();
       timer.dispose();
--- a/packages/gateway/src/test/hedging.test.ts
+++ b/packages/gateway/src/test/hedging.test.ts
@@ -138,6 +138,15 @@
     assert.equal((await settled()).endpoint, 'a');
   });
 
+  // Guards against attempts that nobody waits for.
+  it('starts no attempt after the call has ended', async () => {
+    const {attempts, settled} = startCall(['b']);
+    attempts[0]!.end(CLOSED);
+    await settled();
+    attempts[0]!.onDidStall(STALL);
+    assert.equal(attempts.length, 1);
+  });
+
   // Guards against one stall that occupies the slots of many endpoints.
   it('runs at most two attempts at a time', async () => {
     const {attempts, settled} = startCall(['b', 'c']);
--- a/packages/gateway/src/test/stallTimer.test.ts
+++ b/packages/gateway/src/test/stallTimer.test.ts
@@ -73,6 +73,16 @@
     assert.equal(count, 1);
   });
 
+  // Guards against hedges of calls that have ended while their callers read slowly.
+  it('does not start again if it is resumed after it was disposed', async () => {
+    const {clock, timer, silentTimesMs} = startTimer();
+    timer.pause();
+    timer.dispose();
+    timer.resume();
+    await clock.advance(5 * TIMEOUT_MS);
+    assert.deepEqual(silentTimesMs, []);
+  });
+
   it('never fires without a timeout', async () => {
     const {clock, silentTimesMs} = startTimer({hasTimeout: false});
     await clock.advance(5 * TIMEOUT_MS);
