gateway: bound the time for which two endpoints work on a stream

A hedged stream ran at two endpoints until one of them sent an event, also if the first one was sound and only left this request waiting (in its queue, preempted, or hanging).

When a stream is hedged, the stalled endpoint is probed unless it has just sent bytes. If it responds, the second attempt takes the lead after 350 ms; if not, it may be paused or gone, would not notice the end of its attempt, and both go on. A probe is shared by all streams of an endpoint.

hedging.test.ts: the first new test fails without the change.

--- a/packages/gateway/src/attemptRace.ts
+++ b/packages/gateway/src/attemptRace.ts
@@ -7,8 +7,8 @@
 /** When an attempt started, compared with the one that it has superseded. */
 export type RivalOrder = 'earlier' | 'later';
 
-/** One attempt in the race of its request, until disposed. */
-export interface RaceEntry extends Disposable {
+/** One attempt in the race of its request. */
+export interface RaceEntry {
   /** Supersedes all other attempts; called before a response is passed on. */
   lead(): void;
   isSuperseded(): boolean;
@@ -19,8 +19,6 @@
 export interface AttemptRace {
   /** Adds an attempt. */
   enter(): RaceEntry;
-  /** Number of attempts that run and are not superseded. */
-  size(): number;
 }
 
 interface Runner {
@@ -66,9 +64,8 @@
         listeners.add(listener);
         return {dispose: () => void listeners.delete(listener)};
       },
-      dispose: () => void runners.delete(runner),
     };
   }
 
-  return {enter, size: () => runners.size};
+  return {enter};
 }
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -72,7 +72,15 @@
     options;
   const crashGuard = createCrashGuard(options);
   const attempts = createEndpointAttempts({...options, crashGuard});
-  const hedging = createHedging({runAttempt, chooseHedge, log});
+  const hedging = createHedging({
+    runAttempt,
+    chooseHedge,
+    isResponding: async ({service}, destination) =>
+      destination.type === 'endpoint' &&
+      reach.isResponding(service, destination.target.choice.endpoint),
+    clock,
+    log,
+  });
 
   /**
    * Returns undefined if the call is to be retried; else responds to the caller
--- a/packages/gateway/src/hedging.ts
+++ b/packages/gateway/src/hedging.ts
@@ -5,7 +5,11 @@
  * another one responds: giving it up first would lose the response if no other
  * endpoint can serve the request.
  */
-import type {Logger} from '@skylarkfield/base';
+import {
+  createDisposableStore,
+  type Clock,
+  type Logger,
+} from '@skylarkfield/base';
 import type {Member} from '@skylarkfield/members';
 import type {AttemptResult} from './attempt.js';
 import {createAttemptRace, type RaceEntry} from './attemptRace.js';
@@ -46,14 +50,7 @@
   ): Promise<AttemptEnd>;
 }
 
-/**
- * Creates the hedging of one entry.
- *
- * @example
- * const {destination, result} = await hedging.run(call, reply, progress,
- *   {type: 'endpoint', target});
- */
-export function createHedging(options: {
+interface HedgingOptions {
   runAttempt(
     call: ForwardedCall,
     reply: CallerReply,
@@ -70,60 +67,124 @@
     progress: Progress,
     stall: Stall,
   ): Destination | undefined;
+  /** Whether the destination responds to others. Must not reject. */
+  isResponding(call: ForwardedCall, destination: Destination): Promise<boolean>;
+  readonly clock: Clock;
   readonly log: Logger;
-}): Hedging {
-  const {runAttempt, chooseHedge, log} = options;
+}
+
+/** An attempt that runs. */
+interface Runner {
+  readonly destination: Destination;
+  readonly entry: RaceEntry;
+}
+
+/**
+ * Time for which two endpoints may work on one stream if both of them respond,
+ * in milliseconds. An endpoint that does not respond would not notice the end of
+ * its attempt either.
+ */
+const MAX_OVERLAP_MS = 350;
+
+/**
+ * Creates the hedging of one entry.
+ *
+ * @example
+ * const {destination, result} = await hedging.run(call, reply, progress,
+ *   {type: 'endpoint', target});
+ */
+export function createHedging(options: HedgingOptions): Hedging {
   return {
-    async run(call, reply, progress, firstDestination) {
-      const race = createAttemptRace();
-      let runningCount = 0;
-      let end: AttemptEnd | undefined;
-
-      async function start(destination: Destination): Promise<void> {
-        const entry = race.enter();
-        runningCount += 1;
-        const result = await runAttempt(call, reply, progress, destination, {
-          race: entry,
-          onDidStall: stall => hedge(destination, stall),
-        });
-        entry.dispose();
-        runningCount -= 1;
-        if (
-          !entry.isSuperseded() &&
-          (isAnswer(result) || !isAnswer(end?.result))
-        ) {
-          end = {destination, result};
-        }
-      }
+    run: (call, reply, progress, destination) =>
+      runHedged(options, call, reply, progress, destination),
+  };
+}
 
-      function hedge(stalledDestination: Destination, stall: Stall): void {
-        if (runningCount !== 1) {
-          return;
-        }
-        const destination = chooseHedge(call, progress, stall);
-        if (destination === undefined) {
-          return;
+async function runHedged(
+  {runAttempt, chooseHedge, isResponding, clock, log}: HedgingOptions,
+  call: ForwardedCall,
+  reply: CallerReply,
+  progress: Progress,
+  firstDestination: Destination,
+): Promise<AttemptEnd> {
+  const race = createAttemptRace();
+  const runners = new Set<Runner>();
+  const timers = createDisposableStore();
+  let end: AttemptEnd | undefined;
+
+  function start(destination: Destination): Runner {
+    const runner = {destination, entry: race.enter()};
+    runners.add(runner);
+    pending.push(finish(runner));
+    return runner;
+  }
+
+  async function finish(runner: Runner): Promise<void> {
+    const {destination, entry} = runner;
+    const result = await runAttempt(call, reply, progress, destination, {
+      race: entry,
+      onDidStall: stall => hedge(runner, stall),
+    });
+    runners.delete(runner);
+    const isFinal = isAnswer(result) || !isAnswer(end?.result);
+    if (entry.isSuperseded() || !isFinal) {
+      return;
+    }
+    end = {destination, result};
+  }
+
+  function hedge(stalledRunner: Runner, stall: Stall): void {
+    if (runners.size !== 1) {
+      return;
+    }
+    const destination = chooseHedge(call, progress, stall);
+    if (destination === undefined) {
+      return;
+    }
+    log.info(
+      {
+        request: call.attemptId,
+        silent: nameOf(stalledRunner.destination),
+        to: nameOf(destination),
+        silentMs: Math.round(stall.silentMs),
+      },
+      'request hedged',
+    );
+    const hedgeRunner = start(destination);
+    if (call.route.kind === 'streaming') {
+      boundOverlap(stalledRunner, hedgeRunner);
+    }
+  }
+
+  /** Ends the stalled attempt if its endpoint only leaves this request waiting. */
+  function boundOverlap(stalledRunner: Runner, hedgeRunner: Runner): void {
+    let isStalledResponding = false;
+    void isResponding(call, stalledRunner.destination).then(
+      value => (isStalledResponding = value),
+    );
+    timers.add(
+      clock.after(MAX_OVERLAP_MS, () => {
+        if (isStalledResponding && runners.has(hedgeRunner)) {
+          hedgeRunner.entry.lead();
         }
-        log.info(
-          {
-            request: call.attemptId,
-            silent: nameOf(stalledDestination),
-            to: nameOf(destination),
-            silentMs: Math.round(stall.silentMs),
-          },
-          'request hedged',
-        );
-        pending.push(start(destination));
-      }
-
-      const pending = [start(firstDestination)];
-      // The list may grow while an attempt runs.
-      for (const attempt of pending) {
-        await attempt;
-      }
-      return end!;
-    },
-  };
+      }),
+    );
+  }
+
+  const pending: Promise<void>[] = [];
+  start(firstDestination);
+  try {
+    // The list may grow while an attempt runs.
+    for (const attempt of pending) {
+      await attempt;
+    }
+  } finally {
+    timers.dispose();
+  }
+  if (end === undefined) {
+    throw new Error('all attempts of a call are superseded');
+  }
+  return end;
 }
 
 /** Whether the endpoint answered, so that a later failure counts for less. */
--- a/packages/gateway/src/test/hedgedAttempts.test.ts
+++ b/packages/gateway/src/test/hedgedAttempts.test.ts
@@ -66,11 +66,13 @@
         onDidBegin() {},
       }),
     chooseHedge: () => destinationOf('b'),
+    isResponding: async () => false,
+    clock,
     log: createSilentLogger(),
   });
   const end = hedging.run(
-    {attemptId: 'r1'} as ForwardedCall,
-    {} as CallerReply,
+    {attemptId: 'r1', route: {kind: 'streaming'}} as ForwardedCall,
+    {hasBegun: () => hasBegun} as CallerReply,
     createProgress(0),
     destinationOf('a'),
   );
--- a/packages/gateway/src/test/hedging.test.ts
+++ b/packages/gateway/src/test/hedging.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createSilentLogger, ServingError} from '@skylarkfield/base';
+import {
+  createSilentLogger,
+  createVirtualClock,
+  ServingError,
+} from '@skylarkfield/base';
 import type {AttemptResult} from '../attempt.js';
 import type {CallerReply} from '../callerReply.js';
 import type {ForwardedCall} from '../forwardedCall.js';
@@ -41,7 +45,8 @@
 }
 
 /** Runs a call at endpoint `a`, and at the endpoints of `hedges` if it stalls. */
-function startCall(hedges: readonly string[]) {
+function startCall(hedges: readonly string[], {isResponding = false} = {}) {
+  const clock = createVirtualClock();
   const attempts: TestAttempt[] = [];
   const remainingHedges = [...hedges];
   const hedging = createHedging({
@@ -53,15 +58,18 @@
       const endpoint = remainingHedges.shift();
       return endpoint === undefined ? undefined : destinationOf(endpoint);
     },
+    isResponding: async () => isResponding,
+    clock,
     log: createSilentLogger(),
   });
   const end = hedging.run(
-    {attemptId: 'r1'} as ForwardedCall,
-    {} as CallerReply,
+    {attemptId: 'r1', route: {kind: 'streaming'}} as ForwardedCall,
+    {hasBegun: () => false} as CallerReply,
     createProgress(0),
     destinationOf('a'),
   );
   return {
+    clock,
     attempts,
     async settled() {
       const {destination, result} = await end;
@@ -138,6 +146,34 @@
     assert.equal((await settled()).endpoint, 'a');
   });
 
+  // Guards against two endpoints that work on one stream although both respond.
+  it('supersedes a silent attempt at an endpoint that responds to others', async () => {
+    const {attempts, clock} = startCall(['b'], {isResponding: true});
+    attempts[0]!.onDidStall(STALL);
+    await clock.advance(349);
+    assert.ok(!attempts[0]!.race.isSuperseded());
+    await clock.advance(1);
+    assert.ok(attempts[0]!.race.isSuperseded());
+    assert.ok(!attempts[1]!.race.isSuperseded());
+  });
+
+  it('keeps a silent attempt at an endpoint that does not respond', async () => {
+    const {attempts, clock} = startCall(['b']);
+    attempts[0]!.onDidStall(STALL);
+    await clock.advance(2_000);
+    assert.ok(!attempts[0]!.race.isSuperseded());
+  });
+
+  it('keeps a silent attempt if the other one has failed', async () => {
+    const {attempts, clock, settled} = startCall(['b'], {isResponding: true});
+    attempts[0]!.onDidStall(STALL);
+    attempts[1]!.end(CLOSED);
+    await clock.advance(2_000);
+    assert.ok(!attempts[0]!.race.isSuperseded());
+    attempts[0]!.end(STREAMED);
+    assert.equal((await settled()).endpoint, 'a');
+  });
+
   // Guards against attempts that nobody waits for.
   it('starts no attempt after the call has ended', async () => {
     const {attempts, settled} = startCall(['b']);
--- a/packages/routing/src/endpointReach.ts
+++ b/packages/routing/src/endpointReach.ts
@@ -69,6 +69,11 @@
    * milliseconds.
    */
   hasRespondedSince(service: string, endpoint: string, since: number): boolean;
+  /**
+   * Returns whether the endpoint responds, after a probe if it has sent no bytes
+   * recently.
+   */
+  isResponding(service: string, endpoint: string): Promise<boolean>;
   /** Records that an endpoint closed its connection or did not respond. */
   recordFailure(service: string, endpoint: string): void;
   /** Records that no connection to the endpoint could be opened. */
@@ -232,7 +237,7 @@
     paths.timer = undefined;
   }
 
-  async function probe(paths: ServicePaths, {id}: ProbeTarget) {
+  async function probe(paths: ServicePaths, id: string): Promise<boolean> {
     paths.probedAt.set(id, clock.now());
     totals.probes += 1;
     const isAnswered = await options.probe(id, PROBE_TIMEOUT_MS);
@@ -258,7 +263,7 @@
       isLost(paths) ? MAX_RECOVERY_PROBES : MAX_PROBES,
     );
     const isAnyAnswered = await probeInTurn(clock, targets, target =>
-      probe(paths, target),
+      probeOnce(paths, target.id),
     );
     if (!isAnyAnswered) {
       targets.forEach(({id}) => paths.unconnectableEndpoints.add(id));
@@ -327,6 +332,26 @@
     });
   }
 
+  function hasRespondedSince(
+    service: string,
+    endpoint: string,
+    since: number,
+  ): boolean {
+    const bytesAt = pathsByService.get(service)?.lastBytesAt.get(endpoint);
+    return bytesAt !== undefined && bytesAt >= since;
+  }
+
+  /** Joins a probe of the endpoint that is unanswered yet. */
+  function probeOnce(paths: ServicePaths, id: string): Promise<boolean> {
+    const current = paths.probes.get(id);
+    if (current !== undefined) {
+      return current;
+    }
+    const answer = probe(paths, id).finally(() => paths.probes.delete(id));
+    paths.probes.set(id, answer);
+    return answer;
+  }
+
   function forgetRemovedEndpoints(paths: ServicePaths): void {
     const endpoints = options.endpointsOf(paths.service);
     retainEndpoints(paths, new Set(endpoints.map(({id}) => id)));
@@ -371,9 +396,12 @@
         dispose: () => void paths.exchanges.delete(exchange),
       };
     },
-    hasRespondedSince(service, endpoint, since) {
-      const bytesAt = pathsByService.get(service)?.lastBytesAt.get(endpoint);
-      return bytesAt !== undefined && bytesAt >= since;
+    hasRespondedSince,
+    isResponding(service, endpoint) {
+      if (hasRespondedSince(service, endpoint, clock.now() - QUIET_MS)) {
+        return Promise.resolve(true);
+      }
+      return probeOnce(pathsOf(service), endpoint);
     },
     recordFailure: (service, endpoint) =>
       void pathsOf(service).failedEndpoints.add(endpoint),
--- a/packages/routing/src/servicePaths.ts
+++ b/packages/routing/src/servicePaths.ts
@@ -40,6 +40,8 @@
   /** Endpoints that have failed since they last sent bytes. */
   readonly failedEndpoints: Set<string>;
   readonly probedAt: Map<string, number>;
+  /** Unanswered probes by endpoint. */
+  readonly probes: Map<string, Promise<boolean>>;
   lastContactAt: number;
   /** Start of the last round of probes. */
   lastRoundAt: number;
@@ -69,6 +71,7 @@
     unconnectableEndpoints: new Set(),
     failedEndpoints: new Set(),
     probedAt: new Map(),
+    probes: new Map(),
     lastContactAt: -Infinity,
     lastRoundAt: -Infinity,
     isProbing: false,
