gateway: hold back an endpoint's error for 300 ms at most

A request whose hedge ended with a 5xx of its endpoint waited for the silent attempt, until the deadline if need be, before the caller got that answer. Before the hedges it was passed on at once.

The silent attempt now has 300 ms more. Once events have been passed on, the error is of no use to the caller, and the silent attempt goes on.

hedging.test.ts: the new test fails without the change.

--- a/packages/gateway/src/hedging.ts
+++ b/packages/gateway/src/hedging.ts
@@ -86,6 +86,12 @@
  */
 const MAX_OVERLAP_MS = 350;
 
+/**
+ * Time for which an endpoint's own error is held back while another attempt is
+ * silent, in milliseconds.
+ */
+const ERROR_GRACE_MS = 300;
+
 /**
  * Creates the hedging of one entry.
  *
@@ -131,6 +137,9 @@
       return;
     }
     end = {destination, result};
+    if (isAnswer(result) && runners.size > 0 && !reply.hasBegun()) {
+      timers.add(clock.after(ERROR_GRACE_MS, entry.lead));
+    }
   }
 
   function hedge(stalledRunner: Runner, stall: Stall): void {
--- a/packages/gateway/src/test/hedging.test.ts
+++ b/packages/gateway/src/test/hedging.test.ts
@@ -174,6 +174,19 @@
     assert.equal((await settled()).endpoint, 'a');
   });
 
+  // Guards against an error that is held back until the deadline.
+  it('returns an error of an endpoint if the other attempt stays silent', async () => {
+    const {attempts, clock, settled} = startCall(['b']);
+    attempts[0]!.onDidStall(STALL);
+    attempts[1]!.end(answered(500));
+    await clock.advance(299);
+    assert.ok(!attempts[0]!.race.isSuperseded());
+    await clock.advance(1);
+    assert.ok(attempts[0]!.race.isSuperseded());
+    attempts[0]!.end(CLOSED);
+    assert.equal((await settled()).endpoint, 'b');
+  });
+
   // Guards against attempts that nobody waits for.
   it('starts no attempt after the call has ended', async () => {
     const {attempts, settled} = startCall(['b']);
