bench: pause engines in the reclaim measurement

The measurement had engines that stay silent, none that pause and go on.

Change: rows for engines of one domain, or all, that pause for 1.4 s or 4 s; figures for attempts sent and retries taken. A refused retry no longer counts against the budget, as in admission's.

--- a/packages/bench/src/reclaim.ts
+++ b/packages/bench/src/reclaim.ts
@@ -7,6 +7,9 @@
   notice1500ms: {type: 'notice', noticeMs: 1500},
   crash: {type: 'crash'},
   silence: {type: 'silence'},
+  pause1400ms: {type: 'pause', durationMs: 1400, isEverywhere: false},
+  pauseAll1400ms: {type: 'pause', durationMs: 1400, isEverywhere: true},
+  pauseAll4000ms: {type: 'pause', durationMs: 4000, isEverywhere: true},
 };
 
 /**
--- a/packages/bench/src/reclaim/fleet.ts
+++ b/packages/bench/src/reclaim/fleet.ts
@@ -6,6 +6,7 @@
 import {
   createSimulatedEngine,
   createLocalEngine,
+  type EngineFault,
   type SimulatedEngine,
 } from '@skylarkfield/standins';
 
@@ -15,7 +16,13 @@
   /** Processes exit; connections break at once. */
   | {readonly type: 'crash'}
   /** Hosts stop responding; connections stay open. */
-  | {readonly type: 'silence'};
+  | {readonly type: 'silence'}
+  /** Engines of one or all failure domains stop for a while, and go on. */
+  | {
+      readonly type: 'pause';
+      readonly durationMs: number;
+      readonly isEverywhere: boolean;
+    };
 
 export interface FleetEndpoint {
   readonly candidate: Candidate;
@@ -30,7 +37,7 @@
 
 const REPLICA_COUNT = 8;
 const FAILURE_DOMAINS = ['a', 'b', 'c', 'd'];
-export const RECLAIMED_DOMAIN = 'b';
+const RECLAIMED_DOMAIN = 'b';
 
 /**
  * Creates endpoints with simulated engines, spread over the failure domains.
@@ -76,9 +83,18 @@
   });
 }
 
+/** Returns whether an endpoint is lost, or pauses, in a reclaim. */
+export function isAffected(
+  {candidate}: FleetEndpoint,
+  reclaim: Reclaim,
+): boolean {
+  const isEverywhere = reclaim.type === 'pause' && reclaim.isEverywhere;
+  return isEverywhere || candidate.failureDomain === RECLAIMED_DOMAIN;
+}
+
 /**
- * Reclaims `RECLAIMED_DOMAIN`: after the notice period for type `notice`, at
- * once for all other types.
+ * Reclaims the affected endpoints: after the notice period for type `notice`,
+ * at once for all other types.
  *
  * @example
  * reclaimDomain(clock, fleet, {type: 'crash'}, markLeaving);
@@ -89,13 +105,19 @@
   reclaim: Reclaim,
   markLeaving: (endpoint: string) => void,
 ): void {
-  const reclaimedEndpoints = fleet.filter(
-    ({candidate}) => candidate.failureDomain === RECLAIMED_DOMAIN,
+  const reclaimedEndpoints = fleet.filter(endpoint =>
+    isAffected(endpoint, reclaim),
   );
-  if (reclaim.type === 'silence') {
+  function setFaults(faults: readonly EngineFault[]) {
     reclaimedEndpoints.forEach(({simulatedEngine}) =>
-      simulatedEngine.setFaults([{type: 'pause'}]),
+      simulatedEngine.setFaults(faults),
     );
+  }
+  if (reclaim.type === 'pause') {
+    clock.after(reclaim.durationMs, () => setFaults([]));
+  }
+  if (reclaim.type === 'silence' || reclaim.type === 'pause') {
+    setFaults([{type: 'pause'}]);
     return;
   }
   const noticeMs = reclaim.type === 'notice' ? reclaim.noticeMs : 0;
--- a/packages/bench/src/reclaim/replay.ts
+++ b/packages/bench/src/reclaim/replay.ts
@@ -22,8 +22,8 @@
 } from '@skylarkfield/streams';
 import {distinctWords} from '../routing/workloads.js';
 import {
-  RECLAIMED_DOMAIN,
   createEngineFleet,
+  isAffected,
   reclaimDomain,
   type FleetEndpoint,
   type Reclaim,
@@ -42,6 +42,10 @@
   /** Answers that differ from the expected text; must be 0. */
   readonly wrong: number;
   readonly recomputedTokens: number;
+  /** Attempts sent to an engine. */
+  readonly sends: number;
+  /** Retries taken from the retry budget. */
+  readonly retries: number;
   /** Quantiles of the longest time without a new token per affected stream. */
   readonly pauseP50Ms: number;
   readonly pauseP95Ms: number;
@@ -56,6 +60,7 @@
   isAffected: boolean;
   isDone: boolean;
   recomputedTokens: number;
+  sends: number;
   hasStarted: boolean;
   /** Engine of the latest attempt. */
   engineId: string;
@@ -69,6 +74,8 @@
 const ENTRY_COUNT = 2;
 const POLL_MS = 400;
 const MAX_PLAIN_ATTEMPTS = 6;
+/** Interval at which plain retry checks whether its engine is paused. */
+const PLAIN_CHECK_MS = 800;
 /** Retries allowed per request of an entry, beyond `MIN_RETRY_BUDGET`. */
 const RETRY_BUDGET_FRACTION = 0.1;
 const MIN_RETRY_BUDGET = 10;
@@ -167,11 +174,13 @@
     stream: StreamState,
     endpoint: FleetEndpoint,
   ): Engine {
-    const {engine} = endpoint;
+    const {engine} =
+      policy === 'plain' ? {engine: breakOffWhenPaused(endpoint)} : endpoint;
     async function* generate(
       ...[request, signal]: Parameters<Engine['generate']>
     ): AsyncGenerator<GenerationEvent> {
       stream.engineId = endpoint.candidate.id;
+      stream.sends += 1;
       for await (const event of engine.generate(request, signal)) {
         if (event.type === 'start') {
           const total = event.promptTokens + request.delivered.length;
@@ -190,6 +199,32 @@
     return {...engine, generate};
   }
 
+  /** Wraps an engine to break off its streams while it is paused. */
+  function breakOffWhenPaused({
+    engine,
+    simulatedEngine,
+  }: FleetEndpoint): Engine {
+    async function* generate(
+      ...[request, signal]: Parameters<Engine['generate']>
+    ): AsyncGenerator<GenerationEvent> {
+      const controller = new AbortController();
+      const checks = scheduleRepeatedly(clock, PLAIN_CHECK_MS, () => {
+        if (simulatedEngine.hasFault('pause')) {
+          controller.abort();
+        }
+      });
+      try {
+        yield* engine.generate(
+          request,
+          AbortSignal.any([signal, controller.signal]),
+        );
+      } finally {
+        checks.dispose();
+      }
+    }
+    return {...engine, generate};
+  }
+
   function recordToken(stream: StreamState, index: number, text: string) {
     if (index < stream.tokens.length) {
       return;
@@ -219,10 +254,13 @@
             pickEndpoint: (excluded, delivered) =>
               chooseEndpoint(stream, entry.router, excluded, delivered),
             mayRetry() {
-              entry.retries += 1;
               const budget =
                 MIN_RETRY_BUDGET + entry.requests * RETRY_BUDGET_FRACTION;
-              return entry.retries <= budget;
+              if (entry.retries >= budget) {
+                return false;
+              }
+              entry.retries += 1;
+              return true;
             },
             deliver: token => recordToken(stream, token.index, token.text),
           },
@@ -262,6 +300,7 @@
       isAffected: false,
       isDone: false,
       recomputedTokens: 0,
+      sends: 0,
       hasStarted: false,
       engineId: '',
     };
@@ -276,7 +315,7 @@
   function startReclaim() {
     const reclaimedIds = new Set(
       fleet
-        .filter(({candidate}) => candidate.failureDomain === RECLAIMED_DOMAIN)
+        .filter(endpoint => isAffected(endpoint, reclaim))
         .map(({candidate}) => candidate.id),
     );
     for (const stream of streams) {
@@ -293,10 +332,14 @@
   for (let ms = 0; ms < RUN_MS; ms += STEP_MS) {
     await clock.advance(STEP_MS);
   }
-  return summarize(streams);
+  const retries = entries.reduce((sum, entry) => sum + entry.retries, 0);
+  return summarize(streams, retries);
 }
 
-function summarize(streams: readonly StreamState[]): ReclaimFigures {
+function summarize(
+  streams: readonly StreamState[],
+  retries: number,
+): ReclaimFigures {
   const affectedStreams = streams.filter(({isAffected}) => isAffected);
   const otherStreams = streams.filter(({isAffected}) => !isAffected);
   const pausesMs = affectedStreams
@@ -314,6 +357,8 @@
       (sum, {recomputedTokens}) => sum + recomputedTokens,
       0,
     ),
+    sends: streams.reduce((sum, {sends}) => sum + sends, 0),
+    retries,
     pauseP50Ms: quantile(0.5),
     pauseP95Ms: quantile(0.95),
     pauseMaxMs: quantile(1),
