streams: keep a stalled attempt open while another one is tried

Callers lost answers whose engines went on. Real processes, 12 streams of a service with two engines: both suspended for 4 s, 0 of 12 completed (502 "the engine sends no tokens and does not respond to probes"), in mid-stream, before the first token, and while the entry stops; one of two suspended for 4 s before the first token, 9 of 12.

Cause: an attempt that stalled was cancelled before the next one was chosen. The next engine could be silent too, or none or no retry could be left; then the only answer was given up. While all engines were silent, each stream was sent to one silent engine after another.

Ruled out: calls to plain services and orders; both wait until their deadline (suspended for 4 s: 8 of 8 each).

Change: a stalled attempt stays open. Another one starts at an engine that responds to a probe, if a retry is left, at the price of a retry as before; the first to send the next token goes on, the others are cancelled. If engines were silent together, the stalled one is asked first and gets the time of a busy engine when it responds.

--- a/packages/bench/src/test/failures.test.ts
+++ b/packages/bench/src/test/failures.test.ts
@@ -7,7 +7,7 @@
   streamChat,
   trialHeaders,
 } from '../processes/trialCalls.js';
-import type {TrialFleet} from '../processes/trialFleet.js';
+import {TRIAL_ADMIN_KEY, type TrialFleet} from '../processes/trialFleet.js';
 import {waitUntil} from '../processes/waitUntilServing.js';
 
 const PLAIN_ENDPOINTS = ['b1', 'b2'];
@@ -72,6 +72,26 @@
     assert.equal(listedUrls.length, 2);
   });
 
+  // All engines are suspended for a while, and the entry is told to stop. The
+  // stream was given up for other attempts until no retry was left.
+  it('completes a stream while all engines pause and its entry stops', async () => {
+    const {fleet, urls} = await startServing();
+    const expected = await streamChat(urls[1]!, QUESTION, 160);
+    let stopPromise: Promise<number | null> | undefined;
+    let resumePromise: Promise<void> | undefined;
+    const answer = await streamChat(urls[0]!, QUESTION, 160, count => {
+      if (count >= 40) {
+        resumePromise ??= pauseEnginesUntilStalled(fleet);
+        stopPromise ??= fleet.entries[0]!.stop();
+      }
+    });
+    await resumePromise;
+    assert.equal(answer.error, undefined);
+    assert.equal(answer.text, expected.text);
+    assert.equal(answer.usage?.['attempts'], 1);
+    assert.equal(await stopPromise, 0);
+  });
+
   // Callers cache lookups and send requests to an entry that is draining.
   // Without an explicit refusal, callers could not tell whether a retry is
   // safe.
@@ -184,3 +204,31 @@
   }
   throw new Error('no engine is busy');
 }
+
+/**
+ * Suspends all engines until the first entry has chosen endpoints several times
+ * for its stalled stream.
+ */
+async function pauseEnginesUntilStalled(fleet: TrialFleet): Promise<void> {
+  const engines = ['m1', 'm2'].map(id => fleet.endpoints.get(id)!);
+  const choicesBefore = await countChoices(fleet);
+  engines.forEach(engine => engine.pause());
+  try {
+    await waitUntil(
+      'the entry looks for another engine',
+      async () => (await countChoices(fleet)) >= choicesBefore + 4,
+    );
+  } finally {
+    engines.forEach(engine => engine.resume());
+  }
+}
+
+async function countChoices(fleet: TrialFleet): Promise<number> {
+  const response = await fetch(`${fleet.entries[0]!.ready['admin']}/dump`, {
+    headers: {authorization: `Bearer ${TRIAL_ADMIN_KEY}`},
+  });
+  const dump = (await response.json()) as {
+    routing: {totals: {choices: number}};
+  };
+  return dump.routing.totals.choices;
+}
--- a/packages/bench/src/test/streamFaults.test.ts
+++ b/packages/bench/src/test/streamFaults.test.ts
@@ -24,6 +24,10 @@
 async function runWithFaults(
   faults: readonly EngineFault[],
   onToken: (index: number, faultyEngine: {set(f: EngineFault[]): void}) => void,
+  onChoice: (
+    count: number,
+    allEngines: {set(f: EngineFault[]): void},
+  ) => void = () => {},
 ) {
   const clock = systemClock();
   const standins = await Promise.all(
@@ -58,6 +62,10 @@
     })),
   );
   const chosenEndpoints: string[] = [];
+  const allEngines = {
+    set: (f: EngineFault[]) =>
+      standins.forEach(standin => void standin.setFaults(f)),
+  };
   function chooseEndpoint(excluded: ReadonlySet<string>): EndpointPick {
     // The first attempt has to use the engine with faults.
     const excludedEndpoints = new Set(
@@ -72,6 +80,7 @@
     });
     assert.ok(choice);
     chosenEndpoints.push(choice.endpoint);
+    onChoice(chosenEndpoints.length, allEngines);
     const index = Number(choice.endpoint.slice(1));
     return {
       endpoint: choice.endpoint,
@@ -159,4 +168,28 @@
     assert.deepEqual(texts, expected);
     assert.equal(summary.attempts, 2);
   });
+
+  // All engines pause at once. The stream was given up for another silent
+  // engine, which computed the prompt again.
+  it('continues on the same engine when all engines pause and go on', async () => {
+    let isPaused = false;
+    const {texts, summary, endpoints} = await runWithFaults(
+      [],
+      (index, faultyEngine) => {
+        if (index === 6) {
+          faultyEngine.set([{type: 'pause'}]);
+          isPaused = true;
+        }
+      },
+      (count, allEngines) => {
+        // The first choice after the pause shows that the stream has stalled.
+        if (isPaused) {
+          allEngines.set(count < 4 ? [{type: 'pause'}] : []);
+        }
+      },
+    );
+    assert.deepEqual(texts, expected);
+    assert.equal(summary.attempts, 1);
+    assert.ok(endpoints.length >= 4);
+  });
 });
--- a/packages/streams/src/attempt.ts
+++ b/packages/streams/src/attempt.ts
@@ -2,8 +2,10 @@
 import {
   ServingError,
   createDisposableStore,
+  toDisposable,
   toServingError,
   type Clock,
+  type Disposable,
 } from '@skylarkfield/base';
 import type {
   AttemptResult,
@@ -26,11 +28,32 @@
 type EndEvent = GenerationEvent & {readonly type: 'end'};
 type Outcome = AttemptResult['outcome'];
 
-/** How an attempt ended: completed, failed or migrated. */
+/** Why an attempt failed or stalled. */
+export interface AttemptFailure {
+  readonly error: ServingError;
+  /** Whether the attempt has delivered a token. */
+  readonly hasProgress: boolean;
+  /** Whether the engine responds to probes; undefined if not known. */
+  readonly isResponding?: boolean;
+}
+
+/** How an attempt ended: completed, failed, migrated or superseded. */
 export type AttemptEnd =
   | {readonly type: 'ended'; readonly event: EndEvent}
-  | {readonly type: 'lost'; readonly error: ServingError}
-  | {readonly type: 'moved'; readonly target: AttemptTarget};
+  | ({readonly type: 'lost'} & AttemptFailure)
+  | {readonly type: 'moved'; readonly target: AttemptTarget}
+  | {readonly type: 'superseded'};
+
+/** Control of a stalled attempt. */
+export interface StalledAttempt {
+  /** Waits for tokens again, as the engine responds again. */
+  rearm(): void;
+  /**
+   * Finishes the pick as failed, as another engine responds; the attempt stays
+   * open. Otherwise further requests would be sent to the silent engine.
+   */
+  finishPick(): void;
+}
 
 export interface AttemptOptions {
   readonly clock: Clock;
@@ -43,12 +66,22 @@
   /** Picks an endpoint other than `target`'s; throws if none is available. */
   pickEndpoint(): EndpointPick;
   deliver(token: StreamToken): void | Promise<void>;
+  /**
+   * Called before each token and before the end event; supersedes all other
+   * open attempts of the request.
+   */
+  claim(): void;
+  /** Called when the engine has stalled; the attempt stays open. */
+  onStall(failure: AttemptFailure, attempt: StalledAttempt): void;
+  /** Aborts when another attempt has sent the next event. */
+  readonly supersededSignal: AbortSignal;
   /** Aborts when the caller aborts the request. */
   readonly signal: AbortSignal;
 }
 
 /**
- * Runs one attempt. Rejects only when the whole request has to end, because the
+ * Runs one attempt, which stays open when its engine stalls: only a superseding
+ * attempt or the request's deadline ends it then. Rejects only when the whole request has to end, because the
  * caller aborted it or a deadline passed.
  *
  * @example
@@ -66,6 +99,9 @@
   const abortController = disposables.add(
     createAttemptAbortController(clock, options.signal),
   );
+  /** Set while the engine is stalled. */
+  let stallError: ServingError | undefined;
+  let isPickFinished = false;
   const meter = createAttemptMeter({
     clock,
     costs,
@@ -78,14 +114,29 @@
       clock,
       limits,
       probe: () => probeLiveness(clock, engine, limits.probeTimeoutMs),
-      onStall: message =>
-        abortController.abort({
-          type: 'lost',
-          error: new ServingError('interrupted', message),
-        }),
+      onStall({message, isResponding}) {
+        stallError = new ServingError('interrupted', message);
+        const hasProgress = meter.hasFirstToken;
+        options.onStall(
+          {error: stallError, hasProgress, isResponding},
+          {rearm, finishPick: () => finishPick('failed')},
+        );
+      },
     }),
   );
 
+  function rearm() {
+    stallError = undefined;
+    armStallDetector(limits.firstTokenProbeDelayMs * limits.stallTimeoutFactor);
+  }
+
+  function claim() {
+    stallError = undefined;
+    progress.endpoint = pick.endpoint;
+    progress.stateMachine = stateMachine;
+    options.claim();
+  }
+
   /**
    * Estimated milliseconds until the answer reaches `maxTokens`; undefined
    * while the engine sends no tokens.
@@ -127,6 +178,7 @@
       throw new ServingError('protocol-violation', verdict.message);
     }
     if (verdict.type === 'end') {
+      claim();
       meter.recordStart(verdict.event);
       return verdict.event;
     }
@@ -136,6 +188,7 @@
       meter.recordStart(verdict.event);
     }
     if (verdict.type === 'deliver') {
+      claim();
       await deliverToken(verdict.text);
     }
     return undefined;
@@ -164,7 +217,7 @@
     );
   }
 
-  function armStallDetector() {
+  function armStallDetector(maxFirstTokenMs = Number.POSITIVE_INFINITY) {
     if (meter.hasFirstToken) {
       stallDetector.arm();
       return;
@@ -173,12 +226,20 @@
       deliveredTokens.length === 0
         ? request.firstTokenDeadline
         : request.deadline;
+    const remainingMs = deadline - clock.now();
     stallDetector.armForFirstToken(
-      (deadline - clock.now()) * limits.firstTokenDeadlineFraction,
+      Math.min(
+        maxFirstTokenMs,
+        remainingMs * limits.firstTokenDeadlineFraction,
+      ),
     );
   }
 
   function finishPick(outcome: Outcome, cachedTokens?: number) {
+    if (isPickFinished) {
+      return;
+    }
+    isPickFinished = true;
     pick.finish({
       outcome,
       latencyMs: meter.latencyMs(),
@@ -206,9 +267,14 @@
       finishPick(meter.hasFirstToken ? 'ok' : 'cancelled');
       return reason;
     }
+    if (reason.type === 'superseded') {
+      stateMachine.send('cancel');
+      finishPick('cancelled');
+      return reason;
+    }
     stateMachine.send('lose');
     finishPick(outcomeOf(reason.error));
-    return reason;
+    return {...reason, hasProgress: meter.hasFirstToken};
   }
 
   const firstTokenTimeout =
@@ -234,6 +300,15 @@
       pickEndpoint: options.pickEndpoint,
     }),
   );
+  disposables.add(
+    onAbort(options.supersededSignal, () =>
+      abortController.abort(
+        stallError === undefined
+          ? {type: 'superseded'}
+          : {type: 'lost', error: stallError},
+      ),
+    ),
+  );
   armStallDetector();
   try {
     const event = await readEvents();
@@ -253,7 +328,6 @@
   stateMachine: RequestProgress['stateMachine'],
 ) {
   progress.attemptCount += 1;
-  progress.deliveredCountAtAttemptStart = progress.deliveredTokens.length;
   progress.endpoint = pick.endpoint;
   progress.stateMachine = stateMachine;
 }
@@ -277,6 +351,11 @@
   };
 }
 
+function onAbort(signal: AbortSignal, listener: () => void): Disposable {
+  signal.addEventListener('abort', listener, {once: true});
+  return toDisposable(() => signal.removeEventListener('abort', listener));
+}
+
 function outcomeOf(error: ServingError): Outcome {
   if (error.kind === 'endpoint-unavailable') {
     return 'unreachable';
--- a/packages/streams/src/attemptAbortController.ts
+++ b/packages/streams/src/attemptAbortController.ts
@@ -12,6 +12,8 @@
   | {readonly type: 'lost'; readonly error: ServingError}
   /** The stream continues at another endpoint. */
   | {readonly type: 'moved'; readonly target: AttemptTarget}
+  /** Another attempt has sent the next event. */
+  | {readonly type: 'superseded'}
   /** The caller aborted the request or a deadline passed. */
   | {readonly type: 'request-ended'; readonly error: ServingError};
 
--- a/packages/streams/src/attemptMachine.ts
+++ b/packages/streams/src/attemptMachine.ts
@@ -16,7 +16,10 @@
   | 'lost'
   /** The stream continues at another endpoint. */
   | 'moved'
-  /** The caller aborted the request or a deadline passed. */
+  /**
+   * The caller aborted the request, a deadline passed, or another attempt has
+   * sent the next event.
+   */
   | 'cancelled';
 
 export type AttemptStateEvent =
--- a/packages/streams/src/contracts.ts
+++ b/packages/streams/src/contracts.ts
@@ -15,7 +15,7 @@
   readonly cachedTokens: number;
   /** Number of answer tokens, over all attempts. */
   readonly generatedTokens: number;
-  /** Number of attempts; 1 when no attempt failed or was migrated. */
+  /** Number of attempts; 1 when no attempt failed, stalled or was migrated. */
   readonly attempts: number;
   /** Number of prompt and answer tokens that later attempts computed again. */
   readonly recomputedTokens: number;
@@ -62,7 +62,9 @@
 /** Runs generation requests; one instance per entry. */
 export interface StreamRunner {
   /**
-   * Runs a request to completion; repeats failed attempts. `pickEndpoint` picks
+   * Runs a request to completion; repeats failed attempts. A stalled attempt
+   * stays open while another one is tried, and the first of them to send the
+   * next token goes on; the other is cancelled. `pickEndpoint` picks
    * an endpoint that is not excluded, or throws if none is available;
    * `mayRetry` takes a retry from the retry budget and returns false if the
    * budget is exhausted. `deliver` receives each token once and in order; if it
--- a/packages/streams/src/progress.ts
+++ b/packages/streams/src/progress.ts
@@ -18,11 +18,12 @@
   mayHaveRun: boolean;
   /** True once an engine has started to compute the prompt. */
   hasStartedPrefill: boolean;
-  /** Number of tokens delivered when the latest attempt started. */
-  deliveredCountAtAttemptStart: number;
-  /** Endpoint of the latest attempt; empty before the first attempt. */
+  /**
+   * Endpoint of the attempt that started or delivered last; empty before the
+   * first attempt.
+   */
   endpoint: string;
-  /** State of the latest attempt; undefined before the first attempt. */
+  /** State of the attempt at `endpoint`; undefined before the first attempt. */
   stateMachine: AttemptStateMachine | undefined;
 }
 
@@ -42,7 +43,6 @@
     recomputedTokens: 0,
     mayHaveRun: false,
     hasStartedPrefill: false,
-    deliveredCountAtAttemptStart: 0,
     endpoint: '',
     stateMachine: undefined,
   };
--- a/packages/streams/src/stallDetector.ts
+++ b/packages/streams/src/stallDetector.ts
@@ -37,6 +37,12 @@
 /** Weight of the newest sample in the moving average of token gaps. */
 const GAP_EWMA_WEIGHT = 0.15;
 
+export interface Stall {
+  readonly message: string;
+  /** Whether the engine responds to probes. */
+  readonly isResponding: boolean;
+}
+
 export interface StallDetector extends Disposable {
   /** Records that a token was received. */
   recordToken(): void;
@@ -55,8 +61,8 @@
 
 /**
  * Creates the stall detector of one attempt. `probe` resolves to whether the
- * engine responds; `onStall` is called at most once, when the engine has
- * stalled.
+ * engine responds; `onStall` is called when the engine has stalled, at most once
+ * per `arm` or `armForFirstToken`.
  *
  * A busy engine sends no tokens for a while, just as a hung engine does, so a
  * pause first triggers a probe: abandoning busy engines would move their work
@@ -70,7 +76,7 @@
   readonly clock: Clock;
   readonly limits: StallLimits;
   probe(): Promise<boolean>;
-  onStall(message: string): void;
+  onStall(stall: Stall): void;
 }): StallDetector {
   const {clock, limits} = options;
   let timer: Disposable = toDisposable(() => {});
@@ -108,13 +114,17 @@
       return;
     }
     if (!isResponding) {
-      options.onStall(
-        'the engine sends no tokens and does not respond to probes',
-      );
+      options.onStall({
+        message: 'the engine sends no tokens and does not respond to probes',
+        isResponding,
+      });
       return;
     }
     if (msUntilStall <= 0) {
-      options.onStall('the engine responds to probes but sends no tokens');
+      options.onStall({
+        message: 'the engine responds to probes but sends no tokens',
+        isResponding,
+      });
       return;
     }
     const delayMs = Math.min(probeDelayMs, msUntilStall);
--- a/packages/streams/src/streamRunner.ts
+++ b/packages/streams/src/streamRunner.ts
@@ -1,12 +1,12 @@
-/** Runs generation requests and repeats failed attempts. */
+/** Runs generation requests and repeats failed or stalled attempts. */
 import {
   ServingError,
   sleep,
   toServingError,
   type Clock,
-  type ErrorKind,
 } from '@skylarkfield/base';
-import {runAttempt, type AttemptEnd} from './attempt.js';
+import type {AttemptFailure} from './attempt.js';
+import {raceAttempts} from './attemptRace.js';
 import type {
   EndpointPick,
   StreamRequest,
@@ -14,9 +14,8 @@
   StreamSummary,
 } from './contracts.js';
 import {createMigrationCosts} from './migrationCosts.js';
-import type {AttemptTarget} from './migration.js';
-import {probeLiveness} from './probe.js';
 import {createRequestProgress, type RequestProgress} from './progress.js';
+import {excludeEndpoint, isRetryable, isWastedWork} from './retryRules.js';
 import {defaultStallLimits, type StallLimits} from './stallDetector.js';
 
 export interface StreamRunnerOptions {
@@ -34,14 +33,6 @@
 /** Delay before endpoints that were excluded after a failure are used again. */
 const EXCLUDED_RETRY_DELAY_MS = 150;
 
-/** Kinds of errors that every endpoint would return for the same request. */
-const NON_RETRYABLE_KINDS: ReadonlySet<ErrorKind> = new Set([
-  'bad-request',
-  'too-large',
-  'forbidden',
-  'unauthenticated',
-]);
-
 /**
  * Creates a runner. After a failed attempt, the next attempt resumes the answer
  * exactly after the last token that the caller has received.
@@ -56,7 +47,14 @@
   const limits = {...defaultStallLimits, ...options.limits};
   const costs = createMigrationCosts();
   const openRequests = new Set<RequestProgress>();
-  const totals = {requests: 0, attempts: 0, moved: 0, lost: 0, recomputed: 0};
+  const totals = {
+    requests: 0,
+    attempts: 0,
+    moved: 0,
+    lost: 0,
+    hedged: 0,
+    recomputed: 0,
+  };
 
   /** Picks an endpoint; allows excluded endpoints if no other is left. */
   async function pickEndpoint(
@@ -82,93 +80,48 @@
     hooks: RequestHooks,
     signal: AbortSignal,
   ): Promise<StreamSummary> {
-    let target: AttemptTarget | undefined;
     for (;;) {
-      target ??= {
-        pick: await pickEndpoint(progress, hooks, signal),
-        importedCache: undefined,
-      };
-      const {pick} = target;
-      const attemptEnd: AttemptEnd = await runAttempt({
+      const pick = await pickEndpoint(progress, hooks, signal);
+      const raceEnd = await raceAttempts({
         clock,
         limits,
         costs,
         progress,
         attemptIdPrefix,
-        target,
-        pickEndpoint: () =>
-          hooks.pickEndpoint(
-            new Set([...progress.excludedEndpoints, pick.endpoint]),
-            progress.deliveredTokens,
-          ),
+        maxAttempts,
+        target: {pick, importedCache: undefined},
+        pickEndpoint: excludedEndpoints =>
+          hooks.pickEndpoint(excludedEndpoints, progress.deliveredTokens),
+        mayRetry: () => hooks.mayRetry(),
         deliver: token => hooks.deliver(token),
+        onCount: event => (totals[event] += 1),
         signal,
       });
-      if (attemptEnd.type === 'ended') {
-        return createSummary(progress, attemptEnd.event);
+      if (raceEnd.type === 'ended') {
+        return createSummary(progress, raceEnd.event);
       }
-      target = attemptEnd.type === 'moved' ? attemptEnd.target : undefined;
-      if (attemptEnd.type === 'moved') {
-        totals.moved += 1;
-        continue;
-      }
-      totals.lost += 1;
-      await prepareRetry(progress, pick, attemptEnd.error, hooks);
+      await prepareRetry(progress, raceEnd.pick, raceEnd.failure, hooks);
     }
   }
 
   /**
-   * Throws `error` if the request must not be retried. Otherwise excludes the
-   * failed endpoint, unless the stream can resume at it.
+   * Throws the failure's error if the request must not be retried. Otherwise
+   * excludes the failed endpoint, unless the stream can resume at it.
    */
   async function prepareRetry(
     progress: RequestProgress,
     pick: EndpointPick,
-    error: ServingError,
+    failure: AttemptFailure,
     hooks: RequestHooks,
   ) {
     if (
-      NON_RETRYABLE_KINDS.has(error.kind) ||
-      progress.attemptCount >= maxAttempts
-    ) {
-      throw error;
-    }
-    const hasProgress =
-      progress.deliveredTokens.length > progress.deliveredCountAtAttemptStart;
-    // Only attempts that cost an engine work and delivered no token use up the
-    // retry budget, since such attempts cause retry storms. All other failed
-    // attempts delivered tokens or never reached an engine.
-    const isWastedWork = !hasProgress && error.kind !== 'endpoint-unavailable';
-    if (isWastedWork && !hooks.mayRetry()) {
-      throw error;
-    }
-    if (!(await canResumeAtSameEndpoint(progress, pick, error, hasProgress))) {
-      progress.excludedEndpoints.add(pick.endpoint);
-    }
-  }
-
-  /**
-   * Returns whether the stream can resume at the same endpoint, which it does
-   * at most once: an engine that lost only the connection still has the tokens
-   * cached.
-   */
-  async function canResumeAtSameEndpoint(
-    progress: RequestProgress,
-    pick: EndpointPick,
-    error: ServingError,
-    hasProgress: boolean,
-  ): Promise<boolean> {
-    if (error.kind !== 'interrupted' || !hasProgress) {
-      return false;
-    }
-    if (
-      pick.leavingSignal.aborted ||
-      progress.resumedEndpoints.has(pick.endpoint)
+      !isRetryable(failure, progress, maxAttempts) ||
+      (isWastedWork(failure) && !hooks.mayRetry())
     ) {
-      return false;
+      throw failure.error;
     }
-    progress.resumedEndpoints.add(pick.endpoint);
-    return probeLiveness(clock, pick.engine, limits.probeTimeoutMs);
+    const {probeTimeoutMs} = limits;
+    await excludeEndpoint({clock, probeTimeoutMs, progress, pick, failure});
   }
 
   return {
--- a/packages/streams/src/test/fakeEngine.ts
+++ b/packages/streams/src/test/fakeEngine.ts
@@ -44,6 +44,7 @@
 const TOKEN_GAP_MS = 20;
 const BUSY_PAUSE_MS = 700;
 const IMPORT_DURATION_MS = 90;
+const PAUSE_POLL_MS = 10;
 
 /** Text of one token of the only correct answer. */
 export function expectedToken(index: number): string {
@@ -61,6 +62,8 @@
   readonly cancelledAttempts: string[];
   /** When true, the engine does not respond, not even to load requests. */
   isHung: boolean;
+  /** Like `isHung`, but streams go on where they were once it is false. */
+  isPaused: boolean;
 }
 
 /** Errors of faults that reject a request before the engine runs it. */
@@ -86,6 +89,12 @@
   const receivedRequests: GenerationRequest[] = [];
   const cancelledAttempts: string[] = [];
 
+  async function waitWhilePaused(signal?: AbortSignal): Promise<void> {
+    while (engine.isPaused) {
+      await sleep(clock, PAUSE_POLL_MS, signal);
+    }
+  }
+
   async function* generate(
     request: GenerationRequest,
     signal: AbortSignal,
@@ -96,6 +105,7 @@
       throw refusal();
     }
     receivedRequests.push(request);
+    await waitWhilePaused(signal);
     if (fault === 'failed') {
       throw new ServingError('endpoint-failed', 'failed');
     }
@@ -104,6 +114,7 @@
     yield {type: 'start', attempt, promptTokens: 100, cachedTokens: 0};
     for (let index = delivered.length; index < answerLength; index++) {
       await sleep(clock, TOKEN_GAP_MS, signal);
+      await waitWhilePaused(signal);
       const isFaultDue = index - delivered.length === tokensBeforeFault;
       if (engine.isHung || (isFaultDue && fault === 'silent')) {
         await sleep(clock, 1e9, signal);
@@ -143,11 +154,13 @@
     receivedRequests,
     cancelledAttempts,
     isHung: false,
+    isPaused: false,
     generate,
     async cancel(attempt) {
       cancelledAttempts.push(attempt);
     },
     async load(signal) {
+      await waitWhilePaused(signal);
       if (engine.isHung) {
         await sleep(clock, 1e9, signal);
       }
--- a/packages/streams/src/test/streamRig.ts
+++ b/packages/streams/src/test/streamRig.ts
@@ -1,4 +1,4 @@
-/** Stream runner with three scripted engines; records received tokens. */
+/** Stream runner with scripted engines; records received tokens. */
 import {
   ServingError,
   toServingError,
@@ -10,11 +10,12 @@
 import {ANSWER_LENGTH, createFakeEngine, type FaultPlan} from './fakeEngine.js';
 
 export const DEADLINE_MS = 20_000;
-const ENGINE_COUNT = 3;
+const DEFAULT_ENGINE_COUNT = 3;
 
 export interface RigOptions {
   /** One fault plan per attempt, in order; all later attempts have no fault. */
   readonly plans?: readonly FaultPlan[];
+  readonly engineCount?: number;
   readonly retryBudget?: number;
   readonly maxTokens?: number;
   /** Monotonic milliseconds by which leaving endpoints are gone. */
@@ -27,8 +28,9 @@
   const plans = [...(options.plans ?? [])];
   const nextPlan = () =>
     plans.shift() ?? {fault: 'none' as const, tokensBeforeFault: 0};
-  const engines = Array.from({length: ENGINE_COUNT}, () =>
-    createFakeEngine(clock, nextPlan),
+  const engines = Array.from(
+    {length: options.engineCount ?? DEFAULT_ENGINE_COUNT},
+    () => createFakeEngine(clock, nextPlan),
   );
   const leavingControllers = engines.map(() => new AbortController());
   const callerController = new AbortController();
--- a/packages/streams/src/test/streamRunner.fuzz.test.ts
+++ b/packages/streams/src/test/streamRunner.fuzz.test.ts
@@ -36,7 +36,13 @@
 /** A disruption of one engine, `afterMs` after the previous disruption. */
 const anyDisruption = fc.record({
   afterMs: fc.integer({min: 0, max: 600}),
-  type: fc.constantFrom('leave' as const, 'hang' as const, 'wake' as const),
+  type: fc.constantFrom(
+    'leave' as const,
+    'hang' as const,
+    'wake' as const,
+    'pause' as const,
+    'resume' as const,
+  ),
   engine: fc.integer({min: 0, max: 2}),
 });
 
@@ -49,6 +55,21 @@
   callerAbortMs: fc.option(fc.integer({min: 0, max: 1500})),
 });
 
+/** Pauses that are over well before the first-token deadline. */
+const anyPauses = fc.record({
+  pauses: fc.array(
+    fc.record({
+      atMs: fc.integer({min: 0, max: 1500}),
+      durationMs: fc.integer({min: 0, max: 3000}),
+      engine: fc.integer({min: 0, max: 2}),
+    }),
+    {maxLength: 8},
+  ),
+  engineCount: fc.constantFrom(1, 3),
+  retryBudget: fc.integer({min: 0, max: 3}),
+  maxTokens: fc.constantFrom(1, 24, 60),
+});
+
 const STEP_MS = 100;
 
 type Rig = ReturnType<typeof createRig>;
@@ -58,8 +79,26 @@
   hang: (rig: Rig, engine: number) => void (rig.engines[engine]!.isHung = true),
   wake: (rig: Rig, engine: number) =>
     void (rig.engines[engine]!.isHung = false),
+  pause: (rig: Rig, engine: number) =>
+    void (rig.engines[engine]!.isPaused = true),
+  resume: (rig: Rig, engine: number) =>
+    void (rig.engines[engine]!.isPaused = false),
 };
 
+/**
+ * Advances past the deadline in small steps: a series of rejections takes no
+ * virtual time, but more promise turns than the clock waits for in one step.
+ */
+async function advancePastDeadline(rig: Rig) {
+  for (
+    let elapsedMs = 0;
+    elapsedMs < DEADLINE_MS + 1000;
+    elapsedMs += STEP_MS
+  ) {
+    await rig.clock.advance(STEP_MS);
+  }
+}
+
 function checkInvariants(rig: Rig, maxTokens: number) {
   const fullAnswer = expectedAnswer(maxTokens);
   const {summary, error} = rig.result;
@@ -106,17 +145,33 @@
           );
         }
         rig.start();
-        // The clock advances in small steps: a series of rejections takes no
-        // virtual time, but more promise turns than the clock waits for in one
-        // step.
-        for (
-          let elapsedMs = 0;
-          elapsedMs < DEADLINE_MS + 1000;
-          elapsedMs += STEP_MS
-        ) {
-          await rig.clock.advance(STEP_MS);
+        await advancePastDeadline(rig);
+        checkInvariants(rig, scenario.maxTokens);
+      }),
+      {seed, numRuns},
+    );
+  });
+
+  // A stream was given up when its engine paused and no other one could go on
+  // with it.
+  it(`completes every stream whose engines only pause (seed ${seed})`, async () => {
+    await fc.assert(
+      fc.asyncProperty(anyPauses, async scenario => {
+        const rig = createRig(scenario);
+        for (const {atMs, durationMs, engine} of scenario.pauses) {
+          const pausedEngine = rig.engines[engine % scenario.engineCount]!;
+          rig.clock.after(atMs, () => (pausedEngine.isPaused = true));
+          rig.clock.after(
+            atMs + durationMs,
+            () => (pausedEngine.isPaused = false),
+          );
         }
+        rig.start();
+        await advancePastDeadline(rig);
         checkInvariants(rig, scenario.maxTokens);
+        assert.equal(rig.result.error, undefined);
+        const outcomes = rig.picks.flatMap(pick => pick.outcomes);
+        assert.ok(outcomes.filter(outcome => outcome === 'ok').length <= 1);
       }),
       {seed, numRuns},
     );
