gateway: charge a retry once if its endpoint cannot be reached

Streams of an entry whose paths had all been reset were broken although other entries reached every replica.

Cause: the first retry was charged to the retry budget, and so was each further send after an endpoint to which no connection could be opened. The budget of an entry starts at three, so three streams used it up with the first connection that failed. The exemption for requests that no endpoint has received (mayRetryUnsent, while the paths are doubted or a peer is at hand) held only for requests that had never run.

It now holds for all requests that may run again under their route (canRerun). Sends and peers of a request are bounded as before.

--- a/packages/bench/src/handover.ts
+++ b/packages/bench/src/handover.ts
@@ -81,6 +81,7 @@
 const retryRules: RetryRules = {
   mayRerun: () => false,
   mayResend: () => false,
+  canRerun: () => false,
   canHedge: () => false,
   mayHedge: () => false,
   hasSendsLeft: () => false,
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -145,7 +145,8 @@
     if (destination.type === 'peer') {
       return handovers.mayHandOn(progress, error);
     }
-    const isUnsent = progress.hasFailedToConnect && progress.runCount === 0;
+    const isUnsent =
+      progress.hasFailedToConnect && retryRules.canRerun(call, progress);
     return (
       (isConnectionRefused(error) && retryRules.hasSendsLeft(progress)) ||
       (isUnsent && mayRetryUnsent(call, progress)) ||
--- a/packages/gateway/src/retryRules.ts
+++ b/packages/gateway/src/retryRules.ts
@@ -71,6 +71,11 @@
    * service's retry budget if so.
    */
   mayResend(call: RetryableCall, progress: Progress): boolean;
+  /**
+   * Whether the request may be run by a further endpoint, as far as its route
+   * and its runs are concerned.
+   */
+  canRerun(call: RetryableCall, progress: Progress): boolean;
   /** Whether the request may be sent to a further endpoint at all. */
   hasSendsLeft(progress: Pick<Progress, 'endpoints'>): boolean;
   /**
@@ -197,6 +202,10 @@
     return progress.retryDenial === undefined;
   }
 
+  function canRerun({route}: RetryableCall, {runCount}: Progress): boolean {
+    return runCount === 0 || (isRepeatable(route) && runCount < route.attempts);
+  }
+
   function canHedge(call: RetryableCall, progress: Progress): boolean {
     return (
       isRepeatable(call.route) &&
@@ -229,6 +238,7 @@
   return {
     mayRerun,
     mayResend,
+    canRerun,
     canHedge,
     mayHedge,
     hasSendsLeft,
