gateway: be ready only with endpoints and crash reports

What callers saw: an entry that had just started said it was ready and rejected requests with 503 "none is left to try" (not run). Such an entry also sent requests with a part of a prompt that the other entries knew to crash endpoints.

Cause: an entry was ready, was listed in lookups and accepted requests once it had the policy. The crash reports, endpoints, rollouts and drains are other listings, and endpoints were applied up to 100 ms late, since the empty rollouts had begun the interval of the throttle.

Change: an entry is ready once the policy and the crash reports have arrived and endpoints, rollouts and drains are applied, the first complete view at once.

--- a/packages/gateway/src/callerHandler.ts
+++ b/packages/gateway/src/callerHandler.ts
@@ -40,6 +40,8 @@
 export interface ServingState {
   /** Whether the process accepts requests. */
   isServing(): boolean;
+  /** Whether the process has read what it needs to serve requests. */
+  isReady(): boolean;
   /**
    * Whether the process is about to stop, so that each connection is closed
    * after its next response.
@@ -131,10 +133,7 @@
  */
 const LEAVING_RETRY_MS = 50;
 
-/**
- * Retry-After of a rejection before this entry has received the policy, in
- * milliseconds.
- */
+/** Retry-After of a rejection before this entry is ready, in milliseconds. */
 const NOT_READY_RETRY_MS = 400;
 
 /**
@@ -162,8 +161,8 @@
         retryAfterMs: LEAVING_RETRY_MS,
       });
     }
-    if (!policy.isLoaded()) {
-      throw notReadyError('the traffic policy has not been loaded yet');
+    if (!options.servingState.isReady()) {
+      throw notReadyError('this entry has not read the platform yet');
     }
     if (attemptId === undefined) {
       throw new ServingError('bad-request', 'the request has no attempt id');
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -24,6 +24,11 @@
 export type VersionGroup = 'incumbent' | 'candidate';
 
 export interface EndpointDirectory {
+  /**
+   * False until the first registrations, rollouts and drains of failure domains
+   * have been applied.
+   */
+  isLoaded(): boolean;
   /** Whether no requests may be sent to endpoints of a failure domain. */
   isDrained(failureDomain: string): boolean;
   /** Returns an endpoint by its router key. */
@@ -96,6 +101,7 @@
   /** Revision of the last registration that was applied, by router key. */
   let revisionsByKey = new Map<string, number>();
   let drainedDomains: ReadonlySet<string> = new Set();
+  let isLoaded = false;
 
   /**
    * Returns the versions of a service that receive requests only through a
@@ -185,6 +191,7 @@
   }
 
   return {
+    isLoaded: () => isLoaded,
     isDrained: failureDomain => drainedDomains.has(failureDomain),
     get: key => endpointsByKey.get(key),
     slotted(key) {
@@ -246,6 +253,9 @@
       upstreams.retainOnly(
         new Set(registeredEndpoints.map(({address}) => address)),
       );
+      isLoaded ||= [endpoints, rollouts, domainDrains].every(mirror =>
+        mirror.isLoaded(),
+      );
       reportChanges(previousByKey);
     },
   };
--- a/packages/gateway/src/gatewayPorts.ts
+++ b/packages/gateway/src/gatewayPorts.ts
@@ -29,13 +29,13 @@
 export async function openPorts(
   context: GatewayContext,
   {membership}: Coordination,
-  {policy, handler}: TrafficPipeline,
+  {policy, readiness, handler}: TrafficPipeline,
 ): Promise<Disposable> {
   const {settings, platform, lifecycle} = context;
   const {lookupFormat} = platform;
 
   function isReady(): boolean {
-    return lifecycle.state() === 'serving' && policy.isLoaded();
+    return lifecycle.state() === 'serving' && readiness.isReady();
   }
 
   function answerReadiness(request: IncomingMessage, response: ServerResponse) {
--- a/packages/gateway/src/test/endpointDirectory.test.ts
+++ b/packages/gateway/src/test/endpointDirectory.test.ts
@@ -94,6 +94,7 @@
     routedIds: () => routedIds,
     register: (values: Readonly<Record<string, RegisteredEndpoint>>) =>
       list(endpoints, values),
+    listRollouts: () => list(rollouts, {}),
     drain: (...domains: string[]) =>
       list(
         domainDrains,
@@ -105,6 +106,17 @@
 }
 
 describe('endpoint directory', () => {
+  // Guards against requests to versions and failure domains that are not to get
+  // them, by an entry that has read only the registrations.
+  it('is loaded once registrations, rollouts and drains are applied', () => {
+    const rig = createRig();
+    rig.register({i1: createEndpoint('i1', 'a')});
+    rig.drain('a');
+    assert.equal(rig.directory.isLoaded(), false);
+    rig.listRollouts();
+    assert.equal(rig.directory.isLoaded(), true);
+  });
+
   // An operator drains a failure domain before work on it; requests that still
   // reach its endpoints are lost with them.
   it('routes no requests to drained failure domains', () => {
--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -51,6 +51,7 @@
 import {withholdFailures, withholdLateness} from './pathEvidence.js';
 import {createPlatformView} from './platformView.js';
 import {createActivePolicy, type ActivePolicy} from './activePolicy.js';
+import {createReadiness, type Readiness} from './readiness.js';
 import {
   createRolloutController,
   type RolloutController,
@@ -61,6 +62,7 @@
 
 export interface TrafficPipeline extends Disposable {
   readonly policy: ActivePolicy;
+  readonly readiness: Readiness;
   readonly handler: CallerHandler;
   readonly directory: EndpointDirectory;
   readonly usageWindows: UsageWindows;
@@ -226,9 +228,30 @@
     isBrittle: slotShares.isBrittle,
   });
   const refreshSoon = throttle(clock, REFRESH_INTERVAL_MS, refreshEndpoints);
-  platformView.endpoints.onDidChange(refreshSoon);
-  platformView.rollouts.onDidChange(refreshSoon);
-  platformView.domainDrains.onDidChange(refreshSoon);
+  const endpointMirrors = [
+    platformView.endpoints,
+    platformView.rollouts,
+    platformView.domainDrains,
+  ];
+
+  function applyEndpointChange(): void {
+    const isFirstCompleteView =
+      !directory.isLoaded() &&
+      endpointMirrors.every(mirror => mirror.isLoaded());
+    // Callers wait for the first one.
+    (isFirstCompleteView ? refreshEndpoints : refreshSoon)();
+  }
+
+  endpointMirrors.forEach(mirror => mirror.onDidChange(applyEndpointChange));
+  const readiness = disposables.add(
+    createReadiness({
+      policy,
+      directory,
+      crashes: platformView.crashes,
+      clock,
+      log,
+    }),
+  );
   departures.onDidAnnounce(endpoint => {
     context.metrics.countReport('leaving');
     router.markLeaving(endpoint);
@@ -350,6 +373,7 @@
     format: platform.callFormat,
     servingState: {
       isServing,
+      isReady: readiness.isReady,
       isClosing: () => lifecycle.state() !== 'serving',
     },
     inFlight: context.inFlight,
@@ -383,6 +407,7 @@
   context.dumps.add('upstreams', () => upstreams.dump());
   return {
     policy,
+    readiness,
     handler,
     directory,
     usageWindows,
