gateway: begin a trial only when the request is sent

What callers saw: after the quarantine of a request or of a part of its prompt has ended, one request is sent to try it. If no endpoint could take that request (none known yet, all of them limited or too late), the trial counted as begun: the caller got 503 "none is left to try", and all others 503 "quarantined" for 10 s more, 60 s after the second such trial.

Cause: the trial began with the check, before an endpoint was chosen.

The new test fails without the change: the verdict is "quarantined", not "trial".

Change: the check has no effect; the trial begins when an endpoint has been chosen and the request isn't rejected for its expected wait. There is no wait between the two, so no second request can begin the same trial at that entry.

--- a/packages/gateway/src/crashGuard.ts
+++ b/packages/gateway/src/crashGuard.ts
@@ -21,13 +21,15 @@
 
 export interface CrashGuard {
   /**
-   * Returns the verdict on sending the call; starts a trial if the verdict is
-   * `trial`. A migrated stream is always `clear`.
+   * Returns the verdict on sending the call. A migrated stream is always
+   * `clear`.
    */
   checkSend(
     call: SuspectCall,
     progress: Pick<Progress, 'continuation'>,
   ): QuarantineVerdict;
+  /** Records that the call is sent under the verdict, which may be a trial. */
+  recordSend(call: SuspectCall, verdict: QuarantineVerdict): void;
   /** Whether the verdict on the call is any other than `clear`. */
   isSuspected(call: SuspectCall): boolean;
   isQuarantined(call: SuspectCall): boolean;
@@ -140,16 +142,15 @@
   }
 
   return {
-    checkSend(call, {continuation}) {
-      // A stream that is being migrated has not failed.
-      if (continuation !== undefined) {
-        return CLEAR_VERDICT;
-      }
-      const verdict = verdictFor(call, crashQuarantine);
-      if (verdict.type === 'trial') {
+    // A stream that is being migrated has not failed.
+    checkSend: (call, {continuation}) =>
+      continuation === undefined
+        ? verdictFor(call, crashQuarantine)
+        : CLEAR_VERDICT,
+    recordSend(call, {type}) {
+      if (type === 'trial') {
         crashQuarantine.beginTrial(call.fingerprint(), call.suspectParts);
       }
-      return verdict;
     },
     isSuspected: call => verdictFor(call, crashQuarantine).type !== 'clear',
     isQuarantined: call =>
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -295,9 +295,11 @@
       return {type: 'reject', error: noEndpointError(call.service)};
     }
     const rejection = rejectIfTooLate(call, progress, target);
-    return rejection === undefined
-      ? {type: 'endpoint', target}
-      : {type: 'reject', error: rejection};
+    if (rejection !== undefined) {
+      return {type: 'reject', error: rejection};
+    }
+    crashGuard.recordSend(call, verdict);
+    return {type: 'endpoint', target};
   }
 
   /** Returns the error for a service that no entry is known to reach. */
--- a/packages/gateway/src/test/crashGuard.test.ts
+++ b/packages/gateway/src/test/crashGuard.test.ts
@@ -201,7 +201,9 @@
       crashQuarantine.recordConnectionLost({request: 'f00d', endpoint});
     }
     clock.advanceSync(10_000);
-    assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'trial');
+    const verdict = guard.checkSend(CALL, FIRST_ATTEMPT);
+    assert.equal(verdict.type, 'trial');
+    guard.recordSend(CALL, verdict);
     assert.equal(guard.checkSend(CALL, FIRST_ATTEMPT).type, 'quarantined');
   });
 });
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -1,6 +1,12 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {systemClock} from '@skylarkfield/base';
+import {
+  createDecisionLog,
+  createSilentLogger,
+  createVirtualClock,
+  systemClock,
+} from '@skylarkfield/base';
+import {createCrashQuarantine} from '@skylarkfield/routing';
 import type {Route} from '@skylarkfield/traffic';
 import {
   respondWith,
@@ -8,7 +14,11 @@
   resetConnection,
   streamEvents,
 } from './testEndpoint.js';
-import {createOneTimeMigrator, forwardTo} from './testForwarding.js';
+import {
+  createOneTimeMigrator,
+  FINGERPRINT,
+  forwardTo,
+} from './testForwarding.js';
 
 const idempotentRoute: Route = {
   name: 'route',
@@ -32,6 +42,22 @@
 const streamRoute: Route = {...idempotentRoute, kind: 'streaming', attempts: 1};
 const resumableRoute: Route = {...streamRoute, isResumable: true, attempts: 2};
 
+/** Creates a quarantine of the request that has just ended. */
+function createEndedQuarantine() {
+  const clock = createVirtualClock();
+  const crashQuarantine = createCrashQuarantine({
+    clock,
+    self: 'x',
+    decisions: createDecisionLog(clock, createSilentLogger()),
+    wallMs: () => clock.wall(),
+  });
+  for (const endpoint of ['e7', 'e8', 'e9']) {
+    crashQuarantine.recordConnectionLost({request: FINGERPRINT, endpoint});
+  }
+  clock.advanceSync(10_000);
+  return crashQuarantine;
+}
+
 function eventText(first: number, last: number): string {
   return Array.from(
     {length: last - first + 1},
@@ -104,6 +130,20 @@
     assert.equal(await denialOf(orderRoute, true), 'not-repeatable');
   });
 
+  // Guards against a quarantine that goes on since its trial was sent nowhere.
+  it('begins no trial of a request that no endpoint gets', async () => {
+    const crashQuarantine = createEndedQuarantine();
+    const forward = (isUnrouted: boolean) =>
+      forwardTo(idempotentRoute, [respondWith('done')], undefined, undefined, {
+        crashQuarantine,
+        isUnrouted,
+      });
+    assert.equal((await forward(true)).status, 503);
+    assert.equal(crashQuarantine.verdictFor(FINGERPRINT).type, 'trial');
+    assert.equal((await forward(false)).status, 200);
+    assert.equal(crashQuarantine.verdictFor(FINGERPRINT).type, 'clear');
+  });
+
   it('limits the runs of a request to the attempts of its route', async () => {
     const outcome = await forwardTo(idempotentRoute, [
       resetConnection,
--- a/packages/gateway/src/test/testForwarding.ts
+++ b/packages/gateway/src/test/testForwarding.ts
@@ -10,7 +10,11 @@
   systemClock,
 } from '@skylarkfield/base';
 import {createEngineModel, estimateEngine} from '@skylarkfield/capacity';
-import {createCrashQuarantine, createRouter} from '@skylarkfield/routing';
+import {
+  createCrashQuarantine,
+  createRouter,
+  type CrashQuarantine,
+} from '@skylarkfield/routing';
 import type {RegisteredEndpoint, Route} from '@skylarkfield/traffic';
 import {createCallerReply} from '../callerReply.js';
 import type {CallFormat} from '../contracts.js';
@@ -96,10 +100,17 @@
   /** Indices of endpoints that refuse connections. */
   readonly refusing?: readonly number[];
   readonly hasRetryBudget?: boolean;
+  /** Whether the router knows no endpoint. */
+  readonly isUnrouted?: boolean;
+  /** Quarantine of the entry; empty by default. */
+  readonly crashQuarantine?: CrashQuarantine;
 }
 
 const ENDPOINT_COUNT = 3;
 
+/** Fingerprint of the forwarded request. */
+export const FINGERPRINT = 'f1';
+
 /**
  * Forwards one request to endpoints that share the behaviours: each request to
  * an endpoint gets the next behaviour of the list.
@@ -109,7 +120,12 @@
   behaviours: readonly Behaviour[],
   streamMigrator: StreamMigrator = noMigrator,
   isResting: () => boolean = () => false,
-  {refusing = [], hasRetryBudget = true}: ForwardingFaults = {},
+  {
+    refusing = [],
+    hasRetryBudget = true,
+    isUnrouted = false,
+    crashQuarantine,
+  }: ForwardingFaults = {},
 ): Promise<ForwardingOutcome> {
   const clock = systemClock();
   const log = createSilentLogger();
@@ -144,14 +160,16 @@
     self: 'x',
   });
   router.setEndpoints(
-    [...registeredEndpoints.values()].map(({id, address}) => ({
-      id,
-      service: 's',
-      version: 'incumbent',
-      failureDomain: 'a',
-      host: address,
-      type: 'plain',
-    })),
+    (isUnrouted ? [] : [...registeredEndpoints.values()]).map(
+      ({id, address}) => ({
+        id,
+        service: 's',
+        version: 'incumbent',
+        failureDomain: 'a',
+        host: address,
+        type: 'plain',
+      }),
+    ),
   );
   const admission = createAdmissionController({clock, random, decisions});
   admission.setService('s', {
@@ -166,12 +184,14 @@
     endpointReports: noReports,
     slotShares: {recordRejection: () => {}},
     warmUps: {recordUnreachable: () => {}},
-    crashQuarantine: createCrashQuarantine({
-      clock,
-      self: 'x',
-      decisions,
-      wallMs: () => clock.wall(),
-    }),
+    crashQuarantine:
+      crashQuarantine ??
+      createCrashQuarantine({
+        clock,
+        self: 'x',
+        decisions,
+        wallMs: () => clock.wall(),
+      }),
     reach: createOpenReach(clock),
     directory: {get: id => registeredEndpoints.get(id)} as EndpointDirectory,
     onDidStopAccepting: createEmitter<string>().event,
@@ -229,7 +249,7 @@
           path: '/',
           rawHeaders: [],
           body: undefined,
-          fingerprint: () => 'f1',
+          fingerprint: () => FINGERPRINT,
           suspectParts: [],
           promptKeys: [],
           deadlineAt: clock.now() + 5_000,
