gateway: round Retry-After up

What callers saw: in the last 5 ms of a wait, a rejection said `Retry-After: 0.00`, and any other one named a time up to 5 ms before the end of the wait, at which the caller is rejected again.

Cause: seconds were rounded to the nearest hundredth.

Evidence: the new test, 4 ms before the end of a quarantine, got 0.00.

Change: they are rounded up.

--- a/packages/gateway/src/callerReply.ts
+++ b/packages/gateway/src/callerReply.ts
@@ -45,6 +45,9 @@
 /** Retry-After of an error that specifies no retry delay, in milliseconds. */
 const DEFAULT_RETRY_MS = 300;
 
+/** Precision of Retry-After, in milliseconds. */
+const RETRY_STEP_MS = 10;
+
 /**
  * Creates the reply to one request.
  *
@@ -141,7 +144,7 @@
       };
       if (error.run === 'not-run' && errorResponses[error.kind].retryable) {
         const waitMs = error.retryAfterMs ?? DEFAULT_RETRY_MS;
-        headers['retry-after'] = (waitMs / MS_PER_SECOND).toFixed(2);
+        headers['retry-after'] = formatRetryAfter(waitMs);
       }
       writeHead(status, headers, 'length');
       response.end(body);
@@ -151,6 +154,12 @@
   };
 }
 
+/** Returns Retry-After in seconds, rounded up so that no caller is early. */
+function formatRetryAfter(waitMs: number): string {
+  const roundedMs = Math.ceil(waitMs / RETRY_STEP_MS) * RETRY_STEP_MS;
+  return (roundedMs / MS_PER_SECOND).toFixed(2);
+}
+
 /** Returns the length to declare; none if the end is not marked. */
 function lengthToSend(
   body: Buffer,
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -42,8 +42,11 @@
 const streamRoute: Route = {...idempotentRoute, kind: 'streaming', attempts: 1};
 const resumableRoute: Route = {...streamRoute, isResumable: true, attempts: 2};
 
-/** Creates a quarantine of the request that has just ended. */
-function createEndedQuarantine() {
+/** Duration of a quarantine after crashes at one time, in milliseconds. */
+const QUARANTINE_MS = 10_000;
+
+/** Creates a quarantine of the request that ends after `remainingMs`. */
+function createQuarantine(remainingMs: number) {
   const clock = createVirtualClock();
   const crashQuarantine = createCrashQuarantine({
     clock,
@@ -54,7 +57,7 @@
   for (const endpoint of ['e7', 'e8', 'e9']) {
     crashQuarantine.recordConnectionLost({request: FINGERPRINT, endpoint});
   }
-  clock.advanceSync(10_000);
+  clock.advanceSync(QUARANTINE_MS - remainingMs);
   return crashQuarantine;
 }
 
@@ -132,7 +135,7 @@
 
   // Guards against a quarantine that goes on since its trial was sent nowhere.
   it('begins no trial of a request that no endpoint gets', async () => {
-    const crashQuarantine = createEndedQuarantine();
+    const crashQuarantine = createQuarantine(0);
     const forward = (isUnrouted: boolean) =>
       forwardTo(idempotentRoute, [respondWith('done')], undefined, undefined, {
         crashQuarantine,
@@ -144,6 +147,19 @@
     assert.equal(crashQuarantine.verdictFor(FINGERPRINT).type, 'clear');
   });
 
+  // Guards against callers who come back before the end and are rejected again.
+  it('rounds Retry-After up', async () => {
+    const {status, retryAfter} = await forwardTo(
+      idempotentRoute,
+      [respondWith('done')],
+      undefined,
+      undefined,
+      {crashQuarantine: createQuarantine(4)},
+    );
+    assert.equal(status, 503);
+    assert.equal(retryAfter, '0.01');
+  });
+
   it('limits the runs of a request to the attempts of its route', async () => {
     const outcome = await forwardTo(idempotentRoute, [
       resetConnection,
