gateway: keep the sends of a request apart while two of them run

An attempt that was withdrawn before it was sent took the last endpoint off the list of sends, which is that of the other attempt while two run; sends, log line and the sample of the version were wrong then. An attempt that rejects while an earlier one still runs would have ended the process as an unhandled rejection. Both found by reading; neither was seen.

--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -291,7 +291,10 @@
     attempt.observer.recordEnd();
     if (result.type === 'withdrawn') {
       // The endpoint has not received the request.
-      progress.endpoints.pop();
+      progress.endpoints.splice(
+        progress.endpoints.lastIndexOf(attempt.endpoint.id),
+        1,
+      );
       return;
     }
     if (result.type === 'declined' && result.status === FULL_STATUS) {
--- a/packages/gateway/src/hedging.ts
+++ b/packages/gateway/src/hedging.ts
@@ -121,7 +121,10 @@
   function start(destination: Destination): Runner {
     const runner = {destination, entry: race.enter()};
     runners.add(runner);
-    pending.push(finish(runner));
+    const attempt = finish(runner);
+    // Awaited only once the attempts before it have ended.
+    attempt.catch(() => {});
+    pending.push(attempt);
     return runner;
   }
 
