gateway, routing: part errors of attempts and the types of the reach

Moves code only: errors of attempts to attemptErrors.ts, that of a lost service to attemptOutcome.ts, and the types of the reach to reachContracts.ts.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -8,6 +8,15 @@
 } from '@skylarkfield/base';
 import type {CallFormat, ResponseHead, ResponseHeaders} from './contracts.js';
 import type {RaceEntry, RivalOrder} from './attemptRace.js';
+import {
+  abortReason,
+  interruptedError,
+  protocolViolationError,
+  supersededError,
+  unreachableError,
+  notSentError,
+  cancelledBeforeSendError,
+} from './attemptErrors.js';
 import {isServerError} from './attemptOutcome.js';
 import {createEventFramer, type EventFrame} from './eventFramer.js';
 import {createStallTimer, type Stall} from './stallTimer.js';
@@ -383,47 +392,3 @@
     ? {type: 'failed', error}
     : {type: 'failed', error, loss: 'closed'};
 }
-
-/** Returns the error that aborted the signal; `cancelled` by default. */
-function abortReason(signal: AbortSignal): ServingError {
-  if (signal.reason instanceof ServingError) {
-    return signal.reason;
-  }
-  return new ServingError('cancelled', 'the caller disconnected', {
-    run: 'may-have-run',
-  });
-}
-
-function interruptedError(message: string): ServingError {
-  return new ServingError('interrupted', message, {run: 'may-have-run'});
-}
-
-function protocolViolationError(message: string): ServingError {
-  return new ServingError('protocol-violation', message, {
-    run: 'may-have-run',
-  });
-}
-
-function supersededError(): ServingError {
-  return new ServingError('cancelled', 'another endpoint responded', {
-    run: 'may-have-run',
-  });
-}
-
-function unreachableError(): ServingError {
-  return new ServingError(
-    'endpoint-unavailable',
-    'no connection to the endpoint could be opened',
-  );
-}
-
-/** Returns the error for a request that ended before it could be sent. */
-function notSentError({kind, message}: ServingError): ServingError {
-  return new ServingError(kind, message, {run: 'not-run'});
-}
-
-function cancelledBeforeSendError(): ServingError {
-  return new ServingError('cancelled', 'cancelled before it was sent', {
-    run: 'not-run',
-  });
-}
--- a/packages/gateway/src/attemptOutcome.ts
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -2,7 +2,7 @@
  * Classifies the result of an attempt for the router, retries and the caller.
  */
 import {ServingError} from '@skylarkfield/base';
-import type {Choice} from '@skylarkfield/routing';
+import type {Choice, ReachState} from '@skylarkfield/routing';
 import type {AttemptResult} from './attempt.js';
 
 /** Outcome of an attempt as reported to the router. */
@@ -129,6 +129,29 @@
   );
 }
 
+/**
+ * Retry-After while no entry is known to reach a service, in milliseconds: the
+ * next probes are due by then.
+ */
+const LOST_RETRY_MS = 800;
+
+/**
+ * Returns the error for a service that no entry is known to reach.
+ *
+ * @example
+ * throw lostServiceError('chat', reach.stateOf('chat'));
+ */
+export function lostServiceError(
+  service: string,
+  state: ReachState,
+): ServingError {
+  return new ServingError(
+    'endpoint-unavailable',
+    `no endpoint of ${service} responds: ${state}`,
+    {run: 'not-run', retryAfterMs: LOST_RETRY_MS},
+  );
+}
+
 /**
  * Returns the error for a request that all tried endpoints declined.
  *
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -11,6 +11,7 @@
   describeResult,
   isConnectionRefused,
   isServerError,
+  lostServiceError,
   quarantinedError,
   rateLimitedError,
   unavailableError,
@@ -49,12 +50,6 @@
   forward(call: ForwardedCall, reply: CallerReply): Promise<ForwardingResult>;
 }
 
-/**
- * Retry-After while no entry is known to reach a service, in milliseconds: the
- * next probes are due by then.
- */
-const LOST_RETRY_MS = 800;
-
 /**
  * Creates the forwarding of one entry.
  *
@@ -278,7 +273,10 @@
       return {type: 'peer', peer};
     }
     return reach.isLost(call.service) && !reply.hasBegun()
-      ? {type: 'reject', error: lostError(call.service)}
+      ? {
+          type: 'reject',
+          error: lostServiceError(call.service, reach.stateOf(call.service)),
+        }
       : chooseEndpointStep(call, progress);
   }
 
@@ -302,15 +300,6 @@
     return {type: 'endpoint', target};
   }
 
-  /** Returns the error for a service that no entry is known to reach. */
-  function lostError(service: string): ServingError {
-    return new ServingError(
-      'endpoint-unavailable',
-      `no endpoint of ${service} responds: ${reach.stateOf(service)}`,
-      {run: 'not-run', retryAfterMs: LOST_RETRY_MS},
-    );
-  }
-
   function runAttempt(
     call: ForwardedCall,
     reply: CallerReply,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -5,6 +5,7 @@
 export * from './rateLimits.js';
 export * from './endpointLimits.js';
 export * from './endpointReach.js';
+export * from './reachContracts.js';
 export type {ProbeTarget} from './probeTargets.js';
 export type {ReachState} from './reachMachine.js';
 export * from './rests.js';
--- a/packages/routing/src/test/endpointReach.test.ts
+++ b/packages/routing/src/test/endpointReach.test.ts
@@ -6,7 +6,8 @@
   createVirtualClock,
   seededRandom,
 } from '@skylarkfield/base';
-import {createEndpointReach, type PeerAnswer} from '../endpointReach.js';
+import {createEndpointReach} from '../endpointReach.js';
+import type {PeerAnswer} from '../reachContracts.js';
 
 const SERVICE = 's';
 const ENDPOINTS = ['a1', 'a2', 'b1', 'b2', 'c1', 'c2'];
