--- a/packages/gateway/src/mirror.ts
+++ b/packages/gateway/src/mirror.ts
@@ -146,6 +146,10 @@
     newItems: readonly MirrorChange[],
   ): void {
     if (revision !== undefined && toRevision < revision) {
+      log.info(
+        {mirror: kind, revision, listed: toRevision},
+        'ignored an older listing',
+      );
       return;
     }
     const names = new Set(newItems.map(({name}) => name));
--- a/packages/gateway/src/mirrorReader.ts
+++ b/packages/gateway/src/mirrorReader.ts
@@ -127,6 +127,10 @@
     );
     if (changes === undefined) {
       isCompacted = true;
+      log.info(
+        {mirror: mirror.kind, after: mirror.revision()},
+        'the store no longer has the changes; listing again',
+      );
       return;
     }
     const step = mirror.applyChanges(changes, requestedAt);
