--- a/packages/providers/src/index.ts
+++ b/packages/providers/src/index.ts
@@ -9,3 +9,4 @@
 export * from './objectStore.js';
 export * from './objectTable.js';
 export * from './objectTransport.js';
+export * from './storeRevision.js';
