gateway: retain what a restored store lacks until it is written again

What callers saw: none yet on a landing; since positions are ordered across returns, the copy applied at once: an older version of the configuration, endpoints that had said that they leave or had left, and those that the copy lacked were dropped. Cause: a mirror had one state of an object, that of the store, and a restored store is behind what its mirrors know. Change: a rule for each kind (retentionRules) says how long an earlier state stays in force beside the copy's: a later version of the policy, a departure, a final state of a rollout, newer crashes until the store has them; removals and additions for some seconds. Peers tell each other what they retain by a hash in their digests, so that entries that start or were behind adopt it.

--- a/packages/gateway/src/mirror.ts
+++ b/packages/gateway/src/mirror.ts
@@ -5,9 +5,11 @@
 import {
   createEmitter,
   type Clock,
+  type Disposable,
   type Event,
   type Logger,
 } from '@skylarkfield/base';
+import {eraOf} from '@skylarkfield/providers';
 import type {
   MirrorChange,
   MirrorSnapshot,
@@ -16,6 +18,9 @@
 } from '@skylarkfield/protocol';
 import {createConfirmation, type Timestamp} from '@skylarkfield/traffic';
 import type {SourceChanges, SourceItem, SourceListing} from './contracts.js';
+import {createMirrorContents} from './mirrorContents.js';
+import {digestOf} from './retainedStates.js';
+import {noRetention, type RetentionRule} from './retentionRules.js';
 
 /**
  * Changes that update a replica from store revision `from` to revision `to`.
@@ -26,12 +31,17 @@
   readonly changes: readonly MirrorChange[];
 }
 
-export interface Mirror<T> {
+export interface Mirror<T> extends Disposable {
   readonly kind: MirrorKind;
   /** False until the first listing or copy has arrived. */
   isLoaded(): boolean;
   get(name: string): T | undefined;
   items(): readonly SourceItem<T>[];
+  /**
+   * Values from before the store returned from a copy, which are in force
+   * instead of what the store holds.
+   */
+  retainedItems(): readonly SourceItem<T>[];
   revision(): number;
   /** Milliseconds since the last confirmation; initially Infinity. */
   ageMs(): number;
@@ -58,12 +68,17 @@
    * copy has to be fetched then.
    */
   applyStep(step: MirrorStep): boolean;
-  /** Replaces the content by a peer's copy, unless the copy is older. */
+  /**
+   * Replaces the content by a peer's copy, unless the copy is older, and adopts
+   * the states that the peer retains.
+   */
   applyCopy(snapshot: MirrorSnapshot): void;
+  /** Whether a peer with this status has content that the replica lacks. */
+  lacksContentOf(syncStatus: SyncStatus): boolean;
   /**
    * Confirms the replica by the sync status of a peer that was up to date at
    * the timestamp. Returns false if the replica lacks changes that the peer
-   * has.
+   * has, or if only one of them knows that the store has returned from a copy.
    */
   confirmByPeer(syncStatus: SyncStatus, timestamp: Timestamp): boolean;
   /** Returns a copy of the content for a peer. */
@@ -84,53 +99,44 @@
   readonly kind: MirrorKind;
   readonly clock: Clock;
   readonly log: Logger;
+  /** What outlives the store's return from a copy; by default nothing. */
+  readonly rule?: RetentionRule<T>;
 }): Mirror<T> {
-  const {kind, clock, log} = options;
+  const {kind, clock, log, rule = noRetention} = options;
   const changeEmitter = createEmitter<void>();
   const confirmation = createConfirmation(clock);
-  const items = new Map<string, SourceItem<T>>();
+  const contents = createMirrorContents<T>({
+    rule,
+    clock,
+    onDidExpire(names) {
+      log.info({mirror: kind, names}, 'retained states expired');
+      changeEmitter.fire();
+    },
+  });
   /** Store revision of the replica; undefined before the first listing. */
   let revision: number | undefined;
   /**
    * Latest store revision at which the content changed, as far as it is known.
    */
   let changedAt = 0;
+  /** Monotonic milliseconds before which reads do not confirm the replica. */
+  let settledAt = -Infinity;
+  /** Digests of the retained states that peers have sent in this era. */
+  const mergedDigests = new Set<number>();
 
-  function putItem(name: string, itemRevision: number, value: T): boolean {
-    const existingItem = items.get(name);
-    if (existingItem !== undefined && existingItem.revision >= itemRevision) {
-      return false;
-    }
-    items.set(name, {name, revision: itemRevision, value});
-    return true;
-  }
-
-  function applyChange({
-    name,
-    revision: changeRevision,
-    value,
-  }: MirrorChange): boolean {
-    if (value !== undefined) {
-      return putItem(name, changeRevision, value as T);
-    }
-    const existingItem = items.get(name);
-    // The object may have been recreated after this removal.
-    if (existingItem === undefined || existingItem.revision > changeRevision) {
-      return false;
+  function confirm(timestamp: Timestamp): void {
+    if (timestamp.monotonicMs >= settledAt) {
+      confirmation.confirm(timestamp);
     }
-    return items.delete(name);
   }
 
   function applyAllChanges(
     changes: readonly MirrorChange[],
     toRevision: number,
   ): void {
-    let hasChanged = false;
-    for (const change of changes) {
-      hasChanged = applyChange(change) || hasChanged;
-    }
+    const newerChanges = changes.filter(contents.apply);
     changedAt = Math.max(changedAt, toRevision);
-    if (hasChanged) {
+    if (newerChanges.length > 0) {
       log.info(
         {mirror: kind, to: toRevision, changed: changes.map(({name}) => name)},
         'mirror changed',
@@ -139,6 +145,27 @@
     }
   }
 
+  /** Applies the first content after the store returned from a copy. */
+  function restoreItems(
+    toRevision: number,
+    newItems: readonly MirrorChange[],
+  ): void {
+    settledAt = clock.now() + rule.settlingMs(confirmation.ageMs());
+    mergedDigests.clear();
+    contents.restore(newItems);
+    log.info(
+      {
+        mirror: kind,
+        from: revision,
+        to: toRevision,
+        objects: newItems.length,
+        retained: contents.retainedStates().map(({name}) => name),
+        settlingMs: Math.max(0, settledAt - clock.now()),
+      },
+      'mirror of a restored store',
+    );
+  }
+
   /** Replaces the content unless the new content is older. */
   function replaceItems(
     toRevision: number,
@@ -152,37 +179,58 @@
       );
       return;
     }
-    const names = new Set(newItems.map(({name}) => name));
-    const removedNames = [...items.keys()].filter(name => !names.has(name));
-    removedNames.forEach(name => items.delete(name));
     const isFirstContent = revision === undefined;
-    revision = toRevision;
-    let hasChanged = isFirstContent || removedNames.length > 0;
-    for (const change of newItems) {
-      hasChanged = applyChange(change) || hasChanged;
+    const isRestored = !isFirstContent && isOfOtherEra(toRevision);
+    let hasChanged = isFirstContent || isRestored;
+    if (isRestored) {
+      restoreItems(toRevision, newItems);
+    } else {
+      hasChanged = contents.replace(newItems) || hasChanged;
     }
+    revision = toRevision;
     changedAt = Math.max(changedAt, changeRevision);
     if (hasChanged) {
       log.info(
-        {mirror: kind, to: toRevision, objects: items.size},
+        {mirror: kind, to: toRevision, objects: newItems.length},
         'mirror replaced',
       );
       changeEmitter.fire();
     }
   }
 
+  function isOfOtherEra(otherRevision: number): boolean {
+    return eraOf(otherRevision) !== eraOf(revision ?? 0);
+  }
+
+  /** Adopts the states that a peer in the same era retains. */
+  function adoptRetained(snapshot: MirrorSnapshot): void {
+    const {retained = []} = snapshot;
+    if (isOfOtherEra(snapshot.revision) || retained.length === 0) {
+      return;
+    }
+    mergedDigests.add(digestOf(retained));
+    if (contents.adopt(retained, snapshot.revision)) {
+      log.info(
+        {mirror: kind, retained: retained.map(({name}) => name)},
+        'adopted retained states of a peer',
+      );
+      changeEmitter.fire();
+    }
+  }
+
   return {
     kind,
     isLoaded: () => revision !== undefined,
-    get: name => items.get(name)?.value,
-    items: () => [...items.values()],
+    get: contents.get,
+    items: contents.items,
+    retainedItems: contents.retainedItems,
     revision: () => revision ?? 0,
     ageMs: () => (revision === undefined ? Infinity : confirmation.ageMs()),
     onDidChange: changeEmitter.event,
     applyListing(listing, requestedAt) {
       replaceItems(listing.revision, listing.revision, listing.items);
       if (requestedAt !== undefined) {
-        confirmation.confirm(requestedAt);
+        confirm(requestedAt);
       }
     },
     applyChanges(sourceChanges, requestedAt) {
@@ -198,7 +246,7 @@
           : {name, revision: item.revision, value: item.value},
       );
       revision = sourceChanges.revision;
-      confirmation.confirm(requestedAt);
+      confirm(requestedAt);
       if (changes.length === 0) {
         return undefined;
       }
@@ -210,25 +258,50 @@
         return false;
       }
       if (toRevision > revision) {
+        if (isOfOtherEra(fromRevision)) {
+          return false;
+        }
         revision = toRevision;
         applyAllChanges(changes, toRevision);
       }
       return true;
     },
-    applyCopy: snapshot =>
-      replaceItems(snapshot.revision, snapshot.changedAt, snapshot.items),
+    applyCopy(snapshot) {
+      replaceItems(snapshot.revision, snapshot.changedAt, snapshot.items);
+      adoptRetained(snapshot);
+    },
+    lacksContentOf({
+      revision: peerRevision,
+      changedAt: peerChangedAt,
+      retained,
+    }) {
+      if (revision === undefined || revision < peerChangedAt) {
+        return peerRevision > 0;
+      }
+      return (
+        retained !== undefined &&
+        !isOfOtherEra(peerRevision) &&
+        retained !== contents.retainedDigest() &&
+        !mergedDigests.has(retained)
+      );
+    },
     confirmByPeer(syncStatus, timestamp) {
-      if (revision === undefined || revision < syncStatus.changedAt) {
+      if (
+        revision === undefined ||
+        revision < syncStatus.changedAt ||
+        isOfOtherEra(syncStatus.revision)
+      ) {
         return false;
       }
       revision = Math.max(revision, syncStatus.revision);
-      confirmation.confirm(timestamp);
+      confirm(timestamp);
       return true;
     },
     copy: () => ({
       revision: revision ?? 0,
       changedAt,
-      items: [...items.values()],
+      items: contents.storedItems(),
+      retained: contents.retainedStates(),
     }),
     syncStatus: isReader => ({
       revision: revision ?? 0,
@@ -237,6 +310,10 @@
         ? Math.max(0, Math.round(confirmation.ageMs()))
         : -1,
       isReader,
+      ...(contents.retainedDigest() === 0
+        ? {}
+        : {retained: contents.retainedDigest()}),
     }),
+    dispose: () => contents.dispose(),
   };
 }
--- a/packages/gateway/src/platformView.ts
+++ b/packages/gateway/src/platformView.ts
@@ -33,6 +33,11 @@
   type ReadTiming,
 } from './mirrorReader.js';
 import type {RelayPlan} from './relayPlan.js';
+import {
+  retentionRules,
+  type MirroredValues,
+  type RetentionRule,
+} from './retentionRules.js';
 
 /** Sync status of each mirror, in the form that digests carry. */
 export type SyncStatuses = Messages['digest']['mirrors'];
@@ -102,20 +107,20 @@
 }): PlatformView {
   const {platform, network, self, clock, random, log} = options;
   const disposables = createDisposableStore();
+
+  function createRetainingMirror<K extends MirrorKind>(
+    kind: K,
+  ): Mirror<MirroredValues[K]> {
+    const rule: RetentionRule<MirroredValues[K]> = retentionRules[kind];
+    return disposables.add(createMirror({kind, rule, clock, log}));
+  }
+
   const mirrors = {
-    policy: createMirror<TrafficPolicy>({kind: 'policy', clock, log}),
-    endpoints: createMirror<RegisteredEndpoint>({
-      kind: 'endpoints',
-      clock,
-      log,
-    }),
-    rollouts: createMirror<Rollout>({kind: 'rollouts', clock, log}),
-    crashes: createMirror<CrashReport>({kind: 'crashes', clock, log}),
-    domainDrains: createMirror<DomainDrain>({
-      kind: 'domainDrains',
-      clock,
-      log,
-    }),
+    policy: createRetainingMirror('policy'),
+    endpoints: createRetainingMirror('endpoints'),
+    rollouts: createRetainingMirror('rollouts'),
+    crashes: createRetainingMirror('crashes'),
+    domainDrains: createRetainingMirror('domainDrains'),
   };
   const mirrorKinds = Object.keys(mirrors) as MirrorKind[];
   const mirrorReaders = new Map<MirrorKind, MirrorReader>();
@@ -204,11 +209,8 @@
     timestamp: Timestamp | undefined,
   ): void {
     const mirror = mirrors[kind];
-    if (!mirror.isLoaded() || mirror.revision() < syncStatus.changedAt) {
-      if (syncStatus.revision > 0) {
-        void fetchCopy(kind, peer);
-      }
-      return;
+    if (mirror.lacksContentOf(syncStatus)) {
+      void fetchCopy(kind, peer);
     }
     if (timestamp === undefined || syncStatus.confirmedAgoMs < 0) {
       return;
--- a/packages/protocol/src/messages/gatewayMessages.ts
+++ b/packages/protocol/src/messages/gatewayMessages.ts
@@ -27,6 +27,11 @@
   readonly confirmedAgoMs: number;
   /** Whether the sender successfully reads this kind from the platform. */
   readonly isReader: boolean;
+  /**
+   * Hash of the states that the sender retains since the store returned from a
+   * copy; absent if there are none.
+   */
+  readonly retained?: number;
 }
 
 /** One changed object; `value` is absent if the object was deleted. */
@@ -214,4 +219,20 @@
   readonly revision: number;
   readonly changedAt: number;
   readonly items: readonly MirrorChange[];
+  /** Absent if there are none, and from earlier releases. */
+  readonly retained?: readonly RetainedState[];
+}
+
+/**
+ * State of an object from before the store returned from a copy, which applies
+ * instead of the state in the copy.
+ */
+export interface RetainedState {
+  readonly name: string;
+  readonly revision: number;
+  /** Last value; that before the removal if the object was removed. */
+  readonly value: unknown;
+  readonly isRemoved: boolean;
+  /** Absent if the state applies until the store has a newer one. */
+  readonly remainingMs?: number;
 }
