platform: order reads that may be stale below all others

What callers saw: shown by a test only. An entry that starts after a return may read a stale listing from before it, which names the current era. Its mirror then holds a position that the store has not reached in this era, skips the changes up to it, and all peers take this content as the newest. Cause: the era in a response says nothing about a state that may be seconds old. Change: stale reads get the lowest era, so that peers' copies and the first watch replace them; a mirror that was never confirmed retains nothing of them.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,6 +12,7 @@
 export * from './gatewayProcess.js';
 export {createHandoverHandler} from './handoverHandler.js';
 export {createHandovers} from './handovers.js';
+export {createMirror} from './mirror.js';
 export {createPeerReports} from './peerReports.js';
 export {createProgress, type RetryRules} from './retryRules.js';
 export * from './settings.js';
--- a/packages/gateway/src/mirror.ts
+++ b/packages/gateway/src/mirror.ts
@@ -150,9 +150,13 @@
     toRevision: number,
     newItems: readonly MirrorChange[],
   ): void {
-    settledAt = clock.now() + rule.settlingMs(confirmation.ageMs());
+    const ageMs = confirmation.ageMs();
+    const hasBeenConfirmed = Number.isFinite(ageMs);
+    settledAt = hasBeenConfirmed
+      ? clock.now() + rule.settlingMs(ageMs)
+      : -Infinity;
     mergedDigests.clear();
-    contents.restore(newItems);
+    contents.restore(newItems, hasBeenConfirmed);
     log.info(
       {
         mirror: kind,
--- a/packages/gateway/src/mirrorContents.ts
+++ b/packages/gateway/src/mirrorContents.ts
@@ -27,9 +27,9 @@
   replace(newItems: readonly MirrorChange[]): boolean;
   /**
    * Replaces the stored objects by those of a restored store, and retains the
-   * earlier states that outlive the return.
+   * earlier states that outlive the return, unless they were never confirmed.
    */
-  restore(newItems: readonly MirrorChange[]): void;
+  restore(newItems: readonly MirrorChange[], isConfirmed: boolean): void;
   /**
    * Adopts states that a peer retains, unless the store has changed the object
    * after `peerRevision`; returns whether any was adopted.
@@ -139,8 +139,8 @@
       const changedItems = newItems.filter(apply);
       return removedItems.length > 0 || changedItems.length > 0;
     },
-    restore(newItems) {
-      const states = earlierStates();
+    restore(newItems, isConfirmed) {
+      const states = isConfirmed ? earlierStates() : [];
       stored.clear();
       retained.clear();
       for (const {name, revision, value} of newItems) {
