gateway: record no warm-up again when the store is restored

After a return all registrations have other positions, so that the warm-up that each endpoint reported at its start was recorded again, and all endpoints were limited to their warm-up rate at once. Cause: a registration counts as new if its position differs. Change: it counts as new if its revision in the era, or the warm-up that it reports, differs. Measured: the new test of endpointDirectory.test.ts failed before (two warm-ups recorded) and passes.

--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -1,5 +1,6 @@
 /** The registered endpoints, updated from the mirrored registrations. */
 import {createEmitter, type Event, type Logger} from '@skylarkfield/base';
+import {revisionInEra} from '@skylarkfield/providers';
 import type {
   Candidate,
   Departures,
@@ -58,6 +59,23 @@
   readonly onDidVanish: Event<string>;
 }
 
+/** Warm-up that a registration reported. */
+interface AppliedWarmUp {
+  /**
+   * Revision of the registration within its era: a store that was restored has
+   * the same registration in another era.
+   */
+  readonly revision: number;
+  readonly warmForMs: number;
+}
+
+function isSameWarmUp(
+  one: AppliedWarmUp,
+  other: AppliedWarmUp | undefined,
+): boolean {
+  return one.revision === other?.revision && one.warmForMs === other.warmForMs;
+}
+
 /**
  * Creates the directory of the mirrored registrations.
  *
@@ -98,8 +116,8 @@
   let registrationsByKey = new Map<string, RegisteredEndpoint>();
   /** Registrations with the state that the drains of domains leave them. */
   let endpointsByKey = new Map<string, RegisteredEndpoint>();
-  /** Revision of the last registration that was applied, by router key. */
-  let revisionsByKey = new Map<string, number>();
+  /** Reported warm-ups that were applied, by router key. */
+  let appliedWarmUps: ReadonlyMap<string, AppliedWarmUp> = new Map();
   let drainedDomains: ReadonlySet<string> = new Set();
   let isLoaded = false;
 
@@ -177,17 +195,18 @@
 
   /** Records the warm-up that each new or changed registration reports. */
   function recordReportedWarmUps(): void {
-    const revisions = new Map<string, number>();
+    const reportedWarmUps = new Map<string, AppliedWarmUp>();
     for (const {revision, value} of endpoints.items()) {
       const key = keyOf(value);
-      revisions.set(key, revision);
       const {warmForMs = 0} = value;
-      if (warmForMs > 0 && revisionsByKey.get(key) !== revision) {
+      const reported = {revision: revisionInEra(revision), warmForMs};
+      reportedWarmUps.set(key, reported);
+      if (warmForMs > 0 && !isSameWarmUp(reported, appliedWarmUps.get(key))) {
         warmUps.recordWarmUp(key, warmForMs);
       }
     }
-    revisionsByKey = revisions;
-    warmUps.retainEndpoints(revisions);
+    appliedWarmUps = reportedWarmUps;
+    warmUps.retainEndpoints(reportedWarmUps);
   }
 
   return {
--- a/packages/gateway/src/test/endpointDirectory.test.ts
+++ b/packages/gateway/src/test/endpointDirectory.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createSilentLogger, createVirtualClock} from '@skylarkfield/base';
+import {createStoreRevision} from '@skylarkfield/providers';
 import type {Candidate, Router} from '@skylarkfield/routing';
 import type {
   DomainDrain,
@@ -47,6 +48,7 @@
   const departedKeys: string[] = [];
   const announcedKeys = new Set<string>();
   let revision = 0;
+  let era = 0;
   const directory = createEndpointDirectory({
     endpoints,
     rollouts,
@@ -77,12 +79,20 @@
     values: Readonly<Record<string, T>>,
   ): void {
     revision += 1;
+    listAt(createStoreRevision(era, revision), mirror, values);
+  }
+
+  function listAt<T>(
+    position: number,
+    mirror: Mirror<T>,
+    values: Readonly<Record<string, T>>,
+  ): void {
     const items = Object.entries(values).map(([name, value]) => ({
       name,
-      revision,
+      revision: position,
       value,
     }));
-    mirror.applyListing({revision, items}, undefined);
+    mirror.applyListing({revision: position, items}, undefined);
     directory.refresh();
   }
 
@@ -94,6 +104,11 @@
     routedIds: () => routedIds,
     register: (values: Readonly<Record<string, RegisteredEndpoint>>) =>
       list(endpoints, values),
+    /** Restores the store with these registrations, at the same revision. */
+    restore(values: Readonly<Record<string, RegisteredEndpoint>>) {
+      era += 1;
+      listAt(createStoreRevision(era, revision), endpoints, values);
+    },
     listRollouts: () => list(rollouts, {}),
     drain: (...domains: string[]) =>
       list(
@@ -204,4 +219,15 @@
     rig.register({i1: {...cold, warmForMs: 0}});
     assert.equal(rig.warmUpCalls.length, 2);
   });
+
+  // Guards against limiting all endpoints again when the store is restored.
+  it('records no warm-up again that a restored store reports', () => {
+    const rig = createRig();
+    const cold = {...createEndpoint('i1', 'a'), warmForMs: 2_000};
+    rig.register({i1: cold});
+    rig.restore({i1: cold});
+    assert.deepEqual(rig.warmUpCalls, [['i1@7', 2_000]]);
+    rig.restore({i1: {...cold, warmForMs: 3_000}});
+    assert.deepEqual(rig.warmUpCalls.at(-1), ['i1@7', 3_000]);
+  });
 });
