duties: believe each latest read of a lease

A candidate whose recent reads still came from the history before the store's return, though with the new era, discarded the latest reads after them as outdated. It then saw the renewals of the live holder as one old lease, and took the duty from it: two processes held it at the same time.

A latest read is now always recorded, and recent reads up to a version that a latest one has refuted are ignored. A recent read without a lease leads to a latest one.

--- a/packages/duties/src/leaseElection.ts
+++ b/packages/duties/src/leaseElection.ts
@@ -176,8 +176,8 @@
 
   async function readAndCheckIsFree(freshness: Freshness): Promise<boolean> {
     leaseObject = await store.get(LEASE_KIND, duty, undefined, freshness);
-    leaseObserver.recordRead(leaseObject);
-    return !isResigned && leaseObserver.isFree();
+    const isFree = leaseObserver.recordRead(leaseObject, freshness);
+    return !isResigned && isFree;
   }
 
   async function acquire(): Promise<void> {
--- a/packages/duties/src/leaseObserver.ts
+++ b/packages/duties/src/leaseObserver.ts
@@ -5,59 +5,84 @@
  * duration on its own monotonic clock from its first read of a lease version.
  * This read is later than the write from which the holder measures.
  */
-import type {StoredObject} from '@skylarkfield/providers';
 import type {Clock} from '@skylarkfield/base';
+import type {Freshness, StoredObject} from '@skylarkfield/providers';
 import {parseLease, type LeaseTiming} from './lease.js';
 
 export interface LeaseObserver {
-  /** Records a read of the lease; must be called when the result arrives. */
-  recordRead(object: StoredObject | undefined): void;
-  /** Returns whether the lease, as last read, may be acquired. */
-  isFree(): boolean;
+  /**
+   * Records a read of the lease and returns whether the lease may be acquired.
+   * Must be called when the result arrives; reads must not overlap.
+   */
+  recordRead(object: StoredObject | undefined, freshness: Freshness): boolean;
 }
 
 /**
  * Creates the observer of one lease.
  *
  * @example
- * observer.recordRead(await store.get('lease', 'acceptance'));
- * if (observer.isFree()) { await acquire(); }
+ * const object = await store.get('lease', 'acceptance');
+ * if (observer.recordRead(object, 'latest')) { await acquire(); }
  */
 export function createLeaseObserver(
   clock: Clock,
   timing: LeaseTiming,
   self: string,
 ): LeaseObserver {
-  let lastReadObject: StoredObject | undefined;
+  let lastObject: StoredObject | undefined;
   /**
    * Monotonic milliseconds at which the latest lease version was first read.
    */
   let versionFirstReadAt = 0;
   let hasRead = false;
+  /**
+   * Highest version that a `latest` read has shown not to exist any more. A
+   * `recent` read may return it again: its answer may be of the history before
+   * a return, although its version names the new era.
+   */
+  let refutedVersion = 0;
+
+  function recordLatest(object: StoredObject | undefined): void {
+    const lastVersion = lastObject?.version ?? 0;
+    if (lastVersion > (object?.version ?? 0)) {
+      refutedVersion = Math.max(refutedVersion, lastVersion);
+    }
+    setLastObject(object);
+  }
+
+  function recordRecent(object: StoredObject | undefined): void {
+    const knownVersion = Math.max(lastObject?.version ?? 0, refutedVersion);
+    if (!hasRead || (object?.version ?? 0) > knownVersion) {
+      setLastObject(object);
+    }
+  }
+
+  function setLastObject(object: StoredObject | undefined): void {
+    if (!hasRead || object?.version !== lastObject?.version) {
+      versionFirstReadAt = clock.now();
+    }
+    hasRead = true;
+    lastObject = object;
+  }
+
+  function isFree(): boolean {
+    const lease = parseLease(lastObject);
+    if (lease === undefined || lease.isReleased || lease.holder === self) {
+      return true;
+    }
+    return (
+      clock.now() - versionFirstReadAt >= lease.durationMs + timing.marginMs
+    );
+  }
 
   return {
-    recordRead(object) {
-      // Reads may be stale and arrive out of order.
-      if ((object?.version ?? Infinity) < (lastReadObject?.version ?? 0)) {
-        return;
-      }
-      if (!hasRead || object?.version !== lastReadObject?.version) {
-        versionFirstReadAt = clock.now();
-      }
-      hasRead = true;
-      lastReadObject = object;
-    },
-    isFree() {
-      if (!hasRead) {
-        return false;
-      }
-      const lease = parseLease(lastReadObject);
-      if (lease === undefined || lease.isReleased || lease.holder === self) {
-        return true;
+    recordRead(object, freshness) {
+      if (freshness === 'latest') {
+        recordLatest(object);
+        return isFree();
       }
-      return (
-        clock.now() - versionFirstReadAt >= lease.durationMs + timing.marginMs
-      );
+      recordRecent(object);
+      return object === undefined || isFree();
     },
   };
 }
