gateway: report no window twice after the store has lost reports

The counts of a usage report are stored before they are sent, and a return of the store from a copy takes back the newest ones. A successor then stored and sent other counts for the same window, as did the reporter itself in a later term: the customer would be billed twice.

A process now keeps the counts that it has sent while they may be reported, across its terms, and sends no others. A holder does not store counts for a window that a holder before it may have reported before the return: it waits up to 5 s for the counts to be written again, and else skips the window. Counts written while the process did not know of the return are removed. A store that was never restored is used as before, and a holder that stays over a return misses no window.

--- a/packages/gateway/src/clusterDuty.ts
+++ b/packages/gateway/src/clusterDuty.ts
@@ -6,6 +6,7 @@
 import {startFleetDuty} from './fleetDuty.js';
 import type {TrafficPipeline} from './trafficPipeline.js';
 import {startUsageDuty} from './usageDuty.js';
+import {createUsageReports, earliestWindow} from './usageReports.js';
 
 /**
  * Competes for the duty to report usage and scale endpoints. One lease covers
@@ -21,9 +22,26 @@
   traffic: TrafficPipeline,
 ): Disposable {
   const {settings, platform, clock, log} = context;
+  const {store, dutyElections} = coordination;
+  const returns = dutyElections.storeReturns;
+  const disposables = createDisposableStore();
+  const usageOptions = {
+    usageWindows: traffic.usageWindows,
+    lateMs: settings.usageLateSeconds * MS_PER_SECOND,
+    commonWallMs: traffic.digests.commonWallMs,
+  };
+  const reports = disposables.add(
+    createUsageReports({
+      store,
+      returns,
+      clock,
+      log,
+      earliestWindow: () => earliestWindow(usageOptions),
+    }),
+  );
 
   function startTasks(term: DutyTerm): Disposable {
-    const disposables = createDisposableStore();
+    const taskDisposables = createDisposableStore();
     const commonOptions = {
       term,
       holder: settings.id,
@@ -31,16 +49,16 @@
       clock,
       log,
     };
-    disposables.add(
+    taskDisposables.add(
       startUsageDuty({
         ...commonOptions,
-        store: coordination.store,
-        usageWindows: traffic.usageWindows,
-        lateMs: settings.usageLateSeconds * MS_PER_SECOND,
-        commonWallMs: traffic.digests.commonWallMs,
+        store,
+        returns,
+        reports,
+        ...usageOptions,
       }),
     );
-    disposables.add(
+    taskDisposables.add(
       startFleetDuty({
         ...commonOptions,
         directory: traffic.directory,
@@ -53,13 +71,14 @@
         demandSignals: traffic.engineEstimates.demandSignals,
       }),
     );
-    disposables.add(
+    taskDisposables.add(
       traffic.engineCapacityStore.startPersisting(
         traffic.engineEstimates.fleetCapacity,
       ),
     );
-    return disposables;
+    return taskDisposables;
   }
 
-  return coordination.dutyElections.compete('fleet', startTasks);
+  disposables.add(dutyElections.compete('fleet', startTasks));
+  return disposables;
 }
--- a/packages/gateway/src/test/usageDuty.test.ts
+++ b/packages/gateway/src/test/usageDuty.test.ts
@@ -1,95 +1,13 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {createVirtualClock, seededRandom} from '@skylarkfield/base';
+import {createMemoryPlatform} from '@skylarkfield/providers';
 import {
-  seededRandom,
-  createSilentLogger,
-  createVirtualClock,
-  type VirtualClock,
-} from '@skylarkfield/base';
-import type {DutyTerm} from '@skylarkfield/duties';
-import {createMemoryPlatform, type ObjectStore} from '@skylarkfield/providers';
-import {createUsageWindows, type CustomerCounts} from '@skylarkfield/traffic';
-import type {PlatformCallResult, PlatformOrders} from '../contracts.js';
-import {startUsageDuty} from '../usageDuty.js';
-
-const WINDOW_MS = 5_000;
-
-interface Report {
-  readonly window: number;
-  readonly counts: CustomerCounts;
-  readonly fencing: number;
-}
-
-function createReportRecorder(answers: PlatformCallResult[]) {
-  const reports: Report[] = [];
-  const orders: PlatformOrders = {
-    async reportUsage({fencing}, window, counts) {
-      reports.push({window, counts, fencing});
-      return answers.shift() ?? 'accepted';
-    },
-    orderEndpoints: async () => 'accepted',
-  };
-  return {reports, orders};
-}
-
-function createTerm(fencing: number): DutyTerm & {end(): void} {
-  const controller = new AbortController();
-  return {
-    duty: 'fleet',
-    fencing,
-    acquiredAt: 0,
-    isValid: () => !controller.signal.aborted,
-    signal: controller.signal,
-    end: () => controller.abort(),
-  };
-}
-
-function startHolder(options: {
-  readonly clock: VirtualClock;
-  readonly store: ObjectStore;
-  readonly orders: PlatformOrders;
-  readonly fencing: number;
-  readonly ownCount: number;
-  readonly windowMs?: number;
-}) {
-  const {clock} = options;
-  const usage = createUsageWindows({
-    windowMs: options.windowMs ?? WINDOW_MS,
-    self: `e${options.fencing}`,
-  });
-  for (let count = 0; count < options.ownCount; count++) {
-    usage.recordRequest('chain', clock.wall());
-  }
-  const term = createTerm(options.fencing);
-  const duty = startUsageDuty({
-    term,
-    holder: `e${options.fencing}`,
-    store: options.store,
-    orders: options.orders,
-    usageWindows: usage,
-    lateMs: 10_000,
-    clock,
-    commonWallMs: () => clock.wall(),
-    log: createSilentLogger(),
-  });
-  return {term, duty, usage};
-}
-
-function assertOneReportPerWindow(reports: readonly Report[]): void {
-  const countsByWindow = new Map<number, Set<string>>();
-  for (const {window, counts} of reports) {
-    const variants = countsByWindow.get(window) ?? new Set();
-    variants.add(JSON.stringify(counts));
-    countsByWindow.set(window, variants);
-  }
-  for (const [window, variants] of countsByWindow) {
-    assert.equal(
-      variants.size,
-      1,
-      `window ${window}: ${[...variants].join(' and ')}`,
-    );
-  }
-}
+  assertOneReportPerWindow,
+  createReportRecorder,
+  startHolder,
+  WINDOW_MS,
+} from './usageHolders.js';
 
 describe('usage duty', () => {
   it('reports the counts that its predecessor persisted', async () => {
--- a/packages/gateway/src/usageDuty.ts
+++ b/packages/gateway/src/usageDuty.ts
@@ -5,23 +5,28 @@
  * If two reports of one window differed, customers would be billed twice.
  * Counts are therefore written to the store before they are sent, and a
  * successor that does not know whether its predecessor's report arrived sends
- * the same counts again.
+ * the same counts again. After the store was restored from a copy, windows whose
+ * counts it may have lost are reported only with the counts reported before.
  */
 import {
   scheduleRepeatedly,
   isServingError,
+  ServingError,
   toServingError,
   type Clock,
   type Disposable,
   type Logger,
 } from '@skylarkfield/base';
-import type {DutyTerm} from '@skylarkfield/duties';
-import type {ObjectStore} from '@skylarkfield/providers';
+import type {DutyTerm, StoreReturns} from '@skylarkfield/duties';
+import {eraOf, type ObjectStore} from '@skylarkfield/providers';
 import type {CustomerCounts, UsageWindows} from '@skylarkfield/traffic';
 import type {PlatformOrders} from './contracts.js';
-
-/** Kind of the stored objects with the reported counts, one for each window. */
-const OBJECT_KIND = 'usage-report';
+import {
+  USAGE_CALL_TIMEOUT_MS,
+  USAGE_REPORT_KIND,
+  earliestWindow,
+  type UsageReports,
+} from './usageReports.js';
 
 /** Interval at which windows due for a report are checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 500;
@@ -39,13 +44,25 @@
  */
 const EXTRA_RETAINED_REPORTS = 3;
 
-/** Timeout of one call to the store or the platform, in milliseconds. */
-const CALL_TIMEOUT_MS = 1_500;
+/** Maximum difference of two entries' common wall clocks, in milliseconds. */
+const MAX_CLOCK_SKEW_MS = 500;
+
+/**
+ * Time from a return of the store within which a live reporter has written its
+ * lost counts again, in milliseconds.
+ */
+const REWRITE_WAIT_MS = 5_000;
+
+/** Interval at which lost counts are looked for, in milliseconds. */
+const REWRITE_POLL_INTERVAL_MS = 1_000;
 
 export interface UsageDutyOptions {
   readonly term: DutyTerm;
   readonly holder: string;
   readonly store: ObjectStore;
+  readonly returns: StoreReturns;
+  /** Reports of this process, also of its earlier terms. */
+  readonly reports: UsageReports;
   readonly orders: PlatformOrders;
   readonly usageWindows: UsageWindows;
   /**
@@ -66,82 +83,182 @@
  * dutyElections.compete('usage', term => startUsageDuty({term, ...rest}));
  */
 export function startUsageDuty(options: UsageDutyOptions): Disposable {
-  const {term, store, orders, usageWindows, clock, log} = options;
+  const {term, store, returns, reports, orders, usageWindows, clock, log} =
+    options;
   const firstWindow = usageWindows.windowAt(
     options.commonWallMs() - options.lateMs,
   );
   const retainedReports =
     usageWindows.windowAt(options.lateMs) + EXTRA_RETAINED_REPORTS;
   const reportedWindows = new Set<number>();
+  /** Monotonic milliseconds before which a doubtful window is not retried. */
+  const deferredUntil = new Map<number, number>();
   let isReporting = false;
 
   /** Returns the earliest window that is complete and not reported yet. */
   function dueWindow(): number | undefined {
     const latestWindow =
       usageWindows.windowAt(options.commonWallMs() - REPORT_DELAY_MS) - 1;
-    const earliestWindow = Math.max(
-      firstWindow,
-      usageWindows.windowAt(options.commonWallMs() - options.lateMs) - 1,
-    );
-    for (let window = earliestWindow; window <= latestWindow; window++) {
-      if (!reportedWindows.has(window)) {
+    const firstDueWindow = Math.max(firstWindow, earliestWindow(options));
+    for (let window = firstDueWindow; window <= latestWindow; window++) {
+      const isDeferred = (deferredUntil.get(window) ?? 0) > clock.now();
+      if (!isDeferred && !reportedWindows.has(window)) {
         return window;
       }
     }
     return undefined;
   }
 
+  /**
+   * Returns whether another process may have reported the window before the
+   * store was restored. Only the holders before this term can have done so.
+   */
+  function isDoubtful(window: number): boolean {
+    const returnLearnedAt = returns.learnedAt();
+    if (returnLearnedAt === undefined) {
+      return false;
+    }
+    const lastReportAt = Math.min(returnLearnedAt, term.acquiredAt);
+    const lastReportAtWallClock =
+      options.commonWallMs() - (clock.now() - lastReportAt);
+    const lastEndAtWallClock =
+      lastReportAtWallClock - REPORT_DELAY_MS + MAX_CLOCK_SKEW_MS;
+    return window < usageWindows.windowAt(lastEndAtWallClock);
+  }
+
+  async function readCounts(
+    window: number,
+  ): Promise<CustomerCounts | undefined> {
+    const object = await store.get<CustomerCounts>(
+      USAGE_REPORT_KIND,
+      String(window),
+      AbortSignal.timeout(USAGE_CALL_TIMEOUT_MS),
+    );
+    if (object !== undefined && eraOf(object.version) !== returns.era()) {
+      throw restoredStoreError(window);
+    }
+    return object?.value;
+  }
+
+  /**
+   * Returns the counts of a doubtful window. Their reporter writes them again
+   * if it is alive; otherwise the window is skipped, since a missing report is
+   * better than a second, different one.
+   */
+  async function findReportedCounts(
+    window: number,
+  ): Promise<CustomerCounts | undefined> {
+    const counts = await readCounts(window);
+    if (counts !== undefined) {
+      return counts;
+    }
+    const waitedMs = clock.now() - (returns.learnedAt() ?? 0);
+    if (waitedMs < REWRITE_WAIT_MS) {
+      deferredUntil.set(window, clock.now() + REWRITE_POLL_INTERVAL_MS);
+      return undefined;
+    }
+    skip(window);
+    return undefined;
+  }
+
+  function skip(window: number): void {
+    deferredUntil.delete(window);
+    reportedWindows.add(window);
+    log.warn({window}, 'usage not reported; the store may have lost a report');
+  }
+
   /**
    * Returns the counts to report for a window: those that a predecessor has
    * already persisted, or else the local counts, which are then persisted.
    */
-  async function persistCounts(window: number): Promise<CustomerCounts> {
+  async function persistCounts(
+    window: number,
+  ): Promise<CustomerCounts | undefined> {
     const counts = usageWindows.totalCounts(window);
+    const era = returns.era();
     try {
-      await store.put(
-        OBJECT_KIND,
+      const {version} = await store.put(
+        USAGE_REPORT_KIND,
         String(window),
         counts,
         {type: 'absent'},
-        AbortSignal.timeout(CALL_TIMEOUT_MS),
+        AbortSignal.timeout(USAGE_CALL_TIMEOUT_MS),
       );
-      return counts;
+      if (eraOf(version) !== returns.era()) {
+        throw restoredStoreError(window);
+      }
+      if (eraOf(version) === era || !isDoubtful(window)) {
+        return counts;
+      }
+      await discardCounts(window, version);
+      return undefined;
     } catch (error) {
       if (!isServingError(error, 'version-conflict')) {
         throw error;
       }
-      const existingObject = await store.get<CustomerCounts>(
-        OBJECT_KIND,
-        String(window),
-      );
-      return existingObject?.value ?? counts;
+      const reportedCounts = await readCounts(window);
+      if (reportedCounts === undefined) {
+        throw restoredStoreError(window);
+      }
+      return reportedCounts;
     }
   }
 
+  /**
+   * Removes counts that were written after an unnoticed return: the store may
+   * have lost other counts of the window.
+   */
+  async function discardCounts(window: number, version: number): Promise<void> {
+    skip(window);
+    await store.remove(
+      USAGE_REPORT_KIND,
+      String(window),
+      {type: 'version', version},
+      AbortSignal.timeout(USAGE_CALL_TIMEOUT_MS),
+    );
+  }
+
+  /** Returns undefined if the window is not to be reported, or not yet. */
+  async function determineCounts(
+    window: number,
+  ): Promise<CustomerCounts | undefined> {
+    return (
+      reports.counts(window) ??
+      (await (isDoubtful(window)
+        ? findReportedCounts(window)
+        : persistCounts(window)))
+    );
+  }
+
   async function report(window: number): Promise<void> {
-    const counts = await persistCounts(window);
-    if (!term.isValid()) {
+    const counts = await determineCounts(window);
+    if (counts === undefined || !term.isValid()) {
       return;
     }
+    reports.record(window, counts);
     const credentials = {holder: options.holder, fencing: term.fencing};
     const answer = await orders.reportUsage(
       credentials,
       window,
       counts,
-      AbortSignal.any([term.signal, AbortSignal.timeout(CALL_TIMEOUT_MS)]),
+      AbortSignal.any([
+        term.signal,
+        AbortSignal.timeout(USAGE_CALL_TIMEOUT_MS),
+      ]),
     );
     log.info({window, counts, answer, fencing: term.fencing}, 'usage reported');
     if (answer !== 'accepted') {
       return;
     }
     reportedWindows.add(window);
+    deferredUntil.delete(window);
     const expiredWindow = window - retainedReports;
     if (reportedWindows.delete(expiredWindow)) {
       await store.remove(
-        OBJECT_KIND,
+        USAGE_REPORT_KIND,
         String(expiredWindow),
         {type: 'any'},
-        AbortSignal.timeout(CALL_TIMEOUT_MS),
+        AbortSignal.timeout(USAGE_CALL_TIMEOUT_MS),
       );
     }
   }
@@ -168,3 +285,10 @@
     () => void reportDueWindow(),
   );
 }
+
+function restoredStoreError(window: number): ServingError {
+  return new ServingError(
+    'platform-unavailable',
+    `the store was restored during a call for the report of window ${window}`,
+  );
+}
