providers: tell the era of a response apart from that of objects

A process whose reads may all be stale, as those of a candidate for a lease, did not learn of a return from them, since stale objects are ordered in the lowest era, and one that starts later took its first other read for a return. Cause: the era was derived from the positions of objects. Change: a transport tells the era that the latest response names; positions of stale objects stay in the lowest era.

--- a/packages/providers/src/httpObjectStore.ts
+++ b/packages/providers/src/httpObjectStore.ts
@@ -85,6 +85,8 @@
 
 function createHttpObjectTransport(client: HttpClient): ObjectTransport {
   return {
+    // This API names no era.
+    era: () => 0,
     async get(kind, name, signal) {
       const response = await client.send({
         method: 'GET',
--- a/packages/providers/src/memoryPlatform.ts
+++ b/packages/providers/src/memoryPlatform.ts
@@ -28,6 +28,7 @@
   TransportWatchListener,
   WatchEndReason,
 } from './objectTransport.js';
+import {eraOf} from './storeRevision.js';
 
 /** Injects faults into the calls of one client or of all clients. */
 export interface ObjectFaultControls {
@@ -140,6 +141,7 @@
   ): ObjectTransport {
     const faults = [platformFaults, clientFaults];
     const delayMs = () => totalDelayMs(faults);
+    let era: number | undefined;
 
     async function performRead<T>(operation: () => T): Promise<T> {
       callCounts.reads += 1;
@@ -147,10 +149,16 @@
       await sleep(clock, waitMs);
       throwIfDown(faults);
       const result = operation();
+      const currentEra = eraOf(table.version());
       await sleep(processClock, waitMs);
+      recordEra(currentEra);
       return result;
     }
 
+    function recordEra(responseEra: number): void {
+      era = Math.max(era ?? 0, responseEra);
+    }
+
     async function performWrite<T>(operation: () => T): Promise<T> {
       callCounts.writes += 1;
       const waitMs = delayMs() / 2;
@@ -162,11 +170,14 @@
         lossyFaults.repliesToLose -= 1;
         throw new ServingError('outcome-unknown', 'the reply was lost');
       }
+      const currentEra = eraOf(table.version());
       await sleep(processClock, waitMs);
+      recordEra(currentEra);
       return result;
     }
 
     return {
+      era: () => era,
       get: (kind, name) =>
         performRead(() => ({
           version: table.version(),
--- a/packages/providers/src/objectTransport.ts
+++ b/packages/providers/src/objectTransport.ts
@@ -29,6 +29,11 @@
  * to have had no effect; `outcome-unknown` when a write may have taken effect.
  */
 export interface ObjectTransport extends Disposable {
+  /**
+   * Era of the store, as the latest response names it; undefined before the
+   * first one. Objects that may be stale can be from an earlier era.
+   */
+  era(): number | undefined;
   get(
     kind: string,
     name: string,
