gateway: migrate streams only off endpoints that still drain

What callers saw: nothing was reported. When the store returns from a copy that lacks a registration, the endpoint is removed and registered again within a second or two. A stream of it was then stopped at its sound endpoint, although it would have run on to its end; a stream whose endpoint was not registered any more, or that had no other endpoint to go to, was never asked to stop, but counted as stopped, so that an end marked only by the close of its connection was taken for a break.

Cause: any leaving, also a missing registration, started the migration 800 ms later, without a second look, and the stream counted as stopped even if no call was sent.

Change: the registration is read again when the migration is due. Only a stream whose endpoint drains is migrated, and it counts as stopped only once its endpoint is asked to stop it.

Measured: of six new tests (streamMigration.test.ts, virtual clock) three failed before; all six pass.

--- a/packages/gateway/src/streamMigration.ts
+++ b/packages/gateway/src/streamMigration.ts
@@ -13,6 +13,7 @@
   type Logger,
 } from '@skylarkfield/base';
 import type {Choice} from '@skylarkfield/routing';
+import type {RegisteredEndpoint} from '@skylarkfield/traffic';
 import type {RequestMigrator, KvCacheReference} from './contracts.js';
 import type {EndpointDirectory} from './endpointDirectory.js';
 
@@ -79,17 +80,11 @@
   const {directory, requestMigrator, clock, log} = options;
 
   async function migrate(
-    endpoint: string,
     attemptId: string,
-    chooseEndpoint: () => Choice | undefined,
+    source: RegisteredEndpoint,
+    target: RegisteredEndpoint,
+    choice: Choice,
   ): Promise<Continuation | undefined> {
-    const source = directory.get(endpoint);
-    const choice = chooseEndpoint();
-    const target = choice && directory.get(choice.endpoint);
-    if (source === undefined || choice === undefined || target === undefined) {
-      choice?.finish({outcome: 'cancelled', latencyMs: 0});
-      return undefined;
-    }
     const startedAt = clock.now();
     const result = await requestMigrator
       .migrate(
@@ -101,7 +96,7 @@
       .catch(error => {
         const {kind, message} = toServingError(error);
         log.warn(
-          {request: attemptId, endpoint, kind, message},
+          {request: attemptId, endpoint: source.id, kind, message},
           'stream migration failed',
         );
         return {type: 'unknown'} as const;
@@ -109,7 +104,7 @@
     log.info(
       {
         request: attemptId,
-        from: endpoint,
+        from: source.id,
         to: choice.endpoint,
         answer: result.type,
         tookMs: Math.round(clock.now() - startedAt),
@@ -128,18 +123,34 @@
       let migration: Promise<Continuation | undefined> | undefined;
       let isMigrating = false;
       let timer: Disposable | undefined;
-      const subscription = directory.onDidLeave(leavingEndpoint => {
-        if (leavingEndpoint !== endpoint || timer !== undefined) {
+
+      /**
+       * Migrates the stream if its endpoint is still leaving. An endpoint whose
+       * registration is missing may be registered again, and serves until then.
+       */
+      function migrateIfLeaving(): void {
+        timer = undefined;
+        const source = directory.get(endpoint);
+        if (source?.state !== 'draining' || !hasBegun()) {
+          return;
+        }
+        const choice = chooseEndpoint();
+        const target = choice && directory.get(choice.endpoint);
+        if (choice === undefined || target === undefined) {
+          choice?.finish({outcome: 'cancelled', latencyMs: 0});
           return;
         }
-        timer = clock.after(MIGRATION_DELAY_MS, () => {
-          if (hasBegun()) {
-            isMigrating = true;
-            migration = migrate(endpoint, attemptId, chooseEndpoint).finally(
-              () => (isMigrating = false),
-            );
-          }
-        });
+        isMigrating = true;
+        migration = migrate(attemptId, source, target, choice).finally(
+          () => (isMigrating = false),
+        );
+      }
+
+      const subscription = directory.onDidLeave(leavingEndpoint => {
+        const isWatched = timer !== undefined || migration !== undefined;
+        if (leavingEndpoint === endpoint && !isWatched) {
+          timer = clock.after(MIGRATION_DELAY_MS, migrateIfLeaving);
+        }
       });
       return {
         isStopRequested: () => migration !== undefined,
--- /dev/null
+++ b/packages/gateway/src/test/streamMigration.test.ts
@@ -0,0 +1,154 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  createEmitter,
+  createSilentLogger,
+  createVirtualClock,
+} from '@skylarkfield/base';
+import type {Choice} from '@skylarkfield/routing';
+import type {RegisteredEndpoint} from '@skylarkfield/traffic';
+import type {MigrationResult} from '../contracts.js';
+import type {EndpointDirectory} from '../endpointDirectory.js';
+import {createStreamMigrator} from '../streamMigration.js';
+
+const MOVED: MigrationResult = {
+  type: 'moved',
+  kvCache: {source: '10.0.0.1:1', handle: 'h'},
+};
+
+/** Longer than the time from a notice to the migration, in milliseconds. */
+const NOTICE_MS = 1_000;
+
+function createEndpoint(
+  id: string,
+  state: RegisteredEndpoint['state'],
+): RegisteredEndpoint {
+  return {
+    id,
+    bornAt: 0,
+    service: 's',
+    address: `${id}:1`,
+    failureDomain: 'a',
+    version: 'v1',
+    slots: 4,
+    state,
+    isReclaimable: false,
+  };
+}
+
+/** Watches a stream at the endpoint `e1`; `e2` is the other endpoint. */
+function setUp({hasTarget = true} = {}) {
+  const clock = createVirtualClock();
+  const leaveEmitter = createEmitter<string>();
+  const endpoints = new Map([
+    ['e1', createEndpoint('e1', 'ready')],
+    ['e2', createEndpoint('e2', 'ready')],
+  ]);
+  const calls: string[] = [];
+  const choice: Choice = {
+    endpoint: 'e2',
+    cachedTokens: 0,
+    tokensAhead: 0,
+    loadBefore: {requests: 0, pendingTokens: 0, contextTokens: 0},
+    recordStart() {},
+    recordFirstToken() {},
+    finish() {},
+  };
+  const migrator = createStreamMigrator({
+    directory: {
+      get: key => endpoints.get(key),
+      onDidLeave: leaveEmitter.event,
+    } as EndpointDirectory,
+    requestMigrator: {
+      async migrate(source, attemptId, target) {
+        calls.push(`${attemptId} from ${source} to ${target}`);
+        return MOVED;
+      },
+    },
+    clock,
+    log: createSilentLogger(),
+  });
+  const watchedStream = migrator.watch({
+    endpoint: 'e1',
+    attemptId: 't1',
+    hasBegun: () => true,
+    chooseEndpoint: () => (hasTarget ? choice : undefined),
+  });
+
+  /** Applies a new registration of `e1`; undefined if it is missing. */
+  function register(state: RegisteredEndpoint['state'] | undefined): void {
+    if (state === undefined) {
+      endpoints.delete('e1');
+    } else {
+      endpoints.set('e1', createEndpoint('e1', state));
+    }
+    if (state !== 'ready') {
+      leaveEmitter.fire('e1');
+    }
+  }
+
+  return {clock, calls, watchedStream, register};
+}
+
+describe('createStreamMigrator', () => {
+  // Guards against streams that are cut off when their draining endpoint ends.
+  it('migrates a stream whose endpoint drains', async () => {
+    const {clock, calls, watchedStream, register} = setUp();
+    register('draining');
+    await clock.advance(NOTICE_MS);
+    assert.deepEqual(calls, ['t1 from e1:1 to e2:1']);
+    assert.equal(watchedStream.isStopRequested(), true);
+    const continuation = await watchedStream.continuation();
+    assert.equal(continuation?.choice.endpoint, 'e2');
+  });
+
+  // Guards against sound streams that are stopped because a registration was missing for a moment.
+  it('leaves a stream alone whose endpoint is registered again', async () => {
+    const {clock, calls, watchedStream, register} = setUp();
+    register(undefined);
+    await clock.advance(NOTICE_MS / 2);
+    register('ready');
+    await clock.advance(NOTICE_MS);
+    assert.deepEqual(calls, []);
+    assert.equal(watchedStream.isStopRequested(), false);
+  });
+
+  // Guards against complete streams that are broken off because they count as stopped.
+  it('does not count a stream as stopped while its endpoint is not registered', async () => {
+    const {clock, calls, watchedStream, register} = setUp();
+    register(undefined);
+    await clock.advance(NOTICE_MS);
+    assert.deepEqual(calls, []);
+    assert.equal(watchedStream.isStopRequested(), false);
+  });
+
+  // Guards against complete streams that are broken off because they count as stopped.
+  it('does not count a stream as stopped if there is no other endpoint', async () => {
+    const {clock, calls, watchedStream, register} = setUp({hasTarget: false});
+    register('draining');
+    await clock.advance(NOTICE_MS);
+    assert.deepEqual(calls, []);
+    assert.equal(watchedStream.isStopRequested(), false);
+    assert.equal(await watchedStream.continuation(), undefined);
+  });
+
+  // Guards against streams that stay at an endpoint that leaves after all.
+  it('migrates a stream whose endpoint drains after it was registered again', async () => {
+    const {clock, calls, register} = setUp();
+    register(undefined);
+    register('ready');
+    await clock.advance(NOTICE_MS);
+    register('draining');
+    await clock.advance(NOTICE_MS);
+    assert.equal(calls.length, 1);
+  });
+
+  // Guards against streams that are moved although they have ended.
+  it('leaves a stream alone that has ended', async () => {
+    const {clock, calls, watchedStream, register} = setUp();
+    register('draining');
+    watchedStream.dispose();
+    await clock.advance(NOTICE_MS);
+    assert.deepEqual(calls, []);
+  });
+});
