gateway: let callers retry when a policy removes their service

What callers saw: a proper request that waited for admission, or for the decision on its quota, got a final 404 when a new configuration moved its route to another service and removed the old one. Callers don't retry a 404, although the new configuration serves the request.

Cause: admission rejects the requests of a removed service as `unknown-service`, whose status is 404, and the handler passed that on.

Change: the handler rejects them with 503 and Retry-After 0.05 s.

Measured: both new tests (callerHandler.test.ts) got 404 before, and get 503 with Retry-After now.

--- a/packages/gateway/src/callerHandler.ts
+++ b/packages/gateway/src/callerHandler.ts
@@ -1,6 +1,7 @@
 /** Handles a caller's request from its headers to the end of its response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
+  isServingError,
   ServingError,
   toServingError,
   type Clock,
@@ -136,6 +137,12 @@
 /** Retry-After of a rejection before this entry is ready, in milliseconds. */
 const NOT_READY_RETRY_MS = 400;
 
+/**
+ * Retry-After of a rejection after a new policy has removed the service of a
+ * request, in milliseconds: the policy may have moved the route to another one.
+ */
+const REMOVED_SERVICE_RETRY_MS = 50;
+
 /**
  * Creates the handler of callers' requests.
  *
@@ -216,22 +223,28 @@
     );
   }
 
-  function admit(
+  async function admit(
     acceptedRequest: AcceptedRequest,
     signal: AbortSignal,
   ): Promise<Permit> {
     const {service, customer, priority, deadlineAt, head} = acceptedRequest;
     options.onDidAccept(service, head);
-    return admission.admit(
-      {
-        service,
-        customer: customer?.name ?? '',
-        urgency: Math.min(priority, LOWEST_ADMISSION_URGENCY),
-        deadline: deadlineAt,
-        cost: admissionCost(service, head),
-      },
-      signal,
-    );
+    try {
+      return await admission.admit(
+        {
+          service,
+          customer: customer?.name ?? '',
+          urgency: Math.min(priority, LOWEST_ADMISSION_URGENCY),
+          deadline: deadlineAt,
+          cost: admissionCost(service, head),
+        },
+        signal,
+      );
+    } catch (error) {
+      throw isServingError(error, 'unknown-service')
+        ? removedServiceError(error)
+        : error;
+    }
   }
 
   async function serve(
@@ -372,3 +385,12 @@
     retryAfterMs: NOT_READY_RETRY_MS,
   });
 }
+
+/** Returns the error of a request whose service is no longer in the policy. */
+function removedServiceError(cause: ServingError): ServingError {
+  return new ServingError('endpoint-unavailable', cause.message, {
+    run: 'not-run',
+    retryAfterMs: REMOVED_SERVICE_RETRY_MS,
+    cause,
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/test/callerHandler.test.ts
@@ -0,0 +1,186 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import http from 'node:http';
+import {describe, it} from 'node:test';
+import {
+  createAdmissionController,
+  type AdmissionController,
+} from '@skylarkfield/admission';
+import {
+  createDecisionLog,
+  createInFlightCounter,
+  createSilentLogger,
+  seededRandom,
+  systemClock,
+  type InFlightCounter,
+} from '@skylarkfield/base';
+import type {Route} from '@skylarkfield/traffic';
+import type {ActivePolicy} from '../activePolicy.js';
+import {createCallerHandler} from '../callerHandler.js';
+import type {CallFormat} from '../contracts.js';
+import type {ForwardingResult} from '../forwardedCall.js';
+import type {Forwarding} from '../forwarding.js';
+import {openPort, type Port} from '../listeners.js';
+import type {QuotaCharge} from '../quotaCharge.js';
+import type {RequestMetrics} from '../requestMetrics.js';
+
+const SERVICE = 's';
+
+const ROUTE: Route = {
+  name: 'route',
+  authority: 'a',
+  pathPrefix: '/',
+  kind: 'idempotent',
+  timeoutMs: 5_000,
+  goalMs: 0,
+  priority: 0,
+  services: [{service: SERVICE, weight: 1}],
+  attempts: 2,
+  isPublic: true,
+  isResumable: false,
+  longestPauseMs: 0,
+};
+
+const ANSWERED: ForwardingResult = {
+  status: 200,
+  error: undefined,
+  firstByteMs: 1,
+  endpoints: ['e1'],
+};
+
+const format = {
+  parseCall: () => ({
+    attemptId: 't1',
+    authority: 'a',
+    key: undefined,
+    timeoutMs: undefined,
+    demand: undefined,
+    lastEventId: undefined,
+  }),
+  buildCallerHeaders: () => ({}),
+} as unknown as CallFormat;
+
+interface HandlerSystem {
+  readonly port: Port;
+  readonly admission: AdmissionController;
+  readonly inFlight: InFlightCounter;
+}
+
+/** Opens a port with a handler whose service takes one request at a time. */
+async function setUp(
+  forward: Forwarding['forward'],
+  chargeQuota: (admission: AdmissionController) => void = () => {},
+): Promise<HandlerSystem> {
+  const clock = systemClock();
+  const log = createSilentLogger();
+  const inFlight = createInFlightCounter(clock);
+  const admission = createAdmissionController({
+    clock,
+    random: seededRandom(1),
+    decisions: createDecisionLog(clock, log),
+    limitPolicy: 'fixed',
+  });
+  admission.setService(SERVICE, {
+    name: SERVICE,
+    concurrency: 1,
+    queue: 10,
+    targetMs: 100,
+  });
+  const charge: QuotaCharge = async () => {
+    chargeQuota(admission);
+    return () => {};
+  };
+  const handler = createCallerHandler({
+    policy: {
+      routeOf: () => ROUTE,
+      customerOf: () => undefined,
+      limits: () => ({bodyBytes: 1_000}),
+      version: () => 1,
+      ageMs: () => 0,
+    } as unknown as ActivePolicy,
+    chargeQuota: charge,
+    crashQuarantine: {
+      isEmpty: () => true,
+      verdictFor: () => ({type: 'clear'}),
+    },
+    admission,
+    forwarding: {forward},
+    format,
+    servingState: {
+      isServing: () => true,
+      isReady: () => true,
+      isClosing: () => false,
+    },
+    inFlight,
+    usualOwnTokens: () => 1,
+    outcomeMeter: {record() {}},
+    metrics: {record() {}} as unknown as RequestMetrics,
+    clock,
+    log,
+    chooseGroup: () => 'incumbent',
+    onDidAccept() {},
+    onDidAnswer() {},
+    onDidConclude() {},
+  });
+  const port = await openPort(
+    {host: '127.0.0.1', port: 0},
+    (request, response) => void handler.handle(request, response),
+  );
+  return {port, admission, inFlight};
+}
+
+async function beginRequest({port}: Port): Promise<http.IncomingMessage> {
+  const request = http.get({port, host: '127.0.0.1', agent: false});
+  const [response] = (await once(request, 'response')) as [
+    http.IncomingMessage,
+  ];
+  return response;
+}
+
+async function until(isMet: () => boolean): Promise<void> {
+  while (!isMet()) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
+
+describe('createCallerHandler', {timeout: 20_000}, () => {
+  // Guards against callers who get a final 404 because a policy has moved their route to another service.
+  it('rejects queued requests of a removed service so that they are sent again', async () => {
+    let finishFirst = () => {};
+    const {port, admission, inFlight} = await setUp(async (call, reply) => {
+      await new Promise<void>(resolve => (finishFirst = resolve));
+      reply.sendResponse({
+        status: 200,
+        headers: {},
+        body: Buffer.alloc(0),
+        end: {framing: 'length', remainderBytes: 0},
+      });
+      return ANSWERED;
+    });
+    const running = beginRequest(port);
+    const queued = beginRequest(port);
+    const waitingCount = () =>
+      (admission.dump() as {services: {waiting: number}[]}).services[0]
+        ?.waiting;
+    await until(() => inFlight.count() === 2 && waitingCount() === 1);
+    admission.setService(SERVICE, undefined);
+    const {statusCode, headers} = await queued;
+    finishFirst();
+    assert.equal((await running).statusCode, 200);
+    assert.equal(statusCode, 503);
+    assert.notEqual(headers['retry-after'], undefined);
+    port.dispose();
+  });
+
+  // Guards against callers who get a final 404 because a policy has moved their route to another service.
+  it('rejects requests whose service was removed while their quota was decided', async () => {
+    const {port} = await setUp(
+      () => Promise.reject(new Error('not used here')),
+      admission => admission.setService(SERVICE, undefined),
+    );
+    const {statusCode, headers} = await beginRequest(port);
+    assert.equal(statusCode, 503);
+    assert.notEqual(headers['retry-after'], undefined);
+    port.dispose();
+  });
+});
