gateway: wait for the callers of complete answers before stopping

What callers saw: a caller who had not read its whole answer yet when its entry was told to stop lost the rest of it, although the grace period had hardly begun.

Cause: a request counted as in flight until its answer was handed to its socket, not until the caller had received it. A stopping entry that had no other request took itself for idle, and broke the answer off.

Change: a request, also a handed-over one, is in flight until its response has been sent completely or its connection has closed. The grace period still bounds the wait.

--- a/packages/gateway/src/callerHandler.ts
+++ b/packages/gateway/src/callerHandler.ts
@@ -22,7 +22,7 @@
 } from '@skylarkfield/traffic';
 import {quarantinedError} from './attemptOutcome.js';
 import {readBody} from './callerBody.js';
-import {checkConnected, watchDisconnect} from './callerPresence.js';
+import {checkConnected, watchDisconnect, whenSent} from './callerPresence.js';
 import {createCallerReply, type CallerReply} from './callerReply.js';
 import type {CallFormat, CallHead} from './contracts.js';
 import {createDeadline} from './deadline.js';
@@ -341,6 +341,7 @@
         format,
         isClosing: options.servingState.isClosing,
       });
+      const sent = whenSent(response);
       options.inFlight.begin();
       let acceptedRequest: AcceptedRequest | undefined;
       let result: ForwardingResult;
@@ -354,7 +355,7 @@
         // Node discards the rest of an unread body only after `resume`.
         request.resume();
       } finally {
-        options.inFlight.end();
+        void sent.then(options.inFlight.end);
       }
       requestLog.record({
         acceptedRequest,
--- a/packages/gateway/src/callerPresence.ts
+++ b/packages/gateway/src/callerPresence.ts
@@ -1,4 +1,4 @@
-/** Detects callers that have disconnected. */
+/** Detects callers that have disconnected or have been answered. */
 import type {ServerResponse} from 'node:http';
 import {ServingError} from '@skylarkfield/base';
 
@@ -19,6 +19,18 @@
   return controller.signal;
 }
 
+/**
+ * Resolves when the response has been sent completely, or its connection has
+ * closed; to be called before the response ends. A slow caller reads the
+ * response long after its end has been buffered.
+ *
+ * @example
+ * void whenSent(response).then(inFlight.end);
+ */
+export function whenSent(response: ServerResponse): Promise<void> {
+  return new Promise(resolve => response.once('close', resolve));
+}
+
 /**
  * Throws `cancelled` with run state `not-run` if the caller has disconnected.
  * An overloaded process reads a request and the end of its connection in two
--- a/packages/gateway/src/handoverHandler.ts
+++ b/packages/gateway/src/handoverHandler.ts
@@ -20,7 +20,7 @@
 import {promptKeys} from '@skylarkfield/traffic';
 import {unavailableError} from './attemptOutcome.js';
 import {readBody} from './callerBody.js';
-import {watchDisconnect} from './callerPresence.js';
+import {watchDisconnect, whenSent} from './callerPresence.js';
 import {createCallerReply, type CallerReply} from './callerReply.js';
 import type {CallFormat} from './contracts.js';
 import {suspectPartsOf} from './crashGuard.js';
@@ -145,6 +145,7 @@
         : format,
       isClosing: () => !options.isServing(),
     });
+    const sent = whenSent(response);
     inFlight.begin();
     handoverCount += 1;
     run(request, reply, callerSignal)
@@ -157,7 +158,7 @@
       })
       .finally(() => {
         handoverCount -= 1;
-        inFlight.end();
+        void sent.then(inFlight.end);
       });
   };
 }
--- a/packages/gateway/src/test/callerHandler.test.ts
+++ b/packages/gateway/src/test/callerHandler.test.ts
@@ -48,6 +48,9 @@
   endpoints: ['e1'],
 };
 
+/** More than the sockets between an entry and a caller buffer, in bytes. */
+const LARGE_BYTES = 32 * 1024 * 1024;
+
 const format = {
   parseCall: () => ({
     attemptId: 't1',
@@ -183,4 +186,28 @@
     assert.notEqual(headers['retry-after'], undefined);
     port.dispose();
   });
+
+  // Guards against complete answers that a stopping entry cuts off because their callers have not read them yet.
+  it('counts a request as in flight until its answer has been read', async () => {
+    const {port, inFlight} = await setUp(async (call, reply) => {
+      reply.sendResponse({
+        status: 200,
+        headers: {},
+        body: Buffer.alloc(LARGE_BYTES),
+        end: {framing: 'length', remainderBytes: 0},
+      });
+      return ANSWERED;
+    });
+    const response = await beginRequest(port);
+    const whenIdle = inFlight.waitUntilIdle(10_000);
+    const isStillInFlight = inFlight.count() === 1;
+    void whenIdle.then(() => port.dispose());
+    let receivedBytes = 0;
+    response.on('data', (chunk: Buffer) => (receivedBytes += chunk.length));
+    const whenRead = once(response, 'end').catch(() => {});
+    await whenRead;
+    assert.equal(receivedBytes, LARGE_BYTES);
+    assert.ok(isStillInFlight);
+    assert.equal(await whenIdle, true);
+  });
 });
