gateway: resume a begun stream after an endpoint's own error

What callers saw: a resumable stream was broken off when the endpoint that was to go on with it answered with its own error, although attempts, sends and the retry budget were left.

Cause: an endpoint's error was retried only while the response had not begun; a begun one ended at once.

Change: it is retried by the same rules in both cases.

Measured: of two new tests (forwarding.test.ts) one failed before: 3 of 6 events and a break; it passes now, and so does the test that the attempts of the route still bound the stream.

--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -93,7 +93,7 @@
     }
     if (result.type === 'answered') {
       const isFault = isServerError(result.status);
-      if (isFault && !reply.hasBegun() && retryRules.mayRerun(call, progress)) {
+      if (isFault && retryRules.mayRerun(call, progress)) {
         return undefined;
       }
       if (reply.hasBegun()) {
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -246,6 +246,30 @@
     assert.equal(outcome.isBroken, false);
   });
 
+  // Guards against streams that are broken off although a further endpoint may go on with them.
+  it('resumes an interrupted stream elsewhere if an endpoint answers with an error', async () => {
+    const outcome = await forwardTo({...resumableRoute, attempts: 3}, [
+      streamEvents(1, 3, 'cut'),
+      respondWith('no', 500),
+      streamEvents(4, 6, 'whole'),
+    ]);
+    assert.equal(outcome.body, eventText(1, 6));
+    assert.equal(outcome.isBroken, false);
+    assert.equal(outcome.receivedCount, 3);
+  });
+
+  // Guards against an error of an endpoint in the middle of a stream.
+  it('breaks an interrupted stream off if the last endpoint answers with an error', async () => {
+    const outcome = await forwardTo(resumableRoute, [
+      streamEvents(1, 3, 'cut'),
+      respondWith('no', 500),
+      streamEvents(4, 6, 'whole'),
+    ]);
+    assert.equal(outcome.body, eventText(1, 3));
+    assert.ok(outcome.isBroken);
+    assert.equal(outcome.receivedCount, 2);
+  });
+
   it('does not end an interrupted stream as if it were complete', async () => {
     const outcome = await forwardTo(streamRoute, [streamEvents(1, 3, 'cut')]);
     assert.equal(outcome.body, eventText(1, 3));
