gateway, platform: copy a stream's KV cache before it is stopped

What callers saw: nothing was reported. A stream of a draining endpoint lost the rest of its events when the endpoint that it was to be moved to had no room, although its own endpoint would have served it to its end. Only resumable streams could go on, at the price of a retry and of reading their prompt again.

Cause: the first call to move a stream already stopped it. The answer that was coming was given up before there was room for another one. Besides, a stream whose move was refused went on, but counted as stopped, so that an end marked only by the close of its connection was taken for a break.

Change: the cache is copied while the stream runs, which reserves its room; only then the stream is stopped, and what is new is copied. A copy that is not needed any more is freed. Moves take two calls instead of one.

Three new unit tests with a virtual clock pass; they cannot run on the former code.

--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -69,15 +69,36 @@
   /** The call failed, so it is unknown whether the request still runs. */
   | {readonly type: 'unknown'};
 
+/** Result of copying the KV cache of a request that runs on. */
+export type CopyResult =
+  | {readonly type: 'copied'; readonly kvCache: KvCacheReference}
+  /** The target has no room, or the request cannot be migrated. */
+  | {readonly type: 'refused'};
+
 /** Migration of running requests between model engines. */
 export interface RequestMigrator {
-  /** Stops a running request and copies its KV cache to another engine. */
+  /**
+   * Copies the KV cache of a request to another engine, which reserves room for
+   * the request. The request runs on.
+   */
+  copy(
+    source: string,
+    attemptId: string,
+    target: string,
+    signal: AbortSignal,
+  ): Promise<CopyResult>;
+  /**
+   * Stops a running request and copies what is new of its KV cache to another
+   * engine.
+   */
   migrate(
     source: string,
     attemptId: string,
     target: string,
     signal: AbortSignal,
   ): Promise<MigrationResult>;
+  /** Frees a copy that is not used. */
+  release(kvCache: KvCacheReference, signal: AbortSignal): Promise<void>;
 }
 
 /** Load of an endpoint as reported by the endpoint itself. */
--- a/packages/gateway/src/streamMigration.ts
+++ b/packages/gateway/src/streamMigration.ts
@@ -14,7 +14,7 @@
 } from '@skylarkfield/base';
 import type {Choice} from '@skylarkfield/routing';
 import type {RegisteredEndpoint} from '@skylarkfield/traffic';
-import type {RequestMigrator, KvCacheReference} from './contracts.js';
+import type {KvCacheReference, RequestMigrator} from './contracts.js';
 import type {EndpointDirectory} from './endpointDirectory.js';
 
 /** Target of a migrated stream. */
@@ -58,13 +58,25 @@
 const MIGRATION_DELAY_MS = 800;
 
 /**
- * Timeout of copying the KV cache of one stream, in milliseconds; it includes
- * the wait for the copies of all other streams on the endpoint.
+ * Timeout of each call to copy the KV cache of one stream, in milliseconds; it
+ * includes the wait for the copies of all other streams on the endpoint.
  */
-const MIGRATION_TIMEOUT_MS = 1_000;
+const COPY_TIMEOUT_MS = 1_000;
+
+/** Progress of a migration. The endpoint stops the stream in the second call. */
+type MigrationState = 'none' | 'copying' | 'stopping' | 'stopped';
+
+/** Where a stream is migrated. */
+interface Move {
+  readonly source: RegisteredEndpoint;
+  readonly target: RegisteredEndpoint;
+  readonly choice: Choice;
+}
 
 /**
- * Creates the migrator of one entry.
+ * Creates the migrator of one entry. It copies the KV cache of a stream while
+ * the stream runs, and stops the stream only once it has room at its target:
+ * the response of a stream that is stopped without a target would be lost.
  *
  * @example
  * const watched = migrator.watch({endpoint, attemptId, hasBegun,
@@ -79,50 +91,43 @@
 }): StreamMigrator {
   const {directory, requestMigrator, clock, log} = options;
 
-  async function migrate(
+  /** Returns the result of a call; undefined if it is not known. */
+  async function request<T>(
     attemptId: string,
+    {source}: Move,
+    send: (signal: AbortSignal) => Promise<T>,
+  ): Promise<T | undefined> {
+    try {
+      return await send(AbortSignal.timeout(COPY_TIMEOUT_MS));
+    } catch (error) {
+      const {kind, message} = toServingError(error);
+      log.warn(
+        {request: attemptId, endpoint: source.id, kind, message},
+        'stream migration failed',
+      );
+      return undefined;
+    }
+  }
+
+  function chooseMove(
     source: RegisteredEndpoint,
-    target: RegisteredEndpoint,
-    choice: Choice,
-  ): Promise<Continuation | undefined> {
-    const startedAt = clock.now();
-    const result = await requestMigrator
-      .migrate(
-        source.address,
-        attemptId,
-        target.address,
-        AbortSignal.timeout(MIGRATION_TIMEOUT_MS),
-      )
-      .catch(error => {
-        const {kind, message} = toServingError(error);
-        log.warn(
-          {request: attemptId, endpoint: source.id, kind, message},
-          'stream migration failed',
-        );
-        return {type: 'unknown'} as const;
-      });
-    log.info(
-      {
-        request: attemptId,
-        from: source.id,
-        to: choice.endpoint,
-        answer: result.type,
-        tookMs: Math.round(clock.now() - startedAt),
-      },
-      'stream migration finished',
-    );
-    if (result.type === 'moved') {
-      return {choice, kvCache: result.kvCache};
+    chooseEndpoint: () => Choice | undefined,
+  ): Move | undefined {
+    const choice = chooseEndpoint();
+    const target = choice && directory.get(choice.endpoint);
+    if (choice === undefined || target === undefined) {
+      choice?.finish({outcome: 'cancelled', latencyMs: 0});
+      return undefined;
     }
-    choice.finish({outcome: 'cancelled', latencyMs: 0});
-    return undefined;
+    return {source, target, choice};
   }
 
   return {
     watch({endpoint, attemptId, hasBegun, chooseEndpoint}) {
-      let migration: Promise<Continuation | undefined> | undefined;
-      let isMigrating = false;
+      let state: MigrationState = 'none';
+      let continuation: Promise<Continuation | undefined> | undefined;
       let timer: Disposable | undefined;
+      let hasEnded = false;
 
       /**
        * Migrates the stream if its endpoint is still leaving. An endpoint whose
@@ -134,29 +139,101 @@
         if (source?.state !== 'draining' || !hasBegun()) {
           return;
         }
-        const choice = chooseEndpoint();
-        const target = choice && directory.get(choice.endpoint);
-        if (choice === undefined || target === undefined) {
-          choice?.finish({outcome: 'cancelled', latencyMs: 0});
+        const move = chooseMove(source, chooseEndpoint);
+        if (move !== undefined) {
+          void migrate(move);
+        }
+      }
+
+      async function migrate(move: Move): Promise<void> {
+        const {source, target, choice} = move;
+        state = 'copying';
+        const startedAt = clock.now();
+        const copy = await request(attemptId, move, signal =>
+          requestMigrator.copy(
+            source.address,
+            attemptId,
+            target.address,
+            signal,
+          ),
+        );
+        if (copy?.type !== 'copied') {
+          state = 'none';
+          choice.finish({outcome: 'cancelled', latencyMs: 0});
+          logEnd(move, startedAt, copy?.type);
           return;
         }
-        isMigrating = true;
-        migration = migrate(attemptId, source, target, choice).finally(
-          () => (isMigrating = false),
+        if (hasEnded) {
+          choice.finish({outcome: 'cancelled', latencyMs: 0});
+          logEnd(move, startedAt, 'ended');
+          await release(move, copy.kvCache);
+          return;
+        }
+        continuation = stop(move, startedAt, copy.kvCache);
+      }
+
+      async function stop(
+        move: Move,
+        startedAt: number,
+        copiedCache: KvCacheReference,
+      ): Promise<Continuation | undefined> {
+        const {source, target, choice} = move;
+        state = 'stopping';
+        const result = await request(attemptId, move, signal =>
+          requestMigrator.migrate(
+            source.address,
+            attemptId,
+            target.address,
+            signal,
+          ),
+        );
+        state = result?.type === 'refused' ? 'none' : 'stopped';
+        logEnd(move, startedAt, result?.type);
+        if (result?.type === 'moved') {
+          return {choice, kvCache: result.kvCache};
+        }
+        choice.finish({outcome: 'cancelled', latencyMs: 0});
+        if (result?.type === 'refused') {
+          void release(move, copiedCache);
+        }
+        return undefined;
+      }
+
+      function release(move: Move, kvCache: KvCacheReference): Promise<void> {
+        return request(attemptId, move, signal =>
+          requestMigrator.release(kvCache, signal),
+        );
+      }
+
+      function logEnd(
+        {source, choice}: Move,
+        startedAt: number,
+        answer = 'unknown',
+      ): void {
+        log.info(
+          {
+            request: attemptId,
+            from: source.id,
+            to: choice.endpoint,
+            answer,
+            tookMs: Math.round(clock.now() - startedAt),
+          },
+          'stream migration finished',
         );
       }
 
       const subscription = directory.onDidLeave(leavingEndpoint => {
-        const isWatched = timer !== undefined || migration !== undefined;
-        if (leavingEndpoint === endpoint && !isWatched) {
+        const isPending = timer !== undefined || state !== 'none';
+        if (leavingEndpoint === endpoint && !isPending) {
           timer = clock.after(MIGRATION_DELAY_MS, migrateIfLeaving);
         }
       });
       return {
-        isStopRequested: () => migration !== undefined,
-        isMigrating: () => isMigrating,
-        continuation: () => migration ?? Promise.resolve(undefined),
+        isStopRequested: () => state === 'stopping' || state === 'stopped',
+        isMigrating: () => state === 'stopping',
+        continuation: () => continuation ?? Promise.resolve(undefined),
         dispose() {
+          hasEnded = true;
           subscription.dispose();
           timer?.dispose();
         },
--- a/packages/gateway/src/test/streamMigration.test.ts
+++ b/packages/gateway/src/test/streamMigration.test.ts
@@ -7,14 +7,16 @@
 } from '@skylarkfield/base';
 import type {Choice} from '@skylarkfield/routing';
 import type {RegisteredEndpoint} from '@skylarkfield/traffic';
-import type {MigrationResult} from '../contracts.js';
+import type {CopyResult, MigrationResult} from '../contracts.js';
 import type {EndpointDirectory} from '../endpointDirectory.js';
 import {createStreamMigrator} from '../streamMigration.js';
 
-const MOVED: MigrationResult = {
-  type: 'moved',
-  kvCache: {source: '10.0.0.1:1', handle: 'h'},
-};
+const KV_CACHE = {source: 'e1:1', handle: 'h'};
+const MOVED: MigrationResult = {type: 'moved', kvCache: KV_CACHE};
+
+const COPY = 'copy t1 from e1:1 to e2:1';
+const STOP = 'stop t1 from e1:1 to e2:1';
+const RELEASE = 'release h at e1:1';
 
 /** Longer than the time from a notice to the migration, in milliseconds. */
 const NOTICE_MS = 1_000;
@@ -37,7 +39,15 @@
 }
 
 /** Watches a stream at the endpoint `e1`; `e2` is the other endpoint. */
-function setUp({hasTarget = true} = {}) {
+function setUp({
+  hasTarget = true,
+  copy = async () => ({type: 'copied', kvCache: KV_CACHE}),
+  result = MOVED,
+}: {
+  hasTarget?: boolean;
+  copy?: () => Promise<CopyResult>;
+  result?: MigrationResult;
+} = {}) {
   const clock = createVirtualClock();
   const leaveEmitter = createEmitter<string>();
   const endpoints = new Map([
@@ -60,9 +70,16 @@
       onDidLeave: leaveEmitter.event,
     } as EndpointDirectory,
     requestMigrator: {
+      copy(source, attemptId, target) {
+        calls.push(`copy ${attemptId} from ${source} to ${target}`);
+        return copy();
+      },
       async migrate(source, attemptId, target) {
-        calls.push(`${attemptId} from ${source} to ${target}`);
-        return MOVED;
+        calls.push(`stop ${attemptId} from ${source} to ${target}`);
+        return result;
+      },
+      async release({source, handle}) {
+        calls.push(`release ${handle} at ${source}`);
       },
     },
     clock,
@@ -96,7 +113,7 @@
     const {clock, calls, watchedStream, register} = setUp();
     register('draining');
     await clock.advance(NOTICE_MS);
-    assert.deepEqual(calls, ['t1 from e1:1 to e2:1']);
+    assert.deepEqual(calls, [COPY, STOP]);
     assert.equal(watchedStream.isStopRequested(), true);
     const continuation = await watchedStream.continuation();
     assert.equal(continuation?.choice.endpoint, 'e2');
@@ -140,7 +157,7 @@
     await clock.advance(NOTICE_MS);
     register('draining');
     await clock.advance(NOTICE_MS);
-    assert.equal(calls.length, 1);
+    assert.deepEqual(calls, [COPY, STOP]);
   });
 
   // Guards against streams that are moved although they have ended.
@@ -151,4 +168,52 @@
     await clock.advance(NOTICE_MS);
     assert.deepEqual(calls, []);
   });
+
+  // Guards against streams that are stopped although no other endpoint has room for them.
+  it('leaves a stream alone whose KV cache cannot be copied', async () => {
+    const copies: (() => Promise<CopyResult>)[] = [
+      async () => ({type: 'refused'}),
+      () => Promise.reject(new Error('no response')),
+    ];
+    for (const copy of copies) {
+      const {clock, calls, watchedStream, register} = setUp({copy});
+      register('draining');
+      await clock.advance(NOTICE_MS);
+      assert.deepEqual(calls, [COPY]);
+      assert.equal(watchedStream.isStopRequested(), false);
+      assert.equal(watchedStream.isMigrating(), false);
+      assert.equal(await watchedStream.continuation(), undefined);
+    }
+  });
+
+  // Guards against copies that take up the room of other requests, and against ends that wait for them.
+  it('frees the copy of a stream that ends while it is copied', async () => {
+    let finishCopy = () => {};
+    const {clock, calls, watchedStream, register} = setUp({
+      copy: () =>
+        new Promise(resolve => {
+          finishCopy = () => resolve({type: 'copied', kvCache: KV_CACHE});
+        }),
+    });
+    register('draining');
+    await clock.advance(NOTICE_MS);
+    assert.equal(watchedStream.isStopRequested(), false);
+    watchedStream.dispose();
+    assert.equal(await watchedStream.continuation(), undefined);
+    finishCopy();
+    await clock.advance(NOTICE_MS);
+    assert.deepEqual(calls, [COPY, RELEASE]);
+  });
+
+  // Guards against complete streams that are broken off because they count as stopped.
+  it('does not count a stream as stopped that its endpoint did not stop', async () => {
+    const {clock, calls, watchedStream, register} = setUp({
+      result: {type: 'refused'},
+    });
+    register('draining');
+    await clock.advance(NOTICE_MS);
+    assert.deepEqual(calls, [COPY, STOP, RELEASE]);
+    assert.equal(watchedStream.isStopRequested(), false);
+    assert.equal(await watchedStream.continuation(), undefined);
+  });
 });
