gateway: bound responses that are passed on in one piece

What callers saw: nothing was reported yet.

Cause: a body that is not an event stream was collected without a bound.

Change: an attempt fails once its body exceeds 16 MiB, which closes the connection; the request is tried elsewhere where its route permits it, and fails with 502 where it does not. Bodies up to that size are passed on as before.

The new unit test of attempt.test.ts passes.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -12,12 +12,14 @@
   abortReason,
   interruptedError,
   protocolViolationError,
+  oversizedError,
   supersededError,
   unreachableError,
   notSentError,
   cancelledBeforeSendError,
 } from './attemptErrors.js';
-import {isServerError} from './attemptOutcome.js';
+import {isServerError, resultOfLostConnection} from './attemptOutcome.js';
+import {createBodyBuffer, MAX_BODY_BYTES} from './bodyBuffer.js';
 import {createEventFramer, type EventFrame} from './eventFramer.js';
 import {createStallTimer, type Stall} from './stallTimer.js';
 import type {UpstreamRequest, Upstreams} from './upstream.js';
@@ -167,7 +169,7 @@
 export function runAttempt(options: AttemptOptions): Promise<AttemptResult> {
   return new Promise(resolve => {
     const {clock, format, signal, sink, race, stallTimeoutMs} = options;
-    const chunks: Buffer[] = [];
+    const body = createBodyBuffer();
     const framer = createEventFramer();
     let responseHead: StreamHead | undefined;
     let head: ResponseHead | undefined;
@@ -305,7 +307,9 @@
     function onDidReceive(chunk: Buffer): void {
       recordReceived();
       if (!isStream) {
-        chunks.push(chunk);
+        if (!body.push(chunk)) {
+          abort(oversizedError('response', MAX_BODY_BYTES));
+        }
         return;
       }
       framer.push(chunk).forEach(forwardFrame);
@@ -359,7 +363,7 @@
         type: 'answered',
         status: responseHead.status,
         headers: responseHead.headers,
-        body: Buffer.concat(chunks),
+        body: body.bytes(),
         end: {framing, remainderBytes: 0},
       });
     }
@@ -382,13 +386,3 @@
     }
   });
 }
-
-/**
- * Returns the result of an attempt whose connection failed. If the request was
- * not sent, the loss is not reported, since the request cannot have caused it.
- */
-function resultOfLostConnection(error: ServingError): AttemptResult {
-  return error.run === 'not-run'
-    ? {type: 'failed', error}
-    : {type: 'failed', error, loss: 'closed'};
-}
--- a/packages/gateway/src/attemptErrors.ts
+++ b/packages/gateway/src/attemptErrors.ts
@@ -38,6 +38,20 @@
   });
 }
 
+/**
+ * Returns the error of a response, or of an event of it, that is longer than
+ * permitted; it may have no end.
+ *
+ * @example
+ * abort(oversizedError('event', 1_048_576));
+ */
+export function oversizedError(
+  part: 'response' | 'event',
+  maxBytes: number,
+): ServingError {
+  return protocolViolationError(`the ${part} exceeds ${maxBytes} bytes`);
+}
+
 /**
  * Returns the error of an attempt that another one of its request has
  * superseded.
--- a/packages/gateway/src/attemptOutcome.ts
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -40,6 +40,19 @@
   return result.type !== 'failed' || result.error.run === 'may-have-run';
 }
 
+/**
+ * Returns the result of an attempt whose connection failed. If the request was
+ * not sent, the loss is not reported, since the request cannot have caused it.
+ *
+ * @example
+ * settle(resultOfLostConnection(error));
+ */
+export function resultOfLostConnection(error: ServingError): AttemptResult {
+  return error.run === 'not-run'
+    ? {type: 'failed', error}
+    : {type: 'failed', error, loss: 'closed'};
+}
+
 /**
  * Whether no process listens at the endpoint's address. Unlike a reset or a
  * timeout, this does not mean that the endpoint is overloaded.
--- a/packages/gateway/src/test/attempt.test.ts
+++ b/packages/gateway/src/test/attempt.test.ts
@@ -3,6 +3,7 @@
 import {createVirtualClock, ServingError} from '@skylarkfield/base';
 import {runAttempt, type AttemptResult} from '../attempt.js';
 import {createAttemptRace} from '../attemptRace.js';
+import {MAX_BODY_BYTES} from '../bodyBuffer.js';
 import type {CallFormat} from '../contracts.js';
 import type {UpstreamListener, Upstreams} from '../upstream.js';
 
@@ -124,6 +125,21 @@
     assert.equal(result?.type === 'failed' && result.loss, undefined);
   });
 
+  // Guards against answers without end that use up the memory of the process.
+  it('fails if the response is longer than permitted', async () => {
+    const {listener, settled} = startAttempt();
+    listener.onDidRespond(200, {}, 'chunks');
+    const block = Buffer.alloc(MAX_BODY_BYTES / 16);
+    for (let count = 0; count < 16; count++) {
+      listener.onDidReceive(block);
+    }
+    assert.equal(await settled(), undefined);
+    listener.onDidReceive(Buffer.alloc(1));
+    const error = errorOf(await settled());
+    assert.equal(error?.kind, 'protocol-violation');
+    assert.equal(error.run, 'may-have-run');
+  });
+
   it('is not run if another attempt responds before it was sent', async () => {
     const {laterRival, settled} = startAttempt({hasStarted: false});
     laterRival.lead();
