gateway: bound the events of a stream, and read their bytes once

What callers saw: nothing was reported yet. When an endpoint of a stream sent an event without end, the entry was busy for up to 6 s; the caller got 504 as late as 6.2 s after it had asked for 1.5 s, although another endpoint would have gone on with the stream, and a request of another caller got 504 too.

Cause: each chunk of an event was joined with all earlier chunks of it, and all of them were searched again; and an event had no bound.

Change: a chunk is searched together with the last three bytes before it. An attempt fails once an event exceeds 1 MiB, which closes the connection.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -20,7 +20,11 @@
 } from './attemptErrors.js';
 import {isServerError, resultOfLostConnection} from './attemptOutcome.js';
 import {createBodyBuffer, MAX_BODY_BYTES} from './bodyBuffer.js';
-import {createEventFramer, type EventFrame} from './eventFramer.js';
+import {
+  createEventFramer,
+  MAX_EVENT_BYTES,
+  type EventFrame,
+} from './eventFramer.js';
 import {createStallTimer, type Stall} from './stallTimer.js';
 import type {UpstreamRequest, Upstreams} from './upstream.js';
 
@@ -313,6 +317,9 @@
         return;
       }
       framer.push(chunk).forEach(forwardFrame);
+      if (framer.remainderBytes() > MAX_EVENT_BYTES) {
+        abort(oversizedError('event', MAX_EVENT_BYTES));
+      }
     }
 
     function onDidEnd(framing: ResponseFraming): void {
--- a/packages/gateway/src/eventFramer.ts
+++ b/packages/gateway/src/eventFramer.ts
@@ -20,6 +20,8 @@
   push(chunk: Buffer): EventFrame[];
   /** Returns the bytes after the last complete event. */
   remainder(): Buffer;
+  /** Number of the bytes after the last complete event. */
+  remainderBytes(): number;
   /**
    * Whether an event has begun and is not complete. Comments, empty lines and
    * a byte order mark do not begin an event.
@@ -33,6 +35,17 @@
  */
 const EVENT_END = /\r\r\n?|(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r(?!$))/g;
 
+/**
+ * Maximum size of an event, in bytes. A faulty endpoint may send an event without
+ * end, which would be kept until the deadline of its request.
+ */
+export const MAX_EVENT_BYTES = 1024 * 1024;
+
+/** Bytes of the longest end of an event that may precede a chunk. */
+const TAIL_BYTES = 3;
+
+const NO_BYTES = Buffer.alloc(0);
+
 /** Start of a line that is neither empty nor a comment. */
 const FIELD = /^[^:\r\n]/m;
 
@@ -46,39 +59,72 @@
  * for (const frame of framer.push(chunk)) { response.write(frame.bytes); }
  */
 export function createEventFramer(): EventFramer {
-  let bufferedBytes: Buffer = Buffer.alloc(0);
+  /** Bytes after the last complete event, in the chunks that brought them. */
+  let chunks: Buffer[] = [];
+  let bufferedBytes = 0;
+  /** The last of these bytes, which may belong to the end of an event. */
+  let tail: Buffer = NO_BYTES;
   let isFirstEvent = true;
 
-  /** Splits the complete events off the buffer. */
-  function takeFrames(): EventFrame[] {
+  function append(chunk: Buffer): void {
+    chunks.push(chunk);
+    bufferedBytes += chunk.length;
+    const end =
+      chunk.length < TAIL_BYTES ? Buffer.concat([tail, chunk]) : chunk;
+    tail = end.subarray(-TAIL_BYTES);
+  }
+
+  /** Returns all bytes after the last complete event in one piece. */
+  function join(): Buffer {
+    if (chunks.length !== 1) {
+      chunks = [Buffer.concat(chunks)];
+    }
+    return chunks[0]!;
+  }
+
+  /** Whether the chunk completes an event. Reads no earlier bytes again. */
+  function completesEvent(chunk: Buffer): boolean {
+    const text = Buffer.concat([tail, chunk]).toString('latin1');
+    return text.search(EVENT_END) >= 0;
+  }
+
+  /** Splits the complete events off the bytes and buffers the others. */
+  function takeFrames(bytes: Buffer): EventFrame[] {
     // Latin-1 has one character per byte, so positions are those of the bytes.
-    const text = bufferedBytes.toString('latin1');
+    const text = bytes.toString('latin1');
     const frames: EventFrame[] = [];
     let start = 0;
     for (const match of text.matchAll(EVENT_END)) {
       const end = match.index + match[0].length;
       frames.push({
-        bytes: bufferedBytes.subarray(start, end),
+        bytes: bytes.subarray(start, end),
         id: parseEventId(text.slice(start, end)),
       });
       start = end;
     }
-    bufferedBytes = bufferedBytes.subarray(start);
+    chunks = [];
+    bufferedBytes = 0;
+    if (start < bytes.length) {
+      tail = NO_BYTES;
+      append(bytes.subarray(start));
+    }
     isFirstEvent &&= frames.length === 0;
     return frames;
   }
 
   return {
     push(chunk) {
-      bufferedBytes =
-        bufferedBytes.length === 0
-          ? chunk
-          : Buffer.concat([bufferedBytes, chunk]);
-      return takeFrames();
+      if (bufferedBytes === 0) {
+        return takeFrames(chunk);
+      }
+      const isComplete = completesEvent(chunk);
+      append(chunk);
+      return isComplete ? takeFrames(join()) : [];
     },
-    remainder: () => bufferedBytes,
+    remainder: join,
+    remainderBytes: () => bufferedBytes,
     isInsideEvent() {
-      const text = bufferedBytes.toString('latin1');
+      const text = join().toString('latin1');
       return FIELD.test(isFirstEvent ? withoutByteOrderMark(text) : text);
     },
   };
--- a/packages/gateway/src/test/attempt.test.ts
+++ b/packages/gateway/src/test/attempt.test.ts
@@ -1,10 +1,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createVirtualClock, ServingError} from '@skylarkfield/base';
-import {runAttempt, type AttemptResult} from '../attempt.js';
+import {runAttempt, type AttemptResult, type EventSink} from '../attempt.js';
 import {createAttemptRace} from '../attemptRace.js';
 import {MAX_BODY_BYTES} from '../bodyBuffer.js';
 import type {CallFormat} from '../contracts.js';
+import {MAX_EVENT_BYTES} from '../eventFramer.js';
 import type {UpstreamListener, Upstreams} from '../upstream.js';
 
 const STALL_TIMEOUT_MS = 400;
@@ -23,7 +24,10 @@
 } as unknown as CallFormat;
 
 /** Starts an attempt whose connection the test controls. */
-function startAttempt({hasStarted = true} = {}) {
+function startAttempt({
+  hasStarted = true,
+  sink,
+}: {hasStarted?: boolean; sink?: EventSink} = {}) {
   const clock = createVirtualClock();
   const race = createAttemptRace();
   const earlierRival = race.enter();
@@ -54,7 +58,7 @@
     format,
     clock,
     signal: controller.signal,
-    sink: undefined,
+    sink,
     race: entry,
     stallTimeoutMs: STALL_TIMEOUT_MS,
     onDidStall: ({silentMs}) => silentTimesMs.push(silentMs),
@@ -140,6 +144,30 @@
     assert.equal(error.run, 'may-have-run');
   });
 
+  // Guards against events without end that use up the memory of the process.
+  it('fails if an event is longer than permitted', async () => {
+    const sentIds: (number | undefined)[] = [];
+    const {listener, settled} = startAttempt({
+      sink: {
+        hasBegun: () => sentIds.length > 0,
+        begin() {},
+        write: ({id}) => sentIds.push(id) > 0,
+        whenDrained() {},
+        finish: () => true,
+      },
+    });
+    listener.onDidRespond(200, {}, 'chunks');
+    listener.onDidReceive(Buffer.from('id: 1\ndata: one\n\n'));
+    const block = Buffer.alloc(MAX_EVENT_BYTES / 16, 'x');
+    for (let count = 0; count < 16; count++) {
+      listener.onDidReceive(block);
+    }
+    assert.equal(await settled(), undefined);
+    listener.onDidReceive(Buffer.from('x'));
+    assert.equal(errorOf(await settled())?.kind, 'protocol-violation');
+    assert.deepEqual(sentIds, [1]);
+  });
+
   it('is not run if another attempt responds before it was sent', async () => {
     const {laterRival, settled} = startAttempt({hasStarted: false});
     laterRival.lead();
--- a/packages/gateway/src/test/eventFramer.test.ts
+++ b/packages/gateway/src/test/eventFramer.test.ts
@@ -75,6 +75,20 @@
     });
   }
 
+  // Guards against long events that keep the process busy since each chunk reads all earlier ones again.
+  it('reads each byte of a long event once', {timeout: 20_000}, () => {
+    const framer = createEventFramer();
+    const chunk = Buffer.alloc(1_000, 'x');
+    const chunkCount = 8_000;
+    for (let count = 0; count < chunkCount; count++) {
+      assert.deepEqual(framer.push(chunk), []);
+    }
+    assert.equal(framer.remainderBytes(), chunkCount * chunk.length);
+    const [frame] = framer.push(Buffer.from('\n\n'));
+    assert.equal(frame?.bytes.length, chunkCount * chunk.length + 2);
+    assert.equal(framer.remainderBytes(), 0);
+  });
+
   it('does not take a byte order mark for an event', () => {
     const mark = Buffer.from([0xef, 0xbb, 0xbf]);
     for (const length of [1, 2, 3]) {
