gateway: close connections whose bytes are no response

What callers saw: nothing was reported yet. An endpoint could send empty lines, the text of a status line or an extension of a chunk without end, and the entry read them until the deadline of the request. Empty lines after a complete answer were read for good, on a connection that counted as idle.

Cause: undici skips these bytes without a bound and without a callback.

Change: a connection is closed once 256 KiB in a row are no part of a head or a body, whether a request runs on it or not.

--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -9,6 +9,10 @@
   type ResponseFraming,
 } from '@skylarkfield/base';
 import type {ResponseHeaders} from './contracts.js';
+import {
+  createResponseProgress,
+  type ResponseProgress,
+} from './responseProgress.js';
 
 /** A request as sent to an endpoint. */
 export interface UpstreamRequest {
@@ -101,16 +105,23 @@
   return buildConnector({timeout: CONNECT_TIMEOUT_MS});
 }
 
-/** Returns a connector that also watches how its connections end. */
-function watchEnds(
+/** What is known of the connections of one process. */
+interface ConnectionWatch {
+  readonly ends: ResponseEnds;
+  readonly progress: ResponseProgress;
+}
+
+/** Returns a connector that also watches its connections. */
+function watchConnections(
   connect: EndpointConnector,
-  ends: ResponseEnds,
+  {ends, progress}: ConnectionWatch,
 ): EndpointConnector {
   return (options, callback) =>
     connect(options, (...connectResult) => {
       const [, socket] = connectResult;
       if (socket) {
         ends.watch(socket);
+        progress.watch(socket);
       }
       callback(...connectResult);
     });
@@ -126,7 +137,10 @@
   connect: EndpointConnector = createTcpConnector(),
 ): Upstreams {
   const pools = new Map<string, Pool>();
-  const ends = createResponseEnds();
+  const watch: ConnectionWatch = {
+    ends: createResponseEnds(),
+    progress: createResponseProgress(),
+  };
 
   function getOrCreatePool(address: string): Pool {
     const existingPool = pools.get(address);
@@ -136,7 +150,7 @@
     const pool = new Pool(`http://${address}`, {
       connections: MAX_CONNECTIONS,
       pipelining: 1,
-      connect: watchEnds(connect, ends),
+      connect: watchConnections(connect, watch),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
       headersTimeout: 0,
@@ -157,7 +171,7 @@
 
   return {
     send: (address, request, listener) =>
-      dispatch(getOrCreatePool(address), ends, request, listener),
+      dispatch(getOrCreatePool(address), watch, request, listener),
     retainOnly: addresses =>
       closePools([...pools.keys()].filter(address => !addresses.has(address))),
     renew: closePools,
@@ -183,7 +197,7 @@
 
 function dispatch(
   pool: Pool,
-  ends: ResponseEnds,
+  {ends, progress}: ConnectionWatch,
   request: UpstreamRequest,
   listener: UpstreamListener,
 ): UpstreamExchange {
@@ -228,6 +242,7 @@
         }
       },
       onResponseStart(_, status, responseHeaders) {
+        progress.record();
         if (isSettled) {
           return;
         }
@@ -240,11 +255,13 @@
         }
       },
       onResponseData(_, chunk) {
+        progress.record();
         if (!isSettled) {
           listener.onDidReceive(chunk);
         }
       },
       onResponseEnd() {
+        progress.record();
         if (!ends.isComplete(framing)) {
           fail(new Error('the connection ended in the middle of the response'));
           return;
