gateway: skip the interim heads of a response

What callers saw: nothing was reported. An answer whose endpoint sent an interim head first (102 or 103) was dropped as the answer to another request, since the interim head does not have its id; an order ended with 502 although its endpoint answered it.

Cause: undici reports interim heads like the final one.

Change: heads with a status below 200 are skipped. Without end they are closed like other bytes that are no response.

Measured: the new test of upstream.test.ts got the heads 102, 103 and 200 before, and gets 200 alone now; endlessAnswers.test.ts still passes.

--- a/packages/gateway/src/test/upstream.test.ts
+++ b/packages/gateway/src/test/upstream.test.ts
@@ -133,6 +133,34 @@
     });
   }
 
+  // Guards against answers that are dropped because their endpoint sent an interim head first.
+  it('reports only the final head of a response', async () => {
+    const interimHeads =
+      'HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n';
+    const endpoint = await serveOnce({
+      ...responseCases[0]!,
+      bytes: interimHeads + responseCases[0]!.bytes,
+    });
+    const upstreams = createUpstreams();
+    const statuses: number[] = [];
+    const result = await new Promise<string>(resolve => {
+      upstreams.send(
+        endpoint.address,
+        {method: 'GET', path: '/', headers: [], body: undefined},
+        {
+          onDidRespond: status => statuses.push(status),
+          onDidReceive: () => {},
+          onDidEnd: () => resolve('whole'),
+          onDidFail: ({message}) => resolve(message),
+        },
+      );
+    });
+    upstreams.dispose();
+    endpoint.close();
+    assert.equal(result, 'whole');
+    assert.deepEqual(statuses, [200]);
+  });
+
   it('reports a request as not run if the connection is refused', async () => {
     const endpoint = await serveOnce(responseCases[0]!);
     endpoint.close();
--- a/packages/gateway/src/upstream.ts
+++ b/packages/gateway/src/upstream.ts
@@ -92,6 +92,9 @@
  */
 const MAX_CONNECTIONS = 48;
 
+/** Lowest status of a response; heads with a lower one precede it. */
+const FIRST_FINAL_STATUS = 200;
+
 /** Opens a connection to an endpoint. */
 export type EndpointConnector = buildConnector.connector;
 
@@ -242,6 +245,10 @@
         }
       },
       onResponseStart(_, status, responseHeaders) {
+        if (status < FIRST_FINAL_STATUS) {
+          // An interim head, which says nothing of the response.
+          return;
+        }
         progress.record();
         if (isSettled) {
           return;
