duties: test leases of earlier releases over a return

Leases of earlier releases name no era. Two tests: after a return, such a lease in the copy is not taken while a lost one may be valid; at a store that was never restored, it is taken at once with the next token.

--- a/packages/duties/src/test/restoredDuty.test.ts
+++ b/packages/duties/src/test/restoredDuty.test.ts
@@ -71,6 +71,16 @@
     b.clock.resume();
     system.platform.restore(copy);
   },
+  async 'of an earlier release'(system) {
+    system.writeEarlierReleaseLease(5);
+    const copy = system.platform.takeCopy();
+    const a = system.start('a');
+    await takeAndCut(system, a);
+    const b = system.start('b');
+    await system.advance(pollIntervalMs);
+    assert.ok(a.isHolder() && !b.isHolder());
+    system.platform.restore(copy);
+  },
 } satisfies Record<string, (system: System) => Promise<void>>;
 
 describe('a duty over a store restored from a copy', () => {
@@ -133,6 +143,17 @@
     assert.ok(b.isHolder());
   });
 
+  // Guards against a delay by a lease that names no era at a store not restored.
+  it('is taken at once from a holder of an earlier release', async () => {
+    const system = createRestoredDutyProcesses();
+    system.platform.restore(system.platform.takeCopy());
+    system.writeEarlierReleaseLease(5);
+    const a = system.start('a');
+    await system.advance(100);
+    assert.ok(a.isHolder());
+    assert.equal(system.startedTerms[0]?.fencing, 6);
+  });
+
   // Guards against a live holder that gives the duty up at each return.
   it('stays with its live holder over two returns within seconds', async () => {
     const system = createRestoredDutyProcesses();
--- a/packages/duties/src/test/restoredDutyProcesses.ts
+++ b/packages/duties/src/test/restoredDutyProcesses.ts
@@ -16,7 +16,7 @@
 } from '@skylarkfield/providers';
 import type {DutyElections} from '../contracts.js';
 import {createDutyElections} from '../duties.js';
-import {LEASE_KIND} from '../lease.js';
+import {DEFAULT_LEASE_TIMING, LEASE_KIND} from '../lease.js';
 
 const DUTY = 'fleet';
 const STEP_MS = 50;
@@ -111,6 +111,24 @@
         );
       }
     },
+    /** Writes a released lease as releases do that know no eras. */
+    writeEarlierReleaseLease(fencing: number) {
+      platform.table.put(
+        {
+          kind: LEASE_KIND,
+          name: DUTY,
+          writeId: 'earlier',
+          condition: {type: 'any'},
+        },
+        {
+          holder: 'earlier.1',
+          fencing,
+          durationMs: DEFAULT_LEASE_TIMING.durationMs,
+          sequence: 0,
+          isReleased: true,
+        },
+      );
+    },
     lease: () => platform.table.get(LEASE_KIND, DUTY),
   };
 }
