providers: restore the in-memory store from a copy

Tests could let the store return from a copy only over real sockets, and users of the object store could not tell that it had returned. The memory platform now takes and restores copies, with a new era in each version, and ObjectStore.era() gives the highest era in a response; undefined before the first one, since the first era need not be 0.

--- a/packages/providers/src/contracts.ts
+++ b/packages/providers/src/contracts.ts
@@ -86,6 +86,11 @@
    * again if changes were missed.
    */
   watch<T>(kind: string, listener: WatchListener<T>): Disposable;
+  /**
+   * Highest era of the store in a response; undefined before the first one. It
+   * rises when the store has been restored from a copy.
+   */
+  era(): number | undefined;
   state(): PlatformState;
   onDidChangeState(listener: (state: PlatformState) => void): Disposable;
 }
--- a/packages/providers/src/memoryPlatform.ts
+++ b/packages/providers/src/memoryPlatform.ts
@@ -18,10 +18,15 @@
   type ObjectStoreClient,
   type ObjectStoreSettings,
 } from './objectStore.js';
-import {createObjectTable, type ObjectTable} from './objectTable.js';
+import {
+  createObjectTable,
+  type ObjectTable,
+  type ObjectTableCopy,
+} from './objectTable.js';
 import type {
   ObjectTransport,
   TransportWatchListener,
+  WatchEndReason,
 } from './objectTransport.js';
 
 /** Injects faults into the calls of one client or of all clients. */
@@ -61,6 +66,9 @@
     settings?: MemoryClientSettings,
   ): MemoryObjectStoreClient;
   callCounts(): PlatformCallCounts;
+  takeCopy(): ObjectTableCopy;
+  /** Restores the table from a copy; open watches lose their history. */
+  restore(copy: ObjectTableCopy): void;
 }
 
 /** Settings of a client and of the process that it simulates. */
@@ -92,7 +100,7 @@
 
 interface OpenWatch {
   readonly faults: readonly FaultState[];
-  readonly end: () => void;
+  readonly end: (reason: WatchEndReason) => void;
 }
 
 /**
@@ -121,7 +129,7 @@
       if (
         watch.faults.some(fault => fault.isDown || fault.isRejectingWatches)
       ) {
-        watch.end();
+        watch.end('lost');
       }
     }
   }
@@ -190,7 +198,7 @@
         deliver(() => listener.onDidChange(change));
       }
     });
-    const watch = {faults, end: () => end('lost')};
+    const watch = {faults, end};
     openWatches.add(watch);
 
     function close(): void {
@@ -198,7 +206,7 @@
       subscription.dispose();
       openWatches.delete(watch);
     }
-    function end(reason: 'lost' | 'compacted'): void {
+    function end(reason: WatchEndReason): void {
       if (isClosed) {
         return;
       }
@@ -260,6 +268,13 @@
       return {...client, faults: createFaultControls(clientFaults, endWatches)};
     },
     callCounts: () => ({...callCounts, openWatches: openWatches.size}),
+    takeCopy: table.takeCopy,
+    restore(copy) {
+      table.restore(copy);
+      for (const watch of [...openWatches]) {
+        watch.end('compacted');
+      }
+    },
   };
 }
 
--- a/packages/providers/src/objectStore.ts
+++ b/packages/providers/src/objectStore.ts
@@ -15,6 +15,7 @@
 import type {ObjectTransport} from './objectTransport.js';
 import {createStoreCalls, type CallType} from './storeCalls.js';
 import {throwCallerError} from './storeErrors.js';
+import {eraOf} from './storeRevision.js';
 import {createStoreWrites} from './storeWrites.js';
 import {startWatch, type WatchLoop, type WatchState} from './watchLoop.js';
 
@@ -95,13 +96,13 @@
     clock,
     random,
     writeDeadlineMs: options.writeDeadlineMs ?? DEFAULT_WRITE_DEADLINE_MS,
-    seenVersion: () => seenVersion,
+    seenVersion: () => seenVersion ?? 0,
   });
   const stateEmitter = createEmitter<'up' | 'doubtful' | 'down'>();
   const watches = new Set<WatchLoop>();
   let writeCount = 0;
   /** Highest store version received; every later write has a higher version. */
-  let seenVersion = 0;
+  let seenVersion: number | undefined;
 
   circuitBreaker.onDidChange(state => {
     if (state === 'up') {
@@ -111,7 +112,7 @@
   });
 
   function recordVersion(version: number): void {
-    seenVersion = Math.max(seenVersion, version);
+    seenVersion = Math.max(seenVersion ?? 0, version);
   }
 
   function createWrite(
@@ -203,6 +204,7 @@
         loop.dispose();
       });
     },
+    era: () => (seenVersion === undefined ? undefined : eraOf(seenVersion)),
     state: () => circuitBreaker.state(),
     onDidChangeState: listener => stateEmitter.event(listener),
     setLiveEntries: count => rateLimiter.setLiveEntries(count),
--- a/packages/providers/src/objectTable.ts
+++ b/packages/providers/src/objectTable.ts
@@ -10,6 +10,7 @@
   type Event,
 } from '@skylarkfield/base';
 import type {ObjectListing, StoredObject, WriteCondition} from './contracts.js';
+import {createStoreRevision, eraOf, revisionInEra} from './storeRevision.js';
 
 /** A change, as a watch delivers it. */
 export type ObjectChange =
@@ -37,6 +38,12 @@
   readonly condition: WriteCondition;
 }
 
+/** State of a table at one version. */
+export interface ObjectTableCopy {
+  readonly version: number;
+  readonly objects: readonly StoredObject[];
+}
+
 export interface ObjectTable extends Disposable {
   /** Version of the last change of any object; 0 before the first change. */
   version(): number;
@@ -63,6 +70,12 @@
   readonly onDidChange: Event<ObjectChange>;
   /** Discards the history; watches from older versions then have to re-list. */
   compact(): void;
+  takeCopy(): ObjectTableCopy;
+  /**
+   * Returns to the state of a copy in a new era: later changes are gone, and
+   * their revisions are assigned again. The history is discarded.
+   */
+  restore(copy: ObjectTableCopy): void;
 }
 
 /** Maximum size of a value as JSON, in bytes. */
@@ -145,6 +158,27 @@
       history = [];
       compactedVersion = version;
     },
+    takeCopy: () => ({
+      version,
+      objects: [...objectsByKind.values()].flatMap(objects => [
+        ...objects.values(),
+      ]),
+    }),
+    restore(copy) {
+      const era = eraOf(version) + 1;
+      const toNewEra = (position: number) =>
+        createStoreRevision(era, revisionInEra(position));
+      objectsByKind.clear();
+      for (const object of copy.objects) {
+        getOrCreateObjects(object.kind).set(object.name, {
+          ...object,
+          version: toNewEra(object.version),
+        });
+      }
+      version = toNewEra(copy.version);
+      history = [];
+      compactedVersion = version;
+    },
     dispose: () => changeEmitter.dispose(),
   };
 }
