moves, gateway: judge a version by its streams' event intervals

Cause: the only latency that counted was the time to the first event. That version began its streams as early as the old one (107 and 97 ms) and sent their events 2.5 times slower; with 13 samples the rollout was completed at 45 % confidence. Samples also came only at the end of a stream, so that the slowest came last or never. Change: the mean interval of a stream's first eight events is evidence of its own, for the rollback by an entry and for the steps of the share. Its tolerance is larger (a factor of 2), since hosts of one version differ, and one window counts for at most 4 of the 7 log-odds of a rejection. Measured: the two tests of a slow version fail without these samples and pass.

--- a/packages/gateway/src/gatewayForwarding.ts
+++ b/packages/gateway/src/gatewayForwarding.ts
@@ -13,6 +13,10 @@
 import {createHandoverHandler} from './handoverHandler.js';
 import {createHandovers} from './handovers.js';
 import {DEFAULT_CORES} from './lookup.js';
+import {
+  observeEventIntervals,
+  type MeasuredCall,
+} from './eventIntervalObserver.js';
 import {createRetryRules} from './retryRules.js';
 import {createStreamMigrator} from './streamMigration.js';
 import {createUpstreams} from './upstream.js';
@@ -43,6 +47,8 @@
     isServing(): boolean;
     /** Called with the result of each request that was handed over to this entry. */
     onDidConclude(call: ForwardedCall, result: ForwardingResult): void;
+    /** Called with the mean interval of a stream's events, in milliseconds. */
+    onDidMeasureEventInterval(call: MeasuredCall, intervalMs: number): void;
   };
 
 /**
@@ -72,6 +78,15 @@
     clock,
     random,
   });
+  const engineObserver = createEngineObserver({
+    model: engineEstimates.model,
+    clock,
+    estimateFor: engineEstimates.estimateFor,
+    tokensPerEvent: options.tokensPerEvent,
+    fitsKvCache: options.fitsKvCache,
+    onDidRecompute: (service, rereadTokens) =>
+      engineEstimates.work.record(service, {...ZERO_WORK, rereadTokens}),
+  });
   const forwarding = createForwarding({
     ...options,
     migrator: createStreamMigrator({
@@ -80,15 +95,11 @@
       clock,
       log,
     }),
-    engineObserver: createEngineObserver({
-      model: engineEstimates.model,
+    engineObserver: observeEventIntervals(
+      engineObserver,
       clock,
-      estimateFor: engineEstimates.estimateFor,
-      tokensPerEvent: options.tokensPerEvent,
-      fitsKvCache: options.fitsKvCache,
-      onDidRecompute: (service, rereadTokens) =>
-        engineEstimates.work.record(service, {...ZERO_WORK, rereadTokens}),
-    }),
+      options.onDidMeasureEventInterval,
+    ),
     retryRules,
     handovers,
     format,
--- a/packages/gateway/src/rolloutController.ts
+++ b/packages/gateway/src/rolloutController.ts
@@ -12,6 +12,7 @@
   createMoveController,
   createTrafficSplit,
   type MoveState,
+  type RequestSample,
   type TrafficSplit,
 } from '@skylarkfield/moves';
 import type {PeerNetwork} from '@skylarkfield/protocol';
@@ -23,14 +24,22 @@
 import type {RelayPlan} from './relayPlan.js';
 import {createRolloutMoves, type RolloutMoves} from './rolloutMoves.js';
 
-/** Result of one request, as evidence about the version that served it. */
+/**
+ * Result of one request, or the event interval of its stream, as evidence about
+ * the version that served it.
+ */
 export interface RolloutSample {
   readonly service: string;
   readonly group: VersionGroup;
   /** Name of the request's route. */
   readonly route: string;
+  /** What the sample measures; `requests` if absent. */
+  readonly measure?: RequestSample['measure'];
   readonly isError: boolean;
-  /** Milliseconds from the start of forwarding to the first byte or event. */
+  /**
+   * Milliseconds from the start of forwarding to the first byte or event; of an
+   * event interval, its length.
+   */
   readonly latencyMs: number;
   readonly isRepeatable: boolean;
 }
--- a/packages/gateway/src/rolloutSample.ts
+++ b/packages/gateway/src/rolloutSample.ts
@@ -3,6 +3,7 @@
 import {isRepeatable} from '@skylarkfield/traffic';
 import {isServerError} from './attemptOutcome.js';
 import type {ForwardedCall, ForwardingResult} from './forwardedCall.js';
+import type {MeasuredCall} from './eventIntervalObserver.js';
 import type {RolloutSample} from './rolloutController.js';
 
 /**
@@ -50,3 +51,25 @@
     isRepeatable: isRepeatable(route),
   };
 }
+
+/**
+ * Returns the evidence from a stream; `intervalMs` is the mean interval of its
+ * events, in milliseconds.
+ *
+ * @example
+ * recordSample(eventIntervalSampleOf(call, 33));
+ */
+export function eventIntervalSampleOf(
+  {service, version, route}: MeasuredCall,
+  intervalMs: number,
+): RolloutSample {
+  return {
+    service,
+    group: version,
+    route: route.name,
+    measure: 'eventInterval',
+    isError: false,
+    latencyMs: intervalMs,
+    isRepeatable: isRepeatable(route),
+  };
+}
--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -56,7 +56,7 @@
   createRolloutController,
   type RolloutController,
 } from './rolloutController.js';
-import {sampleOf} from './rolloutSample.js';
+import {eventIntervalSampleOf, sampleOf} from './rolloutSample.js';
 import {startTrafficDigests} from './trafficDigests.js';
 import {createUpstreams} from './upstream.js';
 
@@ -351,6 +351,8 @@
         }
       },
       onDidConclude: recordSample,
+      onDidMeasureEventInterval: (call, intervalMs) =>
+        rolloutController.recordSample(eventIntervalSampleOf(call, intervalMs)),
     }),
   );
 
--- a/packages/moves/src/contracts.ts
+++ b/packages/moves/src/contracts.ts
@@ -3,7 +3,11 @@
  * and deadline.
  */
 import type {Move} from '@skylarkfield/records';
-import type {EvidenceSum, MoveState} from '@skylarkfield/protocol';
+import type {
+  EvidenceMeasure,
+  EvidenceSum,
+  MoveState,
+} from '@skylarkfield/protocol';
 
 export type {MovePhase, MoveState, RouteProof} from '@skylarkfield/protocol';
 
@@ -12,6 +16,11 @@
   readonly service: string;
   readonly version: string;
   readonly route: string;
+  /**
+   * `requests` if absent. A sample of the event interval of a stream has the
+   * interval as its latency and is no error.
+   */
+  readonly measure?: EvidenceMeasure;
   readonly isError: boolean;
   readonly latencyMs: number;
   /** In-flight requests of the service as a fraction of its limit, 0 to 1. */
@@ -45,8 +54,8 @@
    */
   incumbentFor(service: string, incumbent: string): string;
   /**
-   * Records a finished request; cuts the candidate's share to 0 once the
-   * evidence shows a fault of the candidate.
+   * Records a finished request or the event interval of a stream; cuts the
+   * candidate's share to 0 once the evidence shows a fault of the candidate.
    */
   recordSample(sample: RequestSample): void;
   /** Applies a cut of the candidate that another entry reported. */
--- a/packages/moves/src/evidence.ts
+++ b/packages/moves/src/evidence.ts
@@ -2,11 +2,14 @@
  * Request statistics of candidate and incumbent, stratified by route and load
  * level.
  */
-import type {EvidenceSum} from '@skylarkfield/protocol';
+import type {EvidenceMeasure, EvidenceSum} from '@skylarkfield/protocol';
 
 export type LoadLevel = EvidenceSum['loadLevel'];
 
-/** Sums over requests of one version; latencies of successful ones only. */
+/**
+ * Sums over requests of one version; latencies of successful ones only. The
+ * statistics of event intervals have streams for requests.
+ */
 export interface RequestStats {
   requests: number;
   errors: number;
@@ -19,6 +22,7 @@
 /** Statistics of both versions on one route at one load level in one window. */
 export interface Stratum {
   readonly route: string;
+  readonly measure: EvidenceMeasure;
   readonly loadLevel: LoadLevel;
   readonly isOrder: boolean;
   readonly candidate: RequestStats;
@@ -85,11 +89,14 @@
 const MIN_INCUMBENT_REQUESTS = 4;
 
 /**
- * Maximum number of routes with separate strata, to limit memory; further
- * routes are summed under `OTHER_ROUTES`.
+ * Maximum number of routes with separate strata for each measure, to limit
+ * memory; further routes are summed under one name.
  */
 const MAX_ROUTES = 24;
-const OTHER_ROUTES = 'other routes';
+const OTHER_ROUTES: Readonly<Record<EvidenceMeasure, string>> = {
+  requests: 'other routes',
+  eventInterval: 'other routes between events',
+};
 
 /**
  * Creates an empty window for a move from the incumbent to the candidate
@@ -103,24 +110,29 @@
   candidateVersion: string,
 ): EvidenceWindow {
   const strata = new Map<string, Stratum>();
-  const routeNames = new Set<string>();
+  const routeNames: Readonly<Record<EvidenceMeasure, Set<string>>> = {
+    requests: new Set(),
+    eventInterval: new Set(),
+  };
 
-  function registerRoute(route: string): string {
-    if (routeNames.has(route) || routeNames.size < MAX_ROUTES) {
-      routeNames.add(route);
+  function registerRoute(route: string, measure: EvidenceMeasure): string {
+    const names = routeNames[measure];
+    if (names.has(route) || names.size < MAX_ROUTES) {
+      names.add(route);
       return route;
     }
-    return OTHER_ROUTES;
+    return OTHER_ROUTES[measure];
   }
 
   function getOrCreateStratum(sum: EvidenceSum): Stratum {
-    const route = registerRoute(sum.route);
-    const isOrder = sum.isOrder ?? false;
-    const id = `${route}\u0000${sum.loadLevel}\u0000${isOrder}`;
+    const {measure = 'requests', isOrder = false} = sum;
+    const route = registerRoute(sum.route, measure);
+    const id = [route, sum.loadLevel, isOrder, measure].join('\u0000');
     let stratum = strata.get(id);
     if (stratum === undefined) {
       stratum = {
         route,
+        measure,
         loadLevel: sum.loadLevel,
         isOrder,
         candidate: createEmptyStats(),
--- a/packages/moves/src/faultDetector.ts
+++ b/packages/moves/src/faultDetector.ts
@@ -13,6 +13,7 @@
   latencyExcess,
   type VarianceEstimator,
 } from './likelihoodRatios.js';
+import type {EvidenceMeasure} from '@skylarkfield/protocol';
 import type {Stratum} from './evidence.js';
 import {
   logAddExp,
@@ -45,16 +46,29 @@
   readonly windowCount: number;
 }
 
-/**
- * Highest ratio of error rates and highest log latency excess that do not count
- * as a fault.
- */
+/** Highest ratio of error rates that does not count as a fault. */
 const TOLERATED_ERROR_FACTOR = 1.15;
-const TOLERATED_LATENCY_EXCESS = 0.05;
 
-/** Alternative hypotheses: ratios of error rates and log latency excesses. */
+/** Alternative hypotheses: ratios of error rates. */
 const ERROR_FACTORS = [2, 4, 16, 100];
-const LATENCY_EXCESSES = [0.25, 0.5, 1, 2];
+
+/** Excesses of the log latency, for each measure. */
+interface LatencyHypotheses {
+  /** Highest excess that does not count as a fault. */
+  readonly tolerated: number;
+  readonly alternatives: readonly [number, number, number, number];
+}
+
+/**
+ * The event interval hardly varies between requests but depends on the host,
+ * and a candidate may run on a few slow hosts only. Its tolerance is therefore
+ * larger.
+ */
+const LATENCY_HYPOTHESES: Readonly<Record<EvidenceMeasure, LatencyHypotheses>> =
+  {
+    requests: {tolerated: 0.05, alternatives: [0.25, 0.5, 1, 2]},
+    eventInterval: {tolerated: 0.35, alternatives: [0.7, 1, 1.5, 2]},
+  };
 
 /** Prior weight of faults that exist from the start. */
 const INITIAL_WEIGHT = 0.4;
@@ -99,7 +113,7 @@
         logWeight: Math.log(scopeWeight(type, scopeCounts[type]++) / 2),
         errorTest: createSequentialTest(ERROR_FACTORS.length, INITIAL_WEIGHT),
         latencyTest: createSequentialTest(
-          LATENCY_EXCESSES.length,
+          LATENCY_HYPOTHESES.requests.alternatives.length,
           INITIAL_WEIGHT,
         ),
         windowCount: 0,
@@ -119,8 +133,8 @@
   }
 
   /**
-   * Adds the strata of one window to the tests of a scope. The likelihood
-   * ratios of the strata are multiplied.
+   * Adds the strata of one window, all of one measure, to the tests of a scope.
+   * The likelihood ratios of the strata are multiplied.
    */
   function addToScope(scope: Scope, strata: readonly Stratum[]) {
     scope.windowCount += 1;
@@ -136,6 +150,8 @@
         ),
       ),
     );
+    const {tolerated, alternatives} =
+      LATENCY_HYPOTHESES[strata[0]?.measure ?? 'requests'];
     const excesses = strata.flatMap(stratum => {
       const excess = latencyExcess(
         stratum,
@@ -144,13 +160,9 @@
       return excess === undefined ? [] : [excess];
     });
     scope.latencyTest.add(
-      LATENCY_EXCESSES.map(alternative =>
+      alternatives.map(alternative =>
         sum(excesses, excess =>
-          latencyLogLikelihoodRatio(
-            excess,
-            alternative,
-            TOLERATED_LATENCY_EXCESS,
-          ),
+          latencyLogLikelihoodRatio(excess, alternative, tolerated),
         ),
       ),
     );
@@ -189,7 +201,12 @@
       if (strata.length === 0) {
         return undefined;
       }
-      addToScope(getOrCreateScope('service', 'all routes'), strata);
+      const requestStrata = strata.filter(
+        ({measure}) => measure === 'requests',
+      );
+      if (requestStrata.length > 0) {
+        addToScope(getOrCreateScope('service', 'all routes'), requestStrata);
+      }
       for (const route of new Set(strata.map(stratum => stratum.route))) {
         const routeStrata = strata.filter(stratum => stratum.route === route);
         addToScope(getOrCreateScope('route', route), routeStrata);
--- a/packages/moves/src/localEvidence.ts
+++ b/packages/moves/src/localEvidence.ts
@@ -44,6 +44,9 @@
  */
 export const LATENCY_OFFSET_MS = 10;
 
+/** The same for event intervals, which contain no handshake. */
+const EVENT_INTERVAL_OFFSET_MS = 1;
+
 type PendingSum = {-readonly [K in keyof EvidenceSum]: EvidenceSum[K]};
 
 /**
@@ -63,8 +66,8 @@
   let windowStartedAt = clock.now();
 
   function addToPendingSums(sum: EvidenceSum) {
-    const {route, version, loadLevel, isOrder} = sum;
-    const id = [route, version, loadLevel, isOrder].join('\u0000');
+    const {route, version, loadLevel, isOrder, measure} = sum;
+    const id = [route, version, loadLevel, isOrder, measure].join('\u0000');
     const existingSum = pendingSums.get(id);
     if (existingSum === undefined) {
       if (pendingSums.size < MAX_PENDING_SUMS) {
@@ -103,11 +106,16 @@
  * because it measures only how fast the request failed.
  */
 function toEvidenceSum(sample: RequestSample): EvidenceSum {
+  const isEventInterval = sample.measure === 'eventInterval';
+  const offsetMs = isEventInterval
+    ? EVENT_INTERVAL_OFFSET_MS
+    : LATENCY_OFFSET_MS;
   const logLatency = sample.isError
     ? 0
-    : Math.log(LATENCY_OFFSET_MS + Math.max(0, sample.latencyMs));
+    : Math.log(offsetMs + Math.max(0, sample.latencyMs));
   return {
-    route: sample.route,
+    route: isEventInterval ? `${sample.route} between events` : sample.route,
+    ...(isEventInterval && {measure: 'eventInterval' as const}),
     version: sample.version,
     loadLevel: loadLevelOf(sample.loadFraction),
     isOrder: sample.isIdempotent === false,
--- a/packages/moves/src/nonInferiorityTest.ts
+++ b/packages/moves/src/nonInferiorityTest.ts
@@ -11,6 +11,7 @@
   latencyExcess,
   type VarianceEstimator,
 } from './likelihoodRatios.js';
+import type {EvidenceMeasure} from '@skylarkfield/protocol';
 import type {RouteProof} from './contracts.js';
 import type {Stratum} from './evidence.js';
 import {logAddExp} from './sequentialTest.js';
@@ -47,7 +48,18 @@
  */
 const BAD_ERROR_FACTOR = 2;
 const GROSS_ERROR_FACTOR = 3;
-const BAD_LATENCY_EXCESS = Math.log(1.5);
+const BAD_LATENCY_EXCESS: Readonly<Record<EvidenceMeasure, number>> = {
+  requests: Math.log(1.5),
+  // The interval depends on the host, and a candidate may run on few hosts.
+  eventInterval: Math.log(2),
+};
+
+/**
+ * Upper bound of the evidence of one window against a candidate's intervals. A
+ * pause of one entry or host spans one or two windows, and the variance that is
+ * estimated from the streams without a pause is small.
+ */
+const MAX_INTERVAL_LOG_RATIO_PER_WINDOW = 4;
 
 /**
  * Increase of the error rate over the incumbent's up to which a version is not
@@ -97,12 +109,17 @@
     routeEvidence.set(proof.route, createRouteEvidence(proof));
   }
 
-  function getOrCreateRouteEvidence({route, isOrder}: Stratum): RouteEvidence {
+  function getOrCreateRouteEvidence({
+    route,
+    isOrder,
+    measure,
+  }: Stratum): RouteEvidence {
     let evidence = routeEvidence.get(route);
     if (evidence === undefined) {
       evidence = createRouteEvidence({
         route,
         isOrder,
+        ...(measure === 'eventInterval' && {measure}),
         requests: 0,
         candidateRequests: 0,
         errorsTwice: 0,
@@ -130,16 +147,17 @@
     },
     logOdds(hypothesis, isOrder) {
       const proofs = filterProofs(isOrder);
-      const totalRequests = proofs.reduce(
-        (sum, {requests}) => sum + requests,
-        0,
-      );
-      if (totalRequests === 0) {
+      const totals = {
+        requests: countRequests(proofs, 'requests'),
+        eventInterval: countRequests(proofs, 'eventInterval'),
+      };
+      if (totals.requests === 0) {
         return -Infinity;
       }
       let logOddsBad = -Infinity;
       for (const proof of proofs) {
-        const weight = proof.requests / totalRequests / FULL_WEIGHT_SHARE;
+        const weight =
+          proof.requests / totals[measureOf(proof)] / FULL_WEIGHT_SHARE;
         const logOdds = routeLogOdds(proof, hypothesis);
         logOddsBad = logAddExp(
           logOddsBad,
@@ -148,8 +166,7 @@
       }
       return -logOddsBad;
     },
-    hasTraffic: isOrder =>
-      filterProofs(isOrder).some(({requests}) => requests > 0),
+    hasTraffic: isOrder => countRequests(filterProofs(isOrder), 'requests') > 0,
     describeWorstRoute() {
       const [proof] = [...routeEvidence.values()]
         .map(evidence => evidence.proof)
@@ -157,7 +174,9 @@
       if (proof === undefined) {
         return 'no evidence';
       }
-      const isSlow = proof.slower < errorLogOdds(proof, 'steady');
+      const isSlow =
+        measureOf(proof) === 'eventInterval' ||
+        proof.slower < errorLogOdds(proof, 'steady');
       const symptom = isSlow ? 'higher latency' : 'more errors';
       return `${symptom} than the incumbent on ${proof.route}`;
     },
@@ -165,6 +184,19 @@
   };
 }
 
+function measureOf({measure = 'requests'}: RouteProof): EvidenceMeasure {
+  return measure;
+}
+
+function countRequests(
+  proofs: readonly RouteProof[],
+  measure: EvidenceMeasure,
+): number {
+  return proofs
+    .filter(proof => measureOf(proof) === measure)
+    .reduce((sum, {requests}) => sum + requests, 0);
+}
+
 function createRouteEvidence(proof: RouteProof): RouteEvidence {
   return {
     proof: {...proof},
@@ -186,12 +218,19 @@
   return Math.max(factorLogOdds, proof.errorsAdded);
 }
 
+/**
+ * Returns the log-odds that the candidate has no fault from the start on one
+ * route. Event intervals tell nothing about errors.
+ */
+function steadyRouteLogOdds(proof: RouteProof, hypothesis: Hypothesis): number {
+  return measureOf(proof) === 'eventInterval'
+    ? proof.slower
+    : -logAddExp(-errorLogOdds(proof, hypothesis), -proof.slower);
+}
+
 /** Returns the log-odds that the candidate is good on one route. */
 function routeLogOdds(proof: RouteProof, hypothesis: Hypothesis): number {
-  const steadyLogOdds = -logAddExp(
-    -errorLogOdds(proof, hypothesis),
-    -proof.slower,
-  );
+  const steadyLogOdds = steadyRouteLogOdds(proof, hypothesis);
   if (hypothesis !== 'full') {
     return steadyLogOdds;
   }
@@ -219,10 +258,11 @@
   evidence.errorCusum = Math.max(0, evidence.errorCusum + errorLogRatio);
   const excess = latencyExcess(stratum, varianceEstimator.value());
   if (excess !== undefined) {
-    const latencyLogRatio = latencyLogLikelihoodRatio(
-      excess,
-      BAD_LATENCY_EXCESS,
-      0,
+    const latencyLogRatio = Math.min(
+      latencyLogLikelihoodRatio(excess, BAD_LATENCY_EXCESS[stratum.measure], 0),
+      stratum.measure === 'eventInterval'
+        ? MAX_INTERVAL_LOG_RATIO_PER_WINDOW
+        : Infinity,
     );
     proof.slower -= latencyLogRatio;
     evidence.latencyCusum = Math.max(
--- a/packages/protocol/src/messages/moveMessages.ts
+++ b/packages/protocol/src/messages/moveMessages.ts
@@ -1,8 +1,19 @@
 /** Messages about moves (rollouts of versions) and their evidence. */
 
+/**
+ * What the samples of a sum measure: requests, with their errors and latency,
+ * or the mean interval between the events of a stream.
+ */
+export type EvidenceMeasure = 'requests' | 'eventInterval';
+
 /** Sums over one time window for one version, route and load level. */
 export interface EvidenceSum {
   readonly route: string;
+  /**
+   * `requests` if absent. The sums of event intervals have their own route name,
+   * since entries of an earlier version take them for requests.
+   */
+  readonly measure?: EvidenceMeasure;
   readonly version: string;
   readonly loadLevel: 'low' | 'middle' | 'high';
   /** Whether the calls run at most once; their traffic share is raised last. */
@@ -52,6 +63,8 @@
 /** Evidence on one route, summed since the start of the move. */
 export interface RouteProof {
   readonly route: string;
+  /** `requests` if absent. */
+  readonly measure?: EvidenceMeasure;
   readonly isOrder: boolean;
   readonly requests: number;
   readonly candidateRequests: number;
