moves: store states again that the store lost

What callers saw: none yet on a landing; after a return of the store, a version that was rolled back or completed was proved again. Cause: the holder of the duty went on from the copy's states, and stored them as new ones, though entries knew the later states. Change: each entry keeps the newest state of each move, also while no rollout is in progress. A final phase outranks the phases before it.

--- a/packages/entry/src/components/movesComponent.ts
+++ b/packages/entry/src/components/movesComponent.ts
@@ -8,6 +8,7 @@
 import {
   createMoveDuty,
   createMoveFollower,
+  createKnownStates,
   createMoveController,
   createTrafficSplit,
   type TrafficSplit,
@@ -72,6 +73,7 @@
   } = options;
   const disposables = createDisposableStore();
   const moveController = createMoveController({clock, decisions});
+  const knownStates = createKnownStates();
   disposables.add(dumps.add('moveJudge', () => moveController.dump()));
   disposables.add(
     createMoveFollower({
@@ -80,6 +82,7 @@
       network,
       configuration,
       split: trafficSplit,
+      knownStates,
       controller: moveController,
     }),
   );
@@ -98,6 +101,7 @@
         objects: objectStore,
         configuration,
         controller: moveController,
+        knownStates,
         term,
         hasEndpoints: (service, version) =>
           availableVersions(service, endpointPool).has(version),
--- a/packages/gateway/src/rolloutController.ts
+++ b/packages/gateway/src/rolloutController.ts
@@ -7,15 +7,17 @@
 } from '@skylarkfield/base';
 import type {DutyElections} from '@skylarkfield/duties';
 import {
+  createKnownStates,
   createMoveDuty,
   createMoveFollower,
   createMoveController,
   createTrafficSplit,
+  type KnownStates,
   type MoveState,
   type RequestSample,
   type TrafficSplit,
 } from '@skylarkfield/moves';
-import type {PeerNetwork} from '@skylarkfield/protocol';
+import type {Messages, PeerNetwork} from '@skylarkfield/protocol';
 import type {ObjectStore} from '@skylarkfield/providers';
 import type {Rollout} from '@skylarkfield/traffic';
 import type {GatewayContext} from './context.js';
@@ -80,6 +82,12 @@
 /** Timeout of publishing a rollout state, in milliseconds. */
 const CALL_TIMEOUT_MS = 1_500;
 
+/** Messages for the entries that may evaluate rollouts. */
+const EVALUATOR_MESSAGES: ReadonlySet<keyof Messages> = new Set([
+  'moveEvidence',
+  'moveStates',
+]);
+
 const VERSION_GROUPS: readonly VersionGroup[] = ['incumbent', 'candidate'];
 
 /**
@@ -98,12 +106,17 @@
   const {clock, decisions, log, dumps} = context;
   const moves = createRolloutMoves(options.rollouts, clock);
   const trafficSplit = createTrafficSplit({clock, decisions});
+  const knownStates = createKnownStates();
   const disposables = createDisposableStore();
   let activeRollouts: Disposable | undefined;
 
   function startOrStopRollouts(): void {
     if (moves.hasOpenRollouts() && activeRollouts === undefined) {
-      activeRollouts = startRollouts(context, options, moves, trafficSplit);
+      activeRollouts = startRollouts(context, options, {
+        moves,
+        trafficSplit,
+        knownStates,
+      });
       log.info({}, 'rollout in progress');
     } else if (!moves.hasOpenRollouts() && activeRollouts !== undefined) {
       activeRollouts.dispose();
@@ -141,11 +154,17 @@
   };
 }
 
+/** What an entry keeps while no rollout is in progress. */
+interface RolloutMemory {
+  readonly moves: RolloutMoves;
+  readonly trafficSplit: TrafficSplit;
+  readonly knownStates: KnownStates;
+}
+
 function startRollouts(
   context: GatewayContext,
   options: RolloutOptions,
-  moves: RolloutMoves,
-  trafficSplit: TrafficSplit,
+  {moves, trafficSplit, knownStates}: RolloutMemory,
 ): Disposable {
   const {clock, log, decisions} = context;
   const {directory, store, dutyElections} = options;
@@ -210,6 +229,7 @@
       network: createEvidenceNetwork(options),
       configuration: moves.moveRecords,
       split: trafficSplit,
+      knownStates,
       controller: moveController,
     }),
   );
@@ -224,6 +244,7 @@
         objects: store,
         configuration: moves.moveRecords,
         controller: moveController,
+        knownStates,
         term,
         hasEndpoints: (service, group) =>
           availableGroups(service).some(name => name === group),
@@ -236,8 +257,8 @@
 }
 
 /**
- * Returns a network that sends evidence only to the entries that may evaluate
- * rollouts, so that the cost of evidence does not grow with the square of the
+ * Returns a network that sends evidence and lost states only to the entries that
+ * may evaluate rollouts, so that their cost does not grow with the square of the
  * number of entries. Other messages, such as `moveCut`, go to all entries.
  */
 function createEvidenceNetwork(options: RolloutOptions) {
@@ -250,7 +271,7 @@
       network.broadcast(
         type,
         body,
-        type === 'moveEvidence'
+        EVALUATOR_MESSAGES.has(type)
           ? moveEvaluators(options)
           : options.otherEntryIds(),
       )) as PeerNetwork['broadcast'],
--- a/packages/moves/src/moveDuty.ts
+++ b/packages/moves/src/moveDuty.ts
@@ -12,6 +12,7 @@
 import type {ObjectStore, StoredObject} from '@skylarkfield/providers';
 import type {Configuration, Move} from '@skylarkfield/records';
 import type {MoveController, MoveState} from './contracts.js';
+import {outranks, type KnownStates} from './knownStates.js';
 import {selectActiveMove, isStateOf, pairWithStates} from './moveSelection.js';
 import {MOVE_STATE_KIND} from './moveFollower.js';
 import {isFinal, nextPhase} from './moveMachine.js';
@@ -22,6 +23,11 @@
   readonly objects: Pick<ObjectStore, 'get' | 'list' | 'put' | 'remove'>;
   readonly configuration: Pick<Configuration, 'list' | 'isReady'>;
   readonly controller: MoveController;
+  /**
+   * States that this entry knows. Those that the store has lost are stored
+   * again.
+   */
+  readonly knownStates: KnownStates;
   readonly term: DutyTerm;
   /**
    * Returns whether any endpoint runs the version. A move to a version without
@@ -40,6 +46,9 @@
  */
 const FINAL_STATE_RETENTION_MS = 7 * 24 * 3_600_000;
 
+/** Maximum number of lost states that are stored again in one round. */
+const MAX_RESTORED_PER_ROUND = 10;
+
 /**
  * Starts the duty for one term; the caller disposes the result at the term's
  * end.
@@ -49,18 +58,49 @@
  */
 export function createMoveDuty(options: MoveDutyOptions): Disposable {
   const {clock, log, objects, configuration, controller, term} = options;
+  const {knownStates} = options;
   const disposables = createDisposableStore();
   const storedStates = new Map<string, StoredObject<MoveState>>();
   let areStatesLoaded = false;
   let isAdvancing = false;
 
   async function loadStates() {
-    const listing = await objects.list<MoveState>(MOVE_STATE_KIND, term.signal);
+    // A loss that is found while the call runs requires another listing.
+    areStatesLoaded = true;
+    const listing = await objects
+      .list<MoveState>(MOVE_STATE_KIND, term.signal)
+      .catch((error: unknown) => {
+        areStatesLoaded = false;
+        throw error;
+      });
     storedStates.clear();
     for (const object of listing.objects) {
       storedStates.set(object.name, object);
     }
-    areStatesLoaded = true;
+    knownStates.record(listing.objects.map(({value}) => value));
+  }
+
+  /**
+   * Stores states again that the store lost. Decisions that are not final are
+   * kept only for moves that still exist.
+   */
+  async function restoreLostStates(currentMoveNames: ReadonlySet<string>) {
+    const lostStates = knownStates
+      .list()
+      .filter(
+        state =>
+          outranks(state, storedStates.get(state.move)?.value) &&
+          (isFinal(state.phase) || currentMoveNames.has(state.move)) &&
+          !isExpired(state, clock.wall()),
+      )
+      .slice(0, MAX_RESTORED_PER_ROUND);
+    for (const state of lostStates) {
+      if (!term.isValid()) {
+        return;
+      }
+      await writeState(state);
+      log.info({move: state.move, phase: state.phase}, 'move state restored');
+    }
   }
 
   /**
@@ -91,6 +131,7 @@
         term.signal,
       );
       storedStates.set(nextState.move, writtenObject);
+      knownStates.record([writtenObject.value]);
     } catch (error) {
       // After a conflict or an unknown outcome, the stored states are read
       // again.
@@ -102,7 +143,7 @@
   }
 
   function stateOf(name: string): MoveState | undefined {
-    return storedStates.get(name)?.value;
+    return knownStates.get(name);
   }
 
   async function advanceService(moves: readonly Move[]) {
@@ -152,7 +193,7 @@
    */
   async function endWithdrawnMoves(currentMoveNames: ReadonlySet<string>) {
     for (const object of [...storedStates.values()]) {
-      const state = object.value;
+      const state = stateOf(object.name) ?? object.value;
       if (currentMoveNames.has(state.move)) {
         continue;
       }
@@ -165,7 +206,7 @@
           why: 'the operator withdrew the move',
           changedAt: clock.wall(),
         });
-      } else if (clock.wall() - state.changedAt > FINAL_STATE_RETENTION_MS) {
+      } else if (isExpired(state, clock.wall())) {
         const condition = {type: 'version', version: object.version} as const;
         await objects.remove(
           MOVE_STATE_KIND,
@@ -174,6 +215,7 @@
           term.signal,
         );
         storedStates.delete(object.name);
+        knownStates.remove(object.name);
       }
     }
   }
@@ -189,6 +231,7 @@
     const moves = configuration.list('move');
     const moveNames = moves.map(move => move.name);
     controller.retainMoves(moveNames);
+    await restoreLostStates(new Set(moveNames));
     for (const service of new Set(moves.map(move => move.service))) {
       await advanceService(moves.filter(move => move.service === service));
     }
@@ -209,11 +252,21 @@
       .finally(() => (isAdvancing = false));
   }
 
+  disposables.add(
+    knownStates.onDidFindLost(() => {
+      areStatesLoaded = false;
+    }),
+  );
   disposables.add(scheduleRepeatedly(clock, ADVANCE_INTERVAL_MS, startRound));
   startRound();
   return disposables;
 }
 
+/** Returns whether the final state of a removed move may be deleted. */
+function isExpired(state: MoveState, wallMs: number): boolean {
+  return wallMs - state.changedAt > FINAL_STATE_RETENTION_MS;
+}
+
 /**
  * Returns the state of a move that has to wait, rolled back once its deadline
  * has passed; returns `state` itself if phase and reason are unchanged.
--- a/packages/moves/src/moveFollower.ts
+++ b/packages/moves/src/moveFollower.ts
@@ -12,6 +12,7 @@
 import type {PeerNetwork} from '@skylarkfield/protocol';
 import type {Configuration, Move} from '@skylarkfield/records';
 import type {MoveController, MoveState, TrafficSplit} from './contracts.js';
+import type {KnownStates} from './knownStates.js';
 import {isStateOf} from './moveSelection.js';
 
 /** Kind of the objects that hold the states of moves. */
@@ -29,6 +30,7 @@
   >;
   readonly configuration: Pick<Configuration, 'list' | 'onDidChange'>;
   readonly split: TrafficSplit;
+  readonly knownStates: KnownStates;
   /**
    * Collects evidence on every entry, so that a new holder of the duty has the
    * evidence of the earlier holder.
@@ -50,8 +52,8 @@
  */
 export function createMoveFollower(options: MoveFollowerOptions): Disposable {
   const {clock, objects, network, configuration, split, controller} = options;
+  const {knownStates} = options;
   const disposables = createDisposableStore();
-  const latestStates = new Map<string, MoveState>();
   const pendingCuts = new Map<string, PendingCut>();
   let nextEvidenceSequence = 0;
 
@@ -60,14 +62,20 @@
   }
 
   function applyStates(receivedStates: readonly MoveState[]) {
-    const newerStates = receivedStates.filter(
-      ({move, changedAt}) =>
-        changedAt > (latestStates.get(move)?.changedAt ?? 0),
-    );
-    for (const state of newerStates) {
-      latestStates.set(state.move, state);
+    split.setStates(knownStates.record(receivedStates));
+  }
+
+  /**
+   * Applies all stored states. States that the store has lost are sent to the
+   * peers, so that the holder of the duty can store them again although it may
+   * not have received them before.
+   */
+  function applyListing(storedStates: readonly MoveState[]) {
+    const lostStates = knownStates.recordListing(storedStates);
+    split.setStates(knownStates.list());
+    if (lostStates.length > 0) {
+      network.broadcast('moveStates', {states: lostStates});
     }
-    split.setStates(newerStates);
   }
 
   /**
@@ -77,8 +85,9 @@
    * move to the old version, which may have no endpoint.
    */
   function sendStates(peer: string) {
-    if (latestStates.size > 0) {
-      network.send(peer, 'moveStates', {states: [...latestStates.values()]});
+    const states = knownStates.list();
+    if (states.length > 0) {
+      network.send(peer, 'moveStates', {states});
     }
   }
 
@@ -111,7 +120,7 @@
   function dropObsoleteCuts() {
     for (const [name, {to}] of pendingCuts) {
       const move = findMove(name);
-      const state = latestStates.get(name);
+      const state = knownStates.get(name);
       const isRollbackStored =
         move !== undefined &&
         isStateOf(state, move) &&
@@ -124,7 +133,7 @@
 
   function trackMoves() {
     for (const move of configuration.list('move')) {
-      const state = latestStates.get(move.name);
+      const state = knownStates.get(move.name);
       if (isStateOf(state, move)) {
         controller.track(move, state, clock.wall());
       }
@@ -160,9 +169,9 @@
   disposables.add(
     objects.watch<MoveState>(MOVE_STATE_KIND, {
       onDidList: listing =>
-        applyStates(listing.objects.map(({value}) => value)),
+        applyListing(listing.objects.map(({value}) => value)),
       onDidPut: ({value}) => applyStates([value]),
-      onDidRemove: name => latestStates.delete(name),
+      onDidRemove: name => knownStates.remove(name),
     }),
   );
   disposables.add(
--- a/packages/moves/src/test/fakes.ts
+++ b/packages/moves/src/test/fakes.ts
@@ -12,15 +12,18 @@
   type VirtualClock,
 } from '@skylarkfield/base';
 import type {DutyTerm} from '@skylarkfield/duties';
-import type {
-  ObjectStore,
-  StoredObject,
-  WatchListener,
-  WriteCondition,
+import {
+  createStoreRevision,
+  revisionInEra,
+  type ObjectStore,
+  type StoredObject,
+  type WatchListener,
+  type WriteCondition,
 } from '@skylarkfield/providers';
 import type {EvidenceSum, Messages, PeerNetwork} from '@skylarkfield/protocol';
 import type {Move, RecordKind} from '@skylarkfield/records';
 import {
+  createKnownStates,
   createMoveDuty,
   createMoveFollower,
   createMoveController,
@@ -66,10 +69,15 @@
 
 type StoredMoveState = StoredObject<MoveState>;
 
-/** In-memory object store of all entries; can be made unavailable. */
+/**
+ * In-memory object store of all entries; can be made unavailable and restored
+ * from a copy.
+ */
 export function createFakeStore() {
   const objects = new Map<string, StoredMoveState>();
   const listeners = new Set<WatchListener<MoveState>>();
+  const writtenStates: MoveState[] = [];
+  let era = 0;
   let version = 0;
   let isDown = false;
   function throwWhenDown() {
@@ -105,6 +113,7 @@
       }
       const stored = {kind, name, version: ++version, writeId: '', value};
       objects.set(name, stored);
+      writtenStates.push(value);
       for (const listener of listeners) {
         listener.onDidPut(stored);
       }
@@ -128,6 +137,24 @@
     readState: (name: string) => objects.get(name)?.value,
     writeState: (value: MoveState) =>
       store.put('move-state', value.move, value, {type: 'any'}),
+    /** All states written so far, also those that were lost. */
+    writtenStates: () => writtenStates,
+    takeCopy: (): readonly StoredMoveState[] => [...objects.values()],
+    /** Returns to the state of a copy, in a new era; watches list again. */
+    restore(copy: readonly StoredMoveState[]) {
+      era += 1;
+      version = createStoreRevision(era, 0);
+      objects.clear();
+      for (const stored of copy) {
+        const revision = revisionInEra(stored.version);
+        const copiedVersion = createStoreRevision(era, revision);
+        objects.set(stored.name, {...stored, version: copiedVersion});
+        version = Math.max(version, copiedVersion);
+      }
+      for (const listener of listeners) {
+        listener.onDidList({version, objects: [...objects.values()]});
+      }
+    },
     setDown(isNowDown: boolean) {
       isDown = isNowDown;
       isWatchDown = isNowDown;
@@ -202,18 +229,20 @@
     const controller = createMoveController({clock, decisions});
     const network = bus.networkOf(`e${index}`);
     const objects = platform.store;
+    const knownStates = createKnownStates();
     createMoveFollower({
       clock,
       objects,
       network,
       configuration,
       split,
+      knownStates,
       controller,
     });
-    return {split, controller};
+    return {split, controller, knownStates};
   }
   const entries = Array.from({length: count}, (_, index) => startEntry(index));
-  function holdDuty(index: number) {
+  function holdDuty(index: number, entry = entries[index]!) {
     const abortController = new AbortController();
     const term: DutyTerm = {
       duty: 'moves',
@@ -227,7 +256,8 @@
       log: createSilentLogger(),
       objects: platform.store,
       configuration,
-      controller: entries[index]?.controller as never,
+      controller: entry.controller,
+      knownStates: entry.knownStates,
       term,
     });
     return toDisposable(() => {
--- a/packages/moves/src/trafficSplit.ts
+++ b/packages/moves/src/trafficSplit.ts
@@ -10,6 +10,7 @@
 } from '@skylarkfield/base';
 import type {Move} from '@skylarkfield/records';
 import type {MoveState, TrafficSplit} from './contracts.js';
+import {outranks} from './knownStates.js';
 import {createLocalEvidence, type LocalEvidence} from './localEvidence.js';
 import {
   selectActiveMove,
@@ -101,21 +102,6 @@
     }
   }
 
-  /**
-   * Returns whether to replace the current state by a received one; a rollback
-   * is final for its candidate.
-   */
-  function shouldApplyState(state: MoveState): boolean {
-    const currentState = states.get(state.move);
-    if (currentState === undefined) {
-      return true;
-    }
-    if (currentState.phase === 'taken-back' && currentState.to === state.to) {
-      return false;
-    }
-    return state.changedAt > currentState.changedAt;
-  }
-
   /** Returns the version of requests that do not go to the candidate. */
   function resolveServingVersion(
     serviceMoves: readonly MoveWithState[],
@@ -153,10 +139,10 @@
     },
     setStates(receivedStates) {
       for (const state of receivedStates) {
-        if (!shouldApplyState(state)) {
+        const currentState = states.get(state.move);
+        if (!outranks(state, currentState)) {
           continue;
         }
-        const currentState = states.get(state.move);
         const hasSameShares =
           currentState?.share === state.share &&
           currentState.orderShare === state.orderShare;
