gateway, traffic: write rollout states again that the store lost

What callers saw: none yet on a landing; the operator reads a state that is older than the one it was told, and runs the old replicas on. Cause: a rollout with a final state is not in progress, so nothing wrote its state once the store had lost it. A lost `running` stayed unwritten since the mirror still had it.

--- a/packages/gateway/src/clusterDuty.ts
+++ b/packages/gateway/src/clusterDuty.ts
@@ -4,12 +4,13 @@
 import type {Coordination} from './coordination.js';
 import {MS_PER_SECOND, type GatewayContext} from './context.js';
 import {startFleetDuty} from './fleetDuty.js';
+import {startRolloutStateDuty} from './rolloutStateDuty.js';
 import type {TrafficPipeline} from './trafficPipeline.js';
 import {startUsageDuty} from './usageDuty.js';
 
 /**
- * Competes for the duty to report usage and scale endpoints. One lease covers
- * both tasks, since renewals of a lease are billed even if its holder has
+ * Competes for the duty to report usage, scale endpoints and write lost rollout
+ * states. One lease covers all tasks, since renewals of a lease are billed even if its holder has
  * nothing to do.
  *
  * @example
@@ -53,6 +54,15 @@
         demandSignals: traffic.engineEstimates.demandSignals,
       }),
     );
+    disposables.add(
+      startRolloutStateDuty({
+        term,
+        rollouts: traffic.rollouts,
+        writeRolloutState: platform.writeRolloutState,
+        clock,
+        log,
+      }),
+    );
     disposables.add(
       traffic.engineCapacityStore.startPersisting(
         traffic.engineEstimates.fleetCapacity,
--- a/packages/gateway/src/rolloutMoves.ts
+++ b/packages/gateway/src/rolloutMoves.ts
@@ -4,11 +4,13 @@
 import type {Configuration, Move} from '@skylarkfield/records';
 import {
   currentRolloutState,
+  isSettled,
   type Rollout,
   type RolloutState,
 } from '@skylarkfield/traffic';
 import type {VersionGroup} from './endpointDirectory.js';
 import type {Mirror} from './mirror.js';
+import {listRetainedRollouts} from './retainedRollouts.js';
 
 /** The part of the configuration API that the move components use. */
 export type MoveRecords = Pick<
@@ -37,7 +39,8 @@
    */
   recordStates(states: readonly MoveState[]): void;
   /**
-   * Returns the rollout states to publish: those that differ from the mirror.
+   * Returns the rollout states to publish: those that differ from the mirror, or
+   * that the store lost when it was restored from a copy.
    */
   unpublishedUpdates(
     states: readonly MoveState[],
@@ -64,12 +67,6 @@
  */
 const DONE_MARGIN_MS = 1_000;
 
-/** States after which a rollout is no longer in progress. */
-const SETTLED_STATES: ReadonlySet<RolloutState | undefined> = new Set([
-  'done',
-  'rolled-back',
-]);
-
 const rolloutStateByPhase: Readonly<Record<MoveState['phase'], RolloutState>> =
   {
     waiting: 'running',
@@ -99,7 +96,7 @@
     return mirror
       .items()
       .map(({name, value}) => ({name, rollout: value}))
-      .filter(({rollout}) => isOpen(rollout));
+      .filter(({rollout}) => !isSettled(rollout));
   }
 
   function toMove(name: string, {service, target, periodMs}: Rollout): Move {
@@ -161,17 +158,20 @@
       }
     },
     unpublishedUpdates(states) {
+      const retainedRollouts = listRetainedRollouts(mirror);
       return openRollouts().flatMap(({name, rollout}) => {
+        const retained = retainedRollouts.find(item => item.name === name);
         const move = toMove(name, rollout);
         const state = states.find(
           ({move: moveInState}) => moveInState === move.name,
         );
-        if (state === undefined) {
+        if (state === undefined || retained?.isOrderStored === false) {
           return [];
         }
         const {target} = rollout;
         const newState = stateToReport(rollout, state, move);
-        const isWritten = currentRolloutState(rollout) === newState;
+        const isWritten =
+          currentRolloutState(rollout) === newState && retained === undefined;
         return isWritten ? [] : [{name, target, state: newState}];
       });
     },
@@ -186,7 +186,3 @@
 function moveIdOf(name: string, target: string): string {
   return `${name}.${target}`;
 }
-
-function isOpen(rollout: Rollout): boolean {
-  return !SETTLED_STATES.has(currentRolloutState(rollout));
-}
--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -20,6 +20,7 @@
   promptWork,
   type ServiceConfig,
   type ModelDemand,
+  type Rollout,
   type UsageWindows,
 } from '@skylarkfield/traffic';
 import {createAdmissionConfigurator} from './admissionConfigurator.js';
@@ -49,6 +50,7 @@
 import {createGatewayReach} from './gatewayReach.js';
 import {createPeerReports} from './peerReports.js';
 import {withholdFailures, withholdLateness} from './pathEvidence.js';
+import type {Mirror} from './mirror.js';
 import {createPlatformView} from './platformView.js';
 import {createActivePolicy, type ActivePolicy} from './activePolicy.js';
 import {createReadiness, type Readiness} from './readiness.js';
@@ -68,6 +70,7 @@
   readonly usageWindows: UsageWindows;
   readonly digests: Digests;
   readonly rolloutController: RolloutController;
+  readonly rollouts: Mirror<Rollout>;
   readonly engineEstimates: EngineEstimates;
   readonly engineCapacityStore: EngineCapacityStore;
 }
@@ -415,6 +418,7 @@
     usageWindows,
     digests,
     rolloutController,
+    rollouts: platformView.rollouts,
     engineEstimates,
     engineCapacityStore,
     dispose: () => disposables.dispose(),
--- a/packages/traffic/src/rolloutStates.ts
+++ b/packages/traffic/src/rolloutStates.ts
@@ -15,3 +15,19 @@
 }: Rollout): RolloutState | undefined {
   return stateTarget === target ? state : undefined;
 }
+
+/** States after which a rollout is no longer in progress. */
+const SETTLED_STATES: ReadonlySet<RolloutState | undefined> = new Set([
+  'done',
+  'rolled-back',
+]);
+
+/**
+ * Returns whether the rollout to the current target has ended.
+ *
+ * @example
+ * const openRollouts = rollouts.filter(rollout => !isSettled(rollout));
+ */
+export function isSettled(rollout: Rollout): boolean {
+  return SETTLED_STATES.has(currentRolloutState(rollout));
+}
