--- a/packages/gateway/src/clusterDuty.ts
+++ b/packages/gateway/src/clusterDuty.ts
@@ -4,13 +4,14 @@
 import type {Coordination} from './coordination.js';
 import {MS_PER_SECOND, type GatewayContext} from './context.js';
 import {startFleetDuty} from './fleetDuty.js';
+import {startRolloutStateDuty} from './rolloutStateDuty.js';
 import type {TrafficPipeline} from './trafficPipeline.js';
 import {startUsageDuty} from './usageDuty.js';
 import {createUsageReports, earliestWindow} from './usageReports.js';
 
 /**
- * Competes for the duty to report usage and scale endpoints. One lease covers
- * both tasks, since renewals of a lease are billed even if its holder has
+ * Competes for the duty to report usage, scale endpoints and write lost rollout
+ * states. One lease covers all tasks, since renewals of a lease are billed even if its holder has
  * nothing to do.
  *
  * @example
@@ -71,6 +72,15 @@
         demandSignals: traffic.engineEstimates.demandSignals,
       }),
     );
+    taskDisposables.add(
+      startRolloutStateDuty({
+        term,
+        rollouts: traffic.rollouts,
+        writeRolloutState: platform.writeRolloutState,
+        clock,
+        log,
+      }),
+    );
     taskDisposables.add(
       traffic.engineCapacityStore.startPersisting(
         traffic.engineEstimates.fleetCapacity,
