duties: test that a holder yields to a lease acquired since a return

No test failed if the holder wrote its lease again over one that another process had acquired after the return. The new test passes, and fails if the check of the stored lease is taken out.

--- a/packages/duties/src/test/restoredDuty.test.ts
+++ b/packages/duties/src/test/restoredDuty.test.ts
@@ -183,6 +183,18 @@
     assert.equal(system.startedTerms.length, 1);
   });
 
+  // Guards against a holder that writes over a lease acquired after the return.
+  it('is lost by its holder if another process has acquired it since', async () => {
+    const system = createRestoredDutyProcesses();
+    const a = system.start('a');
+    await system.advanceUntil(a.isHolder);
+    system.platform.restore(system.platform.takeCopy());
+    system.writeEarlierReleaseLease(50);
+    const written = system.lease();
+    await system.advanceUntil(() => !a.isHolder());
+    assert.deepEqual(system.lease(), written);
+  });
+
   // Guards against a holder that resumes and takes its lost lease for valid.
   it('is lost by a holder that is paused over the return', async () => {
     const system = createRestoredDutyProcesses();
