gateway: mark the ends of responses between entries

Cause: the unmarked end stayed unmarked between the entries too, and the kernel of a killed process closes its connections in order, so the end of the entry was taken for the end of the response. The same holds for an answer in one piece that is larger than the buffers of the connection.

Change: an entry sends a handed-over response with a length or in chunks, and tells with `endpoint-framing: close` that the endpoint does not mark the end; the caller's response is framed as before. The header goes only to entries that send `accept-endpoint-framing`, so earlier releases are sent what they were sent. From an entry of an earlier release, an unmarked end still ends an answer in one piece; a stream is broken off or resumed, since nothing tells its end from that of the entry.

Measured: handoverEnds.test.ts, 3 of 10 tests fail before (a killed entry, stream and answer in one piece; an earlier release) and all pass now, as do handover.test.ts, truncatedAnswers.test.ts and cutEntries.test.ts (19 of 19).

--- a/packages/gateway/src/callerReply.ts
+++ b/packages/gateway/src/callerReply.ts
@@ -9,6 +9,7 @@
 } from '@skylarkfield/base';
 import type {CallFormat} from './contracts.js';
 import type {EventFrame} from './eventFramer.js';
+import {encodeEndpointFraming} from './handoverFraming.js';
 import type {CompleteResponse, EventSink} from './attempt.js';
 import {isServerError} from './attemptOutcome.js';
 
@@ -58,10 +59,16 @@
 export function createCallerReply(options: {
   readonly response: ServerResponse;
   readonly format: CallFormat;
+  /**
+   * Whether the receiver is an entry that is told the framing of the endpoint, so
+   * that the end of this response is always marked; false by default.
+   */
+  readonly tellsFraming?: boolean;
   /** Whether to close the connection after this response. */
   isClosing(): boolean;
 }): CallerReply {
-  const {response, format} = options;
+  const {response, format, tellsFraming = false} = options;
+  let toldFraming: ResponseFraming | undefined;
   let lastEventId: number | undefined;
   let eventCount = 0;
 
@@ -70,16 +77,26 @@
     headers: Record<string, string | string[]>,
     framing: ResponseFraming,
   ) {
-    if (options.isClosing() || framing === 'close') {
+    const isUnmarked = framing === 'close' && !tellsFraming;
+    if (options.isClosing() || isUnmarked) {
       headers['connection'] = 'close';
     }
-    if (framing === 'close') {
+    if (isUnmarked) {
       // Keeps Node from sending the body in chunks.
       response.removeHeader('transfer-encoding');
     }
+    if (tellsFraming) {
+      toldFraming = framing;
+      Object.assign(headers, encodeEndpointFraming(framing));
+    }
     response.writeHead(status, headers);
   }
 
+  /** Whether the receiver would take the end of the response for a marked one. */
+  function isEndMarked(): boolean {
+    return tellsFraming ? toldFraming !== 'close' : response.chunkedEncoding;
+  }
+
   return {
     hasBegun: () => response.headersSent,
     lastEventId: () => lastEventId,
@@ -104,7 +121,7 @@
       },
       whenDrained: callback => response.once('drain', callback),
       finish(remainder, framing) {
-        if (framing === 'close' && response.chunkedEncoding) {
+        if (framing === 'close' && isEndMarked()) {
           return false;
         }
         response.end(remainder.length > 0 ? remainder : undefined);
@@ -117,7 +134,7 @@
         framingOf(response.req.method ?? '', status, headers) === 'head';
       const length = isBodiless
         ? headers['content-length']?.toString()
-        : lengthToSend(body, framing);
+        : lengthToSend(body, tellsFraming ? 'length' : framing);
       if (length !== undefined) {
         replyHeaders['content-length'] = length;
       }
--- a/packages/gateway/src/handoverHandler.ts
+++ b/packages/gateway/src/handoverHandler.ts
@@ -28,6 +28,7 @@
 import {acceptsDepartures, encodeDepartures} from './departureHeader.js';
 import type {ForwardedCall, ForwardingResult} from './forwardedCall.js';
 import type {Forwarding} from './forwarding.js';
+import {acceptsEndpointFraming} from './handoverFraming.js';
 import {memoize} from './memoize.js';
 import {endFields, lossFields} from './requestLog.js';
 
@@ -143,6 +144,7 @@
       format: acceptsDepartures(request.headers)
         ? formatWithDepartures
         : format,
+      tellsFraming: acceptsEndpointFraming(request.headers),
       isClosing: () => !options.isServing(),
     });
     inFlight.begin();
--- a/packages/gateway/src/handovers.ts
+++ b/packages/gateway/src/handovers.ts
@@ -24,13 +24,18 @@
 import {runAttempt, type AttemptResult, type EventSink} from './attempt.js';
 import {mayHaveRun} from './attemptOutcome.js';
 import type {CallerReply} from './callerReply.js';
-import type {CallFormat} from './contracts.js';
+import type {CallFormat, ResponseHeaders} from './contracts.js';
 import {
   ACCEPT_DEPARTURES,
   decodeDepartures,
   withoutDepartures,
 } from './departureHeader.js';
 import type {ForwardedCall} from './forwardedCall.js';
+import {
+  ACCEPT_ENDPOINT_FRAMING,
+  withEndpointFraming,
+  withoutEndpointFraming,
+} from './handoverFraming.js';
 import type {RacingAttempt} from './hedging.js';
 import {choosePeer} from './peerChoice.js';
 import type {Progress, RetryRules} from './retryRules.js';
@@ -132,6 +137,7 @@
       requestId: 0,
       body: toMessage(call, reply, progress, clock.now(), format),
     });
+    const isStreaming = call.route.kind === 'streaming';
     /** Whether the response is the peer's own error, not an endpoint's. */
     let isPeerError = false;
     const result = await runAttempt({
@@ -144,11 +150,12 @@
           'content-type': 'application/msgpack',
           'entry-id': self,
           ...ACCEPT_DEPARTURES,
+          ...ACCEPT_ENDPOINT_FRAMING,
         }).flat(),
         body,
       },
       attemptId: call.attemptId,
-      upstreams: peerUpstreams,
+      upstreams: withEndpointFraming(peerUpstreams, isStreaming),
       format: {
         ...format,
         parseResponseHead(headers, status) {
@@ -162,7 +169,7 @@
       },
       clock,
       signal: call.signal,
-      sink: call.route.kind === 'streaming' ? callerSink(reply) : undefined,
+      sink: isStreaming ? callerSink(reply) : undefined,
       stallTimeoutMs: options.retryRules.stallTimeoutMs(call, progress),
       ...racingAttempt,
       isStopRequested: () => false,
@@ -263,7 +270,7 @@
   return {
     ...sink,
     begin: head =>
-      sink.begin({...head, headers: withoutDepartures(head.headers)}),
+      sink.begin({...head, headers: withoutPeerHeaders(head.headers)}),
   };
 }
 
@@ -278,7 +285,7 @@
   if (result.type !== 'answered') {
     return result;
   }
-  const {'content-length': length, ...headers} = withoutDepartures(
+  const {'content-length': length, ...headers} = withoutPeerHeaders(
     result.headers,
   );
   return {
@@ -288,6 +295,10 @@
   };
 }
 
+function withoutPeerHeaders(headers: ResponseHeaders): ResponseHeaders {
+  return withoutEndpointFraming(withoutDepartures(headers));
+}
+
 /** Converts a response that is the peer's own to the error that it carries. */
 function toPeerFailure(peer: string, result: AttemptResult): AttemptResult {
   if (result.type !== 'answered') {
--- /dev/null
+++ b/packages/gateway/src/test/handoverEnds.test.ts
@@ -0,0 +1,292 @@
+import assert from 'node:assert/strict';
+import http from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {afterEach, describe, it} from 'node:test';
+import {
+  createInFlightCounter,
+  createSilentLogger,
+  seededRandom,
+  systemClock,
+} from '@skylarkfield/base';
+import type {Member} from '@skylarkfield/members';
+import {encodeFrame} from '@skylarkfield/protocol';
+import type {Route} from '@skylarkfield/traffic';
+import type {EventSink} from '../attempt.js';
+import {createAttemptRace} from '../attemptRace.js';
+import type {CallerReply} from '../callerReply.js';
+import type {CallFormat} from '../contracts.js';
+import type {ForwardedCall} from '../forwardedCall.js';
+import {createHandoverHandler} from '../handoverHandler.js';
+import {createHandovers} from '../handovers.js';
+import {createProgress} from '../retryRules.js';
+import {createUpstreams} from '../upstream.js';
+
+const TIMEOUT_MS = 5_000;
+
+/** Headers that describe one connection, as the platform's codec drops them. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'transfer-encoding',
+  'content-length',
+]);
+
+const format = {
+  parseResponseHead: headers => ({
+    attemptId: headers['attempt'] as string | undefined,
+    isNotRun: false,
+    isMisdirected: false,
+    load: undefined,
+    limitPerSecond: undefined,
+    rejectionsPerSecond: undefined,
+    isLeaving: false,
+    restMs: undefined,
+  }),
+  selectForwardedHeaders: rawHeaders => [...rawHeaders],
+  buildCallerHeaders: headers =>
+    Object.fromEntries(
+      Object.entries(headers).filter(([name]) => !CONNECTION_HEADERS.has(name)),
+    ),
+} as Partial<CallFormat> as CallFormat;
+
+const ENDPOINT_HEADERS = {attempt: 'r1'};
+const WHOLE = Buffer.from('whole');
+/** More than the buffers of a connection hold. */
+const MANY_BYTES = 64 * 1024 * 1024;
+const EVENTS = 'id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n';
+
+/** Runs a handed-over request, whose response is sent over the socket. */
+type Run = (reply: CallerReply, socket: Socket) => void;
+
+function writeEvents({sink}: CallerReply, framing: 'close' | 'chunks'): void {
+  sink.begin({status: 200, headers: ENDPOINT_HEADERS, framing});
+  for (const event of EVENTS.split(/(?<=\n\n)/)) {
+    sink.write({bytes: Buffer.from(event), id: undefined});
+  }
+}
+
+function finishStream(framing: 'close' | 'chunks'): Run {
+  return reply => {
+    writeEvents(reply, framing);
+    reply.sink.finish(Buffer.alloc(0), framing);
+  };
+}
+
+function killInStream(framing: 'close' | 'chunks'): Run {
+  return (reply, socket) => {
+    writeEvents(reply, framing);
+    socket.end();
+  };
+}
+
+function answerInOnePiece(body: Buffer): Run {
+  return reply =>
+    reply.sendResponse({
+      status: 200,
+      headers: ENDPOINT_HEADERS,
+      body,
+      end: {framing: 'close', remainderBytes: 0},
+    });
+}
+
+/** Closes the connection before its kernel has taken over the whole answer. */
+const killInOnePiece: Run = (reply, socket) => {
+  answerInOnePiece(Buffer.alloc(MANY_BYTES))(reply, socket);
+  setImmediate(() => socket.destroy());
+};
+
+describe('answers between entries', {timeout: 30_000}, () => {
+  const disposals: (() => void)[] = [];
+
+  afterEach(() => disposals.splice(0).forEach(dispose => dispose()));
+
+  async function listen(listener: http.RequestListener): Promise<number> {
+    const server = http.createServer(listener);
+    disposals.push(() => {
+      server.close();
+      server.closeAllConnections();
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    return (server.address() as AddressInfo).port;
+  }
+
+  /** Starts an entry that takes requests over; returns its port. */
+  function startReceiver(run: Run): Promise<number> {
+    const clock = systemClock();
+    let lastSocket: Socket | undefined;
+    const handler = createHandoverHandler({
+      forwarding: {
+        async forward(_, reply) {
+          run(reply, lastSocket!);
+          return {status: 200, firstByteMs: 0, endpoints: [], error: undefined};
+        },
+      },
+      reach: {isLost: () => false},
+      departures: {report: () => ({})},
+      format,
+      inFlight: createInFlightCounter(clock),
+      cores: 1,
+      clock,
+      log: createSilentLogger(),
+      isServing: () => true,
+      onDidConclude() {},
+    });
+    return listen((request, response) => {
+      lastSocket = request.socket;
+      handler(request, response);
+    });
+  }
+
+  /** Starts an entry of an earlier release, which marks no ends. */
+  function startEarlierReceiver(body: string): Promise<number> {
+    return listen((request, response) => {
+      request.resume();
+      response.removeHeader('transfer-encoding');
+      response.writeHead(200, {...ENDPOINT_HEADERS, connection: 'close'});
+      response.end(body);
+    });
+  }
+
+  /** Hands a request over; returns its result and what its caller gets. */
+  async function handOver(port: number, kind: 'streaming' | 'idempotent') {
+    const clock = systemClock();
+    const peerUpstreams = createUpstreams();
+    disposals.push(() => peerUpstreams.dispose());
+    const handovers = createHandovers({
+      self: 'sender',
+      failureDomain: 'a',
+      liveMembers: () => [],
+      peerUpstreams,
+      key: 'k',
+      retryRules: {stallTimeoutMs: () => undefined} as never,
+      departures: {mergeReport() {}},
+      format,
+      clock,
+      random: seededRandom(1),
+    });
+    const begun: Parameters<EventSink['begin']>[0][] = [];
+    let body = '';
+    const sink: EventSink = {
+      hasBegun: () => begun.length > 0,
+      begin: head => void begun.push(head),
+      write({bytes}) {
+        body += bytes.toString();
+        return true;
+      },
+      whenDrained() {},
+      finish: () => true,
+    };
+    const result = await handovers.run(
+      {
+        head: {attemptId: 'r1', authority: 'a'},
+        attemptId: 'r1',
+        route: {name: 'r', kind, attempts: 1} as Route,
+        service: 's',
+        version: 'incumbent',
+        method: 'GET',
+        path: '/',
+        rawHeaders: [],
+        deadlineAt: clock.now() + TIMEOUT_MS,
+        signal: new AbortController().signal,
+      } as unknown as ForwardedCall,
+      {lastEventId: () => undefined, sink} as unknown as CallerReply,
+      createProgress(clock.now()),
+      {id: 'receiver', innerUrl: `ws://127.0.0.1:${port}`} as Member,
+      {race: createAttemptRace().enter(), onDidStall() {}},
+    );
+    return {result, body, head: begun[0]};
+  }
+
+  for (const framing of ['close', 'chunks'] as const) {
+    // Guards against streams that look complete because the entry that ran them was killed.
+    it(`are broken off if their entry is killed, framing ${framing}`, async () => {
+      const port = await startReceiver(killInStream(framing));
+      const {result, body} = await handOver(port, 'streaming');
+      assert.equal(body, EVENTS);
+      assert.equal(result.type, 'failed');
+    });
+
+    // Guards against callers for whom an entry changes how the endpoint marked the end.
+    it(`keep the framing of the endpoint, framing ${framing}`, async () => {
+      const port = await startReceiver(finishStream(framing));
+      const {result, body, head} = await handOver(port, 'streaming');
+      assert.equal(body, EVENTS);
+      assert.equal(head?.framing, framing);
+      assert.equal(head?.headers['endpoint-framing'], undefined);
+      assert.deepEqual(result, {
+        type: 'streamed',
+        end: {framing, remainderBytes: 0},
+      });
+    });
+  }
+
+  // Guards against answers in one piece whose callers are told a mark that the endpoint did not set.
+  it('in one piece keep their unmarked end', async () => {
+    const port = await startReceiver(answerInOnePiece(WHOLE));
+    const {result} = await handOver(port, 'idempotent');
+    assert.equal(result.type, 'answered');
+    assert.equal(result.body.toString(), 'whole');
+    assert.deepEqual(result.end, {framing: 'close', remainderBytes: 0});
+    assert.equal(result.headers['endpoint-framing'], undefined);
+  });
+
+  // Guards against answers in one piece that look complete because the entry that sent them was killed.
+  it('in one piece are broken off if their entry is killed', async () => {
+    const port = await startReceiver(killInOnePiece);
+    const {result} = await handOver(port, 'idempotent');
+    assert.equal(result.type, 'failed');
+  });
+
+  // Guards against streams that look complete because an entry of an earlier release was killed.
+  it('of an earlier release are not complete if they are streams without a marked end', async () => {
+    const port = await startEarlierReceiver(EVENTS);
+    const {result, body} = await handOver(port, 'streaming');
+    assert.equal(body, EVENTS);
+    assert.equal(result.type, 'failed');
+  });
+
+  // Guards against requests that fail while entries of two releases run side by side.
+  it('of an earlier release are complete if they are in one piece', async () => {
+    const port = await startEarlierReceiver('whole');
+    const {result} = await handOver(port, 'idempotent');
+    assert.equal(result.type, 'answered');
+    assert.equal(result.body.toString(), 'whole');
+    assert.equal(result.end.framing, 'close');
+  });
+
+  for (const [name, run] of [
+    ['streams', finishStream('close')],
+    ['answers in one piece', answerInOnePiece(WHOLE)],
+  ] as const) {
+    // Guards against entries of an earlier release that tell their callers a mark that the endpoint did not set.
+    it(`keep the unmarked end of ${name} for an earlier release`, async () => {
+      const port = await startReceiver(run);
+      const response = await new Promise<http.IncomingMessage>(resolve => {
+        http
+          .request(
+            {port, host: '127.0.0.1', method: 'POST', agent: false},
+            resolve,
+          )
+          .end(
+            encodeFrame({
+              type: 'handover',
+              requestId: 0,
+              body: {
+                attemptId: 'r1',
+                route: {kind: 'streaming'},
+                service: 's',
+                remainingMs: TIMEOUT_MS,
+              } as never,
+            }),
+          );
+      });
+      response.resume();
+      assert.equal(response.statusCode, 200);
+      assert.equal(response.headers['transfer-encoding'], undefined);
+      assert.equal(response.headers['content-length'], undefined);
+      assert.equal(response.headers['endpoint-framing'], undefined);
+    });
+  }
+});
