gateway: test that a closed pool completes its requests

A registration that is missing for a moment closes the pool of its endpoint while requests run on it or wait for it.

--- a/packages/gateway/src/test/upstream.test.ts
+++ b/packages/gateway/src/test/upstream.test.ts
@@ -161,6 +161,55 @@
     assert.deepEqual(statuses, [200]);
   });
 
+  // Guards against requests that are lost since the registration of their endpoint is missing for a moment.
+  it('completes the requests of a pool that is closed, also those that wait', async () => {
+    const heldSockets: Socket[] = [];
+    let isHeld = true;
+    const answer = (socket: Socket) => socket.write(responseCases[0]!.bytes);
+    const server = createServer(socket => {
+      socket.on('error', () => {});
+      socket.on('data', () => {
+        if (isHeld) {
+          heldSockets.push(socket);
+          return;
+        }
+        answer(socket);
+      });
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const {port} = server.address() as AddressInfo;
+    const address = `127.0.0.1:${port}`;
+    const upstreams = createUpstreams();
+    const send = () =>
+      new Promise<string>(resolve => {
+        upstreams.send(
+          address,
+          {method: 'GET', path: '/', headers: [], body: undefined},
+          {
+            onDidRespond: () => {},
+            onDidReceive: () => {},
+            onDidEnd: () => resolve('whole'),
+            onDidFail: ({message}) => resolve(message),
+          },
+        );
+      });
+    // More than the connections of a pool.
+    const results = Array.from({length: 60}, send);
+    while (heldSockets.length < 48) {
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    upstreams.retainOnly(new Set());
+    results.push(send());
+    isHeld = false;
+    heldSockets.forEach(answer);
+    const ends = await Promise.all(results);
+    upstreams.dispose();
+    server.close();
+    assert.deepEqual(new Set(ends), new Set(['whole']));
+  });
+
   it('reports a request as not run if the connection is refused', async () => {
     const endpoint = await serveOnce(responseCases[0]!);
     endpoint.close();
