gateway: persist crash reports again after a return of the store

After the store returned from a copy, the crash reports that entries had written in the lost seconds were gone for processes that start later, and an entry whose own report was missing took it for removed: it dropped its verdict, and requests that crash endpoints were forwarded again.

Each entry now compares the era of its mirror with the era in which the store is known to hold its report. It writes a report that the copy lacks or holds in another state once more, at a random time within a second, and keeps its evidence when the report is missing. A process that has persisted nothing yet merges a report of its former process whenever it arrives. Expired reports are removed only if the store of the current era holds them.

--- a/packages/gateway/src/crashPersistence.ts
+++ b/packages/gateway/src/crashPersistence.ts
@@ -5,6 +5,7 @@
  * crash observations of all others within seconds. Each entry writes its own
  * observations to one object and mirrors the objects of the other entries.
  */
+import {isDeepStrictEqual} from 'node:util';
 import {
   createDisposableStore,
   scheduleRepeatedly,
@@ -14,7 +15,11 @@
   type Logger,
   type Random,
 } from '@skylarkfield/base';
-import type {ObjectStore} from '@skylarkfield/providers';
+import {
+  eraOf,
+  type ObjectStore,
+  type StoreRevision,
+} from '@skylarkfield/providers';
 import {
   CRASH_TTL_MS,
   type CrashReport,
@@ -41,6 +46,15 @@
  */
 const WRITE_RETRY_MS = 500;
 
+/** Interval of checks whether the store was restored, in milliseconds. */
+const ERA_CHECK_INTERVAL_MS = 500;
+
+/**
+ * Time over which the entries spread the writes of their reports after the
+ * store was restored, in milliseconds.
+ */
+const RESTORED_WRITE_SPREAD_MS = 1_000;
+
 /** Interval at which expired crash reports are removed, in milliseconds. */
 const CLEANUP_INTERVAL_MS = 300_000;
 
@@ -73,7 +87,8 @@
 
 /**
  * Starts to persist this entry's crash observations and to apply those that the
- * other entries have persisted.
+ * other entries have persisted. Persists them again after the store was restored
+ * from a copy that lacks them.
  *
  * @example
  * const persistence = disposables.add(startCrashPersistence({
@@ -97,6 +112,11 @@
   const disposables = createDisposableStore();
   const appliedRevisions = new Map<string, number>();
   let isRestored = false;
+  /** Whether this process has persisted a report. */
+  let hasPersisted = false;
+  /** Latest era in which the store is known to hold this entry's report. */
+  let persistedEra = 0;
+  let isEraCheckPending = false;
   let isDirty = false;
   let isWriting = false;
   let isDisposed = false;
@@ -106,25 +126,74 @@
     for (const {name, revision, value} of reportItems) {
       if (appliedRevisions.get(name) !== revision) {
         appliedRevisions.set(name, revision);
-        applyReport(name, value);
+        applyReport(name, revision, value);
       }
     }
-    for (const name of appliedRevisions.keys()) {
+    for (const [name, revision] of appliedRevisions) {
       if (mirror.get(name) === undefined) {
         appliedRevisions.delete(name);
-        log.info({entry: name}, 'persisted crashes removed');
-        crashQuarantine.removeStoredReport(name);
+        applyAbsence(name, revision);
       }
     }
     isRestored = true;
   }
 
-  function applyReport(name: string, report: CrashReport): void {
+  function applyReport(
+    name: string,
+    revision: StoreRevision,
+    report: CrashReport,
+  ): void {
     if (name !== self) {
       crashQuarantine.setStoredReport(name, report);
-    } else if (!isRestored) {
+    } else if (!hasPersisted) {
       crashQuarantine.restoreOwnReport(report);
+      persistedEra = Math.min(persistedEra, eraOf(revision));
+    }
+  }
+
+  function applyAbsence(name: string, revision: StoreRevision): void {
+    if (name === self && eraOf(revision) < currentEra()) {
+      // The restored store lacks the report, but nobody has removed it.
+      return;
     }
+    log.info({entry: name}, 'persisted crashes removed');
+    crashQuarantine.removeStoredReport(name);
+  }
+
+  function currentEra(): number {
+    return eraOf(mirror.revision());
+  }
+
+  function checkEra(): void {
+    if (isEraCheckPending || isWriting || currentEra() <= persistedEra) {
+      return;
+    }
+    isEraCheckPending = true;
+    clock.after(random.next() * RESTORED_WRITE_SPREAD_MS, () => {
+      isEraCheckPending = false;
+      persistAgain();
+    });
+  }
+
+  /** Persists this entry's report unless the restored store holds it. */
+  function persistAgain(): void {
+    const report = crashQuarantine.reportToStore();
+    if (isEmptyReport(report) || isHeldByStore(report)) {
+      persistedEra = currentEra();
+      return;
+    }
+    log.info({era: currentEra()}, 'persisting crashes in the restored store');
+    isDirty = true;
+    void flush();
+  }
+
+  function isHeldByStore(report: CrashReport): boolean {
+    const storedItem = mirror.items().find(({name}) => name === self);
+    return (
+      storedItem !== undefined &&
+      eraOf(storedItem.revision) === currentEra() &&
+      isDeepStrictEqual(storedItem.value, report)
+    );
   }
 
   /**
@@ -159,7 +228,15 @@
     const report = crashQuarantine.reportToStore();
     try {
       const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
-      await store.put(OBJECT_KIND, self, report, {type: 'any'}, signal);
+      const {version} = await store.put(
+        OBJECT_KIND,
+        self,
+        report,
+        {type: 'any'},
+        signal,
+      );
+      hasPersisted = true;
+      persistedEra = eraOf(version);
       crashQuarantine.recordStored(report);
       log.info(
         {crashes: report.crashes.length, failures: failureCount},
@@ -182,7 +259,9 @@
     }
     const oldestValidMs = clock.wall() - CRASH_TTL_MS;
     for (const {name, revision, value} of mirror.items()) {
-      if (value.crashes.some(({atMs}) => atMs >= oldestValidMs)) {
+      const isRecent = value.crashes.some(({atMs}) => atMs >= oldestValidMs);
+      // The restored store lacks a report of an earlier era.
+      if (isRecent || eraOf(revision) < currentEra()) {
         continue;
       }
       store
@@ -205,6 +284,11 @@
   disposables.add(
     scheduleRepeatedly(clock, CLEANUP_INTERVAL_MS, removeExpired),
   );
+  disposables.add(scheduleRepeatedly(clock, ERA_CHECK_INTERVAL_MS, checkEra));
   disposables.add({dispose: () => (isDisposed = true)});
   return disposables;
 }
+
+function isEmptyReport({crashes, served}: CrashReport): boolean {
+  return crashes.length === 0 && Object.keys(served).length === 0;
+}
--- a/packages/gateway/src/test/crashPersistence.test.ts
+++ b/packages/gateway/src/test/crashPersistence.test.ts
@@ -2,13 +2,21 @@
 import {describe, it} from 'node:test';
 import {
   createDecisionLog,
+  hash32,
   seededRandom,
   ServingError,
   createSilentLogger,
   createVirtualClock,
   type VirtualClock,
 } from '@skylarkfield/base';
-import {createMemoryPlatform, type ObjectStore} from '@skylarkfield/providers';
+import {
+  createMemoryPlatform,
+  createStoreRevision,
+  revisionInEra,
+  type ObjectStore,
+  type StoredObject,
+  type WriteCondition,
+} from '@skylarkfield/providers';
 import {createCrashQuarantine, type CrashReport} from '@skylarkfield/routing';
 import {startCrashPersistence} from '../crashPersistence.js';
 import {createMirror} from '../mirror.js';
@@ -20,7 +28,12 @@
 /**
  * Creates an entry whose mirror is updated from the store only by `refresh`.
  */
-function startEntry(self: string, store: ObjectStore, clock: VirtualClock) {
+function startEntry(
+  self: string,
+  store: ObjectStore,
+  clock: VirtualClock,
+  seed = 1,
+) {
   const log = createSilentLogger();
   const crashQuarantine = createCrashQuarantine({
     clock,
@@ -35,20 +48,29 @@
     store,
     self,
     clock,
-    random: seededRandom(1),
+    random: seededRandom(hash32(`${seed}`)),
     log,
     isReader: () => true,
   });
+  /** Replaces the mirror's content, at the store's current revision. */
+  async function receive(
+    objects: readonly StoredObject<CrashReport>[],
+  ): Promise<void> {
+    const {version} = await store.list(KIND);
+    const items = objects.map(object => ({
+      ...object,
+      revision: object.version,
+    }));
+    mirror.applyListing({revision: version, items}, undefined);
+  }
+
   return {
     crashQuarantine,
     persistence,
+    receive,
     async refresh() {
-      const {version, objects} = await store.list<CrashReport>(KIND);
-      const items = objects.map(object => ({
-        ...object,
-        revision: object.version,
-      }));
-      mirror.applyListing({revision: version, items}, undefined);
+      const {objects} = await store.list<CrashReport>(KIND);
+      await receive(objects);
     },
     async loseConnections(...endpoints: string[]) {
       for (const endpoint of endpoints) {
@@ -59,6 +81,56 @@
   };
 }
 
+/** Creates a store whose positions name eras, and that can return from a copy. */
+function createRestorableStore(clock: VirtualClock) {
+  let store: ObjectStore = createMemoryPlatform({clock}).createClient('e1');
+  let era = 0;
+  const writtenNames: string[] = [];
+  const toPosition = <T>(object: StoredObject<T>) => ({
+    ...object,
+    version: createStoreRevision(era, object.version),
+  });
+  const toCondition = (condition: WriteCondition): WriteCondition =>
+    condition.type === 'version'
+      ? {type: 'version', version: revisionInEra(condition.version)}
+      : condition;
+  const restorableStore: ObjectStore = {
+    ...store,
+    async list<T>(kind: string) {
+      const {version, objects} = await store.list<T>(kind);
+      return {
+        version: createStoreRevision(era, version),
+        objects: objects.map(toPosition),
+      };
+    },
+    async get<T>(kind: string, name: string) {
+      const object = await store.get<T>(kind, name);
+      return object && toPosition(object);
+    },
+    async put(kind, name, value, condition) {
+      writtenNames.push(name);
+      return toPosition(
+        await store.put(kind, name, value, toCondition(condition)),
+      );
+    },
+    remove: (kind, name, condition) =>
+      store.remove(kind, name, toCondition(condition)),
+  };
+  return {
+    store: restorableStore,
+    /** Names of the objects written so far, in the order of the writes. */
+    writtenNames,
+    takeCopy: async () => (await store.list(KIND)).objects,
+    async restore(copy: readonly StoredObject[]) {
+      store = createMemoryPlatform({clock}).createClient('e1');
+      era += 1;
+      for (const {kind, name, value} of copy) {
+        await store.put(kind, name, value, {type: 'any'});
+      }
+    },
+  };
+}
+
 function createFleet() {
   const clock = createVirtualClock();
   const store: ObjectStore = createMemoryPlatform({clock}).createClient('e1');
@@ -174,4 +246,126 @@
     await clock.advance(3_600_000 + 300_000);
     assert.equal(await store.get(KIND, 'a1'), undefined);
   });
+
+  // Guards against reports that were written in the seconds that the store lost.
+  it('persists its report again after the store returned from a copy', async () => {
+    const clock = createVirtualClock();
+    const {store, takeCopy, restore} = createRestorableStore(clock);
+    const entry = startEntry('a1', store, clock);
+    await entry.refresh();
+    await entry.loseConnections('e1');
+    const copy = await takeCopy();
+    await entry.loseConnections('e2', 'e3');
+    await entry.refresh();
+    await restore(copy);
+    await entry.refresh();
+    await clock.advance(2_000);
+    const storedReport = await store.get<CrashReport>(KIND, 'a1');
+    assert.equal(storedReport?.value.crashes.length, 3);
+    await entry.refresh();
+    const {type} = entry.crashQuarantine.verdictFor(REQUEST);
+    assert.equal(type, 'quarantined');
+  });
+
+  // Guards against an entry that takes its lost report for a removed one.
+  it('keeps its verdict when the store returned without its report', async () => {
+    const clock = createVirtualClock();
+    const {store, takeCopy, restore} = createRestorableStore(clock);
+    const entry = startEntry('a1', store, clock);
+    await entry.refresh();
+    const copy = await takeCopy();
+    await entry.loseConnections('e1', 'e2', 'e3');
+    await entry.refresh();
+    await restore(copy);
+    await entry.refresh();
+    const {type} = entry.crashQuarantine.verdictFor(REQUEST);
+    assert.equal(type, 'quarantined');
+    await clock.advance(2_000);
+    const storedReport = await store.get<CrashReport>(KIND, 'a1');
+    assert.equal(storedReport?.value.crashes.length, 3);
+  });
+
+  // Guards against a fleet that writes at once, or more often than needed.
+  it('spreads the writes of 195 entries after a return, one for each', async () => {
+    const clock = createVirtualClock();
+    const {store, takeCopy, restore, writtenNames} =
+      createRestorableStore(clock);
+    const entries = Array.from({length: 195}, (_, index) =>
+      startEntry(`a${index}`, store, clock, index),
+    );
+    const reporters = entries.slice(0, 190);
+    await Promise.all(entries.map(entry => entry.refresh()));
+    const copy = await takeCopy();
+    await Promise.all(reporters.map(entry => entry.loseConnections('e1')));
+    await clock.advance(2_000);
+    await Promise.all(entries.map(entry => entry.refresh()));
+    await restore(copy);
+    await Promise.all(entries.map(entry => entry.refresh()));
+    writtenNames.length = 0;
+    let mostPerTenth = 0;
+    for (let elapsedMs = 0; elapsedMs < 5_000; elapsedMs += 100) {
+      const writtenBefore = writtenNames.length;
+      await clock.advance(100);
+      mostPerTenth = Math.max(
+        mostPerTenth,
+        writtenNames.length - writtenBefore,
+      );
+    }
+    assert.equal(writtenNames.length, reporters.length);
+    assert.equal(new Set(writtenNames).size, reporters.length);
+    assert.ok(mostPerTenth <= 40, `${mostPerTenth} writes in 100 ms`);
+  });
+
+  // Guards against writes of what the store still holds.
+  it('writes nothing after a return that lost no report', async () => {
+    const clock = createVirtualClock();
+    const {store, takeCopy, restore, writtenNames} =
+      createRestorableStore(clock);
+    const entry = startEntry('a1', store, clock);
+    await entry.refresh();
+    await entry.loseConnections('e1');
+    await entry.refresh();
+    await restore(await takeCopy());
+    await entry.refresh();
+    const writtenCount = writtenNames.length;
+    await clock.advance(10_000);
+    assert.equal(writtenNames.length, writtenCount);
+  });
+
+  // Guards against a restarted entry that learns of its lost report too late.
+  it('persists a lost report of its former process that a peer retained', async () => {
+    const clock = createVirtualClock();
+    const {store, restore} = createRestorableStore(clock);
+    const firstProcess = startEntry('a1', store, clock);
+    await firstProcess.refresh();
+    await firstProcess.loseConnections('e1', 'e2', 'e3');
+    const {objects} = await store.list<CrashReport>(KIND);
+    firstProcess.persistence.dispose();
+    await restore([]);
+    const restartedProcess = startEntry('a1', store, clock);
+    await restartedProcess.refresh();
+    await clock.advance(2_000);
+    await restartedProcess.receive(objects);
+    await clock.advance(2_000);
+    const storedReport = await store.get<CrashReport>(KIND, 'a1');
+    assert.equal(storedReport?.value.crashes.length, 3);
+  });
+
+  // Guards against removals of reports that the store does not hold.
+  it('removes no expired report of an earlier era', async () => {
+    const clock = createVirtualClock();
+    const {store, takeCopy, restore} = createRestorableStore(clock);
+    const removedEntry = startEntry('a1', store, clock);
+    await removedEntry.refresh();
+    await removedEntry.loseConnections('e1');
+    removedEntry.persistence.dispose();
+    const copy = await takeCopy();
+    const {objects} = await store.list<CrashReport>(KIND);
+    await restore([]);
+    const reader = startEntry('b1', store, clock);
+    await reader.receive(objects);
+    await restore(copy);
+    await clock.advance(3_600_000 + 300_000);
+    assert.notEqual(await store.get(KIND, 'a1'), undefined);
+  });
 });
