members, gateway: check member objects after a return of the store

An entry that had joined in the seconds that the store lost had no object any more, and one that had restarted had the object of its former process. New processes did not find them until the check that every entry makes once in ten minutes.

The membership is now told the era of the mirrors. An entry whose object is known only from an earlier era reads it once and writes it if it is missing, at a random time in a period of 50 ms for each live member, at least one second, and again until it succeeds.

--- a/packages/gateway/src/trafficDigests.ts
+++ b/packages/gateway/src/trafficDigests.ts
@@ -1,6 +1,7 @@
 /** Digests of a gateway: what it tells the other entries, and applies of theirs. */
 import type {AdmissionController} from '@skylarkfield/admission';
 import type {Messages} from '@skylarkfield/protocol';
+import {eraOf} from '@skylarkfield/providers';
 import type {
   CrashQuarantine,
   Departures,
@@ -85,6 +86,7 @@
       parts.peerVisibility.refresh();
       parts.quotaGrants.updateOwners();
       parts.admission.setEntryCount(membership.liveMembers().length);
+      membership.recordStoreEra(eraOf(platformView.policy.revision()));
       const mirrors = platformView.syncStatuses();
       const ownReport = {
         entries: 1,
--- a/packages/members/src/contracts.ts
+++ b/packages/members/src/contracts.ts
@@ -49,6 +49,12 @@
   onDidChange(listener: (member: Member) => void): Disposable;
   /** Announces the services whose endpoints only this entry cannot reach. */
   announceUnreachable(services: readonly string[]): void;
+  /**
+   * Records the current era of the platform's store, which rises when the store
+   * is restored from a copy. To be called repeatedly: this entry's object, which
+   * the copy may lack, is checked once in each era, and again after a failure.
+   */
+  recordStoreEra(era: number): void;
   /** Announces that this entry leaves; must be the first step of a shutdown. */
   leave(): Promise<void>;
   /**
--- a/packages/members/src/memberObjects.ts
+++ b/packages/members/src/memberObjects.ts
@@ -12,7 +12,11 @@
   type Logger,
   type Random,
 } from '@skylarkfield/base';
-import type {ObjectStore, StoredObject} from '@skylarkfield/providers';
+import {
+  eraOf,
+  type ObjectStore,
+  type StoredObject,
+} from '@skylarkfield/providers';
 import type {MemberUpdate} from '@skylarkfield/protocol';
 import type {KnownMember, MemberTable} from './memberTable.js';
 import type {MemberTiming} from './timing.js';
@@ -37,6 +41,12 @@
    * Needed after a refuted update, as another entry may have removed the object.
    */
   scheduleOwnObjectCheck(): void;
+  /**
+   * Records the current era of the store. If the store was restored since this
+   * entry's object was last known to exist, schedules a check; to be called
+   * repeatedly, so that a failed check is repeated.
+   */
+  recordStoreEra(era: number): void;
   /**
    * Number of members listed by the platform on joining, including this entry;
    * undefined before this entry has joined.
@@ -65,6 +75,13 @@
  * object is removed.
  */
 const MAX_UNREACHABLE_SWEEPS = 3;
+/**
+ * After the store was restored, all entries check their objects, at random times
+ * in a period that grows with the cluster, so that the rate of their calls does
+ * not. In milliseconds.
+ */
+const RESTORED_CHECK_MS_PER_MEMBER = 50;
+const MIN_RESTORED_CHECK_PERIOD_MS = 1_000;
 
 /**
  * Creates the member object maintenance of one entry.
@@ -100,6 +117,9 @@
   let removedCount = 0;
   let isOwnObjectCheckPending = false;
   let lastOwnObjectCheckAt = -Infinity;
+  /** Latest era in which the store is known to hold this entry's object. */
+  let ownObjectEra = 0;
+  let isRestoredCheckPending = false;
 
   function schedule(delayMs: number, action: () => Promise<void>) {
     const timer = clock.after(delayMs * (0.75 + random.next() / 2), () => {
@@ -122,13 +142,14 @@
 
   async function writeOwnObject(): Promise<void> {
     const {id} = options.localUpdate();
-    await store.put(
+    const {version} = await store.put(
       MEMBER_KIND,
       id,
       ownObjectValue(),
       {type: 'any'},
       abortController.signal,
     );
+    ownObjectEra = eraOf(version);
   }
 
   /**
@@ -192,7 +213,9 @@
       storedObject.value.incarnation !== incarnation
     ) {
       await writeOwnObject();
+      return;
     }
+    ownObjectEra = eraOf(storedObject.version);
   }
 
   async function restoreOwnObjectPeriodically(): Promise<void> {
@@ -200,16 +223,31 @@
     await restoreOwnObject();
   }
 
+  /** Ids of the live members, including this entry. */
+  function liveMemberIds(): string[] {
+    const liveMembers = [...table.all()].filter(
+      knownMember => knownMember.machine.state() === 'live',
+    );
+    const {id} = options.localUpdate();
+    return [...liveMembers.map(({update}) => update.id), id];
+  }
+
   /**
    * Returns whether this entry removes the objects of dead members. Only one
    * live member does, so that platform calls do not grow with the cluster.
    */
   function isSweeper(): boolean {
     const {id} = options.localUpdate();
-    const liveMemberIds = [...table.all()]
-      .filter(knownMember => knownMember.machine.state() === 'live')
-      .map(knownMember => knownMember.update.id);
-    return rendezvousOrder('member-sweeper', [...liveMemberIds, id])[0] === id;
+    return rendezvousOrder('member-sweeper', liveMemberIds())[0] === id;
+  }
+
+  /** Returns a random delay of the check after the store was restored. */
+  function restoredCheckDelayMs(): number {
+    const periodMs = Math.max(
+      MIN_RESTORED_CHECK_PERIOD_MS,
+      RESTORED_CHECK_MS_PER_MEMBER * liveMemberIds().length,
+    );
+    return random.next() * periodMs;
   }
 
   function isDead(knownMember: KnownMember, value: MemberObject): boolean {
@@ -308,6 +346,16 @@
         },
       );
     },
+    recordStoreEra(era) {
+      if (!isJoined || isRestoredCheckPending || era <= ownObjectEra) {
+        return;
+      }
+      isRestoredCheckPending = true;
+      schedule(restoredCheckDelayMs(), async () => {
+        isRestoredCheckPending = false;
+        await restoreOwnObject();
+      });
+    },
     listedCount: () => listedCount,
     async leave(signal) {
       isStopped = true;
--- a/packages/members/src/membership.ts
+++ b/packages/members/src/membership.ts
@@ -320,6 +320,7 @@
         heartbeats.send(peerDirectory.neighbourIds());
       }
     },
+    recordStoreEra: memberObjects.recordStoreEra,
     leave,
     isCurrent: () => pauseDetector.isCurrent(),
     dump: () => ({
