--- a/packages/gateway/src/clusterDuty.ts
+++ b/packages/gateway/src/clusterDuty.ts
@@ -7,6 +7,7 @@
 import {startRolloutStateDuty} from './rolloutStateDuty.js';
 import type {TrafficPipeline} from './trafficPipeline.js';
 import {startUsageDuty} from './usageDuty.js';
+import {createUsageReports, earliestWindow} from './usageReports.js';
 
 /**
  * Competes for the duty to report usage, scale endpoints and write lost rollout
@@ -22,9 +23,26 @@
   traffic: TrafficPipeline,
 ): Disposable {
   const {settings, platform, clock, log} = context;
+  const {store, dutyElections} = coordination;
+  const returns = dutyElections.storeReturns;
+  const disposables = createDisposableStore();
+  const usageOptions = {
+    usageWindows: traffic.usageWindows,
+    lateMs: settings.usageLateSeconds * MS_PER_SECOND,
+    commonWallMs: traffic.digests.commonWallMs,
+  };
+  const reports = disposables.add(
+    createUsageReports({
+      store,
+      returns,
+      clock,
+      log,
+      earliestWindow: () => earliestWindow(usageOptions),
+    }),
+  );
 
   function startTasks(term: DutyTerm): Disposable {
-    const disposables = createDisposableStore();
+    const taskDisposables = createDisposableStore();
     const commonOptions = {
       term,
       holder: settings.id,
@@ -32,16 +50,16 @@
       clock,
       log,
     };
-    disposables.add(
+    taskDisposables.add(
       startUsageDuty({
         ...commonOptions,
-        store: coordination.store,
-        usageWindows: traffic.usageWindows,
-        lateMs: settings.usageLateSeconds * MS_PER_SECOND,
-        commonWallMs: traffic.digests.commonWallMs,
+        store,
+        returns,
+        reports,
+        ...usageOptions,
       }),
     );
-    disposables.add(
+    taskDisposables.add(
       startFleetDuty({
         ...commonOptions,
         directory: traffic.directory,
@@ -54,7 +72,7 @@
         demandSignals: traffic.engineEstimates.demandSignals,
       }),
     );
-    disposables.add(
+    taskDisposables.add(
       startRolloutStateDuty({
         term,
         rollouts: traffic.rollouts,
@@ -63,13 +81,14 @@
         log,
       }),
     );
-    disposables.add(
+    taskDisposables.add(
       traffic.engineCapacityStore.startPersisting(
         traffic.engineEstimates.fleetCapacity,
       ),
     );
-    return disposables;
+    return taskDisposables;
   }
 
-  return coordination.dutyElections.compete('fleet', startTasks);
+  disposables.add(dutyElections.compete('fleet', startTasks));
+  return disposables;
 }
--- a/packages/providers/src/memoryPlatform.ts
+++ b/packages/providers/src/memoryPlatform.ts
@@ -18,11 +18,17 @@
   type ObjectStoreClient,
   type ObjectStoreSettings,
 } from './objectStore.js';
-import {createObjectTable, type ObjectTable} from './objectTable.js';
+import {
+  createObjectTable,
+  type ObjectTable,
+  type ObjectTableCopy,
+} from './objectTable.js';
 import type {
   ObjectTransport,
   TransportWatchListener,
+  WatchEndReason,
 } from './objectTransport.js';
+import {eraOf} from './storeRevision.js';
 
 /** Injects faults into the calls of one client or of all clients. */
 export interface ObjectFaultControls {
@@ -61,6 +67,9 @@
     settings?: MemoryClientSettings,
   ): MemoryObjectStoreClient;
   callCounts(): PlatformCallCounts;
+  takeCopy(): ObjectTableCopy;
+  /** Restores the table from a copy; open watches lose their history. */
+  restore(copy: ObjectTableCopy): void;
 }
 
 /** Settings of a client and of the process that it simulates. */
@@ -92,7 +101,7 @@
 
 interface OpenWatch {
   readonly faults: readonly FaultState[];
-  readonly end: () => void;
+  readonly end: (reason: WatchEndReason) => void;
 }
 
 /**
@@ -121,7 +130,7 @@
       if (
         watch.faults.some(fault => fault.isDown || fault.isRejectingWatches)
       ) {
-        watch.end();
+        watch.end('lost');
       }
     }
   }
@@ -132,6 +141,7 @@
   ): ObjectTransport {
     const faults = [platformFaults, clientFaults];
     const delayMs = () => totalDelayMs(faults);
+    let era: number | undefined;
 
     async function performRead<T>(operation: () => T): Promise<T> {
       callCounts.reads += 1;
@@ -139,10 +149,16 @@
       await sleep(clock, waitMs);
       throwIfDown(faults);
       const result = operation();
+      const currentEra = eraOf(table.version());
       await sleep(processClock, waitMs);
+      recordEra(currentEra);
       return result;
     }
 
+    function recordEra(responseEra: number): void {
+      era = Math.max(era ?? 0, responseEra);
+    }
+
     async function performWrite<T>(operation: () => T): Promise<T> {
       callCounts.writes += 1;
       const waitMs = delayMs() / 2;
@@ -154,11 +170,14 @@
         lossyFaults.repliesToLose -= 1;
         throw new ServingError('outcome-unknown', 'the reply was lost');
       }
+      const currentEra = eraOf(table.version());
       await sleep(processClock, waitMs);
+      recordEra(currentEra);
       return result;
     }
 
     return {
+      era: () => era,
       get: (kind, name) =>
         performRead(() => ({
           version: table.version(),
@@ -190,7 +209,7 @@
         deliver(() => listener.onDidChange(change));
       }
     });
-    const watch = {faults, end: () => end('lost')};
+    const watch = {faults, end};
     openWatches.add(watch);
 
     function close(): void {
@@ -198,7 +217,7 @@
       subscription.dispose();
       openWatches.delete(watch);
     }
-    function end(reason: 'lost' | 'compacted'): void {
+    function end(reason: WatchEndReason): void {
       if (isClosed) {
         return;
       }
@@ -260,6 +279,13 @@
       return {...client, faults: createFaultControls(clientFaults, endWatches)};
     },
     callCounts: () => ({...callCounts, openWatches: openWatches.size}),
+    takeCopy: table.takeCopy,
+    restore(copy) {
+      table.restore(copy);
+      for (const watch of [...openWatches]) {
+        watch.end('compacted');
+      }
+    },
   };
 }
 
--- a/packages/providers/src/objectStore.ts
+++ b/packages/providers/src/objectStore.ts
@@ -203,6 +203,7 @@
         loop.dispose();
       });
     },
+    era: () => transport.era(),
     state: () => circuitBreaker.state(),
     onDidChangeState: listener => stateEmitter.event(listener),
     setLiveEntries: count => rateLimiter.setLiveEntries(count),
