gateway: excuse a version whose endpoints stand still once

What was seen: the rollout of a sound version ended as "rolled_back" in pausedVersion.test.ts at load 22, taken for a matter of the machine's speed.

Cause: on a normal machine the test's pause came before the rollout had begun, so it tested little. A pause within the evidence rolls the version back on any machine: the streams that wait for the paused endpoints are "higher latency than the incumbent", and those that went on elsewhere are errors, whatever their endpoint does later.

A request that waited for one that did not is no evidence if the endpoint went on; if another one answered, it counts as an error unless the endpoint responds within the time of one probe.

--- a/packages/gateway/src/attemptOutcome.ts
+++ b/packages/gateway/src/attemptOutcome.ts
@@ -56,6 +56,20 @@
   );
 }
 
+/**
+ * Whether the endpoint was silent until another one responded.
+ *
+ * @example
+ * const silentMs = wasLeft(result) ? stallTimeoutMs : undefined;
+ */
+export function wasLeft(result: AttemptResult): boolean {
+  return (
+    result.type === 'failed' &&
+    result.loss === 'silent' &&
+    result.error.kind === 'interrupted'
+  );
+}
+
 /**
  * Returns a short description of the result for the log.
  *
--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -11,7 +11,13 @@
 import {countOwnTokens, type RegisteredEndpoint} from '@skylarkfield/traffic';
 import {runAttempt, type AttemptResult} from './attempt.js';
 import {createAttemptEvidence} from './attemptEvidence.js';
-import {mayHaveRun, outcomeOf, unavailableError} from './attemptOutcome.js';
+import {
+  mayHaveRun,
+  outcomeOf,
+  unavailableError,
+  wasLeft,
+  type AttemptOutcome,
+} from './attemptOutcome.js';
 import type {CallerReply} from './callerReply.js';
 import type {CallFormat, ResponseHead} from './contracts.js';
 import type {EndpointReports} from './endpointReports.js';
@@ -23,6 +29,7 @@
 import type {RacingAttempt} from './hedging.js';
 import type {Progress, RetryRules} from './retryRules.js';
 import type {Stall} from './stallTimer.js';
+import {createStillEndpoints, type StillnessWatch} from './stillEndpoints.js';
 import type {
   Continuation,
   StreamMigrator,
@@ -83,6 +90,8 @@
   readonly clock: Clock;
   /** Fires with the router key of an endpoint that gets no further requests. */
   readonly onDidStopAccepting: Event<string>;
+  /** Whether a rollout of the service is in progress. */
+  isRollingOut(service: string): boolean;
   /** Called once per call, with the wall-clock time at which the call ran. */
   onDidRun(customer: string | undefined, wallMs: number): void;
 }
@@ -95,6 +104,9 @@
   readonly endpoint: RegisteredEndpoint;
   readonly observer: AttemptObserver;
   readonly watchedStream: WatchedStream;
+  readonly stillnessWatch: StillnessWatch;
+  /** Time without data after which it has stalled; undefined if it never does. */
+  readonly stallTimeoutMs: number | undefined;
   readonly sentAt: number;
   readonly sentWallMs: number;
   /** Monotonic milliseconds of the first byte or event. */
@@ -114,6 +126,7 @@
   const {router, directory, crashGuard, reach, format, clock} = options;
   const evidence = createAttemptEvidence(options);
   const hedgeTargets = createHedgeTargets(options);
+  const stillEndpoints = createStillEndpoints(options);
 
   /**
    * Chooses an endpoint of the call's version group or, if none is available,
@@ -167,6 +180,12 @@
             ? undefined
             : chooseEndpoint(call, progress.excludedEndpoints),
       }),
+      stillnessWatch: stillEndpoints.watch(
+        call.service,
+        choice.endpoint,
+        () => attempt.beganAt !== undefined,
+      ),
+      stallTimeoutMs: options.retryRules.stallTimeoutMs(call, progress),
       sentAt,
       sentWallMs: clock.wall(),
       beganAt: undefined,
@@ -196,6 +215,7 @@
     attempt: RunningAttempt,
     head: ResponseHead,
   ): void {
+    recordWait(progress, attempt);
     attempt.beganAt = clock.now();
     attempt.observer.recordBegin();
     progress.firstByteMs ??= attempt.beganAt - progress.startedAt;
@@ -217,7 +237,7 @@
     lastEventId: string | undefined,
     {race, onDidStall}: RacingAttempt,
   ): Promise<AttemptResult> {
-    const {endpoint, observer, watchedStream, sentAt} = attempt;
+    const {endpoint, observer, watchedStream, stallTimeoutMs, sentAt} = attempt;
     const {goalMs, longestPauseMs} = call.route;
     const exchange = reach.beginExchange(
       call.service,
@@ -246,7 +266,7 @@
       signal: call.signal,
       sink: isStream(call) ? observer.wrap(reply.sink) : undefined,
       race,
-      stallTimeoutMs: options.retryRules.stallTimeoutMs(call, progress),
+      stallTimeoutMs,
       onDidStall(stall) {
         observer.recordStall();
         if (!watchedStream.isMigrating()) {
@@ -267,6 +287,35 @@
     }).finally(() => exchange.dispose());
   }
 
+  /** Records whether the call waited in vain for its response to begin. */
+  function recordWait(
+    progress: Progress,
+    {beganAt, stillnessWatch}: RunningAttempt,
+  ): void {
+    progress.hasWaitedForStill ||=
+      beganAt === undefined && stillnessWatch.isStill();
+  }
+
+  /** Records a failure, unless the endpoint may only have stood still. */
+  function recordFailure(
+    progress: Progress,
+    {endpoint}: Choice,
+    attempt: RunningAttempt,
+    result: AttemptResult,
+    outcome: AttemptOutcome,
+  ): void {
+    if (outcome === 'ok' || outcome === 'cancelled') {
+      return;
+    }
+    const {stillnessWatch, stallTimeoutMs} = attempt;
+    const silentMs = wasLeft(result) ? stallTimeoutMs : undefined;
+    if (silentMs !== undefined && stillnessWatch.isStillAfter(silentMs)) {
+      progress.stillEndpoints.push(endpoint);
+      return;
+    }
+    progress.hasFailedAttempt = true;
+  }
+
   function recordEnd(
     call: ForwardedCall,
     progress: Progress,
@@ -283,7 +332,8 @@
       outcome: outcome !== 'ok' && isCutOff(call) ? 'cancelled' : outcome,
       latencyMs,
     });
-    progress.hasFailedAttempt ||= outcome !== 'ok' && outcome !== 'cancelled';
+    recordWait(progress, attempt);
+    recordFailure(progress, choice, attempt, result, outcome);
     progress.hasFailedToConnect = outcome === 'unreachable';
     if (progress.hasFailedToConnect) {
       reach.recordConnectFailure(call.service, choice.endpoint);
@@ -382,6 +432,7 @@
         racingAttempt,
       );
       attempt.watchedStream.dispose();
+      attempt.stillnessWatch.dispose();
       const continuation = await attempt.watchedStream.continuation();
       keepContinuation(progress, continuation, racingAttempt);
       const isMigrated = continuation !== undefined;
--- a/packages/gateway/src/forwardedCall.ts
+++ b/packages/gateway/src/forwardedCall.ts
@@ -58,8 +58,14 @@
   readonly firstByteMs: number | undefined;
   /** Ids of the endpoints that the call was sent to, in order. */
   readonly endpoints: readonly string[];
-  /** Whether an endpoint failed or declined the call. */
+  /**
+   * Whether an endpoint failed or declined the call; not if it only stood still.
+   */
   readonly hasFailedAttempt?: boolean;
+  /** Whether the call waited for an endpoint that stood still. */
+  readonly hasWaitedForStill?: boolean;
+  /** Router keys of the endpoints that stood still until another one responded. */
+  readonly stillEndpoints?: readonly string[];
   /** Ids of the entries that the call was handed over to, in order. */
   readonly peers?: readonly string[];
   /** Monotonic milliseconds of the first send; undefined if never sent. */
--- a/packages/gateway/src/forwarding.ts
+++ b/packages/gateway/src/forwarding.ts
@@ -400,6 +400,8 @@
     fingerprint,
     retryDenial,
     hasFailedAttempt,
+    hasWaitedForStill,
+    stillEndpoints,
   }: Progress,
 ): ForwardingResult {
   return {
@@ -408,6 +410,8 @@
     firstByteMs,
     endpoints,
     ...(hasFailedAttempt && {hasFailedAttempt}),
+    ...(hasWaitedForStill && {hasWaitedForStill}),
+    ...(stillEndpoints.length > 0 && {stillEndpoints}),
     ...(peers.length > 0 && {peers}),
     ...(tokensAhead !== undefined && {tokensAhead}),
     ...(firstSendAt !== undefined && {firstSendAt}),
--- a/packages/gateway/src/gatewayForwarding.ts
+++ b/packages/gateway/src/gatewayForwarding.ts
@@ -32,6 +32,7 @@
   | 'directory'
   | 'upstreams'
   | 'onDidStopAccepting'
+  | 'isRollingOut'
   | 'onDidRun'
 > &
   Pick<EngineObserverOptions, 'tokensPerEvent' | 'fitsKvCache'> & {
--- a/packages/gateway/src/pathEvidence.ts
+++ b/packages/gateway/src/pathEvidence.ts
@@ -37,24 +37,42 @@
 
 /**
  * Returns a function that records a failed sample of a version only once it is
- * known that the paths of this entry were not at fault.
+ * known that the paths of this entry were not at fault, and drops it if its
+ * endpoints stood still and respond by now.
  *
  * @example
  * const record = withholdFailures(reach, rolloutController.recordSample);
  */
 export function withholdFailures(
-  reach: Reach,
+  reach: Reach & Pick<EndpointReach, 'isResponding'>,
   record: (sample: RolloutSample) => void,
 ): (sample: RolloutSample) => void {
+  async function recordIfSilent(
+    sample: RolloutSample,
+    endpoints: readonly string[],
+  ): Promise<void> {
+    const answers = await Promise.all(
+      endpoints.map(endpoint => reach.isResponding(sample.service, endpoint)),
+    );
+    if (answers.includes(false)) {
+      record(sample);
+    }
+  }
+
   return sample => {
     if (!sample.isError) {
       record(sample);
       return;
     }
     reach.whenDecided(sample.service, isEvidence => {
-      if (isEvidence) {
+      if (!isEvidence) {
+        return;
+      }
+      if (sample.stillEndpoints === undefined) {
         record(sample);
+        return;
       }
+      void recordIfSilent(sample, sample.stillEndpoints);
     });
   };
 }
--- a/packages/gateway/src/retryRules.ts
+++ b/packages/gateway/src/retryRules.ts
@@ -35,8 +35,17 @@
   readonly peers: string[];
   /** Whether the last attempt could not open a connection to its endpoint. */
   hasFailedToConnect: boolean;
-  /** Whether an endpoint failed or declined the request. */
+  /**
+   * Whether an endpoint failed or declined the request; not if it only stood
+   * still.
+   */
   hasFailedAttempt: boolean;
+  /** Whether the request waited for an endpoint that stood still. */
+  hasWaitedForStill: boolean;
+  /**
+   * Router keys of the endpoints that stood still until another one responded.
+   */
+  readonly stillEndpoints: string[];
   /** Prompt tokens queued at the first endpoint before the first send. */
   tokensAhead: number | undefined;
   /** Number of endpoints that may have run the request. */
@@ -131,6 +140,8 @@
     peers: [],
     hasFailedToConnect: false,
     hasFailedAttempt: false,
+    hasWaitedForStill: false,
+    stillEndpoints: [],
     tokensAhead: undefined,
     runCount: 0,
     startedAt: now,
--- a/packages/gateway/src/rolloutController.ts
+++ b/packages/gateway/src/rolloutController.ts
@@ -30,6 +30,11 @@
   /** Name of the request's route. */
   readonly route: string;
   readonly isError: boolean;
+  /**
+   * Router keys of the endpoints because of which the request counts as an error:
+   * it is none if they only stood still for a while.
+   */
+  readonly stillEndpoints?: readonly string[];
   /** Milliseconds from the start of forwarding to the first byte or event. */
   readonly latencyMs: number;
   readonly isRepeatable: boolean;
@@ -115,9 +120,12 @@
         session: requestKey,
         isIdempotent: isRepeatable,
       }) as VersionGroup,
-    recordSample: ({group, isRepeatable, ...sample}) =>
+    recordSample: ({service, group, route, isError, latencyMs, isRepeatable}) =>
       trafficSplit.recordSample({
-        ...sample,
+        service,
+        route,
+        isError,
+        latencyMs,
         version: group,
         isIdempotent: isRepeatable,
         // An entry does not know the total load of a service; failures that
--- a/packages/gateway/src/rolloutSample.ts
+++ b/packages/gateway/src/rolloutSample.ts
@@ -18,8 +18,9 @@
 
 /**
  * Returns the evidence from one request; undefined if the request is no
- * evidence about the version. A request that an endpoint failed or declined
- * counts as an error, even if another one answered it.
+ * evidence about the version, as one that waited for an endpoint that stood still
+ * and then went on. A request that an endpoint failed or declined counts as an
+ * error, even if another one answered it.
  *
  * @example
  * const sample = sampleOf(call, result);
@@ -30,8 +31,10 @@
     version,
     route,
   }: Pick<ForwardedCall, 'service' | 'version' | 'route'>,
-  {error, status, hasFailedAttempt, peers, firstByteMs}: ForwardingResult,
+  result: ForwardingResult,
 ): RolloutSample | undefined {
+  const {error, status, hasFailedAttempt, peers, firstByteMs} = result;
+  const {hasWaitedForStill = false, stillEndpoints = []} = result;
   // The entry that took the request over has the evidence.
   if (peers !== undefined) {
     return undefined;
@@ -41,11 +44,16 @@
   }
   const isError =
     error !== undefined || isServerError(status) || hasFailedAttempt === true;
+  const isDoubtful = !isError && stillEndpoints.length > 0;
+  if (!isError && !isDoubtful && hasWaitedForStill) {
+    return undefined;
+  }
   return {
     service,
     group: version,
     route: route.name,
-    isError,
+    isError: isError || isDoubtful,
+    ...(isDoubtful && {stillEndpoints}),
     latencyMs: firstByteMs ?? 0,
     isRepeatable: isRepeatable(route),
   };
--- a/packages/gateway/src/test/reachAnnouncement.test.ts
+++ b/packages/gateway/src/test/reachAnnouncement.test.ts
@@ -58,6 +58,7 @@
     return {
       whenDecided: (_: string, callback: (isEvidence: boolean) => void) =>
         void callbacks.push(callback),
+      isResponding: async () => false,
       decide: (isEvidence: boolean) =>
         callbacks.splice(0).forEach(callback => callback(isEvidence)),
     };
--- a/packages/gateway/src/test/rolloutSample.test.ts
+++ b/packages/gateway/src/test/rolloutSample.test.ts
@@ -23,6 +23,35 @@
     assert.equal(sampleOf(CALL, HEDGED)?.isError, false);
   });
 
+  // Guards against rolling back a version because its hosts were paused.
+  it('is none if the request waited for an endpoint that stood still', () => {
+    const result = {...HEDGED, hasWaitedForStill: true};
+    assert.equal(sampleOf(CALL, result), undefined);
+  });
+
+  // Guards against a version whose endpoints stand still for good.
+  it('is a doubtful error if another endpoint answered for one that stood still', () => {
+    const sample = sampleOf(CALL, {
+      ...HEDGED,
+      hasWaitedForStill: true,
+      stillEndpoints: ['a'],
+    });
+    assert.equal(sample?.isError, true);
+    assert.deepEqual(sample?.stillEndpoints, ['a']);
+  });
+
+  // Guards against faults that are excused because an endpoint stood still too.
+  it('is an error if an endpoint failed besides', () => {
+    const sample = sampleOf(CALL, {
+      ...HEDGED,
+      hasFailedAttempt: true,
+      hasWaitedForStill: true,
+      stillEndpoints: ['a'],
+    });
+    assert.equal(sample?.isError, true);
+    assert.equal(sample?.stillEndpoints, undefined);
+  });
+
   it('is an error if another endpoint had to answer', () => {
     const result = {...HEDGED, hasFailedAttempt: true};
     assert.equal(sampleOf(CALL, result)?.isError, true);
--- a/packages/gateway/src/test/testForwarding.ts
+++ b/packages/gateway/src/test/testForwarding.ts
@@ -217,6 +217,7 @@
     format,
     clock,
     log,
+    isRollingOut: () => false,
     onDidRun: () => {},
   });
   let result: ForwardingResult | undefined;
--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -341,6 +341,7 @@
       engineEstimates,
       tokensPerEvent,
       fitsKvCache: fitsEngineMemory,
+      isRollingOut: rolloutController.isRollingOut,
       isServing,
       onDidRun(customer, wallMs) {
         if (customer !== undefined) {
