--- a/packages/gateway/src/rolloutController.ts
+++ b/packages/gateway/src/rolloutController.ts
@@ -38,6 +38,11 @@
   /** What the sample measures; `requests` if absent. */
   readonly measure?: RequestSample['measure'];
   readonly isError: boolean;
+  /**
+   * Router keys of the endpoints because of which the request counts as an error:
+   * it is none if they only stood still for a while.
+   */
+  readonly stillEndpoints?: readonly string[];
   /**
    * Milliseconds from the start of forwarding to the first byte or event; of an
    * event interval, its length.
@@ -137,9 +142,21 @@
         session: requestKey,
         isIdempotent: isRepeatable,
       }) as VersionGroup,
-    recordSample: ({group, isRepeatable, ...sample}) =>
+    recordSample: ({
+      service,
+      group,
+      route,
+      measure,
+      isError,
+      latencyMs,
+      isRepeatable,
+    }) =>
       trafficSplit.recordSample({
-        ...sample,
+        service,
+        route,
+        ...(measure && {measure}),
+        isError,
+        latencyMs,
         version: group,
         isIdempotent: isRepeatable,
         // An entry does not know the total load of a service; failures that
