gateway: name the rule for objects that exist in one state only

Cause: two retention rules spelled out the same condition, and two tests the same objects. Change: differsInExistence; mirroredValues holds the tests' objects. No behaviour changes.

--- a/packages/gateway/src/retentionRules.ts
+++ b/packages/gateway/src/retentionRules.ts
@@ -114,13 +114,14 @@
 };
 
 const rolloutRule: RetentionRule<Rollout> = {
-  retentionMs({value, isRemoved}, restored) {
-    if (isRemoved || restored.value === undefined) {
-      return isRemoved === (restored.value === undefined) ||
-        restored.isRewritten
-        ? 0
-        : REWRITE_MS;
+  retentionMs(earlier, restored) {
+    if (differsInExistence(earlier, restored)) {
+      return restored.isRewritten ? 0 : REWRITE_MS;
+    }
+    if (restored.value === undefined) {
+      return 0;
     }
+    const {value} = earlier;
     if (value.target !== restored.value.target) {
       return restored.isRewritten ? 0 : REWRITE_MS;
     }
@@ -139,10 +140,10 @@
 };
 
 const domainDrainRule: RetentionRule<DomainDrain> = {
-  retentionMs({isRemoved}, restored) {
-    const isSame = isRemoved === (restored.value === undefined);
-    return isSame || restored.isRewritten ? 0 : REWRITE_MS;
-  },
+  retentionMs: (earlier, restored) =>
+    differsInExistence(earlier, restored) && !restored.isRewritten
+      ? REWRITE_MS
+      : 0,
   settlingMs: () => 0,
 };
 
@@ -163,6 +164,14 @@
   domainDrains: domainDrainRule,
 };
 
+/** Whether the object exists in only one of the two states. */
+function differsInExistence<T>(
+  {isRemoved}: EarlierState<T>,
+  {value}: RestoredState<T>,
+): boolean {
+  return isRemoved !== (value === undefined);
+}
+
 function progressOf(rollout: Rollout): number {
   const state = currentRolloutState(rollout);
   return state === undefined ? 0 : ROLLOUT_PROGRESS[state];
--- a/packages/gateway/src/test/restoredFleet.test.ts
+++ b/packages/gateway/src/test/restoredFleet.test.ts
@@ -1,11 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {
-  createEndpoint,
-  createPolicy,
-  startRestoredFleet,
-  type RestoredFleet,
-} from './restoredFleet.js';
+import {createEndpoint, createPolicy} from './mirroredValues.js';
+import {startRestoredFleet, type RestoredFleet} from './restoredFleet.js';
 
 /** Fleets with a full mesh and with relays. */
 const ENTRY_COUNTS = [7, 25];
--- a/packages/gateway/src/test/restoredFleet.ts
+++ b/packages/gateway/src/test/restoredFleet.ts
@@ -8,11 +8,11 @@
   type VirtualClock,
 } from '@skylarkfield/base';
 import {createMemoryNetwork, type MemoryNetwork} from '@skylarkfield/protocol';
-import type {RegisteredEndpoint, TrafficPolicy} from '@skylarkfield/traffic';
 import type {Platform} from '../contracts.js';
 import {startDigests} from '../digests.js';
 import {createPlatformView, type PlatformView} from '../platformView.js';
 import {planRelays, type RelayNode, type RelayPlan} from '../relayPlan.js';
+import {createEndpoint, createPolicy} from './mirroredValues.js';
 import {
   createRestorableStore,
   type RestorableStore,
@@ -43,33 +43,6 @@
   isolate(id: string): void;
 }
 
-export function createPolicy(version: number): TrafficPolicy {
-  return {
-    version,
-    routes: [],
-    services: [],
-    customers: [],
-    limits: {headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1},
-  };
-}
-
-export function createEndpoint(
-  id: string,
-  state: RegisteredEndpoint['state'] = 'ready',
-): RegisteredEndpoint {
-  return {
-    id,
-    bornAt: 1,
-    service: 'desk',
-    address: '10.0.0.1:80',
-    failureDomain: 'a',
-    version: 'v1',
-    slots: 4,
-    state,
-    isReclaimable: false,
-  };
-}
-
 /** Starts entries over a store with one policy and some endpoints. */
 export async function startRestoredFleet(
   entryCount: number,
--- a/packages/gateway/src/test/restoredMirror.test.ts
+++ b/packages/gateway/src/test/restoredMirror.test.ts
@@ -9,6 +9,7 @@
 } from '@skylarkfield/traffic';
 import {createMirror, type Mirror} from '../mirror.js';
 import {retentionRules} from '../retentionRules.js';
+import {createEndpoint, createPolicy} from './mirroredValues.js';
 
 const OLD_ERA = 3;
 const NEW_ERA = 4;
@@ -17,34 +18,6 @@
 
 const log = createSilentLogger();
 
-function createPolicy(version: number): TrafficPolicy {
-  return {
-    version,
-    routes: [],
-    services: [],
-    customers: [],
-    limits: {headerBytes: 1, bodyBytes: 1, headerMs: 1, idleMs: 1},
-  };
-}
-
-function createEndpoint(
-  id: string,
-  state: RegisteredEndpoint['state'] = 'ready',
-  bornAt = 1,
-): RegisteredEndpoint {
-  return {
-    id,
-    bornAt,
-    service: 'desk',
-    address: '10.0.0.1:80',
-    failureDomain: 'a',
-    version: 'v1',
-    slots: 4,
-    state,
-    isReclaimable: false,
-  };
-}
-
 function setUp() {
   const clock = createVirtualClock();
   const createPolicies = () =>
