routing: move ranking and outlier ejection out of the router

serviceCosts.ts now holds the cost models with merged weights, endpointRanking.ts the scores, prefix placement and popularity, and outlierDetector.ts the ejections and required probes. Behaviour is unchanged.

--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -1,20 +1,15 @@
 /** Router: chooses endpoints by expected wait, cached prefix and health. */
 import type {Clock, DecisionLog, Random} from '@skylarkfield/base';
 import {TOKENS_PER_BLOCK, type AttemptResult} from '@skylarkfield/endpoints';
-import {affinitiesFor} from './affinity.js';
 import type {Choice, RoutingRequest, Router} from './contracts.js';
-import {liveEndpointsOfLostDomain, ejectionReason} from './ejection.js';
 import {isInRegions, leastLoaded} from './endpointFilters.js';
+import {shortestWaitMs, type EndpointLimits} from './endpointLimits.js';
 import {createEndpointPools, type PooledEndpoint} from './endpointPool.js';
+import {createEndpointRanking, type ScoredEndpoint} from './endpointRanking.js';
 import {tokensAhead} from './loadView.js';
-import {createPrefixPopularity, type PrefixPopularity} from './popularity.js';
-import {shortestWaitMs, type EndpointLimits} from './endpointLimits.js';
-import {
-  createRouteCosts,
-  defaultRouteWeights,
-  type RouteCosts,
-  type RouteWeights,
-} from './routeCosts.js';
+import {createOutlierDetector} from './outlierDetector.js';
+import {defaultRouteWeights, type RouteWeights} from './routeCosts.js';
+import {createServiceCosts} from './serviceCosts.js';
 
 export interface RouterOptions {
   readonly clock: Clock;
@@ -48,24 +43,9 @@
  * since ratios to a lower latency are unreliable.
  */
 const MIN_EXPECTED_LATENCY_MS = 40;
-const PERCENT = 100;
 /** Urgency of a request that declares none: the middle of 0 to 9. */
 const DEFAULT_URGENCY = 5;
 
-/** Endpoints that are preferred for a prompt's prefix. */
-interface PrefixPlacement {
-  /** Tokens of the prefix whose traffic is too much for one endpoint. */
-  readonly sharedTokens: number;
-  /** Affinity by endpoint for the tokens after it, equal at every entry. */
-  readonly affinities: ReadonlyMap<string, number>;
-}
-
-interface ScoredEndpoint {
-  readonly endpoint: PooledEndpoint;
-  readonly cachedTokens: number;
-  readonly score: number;
-}
-
 /**
  * Creates a router without endpoints.
  *
@@ -91,45 +71,18 @@
     isOwnAttempt,
     blockTokens,
   });
-  const costsByService = new Map<string, RouteCosts>();
-  /** Cached, so that weights are merged only when `weightOverrides` changes them. */
-  const mergedWeightsByService = new Map<
-    string,
-    {overrides: Partial<RouteWeights>; merged: RouteWeights}
-  >();
-  const popularityByService = new Map<string, PrefixPopularity>();
-  const totals = {choices: 0, probes: 0, forced: 0, ejections: 0};
-
-  function mergedWeightsFor(service: string): RouteWeights {
-    const overrides = options.weightOverrides?.(service);
-    if (overrides === undefined) {
-      return weights;
-    }
-    const lastMerge = mergedWeightsByService.get(service);
-    if (lastMerge?.overrides === overrides) {
-      return lastMerge.merged;
-    }
-    const merged = {...weights, ...overrides};
-    mergedWeightsByService.set(service, {overrides, merged});
-    return merged;
-  }
-
-  function costsOf(service: string): RouteCosts {
-    const existing = costsByService.get(service);
-    if (existing !== undefined) {
-      return existing;
-    }
-    const costs = createRouteCosts(() => mergedWeightsFor(service));
-    costsByService.set(service, costs);
-    return costs;
-  }
-
-  function popularityOf(service: string): PrefixPopularity {
-    const popularity =
-      popularityByService.get(service) ?? createPrefixPopularity();
-    popularityByService.set(service, popularity);
-    return popularity;
-  }
+  const serviceCosts = createServiceCosts(weights, service =>
+    options.weightOverrides?.(service),
+  );
+  const ranking = createEndpointRanking({
+    random,
+    failureDomain,
+    blockTokens,
+    weights,
+    serviceCosts,
+  });
+  const outlierDetector = createOutlierDetector(pools, decisions);
+  const totals = {choices: 0, probes: 0, forced: 0};
 
   /**
    * Returns the endpoints that the request may be sent to. Endpoints that are
@@ -158,67 +111,6 @@
     return permittedEndpoints;
   }
 
-  function scoreEndpoint(
-    endpoint: PooledEndpoint,
-    routingRequest: RoutingRequest,
-    costs: RouteCosts,
-    placement: PrefixPlacement,
-  ): ScoredEndpoint {
-    const {candidate, cache, load} = endpoint;
-    const cachedTokens = Math.min(
-      routingRequest.promptTokens,
-      cache.expectedCachedTokens(routingRequest.blocks),
-    );
-    const sharedTokens = Math.max(0, placement.sharedTokens - cachedTokens);
-    const unsharedTokens =
-      routingRequest.promptTokens - cachedTokens - sharedTokens;
-    let costMs = costs.score(
-      load.estimate(),
-      unsharedTokens,
-      sharedTokens,
-      placement.affinities.get(candidate.id) ?? 0,
-    );
-    costMs += random.next() * weights.jitterMs;
-    if (candidate.failureDomain !== failureDomain) {
-      costMs += weights.crossDomainMs;
-    }
-    return {endpoint, cachedTokens, score: costMs};
-  }
-
-  /** Computes affinities from the first block after the shared prefix. */
-  function placePrefix(
-    routingRequest: RoutingRequest,
-    candidates: readonly PooledEndpoint[],
-  ): PrefixPlacement {
-    const {blocks} = routingRequest;
-    if (blocks.length === 0) {
-      return {sharedTokens: 0, affinities: new Map()};
-    }
-    const popularity = popularityOf(routingRequest.service);
-    const sharedCount = popularity.countSharedBlocks(blocks, candidates.length);
-    const affinities = affinitiesFor(
-      blocks[sharedCount] ?? blocks.at(-1)!,
-      candidates.map(({candidate}) => candidate.id),
-    );
-    return {sharedTokens: sharedCount * blockTokens, affinities};
-  }
-
-  function pickBestEndpoint(
-    routingRequest: RoutingRequest,
-    candidates: readonly PooledEndpoint[],
-  ): ScoredEndpoint | undefined {
-    const costs = costsOf(routingRequest.service);
-    const placement = placePrefix(routingRequest, candidates);
-    let best: ScoredEndpoint | undefined;
-    for (const endpoint of candidates) {
-      const scored = scoreEndpoint(endpoint, routingRequest, costs, placement);
-      if (best === undefined || scored.score < best.score) {
-        best = scored;
-      }
-    }
-    return best;
-  }
-
   function pickProbeTarget(
     routingRequest: RoutingRequest,
     candidates: readonly PooledEndpoint[],
@@ -237,36 +129,6 @@
     return [target];
   }
 
-  function updateHealth(endpoint: PooledEndpoint) {
-    const {candidate, health} = endpoint;
-    const pool = pools.endpointsOf(candidate.service, candidate.version);
-    const isUnreachable = health.stats.unreachableInRow > 0;
-    const reason =
-      health.state === 'live' ? ejectionReason(endpoint, pool) : undefined;
-    if (reason !== undefined) {
-      const {failuresInRow, failureRate, slowness} = health.stats;
-      decisions.recordDecision('routing', candidate.id, 'eject', reason, {
-        failuresInRow,
-        failurePercent: Math.round(failureRate * PERCENT),
-        slowness: Math.round(slowness * PERCENT) / PERCENT,
-      });
-      totals.ejections += 1;
-      health.eject();
-    }
-    if (!isUnreachable) {
-      return;
-    }
-    for (const other of liveEndpointsOfLostDomain(endpoint, pool)) {
-      decisions.recordDecision(
-        'routing',
-        other.candidate.id,
-        'probe first',
-        `many endpoints of its failure domain ${candidate.failureDomain} are unreachable`,
-      );
-      other.health.requireProbe();
-    }
-  }
-
   /**
    * Returns the prompt tokens expected to be computed. Most shareable tokens
    * that seem uncached prove to be cached.
@@ -277,7 +139,8 @@
   ): number {
     const {service, ownTokens = uncachedTokens} = routingRequest;
     const ownUncached = Math.min(uncachedTokens, ownTokens);
-    const recomputedShare = mergedWeightsFor(service).recomputedTokenShare ?? 1;
+    const recomputedShare =
+      serviceCosts.weightsOf(service).recomputedTokenShare ?? 1;
     return ownUncached + (uncachedTokens - ownUncached) * recomputedShare;
   }
 
@@ -287,7 +150,7 @@
   ): Choice {
     const {endpoint, cachedTokens} = scored;
     const {candidate, cache, health, load} = endpoint;
-    const costs = costsOf(routingRequest.service);
+    const costs = serviceCosts.costsOf(routingRequest.service);
     const uncachedTokens = Math.max(
       0,
       routingRequest.promptTokens - cachedTokens,
@@ -303,7 +166,7 @@
     const startMs = clock.now();
     let isFinished = false;
     cache.recordSentBlocks(routingRequest.blocks);
-    popularityOf(routingRequest.service).recordRequest(routingRequest.blocks);
+    ranking.recordRequest(routingRequest);
     health.recordRequestSent();
     endpointLimits?.consumeToken(candidate.id);
     totals.choices += 1;
@@ -327,7 +190,7 @@
           result.latencyMs,
         );
       }
-      updateHealth(endpoint);
+      outlierDetector.evaluate(endpoint);
     }
 
     return {
@@ -362,7 +225,7 @@
     choose(routingRequest) {
       const all = selectUsableEndpoints(routingRequest);
       const candidates = routingRequest.isSuspected ? leastLoaded(all) : all;
-      const scored = pickBestEndpoint(
+      const scored = ranking.pickBest(
         routingRequest,
         pickProbeTarget(routingRequest, candidates) ?? candidates,
       );
@@ -417,7 +280,7 @@
       const pooledEndpoint = pools.get(endpoint);
       if (pooledEndpoint?.health.state === 'live') {
         pooledEndpoint.health.recordOutcome('unreachable', 1);
-        updateHealth(pooledEndpoint);
+        outlierDetector.evaluate(pooledEndpoint);
       }
     },
     applyCacheEvents: (endpoint, events) =>
@@ -438,10 +301,8 @@
       return share === 0 ? 0 : Math.round(slots / Math.min(1, share));
     },
     dump: () => ({
-      totals: {...totals},
-      costs: Object.fromEntries(
-        [...costsByService].map(([service, costs]) => [service, costs.dump()]),
-      ),
+      totals: {...totals, ejections: outlierDetector.ejectionCount()},
+      costs: serviceCosts.dump(),
       leaving: pools.leavingEndpointIds(),
       endpoints: pools.all().map(({candidate, health, load, cache}) => ({
         ...candidate,
