members: split the leaving endpoint tracker by responsibility

leavingHostTable.ts now holds the hosts and answers whether an endpoint is leaving one, correctedHostList.ts marks leaving endpoints in the host list, and leavingHostBroadcast.ts sends and resends the states to peers. The tracker keeps the decisions. Behaviour is unchanged.

--- a/packages/members/src/leavingEndpointTracker.ts
+++ b/packages/members/src/leavingEndpointTracker.ts
@@ -20,18 +20,15 @@
   ReclaimNotice,
 } from '@skylarkfield/providers';
 import type {Messages, PeerNetwork} from '@skylarkfield/protocol';
+import {createCorrectedHostList} from './correctedHostList.js';
 import {
   createDeparture,
   updateDeparture,
   hasReturned,
 } from './endpointDeparture.js';
-import {
-  createLeavingHost,
-  isRepeatedNotice,
-  extendDeadline,
-  type LeavingHost,
-  type LeavingSource,
-} from './leavingHost.js';
+import {isRepeatedNotice, type LeavingSource} from './leavingHost.js';
+import {createLeavingHostBroadcast} from './leavingHostBroadcast.js';
+import {createLeavingHostTable} from './leavingHostTable.js';
 
 export type {LeavingSource} from './leavingHost.js';
 
@@ -79,19 +76,9 @@
   dump(): unknown;
 }
 
-/**
- * Maximum number of tracked hosts; a failure domain of the largest fleet has
- * fewer hosts.
- */
-const MAX_HOSTS = 4_000;
 /** Maximum number of tracked endpoints of each host. */
 const MAX_ENDPOINTS_PER_HOST = 256;
 const EXPIRY_INTERVAL_MS = 30_000;
-/**
- * Maximum age of reports that are resent to a newly connected peer, in
- * milliseconds.
- */
-const RESEND_WINDOW_MS = 120_000;
 
 /**
  * Creates a tracker that processes reclaim notices, host lists and peer
@@ -109,52 +96,25 @@
   readonly decisions: DecisionLog;
 }): LeavingEndpointTracker {
   const {cloud, network, clock, decisions} = options;
-  const leavingHosts = new Map<string, LeavingHost>();
+  const leavingHosts = createLeavingHostTable(clock);
   const didLeave = createEmitter<LeavingEndpoint>();
   const didReturn = createEmitter<string>();
   const disposables = createDisposableStore();
   /** Endpoints of the latest host list, by id. */
   let listedEndpointsById = new Map<string, ListedEndpoint>();
-  let latestList: readonly ListedEndpoint[] | undefined;
-  const didCorrectList = createEmitter<readonly ListedEndpoint[]>();
-  let isCorrectionDue = false;
   let noticeSubscription: Disposable | undefined;
+  const correctedList = disposables.add(
+    createCorrectedHostList(clock, leavingHosts.isLeaving),
+  );
+  const broadcast = disposables.add(
+    createLeavingHostBroadcast({network, clock, leavingHosts}),
+  );
 
   function isLeaving(
     endpoint: string,
     host = listedEndpointsById.get(endpoint)?.host,
   ): boolean {
-    if (host !== undefined) {
-      const leavingHost = leavingHosts.get(host);
-      return (
-        leavingHost !== undefined &&
-        (leavingHost.endpoints.has(endpoint) ||
-          (leavingHost.isWhole && !leavingHost.back.has(endpoint)))
-      );
-    }
-    return [...leavingHosts.values()].some(leavingHost =>
-      leavingHost.endpoints.has(endpoint),
-    );
-  }
-
-  function getOrAddHost(
-    host: string,
-    goneAt: number,
-    source: LeavingSource,
-  ): LeavingHost {
-    const leavingHost = leavingHosts.get(host);
-    if (leavingHost !== undefined) {
-      extendDeadline(leavingHost, goneAt, clock);
-      return leavingHost;
-    }
-    const newHost = createLeavingHost(host, source, clock);
-    extendDeadline(newHost, goneAt, clock);
-    leavingHosts.set(host, newHost);
-    if (leavingHosts.size > MAX_HOSTS) {
-      const [oldest] = leavingHosts.keys();
-      leavingHosts.delete(oldest!);
-    }
-    return newHost;
+    return leavingHosts.isLeaving(endpoint, host);
   }
 
   function findListedEndpoint(host: string, endpoint: string) {
@@ -176,7 +136,7 @@
     const candidates = endpoints.filter(
       endpoint => !isRepeatedNotice(leavingHosts.get(host), goneAt, endpoint),
     );
-    const leavingHost = getOrAddHost(host, goneAt, source);
+    const leavingHost = leavingHosts.getOrAdd(host, goneAt, source);
     const addedEndpoints = candidates
       .filter(endpoint => !leavingHost.endpoints.has(endpoint))
       .slice(0, MAX_ENDPOINTS_PER_HOST - leavingHost.endpoints.size);
@@ -203,77 +163,22 @@
       didLeave.fire({endpoint, host, goneAt, source});
     }
     if (hasChanges && source !== 'list') {
-      scheduleCorrectedList();
+      correctedList.scheduleUpdate();
     }
     return hasChanges;
   }
 
-  function toLeavingMessage(
-    leavingHost: LeavingHost,
-  ): Messages['endpointLeaving'] {
-    const {host, goneAt, isWhole} = leavingHost;
-    return {
-      endpoints: [...leavingHost.endpoints.keys()],
-      host,
-      goneAt,
-      isWhole,
-    };
-  }
-
-  /**
-   * Sends the state of a leaving host to the connected peers. As every entry
-   * forwards new reports, each report reaches all entries.
-   */
-  function broadcastHost(host: string, exceptPeer?: string) {
-    const leavingHost = leavingHosts.get(host);
-    if (leavingHost === undefined) {
-      return;
-    }
-    const receivers = network
-      .connectedPeers()
-      .filter(peer => peer !== exceptPeer);
-    network.broadcast(
-      'endpointLeaving',
-      toLeavingMessage(leavingHost),
-      receivers,
-    );
-  }
-
   function listedEndpointIdsOn(host: string): string[] {
     return [...listedEndpointsById.values()]
       .filter(listedEndpoint => listedEndpoint.host === host)
       .map(({id}) => id);
   }
 
-  function markLeaving(list: readonly ListedEndpoint[]): ListedEndpoint[] {
-    return list.map(listedEndpoint =>
-      isLeaving(listedEndpoint.id, listedEndpoint.host)
-        ? {...listedEndpoint, state: 'leaving'}
-        : listedEndpoint,
-    );
-  }
-
-  function fireCorrectedList() {
-    isCorrectionDue = false;
-    if (latestList !== undefined && !disposables.isDisposed) {
-      didCorrectList.fire(markLeaving(latestList));
-    }
-  }
-
-  /** Schedules one corrected list for all changes of one message or notice. */
-  function scheduleCorrectedList() {
-    if (isCorrectionDue) {
-      return;
-    }
-    isCorrectionDue = true;
-    clock.after(0, fireCorrectedList);
-  }
-
   function handleNotice({host, goneAt}: ReclaimNotice) {
     if (
       recordLeaving(host, listedEndpointIdsOn(host), true, goneAt, 'notice')
     ) {
-      broadcastHost(host);
+      broadcast.send(host);
     }
   }
 
@@ -291,7 +196,7 @@
         'peer',
       )
     ) {
-      broadcastHost(host, from);
+      broadcast.send(host, from);
     }
   }
 
@@ -310,10 +215,9 @@
         changedHosts.add(host);
       }
     }
-    changedHosts.forEach(host => broadcastHost(host));
+    changedHosts.forEach(host => broadcast.send(host));
     fireReturnsOnOtherHosts(previousEndpointsById);
-    latestList = endpoints;
-    fireCorrectedList();
+    correctedList.setList(endpoints);
   }
 
   /**
@@ -321,7 +225,7 @@
    * endpoints.
    */
   function updateDepartures() {
-    for (const leavingHost of leavingHosts.values()) {
+    for (const leavingHost of leavingHosts.hosts()) {
       for (const [endpoint, departure] of leavingHost.endpoints) {
         const listedEndpoint = findListedEndpoint(leavingHost.host, endpoint);
         if (
@@ -354,11 +258,11 @@
   ) {
     for (const [endpoint, {host}] of listedEndpointsById) {
       const hasMoved = previousEndpointsById.get(endpoint)?.host !== host;
-      const wasLeaving = [...leavingHosts.values()].some(
-        leavingHost =>
-          leavingHost.host !== host && leavingHost.endpoints.has(endpoint),
-      );
-      if (hasMoved && wasLeaving && !isLeaving(endpoint, host)) {
+      if (
+        hasMoved &&
+        leavingHosts.isLeavingAnotherHost(endpoint, host) &&
+        !isLeaving(endpoint, host)
+      ) {
         didReturn.fire(endpoint);
       }
     }
@@ -370,30 +274,20 @@
    */
   function expireHosts() {
     const now = clock.now();
-    for (const leavingHost of [...leavingHosts.values()]) {
+    for (const leavingHost of [...leavingHosts.hosts()]) {
       if (now < leavingHost.forgetAt) {
         continue;
       }
-      leavingHosts.delete(leavingHost.host);
+      leavingHosts.remove(leavingHost.host);
       for (const endpoint of leavingHost.endpoints.keys()) {
         if (findListedEndpoint(leavingHost.host, endpoint) !== undefined) {
           readmit(endpoint, leavingHost.host, 'still listed');
-          scheduleCorrectedList();
+          correctedList.scheduleUpdate();
         }
       }
     }
   }
 
-  /** Resends recent reports to a peer that may have missed the broadcast. */
-  function resendRecentReports(peer: string) {
-    const now = clock.now();
-    for (const leavingHost of leavingHosts.values()) {
-      if (now - leavingHost.since <= RESEND_WINDOW_MS) {
-        network.send(peer, 'endpointLeaving', toLeavingMessage(leavingHost));
-      }
-    }
-  }
-
   function setIsNoticeReader(isReader: boolean) {
     if (isReader === (noticeSubscription !== undefined)) {
       return;
@@ -405,13 +299,6 @@
   }
 
   disposables.add(network.addHandler('endpointLeaving', handlePeerMessage));
-  disposables.add(
-    network.onDidChangePeer((peer, isOpen) => {
-      if (isOpen) {
-        resendRecentReports(peer);
-      }
-    }),
-  );
   disposables.add(options.hostList.watch(handleHostList));
   disposables.add(scheduleRepeatedly(clock, EXPIRY_INTERVAL_MS, expireHosts));
   setIsNoticeReader(true);
@@ -420,23 +307,16 @@
     isLeaving,
     onDidLeave: didLeave.event,
     onDidReturn: didReturn.event,
-    hostList: {
-      watch(listener) {
-        if (latestList !== undefined) {
-          listener(markLeaving(latestList));
-        }
-        return didCorrectList.event(listener);
-      },
-    },
+    hostList: correctedList,
     reportLeaving(host, endpoints, goneAt, source) {
       if (recordLeaving(host, endpoints, false, goneAt, source)) {
-        broadcastHost(host);
+        broadcast.send(host);
       }
     },
     setIsNoticeReader,
     dump: () => ({
       isReader: noticeSubscription !== undefined,
-      hosts: [...leavingHosts.values()].map(leavingHost => ({
+      hosts: [...leavingHosts.hosts()].map(leavingHost => ({
         ...leavingHost,
         endpoints: [...leavingHost.endpoints.keys()],
         back: [...leavingHost.back],
