admission: split the bulkhead by responsibility

bulkhead.ts had 435 lines: besides the admission decisions it held the log of state changes, the timer of queued requests, the bounds of Retry-After and the errors.

They are now in bulkheadStateLog.ts, deadlineTimer.ts, retryAfter.ts and rejectionErrors.ts, each with its constants. Behaviour is unchanged.

--- a/packages/admission/src/bulkhead.ts
+++ b/packages/admission/src/bulkhead.ts
@@ -3,14 +3,14 @@
  * that hangs, slows down, fails or is overloaded does not affect other
  * services.
  */
-import {
+import type {
+  Clock,
+  DecisionLog,
+  Random,
   ServingError,
-  type Clock,
-  type DecisionLog,
-  type Disposable,
-  type Random,
 } from '@skylarkfield/base';
-import {createBulkheadMachine, type BulkheadState} from './bulkheadMachine.js';
+import {createBulkheadMachine} from './bulkheadMachine.js';
+import {createBulkheadStateLog} from './bulkheadStateLog.js';
 import {createCapacityShare} from './capacityShare.js';
 import {createConcurrencyLimit, type LimitPolicy} from './concurrencyLimit.js';
 import type {
@@ -19,7 +19,15 @@
   ServiceAdmissionConfig,
   Permit,
 } from './contracts.js';
+import {startDeadlineTimer} from './deadlineTimer.js';
 import {createFairQueue} from './fairQueue.js';
+import {
+  cancelledError,
+  deadlineUnreachableError,
+  overloadedError,
+  serviceRemovedError,
+} from './rejectionErrors.js';
+import {jitteredRetryAfterMs} from './retryAfter.js';
 import {createRetryBudget} from './retryBudget.js';
 import {createWaitEstimator} from './waitEstimate.js';
 
@@ -65,31 +73,6 @@
  */
 const DEFAULT_URGENCY = 3;
 
-/** Range of Retry-After, in milliseconds. */
-const MIN_RETRY_AFTER_MS = 100;
-const MAX_RETRY_AFTER_MS = 30_000;
-
-/** Largest relative jitter of Retry-After, to spread retries over time. */
-const RETRY_AFTER_JITTER = 0.5;
-
-/**
- * Minimum delay of a deadline check, in milliseconds. The remaining time is a
- * difference of floating-point numbers: a remainder too small to advance the
- * clock would rerun the check at the same instant forever and hang the process.
- */
-const MIN_RECHECK_MS = 1;
-
-/** Minimum interval between logged state changes, in milliseconds. */
-const DECISION_INTERVAL_MS = 5000;
-
-/** Reason for entering each state, for the decision log. */
-const stateReasons: Readonly<Record<BulkheadState, string>> = {
-  flowing: 'the queue is empty',
-  queueing: 'the concurrency limit of this entry is reached',
-  refusing: 'the queue is full or requests cannot meet their deadlines',
-  closed: 'the service was removed',
-};
-
 /**
  * Creates the bulkhead of one service.
  *
@@ -108,36 +91,23 @@
     ceiling: config.concurrency,
     targetMs: config.targetMs,
   });
-  const machine = createBulkheadMachine(recordStateChange);
-  let inFlight = 0;
-  let rejectionCount = 0;
-  let lastDecisionAt = -Infinity;
-  capacityShare.setEntryCount(options.entryCount);
-  adaptiveLimit.setCeiling(capacityShare.maxConcurrency());
-
-  function recordStateChange(enteredState: BulkheadState) {
-    const wasLoggedRecently =
-      clock.now() - lastDecisionAt < DECISION_INTERVAL_MS;
-    if (
-      enteredState === 'queueing' ||
-      (enteredState !== 'closed' && wasLoggedRecently)
-    ) {
-      return;
-    }
-    lastDecisionAt = clock.now();
-    decisions.recordDecision(
-      'admission',
-      config.name,
-      enteredState,
-      stateReasons[enteredState],
-      {
+  const machine = createBulkheadMachine(
+    createBulkheadStateLog({
+      clock,
+      decisions,
+      service: config.name,
+      currentFigures: () => ({
         limit: currentLimit(),
         inFlight,
         waiting: queue.size,
         refusals: rejectionCount,
-      },
-    );
-  }
+      }),
+    }),
+  );
+  let inFlight = 0;
+  let rejectionCount = 0;
+  capacityShare.setEntryCount(options.entryCount);
+  adaptiveLimit.setCeiling(capacityShare.maxConcurrency());
 
   function currentLimit(urgency = DEFAULT_URGENCY): number {
     const baseLimit = Math.floor(adaptiveLimit.currentLimit());
@@ -178,31 +148,21 @@
   }
 
   function retryAfterMs(request: AdmissionRequest): number {
-    const jitter = 1 + random.next() * RETRY_AFTER_JITTER;
-    const waitMs = Math.max(MIN_RETRY_AFTER_MS, expectedWaitMs(request));
-    return Math.ceil(Math.min(waitMs * jitter, MAX_RETRY_AFTER_MS));
+    return jitteredRetryAfterMs(expectedWaitMs(request), random);
   }
 
   /** Records a rejection for overload and returns its error. */
   function recordOverloadRejection(request: AdmissionRequest): ServingError {
     rejectionCount += 1;
     machine.send('rejected');
-    const message = `the concurrency limit of ${config.name} is reached and its queue is full`;
-    return new ServingError('overloaded', message, {
-      run: 'not-run',
-      retryAfterMs: retryAfterMs(request),
-    });
+    return overloadedError(config.name, retryAfterMs(request));
   }
 
   /** Records a rejection for an unreachable deadline and returns its error. */
   function recordDeadlineRejection(request: AdmissionRequest): ServingError {
     rejectionCount += 1;
     machine.send('rejected');
-    const message = `${config.name} cannot respond before the deadline`;
-    return new ServingError('deadline-exceeded', message, {
-      run: 'not-run',
-      retryAfterMs: retryAfterMs(request),
-    });
+    return deadlineUnreachableError(config.name, retryAfterMs(request));
   }
 
   /**
@@ -293,33 +253,6 @@
     evictedRequest?.reject(recordOverloadRejection(evictedRequest.request));
   }
 
-  /**
-   * Starts a timer that rejects the request as soon as its deadline can no
-   * longer be met.
-   */
-  function startDeadlineTimer(queuedRequest: QueuedRequest): Disposable {
-    let timer = scheduleCheck();
-    function scheduleCheck(): Disposable {
-      const remainingMs =
-        queuedRequest.request.deadline -
-        clock.now() -
-        waitEstimator.serviceMs();
-      return clock.after(Math.max(MIN_RECHECK_MS, remainingMs), checkDeadline);
-    }
-    function checkDeadline() {
-      const remainingMs = queuedRequest.request.deadline - clock.now();
-      if (remainingMs > waitEstimator.serviceMs()) {
-        timer = scheduleCheck();
-        return;
-      }
-      rejectQueued(
-        queuedRequest,
-        recordDeadlineRejection(queuedRequest.request),
-      );
-    }
-    return {dispose: () => timer.dispose()};
-  }
-
   function enqueue(
     request: AdmissionRequest,
     signal: AbortSignal,
@@ -338,7 +271,13 @@
           signal.removeEventListener('abort', onAbort);
         },
       };
-      const timer = startDeadlineTimer(queuedRequest);
+      const timer = startDeadlineTimer({
+        clock,
+        deadline: request.deadline,
+        serviceMs: () => waitEstimator.serviceMs(),
+        onUnreachable: () =>
+          rejectQueued(queuedRequest, recordDeadlineRejection(request)),
+      });
       const onAbort = () => rejectQueued(queuedRequest, cancelledError());
       signal.addEventListener('abort', onAbort, {once: true});
       queue.enqueue(queuedRequest);
@@ -419,17 +358,3 @@
     }),
   };
 }
-
-function cancelledError(): ServingError {
-  return new ServingError(
-    'cancelled',
-    'the caller cancelled the queued request',
-    {
-      run: 'not-run',
-    },
-  );
-}
-
-function serviceRemovedError(name: string): ServingError {
-  return new ServingError('unknown-service', `the service ${name} was removed`);
-}
--- /dev/null
+++ b/packages/admission/src/rejectionErrors.ts
@@ -0,0 +1,64 @@
+/** Errors of requests that are not admitted. */
+import {ServingError} from '@skylarkfield/base';
+
+/**
+ * Returns the error of a request that finds the queue full, or is evicted from
+ * it.
+ *
+ * @example
+ * throw overloadedError('chat', jitteredRetryAfterMs(waitMs, random));
+ */
+export function overloadedError(
+  service: string,
+  retryAfterMs: number,
+): ServingError {
+  const message = `the concurrency limit of ${service} is reached and its queue is full`;
+  return new ServingError('overloaded', message, {
+    run: 'not-run',
+    retryAfterMs,
+  });
+}
+
+/**
+ * Returns the error of a request whose deadline cannot be met.
+ *
+ * @example
+ * throw deadlineUnreachableError('chat', jitteredRetryAfterMs(waitMs, random));
+ */
+export function deadlineUnreachableError(
+  service: string,
+  retryAfterMs: number,
+): ServingError {
+  const message = `${service} cannot respond before the deadline`;
+  return new ServingError('deadline-exceeded', message, {
+    run: 'not-run',
+    retryAfterMs,
+  });
+}
+
+/**
+ * Returns the error of a queued request that its caller cancelled.
+ *
+ * @example
+ * signal.addEventListener('abort', () => reject(cancelledError()));
+ */
+export function cancelledError(): ServingError {
+  return new ServingError(
+    'cancelled',
+    'the caller cancelled the queued request',
+    {run: 'not-run'},
+  );
+}
+
+/**
+ * Returns the error of a request to a service that was removed.
+ *
+ * @example
+ * throw serviceRemovedError('chat');
+ */
+export function serviceRemovedError(service: string): ServingError {
+  return new ServingError(
+    'unknown-service',
+    `the service ${service} was removed`,
+  );
+}
