standins: move commands and fault state out of the engine simulation

commandExecutor.ts now executes commands and keeps what the engine runs; activeFaults.ts holds the injected faults. Behaviour is unchanged.

--- a/packages/standins/src/engine/simulatedEngine.ts
+++ b/packages/standins/src/engine/simulatedEngine.ts
@@ -16,14 +16,12 @@
   type GenerationRequest,
   type LoadReport,
 } from '@skylarkfield/endpoints';
+import {createActiveFaults} from './activeFaults.js';
 import {createAnswer} from './answerText.js';
 import {createBlockCache} from './blockCache.js';
+import {createCommandExecutor, type RunningState} from './commandExecutor.js';
 import {defaultEngineCosts, type EngineCosts} from './engineCosts.js';
-import {
-  isFaultActive,
-  type EngineFault,
-  type EngineFaultType,
-} from './engineFaults.js';
+import type {EngineFault, EngineFaultType} from './engineFaults.js';
 import {createBoundedMap, type ExportedCache} from './exportedCache.js';
 import {createLoadReports} from './loadReports.js';
 import {
@@ -69,7 +67,7 @@
   importDelayMs(cache: ExportedCache): number;
   importCache(cache: ExportedCache): void;
   executeCommand(order: EndpointCommand): void;
-  running(): {version: string; adapters: readonly string[]; role: string};
+  running(): RunningState;
   setFaults(faults: readonly EngineFault[]): void;
   /** Returns whether a fault of the given type is active. */
   hasFault(type: EngineFaultType): boolean;
@@ -120,11 +118,6 @@
       ),
     }),
   });
-  let faults: readonly EngineFault[] = [];
-  let version = options.version;
-  let role = options.role ?? 'serving';
-  let adapters: string[] = [];
-  let highestFencingToken = 0;
   let stepTimer: Disposable | undefined;
   const totals = {
     requests: 0,
@@ -133,25 +126,18 @@
     generatedTokens: 0,
     importedTokens: 0,
   };
-
-  function activeFaults(): EngineFault[] {
-    const context = {
-      version,
-      running: batch.length + waitingSequences.length,
-      requests: totals.requests,
-    };
-    return faults.filter(fault => isFaultActive(fault, context));
-  }
-
-  function hasFault(type: EngineFaultType): boolean {
-    return activeFaults().some(fault => fault.type === type);
-  }
-
-  function slowdownFactor(): number {
-    return activeFaults()
-      .filter(fault => fault.type === 'slow')
-      .reduce((factor, fault) => factor * (fault.amount ?? 2), 1);
-  }
+  const commandExecutor = createCommandExecutor({
+    clock,
+    version: options.version,
+    role: options.role ?? 'serving',
+    checksFencing: options.checksFencing ?? false,
+    onDidLoad: () => prefixCache.clear(),
+  });
+  const activeFaults = createActiveFaults(() => ({
+    version: commandExecutor.running().version,
+    running: batch.length + waitingSequences.length,
+    requests: totals.requests,
+  }));
 
   function admitWaiting() {
     while (waitingSequences.length > 0 && batch.length < costs.slots) {
@@ -198,7 +184,7 @@
   }
 
   function scheduleStep() {
-    if (stepTimer !== undefined || hasFault('pause')) {
+    if (stepTimer !== undefined || activeFaults.has('pause')) {
       return;
     }
     admitWaiting();
@@ -214,7 +200,7 @@
       costs.stepMs +
       costs.decodeMsPerSequence * decodingSequences.length +
       costs.prefillMsPerToken * prefillTokens;
-    stepTimer = clock.after(durationMs * slowdownFactor(), () => {
+    stepTimer = clock.after(durationMs * activeFaults.slowdownFactor(), () => {
       stepTimer = undefined;
       finishStep(prefillPlan, decodingSequences);
       scheduleStep();
@@ -225,7 +211,7 @@
     prefillPlan: ReadonlyMap<Sequence, number>,
     decodingSequences: readonly Sequence[],
   ) {
-    if (hasFault('pause')) {
+    if (activeFaults.has('pause')) {
       return;
     }
     for (const [sequence, prefilledTokens] of prefillPlan) {
@@ -312,29 +298,12 @@
     );
   }
 
-  const orderHandlers: Record<
-    EndpointCommand['type'],
-    (target: string) => void
-  > = {
-    'load-model': () => prefixCache.clear(),
-    'load-adapter': target => {
-      adapters = [...new Set([...adapters, target])];
-    },
-    'load-version': target => {
-      version = target;
-      prefixCache.clear();
-    },
-    'set-role': target => {
-      role = target;
-    },
-  };
-
   return {
     submit(request, sink) {
       totals.requests += 1;
-      const requestFaults = activeFaults().filter(fault =>
-        random.chance(fault.probability ?? 1),
-      );
+      const requestFaults = activeFaults
+        .list()
+        .filter(fault => random.chance(fault.probability ?? 1));
       if (requestFaults.some(fault => fault.type === 'fail')) {
         sink.fail(new ServingError('endpoint-failed', 'the engine failed'));
         return;
@@ -382,25 +351,13 @@
       totals.importedTokens += exportedCache.tokens;
       prefixCache.store(exportedCache.blocks);
     },
-    executeCommand(order) {
-      if (options.checksFencing && order.fencing < highestFencingToken) {
-        throw new ServingError(
-          'fenced',
-          'the order has an outdated fencing token',
-        );
-      }
-      if (clock.wall() > order.expiresAt) {
-        throw new ServingError('deadline-exceeded', 'the order has expired');
-      }
-      highestFencingToken = Math.max(highestFencingToken, order.fencing);
-      orderHandlers[order.type](order.target);
-    },
-    running: () => ({version, adapters, role}),
+    executeCommand: order => commandExecutor.execute(order),
+    running: () => commandExecutor.running(),
     setFaults(newFaults) {
-      faults = newFaults;
+      activeFaults.setFaults(newFaults);
       scheduleStep();
     },
-    hasFault,
+    hasFault: type => activeFaults.has(type),
     totals: () => ({...totals}),
     dispose() {
       stepTimer?.dispose();
