routing: split the simulated crash fleet of the tests

crashFleetRequests.ts now creates sound and deadly requests, and crashFleetReports.ts gossips and stores the reports of the entries. No test case or bound changes, only the import of DeadlyLoad; the order of the random draws is the same.

--- a/packages/routing/src/test/crashFleet.test.ts
+++ b/packages/routing/src/test/crashFleet.test.ts
@@ -1,10 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {
-  createCrashFleet,
-  type CrashFleet,
-  type DeadlyLoad,
-} from './crashFleet.js';
+import {createCrashFleet, type CrashFleet} from './crashFleet.js';
+import type {DeadlyLoad} from './crashFleetRequests.js';
 
 /** Number of crashes from which on the time to reject the part is limited. */
 const CRASH_COUNT = 5;
--- a/packages/routing/src/test/crashFleet.ts
+++ b/packages/routing/src/test/crashFleet.ts
@@ -12,13 +12,18 @@
   createCrashQuarantine,
   type CrashQuarantine,
 } from '../crashQuarantine.js';
-import {promptPartSuspects} from '../crashSuspects.js';
+import {
+  createReportExchange,
+  type SimulatedEntry,
+} from './crashFleetReports.js';
+import {
+  createRequestSource,
+  type DeadlyLoad,
+  type SimulatedRequest,
+} from './crashFleetRequests.js';
 
 const STEP_MS = 10;
 const GOSSIP_INTERVAL_MS = 300;
-/** Time until gossip, and a stored report, is known to the other entries. */
-const GOSSIP_DELAY_MS = 20;
-const STORE_DELAY_MS = 150;
 
 /** Time from a crash to the start of the endpoint under another id. */
 const RESTART_MS = 3_000;
@@ -30,30 +35,6 @@
 const SURVIVAL_MS = 1_000;
 const MAX_SENDS = 3;
 
-/** Durations of responses in milliseconds, with their shares. */
-const DURATIONS: readonly (readonly [number, number])[] = [
-  [80, 0.45],
-  [900, 0.35],
-  [2_200, 0.2],
-];
-
-/** Customers' shares of the requests. */
-const CUSTOMERS = [0.4, 0.25, 0.2, 0.1, 0.05] as const;
-const TOPIC_COUNT = 72;
-/** Requests of one session, which share a part. */
-const SESSION_LENGTH = 4;
-
-interface SimulatedRequest {
-  readonly id: string;
-  readonly parts: readonly string[];
-  readonly suspectParts: readonly string[];
-  readonly deadlyPart: string | undefined;
-  readonly customer: number;
-  readonly durationMs: number;
-  readonly sentAtMs: number;
-  sends: number;
-}
-
 interface RunningRequest {
   readonly request: SimulatedRequest;
   readonly entry: SimulatedEntry;
@@ -68,13 +49,6 @@
   readonly running: Set<RunningRequest>;
 }
 
-interface SimulatedEntry {
-  readonly index: number;
-  quarantine: CrashQuarantine;
-  /** Entries on different sides do not hear each other. */
-  side: number;
-}
-
 export interface CrashFleetOptions {
   readonly entryCount: number;
   readonly endpointCount: number;
@@ -83,20 +57,6 @@
   readonly seed?: number;
 }
 
-/** Requests with one part that crashes endpoints. */
-export interface DeadlyLoad {
-  readonly part: string;
-  /** Requests that are sent at each time. */
-  readonly count: number;
-  readonly intervalMs: number;
-  /** Position of the part among the first three; drawn anew by default. */
-  readonly position?: number;
-  /** Whether the customers send them in turn; by default the first one does. */
-  readonly ofAllCustomers?: boolean;
-  /** Whether each request has another part, named after `part`. */
-  readonly isChanging?: boolean;
-}
-
 /** What became of sound requests. */
 export interface SoundTotals {
   readonly sent: number;
@@ -141,19 +101,8 @@
   const decisions = createDecisionLog(clock, createSilentLogger());
   const crashes: {part: string; atMs: number}[] = [];
   const arrivals: {part: string; atMs: number}[] = [];
-  const storedReports = new Map<
-    string,
-    ReturnType<CrashQuarantine['reportToStore']>
-  >();
-  const dirtyEntries = new Set<SimulatedEntry>();
   let sound = {sent: 0, served: 0, quarantined: 0};
   let endpointCount = 0;
-  let requestCount = 0;
-  let sessionCount = 0;
-  let isStoreDown = false;
-  let largestStored = 0;
-  let gossiped = 0;
-  let storeWrites = 0;
   let soundBacklog = 0;
   const endpoints = Array.from({length: options.endpointCount}, () => ({
     id: nextEndpointId(),
@@ -162,9 +111,14 @@
   }));
   const entries: SimulatedEntry[] = Array.from(
     {length: options.entryCount},
-    (_, index) => ({index, quarantine: createQuarantine(index), side: 0}),
+    (_, index) => {
+      const id = entryId(index);
+      return {id, quarantine: createQuarantine(id), side: 0};
+    },
   );
-  entries.forEach(watchReports);
+  const requests = createRequestSource(clock, random);
+  const exchange = createReportExchange(clock, entries);
+  entries.forEach(exchange.watchReports);
   run(5);
   sound = {sent: 0, served: 0, quarantined: 0};
 
@@ -177,10 +131,10 @@
     return `e${index}`;
   }
 
-  function createQuarantine(index: number): CrashQuarantine {
+  function createQuarantine(id: string): CrashQuarantine {
     const quarantine = createCrashQuarantine({
       clock,
-      self: entryId(index),
+      self: id,
       decisions,
       wallMs: () => clock.wall(),
     });
@@ -190,109 +144,6 @@
     return quarantine;
   }
 
-  function watchReports(entry: SimulatedEntry): void {
-    entry.quarantine.onDidChange(() => dirtyEntries.add(entry));
-  }
-
-  function writeReports(): void {
-    if (isStoreDown) {
-      return;
-    }
-    for (const entry of dirtyEntries) {
-      const report = entry.quarantine.reportToStore();
-      const name = entryId(entry.index);
-      entry.quarantine.recordStored(report);
-      storedReports.set(name, report);
-      storeWrites += 1;
-      largestStored = Math.max(largestStored, JSON.stringify(report).length);
-      clock.after(STORE_DELAY_MS, () =>
-        entries
-          .filter(other => other !== entry)
-          .forEach(other => other.quarantine.setStoredReport(name, report)),
-      );
-    }
-    dirtyEntries.clear();
-  }
-
-  function gossip(): void {
-    for (const sender of entries) {
-      const report = sender.quarantine.reportToGossip();
-      if (report === undefined) {
-        continue;
-      }
-      const receivers = entries.filter(
-        entry => entry !== sender && entry.side === sender.side,
-      );
-      gossiped += JSON.stringify(report).length * receivers.length;
-      clock.after(GOSSIP_DELAY_MS, () =>
-        receivers.forEach(({quarantine}) => quarantine.mergeGossip(report)),
-      );
-    }
-  }
-
-  function drawFrom<T>(shares: readonly (readonly [T, number])[]): T {
-    let remaining = random.next();
-    for (const [value, share] of shares) {
-      remaining -= share;
-      if (remaining < 0) {
-        return value;
-      }
-    }
-    return shares.at(-1)![0];
-  }
-
-  function drawCustomer(): number {
-    return drawFrom(CUSTOMERS.map((share, index) => [index, share] as const));
-  }
-
-  /** Few topics are popular, most are rare. */
-  function drawTopic(): string {
-    return `topic${Math.floor(TOPIC_COUNT * random.next() ** 2)}`;
-  }
-
-  function createRequest(
-    customer: number,
-    parts: readonly string[],
-    deadlyPart?: string,
-  ): SimulatedRequest {
-    requestCount += 1;
-    const allParts = [...parts, `own${requestCount}`];
-    return {
-      id: `r${requestCount}`,
-      parts: allParts,
-      suspectParts: promptPartSuspects('m', allParts),
-      deadlyPart,
-      customer,
-      durationMs: drawFrom(DURATIONS),
-      sentAtMs: clock.now(),
-      sends: 0,
-    };
-  }
-
-  function createSoundRequest(): SimulatedRequest {
-    if (random.next() < 1 / SESSION_LENGTH) {
-      sessionCount += 1;
-    }
-    const recentSession = sessionCount - Math.floor(random.next() * 20);
-    const customer = drawCustomer();
-    return createRequest(customer, [
-      `customer${customer}`,
-      drawTopic(),
-      `session${recentSession}`,
-    ]);
-  }
-
-  function createDeadlyRequest(
-    {part, position, ofAllCustomers, isChanging}: DeadlyLoad,
-    index: number,
-  ): SimulatedRequest {
-    const customer = ofAllCustomers ? index % CUSTOMERS.length : 0;
-    const deadlyPart = isChanging ? `${part}${requestCount}` : part;
-    const parts = [`customer${customer}`, drawTopic()];
-    parts.splice(position ?? Math.floor(random.next() * 3), 0, deadlyPart);
-    return createRequest(customer, parts, part);
-  }
-
   function send(entry: SimulatedEntry, request: SimulatedRequest): void {
     const {id, suspectParts} = request;
     const verdict = entry.quarantine.verdictFor(id, suspectParts);
@@ -378,7 +229,7 @@
     soundBacklog += (options.soundRate * STEP_MS) / 1_000;
     for (; soundBacklog >= 1; soundBacklog -= 1) {
       sound.sent += 1;
-      send(randomEntry(), createSoundRequest());
+      send(randomEntry(), requests.createSoundRequest());
     }
   }
 
@@ -388,7 +239,7 @@
     }
     for (let index = 0; index < load.count; index++) {
       const number = elapsedMs / load.intervalMs + index;
-      send(randomEntry(), createDeadlyRequest(load, number));
+      send(randomEntry(), requests.createDeadlyRequest(load, number));
     }
   }
 
@@ -398,9 +249,9 @@
       loads.forEach(load => sendDeadly(load, elapsedMs));
       clock.advanceSync(STEP_MS);
       endpoints.forEach(runEndpoint);
-      writeReports();
+      exchange.writeReports();
       if (elapsedMs % GOSSIP_INTERVAL_MS === 0) {
-        gossip();
+        exchange.gossip();
       }
     }
   }
@@ -416,21 +267,14 @@
     restart(indices) {
       for (const index of indices) {
         const entry = entries[index]!;
-        entry.quarantine = createQuarantine(index);
-        watchReports(entry);
-        dirtyEntries.delete(entry);
-        storedReports.forEach((report, name) =>
-          name === entryId(index)
-            ? entry.quarantine.restoreOwnReport(report)
-            : entry.quarantine.setStoredReport(name, report),
-        );
+        entry.quarantine = createQuarantine(entry.id);
+        exchange.watchReports(entry);
+        exchange.restoreReports(entry);
       }
     },
     cut: indices => indices.forEach(index => (entries[index]!.side = 1)),
     heal: () => entries.forEach(entry => (entry.side = 0)),
-    setStoreDown(isDown) {
-      isStoreDown = isDown;
-    },
+    setStoreDown: isDown => exchange.setStoreDown(isDown),
     crashTimes: part =>
       crashes.filter(item => item.part === part).map(({atMs}) => atMs),
     arrivalsSince: (part, sinceMs) =>
@@ -441,7 +285,7 @@
       return totals;
     },
     now: () => clock.now(),
-    reportBytes: () => ({largestStored, gossiped}),
-    storeWrites: () => storeWrites,
+    reportBytes: () => exchange.reportBytes(),
+    storeWrites: () => exchange.storeWrites(),
   };
 }
