routing: refute a reported crash by any entry's response

An entry took an endpoint for crashed if it closed a connection and answered no later request of this entry within 300 ms. Nothing could take back a crash that was confirmed.

A response to a request that was sent 250 ms to 1 s after the crash, at any entry, now refutes it at all entries: digests tell the interval in which the endpoint did not crash, and the reporting entry removes the crash from its stored report. Earlier sends prove nothing, as the entries' clocks differ, and later ones may reach a new process.

--- a/packages/gateway/src/peerReports.ts
+++ b/packages/gateway/src/peerReports.ts
@@ -17,7 +17,7 @@
 import type {EndpointLoad, Messages} from '@skylarkfield/protocol';
 import {
   mergeRateLimitReports,
-  type CrashReport,
+  type CrashGossip,
   type DepartureReport,
   type RateLimitReports,
 } from '@skylarkfield/routing';
@@ -47,7 +47,7 @@
   /** Endpoints that have announced that they leave, as this entry knows. */
   readonly departures: DepartureReport;
   /** Endpoint crashes to propagate now; undefined if there are none. */
-  readonly crashes?: CrashReport | undefined;
+  readonly crashes?: CrashGossip | undefined;
   /** Work rate of each service. */
   readonly work: Readonly<Record<string, WorkRate>>;
   /**
--- a/packages/gateway/src/reportSums.ts
+++ b/packages/gateway/src/reportSums.ts
@@ -3,8 +3,8 @@
 import type {EndpointLoad} from '@skylarkfield/protocol';
 import {
   addLoads,
-  mergeCrashReports,
-  type CrashReport,
+  mergeCrashGossip,
+  type CrashGossip,
 } from '@skylarkfield/routing';
 import {addWork, ZERO_WORK} from '@skylarkfield/traffic';
 
@@ -63,12 +63,10 @@
  * crashes = addCrashes(crashes, origin.digest.crashes);
  */
 export function addCrashes(
-  a: CrashReport | undefined,
-  b: CrashReport | undefined,
-): CrashReport | undefined {
-  return a === undefined || b === undefined
-    ? (a ?? b)
-    : mergeCrashReports(a, b);
+  a: CrashGossip | undefined,
+  b: CrashGossip | undefined,
+): CrashGossip | undefined {
+  return a === undefined || b === undefined ? (a ?? b) : mergeCrashGossip(a, b);
 }
 
 /**
--- a/packages/protocol/src/messages/gatewayMessages.ts
+++ b/packages/protocol/src/messages/gatewayMessages.ts
@@ -114,6 +114,14 @@
         readonly weight?: number | undefined;
       }[];
       readonly served: Readonly<Record<string, number>>;
+      /** Intervals in which endpoints did not crash, in wall-clock ms. */
+      readonly uptimes?:
+        | readonly {
+            readonly endpoint: string;
+            readonly fromMs: number;
+            readonly toMs: number;
+          }[]
+        | undefined;
     };
     /** Quota amounts granted since the sender's start, by customer. */
     readonly used: Readonly<Record<string, number>>;
--- a/packages/routing/src/crashQuarantine.ts
+++ b/packages/routing/src/crashQuarantine.ts
@@ -15,6 +15,7 @@
 } from '@skylarkfield/base';
 import {createCrashDetector, type CrashDetector} from './crashDetector.js';
 import type {Crash, CrashReport} from './crashEvidence.js';
+import type {CrashGossip} from './crashGossip.js';
 import {createCrashSources} from './crashSources.js';
 import {suspectKindOf} from './crashSuspects.js';
 import {createCrashTrials, TRIAL_TIMEOUT_MS} from './crashTrials.js';
@@ -53,7 +54,7 @@
    */
   removeStoredReport(entry: string): void;
   /** Merges a report gossiped by another entry, which may not be stored yet. */
-  mergeGossip(report: CrashReport): void;
+  mergeGossip(gossip: CrashGossip): void;
   /** Merges the report that this entry stored before a restart. */
   restoreOwnReport(report: CrashReport): void;
   /** Returns this entry's report to be stored, with confirmed crashes only. */
@@ -63,7 +64,7 @@
    */
   recordStored(report: CrashReport): void;
   /** Returns recent or not yet stored evidence to gossip; undefined if none. */
-  reportToGossip(): CrashReport | undefined;
+  reportToGossip(): CrashGossip | undefined;
   /** Sets the ids of the entries, one of which runs the trial of a suspect. */
   setEntries(entries: readonly string[]): void;
   /** Fires when the report to be stored changes. */
@@ -104,10 +105,12 @@
     onDidComplete: recordCompleted,
   });
   const sources = createCrashSources({
+    clock,
     self,
     wallMs,
     isUnconfirmed: detector.isUnconfirmed,
     onDidChange: updateQuarantinedSuspects,
+    onDidRefuteOwn: () => changeEmitter.fire(),
   });
 
   function verdictOn(suspect: string): QuarantineVerdict {
@@ -155,7 +158,7 @@
       } else {
         quarantinedSuspects.delete(suspect);
         const why =
-          'it received a complete response or its crashes have expired';
+          'it received a complete response, or its crashes were refuted or have expired';
         logThreshold('end quarantine', why, history);
       }
     }
@@ -181,7 +184,9 @@
   function addConfirmedCrashes(crashes: readonly Crash[]): void {
     // A response that came since the crash has cleared its suspect.
     const relevantCrashes = crashes.filter(
-      ({request, atMs}) => sources.historyOf(request).servedAtMs < atMs,
+      crash =>
+        sources.historyOf(crash.request).servedAtMs < crash.atMs &&
+        !sources.isRefuted(crash),
     );
     if (relevantCrashes.length === 0) {
       return;
@@ -240,6 +245,10 @@
 
   return {
     ...detector,
+    recordResponse(endpoint, sentAt) {
+      detector.recordResponse(endpoint, sentAt);
+      sources.recordResponse(endpoint, sentAt);
+    },
     isEmpty: sources.isEmpty,
     verdictFor: (request, parts = []) =>
       [request, ...parts].map(verdictOn).reduce(moreSevere, CLEAR_VERDICT),
--- a/packages/routing/src/crashSources.ts
+++ b/packages/routing/src/crashSources.ts
@@ -2,6 +2,7 @@
  * Sources of crash evidence of one entry: what it observed itself, what the
  * other entries store, and what they gossip.
  */
+import type {Clock} from '@skylarkfield/base';
 import {
   crashKey,
   createCrashEvidence,
@@ -14,7 +15,9 @@
   type Crash,
   type CrashReport,
 } from './crashEvidence.js';
+import type {CrashGossip} from './crashGossip.js';
 import {suspectKindOf} from './crashSuspects.js';
+import {createCrashUptimes} from './crashUptimes.js';
 import {CRASH_TTL_MS, type CrashHistory} from './crashVerdict.js';
 
 /** Evidence of one entry; changes are reported by suspect. */
@@ -46,13 +49,20 @@
   setStored(entry: string, report: CrashReport): void;
   /** Removes the evidence of an entry, and all gossiped evidence. */
   removeStored(entry: string): void;
-  mergeGossip(report: CrashReport): void;
+  mergeGossip(gossip: CrashGossip): void;
+  /**
+   * Records a response to a request that was sent at `sentAt`, in monotonic
+   * milliseconds.
+   */
+  recordResponse(endpoint: string, sentAt: number): void;
+  /** Whether an entry had a response that refutes the crash. */
+  isRefuted(crash: Crash): boolean;
   /** Returns the own report with confirmed crashes only. */
   ownReport(): CrashReport;
   /** Records the report that was stored, where other entries read it. */
   recordStored(report: CrashReport): void;
   /** Returns recent or not yet stored own evidence; undefined if none. */
-  reportToGossip(): CrashReport | undefined;
+  reportToGossip(): CrashGossip | undefined;
 }
 
 /** Time for which stored evidence is still gossiped: several digests. */
@@ -82,6 +92,7 @@
  * sources.historyOf(crash.request).crashes.length; // 1
  */
 export function createCrashSources(options: {
+  readonly clock: Clock;
   readonly self: string;
   /** Returns wall-clock milliseconds, comparable between entries. */
   wallMs(): number;
@@ -89,9 +100,12 @@
   isUnconfirmed(crash: Crash): boolean;
   /** Called with the suspects whose evidence has changed. */
   onDidChange(suspects: ReadonlySet<string>): void;
+  /** Called when confirmed own crashes are removed, since they are refuted. */
+  onDidRefuteOwn(): void;
 }): CrashSources {
   const {self, wallMs, onDidChange} = options;
   const evidence = createCrashEvidence();
+  const uptimes = createCrashUptimes(options);
   let lastStoredReport: CrashReport = EMPTY_CRASH_REPORT;
 
   function oldestMs(): number {
@@ -106,7 +120,37 @@
   }
 
   function setReport(source: string, report: CrashReport): void {
-    onDidChange(evidence.setReport(source, report));
+    const hasRefuted = uptimes.recordCrashes(report.crashes);
+    setUnrefuted(source, report);
+    if (hasRefuted) {
+      removeRefuted();
+    }
+  }
+
+  function setUnrefuted(source: string, report: CrashReport): void {
+    onDidChange(evidence.setReport(source, withoutRefuted(report)));
+  }
+
+  function withoutRefuted<T extends CrashReport>(report: T): T {
+    return report.crashes.some(uptimes.isRefuted)
+      ? {
+          ...report,
+          crashes: report.crashes.filter(crash => !uptimes.isRefuted(crash)),
+        }
+      : report;
+  }
+
+  function removeRefuted(): void {
+    const hasRefutedOwn = ownReport().crashes.some(uptimes.isRefuted);
+    for (const source of evidence.sources()) {
+      const report = evidence.reportOf(source);
+      if (report.crashes.some(uptimes.isRefuted)) {
+        setUnrefuted(source, report);
+      }
+    }
+    if (hasRefutedOwn) {
+      options.onDidRefuteOwn();
+    }
   }
 
   function setBounded(
@@ -196,7 +240,11 @@
       onDidChange(evidence.removeReport(source));
       onDidChange(evidence.removeReport(GOSSIP_SOURCE));
     },
-    mergeGossip(report) {
+    mergeGossip({uptimes: reportedUptimes = [], ...gossipedReport}) {
+      if (uptimes.add(reportedUptimes)) {
+        removeRefuted();
+      }
+      const report = withoutRefuted(gossipedReport);
       const known = evidence.reportOf(GOSSIP_SOURCE);
       if (hasNewEvidence(known, report)) {
         // The crash that a recent response clears may not be known here yet.
@@ -207,12 +255,19 @@
         setBounded(GOSSIP_SOURCE, merged, MAX_GOSSIPED_CRASHES);
       }
     },
+    recordResponse(endpoint, sentAt) {
+      if (uptimes.recordResponse(endpoint, sentAt)) {
+        removeRefuted();
+      }
+    },
+    isRefuted: uptimes.isRefuted,
     ownReport,
     recordStored(report) {
       lastStoredReport = report;
     },
     reportToGossip() {
-      if (evidence.isEmpty()) {
+      const ownUptimes = uptimes.recentOwn();
+      if (evidence.isEmpty() && ownUptimes.length === 0) {
         return undefined;
       }
       const report = recentReport(
@@ -220,6 +275,9 @@
         lastStoredReport,
         wallMs() - GOSSIP_MS,
       );
+      if (ownUptimes.length > 0) {
+        return {...report, uptimes: ownUptimes};
+      }
       const isEmptyReport =
         report.crashes.length === 0 && Object.keys(report.served).length === 0;
       return isEmptyReport ? undefined : report;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -23,8 +23,8 @@
 export {promptPartSuspects} from './crashSuspects.js';
 export {
   EMPTY_CRASH_REPORT,
-  mergeCrashReports,
   type Crash,
   type CrashReport,
 } from './crashEvidence.js';
+export {mergeCrashGossip, type CrashGossip} from './crashGossip.js';
 export type {LostRequest} from './crashDetector.js';
