--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -3,7 +3,6 @@
 import {
   createDisposableStore,
   createEmitter,
-  throttle,
   type Disposable,
 } from '@skylarkfield/base';
 import {
@@ -13,13 +12,8 @@
   type Router,
 } from '@skylarkfield/routing';
 import {
-  answerWork,
   createUsageWindows,
-  fitsKvCache,
   TOKENS_PER_KEY,
-  promptWork,
-  type ServiceConfig,
-  type ModelDemand,
   type Rollout,
   type UsageWindows,
 } from '@skylarkfield/traffic';
@@ -27,13 +21,13 @@
 import type {Coordination} from './coordination.js';
 import {createCallerHandler, type CallerHandler} from './callerHandler.js';
 import {MS_PER_SECOND, type GatewayContext} from './context.js';
-import type {CallHead} from './contracts.js';
 import {crashReportSource, startCrashPersistence} from './crashPersistence.js';
 import {PEER_TIMEOUT_MS, type Digests} from './digests.js';
 import {
   createEndpointDirectory,
   type EndpointDirectory,
 } from './endpointDirectory.js';
+import {startEndpointRefresh} from './endpointRefresh.js';
 import {createEndpointReports} from './endpointReports.js';
 import {
   createEngineCapacityStore,
@@ -54,11 +48,13 @@
 import {createPlatformView} from './platformView.js';
 import {createActivePolicy, type ActivePolicy} from './activePolicy.js';
 import {createReadiness, type Readiness} from './readiness.js';
+import {createRequestWork} from './requestWork.js';
 import {
   createRolloutController,
   type RolloutController,
 } from './rolloutController.js';
 import {eventIntervalSampleOf, sampleOf} from './rolloutSample.js';
+import {createServiceCatalog} from './serviceCatalog.js';
 import {startTrafficDigests} from './trafficDigests.js';
 import {createUpstreams} from './upstream.js';
 
@@ -82,13 +78,6 @@
  */
 const KEY_MARGIN_MS = 500;
 
-/**
- * Minimum interval of applying changed endpoints, in milliseconds. Applying
- * them takes time in proportion to all endpoints, and each registers and
- * changes by itself.
- */
-const REFRESH_INTERVAL_MS = 100;
-
 /**
  * Creates the request path, and starts to mirror the platform's objects and to
  * exchange digests.
@@ -122,12 +111,7 @@
     log,
     maxPolicyAgeMs: settings.keyRevocationMs - KEY_MARGIN_MS,
   });
-  const findService = (name: string): ServiceConfig | undefined =>
-    policy.services().find(service => service.name === name);
-  const isModel = (service: string): boolean =>
-    findService(service)?.engine !== undefined;
-  const fitsEngineMemory = (service: string, demand: ModelDemand): boolean =>
-    fitsKvCache(demand, findService(service)?.engine);
+  const services = createServiceCatalog(policy);
   const peerReports = createPeerReports({
     clock,
     failureDomain: settings.failureDomain,
@@ -142,17 +126,14 @@
     reports: peerReports,
     log,
     restored: engineCapacityStore.restoredStats,
-    isModel,
+    isModel: services.isModel,
     latencyTargets: policy.routesTo,
   });
-  const {work} = engineEstimates;
-  const tokensPerEvent = (service: string): number =>
-    findService(service)?.engine?.tokensPerEvent ?? 1;
   const upstreams = disposables.add(createUpstreams(context.connectEndpoint));
   const limits = createGatewayLimits(context, membership, {
     router: () => router,
     directory: () => directory,
-    findService,
+    findService: services.find,
     onDidChangeSlots: () => admissionConfigurator.update(),
   });
   const {rateLimits, warmUps, slotShares, rests} = limits;
@@ -176,8 +157,8 @@
     departures,
     upstreams,
     log,
-    isModel,
-    warmUpMs: service => findService(service)?.warmUp?.durationMs ?? 0,
+    isModel: services.isModel,
+    warmUpMs: services.warmUpMs,
     regionOf: failureDomain => settings.regions[failureDomain],
   });
   const crashQuarantine = createCrashQuarantine({
@@ -230,22 +211,16 @@
     policy,
     isBrittle: slotShares.isBrittle,
   });
-  const refreshSoon = throttle(clock, REFRESH_INTERVAL_MS, refreshEndpoints);
-  const endpointMirrors = [
-    platformView.endpoints,
-    platformView.rollouts,
-    platformView.domainDrains,
-  ];
-
-  function applyEndpointChange(): void {
-    const isFirstCompleteView =
-      !directory.isLoaded() &&
-      endpointMirrors.every(mirror => mirror.isLoaded());
-    // Callers wait for the first one.
-    (isFirstCompleteView ? refreshEndpoints : refreshSoon)();
-  }
-
-  endpointMirrors.forEach(mirror => mirror.onDidChange(applyEndpointChange));
+  const refreshSoon = startEndpointRefresh({
+    clock,
+    mirrors: [
+      platformView.endpoints,
+      platformView.rollouts,
+      platformView.domainDrains,
+    ],
+    isViewLoaded: directory.isLoaded,
+    refresh: refreshEndpoints,
+  });
   const readiness = disposables.add(
     createReadiness({
       policy,
@@ -342,8 +317,8 @@
       admission,
       upstreams,
       engineEstimates,
-      tokensPerEvent,
-      fitsKvCache: fitsEngineMemory,
+      tokensPerEvent: services.tokensPerEvent,
+      fitsKvCache: services.fitsKvCache,
       isRollingOut: rolloutController.isRollingOut,
       isServing,
       onDidRun(customer, wallMs) {
@@ -370,6 +345,7 @@
     }
   }
 
+  const requestWork = createRequestWork(engineEstimates.work, services);
   const handler = createCallerHandler({
     policy,
     chargeQuota: gatewayQuotas.charge,
@@ -391,17 +367,8 @@
     log,
     chooseGroup: rolloutController.groupFor,
     onDidConclude: recordSample,
-    onDidAccept(service: string, {demand}: CallHead) {
-      if (demand !== undefined && fitsEngineMemory(service, demand)) {
-        work.record(service, promptWork(demand));
-      }
-    },
-    onDidAnswer(service: string, {demand}: CallHead, eventCount: number) {
-      if (demand !== undefined && fitsEngineMemory(service, demand)) {
-        const outputTokens = eventCount * tokensPerEvent(service);
-        work.record(service, answerWork(demand, outputTokens));
-      }
-    },
+    onDidAccept: requestWork.recordPrompt,
+    onDidAnswer: requestWork.recordAnswer,
   });
   context.dumps.add('view', () => platformView.dump());
   context.dumps.add('routing', () => router.dump());
