duties: shorten the comment on the fuzz test to one line

Change: one line names the failure that the test guards against. The reason in full: holders are paused until after their leases have expired, replies are lost, the platform fails and returns from copies; two valid holders of a duty would then start hosts twice and send conflicting commands to endpoints. The test itself does not change.

--- a/packages/duties/src/test/duties.fuzz.test.ts
+++ b/packages/duties/src/test/duties.fuzz.test.ts
@@ -62,9 +62,7 @@
   magnitude: fc.integer({min: 0, max: 100}).map(percent => percent / 100),
 });
 
-// Holders are paused until after their leases have expired, replies are lost,
-// the platform fails and returns from copies. Two valid holders of a duty would start hosts twice
-// and send conflicting commands to endpoints.
+// Guards against two holders that start hosts twice and send conflicting commands.
 test(
   `duties: a duty never has two valid holders (${runs} schedules, seed ${seed})`,
   {timeout: TIMEOUT_MS},
