members: name the updates of a gossip batch as such

Cause: the batch called its member updates "news", which only the messages between entries have to.

Change: GossipBatch.updates replaces GossipBatch.news, and the heartbeat sets its field "news" from it. The message is unchanged.

--- a/packages/members/src/gossip.ts
+++ b/packages/members/src/gossip.ts
@@ -3,7 +3,7 @@
 
 /** Updates carried by one heartbeat. */
 export interface GossipBatch {
-  readonly news: readonly MemberUpdate[];
+  readonly updates: readonly MemberUpdate[];
   readonly changes: readonly MemberChange[];
 }
 
@@ -34,7 +34,8 @@
  *
  * @example
  * gossip.add(update);
- * network.broadcast('heartbeat', {...head, ...gossip.dequeueBatch()});
+ * const {updates, changes} = gossip.dequeueBatch();
+ * network.broadcast('heartbeat', {...head, news: updates, changes});
  */
 export function createGossipQueue(): GossipQueue {
   const queue = new Map<string, MemberUpdate>();
@@ -60,7 +61,7 @@
           changes.push(change);
         }
       }
-      return {news: updates, changes};
+      return {updates, changes};
     },
     size: () => queue.size,
   };
--- a/packages/members/src/heartbeats.ts
+++ b/packages/members/src/heartbeats.ts
@@ -41,14 +41,14 @@
 
   return {
     send(neighbourIds) {
-      const {news, changes} = gossip.dequeueBatch();
+      const {updates, changes} = gossip.dequeueBatch();
       const {incarnation, sequence, load} = localMember.currentUpdate();
       const digest = table.digestWith(localMember.baseUpdate());
       const body = {
         incarnation,
         sequence,
         load,
-        news,
+        news: updates,
         digest,
         ...(changes.length > 0 && {changes}),
       };
