gateway: probe a paused endpoint twice before it counts as failed

Cause: a stream that went on elsewhere while its endpoint stood still is no evidence if that endpoint responds to one probe of 300 ms. The probe may be one that was sent for another request while the endpoint still stood still; it times out although the endpoint went on some 100 ms ago. One such error in a short rollout is "34 % confidence", two are "21 %": the incumbent has none, and the last step requires 38 %.

Change: the stream counts as an error only if a second probe, sent after the first one, is not answered either.

--- a/packages/gateway/src/pathEvidence.ts
+++ b/packages/gateway/src/pathEvidence.ts
@@ -9,6 +9,13 @@
 
 type Reach = Pick<EndpointReach, 'whenDecided'>;
 
+/**
+ * Number of probes in a row that an endpoint which stood still leaves without an
+ * answer before that counts as a failure. The first one may have been sent for
+ * another request, long before the endpoint went on.
+ */
+const MAX_UNANSWERED_PROBES = 2;
+
 /**
  * Returns a meter that records a late request only once it is known that the
  * paths of this entry were not at fault.
@@ -47,16 +54,26 @@
   reach: Reach & Pick<EndpointReach, 'isResponding'>,
   record: (sample: RolloutSample) => void,
 ): (sample: RolloutSample) => void {
+  async function areResponding(
+    service: string,
+    endpoints: readonly string[],
+  ): Promise<boolean> {
+    const answers = await Promise.all(
+      endpoints.map(endpoint => reach.isResponding(service, endpoint)),
+    );
+    return answers.every(Boolean);
+  }
+
   async function recordIfSilent(
     sample: RolloutSample,
     endpoints: readonly string[],
   ): Promise<void> {
-    const answers = await Promise.all(
-      endpoints.map(endpoint => reach.isResponding(sample.service, endpoint)),
-    );
-    if (answers.includes(false)) {
-      record(sample);
+    for (let count = 0; count < MAX_UNANSWERED_PROBES; count++) {
+      if (await areResponding(sample.service, endpoints)) {
+        return;
+      }
     }
+    record(sample);
   }
 
   return sample => {
