gateway: keep a silent attempt while its hedge cannot end the stream

A hedge superseded the silent attempt of its stream with its first event. If the end of the hedge was unmarked (no length, no chunks), it could not complete a response that had begun with chunks, so a stream of which the caller had all events was broken off: "the end of the stream is not marked". The attempt that would have gone on after its pause was gone.

An attempt that cannot complete the response now passes on its events without superseding the others. If the silent one goes on, it leads, and repeats nothing: events with an id that the caller has, and those without one before them, are dropped, and its end counts only after the last of them. A further attempt that the route permits may confirm the end, too. No attempt is sent that was not sent before.

--- a/packages/bench/src/engines/engineReplay.ts
+++ b/packages/bench/src/engines/engineReplay.ts
@@ -138,6 +138,8 @@
       begin() {},
       write: () => true,
       whenDrained() {},
+      lastEventId: () => undefined,
+      canFinish: () => true,
       finish: () => true,
     });
     const engine = engines.get(choice.endpoint)!;
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -20,12 +20,9 @@
 } from './attemptErrors.js';
 import {isServerError, resultOfLostConnection} from './attemptOutcome.js';
 import {createBodyBuffer, MAX_BODY_BYTES} from './bodyBuffer.js';
-import {
-  createEventFramer,
-  MAX_EVENT_BYTES,
-  type EventFrame,
-} from './eventFramer.js';
+import {MAX_EVENT_BYTES, type EventFrame} from './eventFramer.js';
 import {createStallTimer, type Stall} from './stallTimer.js';
+import {createStreamDelivery, type StreamDelivery} from './streamDelivery.js';
 import type {UpstreamRequest, Upstreams} from './upstream.js';
 
 /** Result of an attempt. */
@@ -80,6 +77,8 @@
 export interface EventSink {
   /** Whether a head has been passed on. */
   hasBegun(): boolean;
+  /** Id of the last event passed on; undefined before any such event. */
+  lastEventId(): number | undefined;
   /**
    * Passes on status, headers and how the end will be marked; ignored if they
    * have already been sent.
@@ -92,10 +91,14 @@
   write(frame: EventFrame): boolean;
   /** Calls back once, when buffered data has been written to the caller. */
   whenDrained(callback: () => void): void;
+  /**
+   * Whether an end that is marked in the given way completes the response to the
+   * caller, who would else take an unmarked end for a marked one.
+   */
+  canFinish(framing: ResponseFraming): boolean;
   /**
    * Ends a stream after the bytes that follow the last event. Returns false, and
-   * does not end it, if the caller would take the end for a marked one although
-   * it is not.
+   * does not end it, if such an end does not complete the response.
    */
   finish(remainder: Buffer, framing: ResponseFraming): boolean;
 }
@@ -124,7 +127,7 @@
    */
   readonly sink: EventSink | undefined;
   /** The attempt's part in the race of its request. */
-  readonly race: Pick<RaceEntry, 'lead' | 'onDidSupersede'>;
+  readonly race: Omit<RaceEntry, 'isSuperseded'>;
   /**
    * Time without received data after which the attempt has stalled, in
    * milliseconds; undefined if it never does.
@@ -174,11 +177,10 @@
   return new Promise(resolve => {
     const {clock, format, signal, sink, race, stallTimeoutMs} = options;
     const body = createBodyBuffer();
-    const framer = createEventFramer();
+    const resumedId = sink?.lastEventId();
+    let delivery: StreamDelivery | undefined;
     let responseHead: StreamHead | undefined;
     let head: ResponseHead | undefined;
-    let isStream = false;
-    let hasBegun = false;
     let isSettled = false;
     const subscriptions = createDisposableStore();
     const stallTimer = createStallTimer({
@@ -255,11 +257,9 @@
     }
 
     function reportBegin(): void {
-      if (hasBegun || head === undefined) {
-        return;
+      if (head !== undefined) {
+        options.onDidBegin(head);
       }
-      hasBegun = true;
-      options.onDidBegin(head);
     }
 
     function onDidRespond(
@@ -283,41 +283,39 @@
       options.onDidRespond(head);
       const isSuccess =
         status >= FIRST_SUCCESS_STATUS && status < FIRST_REDIRECT_STATUS;
-      isStream = sink !== undefined && isSuccess;
-      if (!isStream && !head.isNotRun) {
+      if (sink !== undefined && isSuccess) {
+        delivery = createStreamDelivery({
+          head: responseHead,
+          resumedId,
+          sink,
+          race,
+          onDidBegin: reportBegin,
+          onDidFill: () => pauseUntilDrained(sink),
+        });
+      } else if (!head.isNotRun) {
         reportBegin();
       }
     }
 
-    function forwardFrame(frame: EventFrame): void {
-      if (responseHead === undefined || sink === undefined) {
-        return;
-      }
-      race.lead();
-      if (!hasBegun) {
-        reportBegin();
-        sink.begin(responseHead);
-      }
-      if (!sink.write(frame)) {
-        exchange.pause();
-        stallTimer.pause();
-        sink.whenDrained(() => {
-          stallTimer.resume();
-          exchange.resume();
-        });
-      }
+    function pauseUntilDrained({whenDrained}: EventSink): void {
+      exchange.pause();
+      stallTimer.pause();
+      whenDrained(() => {
+        stallTimer.resume();
+        exchange.resume();
+      });
     }
 
     function onDidReceive(chunk: Buffer): void {
       recordReceived();
-      if (!isStream) {
+      if (delivery === undefined) {
         if (!body.push(chunk)) {
           abort(oversizedError('response', MAX_BODY_BYTES));
         }
         return;
       }
-      framer.push(chunk).forEach(forwardFrame);
-      if (framer.remainderBytes() > MAX_EVENT_BYTES) {
+      delivery.receive(chunk);
+      if (delivery.bufferedBytes() > MAX_EVENT_BYTES) {
         abort(oversizedError('event', MAX_EVENT_BYTES));
       }
     }
@@ -335,32 +333,8 @@
         settle({type: 'declined', status: responseHead.status});
         return;
       }
-      if (isStream && framer.isInsideEvent()) {
-        settle({
-          type: 'failed',
-          error: interruptedError('the stream ended inside an event'),
-          ...(framing === 'close' && {loss: 'closed' as const}),
-        });
-        return;
-      }
-      if (isStream && sink !== undefined) {
-        race.lead();
-        if (!hasBegun) {
-          reportBegin();
-          sink.begin(responseHead);
-        }
-        const remainder = framer.remainder();
-        if (!sink.finish(remainder, framing)) {
-          settle({
-            type: 'failed',
-            error: interruptedError('the end of the stream is not marked'),
-          });
-          return;
-        }
-        settle({
-          type: 'streamed',
-          end: {framing, remainderBytes: remainder.length},
-        });
+      if (delivery !== undefined) {
+        settle(delivery.end(framing));
         return;
       }
       if (!isServerError(responseHead.status) && sink?.hasBegun() !== true) {
--- a/packages/gateway/src/callerReply.ts
+++ b/packages/gateway/src/callerReply.ts
@@ -97,12 +97,17 @@
     return tellsFraming ? toldFraming !== 'close' : response.chunkedEncoding;
   }
 
+  function canFinish(framing: ResponseFraming): boolean {
+    return !response.headersSent || framing !== 'close' || !isEndMarked();
+  }
+
   return {
     hasBegun: () => response.headersSent,
     lastEventId: () => lastEventId,
     eventCount: () => eventCount,
     sink: {
       hasBegun: () => response.headersSent,
+      lastEventId: () => lastEventId,
       begin({status, headers, framing}) {
         if (!response.headersSent) {
           writeHead(status, format.buildCallerHeaders(headers), framing);
@@ -120,8 +125,9 @@
         return response.write(bytes);
       },
       whenDrained: callback => response.once('drain', callback),
+      canFinish,
       finish(remainder, framing) {
-        if (framing === 'close' && isEndMarked()) {
+        if (!canFinish(framing)) {
           return false;
         }
         response.end(remainder.length > 0 ? remainder : undefined);
--- a/packages/gateway/src/test/attempt.test.ts
+++ b/packages/gateway/src/test/attempt.test.ts
@@ -153,6 +153,8 @@
         begin() {},
         write: ({id}) => sentIds.push(id) > 0,
         whenDrained() {},
+        lastEventId: () => undefined,
+        canFinish: () => true,
         finish: () => true,
       },
     });
--- a/packages/gateway/src/test/handoverEnds.test.ts
+++ b/packages/gateway/src/test/handoverEnds.test.ts
@@ -176,6 +176,8 @@
         return true;
       },
       whenDrained() {},
+      lastEventId: () => undefined,
+      canFinish: () => true,
       finish: () => true,
     };
     const result = await handovers.run(
--- a/packages/gateway/src/test/virtualRollout.ts
+++ b/packages/gateway/src/test/virtualRollout.ts
@@ -116,6 +116,8 @@
         return true;
       },
       whenDrained() {},
+      lastEventId: () => lastEventId,
+      canFinish: () => true,
       finish() {
         received.isComplete = true;
         return true;
