routing: refute crashes by data of requests in flight

A silent endpoint counts as crashed once its registration goes without notice. That also happens to a sound endpoint that stands still: an entry that cannot read the store misses that the endpoint drained, and lists the registrations again once it is removed.

Data of a request that was sent before the loss, and that arrives over 1 s after the loss, or after another entry's crash report, now refutes the crash at all entries: it is the same process. Data within 1 s may have waited in a socket.

--- a/packages/gateway/src/endpointAttempts.ts
+++ b/packages/gateway/src/endpointAttempts.ts
@@ -8,7 +8,7 @@
   SlotShares,
   WarmUps,
 } from '@skylarkfield/routing';
-import {countOwnTokens, type RegisteredEndpoint} from '@skylarkfield/traffic';
+import type {RegisteredEndpoint} from '@skylarkfield/traffic';
 import {runAttempt, type AttemptResult} from './attempt.js';
 import {createAttemptEvidence} from './attemptEvidence.js';
 import {
@@ -28,6 +28,7 @@
 import {createHedgeTargets} from './hedgeTargets.js';
 import type {RacingAttempt} from './hedging.js';
 import type {Progress, RetryRules} from './retryRules.js';
+import {createRoutingRequest} from './routingRequest.js';
 import type {Stall} from './stallTimer.js';
 import {createStillEndpoints, type StillnessWatch} from './stillEndpoints.js';
 import type {
@@ -136,18 +137,11 @@
     call: ForwardedCall,
     excludedEndpoints: ReadonlySet<string>,
   ): Choice | undefined {
-    const {demand} = call.head;
-    const routingRequest = {
-      service: call.service,
-      version: call.version,
-      blocks: call.promptKeys,
-      promptTokens: demand?.promptTokens ?? 0,
-      ...(demand && {ownTokens: countOwnTokens(demand)}),
-      ...(call.urgency !== undefined && {urgency: call.urgency}),
-      regions: call.regions,
-      excluded: excludedEndpoints,
-      isSuspected: crashGuard.isSuspected(call),
-    };
+    const routingRequest = createRoutingRequest(
+      call,
+      excludedEndpoints,
+      crashGuard.isSuspected(call),
+    );
     return (
       router.choose(routingRequest) ??
       router.choose({...routingRequest, version: 'incumbent'})
@@ -280,7 +274,12 @@
           key => key === choice.endpoint && listener(),
         ),
       isStopRequested: watchedStream.isStopRequested,
-      onDidReceive: exchange.recordContact,
+      onDidReceive() {
+        exchange.recordContact();
+        if (attempt.beganAt !== undefined) {
+          options.endpointReports.recordData(choice.endpoint, sentAt);
+        }
+      },
       onDidRespond: head =>
         options.endpointReports.recordHead(choice.endpoint, head, sentAt),
       onDidBegin: head => recordBegin(call, progress, choice, attempt, head),
--- a/packages/gateway/src/endpointReports.ts
+++ b/packages/gateway/src/endpointReports.ts
@@ -21,6 +21,11 @@
    * endpoint's address answers.
    */
   recordProbeHead(endpoint: string, head: ResponseHead): void;
+  /**
+   * Records that data of a response that has begun arrived, to a request that
+   * was sent at `sentAt`, in monotonic milliseconds.
+   */
+  recordData(endpoint: string, sentAt: number): void;
   /** Applies the load that an endpoint reports while it runs a request. */
   recordLoad(endpoint: string, head: ResponseHead): void;
 }
@@ -37,7 +42,10 @@
   readonly rateLimits: Pick<RateLimits, 'recordLimit'>;
   readonly slotShares: Pick<SlotShares, 'recordTolerance'>;
   readonly warmUps: Pick<WarmUps, 'recordResponse'>;
-  readonly crashQuarantine: Pick<CrashQuarantine, 'recordResponse'>;
+  readonly crashQuarantine: Pick<
+    CrashQuarantine,
+    'recordResponse' | 'recordData'
+  >;
   readonly departures: Pick<Departures, 'recordAnnouncement'>;
   readonly rests: Pick<Rests, 'recordRest' | 'recordAnswer'>;
   /** Returns the endpoints registered at the address of the endpoint. */
@@ -86,6 +94,7 @@
       options
         .endpointsAtAddressOf(endpoint)
         .forEach(sender => recordAcceptance(sender, head)),
+    recordData: options.crashQuarantine.recordData,
     recordLoad(endpoint, {load}) {
       if (load === undefined) {
         return;
--- a/packages/gateway/src/test/endpointReports.test.ts
+++ b/packages/gateway/src/test/endpointReports.test.ts
@@ -27,6 +27,7 @@
     warmUps: {recordResponse() {}},
     crashQuarantine: {
       recordResponse: endpoint => void responded.push(endpoint),
+      recordData() {},
     },
     departures: {recordAnnouncement: endpoint => void departed.push(endpoint)},
     rests: {
--- a/packages/gateway/src/test/forwarding.test.ts
+++ b/packages/gateway/src/test/forwarding.test.ts
@@ -233,6 +233,28 @@
     assert.equal(outcome.receivedCount, 1);
   });
 
+  // Guards against taking an endpoint for crashed that sends data on a stream.
+  it('reports the data of a stream with the time of its send', async () => {
+    const sends = new Map<string, number>();
+    let dataCount = 0;
+    const since = systemClock().now();
+    await forwardTo(
+      streamRoute,
+      [streamEvents(1, 4, 'whole')],
+      undefined,
+      undefined,
+      {
+        onDidReceiveData(endpoint, sentAt) {
+          sends.set(endpoint, sentAt);
+          dataCount += 1;
+        },
+      },
+    );
+    assert.equal(sends.size, 1);
+    assert.ok([...sends.values()][0]! >= since);
+    assert.ok(dataCount > 0);
+  });
+
   it('resumes an interrupted stream after the last delivered event', async () => {
     // The first endpoint is reclaimed and closes the connection in the middle
     // of an event, and the next endpoint repeats events that the caller already
--- a/packages/gateway/src/test/forwardingStubs.ts
+++ b/packages/gateway/src/test/forwardingStubs.ts
@@ -21,6 +21,7 @@
 export const noReports: EndpointReports = {
   recordHead() {},
   recordProbeHead() {},
+  recordData() {},
   recordLoad() {},
 };
 
--- a/packages/gateway/src/test/testForwarding.ts
+++ b/packages/gateway/src/test/testForwarding.ts
@@ -104,6 +104,8 @@
   readonly isUnrouted?: boolean;
   /** Quarantine of the entry; empty by default. */
   readonly crashQuarantine?: CrashQuarantine;
+  /** Called for data of responses that have begun. */
+  readonly onDidReceiveData?: (endpoint: string, sentAt: number) => void;
 }
 
 const ENDPOINT_COUNT = 3;
@@ -125,6 +127,7 @@
     hasRetryBudget = true,
     isUnrouted = false,
     crashQuarantine,
+    onDidReceiveData = () => {},
   }: ForwardingFaults = {},
 ): Promise<ForwardingOutcome> {
   const clock = systemClock();
@@ -181,7 +184,7 @@
   const upstreams = createUpstreams();
   const forwarding = createForwarding({
     router,
-    endpointReports: noReports,
+    endpointReports: {...noReports, recordData: onDidReceiveData},
     slotShares: {recordRejection: () => {}},
     warmUps: {recordUnreachable: () => {}},
     crashQuarantine:
--- a/packages/routing/src/crashQuarantine.ts
+++ b/packages/routing/src/crashQuarantine.ts
@@ -34,6 +34,11 @@
 
 /** Quarantine of one entry. Requests are identified by their fingerprints. */
 export interface CrashQuarantine extends Omit<CrashDetector, 'isUnconfirmed'> {
+  /**
+   * Records that data of the response to a request arrived that was sent at
+   * `sentAt`, in monotonic milliseconds.
+   */
+  recordData(endpoint: string, sentAt: number): void;
   /** Whether no crash is recorded; every verdict is then `clear`. */
   isEmpty(): boolean;
   /**
@@ -249,6 +254,11 @@
       detector.recordResponse(endpoint, sentAt);
       sources.recordResponse(endpoint, sentAt);
     },
+    recordUnanswered(lostRequest) {
+      sources.recordPossibleCrash(lostRequest.endpoint);
+      detector.recordUnanswered(lostRequest);
+    },
+    recordData: sources.recordData,
     isEmpty: sources.isEmpty,
     verdictFor: (request, parts = []) =>
       [request, ...parts].map(verdictOn).reduce(moreSevere, CLEAR_VERDICT),
--- a/packages/routing/src/crashSources.ts
+++ b/packages/routing/src/crashSources.ts
@@ -55,6 +55,10 @@
    * milliseconds.
    */
   recordResponse(endpoint: string, sentAt: number): void;
+  /** Records data of the response to such a request. */
+  recordData(endpoint: string, sentAt: number): void;
+  /** Records a loss from which the endpoint may be taken for crashed later. */
+  recordPossibleCrash(endpoint: string): void;
   /** Whether an entry had a response that refutes the crash. */
   isRefuted(crash: Crash): boolean;
   /** Returns the own report with confirmed crashes only. */
@@ -260,6 +264,12 @@
         removeRefuted();
       }
     },
+    recordData(endpoint, sentAt) {
+      if (uptimes.recordData(endpoint, sentAt)) {
+        removeRefuted();
+      }
+    },
+    recordPossibleCrash: uptimes.recordPossibleCrash,
     isRefuted: uptimes.isRefuted,
     ownReport,
     recordStored(report) {
--- a/packages/routing/src/crashUptimes.ts
+++ b/packages/routing/src/crashUptimes.ts
@@ -26,6 +26,13 @@
    * milliseconds.
    */
   recordResponse(endpoint: string, sentAt: number): boolean;
+  /**
+   * Records that data of the response to a request arrived that was sent at
+   * `sentAt`, in monotonic milliseconds.
+   */
+  recordData(endpoint: string, sentAt: number): boolean;
+  /** Records a loss from which the endpoint may be taken for crashed later. */
+  recordPossibleCrash(endpoint: string): void;
   /** Records crashes that are known, which a response may have refuted. */
   recordCrashes(crashes: readonly Crash[]): boolean;
   /** Adds uptimes that another entry reports. */
@@ -44,6 +51,12 @@
  */
 const MIN_RESTART_MS = 1_000;
 
+/**
+ * Milliseconds for which data that an endpoint sent before a crash may wait to
+ * be read after the crash is known.
+ */
+const MAX_READ_DELAY_MS = 1_000;
+
 /**
  * Time for which responses and crash times are kept, and own uptimes gossiped,
  * in milliseconds.
@@ -111,6 +124,11 @@
     return true;
   }
 
+  function addOwn(uptime: EndpointUptime): boolean {
+    ownUptimes = [...ownUptimes, uptime].slice(-MAX_GOSSIPED);
+    return add(uptime);
+  }
+
   /** Adds the uptimes that refute known crashes of the endpoint. */
   function prove(endpoint: string, sends: readonly number[]): boolean {
     const offsetMs = wallMs() - clock.now();
@@ -119,13 +137,31 @@
     for (const atMs of crashTimes.of(endpoint)) {
       const proof = proofs.find(uptime => covers(uptime, atMs));
       if (proof !== undefined && !isRefuted({endpoint, atMs})) {
-        ownUptimes = [...ownUptimes, proof].slice(-MAX_GOSSIPED);
-        hasProved = add(proof) || hasProved;
+        hasProved = addOwn(proof) || hasProved;
       }
     }
     return hasProved;
   }
 
+  /** Returns the times of crashes after which data may show an uptime. */
+  function refutableTimes(endpoint: string): readonly number[] {
+    const latestAt = clock.now() - MAX_READ_DELAY_MS;
+    return crashTimes
+      .kept(endpoint)
+      .filter(({addedAt}) => addedAt <= latestAt)
+      .map(({timeMs}) => timeMs)
+      .filter(atMs => !isRefuted({endpoint, atMs}));
+  }
+
+  /** Adds the uptime of a process that has sent data since some crashes. */
+  function proveByData(endpoint: string, sentAt: number): boolean {
+    const fromMs = Math.round(sentAt + wallMs() - clock.now());
+    const times = refutableTimes(endpoint).filter(atMs => atMs >= fromMs);
+    return (
+      times.length > 0 && addOwn({endpoint, fromMs, toMs: Math.max(...times)})
+    );
+  }
+
   return {
     recordResponse(endpoint, sentAt) {
       const isKept = answeredSends
@@ -136,6 +172,11 @@
       }
       return !crashTimes.isEmpty() && prove(endpoint, [sentAt]);
     },
+    recordData: (endpoint, sentAt) =>
+      !crashTimes.isEmpty() && proveByData(endpoint, sentAt),
+    recordPossibleCrash(endpoint) {
+      crashTimes.add(endpoint, Math.round(wallMs()));
+    },
     recordCrashes(crashes) {
       const oldestMs = wallMs() - RECENT_MS;
       const endpoints = new Set<string>();
@@ -167,11 +208,13 @@
 interface RecentTimes {
   isEmpty(): boolean;
   of(endpoint: string): readonly number[];
+  kept(endpoint: string): readonly KeptTime[];
   add(endpoint: string, timeMs: number): void;
 }
 
 interface KeptTime {
   readonly timeMs: number;
+  /** Monotonic milliseconds. */
   readonly addedAt: number;
 }
 
@@ -198,6 +241,7 @@
   return {
     isEmpty: () => !isRecent({addedAt: lastAddedAt}),
     of: endpoint => recentTimes(endpoint).map(({timeMs}) => timeMs),
+    kept: recentTimes,
     add(endpoint, timeMs) {
       if (timesByEndpoint.size >= MAX_ENDPOINTS) {
         removeExpired();
--- a/packages/routing/src/test/refutedCrashes.test.ts
+++ b/packages/routing/src/test/refutedCrashes.test.ts
@@ -163,3 +163,74 @@
     assert.deepEqual(fleet.verdicts(), QUARANTINED);
   });
 });
+
+describe('a deregistered endpoint that stood still', () => {
+  /** Loses a silent endpoint that is deregistered. */
+  function loseSilent(
+    entry: CrashQuarantine,
+    endpoint: string,
+    isDeregisteredFirst: boolean,
+  ): void {
+    if (isDeregisteredFirst) {
+      entry.recordDeregistered(endpoint);
+    }
+    entry.recordUnanswered({request: REQUEST, endpoint});
+    if (!isDeregisteredFirst) {
+      entry.recordDeregistered(endpoint);
+    }
+  }
+
+  // Guards against a sound request that all entries reject, since replicas that
+  // stood still were replaced while an entry could not read the store, and it
+  // never saw them drain.
+  for (const isDeregisteredFirst of [true, false]) {
+    const order = isDeregisteredFirst ? 'before' : 'after';
+    it(`has not crashed if it goes on, deregistered ${order} the loss`, () => {
+      const {clock, entries, ...fleet} = createEntries(['a1', 'a2', 'a3']);
+      for (const endpoint of ENDPOINTS) {
+        const sentAt = clock.now();
+        clock.advanceSync(1_200);
+        loseSilent(entries[0]!, endpoint, isDeregisteredFirst);
+        fleet.gossip();
+        clock.advanceSync(1_500);
+        entries[0]!.recordData(endpoint, sentAt);
+        fleet.gossip();
+      }
+      assert.deepEqual(fleet.verdicts(), CLEAR);
+    });
+  }
+
+  it('has not crashed if it went on before it was deregistered', () => {
+    const {clock, entries, ...fleet} = createEntries(['a1', 'a2', 'a3']);
+    for (const endpoint of ENDPOINTS) {
+      const sentAt = clock.now();
+      clock.advanceSync(1_200);
+      entries[0]!.recordUnanswered({request: REQUEST, endpoint});
+      clock.advanceSync(1_500);
+      entries[0]!.recordData(endpoint, sentAt);
+      entries[0]!.recordDeregistered(endpoint);
+      fleet.gossip();
+    }
+    assert.deepEqual(fleet.verdicts(), CLEAR);
+  });
+
+  // Guards against a request that crashes endpoints and is taken for sound,
+  // since data waited in a socket, or a new process sends data.
+  for (const [name, sentAfterMs, arrivesAfterMs] of [
+    ['waited to be read', -1_000, 500],
+    ['may come from a new process', 300, 1_500],
+  ] as const) {
+    it(`has crashed if all data since then ${name}`, () => {
+      const {clock, entries, ...fleet} = createEntries(['a1', 'a2', 'a3']);
+      for (const endpoint of ENDPOINTS) {
+        clock.advanceSync(1_200);
+        const sentAt = clock.now() + sentAfterMs;
+        loseSilent(entries[0]!, endpoint, true);
+        clock.advanceSync(arrivesAfterMs);
+        entries[0]!.recordData(endpoint, sentAt);
+        fleet.gossip();
+      }
+      assert.deepEqual(fleet.verdicts(), QUARANTINED);
+    });
+  }
+});
