traffic: hand the account over when a quota changes its owner

An entry that started less than a window ago does not know the usage before its start: its account begins with a second's refill, gets no further one for a burst and that, and reports of other new entries are counted on top. Such an entry rejected customers below their quota when it became the owner, although the owner before it, which left gracefully or ranks behind it, knew the account.

The answer to a takeover carries the account: the level of the bucket, the time until its refill, and the usage by slot. Both accounts are upper bounds, so the new owner takes the one that shows less usage, for the bucket and for the window each. What it granted while it waited, and what peers reported in the last three slots, stays counted; usage moves to the next newer slot, so that none leaves the window early.

--- a/packages/traffic/src/quotaOwnership.ts
+++ b/packages/traffic/src/quotaOwnership.ts
@@ -79,11 +79,18 @@
     }
     try {
       const takeover = {customer, sinceMs};
-      const {granted, upMs} = await peers.takeOver(previousOwner, takeover);
+      const askedAtMs = clock.now();
+      const {granted, upMs, account} = await peers.takeOver(
+        previousOwner,
+        takeover,
+      );
       // A process that has started since does not know what the previous
       // process of this entry granted.
       if (upMs >= sinceMs) {
         quotas.correctAssumption(customer, assumed, granted);
+        if (account !== undefined) {
+          quotas.adopt(customer, account, clock.now() - askedAtMs);
+        }
       }
     } catch (error) {
       log.info(
@@ -114,6 +121,7 @@
       return {
         granted: quotas.recentOwnUsage(customer, sinceMs),
         upMs: clock.now() - startedAtMs,
+        account: quotas.contentOf(customer),
       };
     },
   };
