gateway: move the choice of endpoints out of their attempts

Change: endpointTargets.ts chooses the endpoints of first attempts, hedges and migrations. Behaviour is unchanged.

--- a/packages/gateway/src/attempts/hedging.ts
+++ b/packages/gateway/src/attempts/hedging.ts
@@ -14,7 +14,7 @@
 import type {AttemptResult} from './attempt.js';
 import {createAttemptRace, type RaceEntry} from './attemptRace.js';
 import type {CallerReply} from '../callers/callerReply.js';
-import type {EndpointTarget} from '../forwarding/endpointAttempts.js';
+import type {EndpointTarget} from '../forwarding/endpointTargets.js';
 import type {ForwardedCall} from '../forwarding/forwardedCall.js';
 import type {Progress} from '../forwarding/retryRules.js';
 import type {Stall} from './stallTimer.js';
--- a/packages/gateway/src/forwarding/endpointAttempts.ts
+++ b/packages/gateway/src/forwarding/endpointAttempts.ts
@@ -1,4 +1,4 @@
-/** Attempts of requests at endpoints: choosing one, running it, learning from it. */
+/** Attempts of requests at endpoints: running them and learning from them. */
 import type {Clock, Event} from '@skylarkfield/base';
 import type {
   Choice,
@@ -27,12 +27,14 @@
   EngineObserver,
   AttemptObserver,
 } from '../endpoints/engineObserver.js';
+import {
+  createEndpointTargets,
+  type EndpointTarget,
+  type EndpointTargets,
+} from './endpointTargets.js';
 import type {ForwardedCall} from './forwardedCall.js';
-import {createHedgeTargets} from '../attempts/hedgeTargets.js';
 import type {RacingAttempt} from '../attempts/hedging.js';
 import type {Progress, RetryRules} from './retryRules.js';
-import {createRoutingRequest} from './routingRequest.js';
-import type {Stall} from '../attempts/stallTimer.js';
 import {
   createStillEndpoints,
   type StillnessWatch,
@@ -44,31 +46,7 @@
 } from './streamMigration.js';
 import type {Upstreams} from '../attempts/upstream.js';
 
-/** The endpoint of an attempt, and the KV cache that it resumes from. */
-export interface EndpointTarget {
-  readonly choice: Choice;
-  readonly kvCache?: Continuation['kvCache'];
-}
-
-export interface EndpointAttempts {
-  /**
-   * Returns the migration target of the stream, or else a newly chosen
-   * endpoint; undefined if there is no endpoint to choose.
-   */
-  chooseTarget(
-    call: ForwardedCall,
-    progress: Progress,
-  ): EndpointTarget | undefined;
-  /**
-   * Returns an endpoint for a call whose attempt has stalled; undefined unless
-   * one with a free slot has responded since then. While all of them are silent,
-   * another one would be as silent.
-   */
-  chooseHedgeTarget(
-    call: ForwardedCall,
-    progress: Progress,
-    stall: Stall,
-  ): EndpointTarget | undefined;
+export interface EndpointAttempts extends EndpointTargets {
   /** Runs one attempt at the target and records its outcome. */
   run(
     call: ForwardedCall,
@@ -130,30 +108,11 @@
 export function createEndpointAttempts(
   options: EndpointAttemptOptions,
 ): EndpointAttempts {
-  const {router, directory, crashGuard, reach, format, clock} = options;
+  const {directory, reach, format, clock} = options;
+  const targets = createEndpointTargets(options);
   const evidence = createAttemptEvidence(options);
-  const hedgeTargets = createHedgeTargets(options);
   const stillEndpoints = createStillEndpoints(options);
 
-  /**
-   * Chooses an endpoint of the call's version group or, if none is available,
-   * an endpoint of the incumbent group.
-   */
-  function chooseEndpoint(
-    call: ForwardedCall,
-    excludedEndpoints: ReadonlySet<string>,
-  ): Choice | undefined {
-    const routingRequest = createRoutingRequest(
-      call,
-      excludedEndpoints,
-      crashGuard.isSuspected(call),
-    );
-    return (
-      router.choose(routingRequest) ??
-      router.choose({...routingRequest, version: 'incumbent'})
-    );
-  }
-
   function startAttempt(
     call: ForwardedCall,
     progress: Progress,
@@ -175,10 +134,7 @@
         endpoint: choice.endpoint,
         attemptId: call.attemptId,
         hasBegun: () => isStream(call) && attempt.beganAt !== undefined,
-        chooseEndpoint: () =>
-          crashGuard.isQuarantined(call)
-            ? undefined
-            : chooseEndpoint(call, progress.excludedEndpoints),
+        chooseEndpoint: () => targets.chooseMigrationTarget(call, progress),
       }),
       stillnessWatch: stillEndpoints.watch(
         call.service,
@@ -377,33 +333,7 @@
   }
 
   return {
-    chooseTarget(call, progress) {
-      const {continuation} = progress;
-      progress.continuation = undefined;
-      if (continuation !== undefined) {
-        return continuation;
-      }
-      const choice = chooseEndpoint(call, progress.excludedEndpoints);
-      return choice && {choice};
-    },
-    chooseHedgeTarget(call, progress, stall) {
-      const silentEndpoints = hedgeTargets.findSilentEndpoints(
-        call.service,
-        stall,
-      );
-      if (silentEndpoints === undefined) {
-        return undefined;
-      }
-      const choice = chooseEndpoint(
-        call,
-        new Set([...progress.excludedEndpoints, ...silentEndpoints]),
-      );
-      if (choice === undefined || hedgeTargets.hasFreeSlot(choice)) {
-        return choice && {choice};
-      }
-      choice.finish({outcome: 'cancelled', latencyMs: 0});
-      return undefined;
-    },
+    ...targets,
     async run(call, reply, progress, target, racingAttempt) {
       const {choice} = target;
       const endpoint = directory.get(choice.endpoint);
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -23,8 +23,8 @@
 import {
   createEndpointAttempts,
   type EndpointAttemptOptions,
-  type EndpointTarget,
 } from './endpointAttempts.js';
+import type {EndpointTarget} from './endpointTargets.js';
 import type {ForwardedCall, ForwardingResult} from './forwardedCall.js';
 import type {Handovers} from '../handover/handovers.js';
 import {
