traffic: ask the next owner while an entry has left its quota to it

An entry that left a quota to another one does not take it back for a second. If it ranked itself first in that time, as entries rank differently while they learn of a change, it decided as a stand-in of the other one, counted what that one might have granted, and mostly rejected the request. The other one, asked first by nobody, could have decided.

Such an entry now names the other one to the asker, and asks it for its own callers, unless that one has not answered.

--- a/packages/traffic/src/quotaGrants.ts
+++ b/packages/traffic/src/quotaGrants.ts
@@ -120,13 +120,30 @@
     };
   }
 
+  /**
+   * Decides, unless this entry has just left the quota to another one, which
+   * ranks differently as long as the entries learn of a change.
+   */
+  function decideOrRedirect(
+    customer: CustomerConfig,
+    amount: number,
+    unanswered: readonly string[],
+  ): QuotaAnswer | QuotaRedirect {
+    const successor = ownership.successor(customer.name);
+    return successor === undefined || unanswered.includes(successor)
+      ? decide(customer, amount)
+      : {deciders: [successor]};
+  }
+
   function answer(
     customer: CustomerConfig,
     {amount, unanswered}: QuotaQuestion,
   ): QuotaAnswer | QuotaRedirect {
     const deciders = peers.rank(customer.name).slice(0, MAX_RANKED);
     const decider = deciders.find(entry => !unanswered.includes(entry));
-    return decider === self ? decide(customer, amount) : {deciders};
+    return decider === self
+      ? decideOrRedirect(customer, amount, unanswered)
+      : {deciders};
   }
 
   function takeBack(customer: CustomerConfig, refund: QuotaRefund): void {
@@ -148,7 +165,7 @@
     unanswered: readonly string[],
   ): Promise<QuotaAnswer | QuotaRedirect | undefined> {
     if (entry === self) {
-      return decide(customer, amount);
+      return decideOrRedirect(customer, amount, unanswered);
     }
     try {
       const question = {customer: customer.name, amount, unanswered};
--- a/packages/traffic/src/quotaOwnership.ts
+++ b/packages/traffic/src/quotaOwnership.ts
@@ -15,6 +15,11 @@
     customer: string,
     ranking: readonly string[],
   ): readonly string[];
+  /**
+   * Returns the entry that this one has recently left the quota to; undefined
+   * if there is none.
+   */
+  successor(customer: string): string | undefined;
   /** Leaves a quota to another entry that has become its owner. */
   yieldTo(entry: string, takeover: QuotaTakeover): QuotaTakeoverAnswer;
 }
@@ -47,10 +52,12 @@
   const ownerByCustomer = new Map<string, string>();
   const yieldedAtMs = new Map<string, number>();
 
+  function hasYielded(customer: string): boolean {
+    return clock.now() - (yieldedAtMs.get(customer) ?? -Infinity) < YIELD_MS;
+  }
+
   function update(customer: string, owner: string | undefined): void {
-    const hasYielded =
-      clock.now() - (yieldedAtMs.get(customer) ?? -Infinity) < YIELD_MS;
-    if (owner === undefined || (owner === self && hasYielded)) {
+    if (owner === undefined || (owner === self && hasYielded(customer))) {
       return;
     }
     const previousOwner = ownerByCustomer.get(customer);
@@ -115,6 +122,8 @@
   return {
     update,
     entriesBefore,
+    successor: customer =>
+      hasYielded(customer) ? ownerByCustomer.get(customer) : undefined,
     yieldTo(entry, {customer, sinceMs}) {
       ownerByCustomer.set(customer, entry);
       yieldedAtMs.set(customer, clock.now());
