routing: count late reports of crashes after a response again

A request that crashes endpoints only at times, while their new registrations are not read yet, could reach more of them than it may before it is quarantined.

Reports that come late may quarantine a popular request for another 10 s, as before.

--- a/packages/routing/src/crashes/crashEvidence.ts
+++ b/packages/routing/src/crashes/crashEvidence.ts
@@ -27,12 +27,6 @@
   readonly served: Readonly<Record<string, number>>;
 }
 
-/**
- * Milliseconds by which an entry that was paused or is slow may notice a crash
- * later than others.
- */
-const MAX_REPORT_DELAY_MS = 10_000;
-
 export const EMPTY_CRASH_REPORT: CrashReport = {crashes: [], served: {}};
 
 /** Crash reports by source. */
@@ -118,17 +112,14 @@
     sources: () => [...reportsBySource.keys()],
     crashesSinceServed(suspect) {
       const servedAtMs = lastServedAtMs(suspect);
-      const crashes = [
-        ...(crashesBySuspect.of(suspect)?.values() ?? []),
-      ].flat();
-      const clearedTimes = latestReportTimes(crashes, servedAtMs);
       const crashByEndpoint = new Map<string, CountedCrash>();
-      for (const crash of crashes) {
-        const {endpoint, atMs} = crash;
-        const clearedMs = clearedTimes.get(endpoint) ?? -Infinity;
-        if (atMs > servedAtMs && atMs - clearedMs > MAX_REPORT_DELAY_MS) {
-          const known = crashByEndpoint.get(endpoint);
-          crashByEndpoint.set(endpoint, combineCounts(known, crash));
+      for (const crashes of crashesBySuspect.of(suspect)?.values() ?? []) {
+        for (const crash of crashes) {
+          if (crash.atMs > servedAtMs) {
+            const {endpoint} = crash;
+            const known = crashByEndpoint.get(endpoint);
+            crashByEndpoint.set(endpoint, combineCounts(known, crash));
+          }
         }
       }
       return [...crashByEndpoint.values()].sort((a, b) => a.atMs - b.atMs);
@@ -139,20 +130,6 @@
   };
 }
 
-/** Returns the time of the latest report until a time, by endpoint. */
-function latestReportTimes(
-  crashes: readonly Crash[],
-  untilMs: number,
-): ReadonlyMap<string, number> {
-  const times = new Map<string, number>();
-  for (const {endpoint, atMs} of crashes) {
-    if (atMs <= untilMs) {
-      times.set(endpoint, Math.max(atMs, times.get(endpoint) ?? -Infinity));
-    }
-  }
-  return times;
-}
-
 /** Counts two reports of one crash as the earlier and the weaker one. */
 function combineCounts(
   known: CountedCrash | undefined,
--- a/packages/routing/src/crashes/test/crashQuarantine.test.ts
+++ b/packages/routing/src/crashes/test/crashQuarantine.test.ts
@@ -99,44 +99,6 @@
     assert.equal(receiving.verdictType(), 'clear');
   });
 
-  // Guards against a popular request that is rejected again for crashes that a
-  // complete response has cleared, since slow entries report them later.
-  it('stay cleared if another entry reports the same crashes later', () => {
-    const {crashQuarantine, clock, verdictType: verdict} = createEntry('a4');
-    const report = (entry: string) =>
-      crashQuarantine.setStoredReport(entry, {
-        crashes: ['e1', 'e2', 'e3'].map(endpoint => ({
-          request: REQUEST,
-          endpoint,
-          atMs: clock.wall(),
-        })),
-        served: {},
-      });
-    report('a1');
-    assert.equal(verdict(), 'quarantined');
-    clock.advanceSync(3_000);
-    crashQuarantine.recordCompleted(REQUEST);
-    clock.advanceSync(2_000);
-    report('a2');
-    assert.equal(verdict(), 'clear');
-  });
-
-  // Guards against a crash that is not counted since an endpoint crashed before
-  // under the same key.
-  it('are suspected if endpoints crash again after a complete response', () => {
-    const {crashQuarantine, clock, verdictType: verdict} = createEntry('a4');
-    for (const entry of ['a1', 'a2']) {
-      crashQuarantine.setStoredReport(entry, {
-        crashes: [{request: REQUEST, endpoint: 'e1', atMs: clock.wall()}],
-        served: {},
-      });
-      assert.equal(verdict(), 'suspected');
-      clock.advanceSync(6_000);
-      crashQuarantine.recordCompleted(REQUEST);
-      clock.advanceSync(6_000);
-    }
-  });
-
   it('are not suspected if the endpoint answers a later request', () => {
     const {crashQuarantine, clock, verdictType: verdict} = createEntry();
     crashQuarantine.recordConnectionLost({request: REQUEST, endpoint: 'e1'});
