moves: leave the latency evidence of a window unbounded again

One slow request beside steady latencies may undo a good version, as before; design/moves.md lists it.

--- a/packages/moves/src/nonInferiorityTest.ts
+++ b/packages/moves/src/nonInferiorityTest.ts
@@ -55,11 +55,11 @@
 };
 
 /**
- * Upper bound of the evidence of one window against a candidate's latency or
- * intervals. A pause of one entry or host spans one or two windows, and the
- * variance that is estimated from the requests without a pause is small.
+ * Upper bound of the evidence of one window against a candidate's intervals. A
+ * pause of one entry or host spans one or two windows, and the variance that is
+ * estimated from the streams without a pause is small.
  */
-const MAX_LATENCY_LOG_RATIO_PER_WINDOW = 4;
+const MAX_INTERVAL_LOG_RATIO_PER_WINDOW = 4;
 
 /**
  * Increase of the error rate over the incumbent's up to which a version is not
@@ -260,7 +260,9 @@
   if (excess !== undefined) {
     const latencyLogRatio = Math.min(
       latencyLogLikelihoodRatio(excess, BAD_LATENCY_EXCESS[stratum.measure], 0),
-      MAX_LATENCY_LOG_RATIO_PER_WINDOW,
+      stratum.measure === 'eventInterval'
+        ? MAX_INTERVAL_LOG_RATIO_PER_WINDOW
+        : Infinity,
     );
     proof.slower -= latencyLogRatio;
     evidence.latencyCusum = Math.max(
