--- a/packages/traffic/src/quotaAccount.ts
+++ b/packages/traffic/src/quotaAccount.ts
@@ -1,11 +1,7 @@
 /** Quota account of one customer: a token bucket and a sliding window. */
 import type {Clock} from '@skylarkfield/base';
 import type {Quota} from './contracts.js';
-import {
-  createQuotaWindow,
-  type SlotUsage,
-  type UsageWeights,
-} from './quotaWindow.js';
+import {createQuotaWindow, type UsageWeights} from './quotaWindow.js';
 
 /** Terms under which an entry grants requests. */
 export interface GrantTerms {
@@ -39,23 +35,7 @@
   readonly atMs: number;
 }
 
-/** Content of an account, as handed to the next owner of a quota. */
-export interface AccountContent {
-  readonly level: number;
-  /** Milliseconds until the bucket is refilled again. */
-  readonly refillInMs: number;
-  /** Usage in the window, newest slot first. */
-  readonly slots: readonly SlotUsage[];
-}
-
 export interface QuotaAccount {
-  /** Returns the content of the account. */
-  content(): AccountContent;
-  /**
-   * Takes the content of the account of the previous owner, which was asked
-   * `askedMs` ago, where it shows less usage: both are upper bounds.
-   */
-  adopt(content: AccountContent, askedMs: number): void;
   /** Applies the quota in force, and refills the bucket. */
   refill(quota: Quota, fraction: number): void;
   /** Charges the amount; returns false if the quota is exhausted. */
@@ -223,27 +203,6 @@
       const change = amount - assumed.amount;
       window.recordUsage(clock.now(), 'lost', change, assumed.atMs);
     },
-    content: () => ({
-      level: Math.round(level),
-      refillInMs: Math.round(Math.max(0, refilledAtMs - clock.now())),
-      slots: window.slotUsage(clock.now()),
-    }),
-    adopt(content, askedMs) {
-      const nowMs = clock.now();
-      const newLevel = content.level - window.recentOwnUsage(nowMs, askedMs);
-      const laterRefillMs = content.refillInMs - (refilledAtMs - nowMs);
-      if (newLevel - laterRefillMs * refillPerMs(1) > level) {
-        level = Math.min(burst, newLevel);
-        refilledAtMs = nowMs + content.refillInMs;
-      }
-      const used = content.slots.reduce(
-        (sum, {known, assumed}) => sum + known + assumed,
-        0,
-      );
-      if (used < window.weightedUsage(nowMs, weightsFor(1))) {
-        window.adopt(nowMs, content.slots);
-      }
-    },
     recentOwnUsage: spanMs => window.recentOwnUsage(clock.now(), spanMs),
     recordLostPeers(refilledMs) {
       const tokens = (allowance / windowMs) * refilledMs;
--- a/packages/traffic/src/quotaContracts.ts
+++ b/packages/traffic/src/quotaContracts.ts
@@ -1,5 +1,5 @@
 /** Questions and answers between the entries that decide on quotas. */
-import type {AccountContent, QuotaState} from './quotaAccount.js';
+import type {QuotaState} from './quotaAccount.js';
 
 /** Request to charge a customer's quota. */
 export interface QuotaQuestion {
@@ -55,8 +55,6 @@
   readonly granted: number;
   /** Milliseconds since its process started. */
   readonly upMs: number;
-  /** Its account; absent in answers of earlier releases, or without one. */
-  readonly account?: AccountContent | undefined;
 }
 
 /** Decision on one request. */
--- a/packages/traffic/src/quotaOwnership.ts
+++ b/packages/traffic/src/quotaOwnership.ts
@@ -86,18 +86,11 @@
     }
     try {
       const takeover = {customer, sinceMs};
-      const askedAtMs = clock.now();
-      const {granted, upMs, account} = await peers.takeOver(
-        previousOwner,
-        takeover,
-      );
+      const {granted, upMs} = await peers.takeOver(previousOwner, takeover);
       // A process that has started since does not know what the previous
       // process of this entry granted.
       if (upMs >= sinceMs) {
         quotas.correctAssumption(customer, assumed, granted);
-        if (account !== undefined) {
-          quotas.adopt(customer, account, clock.now() - askedAtMs);
-        }
       }
     } catch (error) {
       log.info(
@@ -130,7 +123,6 @@
       return {
         granted: quotas.recentOwnUsage(customer, sinceMs),
         upMs: clock.now() - startedAtMs,
-        account: quotas.contentOf(customer),
       };
     },
   };
--- a/packages/traffic/src/quotaWindow.ts
+++ b/packages/traffic/src/quotaWindow.ts
@@ -3,9 +3,6 @@
 /** Number of time slots that a window is divided into. */
 const SLOTS_PER_WINDOW = 32;
 
-/** Number of slots that reports of peers may still change. */
-const UNREPORTED_SLOTS = 3;
-
 /** Usage of one customer within a window; times are monotonic milliseconds. */
 export interface QuotaWindow {
   /** Sets what the quota allows per window from now on. */
@@ -26,14 +23,6 @@
    * customer for a window.
    */
   weightedUsage(nowMs: number, weights: UsageWeights): number;
-  /** Returns the usage of each slot, newest slot first. */
-  slotUsage(nowMs: number): SlotUsage[];
-  /**
-   * Replaces the usage by that of the window of another entry. What this entry
-   * has granted and heard in the newest slots remains, as the other one may not
-   * know it.
-   */
-  adopt(nowMs: number, slots: readonly SlotUsage[]): void;
   /** Returns what this entry has granted in the newest slots of a span. */
   recentOwnUsage(nowMs: number, spanMs: number): number;
   /**
@@ -62,14 +51,6 @@
   readonly assumed: number;
 }
 
-/** Usage in one slot, as told to another entry. */
-export interface SlotUsage {
-  /** Usage that was granted by known entries. */
-  readonly known: number;
-  /** Usage of the sources `lost` and `before`. */
-  readonly assumed: number;
-}
-
 /** Usage in one slot. */
 type Slot = Record<UsageSource, number> & {
   /** All that this entry granted in the slot, whatever its source is now. */
@@ -152,29 +133,6 @@
       advance(nowMs);
       return slots.reduce((sum, slot) => sum + usageOf(slot, weights), 0);
     },
-    slotUsage(nowMs) {
-      advance(nowMs);
-      return Array.from({length: slotCount}, (_, age) => {
-        const slot = slots[(newestSlot - age) % slotCount]!;
-        return {
-          known: slot.own + slot.others,
-          assumed: slot.lost + slot.before,
-        };
-      });
-    },
-    adopt(nowMs, adopted) {
-      advance(nowMs);
-      const usage = alignSlots(adopted);
-      for (let age = 0; age < slotCount; age++) {
-        const slot = slots[(newestSlot - age) % slotCount]!;
-        const {known, assumed} = usage[age] ?? NO_USAGE;
-        const isUnreported = age < UNREPORTED_SLOTS;
-        slot.own = isUnreported ? slot.own : 0;
-        slot.others = isUnreported ? Math.max(slot.others, known) : known;
-        slot.lost = assumed;
-        slot.before = 0;
-      }
-    },
     recentOwnUsage(nowMs, spanMs) {
       advance(nowMs);
       const oldest = Math.max(
@@ -207,21 +165,3 @@
     },
   };
 }
-
-const NO_USAGE: SlotUsage = {known: 0, assumed: 0};
-
-/**
- * Moves usage to the next newer slot: the slots of two entries begin at
- * different times, and usage must not leave the window early.
- */
-function alignSlots([
-  newest = NO_USAGE,
-  next = NO_USAGE,
-  ...older
-]: readonly SlotUsage[]): SlotUsage[] {
-  const merged = {
-    known: newest.known + next.known,
-    assumed: newest.assumed + next.assumed,
-  };
-  return [merged, ...older];
-}
--- a/packages/traffic/src/quotas.ts
+++ b/packages/traffic/src/quotas.ts
@@ -12,7 +12,6 @@
 import type {CustomerConfig, Quota} from './contracts.js';
 import {
   createQuotaAccount,
-  type AccountContent,
   type AssumedUsage,
   type QuotaAccount,
   type QuotaState,
@@ -74,10 +73,6 @@
     assumed: AssumedUsage,
     amount: number,
   ): void;
-  /** Returns the content of a customer's account; undefined without one. */
-  contentOf(customer: string): AccountContent | undefined;
-  /** Takes the account of the previous owner, which was asked `askedMs` ago. */
-  adopt(customer: string, content: AccountContent, askedMs: number): void;
   /** Returns what this entry has granted in the last milliseconds. */
   recentOwnUsage(customer: string, spanMs: number): number;
   /**
@@ -258,14 +253,6 @@
         'previous owner of a quota told its usage',
       );
     },
-    contentOf(customer) {
-      const quota = findQuota(customer);
-      return quota === undefined
-        ? accounts.get(customer)?.content()
-        : accountOf(customer, quota).content();
-    },
-    adopt: (customer, content, askedMs) =>
-      accounts.get(customer)?.adopt(content, askedMs),
     recentOwnUsage: (customer, spanMs) =>
       accounts.get(customer)?.recentOwnUsage(spanMs) ?? 0,
     setReportingPeers(reportingFraction, newEntryCount, silentMs = 0) {
