traffic: let the oldest of the new entries own quotas again

Cause: without the account of the previous owner, spreading quotas over new entries rejects more than it saves (design/quotas.md).

Measured: the tests of traffic pass.

--- a/packages/traffic/src/quotaOwners.ts
+++ b/packages/traffic/src/quotaOwners.ts
@@ -7,12 +7,6 @@
  */
 import {rendezvousOrder} from '@skylarkfield/base';
 
-/**
- * Time after which an entry that started less than a window ago may own quotas
- * like others of its kind, in milliseconds: it then knows the other entries.
- */
-const JOINED_MS = 2_000;
-
 /** An entry that may own quotas. */
 export interface QuotaOwnerCandidate {
   readonly id: string;
@@ -25,9 +19,8 @@
  * the same candidates agree.
  *
  * An entry that started less than a window ago comes after all others, since
- * it does not know the usage before its start. Among such entries, those that
- * have just started come last, oldest first; the oldest of all would own the
- * quotas of all customers.
+ * it does not know the usage before its start; among such entries the oldest
+ * comes first.
  *
  * @example
  * const [owner, standIn] = rankQuotaOwners('chain', [relays, standbyRelays],
@@ -39,24 +32,18 @@
   groups: readonly (readonly QuotaOwnerCandidate[])[],
   {wallMs, windowMs}: {readonly wallMs: number; readonly windowMs: number},
 ): string[] {
-  const upMs = ({startedAtMs}: QuotaOwnerCandidate) => wallMs - startedAtMs;
-  const rankBetween = (minMs: number, maxMs: number) =>
-    groups.flatMap(group =>
-      rendezvousOrder(
-        customer,
-        group
-          .filter(entry => upMs(entry) >= minMs && upMs(entry) < maxMs)
-          .map(({id}) => id),
-      ),
-    );
+  const isSettled = ({startedAtMs}: QuotaOwnerCandidate) =>
+    wallMs - startedAtMs >= windowMs;
+  const settledIds = groups.flatMap(group =>
+    rendezvousOrder(
+      customer,
+      group.filter(isSettled).map(({id}) => id),
+    ),
+  );
   const startingIds = groups
     .flat()
-    .filter(candidate => upMs(candidate) < JOINED_MS)
+    .filter(candidate => !isSettled(candidate))
     .sort((a, b) => a.startedAtMs - b.startedAtMs || (a.id < b.id ? -1 : 1))
     .map(({id}) => id);
-  return [
-    ...rankBetween(windowMs, Infinity),
-    ...rankBetween(JOINED_MS, windowMs),
-    ...startingIds,
-  ];
+  return [...settledIds, ...startingIds];
 }
