traffic: test the bound of quotas over graceful restarts

Cause: no test told whether entries that leave gracefully and return grant more than operators tolerate in a flood.

Change: 58 simulated entries restart gracefully in eight groups, twice, in a flood of ten times the quota, for a small and a large quota.

--- a/packages/traffic/src/test/quotaGrants.test.ts
+++ b/packages/traffic/src/test/quotaGrants.test.ts
@@ -4,6 +4,8 @@
 import {WINDOW_MS} from './quotaLoad.js';
 
 const ENTRY_COUNT = 58;
+/** Number of groups of entries that restart together. */
+const GROUP_COUNT = 8;
 const ALL_ENTRIES = Array.from({length: ENTRY_COUNT}, (_, index) => index);
 
 /** A quota whose second is worth two of the largest requests. */
@@ -26,6 +28,13 @@
   return allowanceOf(quota) * TOLERATED_FACTOR + TOLERATED_TOKENS;
 }
 
+/** Returns the entries of a group; there is one empty group. */
+function groupOf(group: number): number[] {
+  return ALL_ENTRIES.filter(
+    index => Math.floor((index * GROUP_COUNT) / ENTRY_COUNT) === group,
+  );
+}
+
 function grantedFraction(fleet: QuotaFleet): number {
   const {granted, requested} = fleet.totals();
   return granted / requested;
@@ -75,6 +84,23 @@
       assert.ok(peak <= toleratedUsage(quota), `${peak}`);
     });
 
+    it(`tolerably exceed ${quota.perSecond} a second while all entries restart gracefully in turn twice`, async () => {
+      const fleet = createQuotaFleet({
+        entryCount: ENTRY_COUNT,
+        quota,
+        isJoinAwaited: true,
+        reportDelayMs: 600,
+      });
+      await fleet.send(USUAL_LOAD);
+      for (let step = 0; step < 2 * (GROUP_COUNT + 1); step++) {
+        fleet.roll(groupOf(step % (GROUP_COUNT + 1)));
+        await fleet.send({seconds: 1, factor: 10});
+      }
+      await fleet.send({seconds: 9, factor: 10});
+      const peak = fleet.peakWindow();
+      assert.ok(peak <= toleratedUsage(quota), `${peak}`);
+    });
+
     it(`tolerably exceed ${quota.perSecond} a second after a loss of all entries`, async () => {
       const fleet = createQuotaFleet({entryCount: ENTRY_COUNT, quota});
       await fleet.send(USUAL_LOAD);
