gateway: take no data that may have waited as a proof of a running endpoint

It refuted the crash, so that one slow reader could keep a request that crashes endpoints out of the quarantine.

Change: once an attempt was paused for its caller, its data no longer counts as a proof that the endpoint runs.

--- a/packages/gateway/src/attempts/attempt.ts
+++ b/packages/gateway/src/attempts/attempt.ts
@@ -147,8 +147,11 @@
    * entry are lost. The attempt goes on until another one responds.
    */
   onDidStall(stall: Stall): void;
-  /** Called whenever bytes arrive from the endpoint. */
-  onDidReceive(): void;
+  /**
+   * Called whenever bytes from the endpoint are read; `mayHaveWaited` if they may
+   * have arrived long before, since the caller has read too slowly.
+   */
+  onDidReceive(mayHaveWaited: boolean): void;
   /** Called with the response head of this attempt, whatever its status. */
   onDidRespond(head: ResponseHead): void;
   /**
@@ -182,6 +185,7 @@
     let responseHead: StreamHead | undefined;
     let head: ResponseHead | undefined;
     let isSettled = false;
+    let hasPaused = false;
     const subscriptions = createDisposableStore();
     const stallTimer = createStallTimer({
       clock,
@@ -191,7 +195,7 @@
 
     function recordReceived(): void {
       stallTimer.recordActivity();
-      options.onDidReceive();
+      options.onDidReceive(hasPaused);
     }
 
     function settle(result: AttemptResult): void {
@@ -298,6 +302,7 @@
     }
 
     function pauseUntilDrained({whenDrained}: EventSink): void {
+      hasPaused = true;
       exchange.pause();
       stallTimer.pause();
       whenDrained(() => {
--- a/packages/gateway/src/attempts/test/attempt.test.ts
+++ b/packages/gateway/src/attempts/test/attempt.test.ts
@@ -34,6 +34,7 @@
   const entry = race.enter();
   const laterRival = race.enter();
   const silentTimesMs: number[] = [];
+  const receivedLate: boolean[] = [];
   const controller = new AbortController();
   let listener!: UpstreamListener;
   let losePath!: () => void;
@@ -71,7 +72,7 @@
       return {dispose() {}};
     },
     isStopRequested: () => false,
-    onDidReceive() {},
+    onDidReceive: mayHaveWaited => void receivedLate.push(mayHaveWaited),
     onDidRespond() {},
     onDidBegin() {},
   }).then(attemptResult => (result = attemptResult));
@@ -82,6 +83,7 @@
     earlierRival,
     laterRival,
     silentTimesMs,
+    receivedLate,
     losePath: () => losePath(),
     stopAccepting: () => stopAccepting(),
     async settled(): Promise<AttemptResult | undefined> {
@@ -96,6 +98,28 @@
 }
 
 describe('attempt', () => {
+  // Guards against data from before a crash that shows an endpoint as running.
+  it('tells that data may have waited while its caller read slowly', () => {
+    let resume = () => {};
+    const {listener, receivedLate} = startAttempt({
+      sink: {
+        hasBegun: () => false,
+        begin() {},
+        write: () => false,
+        whenDrained: listener => void (resume = listener),
+        lastEventId: () => undefined,
+        canFinish: () => true,
+        finish: () => true,
+      },
+    });
+    listener.onDidRespond(200, {}, 'chunks');
+    receivedLate.length = 0;
+    listener.onDidReceive(Buffer.from('data: 1\n\n'));
+    resume();
+    listener.onDidReceive(Buffer.from('data: 2\n\n'));
+    assert.deepEqual(receivedLate, [false, true]);
+  });
+
   // Guards against responses that are lost because a silent endpoint was given up.
   it('stalls when no data arrives, and returns the response that arrives then', async () => {
     const {clock, listener, silentTimesMs, settled} = startAttempt();
--- a/packages/gateway/src/forwarding/endpointAttempts.ts
+++ b/packages/gateway/src/forwarding/endpointAttempts.ts
@@ -236,9 +236,9 @@
           key => key === choice.endpoint && listener(),
         ),
       isStopRequested: watchedStream.isStopRequested,
-      onDidReceive() {
+      onDidReceive(mayHaveWaited) {
         exchange.recordContact();
-        if (attempt.beganAt !== undefined) {
+        if (attempt.beganAt !== undefined && !mayHaveWaited) {
           options.endpointReports.recordData(choice.endpoint, sentAt);
         }
       },
