scheduling: let one entry order and place a service's requests

Cause: each entry admits an even part of a service's slots and queues four requests a slot of its own, so a busy entry gets too little and all entries together let too much wait. Change: one entry, by rank, decides for a service in which order requests start, at which endpoint, and which are rejected with a booked time to return. Services with a latency target and at most 12 slots an endpoint are scheduled; the others and requests without a scheduler's answer are admitted as before. No load was measured on a quiet machine yet.

--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -49,6 +49,7 @@
     },
     tryAcquireRetry: service =>
       bulkheads.get(service)?.tryAcquireRetry() ?? false,
+    depositRetry: service => bulkheads.get(service)?.depositRetry(),
     setService(name, config) {
       if (config === undefined) {
         bulkheads.get(name)?.close();
--- a/packages/admission/src/bulkhead.ts
+++ b/packages/admission/src/bulkhead.ts
@@ -34,6 +34,8 @@
 export interface Bulkhead {
   admit(request: AdmissionRequest, signal: AbortSignal): Promise<Permit>;
   tryAcquireRetry(): boolean;
+  /** Adds to the retry budget for a request that needs no permit. */
+  depositRetry(): void;
   configure(config: ServiceAdmissionConfig): void;
   setEntryCount(count: number): void;
   recordReportedSlots(slots: number, outstanding: number | undefined): void;
@@ -313,6 +315,7 @@
       return enqueue(request, signal);
     },
     tryAcquireRetry: () => retryBudget.tryWithdraw(),
+    depositRetry: () => retryBudget.deposit(),
     configure(newConfig) {
       config = newConfig;
       capacityShare.setConcurrency(newConfig.concurrency);
--- a/packages/admission/src/contracts.ts
+++ b/packages/admission/src/contracts.ts
@@ -47,6 +47,11 @@
    * budget is exhausted.
    */
   tryAcquireRetry(service: string): boolean;
+  /**
+   * Adds to the service's retry budget for a request that was admitted without
+   * a permit.
+   */
+  depositRetry(service: string): void;
   /** Adds, reconfigures or removes (undefined) a service's bulkhead. */
   setService(name: string, config: ServiceAdmissionConfig | undefined): void;
   /**
--- a/packages/admission/src/fairQueue.ts
+++ b/packages/admission/src/fairQueue.ts
@@ -22,6 +22,8 @@
    * Returns the urgency of the next item, or undefined if the queue is empty.
    */
   headUrgency(): number | undefined;
+  /** Returns the next item by urgency and fairness. */
+  peek(): T | undefined;
   /** Removes and returns the next item by urgency and fairness. */
   dequeue(): T | undefined;
   /** Removes an item from any position; returns false if it is not queued. */
@@ -130,22 +132,36 @@
     return flow && removeAt(level, flow, flow.items.length - 1);
   }
 
-  function dequeueFrom(level: UrgencyLevel<T>): T | undefined {
-    let nextFlow: Flow<T> | undefined;
-    let nextStartTag = Infinity;
+  function startTagOf(level: UrgencyLevel<T>, flow: Flow<T>): number {
+    return Math.max(flow.finishTag, level.virtualTime);
+  }
+
+  /** Returns the flow with the smallest start tag. */
+  function nextFlow(level: UrgencyLevel<T>): Flow<T> | undefined {
+    let next: Flow<T> | undefined;
     for (const flow of level.flows.values()) {
-      const startTag = Math.max(flow.finishTag, level.virtualTime);
-      if (flow.items.length > 0 && startTag < nextStartTag) {
-        nextFlow = flow;
-        nextStartTag = startTag;
+      if (flow.items.length === 0) {
+        continue;
+      }
+      if (
+        next === undefined ||
+        startTagOf(level, flow) < startTagOf(level, next)
+      ) {
+        next = flow;
       }
     }
-    if (nextFlow === undefined) {
+    return next;
+  }
+
+  function dequeueFrom(level: UrgencyLevel<T>): T | undefined {
+    const flow = nextFlow(level);
+    if (flow === undefined) {
       return undefined;
     }
-    const item = removeAt(level, nextFlow, 0);
-    level.virtualTime = nextStartTag;
-    nextFlow.finishTag = nextStartTag + item.cost / weightOf(nextFlow.customer);
+    const startTag = startTagOf(level, flow);
+    const item = removeAt(level, flow, 0);
+    level.virtualTime = startTag;
+    flow.finishTag = startTag + item.cost / weightOf(flow.customer);
     pruneIdleFlows(level);
     return item;
   }
@@ -180,6 +196,10 @@
       const index = levels.findIndex(level => level.size > 0);
       return index < 0 ? undefined : index;
     },
+    peek() {
+      const level = levels.find(candidate => candidate.size > 0);
+      return level && nextFlow(level)?.items[0];
+    },
     dequeue() {
       const level = levels.find(candidate => candidate.size > 0);
       return level && dequeueFrom(level);
--- a/packages/gateway/src/callers/callerHandler.ts
+++ b/packages/gateway/src/callers/callerHandler.ts
@@ -1,7 +1,6 @@
 /** Handles a caller's request from its headers to the end of its response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-  isServingError,
   ServingError,
   toServingError,
   type Clock,
@@ -9,24 +8,14 @@
   type Logger,
 } from '@skylarkfield/base';
 import type {OutcomeMeter} from '@skylarkfield/capacity';
-import type {AdmissionController, Permit} from '@skylarkfield/admission';
 import {requestFingerprint, type CrashQuarantine} from '@skylarkfield/routing';
-import {
-  chooseService,
-  commonRegions,
-  isRepeatable,
-  countOwnTokens,
-  promptKeys,
-  type CustomerConfig,
-  type Route,
-} from '@skylarkfield/traffic';
+import {chooseService, commonRegions, promptKeys} from '@skylarkfield/traffic';
 import {quarantinedError} from '../attempts/attemptOutcome.js';
 import {readBody} from './callerBody.js';
 import {checkConnected, watchDisconnect, whenSent} from './callerPresence.js';
 import {createCallerReply, type CallerReply} from './callerReply.js';
 import type {CallFormat, CallHead} from '../contracts.js';
 import {createDeadline} from './deadline.js';
-import type {VersionGroup} from '../endpoints/endpointDirectory.js';
 import type {
   ForwardedCall,
   ForwardingResult,
@@ -36,6 +25,11 @@
 import {watchOutcome} from '../forwarding/outcomeWatch.js';
 import type {ActivePolicy} from '../policy/activePolicy.js';
 import type {QuotaCharge, QuotaDecision} from '../quotas/quotaCharge.js';
+import type {
+  AdmittedRequest,
+  RequestAdmission,
+  RequestToAdmit,
+} from './requestAdmission.js';
 import {createRequestLog} from './requestLog.js';
 import type {RequestMetrics} from './requestMetrics.js';
 import {suspectPartsOf, verdictFor} from '../crashes/crashGuard.js';
@@ -61,31 +55,16 @@
   readonly policy: ActivePolicy;
   readonly chargeQuota: QuotaCharge;
   readonly crashQuarantine: Pick<CrashQuarantine, 'isEmpty' | 'verdictFor'>;
-  readonly admission: AdmissionController;
+  readonly requestAdmission: RequestAdmission;
   readonly forwarding: Forwarding;
   readonly format: CallFormat;
   readonly servingState: ServingState;
   readonly inFlight: InFlightCounter;
-  /**
-   * Returns the uncached prompt tokens of a typical request to a model service.
-   */
-  usualOwnTokens(service: string): number;
   /** Counts model requests whose first event is late. */
   readonly outcomeMeter: Pick<OutcomeMeter, 'record'>;
   readonly metrics: RequestMetrics;
   readonly clock: Clock;
   readonly log: Logger;
-  /**
-   * Selects a request's version group. All entries select the same group for
-   * the same `key`, which is the caller's attempt id.
-   */
-  chooseGroup(
-    service: string,
-    key: string,
-    isRepeatable: boolean,
-  ): VersionGroup;
-  /** Called before a request is passed to admission, to record its work. */
-  onDidAccept(service: string, head: CallHead): void;
   /**
    * Called when forwarding has ended, with the number of events that the caller
    * received, whether its response is complete or not.
@@ -99,16 +78,7 @@
 }
 
 /** A request after validation and routing. */
-interface AcceptedRequest {
-  readonly head: CallHead;
-  readonly attemptId: string;
-  readonly route: Route;
-  readonly service: string;
-  readonly customer: CustomerConfig | undefined;
-  /** 0 is the highest priority. */
-  readonly priority: number;
-  /** Deadline of the response, in monotonic milliseconds. */
-  readonly deadlineAt: number;
+interface AcceptedRequest extends RequestToAdmit {
   /** Set once the customer's quota has been checked. */
   quota?: QuotaDecision;
 }
@@ -122,15 +92,6 @@
 /** Lowest of the ten urgency levels of endpoints. */
 const LOWEST_URGENCY = 9;
 
-/** Lowest of the eight urgency levels of admission. */
-const LOWEST_ADMISSION_URGENCY = 7;
-
-/**
- * Minimum admission cost of a request, as a fraction of the cost of a typical
- * request: even the smallest request occupies a slot.
- */
-const MIN_ADMISSION_COST = 0.1;
-
 /**
  * Retry-After of a rejection while this entry is stopping, in milliseconds:
  * another entry can serve the request at once.
@@ -140,12 +101,6 @@
 /** Retry-After of a rejection before this entry is ready, in milliseconds. */
 const NOT_READY_RETRY_MS = 400;
 
-/**
- * Retry-After of a rejection after a new policy has removed the service of a
- * request, in milliseconds: the policy may have moved the route to another one.
- */
-const REMOVED_SERVICE_RETRY_MS = 50;
-
 /**
  * Creates the handler of callers' requests.
  *
@@ -156,7 +111,8 @@
 export function createCallerHandler(
   options: CallerHandlerOptions,
 ): CallerHandler {
-  const {policy, chargeQuota, admission, forwarding, format, clock} = options;
+  const {policy, chargeQuota, requestAdmission, forwarding, format, clock} =
+    options;
   const requestLog = createRequestLog(options);
 
   /** Validates and routes a request; throws the error to respond with. */
@@ -198,6 +154,7 @@
       service,
       customer,
       priority,
+      arrivedAt,
       deadlineAt: arrivedAt + timeoutMs,
     };
   }
@@ -211,45 +168,6 @@
     }
   }
 
-  /**
-   * Returns the admission cost of a request in proportion to its work: a long
-   * prompt costs as much as several typical prompts.
-   */
-  function admissionCost(service: string, {demand}: CallHead): number {
-    if (demand === undefined) {
-      return 1;
-    }
-    const usualOwnTokens = Math.max(1, options.usualOwnTokens(service));
-    return Math.max(
-      MIN_ADMISSION_COST,
-      countOwnTokens(demand) / usualOwnTokens,
-    );
-  }
-
-  async function admit(
-    acceptedRequest: AcceptedRequest,
-    signal: AbortSignal,
-  ): Promise<Permit> {
-    const {service, customer, priority, deadlineAt, head} = acceptedRequest;
-    options.onDidAccept(service, head);
-    try {
-      return await admission.admit(
-        {
-          service,
-          customer: customer?.name ?? '',
-          urgency: Math.min(priority, LOWEST_ADMISSION_URGENCY),
-          deadline: deadlineAt,
-          cost: admissionCost(service, head),
-        },
-        signal,
-      );
-    } catch (error) {
-      throw isServingError(error, 'unknown-service')
-        ? removedServiceError(error)
-        : error;
-    }
-  }
-
   async function serve(
     request: IncomingMessage,
     reply: CallerReply,
@@ -277,9 +195,13 @@
     rejectQuarantined({fingerprint, suspectParts});
     const refundQuota = await chargeQuota(acceptedRequest);
     const watchedOutcome = watchOutcome(acceptedRequest, reply, options);
-    let permit: Permit;
+    let admitted: AdmittedRequest;
     try {
-      permit = await admit(acceptedRequest, callerSignal);
+      admitted = await requestAdmission.admit(
+        acceptedRequest,
+        fingerprint,
+        callerSignal,
+      );
     } catch (error) {
       watchedOutcome.recordEnd(toServingError(error));
       refundQuota();
@@ -287,11 +209,7 @@
     }
     const admittedAt = clock.now();
     const deadline = createDeadline(clock, deadlineAt, callerSignal);
-    const version = options.chooseGroup(
-      service,
-      attemptId,
-      isRepeatable(route),
-    );
+    const {version, placement} = admitted;
     try {
       const result = await forwarding.forward(
         {
@@ -313,6 +231,7 @@
           fingerprint,
           suspectParts,
           promptKeys: promptKeys(head.demand?.parts ?? []),
+          placement,
           deadlineAt,
           signal: deadline.signal,
         },
@@ -324,14 +243,18 @@
       if (result.error?.run === 'not-run') {
         refundQuota();
       }
-      permit.release({
-        outcome: permitOutcome(result, callerSignal),
+      admitted.release({
+        outcome: admittedOutcome(result, callerSignal),
         latencyMs: result.firstByteMs ?? clock.now() - admittedAt,
+        lastEndpoint: result.lastEndpoint,
       });
       return result;
     } finally {
       deadline.dispose();
-      permit.release({outcome: 'failed', latencyMs: clock.now() - admittedAt});
+      admitted.release({
+        outcome: 'failed',
+        latencyMs: clock.now() - admittedAt,
+      });
     }
   }
 
@@ -374,7 +297,7 @@
   };
 }
 
-function permitOutcome({error}: ForwardingResult, callerSignal: AbortSignal) {
+function admittedOutcome({error}: ForwardingResult, callerSignal: AbortSignal) {
   if (error === undefined) {
     return 'ok';
   }
@@ -389,12 +312,3 @@
     retryAfterMs: NOT_READY_RETRY_MS,
   });
 }
-
-/** Returns the error of a request whose service is no longer in the policy. */
-function removedServiceError(cause: ServingError): ServingError {
-  return new ServingError('endpoint-unavailable', cause.message, {
-    run: 'not-run',
-    retryAfterMs: REMOVED_SERVICE_RETRY_MS,
-    cause,
-  });
-}
--- a/packages/gateway/src/callers/requestMetrics.ts
+++ b/packages/gateway/src/callers/requestMetrics.ts
@@ -28,6 +28,19 @@
   readonly waitedMs: number;
 }
 
+/** Decision of a scheduler on a request. */
+export interface PlacementObservation {
+  readonly service: string;
+  readonly request: {readonly urgency: number; readonly route: string};
+  readonly outcome: 'placed' | 'no-room' | 'waited-in-vain';
+  /** Time for which the request waited at the scheduler, in milliseconds. */
+  readonly waitedMs: number;
+  /** Whether the latency target had become unreachable. */
+  readonly isLate: boolean;
+  /** Whether the urgency got less than its minimum share of the starts. */
+  readonly isShort: boolean;
+}
+
 /** What an endpoint has reported of itself: that it leaves, or wants a rest. */
 export type ReportKind = 'leaving' | 'rest';
 
@@ -35,6 +48,7 @@
   record(observation: RequestObservation): void;
   countReport(kind: ReportKind): void;
   recordQuotaDecision(observation: QuotaObservation): void;
+  recordPlacement(observation: PlacementObservation): void;
   /** Returns all metrics in the Prometheus text format. */
   render(): Promise<string>;
   shutDown(): Promise<void>;
@@ -97,6 +111,7 @@
     record: observation => recordObservation(observation),
     countReport: kind => recordObservation(kind),
     recordQuotaDecision: observation => recordObservation(observation),
+    recordPlacement: observation => recordObservation(observation),
     async render() {
       const metrics = await loadMetricsOnce();
       return metrics.render();
@@ -108,7 +123,11 @@
   };
 }
 
-type Observation = RequestObservation | QuotaObservation | ReportKind;
+type Observation =
+  | RequestObservation
+  | QuotaObservation
+  | PlacementObservation
+  | ReportKind;
 
 function createRecorder(meter: Meter): (observation: Observation) => void {
   const requests = meter.createCounter('skylarkfield.gateway.requests', {
@@ -144,11 +163,38 @@
     advice: {explicitBucketBoundaries: QUOTA_BOUNDARIES_MS},
     description: 'Time that a request waited for the decision on its quota',
   });
+  const placements = meter.createCounter('skylarkfield.scheduler.requests', {
+    description: 'Decisions of this entry as a scheduler',
+  });
+  const placementWait = meter.createHistogram('skylarkfield.scheduler.wait', {
+    unit: 'ms',
+    advice,
+    description: 'Time that requests waited at the scheduler for a slot',
+  });
+  const shortfalls = meter.createCounter('skylarkfield.scheduler.short', {
+    description:
+      'Rejections while an urgency got less than its share of starts',
+  });
+
+  function recordPlacement(observation: PlacementObservation): void {
+    const {service, request, outcome, waitedMs, isLate} = observation;
+    const labels = {service, urgency: request.urgency};
+    placements.add(1, {...labels, outcome: isLate ? 'late' : outcome});
+    placementWait.record(waitedMs, {service});
+    if (observation.isShort) {
+      shortfalls.add(1, labels);
+    }
+  }
+
   return observation => {
     if (typeof observation === 'string') {
       reports.add(1, {kind: observation});
       return;
     }
+    if ('isLate' in observation) {
+      recordPlacement(observation);
+      return;
+    }
     if ('outcome' in observation) {
       const {outcome, reportAgeMs, waitedMs} = observation;
       reportAge.record(reportAgeMs, {outcome});
--- a/packages/gateway/src/callers/test/callerHandler.test.ts
+++ b/packages/gateway/src/callers/test/callerHandler.test.ts
@@ -17,6 +17,7 @@
 import type {Route} from '@skylarkfield/traffic';
 import type {ActivePolicy} from '../../policy/activePolicy.js';
 import {createCallerHandler} from '../callerHandler.js';
+import {createRequestAdmission} from '../requestAdmission.js';
 import type {CallFormat} from '../../contracts.js';
 import type {ForwardingResult} from '../../forwarding/forwardedCall.js';
 import type {Forwarding} from '../../forwarding/forwarding.js';
@@ -106,7 +107,16 @@
       isEmpty: () => true,
       verdictFor: () => ({type: 'clear'}),
     },
-    admission,
+    requestAdmission: createRequestAdmission({
+      admission,
+      schedulerClient: {place: async () => ({type: 'undecided'})},
+      failureDomain: 'a',
+      clock,
+      isScheduled: () => false,
+      usualOwnTokens: () => 1,
+      chooseGroup: () => 'incumbent',
+      onDidAccept() {},
+    }),
     forwarding: {forward},
     format,
     servingState: {
@@ -115,13 +125,10 @@
       isClosing: () => false,
     },
     inFlight,
-    usualOwnTokens: () => 1,
     outcomeMeter: {record() {}},
     metrics: {record() {}} as unknown as RequestMetrics,
     clock,
     log,
-    chooseGroup: () => 'incumbent',
-    onDidAccept() {},
     onDidAnswer() {},
     onDidConclude() {},
   });
--- a/packages/gateway/src/endpoints/endpointDirectory.ts
+++ b/packages/gateway/src/endpoints/endpointDirectory.ts
@@ -9,6 +9,7 @@
   SlottedEndpoint,
   WarmUps,
 } from '@skylarkfield/routing';
+import type {SchedulableEndpoint} from '@skylarkfield/scheduling';
 import {
   currentRolloutState,
   type DomainDrain,
@@ -45,6 +46,11 @@
     service: string,
     group: VersionGroup,
   ): readonly RegisteredEndpoint[];
+  /** Returns the endpoints of a version group that requests are placed at. */
+  placementTargets(
+    service: string,
+    group: VersionGroup,
+  ): readonly SchedulableEndpoint[];
   /** Returns the endpoints of a service that accept requests, for probes. */
   probeTargets(service: string): readonly ProbeTarget[];
   /**
@@ -236,6 +242,15 @@
           endpoint.state === 'ready' &&
           groupOf(endpoint) === group,
       ),
+    placementTargets: (service, group) =>
+      [...endpointsByKey]
+        .filter(
+          ([, endpoint]) =>
+            endpoint.service === service &&
+            endpoint.state === 'ready' &&
+            groupOf(endpoint) === group,
+        )
+        .map(([id, {slots, failureDomain}]) => ({id, slots, failureDomain})),
     probeTargets: service =>
       [...endpointsByKey]
         .filter(
--- a/packages/gateway/src/forwarding/endpointAttempts.ts
+++ b/packages/gateway/src/forwarding/endpointAttempts.ts
@@ -122,6 +122,7 @@
   ): RunningAttempt {
     progress.endpoints.push(endpoint.id);
     progress.excludedEndpoints.add(choice.endpoint);
+    progress.lastEndpoint = choice.endpoint;
     progress.tokensAhead ??= choice.tokensAhead;
     const sentAt = clock.now();
     progress.firstSendAt ??= sentAt;
@@ -177,6 +178,7 @@
     progress.firstByteMs ??= attempt.beganAt - progress.startedAt;
     choice.recordFirstToken();
     options.endpointReports.recordLoad(choice.endpoint, head);
+    call.placement?.recordBegin(choice.endpoint, head.load);
     countRun(
       call,
       progress,
--- a/packages/gateway/src/forwarding/forwardedCall.ts
+++ b/packages/gateway/src/forwarding/forwardedCall.ts
@@ -2,7 +2,7 @@
 import type {ServingError} from '@skylarkfield/base';
 import type {Route} from '@skylarkfield/traffic';
 import type {ResponseEnd} from '../attempts/attempt.js';
-import type {CallHead} from '../contracts.js';
+import type {CallHead, SelfReportedLoad} from '../contracts.js';
 import type {VersionGroup} from '../endpoints/endpointDirectory.js';
 import type {RetryDenial} from './retryRules.js';
 
@@ -34,10 +34,20 @@
   readonly deadlineAt: number;
   /** Aborted when the caller disconnects or the deadline passes. */
   readonly signal: AbortSignal;
+  /** Set if the scheduler of the service has placed the call. */
+  readonly placement?: CallPlacement | undefined;
   /** Set if another entry handed the call over; it is not handed on. */
   readonly handover?: HandoverState;
 }
 
+/** Endpoint that the scheduler of a service has chosen for a call. */
+export interface CallPlacement {
+  /** Router key of the endpoint. */
+  readonly endpoint: string;
+  /** Records the first byte or event of the response of an endpoint. */
+  recordBegin(endpoint: string, load: SelfReportedLoad | undefined): void;
+}
+
 /** What an entry that hands a call over has done with it. */
 export interface HandoverState {
   /** Id of the entry. */
@@ -58,6 +68,8 @@
   readonly firstByteMs: number | undefined;
   /** Ids of the endpoints that the call was sent to, in order. */
   readonly endpoints: readonly string[];
+  /** Router key of the endpoint that the call was last sent to. */
+  readonly lastEndpoint?: string | undefined;
   /**
    * Whether an endpoint failed or declined the call; not if it only stood still.
    */
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -197,7 +197,8 @@
     progress: Progress,
     {choice, kvCache}: EndpointTarget,
   ): ServingError | undefined {
-    if (progress.runCount > 0 || kvCache !== undefined) {
+    const isPlaced = call.placement?.endpoint === choice.endpoint;
+    if (progress.runCount > 0 || kvCache !== undefined || isPlaced) {
       return undefined;
     }
     const wait = engineObserver.expectedWait(
@@ -394,6 +395,7 @@
   {
     firstByteMs,
     endpoints,
+    lastEndpoint,
     peers,
     tokensAhead,
     firstSendAt,
@@ -409,6 +411,7 @@
     error,
     firstByteMs,
     endpoints,
+    ...(lastEndpoint !== undefined && {lastEndpoint}),
     ...(hasFailedAttempt && {hasFailedAttempt}),
     ...(hasWaitedForStill && {hasWaitedForStill}),
     ...(stillEndpoints.length > 0 && {stillEndpoints}),
--- a/packages/gateway/src/forwarding/retryRules.ts
+++ b/packages/gateway/src/forwarding/retryRules.ts
@@ -29,6 +29,8 @@
 export interface Progress {
   /** Ids of the endpoints that the request was sent to, in order. */
   readonly endpoints: string[];
+  /** Router key of the endpoint that the request was last sent to. */
+  lastEndpoint: string | undefined;
   /** Router keys of the endpoints that must not be chosen again. */
   readonly excludedEndpoints: Set<string>;
   /** Ids of the entries that the request was handed over to, in order. */
@@ -136,6 +138,7 @@
 ): Progress {
   return {
     endpoints: [],
+    lastEndpoint: undefined,
     excludedEndpoints: new Set(handover?.excludedEndpoints),
     peers: [],
     hasFailedToConnect: false,
--- a/packages/gateway/src/forwarding/routingRequest.ts
+++ b/packages/gateway/src/forwarding/routingRequest.ts
@@ -25,6 +25,7 @@
     ...(demand && {ownTokens: countOwnTokens(demand)}),
     ...(call.urgency !== undefined && {urgency: call.urgency}),
     regions: call.regions,
+    preferred: call.placement?.endpoint,
     excluded,
     isSuspected,
   };
--- /dev/null
+++ b/packages/gateway/src/scheduling/scheduledServices.ts
@@ -0,0 +1,47 @@
+/** Decides which services are scheduled by one entry for all entries. */
+import type {RegisteredEndpoint} from '@skylarkfield/traffic';
+import type {ActivePolicy} from '../policy/activePolicy.js';
+import type {ServiceCatalog} from '../policy/serviceCatalog.js';
+import type {GatewaySettings} from '../settings.js';
+
+export interface ScheduledServices {
+  has(service: string): boolean;
+}
+
+/**
+ * Creates the decision from the settings, the policy and the endpoints. A
+ * service is scheduled if a route to it has a latency target and its endpoints
+ * have few slots: such an endpoint is full after few requests, and a request at
+ * a full endpoint waits for a whole response. Endpoints that are brittle or warm
+ * up have limits of their own, which each entry applies.
+ *
+ * @example
+ * const scheduled = createScheduledServices({settings, policy, services, ...});
+ * if (scheduled.has('booking')) { await scheduler.place(request); }
+ */
+export function createScheduledServices(options: {
+  readonly settings: GatewaySettings['scheduling'];
+  readonly policy: Pick<ActivePolicy, 'routesTo'>;
+  readonly services: Pick<ServiceCatalog, 'find'>;
+  endpointsOf(service: string): readonly Pick<RegisteredEndpoint, 'slots'>[];
+  isBrittle(service: string): boolean;
+}): ScheduledServices {
+  const {settings, policy, services} = options;
+
+  function hasFewSlots(service: string): boolean {
+    const endpoints = options.endpointsOf(service);
+    return (
+      endpoints.length > 0 &&
+      endpoints.every(({slots}) => slots <= settings.mostSlots)
+    );
+  }
+
+  return {
+    has: service =>
+      settings.mode === 'auto' &&
+      services.find(service)?.warmUp === undefined &&
+      policy.routesTo(service).some(({goalMs}) => goalMs > 0) &&
+      hasFewSlots(service) &&
+      !options.isBrittle(service),
+  };
+}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -90,6 +90,15 @@
       slack: z.number().min(0).max(10_000).default(0),
     })
     .prefault({}),
+  /** Which services one entry schedules for all entries. */
+  scheduling: z
+    .strictObject({
+      /** `auto`: services with a latency target and few slots per endpoint. */
+      mode: z.enum(['auto', 'off']).default('auto'),
+      /** Largest number of slots per endpoint of scheduled services. */
+      mostSlots: z.number().int().min(1).max(10_000).default(12),
+    })
+    .prefault({}),
   log: z
     .strictObject({
       level: z
--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -57,7 +57,10 @@
 import {createPlatformView} from './mirrors/platformView.js';
 import {createActivePolicy, type ActivePolicy} from './policy/activePolicy.js';
 import {createReadiness, type Readiness} from './process/readiness.js';
+import {createRequestAdmission} from './callers/requestAdmission.js';
 import {createRequestWork} from './forwarding/requestWork.js';
+import {createGatewayScheduling} from './scheduling/gatewayScheduling.js';
+import {createScheduledServices} from './scheduling/scheduledServices.js';
 import {
   createRolloutController,
   type RolloutController,
@@ -155,6 +158,7 @@
     self: settings.id,
     blockTokens: TOKENS_PER_KEY,
     weightOverrides: service => engineEstimates.routeWeights(service),
+    usesAllEndpoints: service => scheduledServices.has(service),
   });
   const departures = createDepartures({clock, decisions});
   const directory: EndpointDirectory = createEndpointDirectory({
@@ -170,6 +174,13 @@
     warmUpMs: services.warmUpMs,
     regionOf: failureDomain => settings.regions[failureDomain],
   });
+  const scheduledServices = createScheduledServices({
+    settings: settings.scheduling,
+    policy,
+    services,
+    endpointsOf: directory.endpointsOf,
+    isBrittle: slotShares.isBrittle,
+  });
   const crashQuarantine = createCrashQuarantine({
     clock,
     self: settings.id,
@@ -254,6 +265,15 @@
   const gatewayQuotas = disposables.add(
     createGatewayQuotas(context, coordination, {policy, peerReports}),
   );
+  const scheduling = disposables.add(
+    createGatewayScheduling(context, coordination, {
+      directory,
+      services,
+      scheduledServices,
+      engineEstimates,
+      isEntryCountKnown: gatewayQuotas.peerVisibility.isEntryCountKnown,
+    }),
+  );
   const usageWindows = createUsageWindows({
     windowMs: settings.usageWindowSeconds * MS_PER_SECOND,
     self: `${settings.id}.${context.incarnation}`,
@@ -287,6 +307,7 @@
     reach.recordEndpointsChanged();
     limits.updateEndpoints();
     admissionConfigurator.update();
+    scheduling.host.updateEndpoints();
   }
 
   const rolloutController = disposables.add(
@@ -359,7 +380,19 @@
     policy,
     chargeQuota: gatewayQuotas.charge,
     crashQuarantine,
-    admission,
+    requestAdmission: createRequestAdmission({
+      admission,
+      schedulerClient: scheduling.client,
+      failureDomain: settings.failureDomain,
+      clock,
+      isScheduled: service =>
+        scheduledServices.has(service) &&
+        reach.stateOf(service) === 'reachable',
+      usualOwnTokens: service =>
+        engineEstimates.estimateFor(service).usualOwnTokens,
+      chooseGroup: rolloutController.groupFor,
+      onDidAccept: requestWork.recordPrompt,
+    }),
     forwarding,
     format: platform.callFormat,
     servingState: {
@@ -368,15 +401,11 @@
       isClosing: () => lifecycle.state() !== 'serving',
     },
     inFlight: context.inFlight,
-    usualOwnTokens: service =>
-      engineEstimates.estimateFor(service).usualOwnTokens,
     outcomeMeter: withholdLateness(reach, engineEstimates.outcomes),
     metrics: context.metrics,
     clock,
     log,
-    chooseGroup: rolloutController.groupFor,
     onDidConclude: recordSample,
-    onDidAccept: requestWork.recordPrompt,
     onDidAnswer: requestWork.recordAnswer,
   });
   context.dumps.add('view', () => platformView.dump());
--- a/packages/protocol/src/contracts.ts
+++ b/packages/protocol/src/contracts.ts
@@ -13,6 +13,7 @@
 import type {MoveMessages} from './messages/moveMessages.js';
 import type {EndpointMessages} from './messages/endpointMessages.js';
 import type {GatewayMessages} from './messages/gatewayMessages.js';
+import type {SchedulingMessages} from './messages/schedulingMessages.js';
 
 /** Incremented when a release changes the meaning of a message. */
 export const PROTOCOL_VERSION = 1;
@@ -24,7 +25,8 @@
     OrderMessages,
     MoveMessages,
     EndpointMessages,
-    GatewayMessages {}
+    GatewayMessages,
+    SchedulingMessages {}
 
 export type MessageType = keyof Messages & string;
 
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -17,3 +17,4 @@
 export * from './messages/endpointMessages.js';
 export {isSameKey} from './hello.js';
 export * from './messages/gatewayMessages.js';
+export * from './messages/schedulingMessages.js';
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -35,6 +35,8 @@
   readonly regions?: readonly string[] | undefined;
   /** Endpoints on which an attempt of this request has already failed. */
   readonly excluded: ReadonlySet<string>;
+  /** Endpoint to choose if it may be used; absent for none. */
+  readonly preferred?: string | undefined;
   /**
    * Whether the request may crash its endpoint; if so, it is sent to one with
    * the fewest requests.
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -60,6 +60,8 @@
   readonly isOwnAttempt: (attempt: string) => boolean;
   /** Prompt tokens per block of a routing request. */
   readonly blockTokens?: number;
+  /** Whether this entry is assigned all endpoints of a service. */
+  usesAllEndpoints?(service: string): boolean;
 }): EndpointPools {
   const {clock, random, self, isOwnAttempt, blockTokens} = options;
   const endpointsById = new Map<string, PooledEndpoint>();
@@ -98,6 +100,9 @@
       groups.set(key, group);
     }
     return [...groups.values()].flatMap(group => {
+      if (options.usesAllEndpoints?.(group[0]!.service)) {
+        return group;
+      }
       const ids = group.map(({id}) => id);
       const subset = pickSubset(self, entries, ids);
       // With few entries and many endpoints an entry may be assigned no
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -33,6 +33,11 @@
   readonly weights?: Partial<RouteWeights>;
   /** Returns overrides of `weights` for one service; called at each choice. */
   weightOverrides?(service: string): Partial<RouteWeights> | undefined;
+  /**
+   * Whether this entry uses all endpoints of a service, however many they are;
+   * false by default.
+   */
+  usesAllEndpoints?(service: string): boolean;
   /** Limits on the requests to single endpoints; none when absent. */
   readonly endpointLimits?: EndpointLimits;
   /** Prompt tokens per block; the engines' block size when absent. */
@@ -76,6 +81,7 @@
     self,
     isOwnAttempt,
     blockTokens,
+    usesAllEndpoints: service => options.usesAllEndpoints?.(service) ?? false,
   });
   const serviceCosts = createServiceCosts(weights, service =>
     options.weightOverrides?.(service),
@@ -117,6 +123,16 @@
     return permittedEndpoints;
   }
 
+  function preferredEndpoint(
+    {preferred}: RoutingRequest,
+    candidates: readonly PooledEndpoint[],
+  ): PooledEndpoint[] | undefined {
+    const endpoint = candidates.find(
+      ({candidate}) => candidate.id === preferred,
+    );
+    return endpoint && [endpoint];
+  }
+
   function pickProbeTarget(
     routingRequest: RoutingRequest,
     candidates: readonly PooledEndpoint[],
@@ -233,7 +249,9 @@
       const candidates = routingRequest.isSuspected ? leastLoaded(all) : all;
       const scored = ranking.pickBest(
         routingRequest,
-        pickProbeTarget(routingRequest, candidates) ?? candidates,
+        preferredEndpoint(routingRequest, candidates) ??
+          pickProbeTarget(routingRequest, candidates) ??
+          candidates,
       );
       return scored === undefined
         ? undefined
--- /dev/null
+++ b/packages/scheduling/src/bookings.ts
@@ -0,0 +1,144 @@
+/**
+ * Times at which rejected callers are told to return, and which of them return
+ * as told.
+ *
+ * Room that is free outside of bursts is handed out to one caller after the
+ * other. If all of them were told the same time, they would return together and
+ * most would be rejected again.
+ */
+import type {Clock} from '@skylarkfield/base';
+
+/** A request that is rejected. */
+export interface BookedRequest {
+  /** Time of the whole service that the request takes, in milliseconds. */
+  readonly costMs: number;
+  readonly fingerprint: string | undefined;
+}
+
+export interface Bookings {
+  /**
+   * Books room, and returns the time until it is free, in milliseconds.
+   * `freeFraction` is the part of the service that is free in usual times.
+   */
+  book(request: BookedRequest, freeFraction: number): number;
+  /**
+   * Returns whether the request has a booking that is due, and removes the
+   * booking.
+   */
+  redeem(fingerprint: string | undefined): boolean;
+  readonly size: number;
+}
+
+/** Bounds of the time until a caller returns, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 50;
+const MAX_RETRY_AFTER_MS = 12_000;
+
+/**
+ * Upper bound of the time for which an overload is expected to go on, in
+ * milliseconds; otherwise as long as it has lasted.
+ */
+const MAX_EXPECTED_OVERLOAD_MS = 2_000;
+
+/** Time without rejections after which an overload is over, in milliseconds. */
+const OVERLOAD_GAP_MS = 500;
+
+/** Fraction of the room that is handed out even if none seems to be free. */
+const MIN_FREE_FRACTION = 0.1;
+
+/** Time before and after the booked time in which a caller is expected, in ms. */
+const EARLY_MS = 100;
+const LATE_MS = 3_000;
+
+/** Maximum number of bookings; further callers return without one. */
+const MAX_BOOKINGS = 10_000;
+
+/**
+ * Creates the bookings of one service.
+ *
+ * @example
+ * const retryAfterMs = bookings.book({costMs: 2.5, fingerprint}, 0.4);
+ */
+export function createBookings(clock: Clock): Bookings {
+  /** Times of the bookings by fingerprint, in monotonic milliseconds. */
+  const dueTimes = new Map<string, number[]>();
+  let bookingCount = 0;
+  let nextFreeAt = -Infinity;
+  let overloadedSince = -Infinity;
+  let lastRejectionAt = -Infinity;
+
+  function recordRejection(): void {
+    const now = clock.now();
+    if (now - lastRejectionAt > OVERLOAD_GAP_MS) {
+      overloadedSince = now;
+    }
+    lastRejectionAt = now;
+  }
+
+  function removeExpired(): void {
+    const now = clock.now();
+    for (const [fingerprint, times] of dueTimes) {
+      const kept = times.filter(time => time + LATE_MS > now);
+      bookingCount -= times.length - kept.length;
+      if (kept.length === 0) {
+        dueTimes.delete(fingerprint);
+      } else {
+        dueTimes.set(fingerprint, kept);
+      }
+    }
+  }
+
+  function add(fingerprint: string, dueAt: number): void {
+    if (bookingCount >= MAX_BOOKINGS) {
+      removeExpired();
+    }
+    if (bookingCount < MAX_BOOKINGS) {
+      dueTimes.set(fingerprint, [...(dueTimes.get(fingerprint) ?? []), dueAt]);
+      bookingCount += 1;
+    }
+  }
+
+  return {
+    book({costMs, fingerprint}, freeFraction) {
+      recordRejection();
+      const now = clock.now();
+      const expectedOverloadMs = Math.min(
+        MAX_EXPECTED_OVERLOAD_MS,
+        now - overloadedSince,
+      );
+      const freeAt =
+        Math.max(nextFreeAt, now + expectedOverloadMs + MIN_RETRY_AFTER_MS) +
+        costMs / Math.max(MIN_FREE_FRACTION, freeFraction);
+      if (freeAt - now > MAX_RETRY_AFTER_MS) {
+        return MAX_RETRY_AFTER_MS;
+      }
+      nextFreeAt = freeAt;
+      if (fingerprint !== undefined) {
+        add(fingerprint, freeAt);
+      }
+      return Math.ceil(freeAt - now);
+    },
+    redeem(fingerprint) {
+      const times =
+        fingerprint === undefined ? undefined : dueTimes.get(fingerprint);
+      if (fingerprint === undefined || times === undefined) {
+        return false;
+      }
+      const now = clock.now();
+      const index = times.findIndex(
+        time => now >= time - EARLY_MS && now <= time + LATE_MS,
+      );
+      if (index < 0) {
+        return false;
+      }
+      times.splice(index, 1);
+      bookingCount -= 1;
+      if (times.length === 0) {
+        dueTimes.delete(fingerprint);
+      }
+      return true;
+    },
+    get size() {
+      return bookingCount;
+    },
+  };
+}
