traffic: count slots in use in the endpoints needed

Cause: the need followed from engine time alone. An engine with few slots is full long before its time is used up, as each answer holds a slot for all of its steps; requests then wait for a whole answer to end.

Change: the need is the larger of the need by work and the need by slots. The target fill is 0.55, and 0.7 until lost endpoints are replaced.

--- a/packages/traffic/src/demandEstimator.ts
+++ b/packages/traffic/src/demandEstimator.ts
@@ -9,12 +9,13 @@
  *
  * If the engine speed is overestimated, requests are late. While many requests
  * are late, the need is higher than the number of present endpoints, but at
- * most `MAX_SCALE_UP_OVER_WORK` times the need due to work. It does not fall
- * for `SCALE_DOWN_WINDOW_MS` after that.
+ * most `MAX_SCALE_UP_OVER_WORK` times the need due to work and slots. It does
+ * not fall for `SCALE_DOWN_WINDOW_MS` after that.
  */
 import type {Clock} from '@skylarkfield/base';
 import type {TargetUtilization} from '@skylarkfield/capacity';
 import {countEndpointsNeeded, type EndpointNeed} from './fleetPlan.js';
+import {countEndpointsForSlots, type SlotDemand} from './slotDemand.js';
 
 /** Measurements from which the number of needed endpoints is estimated. */
 export interface DemandSignals {
@@ -22,6 +23,11 @@
   readonly workRate: number;
   /** Target utilization of an endpoint. */
   readonly use: TargetUtilization;
+  /**
+   * Slots that the work holds, by the last confident estimate; absent if there
+   * is none, or if slots do not limit the engines.
+   */
+  readonly slotDemand?: SlotDemand | undefined;
   /** Endpoints that accept requests now. */
   readonly readyEndpoints: number;
   /** Fraction of recent requests that were late. */
@@ -68,15 +74,56 @@
 
 /**
  * Upper bound of the need due to late requests, as a multiple of the need due
- * to work. Requests may be late for other reasons, such as failing endpoints.
+ * to work and slots. Requests may be late for other reasons, such as failing
+ * endpoints.
  */
 const MAX_SCALE_UP_OVER_WORK = 2;
 
+/**
+ * Target fill of the slots in normal operation. A request should find a free
+ * slot at once: by the Erlang C formula, 1 in 100 requests finds all of 48
+ * slots in use during bursts of 1.25 times the load. At a fill of 0.6, 4 in 100
+ * do.
+ */
+const USUAL_SLOT_FILL = 0.55;
+
+/**
+ * Target fill of the slots until lost endpoints are replaced: 1 in 100 requests
+ * finds all of 48 slots in use, without a reserve for bursts.
+ */
+const BRIEF_SLOT_FILL = 0.7;
+
 /** Number of needed endpoints, computed at a time in monotonic milliseconds. */
 interface NeedSample extends EndpointNeed {
   readonly computedAtMs: number;
 }
 
+/**
+ * Returns the endpoints needed for the arriving work: enough for the time that
+ * it takes, up to `maxForWork`, and for the slots that it holds.
+ *
+ * @example
+ * const {usual} = needForDemand(signals);
+ */
+export function needForDemand(
+  {
+    workRate,
+    use,
+    slotDemand,
+  }: Pick<DemandSignals, 'workRate' | 'use' | 'slotDemand'>,
+  maxForWork = Infinity,
+): EndpointNeed {
+  const usual = Math.min(maxForWork, countEndpointsNeeded(workRate, use.usual));
+  const brief = Math.min(maxForWork, countEndpointsNeeded(workRate, use.brief));
+  if (slotDemand === undefined) {
+    return {usual, brief};
+  }
+  return {
+    usual: Math.max(usual, countEndpointsForSlots(slotDemand, USUAL_SLOT_FILL)),
+    brief: Math.max(brief, countEndpointsForSlots(slotDemand, BRIEF_SLOT_FILL)),
+  };
+}
+
 /**
  * Creates the demand estimator of one service.
  *
@@ -106,17 +153,10 @@
       : Math.ceil(readyEndpoints * SCALE_UP_FACTOR);
   }
 
-  function needFromWork(signals: DemandSignals, utilization: number): number {
-    const neededEndpoints = countEndpointsNeeded(signals.workRate, utilization);
-    // An uncertain estimate must not exceed the operator's initial fleet.
-    return signals.isSure
-      ? neededEndpoints
-      : Math.min(neededEndpoints, Math.max(1, initialCount));
-  }
-
   function computeNeed(signals: DemandSignals): NeedSample {
-    const usual = needFromWork(signals, signals.use.usual);
-    const brief = needFromWork(signals, signals.use.brief);
+    // An uncertain estimate must not exceed the operator's initial fleet.
+    const maxForWork = signals.isSure ? Infinity : Math.max(1, initialCount);
+    const {usual, brief} = needForDemand(signals, maxForWork);
     const lateNeed = Math.min(
       needFromLateness(signals),
       usual * MAX_SCALE_UP_OVER_WORK,
--- a/packages/traffic/src/engineWork.ts
+++ b/packages/traffic/src/engineWork.ts
@@ -71,6 +71,21 @@
   return {...ZERO_WORK, answerTokens, answerContext};
 }
 
+/**
+ * Returns the estimated milliseconds that one engine takes for the prompts of
+ * the work.
+ *
+ * @example
+ * const busyMs = promptMs(work.rates().chat, estimate);
+ */
+export function promptMs(work: WorkRate, estimate: EngineEstimate): number {
+  return (
+    work.ownTokens * estimate.promptTokenMs +
+    work.pairs * estimate.pairsMs +
+    work.rereadTokens * estimate.rereadTokenMs
+  );
+}
+
 /**
  * Returns the estimated milliseconds that one engine takes for the work.
  *
@@ -79,9 +94,7 @@
  */
 export function workMs(work: WorkRate, estimate: EngineEstimate): number {
   return (
-    work.ownTokens * estimate.promptTokenMs +
-    work.pairs * estimate.pairsMs +
-    work.rereadTokens * estimate.rereadTokenMs +
+    promptMs(work, estimate) +
     work.answerTokens * estimate.requestStepMs +
     work.answerContext * estimate.contextStepMs
   );
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -16,6 +16,7 @@
 export * from './repeatability.js';
 export * from './rolloutStates.js';
 export * from './routeTable.js';
+export * from './slotDemand.js';
 export * from './usageWindows.js';
 export * from './weightedChoice.js';
 export * from './workMeter.js';
