gateway: plan endpoints by slots in use and log them

Cause: the plan did not know the slots of the engines. While all slots are in use, waits make the engine estimate uncertain, so a need by slots that depends on a confident estimate would vanish just under load.

Change: the demand of a service includes its slots, from the last confident estimate of at most 60 s ago and the present work. The line `endpoints planned` has the slots that the plan counted, `slotsInUse`.

--- a/packages/bench/src/engines/replayEntry.ts
+++ b/packages/bench/src/engines/replayEntry.ts
@@ -77,6 +77,7 @@
     log,
     restored: () => ({}),
     isModel: () => true,
+    engineSlots: () => profile.slots,
     latencyTargets: () => latencyTargets,
   });
   const router = createRouter({
--- a/packages/gateway/src/endpoints/engineEstimates.ts
+++ b/packages/gateway/src/endpoints/engineEstimates.ts
@@ -18,9 +18,11 @@
 import {
   addWork,
   createWorkMeter,
+  estimateSlotDemand,
   ZERO_WORK,
   workMs,
   type DemandSignals,
+  type SlotDemand,
   type WorkMeter,
 } from '@skylarkfield/traffic';
 import type {PeerReports} from '../digests/peerReports.js';
@@ -76,6 +78,13 @@
  */
 const RECOMPUTE_WEIGHT = 4;
 
+/**
+ * Time in milliseconds for which slots are counted with the last confident
+ * estimate. While all slots are in use, waits hide the engine speed, and the
+ * estimate is uncertain just when the slots are needed.
+ */
+const CONFIDENT_ESTIMATE_AGE_MS = 60_000;
+
 interface CachedEstimate {
   readonly computedAt: number;
   readonly estimate: EngineEstimate;
@@ -87,7 +96,7 @@
  *
  * @example
  * const engineEstimates = createEngineEstimates({clock, reports, log,
- *   restored: store.restoredStats, isModel, latencyTargets});
+ *   restored: store.restoredStats, isModel, engineSlots, latencyTargets});
  */
 export function createEngineEstimates(options: {
   readonly clock: Clock;
@@ -96,6 +105,8 @@
   /** Returns measurements from before all entries were lost, decayed by age. */
   restored(): CapacityStats;
   isModel(service: string): boolean;
+  /** Returns the slots of one engine; undefined for a plain service. */
+  engineSlots(service: string): number | undefined;
   latencyTargets(service: string): readonly LatencyTargets[];
 }): EngineEstimates {
   const {clock, reports, log} = options;
@@ -103,6 +114,7 @@
   const outcomes = createOutcomeMeter(clock);
   const work = createWorkMeter(clock);
   const cachedEstimates = new Map<string, CachedEstimate>();
+  const confidentEstimates = new Map<string, CachedEstimate>();
   const loggedEstimates = new Map<string, EngineEstimate>();
   let publishedAt = -Infinity;
 
@@ -133,6 +145,9 @@
     }
     const newResult = computeEstimate(service);
     cachedEstimates.set(service, newResult);
+    if (newResult.estimate.isSure) {
+      confidentEstimates.set(service, newResult);
+    }
     logChange(service, newResult.estimate);
     return newResult;
   }
@@ -159,6 +174,18 @@
     return addWork(ownRate, reports.peerWorkRate(service));
   }
 
+  function slotDemand(service: string, work: WorkRate): SlotDemand | undefined {
+    const confident = confidentEstimates.get(service);
+    return confident !== undefined &&
+      clock.now() - confident.computedAt <= CONFIDENT_ESTIMATE_AGE_MS
+      ? estimateSlotDemand(
+          work,
+          confident.estimate,
+          options.engineSlots(service),
+        )
+      : undefined;
+  }
+
   function lateFraction(service: string): number {
     const originCounts = [outcomes.counts(), ...reports.outcomes()];
     return lateRequestFraction(
@@ -170,9 +197,11 @@
     service: string,
   ): Omit<DemandSignals, 'readyEndpoints'> {
     const {estimate} = cachedEstimate(service);
+    const work = workRate(service);
     return {
-      workRate: workMs(workRate(service), estimate),
+      workRate: workMs(work, estimate),
       use: targetUtilization(estimate, options.latencyTargets(service)),
+      slotDemand: slotDemand(service, work),
       latePart: lateFraction(service),
       isSure: estimate.isSure,
     };
--- a/packages/gateway/src/process/fleetDuty.ts
+++ b/packages/gateway/src/process/fleetDuty.ts
@@ -8,6 +8,7 @@
 } from '@skylarkfield/base';
 import type {DutyTerm} from '@skylarkfield/duties';
 import {
+  countSlotsInUse,
   createDemandEstimator,
   createRemovalHold,
   planFleet,
@@ -345,6 +346,10 @@
         {
           service: name,
           ...signals,
+          // At the needed number of endpoints; absent if slots are not counted.
+          slotsInUse:
+            signals.slotDemand &&
+            countSlotsInUse(signals.slotDemand, needed.usual),
           needed,
           scarce: [...readyCountByScarceDomain.keys()],
           plan,
--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -136,6 +136,7 @@
     log,
     restored: engineCapacityStore.restoredStats,
     isModel: services.isModel,
+    engineSlots: service => services.find(service)?.engine?.slots,
     latencyTargets: policy.routesTo,
   });
   const upstreams = disposables.add(createUpstreams(context.connectEndpoint));
