bench: plan engines by slots too in the measurement of capacity

Cause: the plans `learned` and `true` were computed from work alone, unlike the plans of the gateway.

Change: both use the gateway's need.

--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -5,7 +5,12 @@
  * engine.
  */
 import {targetUtilization, type EngineEstimate} from '@skylarkfield/capacity';
-import {countEndpointsNeeded, workMs} from '@skylarkfield/traffic';
+import {
+  countEndpointsNeeded,
+  estimateSlotDemand,
+  needForDemand,
+  workMs,
+} from '@skylarkfield/traffic';
 import {
   ENGINE_PROFILES,
   requestKindsFor,
@@ -137,11 +142,12 @@
   const work = estimates.workRate(SERVICE);
   const fixedWorkMs = workMs(work, {...estimate, ...FIXED_ESTIMATE});
   return {
-    learned: countEndpointsNeeded(signals.workRate, signals.use.usual),
-    true: countEndpointsNeeded(
-      workMs(work, trueEstimate),
-      targetUtilization(trueEstimate, latencyTargets).usual,
-    ),
+    learned: needForDemand(signals).usual,
+    true: needForDemand({
+      workRate: workMs(work, trueEstimate),
+      use: targetUtilization(trueEstimate, latencyTargets),
+      slotDemand: estimateSlotDemand(work, trueEstimate, profile.slots),
+    }).usual,
     fixed: countEndpointsNeeded(fixedWorkMs, FIXED_ESTIMATE.utilization),
   };
 }
