--- a/packages/scheduling/src/serviceScheduler.ts
+++ b/packages/scheduling/src/serviceScheduler.ts
@@ -152,13 +152,21 @@
     return Math.max(slotMs, promptMs);
   }
 
-  /** Returns the time after which a waiting request is expected to start. */
+  /**
+   * Returns the time after which a waiting request is expected to start: what
+   * more urgent requests leave, or the minimum share of its urgency.
+   */
   function expectedWaitMs(incoming: WaitingRequest): number {
-    const available = Math.max(
+    const left = Math.max(
       MIN_START_SHARE,
       1 - demand.recentAbove(incoming.urgency),
     );
-    return (waiting.costBefore(incoming) + incoming.cost) / available;
+    const costWithShare =
+      waiting.costBeforeAtSameUrgency(incoming) + incoming.cost;
+    return Math.min(
+      (waiting.costBefore(incoming) + incoming.cost) / left,
+      costWithShare / MIN_START_SHARE,
+    );
   }
 
   function canMeetTarget(
--- a/packages/scheduling/src/waitingRequests.ts
+++ b/packages/scheduling/src/waitingRequests.ts
@@ -47,6 +47,8 @@
   isShort(urgency: number): boolean;
   /** Returns the cost of the requests that start before a new one. */
   costBefore(incoming: WaitingRequest): number;
+  /** Returns the part of `costBefore` of the same urgency. */
+  costBeforeAtSameUrgency(incoming: WaitingRequest): number;
   /** Returns the cost of the requests that can still meet their target. */
   timelyCost(): number;
   /** Returns the cost of the requests that can only meet their deadline. */
@@ -128,6 +130,13 @@
     }
   }
 
+  function costBeforeAtSameUrgency(incoming: WaitingRequest): number {
+    const level = levelOf(incoming);
+    return incoming.isReturning
+      ? returningCost(level)
+      : returningCost(level) + level.fresh.costAheadAtSameUrgency(incoming);
+  }
+
   /** Returns the urgency whose share of the starts is most below its minimum. */
   function findShortUrgency(first: number): number | undefined {
     let shortest: number | undefined;
@@ -198,16 +207,12 @@
     isShort: urgency => startShares[urgency]! < MIN_START_SHARE,
     hasUpTo: urgency =>
       levels.slice(0, urgency + 1).some(level => sizeOf(level) > 0),
-    costBefore(incoming) {
-      const moreUrgent = levels
+    costBefore: incoming =>
+      levels
         .slice(0, incoming.urgency)
-        .reduce((sum, level) => sum + costOf(level), 0);
-      const level = levelOf(incoming);
-      const sameUrgency = incoming.isReturning
-        ? 0
-        : level.fresh.costAheadAtSameUrgency(incoming);
-      return moreUrgent + returningCost(level) + sameUrgency;
-    },
+        .reduce((sum, level) => sum + costOf(level), 0) +
+      costBeforeAtSameUrgency(incoming),
+    costBeforeAtSameUrgency,
     timelyCost: () => levels.reduce((sum, level) => sum + costOf(level), 0),
     lateCost: () => [...lateRequests].reduce((sum, {cost}) => sum + cost, 0),
     find: (asker, id) =>
