base: tell the first occurrence of a key

Cause: a fault that comes with each response of an endpoint is to be logged once for the endpoint, and nothing bounds a set of keys for that.

Change: createFirstOccurrences remembers a bounded number of keys.

--- a/packages/base/src/throttle.ts
+++ b/packages/base/src/throttle.ts
@@ -1,4 +1,4 @@
-/** Limits how often an action runs. */
+/** Limits how often an action runs, by time or by key. */
 import type {Clock} from './clock.js';
 
 /**
@@ -35,3 +35,28 @@
     clock.after(waitMs, run);
   };
 }
+
+/**
+ * Returns a function that returns whether it is called for the first time with
+ * a key. It remembers the last `capacity` new keys.
+ *
+ * @example
+ * const isFirst = createFirstOccurrences(1_000);
+ * if (isFirst(endpoint)) { log.warn({endpoint}, 'malformed report'); }
+ */
+export function createFirstOccurrences(
+  capacity: number,
+): (key: string) => boolean {
+  const keys = new Set<string>();
+  return key => {
+    if (keys.has(key)) {
+      return false;
+    }
+    keys.add(key);
+    if (keys.size > capacity) {
+      const [oldest] = keys;
+      keys.delete(oldest!);
+    }
+    return true;
+  };
+}
