routing: count the slowness of hosts in the choice

Cause: a host may be several times as slow as usual for a moment. The router noticed it only by requests that piled up there, and ejected the endpoint.

Change: a load report may tell the slowness. It multiplies the expected time of the endpoint, for calls without a prompt also that of the call itself, or idle endpoints would look alike. It loses half of its weight in 400 ms and counts as 1 below 1. Latencies are divided by it before they count for ejections or in the learned times. Nothing changes without reports of it.

--- a/packages/bench/src/routing/policies.ts
+++ b/packages/bench/src/routing/policies.ts
@@ -46,6 +46,7 @@
     endpoint,
     cachedTokens: 0,
     loadBefore: {requests: 0, pendingTokens: 0, contextTokens: 0},
+    slowness: () => 1,
     tokensAhead: 0,
     recordStart() {},
     recordFirstToken() {},
--- a/packages/endpoints/src/contracts.ts
+++ b/packages/endpoints/src/contracts.ts
@@ -56,6 +56,11 @@
   readonly waitingPromptTokens: number;
   /** Fraction of the KV cache in use. */
   readonly cacheUse: number;
+  /**
+   * How many times as long as usual work takes on the endpoint's host; absent
+   * if the endpoint does not report it.
+   */
+  readonly slowness?: number;
   /** Ids of the attempts counted as running or waiting. */
   readonly attempts?: readonly string[];
 }
--- a/packages/entry/src/test/attemptRunner.test.ts
+++ b/packages/entry/src/test/attemptRunner.test.ts
@@ -126,6 +126,7 @@
     endpoint,
     cachedTokens: 0,
     loadBefore: {requests: 0, pendingTokens: 0, contextTokens: 0},
+    slowness: () => 1,
     tokensAhead: 0,
     recordStart() {},
     recordFirstToken() {},
--- a/packages/gateway/src/forwarding/test/streamMigration.test.ts
+++ b/packages/gateway/src/forwarding/test/streamMigration.test.ts
@@ -60,6 +60,7 @@
     cachedTokens: 0,
     tokensAhead: 0,
     loadBefore: {requests: 0, pendingTokens: 0, contextTokens: 0},
+    slowness: () => 1,
     recordStart() {},
     recordFirstToken() {},
     finish() {},
--- a/packages/routing/src/contracts.ts
+++ b/packages/routing/src/contracts.ts
@@ -51,6 +51,11 @@
   readonly loadBefore: EntryLoad;
   /** Pending prompt tokens that are computed before those of this attempt. */
   readonly tokensAhead: number;
+  /**
+   * Returns how many times as long as usual work takes on the endpoint's host
+   * according to its last reports; at least 1, and 1 without a report of it.
+   */
+  slowness(): number;
   /**
    * Records that the engine started the request and how many of its prompt
    * tokens were cached; called at most once.
@@ -58,7 +63,7 @@
   recordStart(cachedTokens: number): void;
   /**
    * Records that the first token arrived, so no prompt tokens are pending;
-   * called at most once.
+   * called at most once, after the load report that arrived with the token.
    */
   recordFirstToken(): void;
   /** Records the result of the attempt; called exactly once. */
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -170,6 +170,8 @@
       urgency,
     );
     const startMs = clock.now();
+    let latencySlowness = load.slowness();
+    let hasFirstToken = false;
     let isFinished = false;
     cache.recordSentBlocks(routingRequest.blocks);
     ranking.recordRequest(routingRequest);
@@ -177,6 +179,11 @@
     endpointLimits?.consumeToken(candidate.id);
     totals.choices += 1;
 
+    /** Reports of the host's slowness before and after its work both count. */
+    function recordSlowness() {
+      latencySlowness = Math.max(latencySlowness, load.slowness());
+    }
+
     function finish(result: AttemptResult) {
       if (isFinished) {
         return;
@@ -186,14 +193,19 @@
       if (result.cachedTokens !== undefined) {
         cache.recordCachedTokens(routingRequest.blocks, result.cachedTokens);
       }
+      if (!hasFirstToken) {
+        recordSlowness();
+      }
+      const usualLatencyMs = result.latencyMs / latencySlowness;
       const latencyRatio =
-        result.latencyMs / Math.max(MIN_EXPECTED_LATENCY_MS, expectedMs);
+        usualLatencyMs / Math.max(MIN_EXPECTED_LATENCY_MS, expectedMs);
       health.recordOutcome(result.outcome, latencyRatio);
       if (result.outcome === 'ok') {
-        costs.recordDuration(clock.now() - startMs);
+        const delayMs = result.latencyMs - usualLatencyMs;
+        costs.recordDuration(clock.now() - startMs - delayMs);
         costs.recordFirstToken(
           loadBefore.pendingTokens + uncachedTokens,
-          result.latencyMs,
+          usualLatencyMs,
         );
       }
       outlierDetector.evaluate(endpoint);
@@ -204,6 +216,7 @@
       cachedTokens,
       loadBefore,
       tokensAhead: tokensAhead(loadBefore, urgency),
+      slowness: load.slowness,
       recordStart(reportedCachedTokens) {
         ownRequest.pendingTokens = Math.max(
           0,
@@ -213,6 +226,8 @@
       },
       recordFirstToken() {
         ownRequest.pendingTokens = 0;
+        hasFirstToken = true;
+        recordSlowness();
       },
       finish,
     };
--- a/packages/routing/src/selection/endpointRanking.ts
+++ b/packages/routing/src/selection/endpointRanking.ts
@@ -98,6 +98,7 @@
       unsharedTokens,
       sharedTokens,
       placement.affinities.get(candidate.id) ?? 0,
+      routingRequest.promptTokens > 0,
     );
     costMs += random.next() * weights.jitterMs;
     if (candidate.failureDomain !== failureDomain) {
--- a/packages/routing/src/selection/loadView.ts
+++ b/packages/routing/src/selection/loadView.ts
@@ -25,6 +25,8 @@
   readonly pendingByUrgency?: readonly number[];
   /** Prompt tokens of these requests; 0 for requests that no entry reported. */
   readonly contextTokens: number;
+  /** How many times as long as usual work takes on the endpoint's host. */
+  readonly slowness: number;
 }
 
 export interface LoadView {
@@ -41,6 +43,11 @@
   ownLoad(): EntryLoad;
   /** Returns the estimated load from all entries. */
   estimate(): LoadEstimate;
+  /**
+   * Returns how many times as long as usual work takes on the endpoint's host
+   * according to its last reports; at least 1, and 1 without a report of it.
+   */
+  slowness(): number;
   /** Number of this entry's requests in flight. */
   readonly ownRequestCount: number;
   /**
@@ -63,6 +70,11 @@
 /** Age above which the weight of an endpoint's report decays. */
 const FRESH_REPORT_MS = 2500;
 const STALE_REPORT_HALF_LIFE_MS = 2500;
+/**
+ * Half-life of a reported slowness. Hosts are slow for about a second, and an
+ * endpoint that is avoided sends no further reports.
+ */
+const SLOWNESS_HALF_LIFE_MS = 400;
 /** Slots assumed before the first report. */
 const DEFAULT_SLOTS = 8;
 /** Lifetime of the load that an entry reports: four report intervals. */
@@ -94,6 +106,8 @@
   let otherEntriesPendingTokens = 0;
   let reportReceivedMs = Number.NEGATIVE_INFINITY;
   let lastReportSequence = -1;
+  let reportedSlowness = 1;
+  let slownessReceivedMs = Number.NEGATIVE_INFINITY;
   const loadsByEntry = new Map<string, {load: EntryLoad; receivedMs: number}>();
   let lastEntryReportMs = Number.NEGATIVE_INFINITY;
 
@@ -135,6 +149,15 @@
     return 0.5 ** ((ageMs - FRESH_REPORT_MS) / STALE_REPORT_HALF_LIFE_MS);
   }
 
+  function slowness(): number {
+    if (reportedSlowness === 1) {
+      return 1;
+    }
+    const ageMs = clock.now() - slownessReceivedMs;
+    const weight = 0.5 ** (ageMs / SLOWNESS_HALF_LIFE_MS);
+    return 1 + (reportedSlowness - 1) * weight;
+  }
+
   // Both sums run for each endpoint at each choice, so they create no lists.
   function ownLoad(): EntryLoad {
     let sum = NO_LOAD;
@@ -191,6 +214,11 @@
           ? 0
           : (report.waitingPromptTokens * otherEntriesRequestCount) / total;
       reportReceivedMs = clock.now();
+      if (report.slowness !== undefined) {
+        // A bonus for fast hosts would make all entries choose the same one.
+        reportedSlowness = Math.max(1, report.slowness);
+        slownessReceivedMs = clock.now();
+      }
     },
     recordEntryLoad(entry, load) {
       lastEntryReportMs = clock.now();
@@ -218,8 +246,10 @@
         ),
         contextTokens:
           otherEntriesLoad.contextTokens + thisEntryLoad.contextTokens,
+        slowness: slowness(),
       };
     },
+    slowness,
     get ownRequestCount() {
       return ownRequests.size;
     },
@@ -229,6 +259,7 @@
       others: otherEntriesRequestCount,
       othersTokens: otherEntriesPendingTokens,
       slots,
+      slowness: slowness(),
     }),
   };
 }
--- a/packages/routing/src/selection/routeCosts.ts
+++ b/packages/routing/src/selection/routeCosts.ts
@@ -63,15 +63,20 @@
 /** Cost model of one service. */
 export interface RouteCosts {
   /**
-   * Returns the expected milliseconds to the first token of a request sent now.
+   * Returns the expected milliseconds to the first token of a request sent now
+   * if the endpoint's host were not slow.
    */
   expectedFirstTokenMs(load: LoadEstimate, uncachedTokens: number): number;
-  /** Returns the cost of an endpoint in weighted ms; `affinity` is 0 to 1. */
+  /**
+   * Returns the cost of an endpoint in weighted ms; `affinity` is 0 to 1.
+   * `hasPrompt` is false for a call, whose first byte comes with its response.
+   */
   score(
     load: LoadEstimate,
     unsharedTokens: number,
     sharedTokens: number,
     affinity: number,
+    hasPrompt: boolean,
   ): number;
   /**
    * Records that the first token arrived after `firstTokenMs`, in which the
@@ -98,6 +103,19 @@
     return getWeights().knownMsPerToken ?? learnedMsPerToken;
   }
 
+  /**
+   * Returns the time that the slowness of the endpoint's host adds. The time of
+   * a call itself, which is equal at all other endpoints, counts here only.
+   */
+  function slownessMs(
+    {slowness}: LoadEstimate,
+    usualMs: number,
+    hasPrompt: boolean,
+  ): number {
+    const responseMs = hasPrompt ? 0 : averageDurationMs;
+    return (slowness - 1) * (usualMs + responseMs);
+  }
+
   function waitMs(load: LoadEstimate): number {
     const weights = getWeights();
     const msPerToken = currentMsPerToken();
@@ -113,7 +131,7 @@
   return {
     expectedFirstTokenMs: (load, uncachedTokens) =>
       waitMs(load) + uncachedTokens * currentMsPerToken(),
-    score(load, unsharedTokens, sharedTokens, affinity) {
+    score(load, unsharedTokens, sharedTokens, affinity, hasPrompt) {
       const weights = getWeights();
       const msPerToken = currentMsPerToken();
       const unsharedMs =
@@ -122,7 +140,8 @@
         sharedTokens * weights.uncachedSharedTokenWeight * msPerToken;
       const affinityMs =
         affinity * (weights.affinityMs + weights.affinityShare * unsharedMs);
-      return waitMs(load) + unsharedMs + sharedMs - affinityMs;
+      const usualMs = waitMs(load) + unsharedMs + sharedMs;
+      return usualMs + slownessMs(load, usualMs, hasPrompt) - affinityMs;
     },
     recordFirstToken(tokens, firstTokenMs) {
       if (tokens < MIN_OBSERVED_TOKENS) {
