platform: read the slowness of a host from the load header

Cause: the load header may have a fourth figure, the time that work takes on the host in percent of the usual time, which was ignored.

The first malformed header of an endpoint is logged.

--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -106,6 +106,11 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How many times as long as usual work takes on the endpoint's host; absent
+   * if the endpoint does not report it.
+   */
+  readonly slowness?: number;
 }
 
 /** Metadata of an endpoint's response, read from its headers and status. */
@@ -116,6 +121,8 @@
   /** Whether another process than the expected endpoint has responded. */
   readonly isMisdirected: boolean;
   readonly load: SelfReportedLoad | undefined;
+  /** The endpoint's report of its load, if it is invalid in whole or in part. */
+  readonly malformedLoad?: string;
   /** Requests per second accepted from all entries; undefined if unlimited. */
   readonly limitPerSecond: number | undefined;
   /**
--- a/packages/gateway/src/endpoints/endpointReports.ts
+++ b/packages/gateway/src/endpoints/endpointReports.ts
@@ -1,4 +1,5 @@
 /** Applies what endpoints report of themselves in the heads of their responses. */
+import {createFirstOccurrences, type Logger} from '@skylarkfield/base';
 import type {
   CrashQuarantine,
   Departures,
@@ -30,6 +31,12 @@
   recordLoad(endpoint: string, head: ResponseHead): void;
 }
 
+/** Number of endpoints of which a malformed report is known to be logged. */
+const MAX_LOGGED_ENDPOINTS = 1_000;
+
+/** Longest logged part of a malformed report, in characters. */
+const MAX_LOGGED_LENGTH = 80;
+
 /**
  * Creates the reports of one entry's endpoints, which are known by their router
  * keys.
@@ -50,8 +57,10 @@
   readonly rests: Pick<Rests, 'recordRest' | 'recordAnswer'>;
   /** Returns the endpoints registered at the address of the endpoint. */
   endpointsAtAddressOf(endpoint: string): readonly string[];
+  readonly log: Pick<Logger, 'warn'>;
 }): EndpointReports {
   const {router, rateLimits, slotShares, warmUps, departures, rests} = options;
+  const isFirstMalformed = createFirstOccurrences(MAX_LOGGED_ENDPOINTS);
   let loadReportCount = 0;
 
   /** Applies whether an endpoint wants further requests. */
@@ -67,6 +76,15 @@
     }
   }
 
+  function logMalformedLoad(endpoint: string, report: string): void {
+    if (isFirstMalformed(endpoint)) {
+      options.log.warn(
+        {endpoint, report: report.slice(0, MAX_LOGGED_LENGTH)},
+        'malformed load report ignored',
+      );
+    }
+  }
+
   /** Applies a head that another process at the endpoint's address has sent. */
   function recordMisdirected(endpoint: string, head: ResponseHead): void {
     options
@@ -95,7 +113,10 @@
         .endpointsAtAddressOf(endpoint)
         .forEach(sender => recordAcceptance(sender, head)),
     recordData: options.crashQuarantine.recordData,
-    recordLoad(endpoint, {load}) {
+    recordLoad(endpoint, {load, malformedLoad}) {
+      if (malformedLoad !== undefined) {
+        logMalformedLoad(endpoint, malformedLoad);
+      }
       if (load === undefined) {
         return;
       }
--- a/packages/gateway/src/endpoints/test/endpointReports.test.ts
+++ b/packages/gateway/src/endpoints/test/endpointReports.test.ts
@@ -20,6 +20,7 @@
   const departed: string[] = [];
   const limited: string[] = [];
   const responded: string[] = [];
+  const logged: string[] = [];
   const reports = createEndpointReports({
     router: {recordLoadReport() {}},
     rateLimits: {recordLimit: endpoint => void limited.push(endpoint)},
@@ -36,8 +37,9 @@
     },
     endpointsAtAddressOf: endpoint =>
       endpoint === 'other' ? ['other'] : ['old', 'new'],
+    log: {warn: ({endpoint}: {endpoint: string}) => void logged.push(endpoint)},
   });
-  return {reports, departed, limited, responded, rests};
+  return {reports, departed, limited, responded, rests, logged};
 }
 
 describe('reports of endpoints', () => {
@@ -97,6 +99,15 @@
     assert.deepEqual(rests, [['other', undefined]]);
   });
 
+  // Guards against a log line for each response of an endpoint that sends malformed reports.
+  it('log a malformed load report once for each endpoint', () => {
+    const {reports, logged} = createRig();
+    const head = {...LEAVING, malformedLoad: 'x'};
+    const endpoints = ['old', 'other', 'old', 'other'];
+    endpoints.forEach(endpoint => reports.recordLoad(endpoint, head));
+    assert.deepEqual(logged, ['old', 'other']);
+  });
+
   it('record departures from responses to probes', () => {
     const {reports, departed} = createRig();
     reports.recordProbeHead('other', {...LEAVING, isMisdirected: true});
--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -186,6 +186,7 @@
     departures,
     rests,
     endpointsAtAddressOf: directory.keysAtAddressOf,
+    log,
   });
   const reach = disposables.add(
     createGatewayReach(
