gateway: leave the slowness of hosts out of measured times

Cause: requests on a host that is slow for a moment would count against the version of its endpoint in a rollout, and make engines seem slow, so that too many are ordered.

Change: the load report of a response is applied before its times are recorded. Rollout samples leave out the part of the time to the first byte that the host added; event intervals, step times and prompt times are divided by the slowness. Samples are not left out: successes without the slow ones would raise the rate of errors. Nothing changes at a slowness of 1.

--- a/packages/gateway/src/endpoints/engineObserver.ts
+++ b/packages/gateway/src/endpoints/engineObserver.ts
@@ -1,4 +1,7 @@
-/** Measures the speed of engines from the attempts of model requests. */
+/**
+ * Measures the speed of engines from the attempts of model requests. The time
+ * that a slow host adds for a moment is left out.
+ */
 import type {EngineEstimate, EngineModel} from '@skylarkfield/capacity';
 import type {Clock} from '@skylarkfield/base';
 import type {Choice} from '@skylarkfield/routing';
@@ -27,7 +30,10 @@
    * nothing about the speed of its engine.
    */
   recordStall(): void;
-  /** Records that the first event has arrived. */
+  /**
+   * Records that the first event has arrived, after the load report that came
+   * with it.
+   */
   recordBegin(): void;
   /** Records that the attempt has ended. */
   recordEnd(): void;
@@ -141,7 +147,7 @@
         wrap: sink => ({
           ...sink,
           write(frame) {
-            stepMeter.recordEvent();
+            stepMeter.recordEvent(choice.slowness());
             return sink.write(frame);
           },
         }),
@@ -157,7 +163,7 @@
             promptTokens: demand.promptTokens,
             rereadTokens,
             pendingTokens: choice.tokensAhead,
-            tookMs: clock.now() - sentAt,
+            tookMs: (clock.now() - sentAt) / choice.slowness(),
           });
         },
         recordEnd() {
--- a/packages/gateway/src/endpoints/stepMeter.ts
+++ b/packages/gateway/src/endpoints/stepMeter.ts
@@ -2,12 +2,16 @@
 import type {Clock} from '@skylarkfield/base';
 
 export interface StepMeter {
-  /** Records that an event has arrived now. */
-  recordEvent(): void;
+  /**
+   * Records that an event has arrived now, from a host on which work takes
+   * `slowness` times as long as usual; 1 when absent.
+   */
+  recordEvent(slowness?: number): void;
   eventCount(): number;
   /**
    * Returns the interval between events without prompt processing, in
-   * milliseconds; undefined before the second event.
+   * milliseconds, as on a host that is not slow; undefined before the second
+   * event.
    */
   eventIntervalMs(): number | undefined;
 }
@@ -38,7 +42,7 @@
   let lastReadAt: number | undefined;
 
   return {
-    recordEvent() {
+    recordEvent(slowness = 1) {
       const now = clock.now();
       eventCount += 1;
       if (lastReadAt === undefined) {
@@ -49,7 +53,7 @@
       if (now - lastReadAt < MIN_EVENT_INTERVAL_MS) {
         return;
       }
-      eventIntervalsMs.push((now - lastReadAt) / coalescedCount);
+      eventIntervalsMs.push((now - lastReadAt) / coalescedCount / slowness);
       coalescedCount = 0;
       lastReadAt = now;
     },
--- a/packages/gateway/src/endpoints/test/engineObserver.test.ts
+++ b/packages/gateway/src/endpoints/test/engineObserver.test.ts
@@ -84,7 +84,7 @@
 
 describe('observed attempt', () => {
   /** Observes an attempt whose first event comes late; returns its records. */
-  async function observePrompt(isSilent: boolean) {
+  async function observePrompt(isSilent: boolean, slowness = 1) {
     const clock = createVirtualClock();
     const tookMs: number[] = [];
     const observer = createEngineObserver({
@@ -103,7 +103,11 @@
       route: {name: 'r1', goalMs: 800, timeoutMs: 4_000},
       service: 'chat',
     };
-    const choice = {tokensAhead: 0, cachedTokens: 0} as Choice;
+    const choice = {
+      tokensAhead: 0,
+      cachedTokens: 0,
+      slowness: () => slowness,
+    } as Choice;
     const attempt = observer.observe(call, choice, true);
     await clock.advance(1_500);
     if (isSilent) {
@@ -118,4 +122,9 @@
     assert.deepEqual(await observePrompt(false), [1_500]);
     assert.deepEqual(await observePrompt(true), []);
   });
+
+  // Guards against orders of further engines because hosts were slow for a moment.
+  it('records the prompt time without the slowness of the host', async () => {
+    assert.deepEqual(await observePrompt(false, 2.5), [600]);
+  });
 });
--- a/packages/gateway/src/forwarding/endpointAttempts.ts
+++ b/packages/gateway/src/forwarding/endpointAttempts.ts
@@ -94,6 +94,8 @@
   readonly stallTimeoutMs: number | undefined;
   readonly sentAt: number;
   readonly sentWallMs: number;
+  /** Slowness of the endpoint's host when the attempt was sent. */
+  readonly slownessAtSend: number;
   /** Monotonic milliseconds of the first byte or event. */
   beganAt: number | undefined;
 }
@@ -144,6 +146,7 @@
       stallTimeoutMs: options.retryRules.stallTimeoutMs(call, progress),
       sentAt,
       sentWallMs: clock.wall(),
+      slownessAtSend: choice.slowness(),
       beganAt: undefined,
     };
     return attempt;
@@ -164,6 +167,21 @@
     }
   }
 
+  /** Records the time to the first byte of the first response that begins. */
+  function recordFirstByte(
+    progress: Progress,
+    choice: Choice,
+    {sentAt, slownessAtSend}: RunningAttempt,
+    beganAt: number,
+  ): void {
+    if (progress.firstByteMs !== undefined) {
+      return;
+    }
+    const slowness = Math.max(slownessAtSend, choice.slowness());
+    progress.firstByteMs = beganAt - progress.startedAt;
+    progress.hostDelayMs = (beganAt - sentAt) * (1 - 1 / slowness);
+  }
+
   function recordBegin(
     call: ForwardedCall,
     progress: Progress,
@@ -173,10 +191,11 @@
   ): void {
     recordWait(progress, attempt);
     attempt.beganAt = clock.now();
+    // What the endpoint says of its host applies to this response as well.
+    options.endpointReports.recordLoad(choice.endpoint, head);
     attempt.observer.recordBegin();
-    progress.firstByteMs ??= attempt.beganAt - progress.startedAt;
+    recordFirstByte(progress, choice, attempt, attempt.beganAt);
     choice.recordFirstToken();
-    options.endpointReports.recordLoad(choice.endpoint, head);
     countRun(
       call,
       progress,
--- a/packages/gateway/src/forwarding/forwardedCall.ts
+++ b/packages/gateway/src/forwarding/forwardedCall.ts
@@ -56,6 +56,11 @@
    * undefined if none arrived.
    */
   readonly firstByteMs: number | undefined;
+  /**
+   * Part of `firstByteMs` by which, according to the endpoint, its slow host
+   * delayed the response; absent if it did not.
+   */
+  readonly hostDelayMs?: number;
   /** Ids of the endpoints that the call was sent to, in order. */
   readonly endpoints: readonly string[];
   /**
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -393,6 +393,7 @@
   {status, error, responseEnd}: Conclusion,
   {
     firstByteMs,
+    hostDelayMs,
     endpoints,
     peers,
     tokensAhead,
@@ -409,6 +410,7 @@
     error,
     firstByteMs,
     endpoints,
+    ...(hostDelayMs > 0 && {hostDelayMs}),
     ...(hasFailedAttempt && {hasFailedAttempt}),
     ...(hasWaitedForStill && {hasWaitedForStill}),
     ...(stillEndpoints.length > 0 && {stillEndpoints}),
--- a/packages/gateway/src/forwarding/retryRules.ts
+++ b/packages/gateway/src/forwarding/retryRules.ts
@@ -56,6 +56,8 @@
   firstSendAt: number | undefined;
   /** Milliseconds from `startedAt` to the first byte or event of a response. */
   firstByteMs: number | undefined;
+  /** Part of `firstByteMs` by which a slow host delayed the response. */
+  hostDelayMs: number;
   /** Crash fingerprint, set once an endpoint has closed its connection. */
   fingerprint: string | undefined;
   /** Whether the request has been counted in the customer's usage. */
@@ -147,6 +149,7 @@
     startedAt: now,
     firstSendAt: undefined,
     firstByteMs: undefined,
+    hostDelayMs: 0,
     fingerprint: undefined,
     isCounted: handover?.isCounted ?? false,
     retryDenial: undefined,
--- a/packages/gateway/src/rollouts/eventIntervalObserver.ts
+++ b/packages/gateway/src/rollouts/eventIntervalObserver.ts
@@ -14,8 +14,11 @@
 export type MeasuredCall = Pick<ForwardedCall, 'service' | 'version' | 'route'>;
 
 export interface EventIntervalMeter {
-  /** Records that an event has arrived now. */
-  recordEvent(): void;
+  /**
+   * Records that an event has arrived now, from a host on which work takes
+   * `slowness` times as long as usual; 1 when absent.
+   */
+  recordEvent(slowness?: number): void;
   recordEnd(): void;
 }
 
@@ -30,7 +33,7 @@
 
 /**
  * Creates a meter for one stream; `onDidMeasure` is called at most once, with
- * the mean interval of the events in milliseconds.
+ * the mean interval of the events in milliseconds, as on a host that is not slow.
  *
  * @example
  * const intervalMeter = createEventIntervalMeter(clock, intervalMs => samples.push(intervalMs));
@@ -42,22 +45,30 @@
   let eventCount = 0;
   let firstEventAt = 0;
   let lastEventAt = 0;
+  /** Part of the intervals by which a slow host delayed the events. */
+  let hostDelayMs = 0;
   let isReported = false;
 
   function report(): void {
     if (!isReported) {
       isReported = true;
-      onDidMeasure((lastEventAt - firstEventAt) / (eventCount - 1));
+      const usualMs = lastEventAt - firstEventAt - hostDelayMs;
+      onDidMeasure(usualMs / (eventCount - 1));
     }
   }
 
   return {
-    recordEvent() {
+    recordEvent(slowness = 1) {
       if (isReported) {
         return;
       }
-      lastEventAt = clock.now();
-      firstEventAt = eventCount === 0 ? lastEventAt : firstEventAt;
+      const now = clock.now();
+      if (eventCount === 0) {
+        firstEventAt = now;
+      } else {
+        hostDelayMs += (now - lastEventAt) * (1 - 1 / slowness);
+      }
+      lastEventAt = now;
       eventCount += 1;
       if (eventCount >= REPORTED_EVENTS) {
         report();
@@ -100,7 +111,7 @@
           return {
             ...observedSink,
             write(frame) {
-              intervalMeter.recordEvent();
+              intervalMeter.recordEvent(choice.slowness());
               return observedSink.write(frame);
             },
           };
--- a/packages/gateway/src/rollouts/rolloutSample.ts
+++ b/packages/gateway/src/rollouts/rolloutSample.ts
@@ -24,7 +24,8 @@
  * Returns the evidence from one request; undefined if the request is no
  * evidence about the version, as one that waited for an endpoint that stood still
  * and then went on. A request that an endpoint failed or declined counts as an
- * error, even if another one answered it.
+ * error, even if another one answered it. The delay by a slow host, which is not
+ * due to the version, is left out.
  *
  * @example
  * const sample = sampleOf(call, result);
@@ -38,7 +39,11 @@
   result: ForwardingResult,
 ): RolloutSample | undefined {
   const {error, status, hasFailedAttempt, peers, firstByteMs} = result;
-  const {hasWaitedForStill = false, stillEndpoints = []} = result;
+  const {
+    hasWaitedForStill = false,
+    stillEndpoints = [],
+    hostDelayMs = 0,
+  } = result;
   // The entry that took the request over has the evidence.
   if (peers !== undefined) {
     return undefined;
@@ -58,7 +63,7 @@
     route: route.name,
     isError: isError || isDoubtful,
     ...(isDoubtful && {stillEndpoints}),
-    latencyMs: firstByteMs ?? 0,
+    latencyMs: (firstByteMs ?? 0) - hostDelayMs,
     isRepeatable: isRepeatable(route),
   };
 }
--- a/packages/gateway/src/rollouts/test/eventIntervalObserver.test.ts
+++ b/packages/gateway/src/rollouts/test/eventIntervalObserver.test.ts
@@ -9,9 +9,9 @@
   const meter = createEventIntervalMeter(clock, intervalMs =>
     intervals.push(intervalMs),
   );
-  function sendEvents(count: number, intervalMs: number) {
+  function sendEvents(count: number, intervalMs: number, slowness?: number) {
     for (let event = 0; event < count; event++) {
-      meter.recordEvent();
+      meter.recordEvent(slowness);
       clock.advanceSync(intervalMs);
     }
   }
@@ -29,6 +29,13 @@
     assert.deepEqual(intervals, [300]);
   });
 
+  // Guards against rolling back a version because its hosts were slow for a moment.
+  it('reports the interval without the slowness of the host', () => {
+    const {intervals, sendEvents} = setUp();
+    sendEvents(8, 100, 2);
+    assert.deepEqual(intervals, [50]);
+  });
+
   // Guards against intervals of streams too short to tell their speed.
   it('reports a stream that ended early if it had enough events', () => {
     const long = setUp();
--- a/packages/gateway/src/rollouts/test/rolloutSample.test.ts
+++ b/packages/gateway/src/rollouts/test/rolloutSample.test.ts
@@ -52,6 +52,12 @@
     assert.equal(sample?.stillEndpoints, undefined);
   });
 
+  // Guards against rolling back a version because its hosts were slow for a moment.
+  it('leaves out the delay by a slow host', () => {
+    const result = {...HEDGED, hostDelayMs: 30};
+    assert.equal(sampleOf(CALL, result)?.latencyMs, 50);
+  });
+
   it('is an error if another endpoint had to answer', () => {
     const result = {...HEDGED, hasFailedAttempt: true};
     assert.equal(sampleOf(CALL, result)?.isError, true);
