--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -394,6 +394,7 @@
   {status, error, responseEnd}: Conclusion,
   {
     firstByteMs,
+    hostDelayMs,
     endpoints,
     lastEndpoint,
     peers,
@@ -412,6 +413,7 @@
     firstByteMs,
     endpoints,
     ...(lastEndpoint !== undefined && {lastEndpoint}),
+    ...(hostDelayMs > 0 && {hostDelayMs}),
     ...(hasFailedAttempt && {hasFailedAttempt}),
     ...(hasWaitedForStill && {hasWaitedForStill}),
     ...(stillEndpoints.length > 0 && {stillEndpoints}),
