gateway: ask the scheduler only where a service has little room

Change: a request within its entry's equal part of the slots is admitted without a question, unless a scheduler has said in the last second that the service is contended. Model services are scheduled only on request (setting scheduling.mode). Plain responses are reported in one message.

--- a/packages/gateway/src/callers/requestAdmission.ts
+++ b/packages/gateway/src/callers/requestAdmission.ts
@@ -110,11 +110,13 @@
  */
 export function createRequestAdmission(options: {
   readonly admission: AdmissionController;
-  readonly schedulerClient: Pick<SchedulerClient, 'place'>;
+  readonly schedulerClient: Pick<SchedulerClient, 'place' | 'isContended'>;
   readonly failureDomain: string;
   readonly clock: Clock;
   /** Whether the requests of a service are scheduled now. */
   isScheduled(service: string): boolean;
+  /** Returns the slots of a service that are this entry's equal part. */
+  equalPart(service: string): number;
   /**
    * Returns the uncached prompt tokens of a typical request to a model service.
    */
@@ -132,6 +134,26 @@
   onDidAccept(service: string, head: CallHead): void;
 }): RequestAdmission {
   const {admission, schedulerClient, clock} = options;
+  /** Requests in progress that this entry has admitted on its own. */
+  const localCounts = new Map<string, number>();
+
+  function addLocal(service: string, increment: number): void {
+    localCounts.set(service, (localCounts.get(service) ?? 0) + increment);
+  }
+
+  /**
+   * Whether the scheduler is asked. A request within the entry's part of a
+   * service that has room needs no question, so that scheduling costs nothing
+   * where it changes nothing.
+   */
+  function asksScheduler({service, deadlineAt}: RequestToAdmit): boolean {
+    if (!options.isScheduled(service) || clock.now() >= deadlineAt) {
+      return false;
+    }
+    const isWithinPart =
+      (localCounts.get(service) ?? 0) < Math.max(1, options.equalPart(service));
+    return !isWithinPart || schedulerClient.isContended(service);
+  }
 
   function versionOf({service, attemptId, route}: RequestToAdmit) {
     return options.chooseGroup(service, attemptId, isRepeatable(route));
@@ -168,10 +190,18 @@
         },
         signal,
       );
+      addLocal(service, 1);
+      let isReleased = false;
       return {
         version: versionOf(request),
         placement: undefined,
-        release: permit.release,
+        release(result) {
+          if (!isReleased) {
+            isReleased = true;
+            addLocal(service, -1);
+          }
+          permit.release(result);
+        },
       };
     } catch (error) {
       throw isServingError(error, 'unknown-service')
@@ -247,11 +277,9 @@
   return {
     async admit(request, fingerprint, signal) {
       options.onDidAccept(request.service, request.head);
-      const isLate = clock.now() >= request.deadlineAt;
-      const admitted =
-        options.isScheduled(request.service) && !isLate
-          ? await admitScheduled(request, fingerprint, signal)
-          : undefined;
+      const admitted = asksScheduler(request)
+        ? await admitScheduled(request, fingerprint, signal)
+        : undefined;
       return admitted ?? admitLocally(request, signal);
     },
   };
--- a/packages/gateway/src/callers/test/callerHandler.test.ts
+++ b/packages/gateway/src/callers/test/callerHandler.test.ts
@@ -109,7 +109,11 @@
     },
     requestAdmission: createRequestAdmission({
       admission,
-      schedulerClient: {place: async () => ({type: 'undecided'})},
+      schedulerClient: {
+        place: async () => ({type: 'undecided'}),
+        isContended: () => false,
+      },
+      equalPart: () => 1,
       failureDomain: 'a',
       clock,
       isScheduled: () => false,
--- a/packages/gateway/src/scheduling/gatewayScheduling.ts
+++ b/packages/gateway/src/scheduling/gatewayScheduling.ts
@@ -1,20 +1,30 @@
 /** Scheduling of a gateway: as the scheduler of services, and as its client. */
 import {createDisposableStore, type Disposable} from '@skylarkfield/base';
+import type {EndpointReach} from '@skylarkfield/routing';
+import {
+  createRequestAdmission,
+  type RequestAdmission,
+} from '../callers/requestAdmission.js';
 import type {GatewayContext} from '../context.js';
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
 import type {EngineEstimates} from '../endpoints/engineEstimates.js';
 import type {ServiceCatalog} from '../policy/serviceCatalog.js';
 import type {Coordination} from '../process/coordination.js';
 import type {ScheduledServices} from './scheduledServices.js';
-import {
-  createSchedulerClient,
-  type SchedulerClient,
-} from './schedulerClient.js';
+import {createSchedulerClient} from './schedulerClient.js';
 import {createSchedulerHost, type SchedulerHost} from './schedulerHost.js';
 
+type RequestAdmissionOptions = Parameters<typeof createRequestAdmission>[0];
+
 export interface GatewayScheduling extends Disposable {
-  readonly client: SchedulerClient;
   readonly host: SchedulerHost;
+  /** Creates the admission of requests, which asks the schedulers. */
+  createRequestAdmission(
+    options: Pick<
+      RequestAdmissionOptions,
+      'admission' | 'chooseGroup' | 'onDidAccept'
+    > & {readonly reach: Pick<EndpointReach, 'stateOf'>},
+  ): RequestAdmission;
 }
 
 /**
@@ -63,5 +73,31 @@
     client: client.dump(),
     schedulers: host.dump(),
   }));
-  return {client, host, dispose: () => disposables.dispose()};
+
+  /** Returns the slots of a service that are this entry's equal part. */
+  function equalPart(service: string): number {
+    const slots = parts.directory
+      .placementTargets(service, 'incumbent')
+      .reduce((sum, endpoint) => sum + endpoint.slots, 0);
+    return Math.floor(slots / Math.max(1, membership.liveMembers().length));
+  }
+
+  return {
+    host,
+    createRequestAdmission: ({reach, ...options}) =>
+      createRequestAdmission({
+        ...options,
+        schedulerClient: client,
+        failureDomain: settings.failureDomain,
+        clock,
+        // An entry without paths hands its requests over to others.
+        isScheduled: service =>
+          parts.scheduledServices.has(service) &&
+          reach.stateOf(service) === 'reachable',
+        equalPart,
+        usualOwnTokens: service =>
+          parts.engineEstimates.estimateFor(service).usualOwnTokens,
+      }),
+    dispose: () => disposables.dispose(),
+  };
 }
--- a/packages/gateway/src/scheduling/scheduledServices.ts
+++ b/packages/gateway/src/scheduling/scheduledServices.ts
@@ -22,7 +22,7 @@
 export function createScheduledServices(options: {
   readonly settings: GatewaySettings['scheduling'];
   readonly policy: Pick<ActivePolicy, 'routesTo'>;
-  readonly services: Pick<ServiceCatalog, 'find'>;
+  readonly services: Pick<ServiceCatalog, 'find' | 'isModel'>;
   endpointsOf(service: string): readonly Pick<RegisteredEndpoint, 'slots'>[];
   isBrittle(service: string): boolean;
 }): ScheduledServices {
@@ -36,9 +36,18 @@
     );
   }
 
+  /** Whether the settings permit scheduling, by mode. */
+  const permits: Readonly<
+    Record<GatewaySettings['scheduling']['mode'], (service: string) => boolean>
+  > = {
+    off: () => false,
+    plain: service => !services.isModel(service),
+    all: () => true,
+  };
+
   return {
     has: service =>
-      settings.mode === 'auto' &&
+      permits[settings.mode](service) &&
       services.find(service)?.warmUp === undefined &&
       policy.routesTo(service).some(({goalMs}) => goalMs > 0) &&
       hasFewSlots(service) &&
--- a/packages/gateway/src/scheduling/schedulerClient.ts
+++ b/packages/gateway/src/scheduling/schedulerClient.ts
@@ -51,6 +51,8 @@
   | {readonly type: 'cancelled'};
 
 export interface SchedulerClient extends Disposable {
+  /** Whether a service has little room, as a scheduler has told recently. */
+  isContended(service: string): boolean;
   place(
     request: ScheduledRequest,
     signal: AbortSignal,
@@ -68,6 +70,9 @@
 /** Time for which an entry that has not answered is not asked, in ms. */
 const SKIP_MS = 1_000;
 
+/** Time for which a service counts as contended, in milliseconds. */
+const CONTENDED_MS = 1_000;
+
 /** Number of entries that are asked for one request. */
 const MAX_ASKED = 2;
 
@@ -114,6 +119,7 @@
   /** Entries that were told of the requests in progress. */
   const informedSchedulers = new Set<string>();
   const lastScheduler = new Map<string, string>();
+  const contendedUntil = new Map<string, number>();
   const counts = {asked: 0, unanswered: 0, undecided: 0};
 
   function rank(service: string): readonly string[] {
@@ -222,6 +228,7 @@
     return (
       host.request(self, service, version, request, pending.resolve) ?? {
         type: 'unknown',
+        isContended: false,
       }
     );
   }
@@ -232,6 +239,7 @@
     outcome: PlacementOutcome,
     endpoint: string | undefined,
     tookMs: number,
+    began?: Messages['placementEnded']['began'],
   ): void {
     const message = {
       service,
@@ -240,6 +248,7 @@
       outcome,
       tookMs,
       ...(endpoint !== undefined && {endpoint}),
+      ...(began && {began}),
     };
     if (scheduler === self) {
       host.end(self, message);
@@ -262,25 +271,28 @@
       schedulers: new Set([scheduler]),
     };
     activePlacements.set(key, active);
+    let began: Messages['placementEnded']['began'];
     return {
       endpoint,
       scheduler,
-      recordBegin(usedEndpoint, load) {
-        const {service, version, id} = request;
+      recordBegin(usedEndpoint, reportedLoad) {
+        const {service, version, id, prompt} = request;
+        began = {
+          firstMs: clock.now() - placedAt,
+          ...(reportedLoad && {load: toLoad(reportedLoad)}),
+        };
+        if (prompt === undefined) {
+          // The response of a plain service ends soon, so one message tells both.
+          return;
+        }
         const message = {
           service,
           version,
           id,
           endpoint: usedEndpoint,
-          firstMs: clock.now() - placedAt,
-          ...(load && {
-            load: {
-              running: load.running,
-              waiting: load.waiting,
-              ...(load.slowness !== undefined && {slowness: load.slowness}),
-            },
-          }),
+          ...began,
         };
+        began = undefined;
         if (scheduler === self) {
           host.begin(self, message);
           return;
@@ -293,7 +305,7 @@
         }
         const tookMs = clock.now() - placedAt;
         for (const informed of active.schedulers) {
-          tellEnd(informed, request, outcome, usedEndpoint, tookMs);
+          tellEnd(informed, request, outcome, usedEndpoint, tookMs, began);
         }
       },
     };
@@ -339,6 +351,9 @@
       if (response === undefined || response.type === 'unknown') {
         return undefined;
       }
+      if (response.isContended) {
+        contendedUntil.set(request.service, clock.now() + CONTENDED_MS);
+      }
       if (response.type !== 'queued') {
         return response;
       }
@@ -393,6 +408,7 @@
     }),
   );
   return {
+    isContended: service => (contendedUntil.get(service) ?? 0) > clock.now(),
     async place(request, signal) {
       for (const scheduler of schedulersOf(request.service)) {
         const result = await askScheduler(scheduler, request, signal);
@@ -426,6 +442,10 @@
   };
 }
 
+function toLoad({running, waiting, slowness}: ReportedLoad): ReportedLoad {
+  return {running, waiting, ...(slowness !== undefined && {slowness})};
+}
+
 function keyOf({
   service,
   version,
--- a/packages/gateway/src/scheduling/schedulerHost.ts
+++ b/packages/gateway/src/scheduling/schedulerHost.ts
@@ -190,7 +190,7 @@
         }
       },
     );
-    return decided ?? {type: 'unknown'};
+    return decided ?? {type: 'unknown', isContended: false};
   }
 
   function cancel(asker: string, service: string, version: string, id: string) {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -93,8 +93,8 @@
   /** Which services one entry schedules for all entries. */
   scheduling: z
     .strictObject({
-      /** `auto`: services with a latency target and few slots per endpoint. */
-      mode: z.enum(['auto', 'off']).default('auto'),
+      /** Kinds of services that are scheduled. */
+      mode: z.enum(['off', 'plain', 'all']).default('plain'),
       /** Largest number of slots per endpoint of scheduled services. */
       mostSlots: z.number().int().min(1).max(10_000).default(12),
     })
--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -57,7 +57,6 @@
 import {createPlatformView} from './mirrors/platformView.js';
 import {createActivePolicy, type ActivePolicy} from './policy/activePolicy.js';
 import {createReadiness, type Readiness} from './process/readiness.js';
-import {createRequestAdmission} from './callers/requestAdmission.js';
 import {createRequestWork} from './forwarding/requestWork.js';
 import {createGatewayScheduling} from './scheduling/gatewayScheduling.js';
 import {createScheduledServices} from './scheduling/scheduledServices.js';
@@ -382,16 +381,9 @@
     policy,
     chargeQuota: gatewayQuotas.charge,
     crashQuarantine,
-    requestAdmission: createRequestAdmission({
+    requestAdmission: scheduling.createRequestAdmission({
       admission,
-      schedulerClient: scheduling.client,
-      failureDomain: settings.failureDomain,
-      clock,
-      isScheduled: service =>
-        scheduledServices.has(service) &&
-        reach.stateOf(service) === 'reachable',
-      usualOwnTokens: service =>
-        engineEstimates.estimateFor(service).usualOwnTokens,
+      reach,
       chooseGroup: rolloutController.groupFor,
       onDidAccept: requestWork.recordPrompt,
     }),
--- a/packages/protocol/src/messages/schedulingMessages.ts
+++ b/packages/protocol/src/messages/schedulingMessages.ts
@@ -24,11 +24,22 @@
     };
 
 /** Response to `placementWanted`. */
-export type PlacementResponse =
+export type PlacementResponse = (
   | PlacementResult
   | {readonly type: 'queued'; readonly decidedWithinMs: number}
   /** The receiver cannot schedule the service. */
-  | {readonly type: 'unknown'};
+  | {readonly type: 'unknown'}
+) & {
+  /** Whether the service has little room, so that all requests should ask. */
+  readonly isContended: boolean;
+};
+
+/** Load that an endpoint reports in a response. */
+export interface PlacementLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slowness?: number | undefined;
+}
 
 export interface SchedulingMessages {
   /**
@@ -79,14 +90,7 @@
     readonly endpoint: string;
     /** Time from the placement to the first byte or event, in milliseconds. */
     readonly firstMs: number;
-    /** Load that the endpoint reports in the response. */
-    readonly load?:
-      | {
-          readonly running: number;
-          readonly waiting: number;
-          readonly slowness?: number | undefined;
-        }
-      | undefined;
+    readonly load?: PlacementLoad | undefined;
   };
   /** Tells that a placed request has ended, or that a queued one is withdrawn. */
   placementEnded: {
@@ -103,5 +107,9 @@
       | 'cancelled';
     /** Time from the placement to the end, in milliseconds. */
     readonly tookMs: number;
+    /** Begin of the response, if `placementBegan` was not sent. */
+    readonly began?:
+      | {readonly firstMs: number; readonly load?: PlacementLoad | undefined}
+      | undefined;
   };
 }
--- a/packages/scheduling/src/contracts.ts
+++ b/packages/scheduling/src/contracts.ts
@@ -60,9 +60,13 @@
     };
 
 /** Answer to a request: a decision, or the time by which it is made. */
-export type PlacementAnswer =
+export type PlacementAnswer = (
   | PlacementDecision
-  | {readonly type: 'queued'; readonly decidedWithinMs: number};
+  | {readonly type: 'queued'; readonly decidedWithinMs: number}
+) & {
+  /** Whether the service has little room, so that all requests should ask. */
+  readonly isContended: boolean;
+};
 
 /** Result of a request that was placed. */
 export type PlacementOutcome =
@@ -105,6 +109,8 @@
   readonly outcome: PlacementOutcome;
   /** Time from the placement to the end, in milliseconds. */
   readonly tookMs: number;
+  /** Begin of the response, if it was not reported before. */
+  readonly began?: Pick<PlacementBegin, 'firstMs' | 'load'> | undefined;
 }
 
 /** A request in progress that another scheduler has placed. */
--- a/packages/scheduling/src/endpointLoad.ts
+++ b/packages/scheduling/src/endpointLoad.ts
@@ -29,6 +29,8 @@
 export interface EndpointLoad {
   endpoint: SchedulableEndpoint;
   readonly running: Set<RunningRequest>;
+  /** Returns the slots that are taken, by requests of others as well. */
+  takenSlots(): number;
   /** Whether a further request may be placed. */
   hasRoom(extraSlots: number): boolean;
   /** Returns how long work takes, relative to an endpoint of usual speed. */
@@ -168,9 +170,10 @@
   const load: EndpointLoad = {
     endpoint: initialEndpoint,
     running,
+    takenSlots: () => running.size + foreignCount(),
     hasRoom: extraSlots =>
       clock.now() >= avoidedUntil &&
-      running.size + foreignCount() < load.endpoint.slots + extraSlots,
+      load.takenSlots() < load.endpoint.slots + extraSlots,
     slowness: () => learnedSlowness * currentSlowness(),
     passingSlowness: currentSlowness,
     promptWaitMs: urgency => promptSum(urgency + 1),
--- a/packages/scheduling/src/serviceScheduler.ts
+++ b/packages/scheduling/src/serviceScheduler.ts
@@ -2,82 +2,44 @@
  * Scheduler of one service: decides for the requests of all entries which one
  * starts next, at which endpoint, and which are rejected.
  */
-import {
-  scheduleRepeatedly,
-  type Clock,
-  type Disposable,
-  type Random,
-} from '@skylarkfield/base';
+import type {Disposable} from '@skylarkfield/base';
 import {createBookings} from './bookings.js';
 import type {
-  HeldPlacement,
-  PlacementAnswer,
   PlacementBegin,
   PlacementDecision,
   PlacementEnd,
   PlacementRequest,
   RejectionReason,
-  SchedulableEndpoint,
 } from './contracts.js';
 import {createDemandRates} from './demandRates.js';
-import {createEndpointChoice, type PromptTime} from './endpointChoice.js';
+import {createEndpointChoice} from './endpointChoice.js';
 import {
   createEndpointLoad,
   type EndpointLoad,
   type RunningRequest,
 } from './endpointLoad.js';
 import {createPrefixLocations} from './prefixLocations.js';
+import type {
+  ServiceScheduler,
+  ServiceSchedulerOptions,
+} from './schedulerContracts.js';
 import {createRouteTimes} from './routeTimes.js';
+import {createRunningRequests} from './runningRequests.js';
 import {
   createWaitingRequests,
   MIN_START_SHARE,
   type WaitingRequest,
 } from './waitingRequests.js';
 
-/** Decision on a request, as reported to metrics and logs. */
-export interface ObservedDecision {
-  readonly request: PlacementRequest;
-  readonly outcome: 'placed' | RejectionReason;
-  readonly waitedMs: number;
-  /** Whether the request was placed after its latency target had become
-   * unreachable. */
-  readonly isLate: boolean;
-  /** Whether its urgency got less than its minimum share of recent starts. */
-  readonly isShort: boolean;
-}
+type DecidedOrQueued =
+  | PlacementDecision
+  | {readonly type: 'queued'; readonly decidedWithinMs: number};
 
-export interface ServiceScheduler extends Disposable {
-  setEndpoints(endpoints: readonly SchedulableEndpoint[]): void;
-  /** Whether the service has an endpoint. */
-  hasEndpoints(): boolean;
-  /**
-   * Decides on a request of an entry. If it is queued, `onDidDecide` is called
-   * later with the decision.
-   */
-  request(
-    asker: string,
-    request: PlacementRequest,
-    onDidDecide: (decision: PlacementDecision) => void,
-  ): PlacementAnswer;
-  /** Applies the first byte or event of the response to a request. */
-  begin(asker: string, begin: PlacementBegin): void;
-  /** Applies the end of a request, whether it was placed or still waits. */
-  end(asker: string, end: PlacementEnd): void;
-  /** Replaces the requests in progress of an entry. */
-  adopt(asker: string, held: readonly HeldPlacement[]): void;
-  /** Drops all requests of an entry that is gone. */
-  dropAsker(asker: string): void;
-  dump(): unknown;
-}
+/** Fraction of the slots from which on a service is contended. */
+const CONTENDED_FRACTION = 0.8;
 
-export interface ServiceSchedulerOptions {
-  readonly clock: Clock;
-  readonly random: Random;
-  /** Prompt tokens that an endpoint keeps cached; 0 for a plain service. */
-  readonly cacheTokens: number;
-  readonly promptTime: PromptTime;
-  onDidDecide?(decision: ObservedDecision): void;
-}
+/** Time after its last shortage for which a service is contended, in ms. */
+const CONTENDED_MS = 1_000;
 
 /** Interval at which waiting requests are checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 20;
@@ -116,10 +78,7 @@
 ): ServiceScheduler {
   const {clock, random} = options;
   const loads = new Map<string, EndpointLoad>();
-  const runningByKey = new Map<
-    string,
-    {readonly load: EndpointLoad; readonly request: RunningRequest}
-  >();
+  const running = createRunningRequests();
   const waiting = createWaitingRequests();
   const demand = createDemandRates(clock);
   const bookings = createBookings(clock);
@@ -131,6 +90,8 @@
     prefixes,
     promptTime: options.promptTime,
   });
+  let lastShortageAt = -Infinity;
+  let nextCheck: Disposable | undefined;
   const counts = {placed: 0, late: 0, rejected: 0, returning: 0};
 
   function totalSlots(): number {
@@ -141,6 +102,17 @@
     return Math.max(1, slots);
   }
 
+  function isContended(): boolean {
+    let takenSlots = 0;
+    for (const load of loads.values()) {
+      takenSlots += load.takenSlots();
+    }
+    if (waiting.size > 0 || takenSlots >= totalSlots() * CONTENDED_FRACTION) {
+      lastShortageAt = clock.now();
+    }
+    return clock.now() - lastShortageAt < CONTENDED_MS;
+  }
+
   /** Returns the time of the whole service that a request takes, in ms. */
   function costOf({route, prompt}: PlacementRequest): number {
     const slotMs = routeTimes.timeOf(route).holdMs / totalSlots();
@@ -200,7 +172,7 @@
     }
     const {load, promptMs} = chosen;
     const now = clock.now();
-    addRunning(load, {
+    running.add(load, {
       asker,
       id: request.id,
       route: request.route,
@@ -244,21 +216,6 @@
     return {type: 'rejected', reason, retryAfterMs};
   }
 
-  function keyOf(asker: string, id: string): string {
-    return `${asker}/${id}`;
-  }
-
-  function addRunning(load: EndpointLoad, request: RunningRequest): void {
-    load.add(request);
-    runningByKey.set(keyOf(request.asker, request.id), {load, request});
-  }
-
-  function removeRunning(key: string): void {
-    const running = runningByKey.get(key);
-    running?.load.running.delete(running.request);
-    runningByKey.delete(key);
-  }
-
   /** Starts waiting requests while endpoints have room. */
   function dispatch(): void {
     for (;;) {
@@ -280,10 +237,10 @@
   /** Returns the mean time between two ends of running requests, in ms. */
   function expectedGapMs(): number {
     let holdMs = 0;
-    for (const {request} of runningByKey.values()) {
+    for (const {request} of running.values()) {
       holdMs += routeTimes.timeOf(request.route).holdMs;
     }
-    return holdMs / Math.max(1, runningByKey.size) ** 2;
+    return holdMs / Math.max(1, running.size) ** 2;
   }
 
   /** Rejects or demotes requests that can no longer be served as expected. */
@@ -308,28 +265,17 @@
     }
   }
 
-  function removeExpired(): void {
-    for (const load of loads.values()) {
-      for (const {asker, id} of load.removeExpired()) {
-        runningByKey.delete(keyOf(asker, id));
-      }
-    }
-  }
-
   function check(): void {
+    running.removeExpired(loads.values());
+    checkWaiting();
+    dispatch();
     if (waiting.size > 0) {
-      removeExpired();
-      checkWaiting();
-      dispatch();
+      scheduleCheck();
     }
   }
 
   function dropAsker(asker: string): void {
-    for (const [key, {request}] of runningByKey) {
-      if (request.asker === asker) {
-        removeRunning(key);
-      }
-    }
+    running.removeAsker(asker);
     for (const entry of [...waiting.timely(), ...waiting.late()]) {
       if (entry.asker === asker) {
         waiting.remove(entry);
@@ -354,7 +300,76 @@
     load.recordOutcome(outcome);
   }
 
-  const checks = scheduleRepeatedly(clock, CHECK_INTERVAL_MS, check);
+  function decide(
+    asker: string,
+    request: PlacementRequest,
+    onDidDecide: (decision: PlacementDecision) => void,
+  ): DecidedOrQueued {
+    const isReturning = bookings.redeem(request.fingerprint);
+    counts.returning += isReturning ? 1 : 0;
+    const {urgency, customer} = request;
+    const entry: WaitingRequest = {
+      asker,
+      request,
+      customer,
+      urgency,
+      cost: costOf(request),
+      isReturning,
+      waitsSince: clock.now(),
+      onDidDecide,
+    };
+    demand.record(urgency, entry.cost, isReturning);
+    if (!waiting.hasUpTo(urgency)) {
+      const decision = place(entry, expectedGapMs(), false);
+      if (decision !== undefined) {
+        return decision;
+      }
+    }
+    if (waiting.size >= MAX_WAITING) {
+      return reject(entry, 'no-room');
+    }
+    if (canMeetTarget(entry, expectedWaitMs(entry))) {
+      waiting.add(entry);
+    } else if (canMeetDeadline(entry)) {
+      waiting.addLate(entry);
+    } else {
+      return reject(entry, 'no-room');
+    }
+    scheduleCheck();
+    return {
+      type: 'queued',
+      decidedWithinMs: Math.max(0, request.deadlineAt - clock.now()),
+    };
+  }
+
+  function begin(
+    asker: string,
+    {id, endpoint, firstMs, load: reportedLoad}: PlacementBegin,
+  ): void {
+    const load = loads.get(endpoint);
+    const placed = running.find(asker, id);
+    if (load !== undefined && placed?.load === load) {
+      const {route} = placed.request;
+      placed.request.hasBegun = true;
+      const usualMs = routeTimes.timeOf(route).firstMs * load.slowness();
+      if (usualMs > 0) {
+        load.recordSpeed(firstMs / usualMs);
+      }
+      routeTimes.record(route, 'firstMs', firstMs, load.slowness());
+    }
+    if (reportedLoad !== undefined) {
+      load?.recordReport(reportedLoad);
+    }
+  }
+
+  /** Checks waiting requests for as long as there are any. */
+  function scheduleCheck(): void {
+    nextCheck ??= clock.after(CHECK_INTERVAL_MS, () => {
+      nextCheck = undefined;
+      check();
+    });
+  }
+
   return {
     setEndpoints(endpoints) {
       const ids = new Set(endpoints.map(({id}) => id));
@@ -362,9 +377,7 @@
         if (!ids.has(id)) {
           loads.delete(id);
           prefixes.removeEndpoint(id);
-          load.running.forEach(request =>
-            runningByKey.delete(keyOf(request.asker, request.id)),
-          );
+          running.removeEndpoint(load);
         }
       }
       for (const endpoint of endpoints) {
@@ -379,63 +392,19 @@
     },
     hasEndpoints: () => loads.size > 0,
     request(asker, request, onDidDecide) {
-      const isReturning = bookings.redeem(request.fingerprint);
-      counts.returning += isReturning ? 1 : 0;
-      const {urgency, customer} = request;
-      const entry: WaitingRequest = {
-        asker,
-        request,
-        customer,
-        urgency,
-        cost: costOf(request),
-        isReturning,
-        waitsSince: clock.now(),
-        onDidDecide,
-      };
-      demand.record(urgency, entry.cost, isReturning);
-      if (!waiting.hasUpTo(urgency)) {
-        const decision = place(entry, expectedGapMs(), false);
-        if (decision !== undefined) {
-          return decision;
-        }
-      }
-      if (waiting.size >= MAX_WAITING) {
-        return reject(entry, 'no-room');
-      }
-      if (canMeetTarget(entry, expectedWaitMs(entry))) {
-        waiting.add(entry);
-      } else if (canMeetDeadline(entry)) {
-        waiting.addLate(entry);
-      } else {
-        return reject(entry, 'no-room');
-      }
-      return {
-        type: 'queued',
-        decidedWithinMs: Math.max(0, request.deadlineAt - clock.now()),
-      };
-    },
-    begin(asker, {id, endpoint, firstMs, load: reportedLoad}) {
-      const load = loads.get(endpoint);
-      const running = runningByKey.get(keyOf(asker, id));
-      if (load !== undefined && running?.load === load) {
-        const {route} = running.request;
-        running.request.hasBegun = true;
-        const usualMs = routeTimes.timeOf(route).firstMs * load.slowness();
-        if (usualMs > 0) {
-          load.recordSpeed(firstMs / usualMs);
-        }
-        routeTimes.record(route, 'firstMs', firstMs, load.slowness());
-      }
-      if (reportedLoad !== undefined) {
-        load?.recordReport(reportedLoad);
-      }
+      const decided = decide(asker, request, onDidDecide);
+      return {...decided, isContended: isContended()};
     },
+    begin,
     end(asker, end) {
-      const key = keyOf(asker, end.id);
-      const running = runningByKey.get(key);
-      if (running !== undefined) {
-        removeRunning(key);
-        recordEnd(running.load, running.request, end);
+      const placed = running.find(asker, end.id);
+      if (end.began !== undefined && end.endpoint !== undefined) {
+        const {id, endpoint} = end;
+        begin(asker, {id, endpoint, ...end.began});
+      }
+      if (placed !== undefined) {
+        running.remove(asker, end.id);
+        recordEnd(placed.load, placed.request, end);
       } else {
         const entry = waiting.find(asker, end.id);
         if (entry !== undefined) {
@@ -450,7 +419,7 @@
       for (const {id, endpoint, route, urgency, ageMs, remainingMs} of held) {
         const load = loads.get(endpoint);
         if (load !== undefined) {
-          addRunning(load, {
+          running.add(load, {
             asker,
             id,
             route,
@@ -478,6 +447,6 @@
         [...loads].map(([id, load]) => [id, load.dump()]),
       ),
     }),
-    dispose: () => checks.dispose(),
+    dispose: () => nextCheck?.dispose(),
   };
 }
--- a/packages/scheduling/src/test/playedLoad.ts
+++ b/packages/scheduling/src/test/playedLoad.ts
@@ -5,10 +5,8 @@
   type VirtualClock,
 } from '@skylarkfield/base';
 import type {PlacementDecision, ReportedLoad} from '../contracts.js';
-import {
-  createServiceScheduler,
-  type ServiceScheduler,
-} from '../serviceScheduler.js';
+import type {ServiceScheduler} from '../schedulerContracts.js';
+import {createServiceScheduler} from '../serviceScheduler.js';
 
 export interface PlayedAttempt {
   readonly urgency: number;
