--- a/packages/gateway/src/scheduling/scheduledServices.ts
+++ b/packages/gateway/src/scheduling/scheduledServices.ts
@@ -1,5 +1,6 @@
 /** Decides which services are scheduled by one entry for all entries. */
-import type {RegisteredEndpoint} from '@skylarkfield/traffic';
+import type {SlotShares} from '@skylarkfield/routing';
+import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
 import type {ActivePolicy} from '../policy/activePolicy.js';
 import type {ServiceCatalog} from '../policy/serviceCatalog.js';
 import type {GatewaySettings} from '../settings.js';
@@ -16,20 +17,25 @@
  * up have limits of their own, which each entry applies.
  *
  * @example
- * const scheduled = createScheduledServices({settings, policy, services, ...});
+ * const scheduled = createScheduledServices(settings.scheduling, parts);
  * if (scheduled.has('booking')) { await scheduler.place(request); }
  */
-export function createScheduledServices(options: {
-  readonly settings: GatewaySettings['scheduling'];
-  readonly policy: Pick<ActivePolicy, 'routesTo'>;
-  readonly services: Pick<ServiceCatalog, 'find' | 'isModel'>;
-  endpointsOf(service: string): readonly Pick<RegisteredEndpoint, 'slots'>[];
-  isBrittle(service: string): boolean;
-}): ScheduledServices {
-  const {settings, policy, services} = options;
-
+export function createScheduledServices(
+  settings: GatewaySettings['scheduling'],
+  {
+    policy,
+    services,
+    directory,
+    slotShares,
+  }: {
+    readonly policy: Pick<ActivePolicy, 'routesTo'>;
+    readonly services: Pick<ServiceCatalog, 'find' | 'isModel'>;
+    readonly directory: Pick<EndpointDirectory, 'endpointsOf'>;
+    readonly slotShares: Pick<SlotShares, 'isBrittle'>;
+  },
+): ScheduledServices {
   function hasFewSlots(service: string): boolean {
-    const endpoints = options.endpointsOf(service);
+    const endpoints = directory.endpointsOf(service);
     return (
       endpoints.length > 0 &&
       endpoints.every(({slots}) => slots <= settings.mostSlots)
@@ -51,6 +57,6 @@
       services.find(service)?.warmUp === undefined &&
       policy.routesTo(service).some(({goalMs}) => goalMs > 0) &&
       hasFewSlots(service) &&
-      !options.isBrittle(service),
+      !slotShares.isBrittle(service),
   };
 }
--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -174,12 +174,11 @@
     warmUpMs: services.warmUpMs,
     regionOf: failureDomain => settings.regions[failureDomain],
   });
-  const scheduledServices = createScheduledServices({
-    settings: settings.scheduling,
+  const scheduledServices = createScheduledServices(settings.scheduling, {
     policy,
     services,
-    endpointsOf: directory.endpointsOf,
-    isBrittle: slotShares.isBrittle,
+    directory,
+    slotShares,
   });
   const crashQuarantine = createCrashQuarantine({
     clock,
@@ -331,8 +330,7 @@
     reach,
     rolloutController.recordSample,
   );
-  const isServing = () =>
-    lifecycle.state() === 'serving' || lifecycle.state() === 'lingering';
+  const isServing = () => ['serving', 'lingering'].includes(lifecycle.state());
   const forwarding = disposables.add(
     createGatewayForwarding(context, coordination, {
       router,
@@ -402,13 +400,13 @@
     onDidConclude: recordSample,
     onDidAnswer: requestWork.recordAnswer,
   });
-  context.dumps.add('view', () => platformView.dump());
-  context.dumps.add('routing', () => router.dump());
-  context.dumps.add('admission', () => admission.dump());
+  context.dumps.add('view', platformView.dump);
+  context.dumps.add('routing', router.dump);
+  context.dumps.add('admission', admission.dump);
   context.dumps.add('engines', () => engineEstimates.dump());
   context.dumps.add('reports', () => peerReports.dump());
   context.dumps.add('departures', () => departures.dump());
-  context.dumps.add('crashes', () => crashQuarantine.dump());
+  context.dumps.add('crashes', crashQuarantine.dump);
   context.dumps.add('upstreams', () => upstreams.dump());
   return {
     policy,
