scheduling: keep a margin to the target; small entries do not schedule

Cause: requests waited until they could just meet their target, so each delay between processes made them late; entries of 0.12 cores were busy with the messages of all others. Change: 0.3 of the time until the target is left; entries with less than half a core are not ranked.

--- a/packages/scheduling/src/schedulerRanking.ts
+++ b/packages/scheduling/src/schedulerRanking.ts
@@ -9,9 +9,15 @@
 }
 
 /**
- * Ranks entries for the scheduling of a service. Those with the most cores come
- * first, since the scheduler handles the requests of all entries; among them the
- * order differs between services.
+ * Minimum cores of an entry that schedules: the messages of all entries would
+ * take the time that a smaller one needs for its own callers.
+ */
+const MIN_CORES = 0.5;
+
+/**
+ * Ranks entries for the scheduling of a service; empty if none has enough cores.
+ * Those with the most cores come first, since the scheduler handles the requests
+ * of all entries; among them the order differs between services.
  *
  * @example
  * const [scheduler, standIn] = rankSchedulers('booking', candidates);
@@ -20,7 +26,9 @@
   service: string,
   candidates: readonly SchedulerCandidate[],
 ): readonly string[] {
-  const coreCounts = [...new Set(candidates.map(({cores}) => cores))];
+  const coreCounts = [...new Set(candidates.map(({cores}) => cores))].filter(
+    cores => cores >= MIN_CORES,
+  );
   return coreCounts
     .sort((a, b) => b - a)
     .flatMap(coreCount =>
--- a/packages/scheduling/src/serviceScheduler.ts
+++ b/packages/scheduling/src/serviceScheduler.ts
@@ -41,6 +41,14 @@
 /** Time after its last shortage for which a service is contended, in ms. */
 const CONTENDED_MS = 1_000;
 
+/**
+ * Fraction of the time until its latency target that a request must be expected
+ * to have left: between entries, endpoints and callers messages are late where
+ * processes are busy, and a response that just misses its target has cost
+ * another one its place.
+ */
+const TARGET_MARGIN = 0.3;
+
 /** Interval at which waiting requests are checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 20;
 
@@ -142,11 +150,12 @@
   }
 
   function canMeetTarget(
-    {request}: Pick<WaitingRequest, 'request'>,
+    {request, waitsSince}: WaitingRequest,
     waitMs: number,
   ): boolean {
     const {firstMs} = routeTimes.timeOf(request.route);
-    return clock.now() + waitMs + firstMs <= request.targetAt;
+    const marginMs = (request.targetAt - waitsSince) * TARGET_MARGIN;
+    return clock.now() + waitMs + firstMs <= request.targetAt - marginMs;
   }
 
   /** Whether a request that misses its target is expected to be served. */
