--- a/packages/gateway/src/callers/requestAdmission.ts
+++ b/packages/gateway/src/callers/requestAdmission.ts
@@ -4,11 +4,7 @@
  */
 import type {AdmissionController} from '@skylarkfield/admission';
 import {isServingError, ServingError, type Clock} from '@skylarkfield/base';
-import type {
-  PlacementOutcome,
-  Prompt,
-  RejectionReason,
-} from '@skylarkfield/scheduling';
+import type {Prompt, RejectionReason} from '@skylarkfield/scheduling';
 import {
   countOwnTokens,
   isRepeatable,
@@ -25,7 +21,7 @@
 import type {
   Placement,
   SchedulerClient,
-} from '../scheduling/schedulerClient.js';
+} from '../scheduling/schedulerContracts.js';
 
 /** A request after validation and routing. */
 export interface RequestToAdmit {
@@ -92,15 +88,6 @@
   'waited-in-vain': 'cannot respond before the deadline any more',
 };
 
-const PLACEMENT_OUTCOMES: Readonly<
-  Record<AdmittedResult['outcome'], PlacementOutcome>
-> = {
-  ok: 'ok',
-  failed: 'failed',
-  overloaded: 'overloaded',
-  cancelled: 'cancelled',
-};
-
 /**
  * Creates the admission of one entry.
  *
@@ -226,7 +213,11 @@
       release({outcome, lastEndpoint}) {
         if (!isReleased) {
           isReleased = true;
-          placement.end(PLACEMENT_OUTCOMES[outcome], lastEndpoint);
+          // A request that was never sent tells nothing of its endpoint.
+          placement.end(
+            lastEndpoint === undefined ? 'cancelled' : outcome,
+            lastEndpoint,
+          );
         }
       },
     };
--- a/packages/gateway/src/scheduling/schedulerClient.ts
+++ b/packages/gateway/src/scheduling/schedulerClient.ts
@@ -16,50 +16,16 @@
 import {
   rankSchedulers,
   type PlacementOutcome,
-  type PlacementRequest,
   type ReportedLoad,
 } from '@skylarkfield/scheduling';
 import {DEFAULT_CORES} from '../callers/lookup.js';
-import type {VersionGroup} from '../endpoints/endpointDirectory.js';
+import type {
+  Placement,
+  ScheduledRequest,
+  SchedulerClient,
+} from './schedulerContracts.js';
 import type {SchedulerHost} from './schedulerHost.js';
 
-/** A request for the scheduler of its service. */
-export interface ScheduledRequest extends PlacementRequest {
-  readonly service: string;
-  readonly version: VersionGroup;
-}
-
-/** A request that was placed; `end` is called exactly once. */
-export interface Placement {
-  /** Router key of the endpoint to send the request to. */
-  readonly endpoint: string;
-  /** Entry that has placed the request. */
-  readonly scheduler: string;
-  /** Records the first byte or event of the response of an endpoint. */
-  recordBegin(endpoint: string, load: ReportedLoad | undefined): void;
-  /** `endpoint`: the last one that the request was sent to. */
-  end(outcome: PlacementOutcome, endpoint: string | undefined): void;
-}
-
-/** Answer of a scheduler. */
-export type ScheduledAnswer =
-  | {readonly type: 'placed'; readonly placement: Placement}
-  | Extract<PlacementResult, {type: 'rejected'}>
-  /** No scheduler has answered, so that this entry decides on its own. */
-  | {readonly type: 'undecided'}
-  /** The caller has left. */
-  | {readonly type: 'cancelled'};
-
-export interface SchedulerClient extends Disposable {
-  /** Whether a service has little room, as a scheduler has told recently. */
-  isContended(service: string): boolean;
-  place(
-    request: ScheduledRequest,
-    signal: AbortSignal,
-  ): Promise<ScheduledAnswer>;
-  dump(): unknown;
-}
-
 /** Upper bound of the time to wait for an answer, in milliseconds. */
 const MAX_ANSWER_MS = 60;
 
@@ -214,6 +180,8 @@
       )) as PlacementResponse;
     } catch (error) {
       skip(scheduler, toServingError(error).message);
+      // The question with the requests in progress may not have arrived.
+      informedSchedulers.delete(scheduler);
       // It may have placed the request.
       tellEnd(scheduler, request, 'cancelled', undefined, 0);
       return undefined;
@@ -324,6 +292,9 @@
     );
     const onAbort = () => pending.resolve(undefined);
     signal.addEventListener('abort', onAbort, {once: true});
+    if (signal.aborted) {
+      onAbort();
+    }
     return decision.finally(() => {
       timer.dispose();
       signal.removeEventListener('abort', onAbort);
@@ -411,6 +382,9 @@
     isContended: service => (contendedUntil.get(service) ?? 0) > clock.now(),
     async place(request, signal) {
       for (const scheduler of schedulersOf(request.service)) {
+        if (clock.now() >= request.deadlineAt) {
+          break;
+        }
         const result = await askScheduler(scheduler, request, signal);
         if (signal.aborted) {
           if (result?.type === 'placed') {
--- a/packages/gateway/src/scheduling/schedulerHost.ts
+++ b/packages/gateway/src/scheduling/schedulerHost.ts
@@ -174,7 +174,14 @@
     question: Messages['placementWanted'],
   ): PlacementResponse {
     const {service, version, id} = question;
+    const numbers = [question.urgency, question.targetMs, question.remainingMs];
+    if (!numbers.every(Number.isFinite)) {
+      return {type: 'unknown', isContended: false};
+    }
     findOrCreate(service, version);
+    for (const item of question.held ?? []) {
+      findOrCreate(item.service, item.version);
+    }
     if (question.held !== undefined) {
       adopt(asker, question.held);
     }
@@ -204,6 +211,9 @@
   }
 
   function begin(asker: string, began: Messages['placementBegan']): void {
+    if (!Number.isFinite(began.firstMs)) {
+      return;
+    }
     find(began.service, began.version)?.begin(asker, began);
   }
 
@@ -265,7 +275,10 @@
     route,
     customer,
     failureDomain,
-    urgency: Math.min(LOWEST_URGENCY, Math.max(0, question.urgency)),
+    urgency: Math.min(
+      LOWEST_URGENCY,
+      Math.max(0, Math.trunc(question.urgency)),
+    ),
     targetAt: now + question.targetMs,
     deadlineAt: now + question.remainingMs,
     prompt,
--- a/packages/scheduling/src/endpointChoice.ts
+++ b/packages/scheduling/src/endpointChoice.ts
@@ -92,6 +92,13 @@
         );
   }
 
+  /** Returns the endpoints that are not avoided, or all if none is left. */
+  function usable(loads: Iterable<EndpointLoad>): readonly EndpointLoad[] {
+    const all = [...loads];
+    const notAvoided = all.filter(load => !load.isAvoided());
+    return notAvoided.length > 0 ? notAvoided : all;
+  }
+
   function fractionMoreUrgent(load: EndpointLoad, urgency: number): number {
     let count = 0;
     for (const running of load.running) {
@@ -156,7 +163,7 @@
       const {firstMs, holdMs} = routeTimes.timeOf(request.route);
       let best: ReturnType<typeof evaluate> | undefined;
       let fastest = Infinity;
-      for (const load of loads) {
+      for (const load of usable(loads)) {
         fastest = Math.min(fastest, load.passingSlowness());
         if (
           !load.hasRoom(extraSlots(load, holdMs)) ||
--- a/packages/scheduling/src/endpointLoad.ts
+++ b/packages/scheduling/src/endpointLoad.ts
@@ -31,6 +31,8 @@
   readonly running: Set<RunningRequest>;
   /** Returns the slots that are taken, by requests of others as well. */
   takenSlots(): number;
+  /** Whether the endpoint has failed or was full a moment ago. */
+  isAvoided(): boolean;
   /** Whether a further request may be placed. */
   hasRoom(extraSlots: number): boolean;
   /** Returns how long work takes, relative to an endpoint of usual speed. */
@@ -171,9 +173,8 @@
     endpoint: initialEndpoint,
     running,
     takenSlots: () => running.size + foreignCount(),
-    hasRoom: extraSlots =>
-      clock.now() >= avoidedUntil &&
-      load.takenSlots() < load.endpoint.slots + extraSlots,
+    isAvoided: () => clock.now() < avoidedUntil,
+    hasRoom: extraSlots => load.takenSlots() < load.endpoint.slots + extraSlots,
     slowness: () => learnedSlowness * currentSlowness(),
     passingSlowness: currentSlowness,
     promptWaitMs: urgency => promptSum(urgency + 1),
@@ -194,11 +195,14 @@
     },
     recordOutcome: outcome => handleOutcome[outcome](),
     recordReport({running: reported, waiting, slowness}) {
+      if (!Number.isFinite(reported + waiting)) {
+        return;
+      }
       // The report may still count the request whose response carries it.
       const count = Math.max(0, reported + waiting - running.size - 1);
       foreignCounts.push({count, atMs: clock.now()});
       foreignCounts.splice(0, foreignCounts.length - REPORT_COUNT);
-      if (slowness !== undefined) {
+      if (slowness !== undefined && Number.isFinite(slowness)) {
         reportedSlowness = Math.min(
           MAX_SLOWNESS,
           Math.max(MIN_SLOWNESS, slowness),
--- a/packages/scheduling/src/serviceScheduler.ts
+++ b/packages/scheduling/src/serviceScheduler.ts
@@ -70,9 +70,6 @@
 /** Maximum number of waiting requests; more are rejected. */
 const MAX_WAITING = 4_000;
 
-/** Time for which an endpoint that an entry did not use is avoided, in ms. */
-const UNUSED_AVOIDANCE_MS = 200;
-
 /**
  * Creates the scheduler of one service, without endpoints.
  *
@@ -299,7 +296,6 @@
   ): void {
     const {outcome, tookMs} = end;
     if (end.endpoint !== undefined && end.endpoint !== load.endpoint.id) {
-      load.avoid(UNUSED_AVOIDANCE_MS);
       loads.get(end.endpoint)?.recordOutcome(outcome);
       return;
     }
@@ -423,7 +419,7 @@
       dispatch();
     },
     adopt(asker, held) {
-      dropAsker(asker);
+      running.removeAsker(asker);
       const now = clock.now();
       for (const {id, endpoint, route, urgency, ageMs, remainingMs} of held) {
         const load = loads.get(endpoint);
