mirrors: read frequent changes of endpoints together

Cause: the reader of the endpoints' registrations got each change as it happened, one call to the store and one broadcast each. Change: the interval between two reads is at least 2 ms for each registered endpoint, 300 ms at most; other kinds are read as before.

--- a/packages/gateway/src/mirrors/mirrorReader.ts
+++ b/packages/gateway/src/mirrors/mirrorReader.ts
@@ -29,6 +29,21 @@
    * from peers.
    */
   readonly firstListing: Freshness;
+  /**
+   * Minimum interval between reads of changes; absent if changes must be
+   * received as they happen.
+   */
+  readonly changeInterval?: ChangeInterval;
+}
+
+/**
+ * Interval that grows with the number of objects, as the rate of their changes
+ * does: while many endpoints start or end, a read for each change would cost a
+ * call and a broadcast each.
+ */
+export interface ChangeInterval {
+  readonly msPerObject: number;
+  readonly maxMs: number;
 }
 
 /** Reads objects of one kind from the platform and applies them to a mirror. */
@@ -139,8 +154,16 @@
     }
   }
 
+  /** Returns the pause after a read that began at `beganAt`. */
+  function pauseAfterReadMs(beganAt: number): number {
+    const {msPerObject = 0, maxMs = 0} = timing.changeInterval ?? {};
+    const intervalMs = Math.min(maxMs, mirror.items().length * msPerObject);
+    return Math.max(0, beganAt + intervalMs - clock.now());
+  }
+
   /** Reads once and returns the pause before the next read, in milliseconds. */
   async function tryRead(): Promise<number> {
+    const beganAt = clock.now();
     try {
       await (mirror.isLoaded() && !isCompacted ? readChanges() : readList());
       if (failureCount > 0) {
@@ -151,7 +174,7 @@
       }
       failureCount = 0;
       lastSuccessAt = clock.now();
-      return 0;
+      return pauseAfterReadMs(beganAt);
     } catch (error) {
       failureCount += 1;
       if (failureCount === 1 && !stopController.signal.aborted) {
--- a/packages/gateway/src/mirrors/platformView.ts
+++ b/packages/gateway/src/mirrors/platformView.ts
@@ -66,14 +66,19 @@
 /**
  * Timing of the reads of each kind of object. The policy is read most often,
  * and its first listing must be up to date, since the age of the mirrored
- * policy decides whether a key is accepted. Changes of the other kinds are
- * received as they happen; the long-poll timeout only bounds how long a dead
+ * policy decides whether a key is accepted. Changes of endpoints are received
+ * together in large fleets, those of the other kinds as they happen; the long-poll timeout only bounds how long a dead
  * connection goes undetected. Crashes and drains of failure domains have to reach
  * all entries within a few seconds.
  */
 const READ_TIMINGS: Readonly<Record<MirrorKind, ReadTiming>> = {
   policy: {waitMs: 1_000, graceMs: 700, firstListing: 'latest'},
-  endpoints: {waitMs: 1_500, graceMs: 700, firstListing: 'recent'},
+  endpoints: {
+    waitMs: 1_500,
+    graceMs: 700,
+    firstListing: 'recent',
+    changeInterval: {msPerObject: 2, maxMs: 300},
+  },
   rollouts: {waitMs: 6_000, graceMs: 1_500, firstListing: 'recent'},
   crashes: {waitMs: 2_400, graceMs: 600, firstListing: 'recent'},
   domainDrains: {waitMs: 2_400, graceMs: 600, firstListing: 'recent'},
--- a/packages/gateway/src/mirrors/test/mirrorReader.test.ts
+++ b/packages/gateway/src/mirrors/test/mirrorReader.test.ts
@@ -7,7 +7,7 @@
 } from '@skylarkfield/base';
 import type {ObjectSource} from '../../contracts.js';
 import {createMirror} from '../mirror.js';
-import {startMirrorReader} from '../mirrorReader.js';
+import {startMirrorReader, type ReadTiming} from '../mirrorReader.js';
 
 const TIMING = {
   waitMs: 1_000,
@@ -15,24 +15,27 @@
   firstListing: 'recent',
 } as const;
 
-function setUp() {
+function setUp(timing: ReadTiming = TIMING) {
   const clock = createVirtualClock();
   const log = createSilentLogger();
   const mirror = createMirror<string>({kind: 'endpoints', clock, log});
   const calls: string[] = [];
   let shouldRead = true;
   let isCompacted = false;
+  let areChangesFrequent = false;
   const source: ObjectSource<string> = {
     list(_, freshness) {
       calls.push(`list ${freshness}`);
-      return Promise.resolve({revision: 5, items: []});
+      const items = ['a', 'b'].map(name => ({name, revision: 5, value: name}));
+      return Promise.resolve({revision: 5, items});
     },
     async readChanges(afterRevision, waitMs) {
       calls.push('changes');
       if (isCompacted) {
         return undefined;
       }
-      await new Promise<void>(resolve => clock.after(waitMs, resolve));
+      const changedAfterMs = areChangesFrequent ? 1 : waitMs;
+      await new Promise<void>(resolve => clock.after(changedAfterMs, resolve));
       return {revision: afterRevision, changes: []};
     },
   };
@@ -42,7 +45,7 @@
     clock,
     random: seededRandom(1),
     log,
-    timing: TIMING,
+    timing,
     shouldRead: () => shouldRead,
     onDidStep: () => {},
   });
@@ -53,6 +56,7 @@
     reader,
     setShouldRead: (value: boolean) => (shouldRead = value),
     compact: () => (isCompacted = true),
+    changeFrequently: () => (areChangesFrequent = true),
   };
 }
 
@@ -86,4 +90,18 @@
     assert.ok(latestListingIndex > 0);
     assert.equal(calls[latestListingIndex - 1], 'changes');
   });
+
+  // Guards against one call and one broadcast for each of many changes, as when
+  // hundreds of endpoints register at once.
+  it('reads frequent changes together', async () => {
+    const {clock, calls, changeFrequently} = setUp({
+      ...TIMING,
+      changeInterval: {msPerObject: 50, maxMs: 300},
+    });
+    changeFrequently();
+    await clock.advance(1_300);
+    calls.length = 0;
+    await clock.advance(2_000);
+    assert.equal(calls.length, 20);
+  });
 });
