routing: record reported loads only at the endpoints they name

Each received digest walked all endpoints, and each choice summed the loads of all endpoints anew. A report now changes only the endpoints that it or the entry's previous report names, and the sums and the estimate of an endpoint are kept until its load changes.

--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -1,7 +1,8 @@
 /** Endpoints that an entry may choose from, pooled by service and version. */
 import type {Clock, Random} from '@skylarkfield/base';
 import {createCacheView, type CacheView} from './selection/cacheView.js';
-import type {Candidate} from './contracts.js';
+import type {Candidate, EntryLoad} from './contracts.js';
+import {createEntryLoads} from './selection/entryLoads.js';
 import {createHealth, type Health} from './health/health.js';
 import {createLoadView, type LoadView} from './selection/loadView.js';
 import {pickSubset} from './selection/subset.js';
@@ -32,6 +33,11 @@
    */
   countListed(service: string): number;
   leavingEndpointIds(): readonly string[];
+  /** Replaces the loads that another entry reported. */
+  recordEntryLoads(
+    entry: string,
+    loads: Readonly<Record<string, EntryLoad>>,
+  ): void;
 }
 
 /** Mark of a leaving endpoint, which the host list may still contain. */
@@ -67,6 +73,7 @@
   const endpointsById = new Map<string, PooledEndpoint>();
   const pools = new Map<string, PooledEndpoint[]>();
   const leavingMarks = new Map<string, LeavingMark>();
+  const entryLoads = createEntryLoads(clock, id => endpointsById.get(id)?.load);
   let listedEndpoints: readonly Candidate[] = [];
   let entries: readonly string[] = [self];
 
@@ -86,7 +93,11 @@
     return {
       candidate,
       health,
-      load: createLoadView({clock, isOwnAttempt}),
+      load: createLoadView({
+        clock,
+        isOwnAttempt,
+        entryReports: entryLoads.reports,
+      }),
       cache: createCacheView({clock, ...(blockTokens && {blockTokens})}),
     };
   }
@@ -188,5 +199,6 @@
           candidate.service === service && !leavingMarks.has(candidate.id),
       ).length,
     leavingEndpointIds: () => [...leavingMarks.keys()],
+    recordEntryLoads: entryLoads.record,
   };
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -12,7 +12,7 @@
 export * from './selection/slotShares.js';
 export * from './health/warmUp.js';
 export * from './crashes/requestFingerprint.js';
-export {addLoads} from './selection/loadView.js';
+export {addLoads} from './selection/loadSums.js';
 export {
   defaultRouteWeights,
   type RouteWeights,
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -9,7 +9,7 @@
   createEndpointRanking,
   type ScoredEndpoint,
 } from './selection/endpointRanking.js';
-import {tokensAhead} from './selection/loadView.js';
+import {tokensAhead} from './selection/loadSums.js';
 import {createOutlierDetector} from './health/outlierDetector.js';
 import {
   defaultRouteWeights,
@@ -234,14 +234,14 @@
       tokensAhead: tokensAhead(loadBefore, urgency),
       slowness: load.slowness,
       recordStart(reportedCachedTokens) {
-        ownRequest.pendingTokens = Math.max(
-          0,
-          routingRequest.promptTokens - reportedCachedTokens,
+        load.setPendingTokens(
+          ownRequest,
+          Math.max(0, routingRequest.promptTokens - reportedCachedTokens),
         );
         cache.recordCachedTokens(routingRequest.blocks, reportedCachedTokens);
       },
       recordFirstToken() {
-        ownRequest.pendingTokens = 0;
+        load.setPendingTokens(ownRequest, 0);
         hasFirstToken = true;
         recordSlowness();
       },
@@ -304,11 +304,7 @@
           .filter(({load}) => load.ownRequestCount > 0)
           .map(({candidate, load}) => [candidate.id, load.ownLoad()]),
       ),
-    recordEntryLoads(entry, loads) {
-      for (const {candidate, load} of pools.all()) {
-        load.recordEntryLoad(entry, loads[candidate.id]);
-      }
-    },
+    recordEntryLoads: pools.recordEntryLoads,
     forgiveFailures(service) {
       pools
         .all()
--- a/packages/routing/src/selection/loadView.ts
+++ b/packages/routing/src/selection/loadView.ts
@@ -2,10 +2,12 @@
 import type {Clock} from '@skylarkfield/base';
 import type {LoadReport} from '@skylarkfield/endpoints';
 import type {EntryLoad} from '../contracts.js';
+import type {EntryReports} from './entryLoads.js';
+import {addByUrgency, addLoads, NO_LOAD, requestLoad} from './loadSums.js';
 
 /** A request that this entry sent to the endpoint and that is in flight. */
 export interface OwnRequest {
-  /** Prompt tokens yet to be computed. */
+  /** Prompt tokens yet to be computed; changed by `setPendingTokens`. */
   pendingTokens: number;
   /** Tokens of the whole prompt. */
   readonly contextTokens: number;
@@ -35,6 +37,8 @@
     contextTokens: number,
     urgency: number,
   ): OwnRequest;
+  /** Sets the prompt tokens of a request that are yet to be computed. */
+  setPendingTokens(request: OwnRequest, pendingTokens: number): void;
   removeRequest(request: OwnRequest): void;
   recordReport(report: LoadReport): void;
   /** Replaces another entry's load; undefined if it has no requests. */
@@ -61,6 +65,22 @@
   readonly clock: Clock;
   /** Returns whether this entry made the attempt with this id. */
   readonly isOwnAttempt: (attempt: string) => boolean;
+  /** Reports of other entries, on the loads of all endpoints. */
+  readonly entryReports: EntryReports;
+}
+
+/** Sum of the loads of other entries. */
+interface EntrySum {
+  readonly load: EntryLoad;
+  /** Monotonic milliseconds at which the oldest of the loads was received. */
+  readonly oldestReceivedMs: number;
+}
+
+/** An estimate and what it was computed from. */
+interface CachedEstimate {
+  readonly own: EntryLoad;
+  readonly others: EntryLoad;
+  readonly estimate: LoadEstimate;
 }
 
 /** Assumed lag of a load report that does not list its attempts. */
@@ -93,11 +113,11 @@
  *
  * @example
  * const load = createLoadView({
- *   clock, isOwnAttempt: id => id.startsWith('e1-'),
+ *   clock, isOwnAttempt: id => id.startsWith('e1-'), entryReports,
  * });
  */
 export function createLoadView(options: LoadViewOptions): LoadView {
-  const {clock, isOwnAttempt} = options;
+  const {clock, isOwnAttempt, entryReports} = options;
   const ownRequests = new Set<OwnRequest>();
   /** Past counts of this entry's requests, for reports without attempts. */
   const ownCountHistory: {atMs: number; count: number}[] = [];
@@ -109,7 +129,13 @@
   let reportedSlowness = 1;
   let slownessReceivedMs = Number.NEGATIVE_INFINITY;
   const loadsByEntry = new Map<string, {load: EntryLoad; receivedMs: number}>();
-  let lastEntryReportMs = Number.NEGATIVE_INFINITY;
+  /** Reports that do not cover this endpoint, which was added later. */
+  const earlierReportCount = entryReports.count();
+  // The sums and the estimate are needed for each endpoint at each choice, but
+  // few endpoints change between two choices.
+  let ownSum: EntryLoad | undefined;
+  let entrySum: EntrySum | undefined;
+  let cachedEstimate: CachedEstimate | undefined;
 
   function recordOwnRequestCount() {
     const nowMs = clock.now();
@@ -158,22 +184,77 @@
     return 1 + (reportedSlowness - 1) * weight;
   }
 
-  // Both sums run for each endpoint at each choice, so they create no lists.
   function ownLoad(): EntryLoad {
-    let sum = NO_LOAD;
-    for (const request of ownRequests) {
-      sum = addLoads(sum, requestLoad(request));
+    ownSum ??= [...ownRequests].map(requestLoad).reduce(addLoads, NO_LOAD);
+    return ownSum;
+  }
+
+  function hasRecentEntryReport(nowMs: number): boolean {
+    return (
+      entryReports.count() > earlierReportCount &&
+      nowMs - entryReports.lastMs() <= ENTRY_REPORTS_TIMEOUT_MS
+    );
+  }
+
+  function sumEntryLoads(nowMs: number): EntryLoad {
+    const oldestMs = nowMs - ENTRY_LOAD_TTL_MS;
+    if (entrySum === undefined || entrySum.oldestReceivedMs < oldestMs) {
+      entrySum = addEntryLoads(oldestMs);
     }
-    return sum;
+    return entrySum.load;
   }
 
-  function sumEntryLoads(): EntryLoad {
-    const oldestMs = clock.now() - ENTRY_LOAD_TTL_MS;
+  function addEntryLoads(oldestMs: number): EntrySum {
     let sum = NO_LOAD;
+    let oldestReceivedMs = Infinity;
     for (const {load, receivedMs} of loadsByEntry.values()) {
-      sum = receivedMs >= oldestMs ? addLoads(sum, load) : sum;
+      if (receivedMs >= oldestMs) {
+        sum = addLoads(sum, load);
+        oldestReceivedMs = Math.min(oldestReceivedMs, receivedMs);
+      }
     }
-    return sum;
+    return {load: sum, oldestReceivedMs};
+  }
+
+  function isCurrent(
+    {own, others, estimate}: CachedEstimate,
+    ownNow: EntryLoad,
+    othersNow: EntryLoad,
+    slownessNow: number,
+  ): boolean {
+    return (
+      own === ownNow &&
+      others === othersNow &&
+      estimate.slots === slots &&
+      estimate.slowness === slownessNow
+    );
+  }
+
+  function estimate(): LoadEstimate {
+    const nowMs = clock.now();
+    const own = ownLoad();
+    const others = hasRecentEntryReport(nowMs)
+      ? sumEntryLoads(nowMs)
+      : loadFromReport();
+    const slownessNow = slowness();
+    if (
+      cachedEstimate === undefined ||
+      !isCurrent(cachedEstimate, own, others, slownessNow)
+    ) {
+      const newEstimate = {
+        requests: others.requests + own.requests,
+        slots,
+        pendingTokens: others.pendingTokens + own.pendingTokens,
+        pendingByUrgency: addByUrgency(
+          others.pendingByUrgency,
+          own.pendingByUrgency,
+        ),
+        contextTokens: others.contextTokens + own.contextTokens,
+        slowness: slownessNow,
+      };
+      cachedEstimate = {own, others, estimate: newEstimate};
+    }
+    return cachedEstimate.estimate;
   }
 
   function loadFromReport(): EntryLoad {
@@ -189,11 +270,17 @@
     addRequest(pendingTokens, contextTokens, urgency) {
       const request = {pendingTokens, contextTokens, urgency};
       ownRequests.add(request);
+      ownSum = undefined;
       recordOwnRequestCount();
       return request;
     },
+    setPendingTokens(request, pendingTokens) {
+      request.pendingTokens = pendingTokens;
+      ownSum = undefined;
+    },
     removeRequest(request) {
       ownRequests.delete(request);
+      ownSum = undefined;
       recordOwnRequestCount();
     },
     recordReport(report) {
@@ -221,7 +308,7 @@
       }
     },
     recordEntryLoad(entry, load) {
-      lastEntryReportMs = clock.now();
+      entrySum = undefined;
       if (load === undefined) {
         loadsByEntry.delete(entry);
         return;
@@ -229,26 +316,7 @@
       loadsByEntry.set(entry, {load, receivedMs: clock.now()});
     },
     ownLoad,
-    estimate() {
-      const thisEntryLoad = ownLoad();
-      const otherEntriesLoad =
-        clock.now() - lastEntryReportMs <= ENTRY_REPORTS_TIMEOUT_MS
-          ? sumEntryLoads()
-          : loadFromReport();
-      return {
-        requests: otherEntriesLoad.requests + thisEntryLoad.requests,
-        slots,
-        pendingTokens:
-          otherEntriesLoad.pendingTokens + thisEntryLoad.pendingTokens,
-        pendingByUrgency: addByUrgency(
-          otherEntriesLoad.pendingByUrgency,
-          thisEntryLoad.pendingByUrgency,
-        ),
-        contextTokens:
-          otherEntriesLoad.contextTokens + thisEntryLoad.contextTokens,
-        slowness: slowness(),
-      };
-    },
+    estimate,
     slowness,
     get ownRequestCount() {
       return ownRequests.size;
@@ -263,63 +331,3 @@
     }),
   };
 }
-
-function requestLoad(request: OwnRequest): EntryLoad {
-  const {pendingTokens, contextTokens, urgency} = request;
-  const load = {requests: 1, pendingTokens, contextTokens};
-  if (pendingTokens === 0) {
-    return load;
-  }
-  const pendingByUrgency = new Array<number>(urgency + 1).fill(0);
-  pendingByUrgency[urgency] = pendingTokens;
-  return {...load, pendingByUrgency};
-}
-
-const NO_LOAD: EntryLoad = {requests: 0, pendingTokens: 0, contextTokens: 0};
-
-/**
- * Adds two loads on one endpoint, such as those of two entries.
- *
- * @example
- * const all = loads.reduce(addLoads);
- */
-export function addLoads(a: EntryLoad, b: EntryLoad): EntryLoad {
-  if (a === NO_LOAD || b === NO_LOAD) {
-    return a === NO_LOAD ? b : a;
-  }
-  const pendingByUrgency = addByUrgency(a.pendingByUrgency, b.pendingByUrgency);
-  return {
-    requests: a.requests + b.requests,
-    pendingTokens: a.pendingTokens + b.pendingTokens,
-    contextTokens: a.contextTokens + b.contextTokens,
-    ...(pendingByUrgency && {pendingByUrgency}),
-  };
-}
-
-function addByUrgency(
-  a: readonly number[] | undefined,
-  b: readonly number[] | undefined,
-): readonly number[] | undefined {
-  if (a === undefined || b === undefined) {
-    return a ?? b;
-  }
-  const [longer, shorter] = a.length >= b.length ? [a, b] : [b, a];
-  return longer.map((tokens, urgency) => tokens + (shorter[urgency] ?? 0));
-}
-
-/**
- * Returns the pending tokens that an endpoint computes before the prompt of a
- * new request of this urgency; all pending tokens when the load is not broken
- * down by urgency.
- *
- * @example
- * const tokens = tokensAhead(load.estimate(), 2);
- */
-export function tokensAhead(load: EntryLoad, urgency: number): number {
-  if (load.pendingByUrgency === undefined) {
-    return load.pendingTokens;
-  }
-  return load.pendingByUrgency
-    .slice(0, urgency + 1)
-    .reduce((sum, tokens) => sum + tokens, 0);
-}
