--- a/packages/routing/src/health/ejection.ts
+++ b/packages/routing/src/health/ejection.ts
@@ -64,42 +64,38 @@
   return reason;
 }
 
+// Medians are computed only if the endpoint's own figures are bad enough, as
+// this runs after each attempt.
 function outlierReason(
   stats: HealthStats,
   endpoint: MonitoredEndpoint,
   pool: readonly MonitoredEndpoint[],
 ): EjectionReason | undefined {
-  const otherEndpoints = pool.filter(other => other !== endpoint);
-  const medianFailureRate = median(
-    otherEndpoints.map(other => other.health.stats.failureRate),
-  );
-  const failureRateLimit = Math.max(
-    MIN_FAILURE_RATE,
-    FAILURE_RATE_FACTOR * medianFailureRate,
-  );
+  const {failuresInRow, failureRate, samples, slowness} = stats;
+  const medianOfOthers = (figure: 'failureRate' | 'slowness') =>
+    median(
+      pool
+        .filter(other => other !== endpoint)
+        .map(other => other.health.stats[figure]),
+    );
   if (
-    stats.failuresInRow >= CONSECUTIVE_FAILURE_LIMIT &&
-    medianFailureRate < 0.5
+    failuresInRow >= CONSECUTIVE_FAILURE_LIMIT &&
+    medianOfOthers('failureRate') < 0.5
   ) {
     return 'consecutive-failures';
   }
-  if (stats.samples < MIN_SAMPLES) {
-    return undefined;
-  }
-  if (stats.failureRate > failureRateLimit) {
+  if (
+    samples >= MIN_SAMPLES &&
+    failureRate > MIN_FAILURE_RATE &&
+    failureRate > FAILURE_RATE_FACTOR * medianOfOthers('failureRate')
+  ) {
     return 'failure-rate';
   }
-  if (stats.samples < MIN_SLOW_SAMPLES) {
-    return undefined;
-  }
-  const medianLatencyRatio = median(
-    otherEndpoints.map(other => other.health.stats.slowness),
-  );
-  const latencyRatioLimit = Math.max(
-    MIN_LATENCY_RATIO,
-    LATENCY_RATIO_FACTOR * medianLatencyRatio,
-  );
-  return stats.slowness > latencyRatioLimit ? 'slow' : undefined;
+  return samples >= MIN_SLOW_SAMPLES &&
+    slowness > MIN_LATENCY_RATIO &&
+    slowness > LATENCY_RATIO_FACTOR * medianOfOthers('slowness')
+    ? 'slow'
+    : undefined;
 }
 
 /**
