base: arm the timer wheel once per wake-up

Each timer that was scheduled while a slot fired, most of them the next call of a periodic task, searched all slots for the next wake-up and could replace the process timer. The wake-up is now armed once after the slot's callbacks; at other times only a timer for an earlier slot changes it.

--- a/packages/base/src/timerWheel.ts
+++ b/packages/base/src/timerWheel.ts
@@ -27,6 +27,7 @@
   let nextWakeUp:
     | {readonly slot: number; readonly timer: Disposable}
     | undefined;
+  let isFiring = false;
 
   function armForSlot(slot: number): void {
     nextWakeUp?.timer.dispose();
@@ -38,11 +39,13 @@
     nextWakeUp = undefined;
     const currentSlot = Math.floor(now() / slotMs);
     const dueSlots = [...slots.keys()].filter(slot => slot <= currentSlot);
+    isFiring = true;
     for (const slot of dueSlots.sort((a, b) => a - b)) {
       const callbacks = slots.get(slot) ?? new Set();
       slots.delete(slot);
       callbacks.forEach(runCallback);
     }
+    isFiring = false;
     armForNextSlot();
   }
 
@@ -50,10 +53,7 @@
     if (slots.size === 0) {
       return;
     }
-    const nextSlot = Math.min(...slots.keys());
-    if (nextWakeUp === undefined || nextSlot < nextWakeUp.slot) {
-      armForSlot(nextSlot);
-    }
+    armForSlot(Math.min(...slots.keys()));
   }
 
   return {
@@ -63,7 +63,11 @@
       // The wrapper distinguishes two timers with the same function.
       const wrapper = () => callback();
       slots.set(slot, callbacks.add(wrapper));
-      armForNextSlot();
+      // While callbacks run, most of which schedule their next call, the next
+      // wake-up is armed once at the end.
+      if (!isFiring && (nextWakeUp === undefined || slot < nextWakeUp.slot)) {
+        armForSlot(slot);
+      }
       return toDisposable(() => {
         callbacks.delete(wrapper);
         if (callbacks.size === 0 && slots.get(slot) === callbacks) {
