members: count live members without building them

The number of entries is read with each digest and while quotas are checked. Each time the public members were built only to be counted. In a profile of 24 gateways without requests the live members took 3.0 % of the processor time before; the time after was not measured separately.

--- a/packages/members/src/membership.ts
+++ b/packages/members/src/membership.ts
@@ -15,12 +15,12 @@
   Messages,
   PeerNetwork,
 } from '@skylarkfield/protocol';
-import type {Member, Membership} from './contracts.js';
+import type {Member, MemberState, Membership} from './contracts.js';
 import {createGossipQueue} from './gossip.js';
 import {createHeartbeats} from './heartbeats.js';
 import {createReconnector} from './reconnector.js';
 import {createMemberObjects} from './memberObjects.js';
-import {createMemberTable, toMember} from './memberTable.js';
+import {createMemberTable, toMember, type KnownMember} from './memberTable.js';
 import {createUpdateHandler} from './updateHandler.js';
 import {createLocalMember, type LocalMemberIdentity} from './localMember.js';
 import {createPauseRecovery} from './pauseRecovery.js';
@@ -266,21 +266,25 @@
   const startedAt = clock.now();
 
   function liveMembers(): Member[] {
+    const self = localMember.member();
     return [
-      localMember.member(),
-      ...table.presentMembers().map(toMember),
-    ].filter(member => member.state === 'live');
+      ...(self.state === 'live' ? [self] : []),
+      ...presentMembersIn('live').map(toMember),
+    ];
+  }
+
+  function presentMembersIn(state: MemberState): KnownMember[] {
+    return table
+      .presentMembers()
+      .filter(({machine}) => machine.state() === state);
   }
 
   /** Counts suspects and recently lost members, which may still accept work. */
   function countPossiblyLive(): number {
-    const suspects = table
-      .presentMembers()
-      .filter(({machine}) => machine.state() === 'suspect');
     const recentlyLostMembers = peerDirectory
       .lostMembers()
       .filter(({changedAt}) => clock.now() - changedAt < timing.lostGraceMs);
-    return suspects.length + recentlyLostMembers.length;
+    return presentMembersIn('suspect').length + recentlyLostMembers.length;
   }
 
   /**
@@ -288,7 +292,10 @@
    * only in the first `reconnectIntervalMs` after the start.
    */
   function entryCount(): number | undefined {
-    const count = liveMembers().length + countPossiblyLive();
+    const liveCount =
+      presentMembersIn('live').length +
+      (localMember.baseUpdate().state === 'live' ? 1 : 0);
+    const count = liveCount + countPossiblyLive();
     const listedCount = memberObjects.listedCount();
     if (listedCount === undefined) {
       return count > 1 ? count : undefined;
