routing: cache the estimate of each endpoint's load

A choice computed the load of each of up to 100 endpoints and read the clock for each. An estimate is now kept until a load of its endpoint changes or one of the reports in it expires, the ranking reads the clock once, and the usable endpoints are selected in one pass without closures.

--- a/packages/routing/src/limits/endpointLimits.ts
+++ b/packages/routing/src/limits/endpointLimits.ts
@@ -44,8 +44,15 @@
   limits: readonly EndpointLimits[],
 ): EndpointLimits {
   return {
-    allowsRequest: endpoint =>
-      limits.every(limit => limit.allowsRequest(endpoint)),
+    allowsRequest(endpoint) {
+      // Runs for each endpoint at each choice, so it creates no closure.
+      for (const limit of limits) {
+        if (!limit.allowsRequest(endpoint)) {
+          return false;
+        }
+      }
+      return true;
+    },
     consumeToken: endpoint =>
       limits.forEach(limit => limit.consumeToken(endpoint)),
     waitMs(endpoint) {
--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -87,6 +87,7 @@
     options.weightOverrides?.(service),
   );
   const ranking = createEndpointRanking({
+    clock,
     random,
     failureDomain,
     blockTokens,
@@ -96,6 +97,18 @@
   const outlierDetector = createOutlierDetector(pools, decisions);
   const totals = {choices: 0, probes: 0, forced: 0};
 
+  function isPermitted(
+    {candidate, health}: PooledEndpoint,
+    {regions, excluded}: RoutingRequest,
+  ): boolean {
+    return (
+      health.state !== 'leaving' &&
+      isInRegions(candidate, regions) &&
+      !excluded.has(candidate.id) &&
+      endpointLimits?.allowsRequest(candidate.id) !== false
+    );
+  }
+
   /**
    * Returns the endpoints that the request may be sent to. Endpoints that are
    * too unhealthy for requests are included only if no healthy endpoint is
@@ -104,18 +117,19 @@
   function selectUsableEndpoints(
     routingRequest: RoutingRequest,
   ): readonly PooledEndpoint[] {
-    const permittedEndpoints = pools
-      .endpointsOf(routingRequest.service, routingRequest.version)
-      .filter(
-        ({candidate, health}) =>
-          health.state !== 'leaving' &&
-          isInRegions(candidate, routingRequest.regions) &&
-          !routingRequest.excluded.has(candidate.id) &&
-          endpointLimits?.allowsRequest(candidate.id) !== false,
-      );
-    const availableEndpoints = permittedEndpoints.filter(({health}) =>
-      health.allowsRequest(),
-    );
+    const permittedEndpoints: PooledEndpoint[] = [];
+    const availableEndpoints: PooledEndpoint[] = [];
+    for (const endpoint of pools.endpointsOf(
+      routingRequest.service,
+      routingRequest.version,
+    )) {
+      if (isPermitted(endpoint, routingRequest)) {
+        permittedEndpoints.push(endpoint);
+        if (endpoint.health.allowsRequest()) {
+          availableEndpoints.push(endpoint);
+        }
+      }
+    }
     if (availableEndpoints.length > 0 || permittedEndpoints.length === 0) {
       return availableEndpoints;
     }
@@ -127,6 +141,9 @@
     {preferred}: RoutingRequest,
     candidates: readonly PooledEndpoint[],
   ): PooledEndpoint[] | undefined {
+    if (preferred === undefined) {
+      return undefined;
+    }
     const endpoint = candidates.find(
       ({candidate}) => candidate.id === preferred,
     );
@@ -137,8 +154,7 @@
     routingRequest: RoutingRequest,
     candidates: readonly PooledEndpoint[],
   ): PooledEndpoint[] | undefined {
-    const targets = candidates.filter(({health}) => health.needsProbe());
-    const [target] = targets;
+    const target = candidates.find(({health}) => health.needsProbe());
     if (target === undefined) {
       return undefined;
     }
--- a/packages/routing/src/selection/endpointRanking.ts
+++ b/packages/routing/src/selection/endpointRanking.ts
@@ -1,5 +1,5 @@
 /** Ranks endpoints for a request by cost, cached prefix and prefix affinity. */
-import type {Random} from '@skylarkfield/base';
+import type {Clock, Random} from '@skylarkfield/base';
 import {affinitiesFor} from './affinity.js';
 import type {RoutingRequest} from '../contracts.js';
 import type {PooledEndpoint} from '../endpointPool.js';
@@ -45,13 +45,15 @@
  * const best = ranking.pickBest(routingRequest, candidates);
  */
 export function createEndpointRanking(options: {
+  readonly clock: Clock;
   readonly random: Random;
   readonly failureDomain: string;
   readonly blockTokens: number;
   readonly weights: Pick<RouteWeights, 'crossDomainMs' | 'jitterMs'>;
   readonly serviceCosts: Pick<ServiceCosts, 'costsOf'>;
 }): EndpointRanking {
-  const {random, failureDomain, blockTokens, weights, serviceCosts} = options;
+  const {clock, random, failureDomain, blockTokens, weights, serviceCosts} =
+    options;
   const popularityByService = new Map<string, PrefixPopularity>();
 
   function popularityOf(service: string): PrefixPopularity {
@@ -84,6 +86,7 @@
     routingRequest: RoutingRequest,
     costs: RouteCosts,
     placement: PrefixPlacement,
+    nowMs: number,
   ): ScoredEndpoint {
     const {candidate, cache, load} = endpoint;
     const cachedTokens = Math.min(
@@ -94,7 +97,7 @@
     const unsharedTokens =
       routingRequest.promptTokens - cachedTokens - sharedTokens;
     let costMs = costs.score(
-      load.estimate(),
+      load.estimate(nowMs),
       unsharedTokens,
       sharedTokens,
       placement.affinities.get(candidate.id) ?? 0,
@@ -111,6 +114,7 @@
     pickBest(routingRequest, candidates) {
       const costs = serviceCosts.costsOf(routingRequest.service);
       const placement = placePrefix(routingRequest, candidates);
+      const nowMs = clock.now();
       let best: ScoredEndpoint | undefined;
       for (const endpoint of candidates) {
         const scored = scoreEndpoint(
@@ -118,6 +122,7 @@
           routingRequest,
           costs,
           placement,
+          nowMs,
         );
         if (best === undefined || scored.score < best.score) {
           best = scored;
--- a/packages/routing/src/selection/loadView.ts
+++ b/packages/routing/src/selection/loadView.ts
@@ -45,8 +45,11 @@
   recordEntryLoad(entry: string, load: EntryLoad | undefined): void;
   /** Returns the load of this entry's requests. */
   ownLoad(): EntryLoad;
-  /** Returns the estimated load from all entries. */
-  estimate(): LoadEstimate;
+  /**
+   * Returns the estimated load from all entries. `nowMs` is the monotonic time,
+   * for callers that have just read it.
+   */
+  estimate(nowMs?: number): LoadEstimate;
   /**
    * Returns how many times as long as usual work takes on the endpoint's host
    * according to its last reports; at least 1, and 1 without a report of it.
@@ -76,11 +79,11 @@
   readonly oldestReceivedMs: number;
 }
 
-/** An estimate and what it was computed from. */
+/** An estimate that holds for some time if no load changes. */
 interface CachedEstimate {
-  readonly own: EntryLoad;
-  readonly others: EntryLoad;
   readonly estimate: LoadEstimate;
+  /** End of the validity in monotonic milliseconds. */
+  readonly validUntilMs: number;
 }
 
 /** Assumed lag of a load report that does not list its attempts. */
@@ -131,10 +134,8 @@
   const loadsByEntry = new Map<string, {load: EntryLoad; receivedMs: number}>();
   /** Reports that do not cover this endpoint, which was added later. */
   const earlierReportCount = entryReports.count();
-  // The sums and the estimate are needed for each endpoint at each choice, but
-  // few endpoints change between two choices.
-  let ownSum: EntryLoad | undefined;
-  let entrySum: EntrySum | undefined;
+  // An estimate is needed of each endpoint at each choice, but the loads of few
+  // endpoints change between two choices.
   let cachedEstimate: CachedEstimate | undefined;
 
   function recordOwnRequestCount() {
@@ -185,8 +186,7 @@
   }
 
   function ownLoad(): EntryLoad {
-    ownSum ??= [...ownRequests].map(requestLoad).reduce(addLoads, NO_LOAD);
-    return ownSum;
+    return [...ownRequests].map(requestLoad).reduce(addLoads, NO_LOAD);
   }
 
   function hasRecentEntryReport(nowMs: number): boolean {
@@ -196,15 +196,8 @@
     );
   }
 
-  function sumEntryLoads(nowMs: number): EntryLoad {
+  function sumEntryLoads(nowMs: number): EntrySum {
     const oldestMs = nowMs - ENTRY_LOAD_TTL_MS;
-    if (entrySum === undefined || entrySum.oldestReceivedMs < oldestMs) {
-      entrySum = addEntryLoads(oldestMs);
-    }
-    return entrySum.load;
-  }
-
-  function addEntryLoads(oldestMs: number): EntrySum {
     let sum = NO_LOAD;
     let oldestReceivedMs = Infinity;
     for (const {load, receivedMs} of loadsByEntry.values()) {
@@ -216,47 +209,6 @@
     return {load: sum, oldestReceivedMs};
   }
 
-  function isCurrent(
-    {own, others, estimate}: CachedEstimate,
-    ownNow: EntryLoad,
-    othersNow: EntryLoad,
-    slownessNow: number,
-  ): boolean {
-    return (
-      own === ownNow &&
-      others === othersNow &&
-      estimate.slots === slots &&
-      estimate.slowness === slownessNow
-    );
-  }
-
-  function estimate(): LoadEstimate {
-    const nowMs = clock.now();
-    const own = ownLoad();
-    const others = hasRecentEntryReport(nowMs)
-      ? sumEntryLoads(nowMs)
-      : loadFromReport();
-    const slownessNow = slowness();
-    if (
-      cachedEstimate === undefined ||
-      !isCurrent(cachedEstimate, own, others, slownessNow)
-    ) {
-      const newEstimate = {
-        requests: others.requests + own.requests,
-        slots,
-        pendingTokens: others.pendingTokens + own.pendingTokens,
-        pendingByUrgency: addByUrgency(
-          others.pendingByUrgency,
-          own.pendingByUrgency,
-        ),
-        contextTokens: others.contextTokens + own.contextTokens,
-        slowness: slownessNow,
-      };
-      cachedEstimate = {own, others, estimate: newEstimate};
-    }
-    return cachedEstimate.estimate;
-  }
-
   function loadFromReport(): EntryLoad {
     const weight = reportWeight();
     return {
@@ -266,21 +218,56 @@
     };
   }
 
+  function estimateWith(others: EntryLoad): LoadEstimate {
+    const own = ownLoad();
+    return {
+      requests: others.requests + own.requests,
+      slots,
+      pendingTokens: others.pendingTokens + own.pendingTokens,
+      pendingByUrgency: addByUrgency(
+        others.pendingByUrgency,
+        own.pendingByUrgency,
+      ),
+      contextTokens: others.contextTokens + own.contextTokens,
+      slowness: slowness(),
+    };
+  }
+
+  function estimate(nowMs = clock.now()): LoadEstimate {
+    if (cachedEstimate !== undefined && nowMs <= cachedEstimate.validUntilMs) {
+      return cachedEstimate.estimate;
+    }
+    if (!hasRecentEntryReport(nowMs)) {
+      return estimateWith(loadFromReport());
+    }
+    const {load, oldestReceivedMs} = sumEntryLoads(nowMs);
+    const newEstimate = estimateWith(load);
+    // A reported slowness fades continuously, so it is never cached.
+    if (newEstimate.slowness === 1) {
+      const validUntilMs = Math.min(
+        oldestReceivedMs + ENTRY_LOAD_TTL_MS,
+        entryReports.lastMs() + ENTRY_REPORTS_TIMEOUT_MS,
+      );
+      cachedEstimate = {estimate: newEstimate, validUntilMs};
+    }
+    return newEstimate;
+  }
+
   return {
     addRequest(pendingTokens, contextTokens, urgency) {
       const request = {pendingTokens, contextTokens, urgency};
       ownRequests.add(request);
-      ownSum = undefined;
+      cachedEstimate = undefined;
       recordOwnRequestCount();
       return request;
     },
     setPendingTokens(request, pendingTokens) {
       request.pendingTokens = pendingTokens;
-      ownSum = undefined;
+      cachedEstimate = undefined;
     },
     removeRequest(request) {
       ownRequests.delete(request);
-      ownSum = undefined;
+      cachedEstimate = undefined;
       recordOwnRequestCount();
     },
     recordReport(report) {
@@ -293,6 +280,7 @@
         return;
       }
       lastReportSequence = report.sequence;
+      cachedEstimate = undefined;
       const total = report.running + report.waiting;
       slots = Math.max(1, report.slots);
       otherEntriesRequestCount = Math.max(0, total - countOwnAttempts(report));
@@ -308,7 +296,7 @@
       }
     },
     recordEntryLoad(entry, load) {
-      entrySum = undefined;
+      cachedEstimate = undefined;
       if (load === undefined) {
         loadsByEntry.delete(entry);
         return;
