scheduling: place model requests at once while an engine has a slot

Cause: requests to engines waited in the scheduler until their limit at a third of the capacity. Played with 30 and 98 engines, all of these waits came from the rule for slow hosts: if the best engine was 1.5 times as slow as the fastest of all, the request waited for "another" although free ones were there, and the ones behind it waited too. The rule compares with the expected gap between two ends, which is a few ms with many engines, so waiting always seemed better. Requests past their target waited to the deadline, after their callers had left. The bound of 120 ms on prompt work per engine blocked only with estimates 10 times too high; the counts of others' requests blocked nothing. Change: model services have a choice of their own (engineChoice.ts): the engine that responds first among all with a slot, or one where the request preempts. Prompt work ahead makes an engine later and never excludes it. What cannot meet its target goes to the engine that responds first, or is rejected at once if the engines are overloaded and its urgency has its share of the starts. A blocked urgency does not hold up the others. Times of prompts are corrected by the begins of prompts that were read alone, and so is the speed per engine; before, the speed came from a mean over prompts of all lengths. Until 12 begins nothing is rejected for an expected time. Decisions on waiting requests are delivered after the running check, unknown routes cost what the others do or a default, requests are found by asker and id. serviceScheduler.ts is split into modules of one job each.

--- a/packages/scheduling/src/endpointLoad.ts
+++ b/packages/scheduling/src/endpointLoad.ts
@@ -9,6 +9,7 @@
   ReportedLoad,
   SchedulableEndpoint,
 } from './contracts.js';
+import {createPromptBacklog} from './promptBacklog.js';
 
 /** A request that runs at an endpoint. */
 export interface RunningRequest {
@@ -22,21 +23,37 @@
   readonly expiresAt: number;
   /** Expected time to read the prompt; 0 without a prompt, in milliseconds. */
   readonly promptMs: number;
+  /** The same as it is known without measured times and the endpoint. */
+  readonly estimatedPromptMs: number;
   /** Whether the response has begun. */
   hasBegun: boolean;
 }
 
 export interface EndpointLoad {
   endpoint: SchedulableEndpoint;
-  readonly running: Set<RunningRequest>;
+  readonly running: ReadonlySet<RunningRequest>;
   /** Returns the slots that are taken, by requests of others as well. */
   takenSlots(): number;
   /** Whether the endpoint has failed or was full a moment ago. */
   isAvoided(): boolean;
   /** Whether a further request may be placed. */
   hasRoom(extraSlots: number): boolean;
+  /**
+   * Whether a request would get a slot of an engine whose slots are taken, since
+   * it is more urgent than others there.
+   */
+  canPreempt(urgency: number): boolean;
+  /** Returns the running requests that are more urgent. */
+  moreUrgentCount(urgency: number): number;
   /** Returns how long work takes, relative to an endpoint of usual speed. */
   slowness(): number;
+  /**
+   * Returns the slowness of an engine. Its reports may include how fast it always
+   * is, so without a recent one the mean of all counts.
+   */
+  engineSlowness(): number;
+  /** Returns the part of the slowness that is learned and not reported. */
+  learnedSlowness(): number;
   /** Returns the part of the slowness that passes within a second or so. */
   passingSlowness(): number;
   /** Returns the prompt work that is done before a new prompt, in ms. */
@@ -44,8 +61,19 @@
   /** Returns all prompt work, in milliseconds. */
   promptBacklogMs(): number;
   add(request: RunningRequest): void;
+  remove(request: RunningRequest): void;
+  /**
+   * Records that a response has begun. Returns whether the endpoint had no other
+   * prompt to read since the placement.
+   */
+  recordBegin(request: RunningRequest): boolean;
   /** Records the time to the first byte relative to the usual time. */
   recordSpeed(ratio: number): void;
+  /**
+   * Records the time to the first event of a prompt that was read alone, and the
+   * time at an engine of usual speed, both in milliseconds.
+   */
+  recordPromptSpeed(firstMs: number, usualMs: number): void;
   recordOutcome(outcome: PlacementOutcome): void;
   recordReport(load: ReportedLoad): void;
   /** Places no requests for a time, in milliseconds. */
@@ -61,6 +89,9 @@
  */
 const SLOWNESS_HALF_LIFE_MS = 400;
 
+/** Weight of a report in the mean of the reported slowness. */
+const MEAN_REPORT_WEIGHT = 0.03;
+
 /** Bounds of slowness. */
 const MIN_SLOWNESS = 0.25;
 const MAX_SLOWNESS = 10;
@@ -72,10 +103,21 @@
 /** Weight of the usual speed, so that the speeds of all do not drift together. */
 const USUAL_SPEED_WEIGHT = 0.002;
 
+/**
+ * Measured time that the usual speed of an engine counts for, and the fraction
+ * of the weight that earlier prompts keep: a few prompts of common length show
+ * the speed, and a long one counts more than a short one.
+ */
+const USUAL_PROMPT_MS = 60;
+const KEPT_PROMPT_WEIGHT = 0.95;
+
 /** Reports that must agree that others use an endpoint, and their lifetime. */
 const REPORT_COUNT = 3;
 const REPORT_TTL_MS = 1_000;
 
+/** Requests per slot at an engine where a request preempts others. */
+const MAX_FILL = 1.5;
+
 /** Failures in a row after which an endpoint is avoided. */
 const MAX_FAILURES = 2;
 const FIRST_AVOIDANCE_MS = 300;
@@ -95,12 +137,14 @@
   initialEndpoint: SchedulableEndpoint,
 ): EndpointLoad {
   const running = new Set<RunningRequest>();
-  const promptMsByUrgency = new Float64Array(URGENCY_COUNT);
-  let promptsDrainedAt = clock.now();
+  const countByUrgency = new Int32Array(URGENCY_COUNT);
+  const backlog = createPromptBacklog(clock);
+  const promptTimes = {firstMs: 0, usualMs: 0};
   /** Requests of others that the endpoint has reported, newest last. */
   let foreignCounts: {readonly count: number; readonly atMs: number}[] = [];
   let reportedSlowness = 1;
   let slownessReportedAt = -Infinity;
+  let meanReportedSlowness = 1;
   let learnedSlowness = 1;
   let failures = 0;
   let avoidedUntil = -Infinity;
@@ -117,39 +161,40 @@
     return Math.min(smallest, load.endpoint.slots - 1);
   }
 
-  function currentSlowness(): number {
+  /** Returns the reported slowness, which approaches its usual value again. */
+  function slownessTowards(usual: number): number {
     const ageMs = clock.now() - slownessReportedAt;
-    return 1 + (reportedSlowness - 1) * 2 ** (-ageMs / SLOWNESS_HALF_LIFE_MS);
+    const recency = 2 ** (-ageMs / SLOWNESS_HALF_LIFE_MS);
+    return usual + (reportedSlowness - usual) * recency;
   }
 
-  /** Subtracts the prompt work done since the last call, most urgent first. */
-  function drainPrompts(): void {
-    const now = clock.now();
-    let doneMs = now - promptsDrainedAt;
-    promptsDrainedAt = now;
-    for (let urgency = 0; urgency < URGENCY_COUNT && doneMs > 0; urgency++) {
-      const pendingMs = promptMsByUrgency[urgency]!;
-      promptMsByUrgency[urgency] = Math.max(0, pendingMs - doneMs);
-      doneMs -= pendingMs;
-    }
+  const currentSlowness = () => slownessTowards(1);
+
+  function recordSlowness(slowness: number): void {
+    reportedSlowness = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, slowness));
+    slownessReportedAt = clock.now();
+    meanReportedSlowness +=
+      (reportedSlowness - meanReportedSlowness) * MEAN_REPORT_WEIGHT;
   }
 
-  /**
-   * Returns the prompt work of the first urgencies: what is left if the endpoint
-   * reads as fast as expected, but no more than what responses that have not
-   * begun need, as it may be faster.
-   */
-  function promptSum(end: number): number {
-    drainPrompts();
-    let pendingMs = 0;
-    for (let urgency = 0; urgency < end; urgency++) {
-      pendingMs += promptMsByUrgency[urgency]!;
+  function countUpTo(urgency: number): number {
+    let count = 0;
+    for (let index = 0; index <= urgency; index++) {
+      count += countByUrgency[index]!;
     }
-    let unbegunMs = 0;
-    for (const {hasBegun, urgency, promptMs} of running) {
-      unbegunMs += hasBegun || urgency >= end ? 0 : promptMs;
+    return count;
+  }
+
+  function remove(request: RunningRequest): void {
+    if (running.delete(request)) {
+      const {urgency} = request;
+      countByUrgency[urgency] = countByUrgency[urgency]! - 1;
+      backlog.remove(request);
     }
-    return Math.min(pendingMs, unbegunMs);
+  }
+
+  function setLearnedSlowness(learned: number): void {
+    learnedSlowness = Math.min(MAX_SPEED, Math.max(MIN_SPEED, learned));
   }
 
   function recordFailure(): void {
@@ -176,14 +221,28 @@
     isAvoided: () => clock.now() < avoidedUntil,
     hasRoom: extraSlots => load.takenSlots() < load.endpoint.slots + extraSlots,
     slowness: () => learnedSlowness * currentSlowness(),
+    engineSlowness: () =>
+      learnedSlowness * slownessTowards(meanReportedSlowness),
+    learnedSlowness: () => learnedSlowness,
     passingSlowness: currentSlowness,
-    promptWaitMs: urgency => promptSum(urgency + 1),
-    promptBacklogMs: () => promptSum(URGENCY_COUNT),
+    canPreempt: urgency =>
+      countUpTo(urgency) + foreignCount() < load.endpoint.slots &&
+      running.size < load.endpoint.slots * MAX_FILL,
+    moreUrgentCount: urgency => countUpTo(urgency - 1),
+    promptWaitMs: backlog.waitMs,
+    promptBacklogMs: backlog.totalMs,
     add(request) {
-      drainPrompts();
-      const {urgency, promptMs} = request;
-      promptMsByUrgency[urgency] = promptMsByUrgency[urgency]! + promptMs;
+      const {urgency, promptMs, hasBegun} = request;
+      countByUrgency[urgency] = countByUrgency[urgency]! + 1;
       running.add(request);
+      if (promptMs > 0 && !hasBegun) {
+        backlog.add(request);
+      }
+    },
+    remove,
+    recordBegin(request) {
+      request.hasBegun = true;
+      return backlog.remove(request);
     },
     recordSpeed(ratio) {
       const sample = learnedSlowness * ratio;
@@ -191,7 +250,15 @@
         learnedSlowness +
         (sample - learnedSlowness) * SPEED_SAMPLE_WEIGHT +
         (1 - learnedSlowness) * USUAL_SPEED_WEIGHT;
-      learnedSlowness = Math.min(MAX_SPEED, Math.max(MIN_SPEED, learned));
+      setLearnedSlowness(learned);
+    },
+    recordPromptSpeed(firstMs, usualMs) {
+      promptTimes.firstMs = promptTimes.firstMs * KEPT_PROMPT_WEIGHT + firstMs;
+      promptTimes.usualMs = promptTimes.usualMs * KEPT_PROMPT_WEIGHT + usualMs;
+      setLearnedSlowness(
+        (promptTimes.firstMs + USUAL_PROMPT_MS) /
+          (promptTimes.usualMs + USUAL_PROMPT_MS),
+      );
     },
     recordOutcome: outcome => handleOutcome[outcome](),
     recordReport({running: reported, waiting, slowness}) {
@@ -203,11 +270,7 @@
       foreignCounts.push({count, atMs: clock.now()});
       foreignCounts.splice(0, foreignCounts.length - REPORT_COUNT);
       if (slowness !== undefined && Number.isFinite(slowness)) {
-        reportedSlowness = Math.min(
-          MAX_SLOWNESS,
-          Math.max(MIN_SLOWNESS, slowness),
-        );
-        slownessReportedAt = clock.now();
+        recordSlowness(slowness);
       }
     },
     avoid(spanMs) {
@@ -216,7 +279,7 @@
     removeExpired() {
       const now = clock.now();
       const expired = [...running].filter(({expiresAt}) => expiresAt <= now);
-      expired.forEach(request => running.delete(request));
+      expired.forEach(remove);
       return expired;
     },
     dump: () => ({
@@ -224,7 +287,7 @@
       others: foreignCount(),
       slots: load.endpoint.slots,
       slowness: Number((learnedSlowness * currentSlowness()).toFixed(2)),
-      promptBacklogMs: Math.round(promptSum(URGENCY_COUNT)),
+      promptBacklogMs: Math.round(backlog.totalMs()),
       avoidedMs: Math.max(0, Math.round(avoidedUntil - clock.now())),
     }),
   };
--- a/packages/scheduling/src/routeTimes.ts
+++ b/packages/scheduling/src/routeTimes.ts
@@ -21,6 +21,11 @@
   ): void;
   /** Returns the times at an endpoint of usual speed. */
   timeOf(route: string): RouteTime;
+  /**
+   * Returns the same, with the mean of the other routes or a default in place of
+   * times that are not known yet.
+   */
+  estimateOf(route: string): RouteTime;
   dump(): unknown;
 }
 
@@ -29,6 +34,12 @@
 
 const NO_TIME: RouteTime = {firstMs: 0, holdMs: 0};
 
+/**
+ * Times while no route is known. Requests that cost nothing would all be told to
+ * return at the same time.
+ */
+const DEFAULT_TIME: RouteTime = {firstMs: 0, holdMs: 50};
+
 /**
  * Creates the times of one service, without samples.
  *
@@ -38,17 +49,40 @@
  */
 export function createRouteTimes(): RouteTimes {
   const timesByRoute = new Map<string, RouteTime>();
+  const timeOf = (route: string) => timesByRoute.get(route) ?? NO_TIME;
+
+  /** Returns the mean of the routes for which a time is known. */
+  function meanOf(name: keyof RouteTime): number | undefined {
+    let sum = 0;
+    let count = 0;
+    for (const times of timesByRoute.values()) {
+      sum += times[name];
+      count += times[name] > 0 ? 1 : 0;
+    }
+    return count === 0 ? undefined : sum / count;
+  }
+
+  const estimate = (name: keyof RouteTime, knownMs: number) =>
+    knownMs > 0 ? knownMs : (meanOf(name) ?? DEFAULT_TIME[name]);
+
   return {
     record(route, name, timeMs, slowness) {
       const sample = timeMs / slowness;
-      const times = timesByRoute.get(route) ?? NO_TIME;
+      const times = timeOf(route);
       const mean = times[name] === 0 ? sample : times[name];
       timesByRoute.set(route, {
         ...times,
         [name]: mean + (sample - mean) * SAMPLE_WEIGHT,
       });
     },
-    timeOf: route => timesByRoute.get(route) ?? NO_TIME,
+    timeOf,
+    estimateOf(route) {
+      const {firstMs, holdMs} = timeOf(route);
+      return {
+        firstMs: estimate('firstMs', firstMs),
+        holdMs: estimate('holdMs', holdMs),
+      };
+    },
     dump: () => Object.fromEntries(timesByRoute),
   };
 }
--- a/packages/scheduling/src/runningRequests.ts
+++ b/packages/scheduling/src/runningRequests.ts
@@ -1,5 +1,6 @@
 /** Requests in progress of all entries, by the entry and id. */
 import type {EndpointLoad, RunningRequest} from './endpointLoad.js';
+import {addTo, deleteFrom, keyOf} from './requestKeys.js';
 
 /** A request in progress with the load of its endpoint. */
 export interface PlacedRequest {
@@ -29,16 +30,14 @@
  */
 export function createRunningRequests(): RunningRequests {
   const placedByKey = new Map<string, PlacedRequest>();
-
-  function keyOf(asker: string, id: string): string {
-    return `${asker}/${id}`;
-  }
+  const keysByAsker = new Map<string, Set<string>>();
 
   function remove(asker: string, id: string): void {
     const key = keyOf(asker, id);
     const placed = placedByKey.get(key);
-    placed?.load.running.delete(placed.request);
+    placed?.load.remove(placed.request);
     placedByKey.delete(key);
+    deleteFrom(keysByAsker, asker, key);
   }
 
   return {
@@ -48,26 +47,26 @@
     add(load, request) {
       remove(request.asker, request.id);
       load.add(request);
-      placedByKey.set(keyOf(request.asker, request.id), {load, request});
+      const key = keyOf(request.asker, request.id);
+      placedByKey.set(key, {load, request});
+      addTo(keysByAsker, request.asker, key);
     },
     find: (asker, id) => placedByKey.get(keyOf(asker, id)),
     remove,
     removeAsker(asker) {
-      for (const {request} of [...placedByKey.values()]) {
-        if (request.asker === asker) {
-          remove(asker, request.id);
-        }
+      for (const key of [...(keysByAsker.get(asker) ?? [])]) {
+        remove(asker, placedByKey.get(key)!.request.id);
       }
     },
     removeEndpoint(load) {
-      for (const {asker, id} of load.running) {
-        placedByKey.delete(keyOf(asker, id));
+      for (const {asker, id} of [...load.running]) {
+        remove(asker, id);
       }
     },
     removeExpired(loads) {
       for (const load of loads) {
         for (const {asker, id} of load.removeExpired()) {
-          placedByKey.delete(keyOf(asker, id));
+          remove(asker, id);
         }
       }
     },
--- a/packages/scheduling/src/schedulerContracts.ts
+++ b/packages/scheduling/src/schedulerContracts.ts
@@ -10,7 +10,7 @@
   RejectionReason,
   SchedulableEndpoint,
 } from './contracts.js';
-import type {PromptTime} from './endpointChoice.js';
+import type {PromptTime} from './engineChoice.js';
 
 /** Decision on a request, as reported to metrics and logs. */
 export interface ObservedDecision {
--- a/packages/scheduling/src/waitingRequests.ts
+++ b/packages/scheduling/src/waitingRequests.ts
@@ -12,6 +12,7 @@
   type FairQueue,
 } from '@skylarkfield/admission';
 import type {PlacementDecision, PlacementRequest} from './contracts.js';
+import {addTo, deleteFrom, keyOf} from './requestKeys.js';
 
 /** A request that waits. */
 export interface WaitingRequest {
@@ -25,6 +26,8 @@
   readonly isReturning: boolean;
   /** Monotonic milliseconds since which the request waits. */
   readonly waitsSince: number;
+  /** Monotonic milliseconds after which it is not held any more. */
+  readonly heldUntil: number;
   onDidDecide(decision: PlacementDecision): void;
 }
 
@@ -37,12 +40,14 @@
   /** Whether a waiting request can only meet its deadline. */
   isLate(waiting: WaitingRequest): boolean;
   remove(waiting: WaitingRequest): void;
-  /** Returns the request to start next. */
-  next(): WaitingRequest | undefined;
+  /** Returns the request to start next, of the urgencies that are not blocked. */
+  next(blocked: ReadonlySet<number>): WaitingRequest | undefined;
   /** Removes the request that `next` has returned, and counts its start. */
   start(waiting: WaitingRequest): void;
   /** Whether a request of this or a higher urgency waits. */
   hasUpTo(urgency: number): boolean;
+  /** Counts the start of a request that has not waited. */
+  countStart(urgency: number): void;
   /** Whether an urgency got less than its minimum share of recent starts. */
   isShort(urgency: number): boolean;
   /** Returns the cost of the requests that start before a new one. */
@@ -54,6 +59,8 @@
   /** Returns the cost of the requests that can only meet their deadline. */
   lateCost(): number;
   find(asker: string, id: string): WaitingRequest | undefined;
+  /** Returns the waiting requests of an asker. */
+  ofAsker(asker: string): readonly WaitingRequest[];
   /** Returns the waiting requests that can still meet their target. */
   timely(): readonly WaitingRequest[];
   late(): readonly WaitingRequest[];
@@ -68,8 +75,9 @@
 
 interface Level {
   /** Requests that return as told, in the order of their arrival. */
-  readonly returning: WaitingRequest[];
+  readonly returning: Set<WaitingRequest>;
   readonly fresh: FairQueue<WaitingRequest>;
+  returningCost: number;
 }
 
 /**
@@ -83,9 +91,16 @@
 export function createWaitingRequests(): WaitingRequests {
   const levels = Array.from(
     {length: URGENCY_COUNT},
-    (): Level => ({returning: [], fresh: createFairQueue(() => 1)}),
+    (): Level => ({
+      returning: new Set(),
+      fresh: createFairQueue(() => 1),
+      returningCost: 0,
+    }),
   );
   const lateRequests = new Set<WaitingRequest>();
+  const byKey = new Map<string, WaitingRequest>();
+  const byAsker = new Map<string, Set<WaitingRequest>>();
+  let lateCost = 0;
   const startShares = new Float64Array(URGENCY_COUNT);
 
   function levelOf({urgency}: Pick<WaitingRequest, 'urgency'>): Level {
@@ -93,7 +108,7 @@
   }
 
   function sizeOf({returning, fresh}: Level): number {
-    return returning.length + fresh.size;
+    return returning.size + fresh.size;
   }
 
   function timelySize(): number {
@@ -104,45 +119,69 @@
     return [...returning, ...fresh.items()];
   }
 
-  function returningCost({returning}: Level): number {
-    return returning.reduce((sum, {cost}) => sum + cost, 0);
+  function costOf(level: Level): number {
+    return level.returningCost + level.fresh.costOfMoreUrgent(URGENCY_COUNT);
   }
 
-  function costOf(level: Level): number {
-    return returningCost(level) + level.fresh.costOfMoreUrgent(URGENCY_COUNT);
+  function addToIndex(waiting: WaitingRequest): void {
+    byKey.set(keyOf(waiting.asker, waiting.request.id), waiting);
+    addTo(byAsker, waiting.asker, waiting);
   }
 
-  function removeFrom(items: WaitingRequest[], item: WaitingRequest): boolean {
-    const index = items.indexOf(item);
-    if (index >= 0) {
-      items.splice(index, 1);
+  function removeFromIndex(waiting: WaitingRequest): void {
+    const key = keyOf(waiting.asker, waiting.request.id);
+    if (byKey.get(key) === waiting) {
+      byKey.delete(key);
     }
-    return index >= 0;
+    deleteFrom(byAsker, waiting.asker, waiting);
   }
 
-  function remove(waiting: WaitingRequest): void {
-    if (lateRequests.delete(waiting)) {
-      return;
+  function removeLate(waiting: WaitingRequest): boolean {
+    const isRemoved = lateRequests.delete(waiting);
+    lateCost -= isRemoved ? waiting.cost : 0;
+    if (lateRequests.size === 0) {
+      lateCost = 0;
     }
-    const {returning, fresh} = levelOf(waiting);
-    if (!removeFrom(returning, waiting)) {
-      fresh.remove(waiting);
+    return isRemoved;
+  }
+
+  function removeReturning(waiting: WaitingRequest): boolean {
+    const level = levelOf(waiting);
+    const isRemoved = level.returning.delete(waiting);
+    level.returningCost -= isRemoved ? waiting.cost : 0;
+    if (level.returning.size === 0) {
+      level.returningCost = 0;
+    }
+    return isRemoved;
+  }
+
+  function remove(waiting: WaitingRequest): void {
+    removeFromIndex(waiting);
+    if (!removeLate(waiting) && !removeReturning(waiting)) {
+      levelOf(waiting).fresh.remove(waiting);
     }
   }
 
   function costBeforeAtSameUrgency(incoming: WaitingRequest): number {
     const level = levelOf(incoming);
     return incoming.isReturning
-      ? returningCost(level)
-      : returningCost(level) + level.fresh.costAheadAtSameUrgency(incoming);
+      ? level.returningCost
+      : level.returningCost + level.fresh.costAheadAtSameUrgency(incoming);
   }
 
   /** Returns the urgency whose share of the starts is most below its minimum. */
-  function findShortUrgency(first: number): number | undefined {
+  function findShortUrgency(
+    first: number,
+    blocked: ReadonlySet<number>,
+  ): number | undefined {
     let shortest: number | undefined;
     for (let urgency = first + 1; urgency < URGENCY_COUNT; urgency++) {
       const share = startShares[urgency]!;
-      if (sizeOf(levels[urgency]!) === 0 || share >= MIN_START_SHARE) {
+      if (
+        sizeOf(levels[urgency]!) === 0 ||
+        share >= MIN_START_SHARE ||
+        blocked.has(urgency)
+      ) {
         continue;
       }
       if (shortest === undefined || share < startShares[shortest]!) {
@@ -176,34 +215,46 @@
       return timelySize() + lateRequests.size;
     },
     add(waiting) {
-      const {returning, fresh} = levelOf(waiting);
+      addToIndex(waiting);
+      const level = levelOf(waiting);
       if (waiting.isReturning) {
-        returning.push(waiting);
+        level.returning.add(waiting);
+        level.returningCost += waiting.cost;
         return;
       }
-      fresh.enqueue(waiting);
+      level.fresh.enqueue(waiting);
+    },
+    addLate(waiting) {
+      addToIndex(waiting);
+      lateRequests.add(waiting);
+      lateCost += waiting.cost;
     },
-    addLate: waiting => void lateRequests.add(waiting),
     isLate: waiting => lateRequests.has(waiting),
     remove,
-    next() {
-      const first = levels.findIndex(level => sizeOf(level) > 0);
+    next(blocked) {
+      const first = levels.findIndex(
+        (level, urgency) => sizeOf(level) > 0 && !blocked.has(urgency),
+      );
       if (first < 0) {
-        return nextLate();
+        return blocked.size === 0 ? nextLate() : undefined;
       }
-      const {returning, fresh} = levels[findShortUrgency(first) ?? first]!;
-      return returning[0] ?? fresh.peek();
+      const urgency = findShortUrgency(first, blocked) ?? first;
+      const {returning, fresh} = levels[urgency]!;
+      const [firstReturning] = returning;
+      return firstReturning ?? fresh.peek();
     },
     start(waiting) {
-      const {returning, fresh} = levelOf(waiting);
-      if (lateRequests.delete(waiting)) {
+      removeFromIndex(waiting);
+      if (removeLate(waiting)) {
         return;
       }
       countStart(waiting.urgency);
-      if (!removeFrom(returning, waiting) && fresh.peek() === waiting) {
+      const {fresh} = levelOf(waiting);
+      if (!removeReturning(waiting) && fresh.peek() === waiting) {
         fresh.dequeue();
       }
     },
+    countStart,
     isShort: urgency => startShares[urgency]! < MIN_START_SHARE,
     hasUpTo: urgency =>
       levels.slice(0, urgency + 1).some(level => sizeOf(level) > 0),
@@ -214,11 +265,9 @@
       costBeforeAtSameUrgency(incoming),
     costBeforeAtSameUrgency,
     timelyCost: () => levels.reduce((sum, level) => sum + costOf(level), 0),
-    lateCost: () => [...lateRequests].reduce((sum, {cost}) => sum + cost, 0),
-    find: (asker, id) =>
-      [...levels.flatMap(itemsOf), ...lateRequests].find(
-        waiting => waiting.asker === asker && waiting.request.id === id,
-      ),
+    lateCost: () => lateCost,
+    find: (asker, id) => byKey.get(keyOf(asker, id)),
+    ofAsker: asker => [...(byAsker.get(asker) ?? [])],
     timely: () => levels.flatMap(itemsOf),
     late: () => [...lateRequests],
     dump: () => ({
