scheduling: keep each class its share where engines preempt

Cause: a more urgent request was placed beyond an engine's slots while less urgent ones ran there, so no slot became free for those that waited. Change: no request preempts while less urgent ones wait that got less than their share of the starts.

--- a/packages/scheduling/src/engineChoice.ts
+++ b/packages/scheduling/src/engineChoice.ts
@@ -31,10 +31,14 @@
 }
 
 export interface EngineChoice {
-  /** Returns the best engine; undefined if the slots of all are taken. */
+  /**
+   * Returns the best engine; undefined if the slots of all are taken. If it may
+   * preempt, slots of less urgent requests count as free when there are no others.
+   */
   choose(
     request: PlacementRequest,
     loads: Iterable<EndpointLoad>,
+    mayPreempt: boolean,
   ): ChosenEngine | undefined;
 }
 
@@ -60,7 +64,7 @@
  * Creates the choice among the engines of one service.
  *
  * @example
- * const chosen = engineChoice.choose(request, loads);
+ * const chosen = engineChoice.choose(request, loads, true);
  */
 export function createEngineChoice(options: {
   readonly routeTimes: RouteTimes;
@@ -113,7 +117,7 @@
   }
 
   return {
-    choose(request, loads) {
+    choose(request, loads, mayPreempt) {
       const {prompt, urgency} = request;
       if (prompt === undefined) {
         return undefined;
@@ -123,7 +127,7 @@
       const candidates =
         free.length > 0
           ? free
-          : usable.filter(load => load.canPreempt(urgency));
+          : usable.filter(load => mayPreempt && load.canPreempt(urgency));
       const sharedTokens = prompt.promptTokens - prompt.ownTokens;
       const ownMs = estimates.promptMs(promptTime(prompt, sharedTokens));
       let best: ChosenEngine | undefined;
--- a/packages/scheduling/src/placements.ts
+++ b/packages/scheduling/src/placements.ts
@@ -113,7 +113,9 @@
 
   function placeAtEngine(entry: WaitingRequest): PlacementDecision | undefined {
     const {request, urgency, waitsSince} = entry;
-    const chosen = engineChoice.choose(request, loads.values());
+    // Preemption would take the share that less urgent requests wait for.
+    const mayPreempt = !waiting.hasShortBelow(urgency);
+    const chosen = engineChoice.choose(request, loads.values(), mayPreempt);
     if (chosen === undefined) {
       return undefined;
     }
--- a/packages/scheduling/src/test/modelScheduling.test.ts
+++ b/packages/scheduling/src/test/modelScheduling.test.ts
@@ -62,4 +62,28 @@
       assertOnTime(streams, {question: 0.95, long: 0.6, tag: 0.6}, label);
     }
   });
+
+  // Guards against a class that gets no starts, and against requests that are held after their caller has left: one class beyond the capacity.
+  it('gives each class its share while one floods the engines', () => {
+    for (const flooding of CLASS_NAMES) {
+      const streams = playStreams({
+        seed: 1,
+        engineCount: 15,
+        endMs: 6_000,
+        loadAt: (_, name) => (name === flooding ? 6 : 0.4),
+      });
+      const placed = streams.filter(({speed}) => speed !== undefined);
+      for (const name of CLASS_NAMES) {
+        const own = placed.filter(stream => stream.name === name);
+        const sent = streams.filter(stream => stream.name === name);
+        // Seven in a hundred starts, or seven in ten of its requests.
+        const share = own.length / Math.min(placed.length, 10 * sent.length);
+        assert.ok(share >= 0.07, `${flooding}, ${name}: ${share.toFixed(3)}`);
+      }
+      const isHeld = streams.some(
+        ({result, speed}) => result === 'left' && speed === undefined,
+      );
+      assert.ok(!isHeld, `${flooding}: a request was held for too long`);
+    }
+  });
 });
--- a/packages/scheduling/src/test/playedEngines.ts
+++ b/packages/scheduling/src/test/playedEngines.ts
@@ -48,6 +48,7 @@
   readonly name: PlayedClass['name'];
   readonly sentAt: number;
   readonly ownTokens: number;
+  readonly isReturning: boolean;
   /** Factor of the time that the engine takes; absent if it was not placed. */
   speed?: number;
   /** Time from the question to the decision, in milliseconds. */
@@ -201,7 +202,7 @@
   readonly engineCount: number;
   readonly endMs: number;
   /** Returns the load as a fraction of the capacity of all engines. */
-  loadAt(nowMs: number): number;
+  loadAt(nowMs: number, name: PlayedStream['name']): number;
   /** Returns the time of a prompt that the scheduler is told; true by default. */
   estimateMs?(usualMs: number, nowMs: number): number;
   /** Whether the slowness that engines report includes their usual speed. */
@@ -240,7 +241,14 @@
     const {name, urgency, targetMs, limitMs} = played;
     const sentAt = clock.now();
     const {ownTokens} = prompt;
-    const stream: PlayedStream = {name, sentAt, ownTokens, longestGapMs: 0};
+    const isReturning = returning !== undefined;
+    const stream: PlayedStream = {
+      name,
+      sentAt,
+      ownTokens,
+      isReturning,
+      longestGapMs: 0,
+    };
     streams.push(stream);
     const id = `${streams.length}`;
     const fingerprint = returning ?? id;
@@ -300,7 +308,7 @@
           timeout.dispose();
           stream.result = 'rejected';
           stream.retryAfterMs = decision.retryAfterMs;
-          if (returning === undefined) {
+          if (!isReturning) {
             clock.after(decision.retryAfterMs, () =>
               send(played, prompt, fingerprint),
             );
@@ -354,7 +362,8 @@
       clock.after(random.next() * 20, () => send(played, prompt));
     }
     const clumpsPerMs =
-      (played.perSecond * full * options.loadAt(clock.now())) / 3_000;
+      (played.perSecond * full * options.loadAt(clock.now(), played.name)) /
+      3_000;
     clock.after(random.exponential(1 / clumpsPerMs), () =>
       sendGroup(played, full),
     );
--- a/packages/scheduling/src/waitingRequests.ts
+++ b/packages/scheduling/src/waitingRequests.ts
@@ -50,6 +50,8 @@
   countStart(urgency: number): void;
   /** Whether an urgency got less than its minimum share of recent starts. */
   isShort(urgency: number): boolean;
+  /** Whether requests wait whose urgency is lower and got less than its share. */
+  hasShortBelow(urgency: number): boolean;
   /** Returns the cost of the requests that start before a new one. */
   costBefore(incoming: WaitingRequest): number;
   /** Returns the part of `costBefore` of the same urgency. */
@@ -256,6 +258,8 @@
     },
     countStart,
     isShort: urgency => startShares[urgency]! < MIN_START_SHARE,
+    hasShortBelow: urgency =>
+      findShortUrgency(urgency, new Set()) !== undefined,
     hasUpTo: urgency =>
       levels.slice(0, urgency + 1).some(level => sizeOf(level) > 0),
     costBefore: incoming =>
