scheduling: learn the speed of engines that are never idle

Cause: the speed of an engine was learned only from prompts that it read alone. At 0.8 of the capacity 5 of 10 slow engines had none in 3 s and counted as of usual speed. Change: a prompt keeps the work that was expected to be done before it, more urgent prompts that came later included. Prompts that waited count for 0.3 of one that did not.

--- a/packages/scheduling/src/endpointLoad.ts
+++ b/packages/scheduling/src/endpointLoad.ts
@@ -63,17 +63,18 @@
   add(request: RunningRequest): void;
   remove(request: RunningRequest): void;
   /**
-   * Records that a response has begun. Returns whether the endpoint had no other
-   * prompt to read since the placement.
+   * Records that a response has begun. Returns the work on prompts that was
+   * expected to be done before this one, in milliseconds; undefined if it had no
+   * prompt to read.
    */
-  recordBegin(request: RunningRequest): boolean;
+  recordBegin(request: RunningRequest): number | undefined;
   /** Records the time to the first byte relative to the usual time. */
   recordSpeed(ratio: number): void;
   /**
-   * Records the time to the first event of a prompt that was read alone, and the
-   * time at an engine of usual speed, both in milliseconds.
+   * Records the time to the first event of a prompt, and the time at an engine of
+   * usual speed, both in milliseconds.
    */
-  recordPromptSpeed(firstMs: number, usualMs: number): void;
+  recordPromptSpeed(firstMs: number, usualMs: number, weight: number): void;
   recordOutcome(outcome: PlacementOutcome): void;
   recordReport(load: ReportedLoad): void;
   /** Places no requests for a time, in milliseconds. */
@@ -252,9 +253,10 @@
         (1 - learnedSlowness) * USUAL_SPEED_WEIGHT;
       setLearnedSlowness(learned);
     },
-    recordPromptSpeed(firstMs, usualMs) {
-      promptTimes.firstMs = promptTimes.firstMs * KEPT_PROMPT_WEIGHT + firstMs;
-      promptTimes.usualMs = promptTimes.usualMs * KEPT_PROMPT_WEIGHT + usualMs;
+    recordPromptSpeed(firstMs, usualMs, weight) {
+      const kept = KEPT_PROMPT_WEIGHT ** weight;
+      promptTimes.firstMs = promptTimes.firstMs * kept + firstMs * weight;
+      promptTimes.usualMs = promptTimes.usualMs * kept + usualMs * weight;
       setLearnedSlowness(
         (promptTimes.firstMs + USUAL_PROMPT_MS) /
           (promptTimes.usualMs + USUAL_PROMPT_MS),
--- a/packages/scheduling/src/promptBacklog.ts
+++ b/packages/scheduling/src/promptBacklog.ts
@@ -14,10 +14,10 @@
 export interface PromptBacklog {
   add(prompt: PendingPrompt): void;
   /**
-   * Removes a prompt that was read or withdrawn. Returns whether the engine had
-   * no other one to read since it got this one.
+   * Removes a prompt that was read or withdrawn. Returns the work that was
+   * expected to be done before it, in milliseconds; undefined if it is not there.
    */
-  remove(prompt: PendingPrompt): boolean;
+  remove(prompt: PendingPrompt): number | undefined;
   /** Returns the work that is done before a new prompt, in milliseconds. */
   waitMs(urgency: number): number;
   /** Returns all work, in milliseconds. */
@@ -33,7 +33,8 @@
 interface Item {
   readonly prompt: PendingPrompt;
   remainingMs: number;
-  isAlone: boolean;
+  /** Work that was before this one when it came, or has overtaken it since. */
+  aheadMs: number;
 }
 
 /**
@@ -72,20 +73,19 @@
   return {
     add(prompt) {
       drain();
-      items.forEach(item => (item.isAlone = false));
-      const after = items.findIndex(
-        item => item.prompt.urgency > prompt.urgency,
-      );
-      items.splice(after < 0 ? items.length : after, 0, {
-        prompt,
-        remainingMs: prompt.promptMs,
-        isAlone: items.length === 0,
-      });
+      const {urgency, promptMs} = prompt;
+      const overtaken = items.findIndex(item => item.prompt.urgency > urgency);
+      const index = overtaken < 0 ? items.length : overtaken;
+      for (const item of items.slice(index)) {
+        item.aheadMs += promptMs;
+      }
+      const aheadMs = sumUpTo(urgency);
+      items.splice(index, 0, {prompt, remainingMs: promptMs, aheadMs});
     },
     remove(prompt) {
       drain();
       const index = items.findIndex(item => item.prompt === prompt);
-      return index >= 0 && items.splice(index, 1)[0]!.isAlone;
+      return index < 0 ? undefined : items.splice(index, 1)[0]!.aheadMs;
     },
     waitMs: sumUpTo,
     totalMs: () => sumUpTo(Infinity),
--- a/packages/scheduling/src/responseRecords.ts
+++ b/packages/scheduling/src/responseRecords.ts
@@ -10,6 +10,13 @@
   end(placed: PlacedRequest, end: PlacementEnd): void;
 }
 
+/**
+ * Weight of a prompt in the speed of its engine if others were read before it, as
+ * their times are expected ones. Without these prompts the speed of an engine
+ * that is never idle would stay unknown.
+ */
+const QUEUED_WEIGHT = 0.3;
+
 /**
  * Creates the records of one scheduler.
  *
@@ -32,25 +39,28 @@
     }
   }
 
-  /** Learns from a prompt that was read alone; others wait for each other. */
+  /** Learns from the time that an engine took to read a prompt. */
   function recordPrompt(
     {load, request}: PlacedRequest,
     {firstMs, load: reported}: PlacementBegin,
   ): void {
-    const isAlone = load.recordBegin(request);
-    if (!isAlone) {
-      return;
-    }
+    const aheadMs = load.recordBegin(request);
     // The report tells how slow the host was while it read this prompt.
     const hostSlowness =
       reported?.slowness || load.engineSlowness() / load.learnedSlowness();
     const hostMs = firstMs / hostSlowness;
-    if (!Number.isFinite(hostMs)) {
+    if (aheadMs === undefined || !Number.isFinite(hostMs)) {
       return;
     }
     const {estimatedPromptMs} = request;
-    estimates.record(estimatedPromptMs, hostMs / load.learnedSlowness());
-    load.recordPromptSpeed(hostMs, estimates.firstMs(estimatedPromptMs));
+    if (aheadMs === 0) {
+      estimates.record(estimatedPromptMs, hostMs / load.learnedSlowness());
+    }
+    load.recordPromptSpeed(
+      hostMs,
+      estimates.firstMs(estimatedPromptMs) + aheadMs / load.engineSlowness(),
+      aheadMs === 0 ? 1 : QUEUED_WEIGHT,
+    );
   }
 
   function recordBegin(placed: PlacedRequest, begin: PlacementBegin): void {
