gateway: reject on entries while a scheduler has no room

The exchange with schedulers was most of the load in a burst far beyond the capacity, one late answer skipped a scheduler for all services, a replaced connection left waiting requests undecided, and attempts with one id shared a placement.

A rejection closes the urgency at the asker for at most 200 ms, which then asks for 1.5 requests per placed one and spreads the Retry-After over the room that the scheduler has booked. Three late answers in a row skip a scheduler, for one service. The network tells of replaced connections. Each question has an id of its own. Streams are queued until their caller leaves. Requests to models and those of services with less than three slots per entry always ask.

--- a/packages/gateway/src/callers/requestAdmission.ts
+++ b/packages/gateway/src/callers/requestAdmission.ts
@@ -3,7 +3,7 @@
  * limits of this entry for other services and while no scheduler answers.
  */
 import type {AdmissionController} from '@skylarkfield/admission';
-import {isServingError, ServingError, type Clock} from '@skylarkfield/base';
+import {isServingError, ServingError} from '@skylarkfield/base';
 import type {Prompt, RejectionReason} from '@skylarkfield/scheduling';
 import {
   countOwnTokens,
@@ -13,6 +13,7 @@
   type Route,
 } from '@skylarkfield/traffic';
 import type {CallHead} from '../contracts.js';
+import {callerLeavesAt} from './callerDeparture.js';
 import type {VersionGroup} from '../endpoints/endpointDirectory.js';
 import type {
   CallPlacement,
@@ -22,6 +23,7 @@
   Placement,
   SchedulerClient,
 } from '../scheduling/schedulerContracts.js';
+import type {SchedulerUse} from './schedulerUse.js';
 
 /** A request after validation and routing. */
 export interface RequestToAdmit {
@@ -97,13 +99,9 @@
  */
 export function createRequestAdmission(options: {
   readonly admission: AdmissionController;
-  readonly schedulerClient: Pick<SchedulerClient, 'place' | 'isContended'>;
+  readonly schedulerClient: Pick<SchedulerClient, 'place'>;
+  readonly schedulerUse: SchedulerUse;
   readonly failureDomain: string;
-  readonly clock: Clock;
-  /** Whether the requests of a service are scheduled now. */
-  isScheduled(service: string): boolean;
-  /** Returns the slots of a service that are this entry's equal part. */
-  equalPart(service: string): number;
   /**
    * Returns the uncached prompt tokens of a typical request to a model service.
    */
@@ -120,7 +118,7 @@
   /** Called before a request is admitted, to record its work. */
   onDidAccept(service: string, head: CallHead): void;
 }): RequestAdmission {
-  const {admission, schedulerClient, clock} = options;
+  const {admission, schedulerClient, schedulerUse} = options;
   /** Requests in progress that this entry has admitted on its own. */
   const localCounts = new Map<string, number>();
 
@@ -128,18 +126,9 @@
     localCounts.set(service, (localCounts.get(service) ?? 0) + increment);
   }
 
-  /**
-   * Whether the scheduler is asked. A request within the entry's part of a
-   * service that has room needs no question, so that scheduling costs nothing
-   * where it changes nothing.
-   */
   function asksScheduler({service, deadlineAt}: RequestToAdmit): boolean {
-    if (!options.isScheduled(service) || clock.now() >= deadlineAt) {
-      return false;
-    }
-    const isWithinPart =
-      (localCounts.get(service) ?? 0) < Math.max(1, options.equalPart(service));
-    return !isWithinPart || schedulerClient.isContended(service);
+    const localCount = localCounts.get(service) ?? 0;
+    return schedulerUse.asks(service, deadlineAt, localCount);
   }
 
   function versionOf({service, attemptId, route}: RequestToAdmit) {
@@ -241,7 +230,12 @@
         customer: customer?.name ?? '',
         failureDomain: options.failureDomain,
         targetAt: request.arrivedAt + (route.goalMs || route.timeoutMs),
-        deadlineAt: request.deadlineAt,
+        deadlineAt: callerLeavesAt(
+          route,
+          request.arrivedAt,
+          request.deadlineAt,
+        ),
+        endsAt: request.deadlineAt,
         ...(head.demand && {prompt: toPrompt(head.demand)}),
         fingerprint: fingerprint(),
       },
--- a/packages/gateway/src/callers/test/callerHandler.test.ts
+++ b/packages/gateway/src/callers/test/callerHandler.test.ts
@@ -111,12 +111,9 @@
       admission,
       schedulerClient: {
         place: async () => ({type: 'undecided'}),
-        isContended: () => false,
       },
-      equalPart: () => 1,
+      schedulerUse: {asks: () => false},
       failureDomain: 'a',
-      clock,
-      isScheduled: () => false,
       usualOwnTokens: () => 1,
       chooseGroup: () => 'incumbent',
       onDidAccept() {},
--- a/packages/gateway/src/scheduling/gatewayScheduling.ts
+++ b/packages/gateway/src/scheduling/gatewayScheduling.ts
@@ -5,6 +5,7 @@
   createRequestAdmission,
   type RequestAdmission,
 } from '../callers/requestAdmission.js';
+import {createSchedulerUse} from '../callers/schedulerUse.js';
 import type {GatewayContext} from '../context.js';
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
 import type {EngineEstimates} from '../endpoints/engineEstimates.js';
@@ -62,11 +63,14 @@
       self: settings.id,
       clock,
       log,
+      random,
       network,
       host,
       liveMembers: () =>
         parts.isEntryCountKnown() ? membership.liveMembers() : undefined,
       onDidChangeMembers: membership.onDidChange,
+      onDidReject: (service, decision) =>
+        metrics.recordPlacement({service, ...decision}),
     }),
   );
   dumps.add('scheduling', () => ({
@@ -89,12 +93,16 @@
         ...options,
         schedulerClient: client,
         failureDomain: settings.failureDomain,
-        clock,
-        // An entry without paths hands its requests over to others.
-        isScheduled: service =>
-          parts.scheduledServices.has(service) &&
-          reach.stateOf(service) === 'reachable',
-        equalPart,
+        schedulerUse: createSchedulerUse({
+          clock,
+          // An entry without paths hands its requests over to others.
+          isScheduled: service =>
+            parts.scheduledServices.has(service) &&
+            reach.stateOf(service) === 'reachable',
+          isModel: parts.services.isModel,
+          isContended: client.isContended,
+          equalPart,
+        }),
         usualOwnTokens: service =>
           parts.engineEstimates.estimateFor(service).usualOwnTokens,
       }),
--- a/packages/gateway/src/scheduling/schedulerHost.ts
+++ b/packages/gateway/src/scheduling/schedulerHost.ts
@@ -193,7 +193,8 @@
       result => {
         const message = {service, version, id, result};
         if (!network.send(asker, 'placementDecided', message)) {
-          cancel(asker, service, version, id);
+          // Later, since the scheduler is amid its decisions on other requests.
+          clock.after(0, () => cancel(asker, service, version, id));
         }
       },
     );
@@ -232,6 +233,8 @@
       }
     }),
   );
+  // The ends of requests may have been lost with the previous connection.
+  disposables.add(network.onDidReplaceConnection(dropAsker));
   return {
     request,
     begin,
@@ -261,9 +264,17 @@
   return version in VERSION_GROUPS;
 }
 
-/** Bounds of the urgencies that a scheduler knows. */
+/** Lowest urgency that a scheduler knows. */
 const LOWEST_URGENCY = 7;
 
+/** Upper bound of the requests that one question counts for. */
+const MAX_UNASKED = 1_000;
+
+/** Returns a positive number of a message; 0 if it is absent or invalid. */
+function toNumber(value: number | undefined): number {
+  return Number.isFinite(value) ? Math.max(0, value!) : 0;
+}
+
 /** Converts a question to the time of this entry. */
 function toRequest(
   question: Messages['placementWanted'],
@@ -281,6 +292,8 @@
     ),
     targetAt: now + question.targetMs,
     deadlineAt: now + question.remainingMs,
+    endsAt: now + Math.max(question.remainingMs, toNumber(question.endsMs)),
+    unaskedCount: Math.min(MAX_UNASKED, toNumber(question.unaskedCount)),
     prompt,
     fingerprint,
   };
--- a/packages/protocol/src/contracts.ts
+++ b/packages/protocol/src/contracts.ts
@@ -114,5 +114,11 @@
   onDidChangePeer(
     listener: (peer: string, isOpen: boolean) => void,
   ): Disposable;
+  /**
+   * Fires when a new connection of a peer replaces an open one, for which
+   * `onDidChangePeer` does not fire. Messages sent over the previous connection
+   * may be lost.
+   */
+  onDidReplaceConnection(listener: (peer: string) => void): Disposable;
   traffic(): NetworkTraffic;
 }
--- a/packages/protocol/src/memoryNetwork.ts
+++ b/packages/protocol/src/memoryNetwork.ts
@@ -43,6 +43,8 @@
   healAll(): void;
   /** Sets the probability with which each message is lost. */
   setLossProbability(probability: number): void;
+  /** Replaces the connection of two processes, as when one of them redials. */
+  replaceConnection(one: string, other: string): void;
   /** Sum of the traffic counters of all processes. */
   totalTraffic(): NetworkTraffic;
 }
@@ -55,6 +57,7 @@
   readonly peerChangeEmitter: ReturnType<
     typeof createEmitter<{peer: string; isOpen: boolean}>
   >;
+  readonly replacementEmitter: ReturnType<typeof createEmitter<string>>;
   isPaused: boolean;
   isAlive: boolean;
 }
@@ -255,6 +258,7 @@
         process.peerChangeEmitter.event(({peer, isOpen}) =>
           listener(peer, isOpen),
         ),
+      onDidReplaceConnection: process.replacementEmitter.event,
       traffic: () => dispatcher.traffic(),
       dispose() {
         for (const id of [...process.connectedIds]) {
@@ -266,6 +270,13 @@
     };
   }
 
+  function handleReplacement(process: SimulatedProcess, peerId: string) {
+    if (process.connectedIds.has(peerId)) {
+      process.replacementEmitter.fire(peerId);
+      process.dispatcher.failRequests(peerId);
+    }
+  }
+
   function crash(id: string) {
     const process = processes.get(id);
     if (process === undefined || !process.isAlive) {
@@ -290,6 +301,7 @@
         connectedIds: new Set<string>(),
         deferredActions: [],
         peerChangeEmitter: createEmitter<{peer: string; isOpen: boolean}>(),
+        replacementEmitter: createEmitter<string>(),
         isPaused: false,
         isAlive: true,
       } as Omit<SimulatedProcess, 'dispatcher'> as SimulatedProcess;
@@ -325,6 +337,14 @@
     setLossProbability(probability) {
       lossProbability = probability;
     },
+    replaceConnection(one, other) {
+      const first = processes.get(one);
+      const second = processes.get(other);
+      if (first !== undefined && second !== undefined) {
+        runOrDefer(first, () => handleReplacement(first, other));
+        runOrDefer(second, () => handleReplacement(second, one));
+      }
+    },
     totalTraffic() {
       return [...processes.values()]
         .map(process => process.dispatcher.traffic())
--- a/packages/protocol/src/messages/schedulingMessages.ts
+++ b/packages/protocol/src/messages/schedulingMessages.ts
@@ -14,6 +14,16 @@
   readonly remainingMs: number;
 }
 
+/** Requests that the receiver may reject on its own for a moment. */
+export interface ClosedPlacements {
+  /** Requests of the same customer that are as urgent or less. */
+  readonly urgency: number;
+  readonly forMs: number;
+  /** Time from now within which their callers return, in milliseconds. */
+  readonly returnFromMs: number;
+  readonly returnToMs: number;
+}
+
 /** Decision on a request. */
 export type PlacementResult =
   | {readonly type: 'placed'; readonly endpoint: string}
@@ -21,6 +31,7 @@
       readonly type: 'rejected';
       readonly reason: 'no-room' | 'waited-in-vain';
       readonly retryAfterMs: number;
+      readonly closed?: ClosedPlacements | undefined;
     };
 
 /** Response to `placementWanted`. */
@@ -49,6 +60,7 @@
   placementWanted: {
     readonly service: string;
     readonly version: string;
+    /** Unique among the questions of the sender. */
     readonly id: string;
     readonly route: string;
     readonly urgency: number;
@@ -56,8 +68,12 @@
     readonly failureDomain: string;
     /** Time until the latency target, in milliseconds; may be negative. */
     readonly targetMs: number;
-    /** Time until the deadline, in milliseconds. */
+    /** Time until nobody waits for the response any more, in milliseconds. */
     readonly remainingMs: number;
+    /** Time until a response that has begun has ended, if that is later. */
+    readonly endsMs?: number | undefined;
+    /** Similar requests that the sender has rejected without asking. */
+    readonly unaskedCount?: number | undefined;
     readonly prompt?:
       | {
           readonly ownTokens: number;
--- a/packages/protocol/src/peerNetwork.ts
+++ b/packages/protocol/src/peerNetwork.ts
@@ -54,6 +54,7 @@
   const dispatcher = createDispatcher({clock, log});
   const connections = new Map<string, Connection>();
   const peerChangeEmitter = createEmitter<{peer: string; isOpen: boolean}>();
+  const replacementEmitter = createEmitter<string>();
   const dialFailureEmitter = createEmitter<string>();
   const disposables = createDisposableStore();
   let requestHandler: PeerRequestHandler | undefined;
@@ -116,6 +117,8 @@
     links.get(peer.id)?.handleOpened();
     if (previousConnection === undefined) {
       peerChangeEmitter.fire({peer: peer.id, isOpen: true});
+    } else {
+      replacementEmitter.fire(peer.id);
     }
     return connection;
   }
@@ -297,6 +300,7 @@
       ),
     onDidChangePeer: listener =>
       peerChangeEmitter.event(({peer, isOpen}) => listener(peer, isOpen)),
+    onDidReplaceConnection: replacementEmitter.event,
     traffic: () => dispatcher.traffic(),
     dump: () => ({
       traffic: dispatcher.traffic(),
--- a/packages/scheduling/src/bookings.ts
+++ b/packages/scheduling/src/bookings.ts
@@ -7,6 +7,7 @@
  * most would be rejected again.
  */
 import type {Clock} from '@skylarkfield/base';
+import type {ClosedUrgency} from './contracts.js';
 
 /** A request that is rejected. */
 export interface BookedRequest {
@@ -21,6 +22,12 @@
    * `freeFraction` is the part of the service that is free in usual times.
    */
   book(request: BookedRequest, freeFraction: number): number;
+  /**
+   * Closes an urgency after a rejection. Books room of `costMs` for the callers
+   * that their entries reject meanwhile, whose number is expected to be the same
+   * as before this rejection.
+   */
+  close(urgency: number, costMs: number, freeFraction: number): ClosedUrgency;
   /**
    * Returns whether the request has a booking that is due, and removes the
    * booking.
@@ -42,6 +49,12 @@
 /** Time without rejections after which an overload is over, in milliseconds. */
 const OVERLOAD_GAP_MS = 500;
 
+/** Time for which entries reject requests without asking, in milliseconds. */
+const CLOSED_MS = 200;
+
+/** Minimum interval between the first and the last of several returns, in ms. */
+const MIN_RETURN_SPREAD_MS = 500;
+
 /** Fraction of the room that is handed out even if none seems to be free. */
 const MIN_FREE_FRACTION = 0.1;
 
@@ -97,17 +110,22 @@
     }
   }
 
+  /** Returns the time from which room can be booked. */
+  function firstFreeAt(): number {
+    const now = clock.now();
+    const expectedOverloadMs = Math.min(
+      MAX_EXPECTED_OVERLOAD_MS,
+      now - overloadedSince,
+    );
+    return Math.max(nextFreeAt, now + expectedOverloadMs + MIN_RETRY_AFTER_MS);
+  }
+
   return {
     book({costMs, fingerprint}, freeFraction) {
       recordRejection();
       const now = clock.now();
-      const expectedOverloadMs = Math.min(
-        MAX_EXPECTED_OVERLOAD_MS,
-        now - overloadedSince,
-      );
       const freeAt =
-        Math.max(nextFreeAt, now + expectedOverloadMs + MIN_RETRY_AFTER_MS) +
-        costMs / Math.max(MIN_FREE_FRACTION, freeFraction);
+        firstFreeAt() + costMs / Math.max(MIN_FREE_FRACTION, freeFraction);
       if (freeAt - now > MAX_RETRY_AFTER_MS) {
         return MAX_RETRY_AFTER_MS;
       }
@@ -117,6 +135,26 @@
       }
       return Math.ceil(freeAt - now);
     },
+    close(urgency, costMs, freeFraction) {
+      const now = clock.now();
+      const fromAt = firstFreeAt();
+      const lastAt = now + MAX_RETRY_AFTER_MS;
+      const freeAt =
+        fromAt + costMs / Math.max(MIN_FREE_FRACTION, freeFraction);
+      nextFreeAt = Math.min(freeAt, lastAt);
+      const toAt = Math.min(
+        lastAt,
+        Math.max(freeAt, fromAt + MIN_RETURN_SPREAD_MS),
+      );
+      return {
+        urgency,
+        forMs: CLOSED_MS,
+        returnFromMs: Math.ceil(
+          Math.min(fromAt, toAt - MIN_RETURN_SPREAD_MS) - now,
+        ),
+        returnToMs: Math.ceil(toAt - now),
+      };
+    },
     redeem(fingerprint) {
       const times =
         fingerprint === undefined ? undefined : dueTimes.get(fingerprint);
--- a/packages/scheduling/src/contracts.ts
+++ b/packages/scheduling/src/contracts.ts
@@ -38,6 +38,16 @@
   readonly targetAt: number;
   /** Monotonic milliseconds after which nobody waits for the response. */
   readonly deadlineAt: number;
+  /**
+   * Monotonic milliseconds at which a response that has begun has ended;
+   * `deadlineAt` if absent.
+   */
+  readonly endsAt?: number | undefined;
+  /**
+   * Number of similar requests that the asker has rejected on its own since it
+   * last asked, because the urgency was closed.
+   */
+  readonly unaskedCount?: number | undefined;
   /** Absent for a plain service. */
   readonly prompt?: Prompt | undefined;
   /** Equal for all attempts of a caller at the same request. */
@@ -50,6 +60,18 @@
   /** The request waited, and cannot be answered before its deadline any more. */
   | 'waited-in-vain';
 
+/**
+ * Tells an asker to reject most of the similar requests on its own: those of the
+ * same customer that are as urgent or less and have no later target.
+ */
+export interface ClosedUrgency {
+  readonly urgency: number;
+  readonly forMs: number;
+  /** Time from now within which their callers return, in milliseconds. */
+  readonly returnFromMs: number;
+  readonly returnToMs: number;
+}
+
 /** Final decision on a request. */
 export type PlacementDecision =
   | {readonly type: 'placed'; readonly endpoint: string}
@@ -57,6 +79,8 @@
       readonly type: 'rejected';
       readonly reason: RejectionReason;
       readonly retryAfterMs: number;
+      /** Absent if a similar request may have room. */
+      readonly closed?: ClosedUrgency | undefined;
     };
 
 /** Answer to a request: a decision, or the time by which it is made. */
--- a/packages/scheduling/src/serviceScheduler.ts
+++ b/packages/scheduling/src/serviceScheduler.ts
@@ -207,9 +207,10 @@
     {request, cost, waitsSince}: WaitingRequest,
     reason: RejectionReason,
   ): PlacementDecision {
+    const freeFraction = BOOKABLE_FRACTION - demand.usualTotal();
     const retryAfterMs = bookings.book(
       {costMs: cost, fingerprint: request.fingerprint},
-      BOOKABLE_FRACTION - demand.usualTotal(),
+      freeFraction,
     );
     counts.rejected += 1;
     options.onDidDecide?.({
@@ -219,7 +220,15 @@
       isLate: false,
       isShort: waiting.isShort(request.urgency),
     });
-    return {type: 'rejected', reason, retryAfterMs};
+    const {urgency, prompt, unaskedCount = 0} = request;
+    if (reason !== 'no-room' || prompt !== undefined) {
+      // Requests to models differ too much to be rejected alike.
+      return {type: 'rejected', reason, retryAfterMs};
+    }
+    const unaskedCost = cost * unaskedCount;
+    demand.record(urgency, unaskedCost, false);
+    const closed = bookings.close(urgency, unaskedCost, freeFraction);
+    return {type: 'rejected', reason, retryAfterMs, closed};
   }
 
   /** Starts waiting requests while endpoints have room. */
