--- a/packages/gateway/src/scheduling/closedUrgencies.ts
+++ b/packages/gateway/src/scheduling/closedUrgencies.ts
@@ -5,7 +5,7 @@
  */
 import type {Clock, Random} from '@skylarkfield/base';
 import type {PlacementResult} from '@skylarkfield/protocol';
-import type {ClosedUrgency} from '@skylarkfield/scheduling';
+import type {ClosedUrgency, UnaskedRequest} from '@skylarkfield/scheduling';
 import type {ScheduledRequest} from './schedulerContracts.js';
 import type {QueryResult} from './schedulerQuery.js';
 
@@ -13,10 +13,10 @@
   /** Returns the rejection of a request; undefined if it asks. */
   reject(request: ScheduledRequest): Rejection | undefined;
   /**
-   * Returns the number of similar requests rejected since the previous call, for
-   * the next question.
+   * Returns the similar requests rejected since the previous call, for the next
+   * question.
    */
-  takeUnaskedCount(request: ScheduledRequest): number;
+  takeUnasked(request: ScheduledRequest): readonly UnaskedRequest[];
   /**
    * Applies the result of a question. Only a rejection that closes an urgency
    * accounts for the unasked requests that were told with the question; others
@@ -46,6 +46,9 @@
 const MIN_RETURN_MS = 50;
 const MAX_RETURN_MS = 12_000;
 
+/** Maximum number of unasked requests that are told with one question. */
+const MAX_UNASKED = 200;
+
 /** Factor by which a similar request may have more time until its target. */
 const TARGET_TOLERANCE = 1.25;
 
@@ -64,7 +67,7 @@
   requests: number;
   placed: number;
   countedAt: number;
-  unaskedCount: number;
+  readonly unasked: UnaskedRequest[];
 }
 
 /**
@@ -100,7 +103,7 @@
       requests: 0,
       placed: 0,
       countedAt: clock.now(),
-      unaskedCount: 0,
+      unasked: [],
     };
     states.set(keyOf(request, request.urgency), created);
     return created;
@@ -144,6 +147,20 @@
     return random.chance(Math.max(MIN_ASKING_FRACTION, fraction));
   }
 
+  function addUnasked(
+    {unasked}: UrgencyState,
+    added: readonly UnaskedRequest[],
+  ): void {
+    unasked.push(...added);
+    unasked.splice(0, unasked.length - MAX_UNASKED);
+  }
+
+  function chooseReturnMs({returnFromAt, returnToAt}: UrgencyState): number {
+    const returnAt = returnFromAt + random.next() * (returnToAt - returnFromAt);
+    const returnMs = Math.ceil(returnAt - clock.now());
+    return Math.min(MAX_RETURN_MS, Math.max(MIN_RETURN_MS, returnMs));
+  }
+
   function close(
     state: UrgencyState,
     {targetAt}: ScheduledRequest,
@@ -173,24 +190,16 @@
       if (closed === undefined || isSampled(own)) {
         return undefined;
       }
-      own.unaskedCount += 1;
-      const {returnFromAt, returnToAt} = closed;
-      const returnAt =
-        returnFromAt + random.next() * (returnToAt - returnFromAt);
-      const retryAfterMs = Math.min(
-        MAX_RETURN_MS,
-        Math.max(MIN_RETURN_MS, Math.ceil(returnAt - clock.now())),
-      );
-      return {type: 'rejected', reason: 'no-room', retryAfterMs};
-    },
-    takeUnaskedCount(request) {
-      const state = find(request, request.urgency);
-      const count = state?.unaskedCount ?? 0;
-      if (state !== undefined) {
-        state.unaskedCount = 0;
+      const retryAfterMs = chooseReturnMs(closed);
+      const {fingerprint} = request;
+      if (fingerprint !== undefined) {
+        const returnAt = clock.now() + retryAfterMs;
+        addUnasked(own, [{fingerprint, returnAt}]);
       }
-      return count;
+      return {type: 'rejected', reason: 'no-room', retryAfterMs};
     },
+    takeUnasked: request =>
+      find(request, request.urgency)?.unasked.splice(0) ?? [],
     record(request, result) {
       if (result.type === 'rejected' && isValid(result.closed)) {
         close(findOrCreate(request), request, result.closed);
@@ -199,7 +208,7 @@
       const state = find(request, request.urgency);
       if (state !== undefined) {
         state.placed += result.type === 'placed' ? 1 : 0;
-        state.unaskedCount += request.unaskedCount ?? 0;
+        addUnasked(state, request.unasked ?? []);
       }
     },
   };
--- a/packages/gateway/src/scheduling/schedulerClient.ts
+++ b/packages/gateway/src/scheduling/schedulerClient.ts
@@ -89,7 +89,7 @@
     return {
       ...request,
       id: `${request.id}/${lastQuestion}`,
-      unaskedCount: closedUrgencies.takeUnaskedCount(request),
+      unasked: closedUrgencies.takeUnasked(request),
     };
   }
 
--- a/packages/gateway/src/scheduling/schedulerHost.ts
+++ b/packages/gateway/src/scheduling/schedulerHost.ts
@@ -267,8 +267,8 @@
 /** Lowest urgency that a scheduler knows. */
 const LOWEST_URGENCY = 7;
 
-/** Upper bound of the requests that one question counts for. */
-const MAX_UNASKED = 1_000;
+/** Maximum number of unasked requests that are taken from one question. */
+const MAX_UNASKED = 200;
 
 /** Returns a positive number of a message; 0 if it is absent or invalid. */
 function toNumber(value: number | undefined): number {
@@ -293,7 +293,12 @@
     targetAt: now + question.targetMs,
     deadlineAt: now + question.remainingMs,
     endsAt: now + Math.max(question.remainingMs, toNumber(question.endsMs)),
-    unaskedCount: Math.min(MAX_UNASKED, toNumber(question.unaskedCount)),
+    unasked: (question.unasked ?? [])
+      .slice(0, MAX_UNASKED)
+      .map(({fingerprint: unaskedFingerprint, returnMs}) => ({
+        fingerprint: String(unaskedFingerprint),
+        returnAt: now + toNumber(returnMs),
+      })),
     prompt,
     fingerprint,
   };
--- a/packages/gateway/src/scheduling/schedulerQuery.ts
+++ b/packages/gateway/src/scheduling/schedulerQuery.ts
@@ -341,13 +341,19 @@
   held: Messages['placementWanted']['held'],
   now: number,
 ): Messages['placementWanted'] {
-  const {targetAt, deadlineAt, endsAt, unaskedCount, ...fields} = request;
+  const {targetAt, deadlineAt, endsAt, unasked, ...fields} = request;
   return {
     ...fields,
     targetMs: targetAt - now,
     remainingMs: deadlineAt - now,
     ...(endsAt !== undefined && endsAt > deadlineAt && {endsMs: endsAt - now}),
-    ...(unaskedCount && {unaskedCount}),
+    ...(unasked !== undefined &&
+      unasked.length > 0 && {
+        unasked: unasked.map(({fingerprint, returnAt}) => ({
+          fingerprint,
+          returnMs: returnAt - now,
+        })),
+      }),
     ...(held && {held}),
   };
 }
--- a/packages/protocol/src/messages/schedulingMessages.ts
+++ b/packages/protocol/src/messages/schedulingMessages.ts
@@ -73,7 +73,13 @@
     /** Time until a response that has begun has ended, if that is later. */
     readonly endsMs?: number | undefined;
     /** Similar requests that the sender has rejected without asking. */
-    readonly unaskedCount?: number | undefined;
+    readonly unasked?:
+      | readonly {
+          readonly fingerprint: string;
+          /** Time until the caller was told to return, in milliseconds. */
+          readonly returnMs: number;
+        }[]
+      | undefined;
     readonly prompt?:
       | {
           readonly ownTokens: number;
--- a/packages/protocol/src/test/replacedConnection.test.ts
+++ b/packages/protocol/src/test/replacedConnection.test.ts
@@ -109,6 +109,17 @@
     assert.deepEqual(outcome.value, body);
   });
 
+  // Guards against requests that wait for a decision which was sent over the previous connection and lost.
+  it('is announced, although the peer neither closed nor opened', async () => {
+    const changes: unknown[] = [];
+    await connect(1);
+    a.network.onDidChangePeer((peer, isOpen) => changes.push([peer, isOpen]));
+    a.network.onDidReplaceConnection(peer => changes.push(peer));
+    await connect(1);
+    await until(() => changes.length > 0, 'the replacement is announced');
+    assert.deepEqual(changes, ['x']);
+  });
+
   it('does not fail requests of the newer connection when the old one closes', async () => {
     // The old connection closes after a request was sent over the new one.
     // Failing that request too would abandon a call that is still running.
--- a/packages/scheduling/src/bookings.ts
+++ b/packages/scheduling/src/bookings.ts
@@ -7,7 +7,7 @@
  * most would be rejected again.
  */
 import type {Clock} from '@skylarkfield/base';
-import type {ClosedUrgency} from './contracts.js';
+import type {ClosedUrgency, UnaskedRequest} from './contracts.js';
 
 /** A request that is rejected. */
 export interface BookedRequest {
@@ -23,11 +23,18 @@
    */
   book(request: BookedRequest, freeFraction: number): number;
   /**
-   * Closes an urgency after a rejection. Books room of `costMs` for the callers
-   * that their entries reject meanwhile, whose number is expected to be the same
-   * as before this rejection.
+   * Closes an urgency after a rejection. Notes when the callers that were
+   * rejected without asking return, and books room for as many of them, each with
+   * `costMs`, since their number is expected to be the same after the rejection.
    */
-  close(urgency: number, costMs: number, freeFraction: number): ClosedUrgency;
+  close(
+    closing: {
+      readonly urgency: number;
+      readonly costMs: number;
+      readonly unasked: readonly UnaskedRequest[];
+    },
+    freeFraction: number,
+  ): ClosedUrgency;
   /**
    * Returns whether the request has a booking that is due, and removes the
    * booking.
@@ -135,12 +142,16 @@
       }
       return Math.ceil(freeAt - now);
     },
-    close(urgency, costMs, freeFraction) {
+    close({urgency, costMs, unasked}, freeFraction) {
       const now = clock.now();
+      for (const {fingerprint, returnAt} of unasked) {
+        add(fingerprint, returnAt);
+      }
       const fromAt = firstFreeAt();
       const lastAt = now + MAX_RETRY_AFTER_MS;
       const freeAt =
-        fromAt + costMs / Math.max(MIN_FREE_FRACTION, freeFraction);
+        fromAt +
+        (costMs * unasked.length) / Math.max(MIN_FREE_FRACTION, freeFraction);
       nextFreeAt = Math.min(freeAt, lastAt);
       const toAt = Math.min(
         lastAt,
--- a/packages/scheduling/src/contracts.ts
+++ b/packages/scheduling/src/contracts.ts
@@ -24,6 +24,13 @@
   readonly tokens: number;
 }
 
+/** A request that was rejected without asking the scheduler. */
+export interface UnaskedRequest {
+  readonly fingerprint: string;
+  /** Monotonic milliseconds at which the caller was told to return. */
+  readonly returnAt: number;
+}
+
 /** A request that asks for an endpoint. */
 export interface PlacementRequest {
   /** Unique among the requests of its asker. */
@@ -44,10 +51,10 @@
    */
   readonly endsAt?: number | undefined;
   /**
-   * Number of similar requests that the asker has rejected on its own since it
-   * last asked, because the urgency was closed.
+   * Similar requests that the asker has rejected on its own since it last asked,
+   * because the urgency was closed.
    */
-  readonly unaskedCount?: number | undefined;
+  readonly unasked?: readonly UnaskedRequest[] | undefined;
   /** Absent for a plain service. */
   readonly prompt?: Prompt | undefined;
   /** Equal for all attempts of a caller at the same request. */
--- a/packages/scheduling/src/serviceScheduler.ts
+++ b/packages/scheduling/src/serviceScheduler.ts
@@ -220,14 +220,16 @@
       isLate: false,
       isShort: waiting.isShort(request.urgency),
     });
-    const {urgency, prompt, unaskedCount = 0} = request;
+    const {urgency, prompt, unasked = []} = request;
     if (reason !== 'no-room' || prompt !== undefined) {
       // Requests to models differ too much to be rejected alike.
       return {type: 'rejected', reason, retryAfterMs};
     }
-    const unaskedCost = cost * unaskedCount;
-    demand.record(urgency, unaskedCost, false);
-    const closed = bookings.close(urgency, unaskedCost, freeFraction);
+    demand.record(urgency, cost * unasked.length, false);
+    const closed = bookings.close(
+      {urgency, costMs: cost, unasked},
+      freeFraction,
+    );
     return {type: 'rejected', reason, retryAfterMs, closed};
   }
 
