--- a/packages/scheduling/src/placements.ts
+++ b/packages/scheduling/src/placements.ts
@@ -53,9 +53,10 @@
     {request, cost, waitsSince}: WaitingRequest,
     reason: RejectionReason,
   ): PlacementDecision {
+    const freeFraction = BOOKABLE_FRACTION - demand.usualTotal();
     const retryAfterMs = bookings.book(
       {costMs: cost, fingerprint: request.fingerprint},
-      BOOKABLE_FRACTION - demand.usualTotal(),
+      freeFraction,
     );
     counts.rejected += 1;
     options.onDidDecide?.({
@@ -65,7 +66,17 @@
       isLate: false,
       isShort: waiting.isShort(request.urgency),
     });
-    return {type: 'rejected', reason, retryAfterMs};
+    const {urgency, prompt, unasked = []} = request;
+    if (reason !== 'no-room' || prompt !== undefined) {
+      // Requests to models differ too much to be rejected alike.
+      return {type: 'rejected', reason, retryAfterMs};
+    }
+    demand.record(urgency, cost * unasked.length, false);
+    const closed = bookings.close(
+      {urgency, costMs: cost, unasked},
+      freeFraction,
+    );
+    return {type: 'rejected', reason, retryAfterMs, closed};
   }
 
   function start(
@@ -82,7 +93,7 @@
       route,
       urgency,
       placedAt: now,
-      expiresAt: request.deadlineAt + EXPIRY_MARGIN_MS,
+      expiresAt: (request.endsAt ?? request.deadlineAt) + EXPIRY_MARGIN_MS,
       promptMs: prompt.promptMs,
       estimatedPromptMs: prompt.estimatedPromptMs,
       hasBegun: false,
