--- a/packages/gateway/src/endpoints/endpointDirectory.ts
+++ b/packages/gateway/src/endpoints/endpointDirectory.ts
@@ -329,11 +329,20 @@
   }
 }
 
+/**
+ * Keys of registrations. The mirror keeps the objects of registrations that do
+ * not change, so most keys are neither concatenated nor hashed anew when all
+ * registrations are applied.
+ */
+const keys = new WeakMap<RegisteredEndpoint, string>();
+
 /**
  * Returns the router key of an endpoint. It contains the start time: a process
  * that restarts under its old id has an empty cache, and the router must not
  * expect the cache of the earlier process.
  */
-function keyOf({id, bornAt}: RegisteredEndpoint): string {
-  return `${id}@${bornAt}`;
+function keyOf(endpoint: RegisteredEndpoint): string {
+  const key = keys.get(endpoint) ?? `${endpoint.id}@${endpoint.bornAt}`;
+  keys.set(endpoint, key);
+  return key;
 }
--- a/packages/routing/src/endpointPool.ts
+++ b/packages/routing/src/endpointPool.ts
@@ -102,49 +102,59 @@
     };
   }
 
-  function pickAssignedEndpoints(): Candidate[] {
+  function groupByPool(): ReadonlyMap<string, readonly Candidate[]> {
     const groups = new Map<string, Candidate[]>();
     for (const candidate of listedEndpoints) {
       const key = poolKey(candidate.service, candidate.version);
-      const group = groups.get(key) ?? [];
-      group.push(candidate);
-      groups.set(key, group);
-    }
-    return [...groups.values()].flatMap(group => {
-      if (options.usesAllEndpoints?.(group[0]!.service)) {
-        return group;
+      const group = groups.get(key);
+      if (group === undefined) {
+        groups.set(key, [candidate]);
+      } else {
+        group.push(candidate);
       }
-      const ids = group.map(({id}) => id);
-      const subset = pickSubset(self, entries, ids);
-      // With few entries and many endpoints an entry may be assigned no
-      // endpoint; it then uses all of them.
-      const assignedCandidates = group.filter(({id}) => subset.has(id));
-      return assignedCandidates.length > 0 ? assignedCandidates : group;
-    });
+    }
+    return groups;
+  }
+
+  function pickAssigned(group: readonly Candidate[]): readonly Candidate[] {
+    if (options.usesAllEndpoints?.(group[0]!.service)) {
+      return group;
+    }
+    const ids = group.map(({id}) => id);
+    const subset = pickSubset(self, entries, ids);
+    // With few entries and many endpoints an entry may be assigned no
+    // endpoint; it then uses all of them.
+    const assignedCandidates = group.filter(({id}) => subset.has(id));
+    return assignedCandidates.length > 0 ? assignedCandidates : group;
+  }
+
+  function toPooledEndpoint(candidate: Candidate): PooledEndpoint {
+    const existing = endpointsById.get(candidate.id);
+    // The same id on another host is a new process, to which neither the
+    // state nor the leaving mark of the old process applies.
+    const isSameProcess = existing?.candidate.host === candidate.host;
+    const endpoint =
+      existing && isSameProcess ? existing : createPooledEndpoint(candidate);
+    endpoint.candidate = candidate;
+    endpointsById.set(candidate.id, endpoint);
+    return endpoint;
   }
 
   function rebuildPools() {
-    const assignedCandidates = pickAssignedEndpoints();
-    const assignedIds = new Set(assignedCandidates.map(({id}) => id));
+    const assignedGroups = [...groupByPool()].map(
+      ([key, group]) => [key, pickAssigned(group)] as const,
+    );
+    const assignedIds = new Set(
+      assignedGroups.flatMap(([, group]) => group.map(({id}) => id)),
+    );
     for (const id of endpointsById.keys()) {
       if (!assignedIds.has(id)) {
         endpointsById.delete(id);
       }
     }
     pools.clear();
-    for (const candidate of assignedCandidates) {
-      const existing = endpointsById.get(candidate.id);
-      // The same id on another host is a new process, to which neither the
-      // state nor the leaving mark of the old process applies.
-      const isSameProcess = existing?.candidate.host === candidate.host;
-      const endpoint =
-        existing && isSameProcess ? existing : createPooledEndpoint(candidate);
-      endpoint.candidate = candidate;
-      endpointsById.set(candidate.id, endpoint);
-      const key = poolKey(candidate.service, candidate.version);
-      const pool = pools.get(key) ?? [];
-      pool.push(endpoint);
-      pools.set(key, pool);
+    for (const [key, group] of assignedGroups) {
+      pools.set(key, group.map(toPooledEndpoint));
     }
   }
 
