protocol: write the messages of one turn to a peer at once

Each message was one system call at the sender and one read at the receiver, also the several decisions that one end of a request brings about.

The stream of a connection is corked from the first message to the end of the turn of the event loop. A stream whose decision was lost until its caller left is rejected instead of queued at the entry.

--- a/packages/gateway/src/scheduling/schedulerClient.ts
+++ b/packages/gateway/src/scheduling/schedulerClient.ts
@@ -26,6 +26,13 @@
 /** Number of questions for one request. */
 const MAX_ASKED = 2;
 
+/** Answer to a request whose decision was lost until nobody waits for it. */
+const EXPIRED: ScheduledAnswer = {
+  type: 'rejected',
+  reason: 'waited-in-vain',
+  retryAfterMs: 1_000,
+};
+
 /**
  * Creates the client of one entry.
  *
@@ -133,8 +140,12 @@
       }
       const excluded = new Set<string>();
       for (let index = 0; index < MAX_ASKED; index++) {
+        if (index > 0 && clock.now() >= request.deadlineAt) {
+          // A stream's caller leaves long before the time limit of its route.
+          return EXPIRED;
+        }
         const scheduler = selection.next(request.service, excluded);
-        if (scheduler === undefined || clock.now() >= request.deadlineAt) {
+        if (scheduler === undefined) {
           break;
         }
         const answer = await ask(scheduler, request, signal, excluded);
--- a/packages/protocol/src/connection.ts
+++ b/packages/protocol/src/connection.ts
@@ -1,4 +1,5 @@
 /** Open WebSocket connection to a peer, after the handshake. */
+import type {Writable} from 'node:stream';
 import type {WebSocket, RawData} from 'ws';
 import {
   scheduleRepeatedly,
@@ -22,6 +23,9 @@
   lastMessageAt(): number;
 }
 
+/** Part of a stream that holds written data back to write it at once. */
+export type Corkable = Pick<Writable, 'cork' | 'uncork'>;
+
 /** WebSocket close code for a protocol violation. */
 const POLICY_VIOLATION = 1008;
 const NORMAL_CLOSURE = 1000;
@@ -36,6 +40,8 @@
  */
 export function wrapSocket(options: {
   readonly socket: WebSocket;
+  /** Stream that carries the socket's frames. */
+  readonly stream: Corkable | undefined;
   readonly peer: string;
   readonly incarnation: number;
   readonly isOutbound: boolean;
@@ -45,11 +51,12 @@
   onClose(connection: Connection): void;
   onViolation(connection: Connection, reason: string): void;
 }): Connection {
-  const {socket, clock, limits} = options;
+  const {socket, stream, clock, limits} = options;
   let lastMessageAt = clock.now();
   let lastReceivedAt = clock.now();
   let lastCheckAt = clock.now();
   const tokenBucket = createTokenBucket(limits, clock);
+  const corkTurn = createTurnCork(stream);
 
   const connection: Connection = {
     peer: options.peer,
@@ -65,6 +72,7 @@
         return false;
       }
       lastMessageAt = clock.now();
+      corkTurn();
       socket.send(bytes);
       return true;
     },
@@ -138,6 +146,25 @@
   return connection;
 }
 
+/**
+ * Returns a function to call before sending: it holds the messages of one turn of
+ * the event loop back, so that one system call writes all of them.
+ */
+function createTurnCork(stream: Corkable | undefined): () => void {
+  let isCorked = false;
+  return () => {
+    if (isCorked || stream === undefined) {
+      return;
+    }
+    isCorked = true;
+    stream.cork();
+    setImmediate(() => {
+      isCorked = false;
+      stream.uncork();
+    });
+  };
+}
+
 /** Token bucket that limits the rate of received messages. */
 function createTokenBucket(limits: NetworkLimits, clock: Clock) {
   let tokens = limits.messageBurst;
--- a/packages/protocol/src/handshakes.ts
+++ b/packages/protocol/src/handshakes.ts
@@ -2,7 +2,7 @@
 import type {WebSocket} from 'ws';
 import type {Clock, Disposable, Logger} from '@skylarkfield/base';
 import {HELLO_FRAME, decodeFrame, encodeFrame} from './codec.js';
-import type {Connection} from './connection.js';
+import type {Connection, Corkable} from './connection.js';
 import {PROTOCOL_VERSION} from './contracts.js';
 import {isSameKey, parseHello, type Hello} from './hello.js';
 
@@ -15,6 +15,8 @@
   readonly isOutbound: boolean;
   /** Id that the peer must have; undefined to accept any id. */
   readonly expectedId: string | undefined;
+  /** Returns the stream that carries the socket's frames. */
+  stream(): Corkable | undefined;
 }
 
 /** Runs the inbound and outbound handshakes of one entry. */
@@ -26,7 +28,7 @@
     onDone: HandshakeCallback,
   ): void;
   /** Starts the handshake on a socket that the peer opened. */
-  accept(socket: WebSocket): void;
+  accept(socket: WebSocket, stream: Corkable): void;
   /** Number of handshakes in progress. */
   count(): number;
 }
@@ -49,6 +51,7 @@
   /** Creates and registers the connection of a socket after a valid hello. */
   addConnection(
     socket: WebSocket,
+    stream: Corkable | undefined,
     peer: Hello,
     isOutbound: boolean,
   ): Connection;
@@ -130,19 +133,25 @@
       if (!isOutbound) {
         socket.send(encodeOwnHello(true));
       }
-      finish(options.addConnection(socket, hello, isOutbound));
+      finish(options.addConnection(socket, role.stream(), hello, isOutbound));
     });
   }
 
   return {
     dial(socket, expectedId, onDone) {
+      let stream: Corkable | undefined;
+      socket.once('upgrade', response => (stream = response.socket));
       socket.once('open', () => socket.send(encodeOwnHello(false)));
-      runHandshake(socket, {isOutbound: true, expectedId}, onDone);
+      runHandshake(
+        socket,
+        {isOutbound: true, expectedId, stream: () => stream},
+        onDone,
+      );
     },
-    accept: socket =>
+    accept: (socket, stream) =>
       runHandshake(
         socket,
-        {isOutbound: false, expectedId: undefined},
+        {isOutbound: false, expectedId: undefined, stream: () => stream},
         () => {},
       ),
     count: () => pendingSockets.size,
--- a/packages/protocol/src/innerListener.ts
+++ b/packages/protocol/src/innerListener.ts
@@ -58,7 +58,7 @@
   readonly log: Logger;
   /** Number of handshakes in progress. */
   handshakeCount(): number;
-  onSocket(socket: WebSocket): void;
+  onSocket(socket: WebSocket, stream: Duplex): void;
   /** Handler of requests that peers hand over; undefined if there is none. */
   requestHandler(): PeerRequestHandler | undefined;
   onReject(reason: string): void;
@@ -133,7 +133,9 @@
       stream.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
       return;
     }
-    webSocketServer.handleUpgrade(request, stream, head, options.onSocket);
+    webSocketServer.handleUpgrade(request, stream, head, socket =>
+      options.onSocket(socket, stream),
+    );
   });
 
   await new Promise<void>((resolve, reject) => {
--- a/packages/protocol/src/peerNetwork.ts
+++ b/packages/protocol/src/peerNetwork.ts
@@ -8,7 +8,7 @@
   type Logger,
   type Random,
 } from '@skylarkfield/base';
-import {wrapSocket, type Connection} from './connection.js';
+import {wrapSocket, type Connection, type Corkable} from './connection.js';
 import type {PeerNetwork} from './contracts.js';
 import {createDispatcher, notConnectedError} from './dispatcher.js';
 import type {Hello} from './hello.js';
@@ -81,11 +81,13 @@
 
   function addConnection(
     socket: WebSocket,
+    stream: Corkable | undefined,
     peer: Hello,
     isOutbound: boolean,
   ): Connection {
     const connection = wrapSocket({
       socket,
+      stream,
       peer: peer.id,
       incarnation: peer.incarnation,
       isOutbound,
