gateway: schedule services of few slots by default

Cause: entries that decide alone hold an equal part of the slots, less than one with 64 entries, and choose engines by reports of others that are older than a prompt takes. Change: `scheduling.mode` is `all` unless set. It applies to services whose endpoints have at most 12 slots.

--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -94,7 +94,7 @@
   scheduling: z
     .strictObject({
       /** Kinds of services that are scheduled. */
-      mode: z.enum(['off', 'plain', 'all']).default('off'),
+      mode: z.enum(['off', 'plain', 'all']).default('all'),
       /** Largest number of slots per endpoint of scheduled services. */
       mostSlots: z.number().int().min(1).max(10_000).default(12),
     })
