gateway: ask again when an answer follows a replaced connection

An answer that a request is queued could arrive over the previous connection after the scheduler had dropped the request with it; the caller then waited until its time limit. Such a request is withdrawn and asked for again.

Found by reading, not by a run; the tests of the exchange pass.

--- a/packages/gateway/src/scheduling/schedulerQuery.ts
+++ b/packages/gateway/src/scheduling/schedulerQuery.ts
@@ -201,9 +201,14 @@
       }
       return isReplaced ? LOST_CONNECTION : LOST;
     }
-    if (isReplaced) {
-      // The scheduler may have dropped the placement with the connection.
-      activePlacements.forgetScheduler(scheduler);
+    if (!isReplaced) {
+      return answer.response;
+    }
+    // The scheduler may have dropped the request with the connection.
+    activePlacements.forgetScheduler(scheduler);
+    if (answer.response.type === 'queued') {
+      activePlacements.withdraw(request, scheduler);
+      return LOST_CONNECTION;
     }
     return answer.response;
   }
