--- a/packages/gateway/src/scheduling/activePlacements.ts
+++ b/packages/gateway/src/scheduling/activePlacements.ts
@@ -13,8 +13,11 @@
     scheduler: string,
     endpoint: string,
   ): Placement;
-  /** Withdraws a request that is queued, or whose placement is not used. */
-  withdraw(request: ScheduledRequest, scheduler: string): void;
+  /**
+   * Withdraws a request that is queued, or whose placement is not used; returns
+   * whether the message was sent.
+   */
+  withdraw(request: ScheduledRequest, scheduler: string): boolean;
   /**
    * Returns the requests in progress for an entry that has not been told them;
    * undefined if it has.
@@ -69,13 +72,13 @@
       Messages['placementEnded'],
       'outcome' | 'tookMs' | 'endpoint' | 'began'
     >,
-  ): void {
+  ): boolean {
     const message = {service, version, id, ...end};
     if (scheduler === self) {
       host.end(self, message);
-      return;
+      return true;
     }
-    network.send(scheduler, 'placementEnded', message);
+    return network.send(scheduler, 'placementEnded', message);
   }
 
   function end(
--- a/packages/gateway/src/scheduling/schedulerQuery.ts
+++ b/packages/gateway/src/scheduling/schedulerQuery.ts
@@ -66,6 +66,13 @@
   resolve(result: QueryResult): void;
 }
 
+/** State when a question was asked. */
+interface QuestionStart {
+  readonly askedAt: number;
+  /** Number of the peer's connections that had been replaced. */
+  readonly replacedBefore: number;
+}
+
 type PeerAnswer =
   | {readonly type: 'answered'; readonly response: PlacementResponse}
   | {readonly type: 'late'}
@@ -148,15 +155,16 @@
   function handleLate(
     scheduler: string,
     request: ScheduledRequest,
-    askedAt: number,
+    {askedAt, replacedBefore}: QuestionStart,
     response: Promise<PlacementResponse>,
   ): void {
     const {service} = request;
-    activePlacements.withdraw(request, scheduler);
+    const isWithdrawn = activePlacements.withdraw(request, scheduler);
     response.then(
-      late => {
-        // The withdrawal may have overtaken the question on a new connection.
-        if (late.type === 'placed' || late.type === 'queued') {
+      () => {
+        // The withdrawal follows the question, unless there was no connection yet
+        // or the question went over a previous one.
+        if (!isWithdrawn || replacementCount(scheduler) !== replacedBefore) {
           activePlacements.withdraw(request, scheduler);
         }
       },
@@ -191,7 +199,7 @@
       activePlacements.forgetScheduler(scheduler);
     }
     if (answer.type === 'late') {
-      handleLate(scheduler, request, askedAt, response);
+      handleLate(scheduler, request, {askedAt, replacedBefore}, response);
       return LOST;
     }
     if (answer.type === 'failed') {
