gateway: take no removals of few-slot endpoints for reclaims

Cause: reclaimable endpoints that drain mark their failure domain as reclaimed. Where the platform shows removed endpoints as draining, each removal by the plan itself did so too: removals stopped for 15 s and on-demand endpoints were ordered against a further loss.

Change: for engines with few slots a failure domain counts as reclaimed if at least four of five of its reclaimable endpoints drain, as reclaims take all at once. Other services are planned as before.

--- a/packages/gateway/src/process/fleetDuty.ts
+++ b/packages/gateway/src/process/fleetDuty.ts
@@ -111,10 +111,12 @@
   }
 
   /**
-   * Marks failure domains with draining reclaimable endpoints as scarce: such
-   * endpoints indicate that capacity is being reclaimed there.
+   * Marks failure domains with draining reclaimable endpoints as scarce, if
+   * enough drain: such endpoints indicate that capacity is being reclaimed
+   * there.
    */
-  function recordReclaims(service: string): void {
+  function recordReclaims(service: string, kind: PlanningKind): void {
+    const drainingCounts = new Map<string, number>();
     for (const endpoint of directory.endpointsOf(service)) {
       const {failureDomain, isReclaimable, state} = endpoint;
       if (
@@ -122,7 +124,15 @@
         state === 'draining' &&
         !directory.isDrained(failureDomain)
       ) {
-        markScarce(service, failureDomain);
+        const count = drainingCounts.get(failureDomain) ?? 0;
+        drainingCounts.set(failureDomain, count + 1);
+      }
+    }
+    const {minDrainingPerReady} = planningRules(kind);
+    for (const [domain, drainingCount] of drainingCounts) {
+      const readyCount = countReadyInMarket(service, domain, 'reclaimable');
+      if (drainingCount >= minDrainingPerReady * readyCount) {
+        markScarce(service, domain);
         removalHold.recordReclaim(service);
       }
     }
@@ -308,12 +318,12 @@
       return;
     }
     const fleet = withoutDomains(configuredFleet, directory.isDrained);
-    recordReclaims(name);
-    await probeScarceDomains(name, fleet);
     const estimated = {
       kind: options.planningKind(service),
       bootMs: fleet.bootMs,
     };
+    recordReclaims(name, estimated.kind);
+    await probeScarceDomains(name, fleet);
     const signals = options.demandSignals(name);
     const needed = updateNeed(name, estimated, signals);
     const readyCountByScarceDomain = countReadyInScarceDomains(
--- a/packages/gateway/src/process/test/fleetPlay.test.ts
+++ b/packages/gateway/src/process/test/fleetPlay.test.ts
@@ -37,6 +37,16 @@
   assert.ok(costRatio < 0.88, `${costRatio}`);
 });
 
+// Endpoints that the plan removed while the load fell were taken for reclaimed
+// ones: no endpoint was removed for 15 s, and on-demand ones were ordered.
+it('does not take its own removals for reclaims', async () => {
+  const visible = await playDay(QUIET_DAY);
+  const hidden = await playDay({...QUIET_DAY, showsRemovals: false});
+  const ratio = visible.cost / hidden.cost;
+  assert.ok(ratio < 1.01, `${ratio}`);
+  assert.ok(visible.shortMs <= hidden.shortMs, `${visible.shortMs}`);
+});
+
 // Endpoints on demand per second, and reclaimable ones, by the code before
 // planning by kinds: a service of 48 slots on a day of reclaims and lateness.
 it('plans services with many slots as before', async () => {
--- a/packages/traffic/src/planningRules.ts
+++ b/packages/traffic/src/planningRules.ts
@@ -30,6 +30,12 @@
    * register over some seconds.
    */
   removalDelayMs(bootMs: number): number;
+  /**
+   * Minimum draining endpoints per ready endpoint among the reclaimable ones of
+   * a failure domain from which on they count as reclaimed. Reclaims take all
+   * of a domain at once; fewer drain when the plan removes some.
+   */
+  readonly minDrainingPerReady: number;
 }
 
 const GENERAL_REMOVAL_DELAY_MS = 5_000;
@@ -39,6 +45,7 @@
     initialFleetWindowMs: () => Infinity,
     initialFraction: 0.6,
     removalDelayMs: () => GENERAL_REMOVAL_DELAY_MS,
+    minDrainingPerReady: 0,
   },
   fewSlots: {
     initialFleetWindowMs: bootMs => bootMs,
@@ -47,6 +54,7 @@
     initialFraction: 0.8,
     // Reclaimable endpoints replace the initial ones from then on.
     removalDelayMs: bootMs => Math.min(bootMs, GENERAL_REMOVAL_DELAY_MS),
+    minDrainingPerReady: 4,
   },
 };
 
