traffic: plan fewer on-demand endpoints where engines have few slots

Cause: a quarter of the usual need was on demand, at four to five times the price of reclaimable endpoints, as a base for reclaims of several failure domains within seconds.

Change: for engines with few slots a tenth is on demand. While all failure domains, at least three, offer reclaimable endpoints, these are a reserve: 0.75 of the brief need remains when two domains lose theirs. The loss of one domain is covered as before.

--- a/packages/gateway/src/process/fleetDuty.ts
+++ b/packages/gateway/src/process/fleetDuty.ts
@@ -334,6 +334,7 @@
       config: fleet,
       needed,
       scarce: readyCountByScarceDomain,
+      kind: estimated.kind,
     });
     const newOrders = ordersFor(
       name,
--- a/packages/gateway/src/process/test/fleetPlay.test.ts
+++ b/packages/gateway/src/process/test/fleetPlay.test.ts
@@ -47,6 +47,19 @@
   assert.ok(visible.shortMs <= hidden.shortMs, `${visible.shortMs}`);
 });
 
+// A quarter of the need was on demand, at four to five times the price, for
+// reclaims of several failure domains within seconds.
+it('pays less for the reserve and loses no more in reclaims', async () => {
+  for (const load of [0.75, 1]) {
+    for (const reclaims of [[], RECLAIM_WAVE.slice(0, 1), RECLAIM_WAVE]) {
+      const {fewSlots, general, costRatio} = await playBoth({load, reclaims});
+      assert.ok(costRatio < 0.93, `${costRatio}`);
+      assert.ok(fewSlots.shortMs <= general.shortMs, `${fewSlots.shortMs}`);
+      assert.ok(fewSlots.shortSeconds <= general.shortSeconds);
+    }
+  }
+});
+
 // Endpoints on demand per second, and reclaimable ones, by the code before
 // planning by kinds: a service of 48 slots on a day of reclaims and lateness.
 it('plans services with many slots as before', async () => {
--- a/packages/traffic/src/fleetPlan.ts
+++ b/packages/traffic/src/fleetPlan.ts
@@ -9,8 +9,12 @@
  * replacements have started. If reclaimable endpoints are not available,
  * on-demand endpoints cover the brief need, also after a further loss, but not
  * the usual need, which is not worth their price.
+ *
+ * For engines with few slots the base is smaller, and further reclaimable
+ * endpoints are the reserve for a second failure domain lost within seconds.
  */
 import type {FleetConfig} from './contracts.js';
+import {planningRules, type PlanningKind} from './planningRules.js';
 
 /** Endpoints of one service in one failure domain. */
 export interface DomainFleet {
@@ -38,10 +42,15 @@
    * domains that offer no further ones.
    */
   readonly scarce: ReadonlyMap<string, number>;
+  /** Kind of the service; `general` if absent. */
+  readonly kind?: PlanningKind;
 }
 
-/** Fraction of the usual need that on-demand endpoints cover. */
-const ON_DEMAND_FRACTION = 0.25;
+/**
+ * Minimum number of failure domains for a reserve for two losses. With two,
+ * only on-demand endpoints would remain.
+ */
+const MIN_DOMAINS_FOR_SECOND_LOSS = 3;
 
 const SECOND_MS = 1_000;
 
@@ -67,7 +76,13 @@
  * @example
  * const plan = planFleet({config, needed: {usual: 4, brief: 3}, scarce: new Map()});
  */
-export function planFleet({config, needed, scarce}: FleetPlanInput): FleetPlan {
+export function planFleet({
+  config,
+  needed,
+  scarce,
+  kind = 'general',
+}: FleetPlanInput): FleetPlan {
+  const {onDemandFraction, secondLossFraction} = planningRules(kind);
   const domains = Object.keys(config.prices).sort(
     (a, b) => config.prices[a]! - config.prices[b]!,
   );
@@ -100,24 +115,41 @@
   }
 
   /**
-   * Returns the number of endpoints that remain after the failure domain with
-   * the most reclaimable endpoints loses them.
+   * Returns the number of endpoints that remain after the failure domains with
+   * the most reclaimable endpoints lose them.
    */
-  function minTotalAfterLoss(): number {
-    const reclaimableCounts = [...fleetsByDomain.values()].map(
-      ({reclaimable}) => reclaimable,
+  function minTotalAfterLoss(lostDomainCount = 1): number {
+    const lostCount = [...fleetsByDomain.values()]
+      .map(({reclaimable}) => reclaimable)
+      .sort((a, b) => b - a)
+      .slice(0, lostDomainCount)
+      .reduce((sum, count) => sum + count, 0);
+    return fleetTotal() - lostCount;
+  }
+
+  // After a first loss, endpoints ordered now may be ready before the next one,
+  // and a reserve in the remaining domains would cost the most.
+  const coversSecondLoss =
+    domains.length >= MIN_DOMAINS_FOR_SECOND_LOSS &&
+    domains.every(canAddReclaimable);
+
+  function isCovered(): boolean {
+    return (
+      fleetTotal() >= needed.usual &&
+      minTotalAfterLoss() >= needed.brief &&
+      (!coversSecondLoss ||
+        minTotalAfterLoss(2) >= needed.brief * secondLossFraction)
     );
-    return fleetTotal() - Math.max(0, ...reclaimableCounts);
   }
 
-  addOnDemand(Math.max(1, Math.round(needed.usual * ON_DEMAND_FRACTION)));
+  addOnDemand(Math.max(1, Math.round(needed.usual * onDemandFraction)));
   for (const domain of domains) {
     const missingCount = config.least - domainTotal(domain);
     if (missingCount > 0 && canAddReclaimable(domain)) {
       fleetsByDomain.get(domain)!.reclaimable += missingCount;
     }
   }
-  while (minTotalAfterLoss() < needed.brief || fleetTotal() < needed.usual) {
+  while (!isCovered()) {
     const domain = domains
       .filter(
         name => canAddReclaimable(name) && domainTotal(name) < config.most,
--- a/packages/traffic/src/planningRules.ts
+++ b/packages/traffic/src/planningRules.ts
@@ -36,6 +36,13 @@
    * of a domain at once; fewer drain when the plan removes some.
    */
   readonly minDrainingPerReady: number;
+  /** Fraction of the usual need that on-demand endpoints cover. */
+  readonly onDemandFraction: number;
+  /**
+   * Fraction of the brief need that must remain when two failure domains lose
+   * their reclaimable endpoints, while every domain offers further ones.
+   */
+  readonly secondLossFraction: number;
 }
 
 const GENERAL_REMOVAL_DELAY_MS = 5_000;
@@ -46,6 +53,8 @@
     initialFraction: 0.6,
     removalDelayMs: () => GENERAL_REMOVAL_DELAY_MS,
     minDrainingPerReady: 0,
+    onDemandFraction: 0.25,
+    secondLossFraction: 0,
   },
   fewSlots: {
     initialFleetWindowMs: bootMs => bootMs,
@@ -55,6 +64,10 @@
     // Reclaimable endpoints replace the initial ones from then on.
     removalDelayMs: bootMs => Math.min(bootMs, GENERAL_REMOVAL_DELAY_MS),
     minDrainingPerReady: 4,
+    // An on-demand endpoint costs as much as four to five reclaimable ones. On
+    // four domains these cover a second loss at about half the price.
+    onDemandFraction: 0.1,
+    secondLossFraction: 0.75,
   },
 };
 
