traffic: bound what lateness adds to the need of engines with few slots

Cause: while a fifth of the requests is late, the need was a quarter more than the present endpoints. These include the reserve for a lost failure domain, so the need, usual and brief, doubled within a few plans, also where lateness came from routing and no endpoint cures it.

Change: where slots are counted, lateness raises both needs in proportion, to at most 1.5 times that of work and slots.

--- a/packages/gateway/src/process/test/fleetPlay.test.ts
+++ b/packages/gateway/src/process/test/fleetPlay.test.ts
@@ -34,7 +34,7 @@
 // the first work, from 47 to 78 of 78 initial endpoints.
 it('pays less for the time before the first request', async () => {
   const {costRatio} = await playBoth({lengthMs: TRAFFIC_START_MS});
-  assert.ok(costRatio < 0.88, `${costRatio}`);
+  assert.ok(costRatio < 0.87, `${costRatio}`);
 });
 
 // Endpoints that the plan removed while the load fell were taken for reclaimed
@@ -60,6 +60,23 @@
   }
 });
 
+// Requests are late for a cause that endpoints do not cure, such as routing. The
+// need then rose by a quarter of the present endpoints, reserve included, at
+// each plan, up to twice the work. Bursts must still find the endpoints that
+// they find on a day without lateness.
+it('pays less for lateness and still covers bursts', async () => {
+  for (const load of [0.75, 1]) {
+    for (const reclaims of [[], RECLAIM_WAVE.slice(0, 1), RECLAIM_WAVE]) {
+      const play = {load, reclaims, latePartAt: lateHalfTheTime};
+      const {fewSlots, costRatio} = await playBoth(play);
+      const {general: onTime} = await playBoth({load, reclaims});
+      assert.ok(costRatio < 0.75, `${costRatio}`);
+      assert.ok(fewSlots.shortMs <= onTime.shortMs, `${fewSlots.shortMs}`);
+      assert.ok(fewSlots.shortSeconds <= onTime.shortSeconds);
+    }
+  }
+});
+
 // Endpoints on demand per second, and reclaimable ones, by the code before
 // planning by kinds: a service of 48 slots on a day of reclaims and lateness.
 it('plans services with many slots as before', async () => {
--- a/packages/traffic/src/demandEstimator.ts
+++ b/packages/traffic/src/demandEstimator.ts
@@ -10,7 +10,8 @@
  * If the engine speed is overestimated, requests are late. While many requests
  * are late, the need is higher than the number of present endpoints, but at
  * most `MAX_SCALE_UP_OVER_WORK` times the need due to work and slots. It does
- * not fall for `SCALE_DOWN_WINDOW_MS` after that.
+ * not fall for `SCALE_DOWN_WINDOW_MS` after that. For engines with few slots
+ * the planning rules bound it further.
  */
 import type {Clock} from '@skylarkfield/base';
 import type {TargetUtilization} from '@skylarkfield/capacity';
@@ -170,10 +171,27 @@
       needFromLateness(signals),
       usual * MAX_SCALE_UP_OVER_WORK,
     );
+    const computedAtMs = clock.now();
+    if (
+      signals.slotDemand === undefined ||
+      rules.maxScaleUpOverSlots === undefined
+    ) {
+      return {
+        computedAtMs,
+        usual: Math.max(usual, lateNeed),
+        brief: Math.max(brief, lateNeed),
+      };
+    }
+    // Both needs rise alike, so that the reserve for a lost failure domain
+    // keeps its proportion.
+    const factor = Math.max(
+      1,
+      Math.min(rules.maxScaleUpOverSlots, lateNeed / usual),
+    );
     return {
-      computedAtMs: clock.now(),
-      usual: Math.max(usual, lateNeed),
-      brief: Math.max(brief, lateNeed),
+      computedAtMs,
+      usual: Math.ceil(usual * factor),
+      brief: Math.ceil(brief * factor),
     };
   }
 
--- a/packages/traffic/src/planningRules.ts
+++ b/packages/traffic/src/planningRules.ts
@@ -43,6 +43,12 @@
    * their reclaimable endpoints, while every domain offers further ones.
    */
   readonly secondLossFraction: number;
+  /**
+   * Upper bound of the need due to late requests, as a multiple of the need due
+   * to work and slots, while slots are counted. Absent if lateness raises the
+   * need without regard to slots.
+   */
+  readonly maxScaleUpOverSlots?: number;
 }
 
 const GENERAL_REMOVAL_DELAY_MS = 5_000;
@@ -68,6 +74,9 @@
     // four domains these cover a second loss at about half the price.
     onDemandFraction: 0.1,
     secondLossFraction: 0.75,
+    // Lowers the planned fill of the slots from 0.55 to 0.37. Requests that are
+    // late at a lower fill wait for something else than a slot.
+    maxScaleUpOverSlots: 1.5,
   },
 };
 
