traffic: keep 0.9 of the initial fleet where engines have few slots

Cause: with 0.8 of it, a failure domain lost 5 s after the first request left too few endpoints for the next burst for 3.5 s, against 1.0 s by the general rules: the smoothed work rate has not risen by then.

Change: 0.9 of the initial fleet until the work rate is known.

--- a/packages/traffic/src/planningRules.ts
+++ b/packages/traffic/src/planningRules.ts
@@ -64,9 +64,10 @@
   },
   fewSlots: {
     initialFleetWindowMs: bootMs => bootMs,
-    // With 0.6 of the initial fleet, a loss of two failure domains 2 s after
-    // the first request left too few endpoints for 7.0 s instead of 3.5 s.
-    initialFraction: 0.8,
+    // With 0.8 of the initial fleet, the loss of a failure domain 5 s after the
+    // first request left too few for a burst for 3.5 s, and for 1.0 s by the
+    // general rules. Most of the fleet is reclaimable by then.
+    initialFraction: 0.9,
     // Reclaimable endpoints replace the initial ones from then on.
     removalDelayMs: bootMs => Math.min(bootMs, GENERAL_REMOVAL_DELAY_MS),
     minDrainingPerReady: 4,
