--- a/packages/traffic/src/planningRules.ts
+++ b/packages/traffic/src/planningRules.ts
@@ -30,6 +30,25 @@
    * register over some seconds.
    */
   removalDelayMs(bootMs: number): number;
+  /**
+   * Minimum draining endpoints per ready endpoint among the reclaimable ones of
+   * a failure domain from which on they count as reclaimed. Reclaims take all
+   * of a domain at once; fewer drain when the plan removes some.
+   */
+  readonly minDrainingPerReady: number;
+  /** Fraction of the usual need that on-demand endpoints cover. */
+  readonly onDemandFraction: number;
+  /**
+   * Fraction of the brief need that must remain when two failure domains lose
+   * their reclaimable endpoints, while every domain offers further ones.
+   */
+  readonly secondLossFraction: number;
+  /**
+   * Upper bound of the need due to late requests, as a multiple of the need due
+   * to work and slots, while slots are counted. Absent if lateness raises the
+   * need without regard to slots.
+   */
+  readonly maxScaleUpOverSlots?: number;
 }
 
 const GENERAL_REMOVAL_DELAY_MS = 5_000;
@@ -39,14 +58,26 @@
     initialFleetWindowMs: () => Infinity,
     initialFraction: 0.6,
     removalDelayMs: () => GENERAL_REMOVAL_DELAY_MS,
+    minDrainingPerReady: 0,
+    onDemandFraction: 0.25,
+    secondLossFraction: 0,
   },
   fewSlots: {
     initialFleetWindowMs: bootMs => bootMs,
-    // With 0.6 of the initial fleet, a loss of two failure domains 2 s after
-    // the first request left too few endpoints for 7.0 s instead of 3.5 s.
-    initialFraction: 0.8,
+    // With 0.8 of the initial fleet, the loss of a failure domain 5 s after the
+    // first request left too few for a burst for 3.5 s, and for 1.0 s by the
+    // general rules. Most of the fleet is reclaimable by then.
+    initialFraction: 0.9,
     // Reclaimable endpoints replace the initial ones from then on.
     removalDelayMs: bootMs => Math.min(bootMs, GENERAL_REMOVAL_DELAY_MS),
+    minDrainingPerReady: 4,
+    // An on-demand endpoint costs as much as four to five reclaimable ones. On
+    // four domains these cover a second loss at about half the price.
+    onDemandFraction: 0.1,
+    secondLossFraction: 0.75,
+    // Lowers the planned fill of the slots from 0.55 to 0.37. Requests that are
+    // late at a lower fill wait for something else than a slot.
+    maxScaleUpOverSlots: 1.5,
   },
 };
 
