scheduling: compute the gap between ends only where it is needed

Cause: each request summed over all running requests for the rule on slow hosts, which model services do not use and plain ones seldom need. Change: the wait is passed as a function.

--- a/packages/scheduling/src/endpointChoice.ts
+++ b/packages/scheduling/src/endpointChoice.ts
@@ -10,12 +10,12 @@
   /**
    * Returns the best endpoint with room; undefined if there is none, or if its
    * host is slow for the moment and another endpoint is expected to answer sooner
-   * after a wait of `waitMs`.
+   * after a wait of `waitMs()`.
    */
   choose(
     request: PlacementRequest,
     loads: Iterable<EndpointLoad>,
-    waitMs: number,
+    waitMs: () => number,
   ): EndpointLoad | undefined;
 }
 
@@ -52,7 +52,7 @@
  * Creates the choice among the endpoints of one service.
  *
  * @example
- * const load = endpointChoice.choose(request, loads, 0);
+ * const load = endpointChoice.choose(request, loads, () => 0);
  */
 export function createEndpointChoice({
   routeTimes,
@@ -111,7 +111,7 @@
       const slowness = best.passingSlowness();
       const isWaitingBetter =
         slowness >= fastest * SLOW &&
-        waitMs + firstMs * fastest < firstMs * slowness;
+        waitMs() + firstMs * fastest < firstMs * slowness;
       return isWaitingBetter ? undefined : best;
     },
   };
--- a/packages/scheduling/src/placements.ts
+++ b/packages/scheduling/src/placements.ts
@@ -9,11 +9,12 @@
 export interface Placements {
   /**
    * Decides on a request that may start now; undefined if it has to wait. A
-   * faster endpoint is expected to be free after `waitMs`.
+   * faster endpoint is expected to be free after `waitMs()`, which is linear in
+   * the running requests and seldom needed.
    */
   place(
     entry: WaitingRequest,
-    waitMs: number,
+    waitMs: () => number,
     isLate: boolean,
   ): PlacementDecision | undefined;
   reject(entry: WaitingRequest, reason: RejectionReason): PlacementDecision;
@@ -41,7 +42,7 @@
  * Creates the placements of one scheduler.
  *
  * @example
- * const decision = placements.place(entry, 0, false);
+ * const decision = placements.place(entry, () => 0, false);
  */
 export function createPlacements(state: SchedulerState): Placements {
   const {options, loads, running, waiting, demand, bookings, counts} = state;
--- a/packages/scheduling/src/serviceScheduler.ts
+++ b/packages/scheduling/src/serviceScheduler.ts
@@ -92,7 +92,8 @@
         return;
       }
       // A slow endpoint helps once the others cannot serve all that wait.
-      const waitMs = Math.max(expectations.endGapMs(), waiting.timelyCost());
+      const waitMs = () =>
+        Math.max(expectations.endGapMs(), waiting.timelyCost());
       const isLate = waiting.isLate(next);
       const decision = placements.place(next, waitMs, isLate);
       if (decision === undefined) {
@@ -200,7 +201,7 @@
     if (waiting.hasUpTo(entry.urgency)) {
       return undefined;
     }
-    const decision = placements.place(entry, expectations.endGapMs(), false);
+    const decision = placements.place(entry, expectations.endGapMs, false);
     if (decision?.type === 'placed' && entry.request.prompt !== undefined) {
       waiting.countStart(entry.urgency);
     }
