scheduling: announce a decision on model requests by their target

Cause: a queued request to an engine is decided before its target, but the announced time was up to 4 targets later, for which an asker waits if its scheduler is cut off. A request with a deadline before its target was not rejected at the deadline. Change: model requests are held until their target or deadline at most, and no request beyond the time that was announced.

--- a/packages/scheduling/src/serviceScheduler.ts
+++ b/packages/scheduling/src/serviceScheduler.ts
@@ -38,13 +38,6 @@
 /** Maximum number of waiting requests; more are rejected. */
 const MAX_WAITING = 4_000;
 
-/**
- * Time without data after which callers leave a stream: two seconds or four
- * times the latency target, whichever is longer.
- */
-const MIN_HOLD_MS = 2_000;
-const HOLD_TARGETS = 4;
-
 /**
  * Creates the scheduler of one service, without endpoints.
  *
@@ -120,7 +113,10 @@
   /** Rejects or demotes requests that can no longer be served as expected. */
   function checkWaiting(): void {
     for (const entry of waiting.timely()) {
-      if (expectations.canMeetTarget(entry, 0)) {
+      if (
+        clock.now() < entry.heldUntil &&
+        expectations.canMeetTarget(entry, 0)
+      ) {
         continue;
       }
       if (mayWaitLate(entry)) {
@@ -139,8 +135,7 @@
   }
 
   /**
-   * Whether a request that misses its target may wait. One to an engine may not:
-   * its caller leaves before the deadline, and engines order their own queues.
+   * Whether a request that misses its target may wait; one to an engine may not.
    */
   function mayWaitLate(entry: WaitingRequest): boolean {
     return (
@@ -165,14 +160,13 @@
     });
   }
 
-  /** Returns the time until which the caller of a request waits for data. */
+  /**
+   * Returns the time until which a request may wait. The caller of a stream leaves
+   * some targets after its request, and an engine queues requests by itself, so
+   * one to an engine does not wait beyond its target.
+   */
   function heldUntil({prompt, targetAt, deadlineAt}: PlacementRequest): number {
-    if (prompt === undefined) {
-      return deadlineAt;
-    }
-    const now = clock.now();
-    const holdMs = Math.max(MIN_HOLD_MS, (targetAt - now) * HOLD_TARGETS);
-    return Math.min(deadlineAt, now + holdMs);
+    return prompt === undefined ? deadlineAt : Math.min(targetAt, deadlineAt);
   }
 
   function toWaiting(
