scheduling: keep learning when prompt estimates contradict measurements

Cause: by reading the code: a fitted slope of 0 gave prompts no time, so that their begins were not recorded and the fit could never change again. A time that is not a number, from token counts that a peer sends, would have sent all requests to one engine.

--- a/packages/scheduling/src/endpointLoad.ts
+++ b/packages/scheduling/src/endpointLoad.ts
@@ -233,10 +233,10 @@
     promptWaitMs: backlog.waitMs,
     promptBacklogMs: backlog.totalMs,
     add(request) {
-      const {urgency, promptMs, hasBegun} = request;
+      const {urgency, estimatedPromptMs, hasBegun} = request;
       countByUrgency[urgency] = countByUrgency[urgency]! + 1;
       running.add(request);
-      if (promptMs > 0 && !hasBegun) {
+      if (estimatedPromptMs > 0 && !hasBegun) {
         backlog.add(request);
       }
     },
--- a/packages/scheduling/src/engineChoice.ts
+++ b/packages/scheduling/src/engineChoice.ts
@@ -83,13 +83,19 @@
 }): EngineChoice {
   const {routeTimes, prefixes, estimates, random, promptTime} = options;
 
+  /** Returns the estimated time of a prompt; peers send its token counts. */
+  function estimatedMs(prompt: Prompt, cachedTokens: number): number {
+    const timeMs = promptTime(prompt, cachedTokens);
+    return Number.isFinite(timeMs) ? Math.max(0, timeMs) : 0;
+  }
+
   function evaluate(
     load: EndpointLoad,
     urgency: number,
     prompt: Prompt,
   ): ChosenEngine {
     const cachedTokens = prefixes.cachedTokens(load.endpoint.id, prompt);
-    const estimatedPromptMs = promptTime(prompt, cachedTokens);
+    const estimatedPromptMs = estimatedMs(prompt, cachedTokens);
     const slowness = load.engineSlowness();
     const waitMs = load.promptWaitMs(urgency);
     return {
@@ -112,7 +118,9 @@
     const overtakenMs = load.promptBacklogMs() - waitMs;
     const recomputedMs = Math.max(0, promptMs - ownMs * slowness);
     const fillMs =
-      (load.running.size / slots) * routeTimes.timeOf(route).holdMs * slowness;
+      (load.running.size / slots) *
+      routeTimes.estimateOf(route).holdMs *
+      slowness;
     return (
       firstMs +
       overtakenMs * OVERTAKEN_WEIGHT +
@@ -137,7 +145,7 @@
           ? free
           : usable.filter(load => mayPreempt && load.canPreempt(urgency));
       const sharedTokens = prompt.promptTokens - prompt.ownTokens;
-      const ownMs = estimates.promptMs(promptTime(prompt, sharedTokens));
+      const ownMs = estimates.promptMs(estimatedMs(prompt, sharedTokens));
       let cheapest: ChosenEngine | undefined;
       let first: ChosenEngine | undefined;
       let leastMs = Infinity;
--- a/packages/scheduling/src/lineFit.ts
+++ b/packages/scheduling/src/lineFit.ts
@@ -17,9 +17,15 @@
 /** Minimum variance of x relative to its square, for a slope of its own. */
 const MIN_RELATIVE_VARIANCE = 0.05;
 
+/**
+ * Minimum slope, as a fraction of the mean ratio of y to x: a larger x must not
+ * seem free because samples happen to contradict it.
+ */
+const MIN_SLOPE_FRACTION = 0.1;
+
 /**
  * Creates a line with slope 1 through the origin, and without samples. The base
- * and the slope are never negative.
+ * is never negative, the slope is positive.
  *
  * @example
  * fit.add(116, 240);
@@ -33,10 +39,11 @@
   function update(): void {
     const {w, x, y, xx, xy} = sums;
     const variance = w * xx - x * x;
+    const meanRatio = y / x;
     slope =
       variance > MIN_RELATIVE_VARIANCE * w * xx
-        ? Math.max(0, (w * xy - x * y) / variance)
-        : y / x;
+        ? Math.max(meanRatio * MIN_SLOPE_FRACTION, (w * xy - x * y) / variance)
+        : meanRatio;
     base = (y - slope * x) / w;
     if (base < 0) {
       base = 0;
--- a/packages/scheduling/src/requestExpectations.ts
+++ b/packages/scheduling/src/requestExpectations.ts
@@ -50,7 +50,9 @@
 
   /** Returns the time of a prompt whose shared parts are cached, uncorrected. */
   function ownPromptMs(prompt: Prompt): number {
-    return promptTime(prompt, prompt.promptTokens - prompt.ownTokens);
+    const sharedTokens = prompt.promptTokens - prompt.ownTokens;
+    const timeMs = promptTime(prompt, sharedTokens);
+    return Number.isFinite(timeMs) ? Math.max(0, timeMs) : 0;
   }
 
   /** Returns the time to the first byte or event at an idle endpoint, in ms. */
