members: declare lost entries of large fleets gone a second sooner

Change: beyond 24 other members, a suspect whose silence four members confirm is gone after 2 s. Smaller fleets keep 3 s, where all get its heartbeats.

--- a/packages/members/src/failureDetector.ts
+++ b/packages/members/src/failureDetector.ts
@@ -12,6 +12,7 @@
   PeerNetwork,
 } from '@skylarkfield/protocol';
 import type {KnownMember, MemberTable} from './memberTable.js';
+import {MAX_FULL_MESH_MEMBERS} from './neighbours.js';
 import type {MemberTiming} from './timing.js';
 
 /** Suspects silent neighbours and confirms whether they are gone. */
@@ -42,6 +43,12 @@
   isInvestigating: boolean;
 }
 
+/**
+ * Number of members that must confirm the silence of a suspect for the shorter
+ * timeout of large fleets.
+ */
+const RELAYED_CONFIRMATIONS = 4;
+
 /** Maximum number of members queried about a suspect in one round. */
 const PEERS_PER_ROUND = 3;
 
@@ -186,9 +193,20 @@
     declareGoneIfConfirmed(knownMember, suspicion);
   }
 
+  /** Returns the minimum time from suspect to gone, in milliseconds. */
+  function suspicionTimeoutMs(
+    {silentTo}: Suspicion,
+    otherLiveCount: number,
+  ): number {
+    const isRelayed = otherLiveCount >= MAX_FULL_MESH_MEMBERS;
+    return isRelayed && silentTo.size >= RELAYED_CONFIRMATIONS
+      ? timing.relayedSuspicionTimeoutMs
+      : timing.suspicionTimeoutMs;
+  }
+
   /**
-   * Declares a suspect gone if it has been suspect for `suspicionTimeoutMs` and
-   * another member, if one is live, confirmed the silence.
+   * Declares a suspect gone if it has been suspect for long enough and another
+   * member, if one is live, confirmed the silence.
    */
   function declareGoneIfConfirmed(
     knownMember: KnownMember,
@@ -197,10 +215,13 @@
     const {id} = knownMember.update;
     const isCurrentSuspicion = suspicions.get(id) === suspicion;
     const ageMs = clock.now() - suspicion.suspectedAt;
-    if (!isCurrentSuspicion || ageMs < timing.suspicionTimeoutMs) {
+    const otherLiveCount = liveMemberIdsExcept(id).length;
+    if (
+      !isCurrentSuspicion ||
+      ageMs < suspicionTimeoutMs(suspicion, otherLiveCount)
+    ) {
       return;
     }
-    const otherLiveCount = liveMemberIdsExcept(id).length;
     // Without other live members, the silence is the only available evidence.
     if (suspicion.silentTo.size === 0 && otherLiveCount > 0) {
       return;
--- a/packages/members/src/test/membership.test.ts
+++ b/packages/members/src/test/membership.test.ts
@@ -4,6 +4,9 @@
 
 const SETTLE_MS = 10_000;
 const DETECTION_MS = 15_000;
+const LARGE_FLEET_SETTLE_MS = 30_000;
+/** Time without power after which no entry may list a machine, less a margin. */
+const LARGE_FLEET_DETECTION_MS = 6_500;
 
 /** Asserts that every running entry lists exactly the expected ids. */
 function assertAllList(cluster: Cluster, expected: readonly string[]) {
@@ -43,6 +46,20 @@
     );
   });
 
+  // Guards against callers being sent to a machine without power for longer than they keep a lookup, as few entries notice its silence and the others learn it from them.
+  it('is told of a lost entry in a large fleet', async () => {
+    const cluster = createCluster();
+    const ids = cluster.startMany(68);
+    await cluster.clock.advance(LARGE_FLEET_SETTLE_MS);
+    assertAllList(cluster, ids);
+    cluster.net.pause('m3');
+    await cluster.clock.advance(LARGE_FLEET_DETECTION_MS);
+    const others = ids.filter(id => id !== 'm3');
+    for (const id of others) {
+      assert.deepEqual(cluster.liveIdsSeenBy(id), [...others].sort());
+    }
+  });
+
   it('keeps an entry that is unreachable from a single peer', async () => {
     // Only the link from m1 to m2 is broken. Without confirmation by another
     // member, m2 would route its callers away from a healthy entry.
--- a/packages/members/src/timing.ts
+++ b/packages/members/src/timing.ts
@@ -14,6 +14,12 @@
    * Minimum time from suspect to gone; another member must confirm the silence.
    */
   readonly suspicionTimeoutMs: number;
+  /**
+   * The same in fleets in which few members get heartbeats of a suspect, if
+   * several members confirm the silence: the others learn of it up to a second
+   * later, and list the suspect until then.
+   */
+  readonly relayedSuspicionTimeoutMs: number;
   /** Timeout of a probe or any other membership request. */
   readonly probeTimeoutMs: number;
   /** Time between two heartbeat ticks above which the process was paused. */
@@ -51,6 +57,7 @@
   silenceTimeoutMs: 3_500,
   closedSilenceTimeoutMs: 1_000,
   suspicionTimeoutMs: 3_000,
+  relayedSuspicionTimeoutMs: 2_000,
   probeTimeoutMs: 1_000,
   pauseThresholdMs: 2_500,
   reconnectIntervalMs: 5_000,
