binary: load no module from disk

Cause: the bundle left msgpackr-extract and typescript external, and did not contain bufferutil and utf-8-validate, which ws asks for. The binary looked for these packages in the folders above itself and loaded what it found there. On arm64 (node 20.19.0) it then ended at once with "symbol lookup error: ... undefined symbol: napi_define_properties", since injecting the blob into node hides the symbols that native modules need. A copy in an empty folder started, the one in dist/ did not. No check ran the binary beside packages that it must not load.

Change: the four optional packages resolve to a stub that throws, as in the gateway's bundle. An empty module would not do: msgpackr takes any module that it gets for its native part.

The gateway's bundle has had no native part before.

--- a/tools/leanBundle.mjs
+++ b/tools/leanBundle.mjs
@@ -1,6 +1,7 @@
 /**
- * esbuild plugins that shorten the start of a gateway by not loading unused
- * modules: a killed process serves no requests until its bundle is loaded.
+ * esbuild plugins that leave modules out of a bundle or load them on first use.
+ * They shorten the start of a gateway: a killed process serves no requests until
+ * its bundle is loaded.
  */
 import {createRequire, isBuiltin} from 'node:module';
 import {fileURLToPath} from 'node:url';
@@ -22,16 +23,27 @@
 /** Exports that libraries read at startup; constant without worker threads. */
 const CONSTANT_EXPORTS = {worker_threads: {isMainThread: true}};
 
+/**
+ * Packages without which libraries fall back to code of their own: native parts
+ * of msgpackr and ws, and the compiler that oclif uses on TypeScript sources.
+ */
+export const OPTIONAL_PACKAGES = [
+  'bufferutil',
+  'msgpackr-extract',
+  'typescript',
+  'utf-8-validate',
+];
+
 const LAZY_NAMESPACE = 'lazy-builtin';
 const STUB_NAMESPACE = 'absent';
 
 /**
- * Sources of stubs by a pattern of module paths. Either the importing library
- * has a fallback, or no endpoint uses the module's protocol.
+ * Sources of the gateway's stubs by a pattern of module paths. Either the
+ * importing library has a fallback, or no endpoint uses the module's protocol.
  */
-const STUBS = {
+const GATEWAY_STUBS = {
   // msgpackr falls back to its JavaScript implementation.
-  '^msgpackr-extract$': 'throw new Error("msgpackr-extract is not bundled");',
+  '^msgpackr-extract$': throwingStub('msgpackr-extract'),
   // Loaded by undici's client, which uses it only if HTTP/2 was negotiated.
   '/client-h2(\\.js)?$':
     'module.exports = () => { throw new Error("HTTP/2 support is not bundled"); };',
@@ -88,6 +100,14 @@
   `;
 }
 
+/**
+ * Returns the source of a stub that throws when it is loaded. An empty stub
+ * would not do for libraries that take any module they get for the real one.
+ */
+export function throwingStub(name) {
+  return `throw new Error(${JSON.stringify(`${name} is not bundled`)});`;
+}
+
 /**
  * Replaces packages and files that a gateway never uses by stubs.
  *
@@ -95,10 +115,21 @@
  * await build({...options, plugins: [stubUnusedModules()]});
  */
 export function stubUnusedModules() {
+  return stubModules(GATEWAY_STUBS);
+}
+
+/**
+ * Replaces modules by stubs, whose sources are given by a pattern of module
+ * paths.
+ *
+ * @example
+ * stubModules({'^typescript$': throwingStub('typescript')});
+ */
+export function stubModules(stubs) {
   return {
     name: STUB_NAMESPACE,
     setup(bundler) {
-      for (const [pattern, contents] of Object.entries(STUBS)) {
+      for (const [pattern, contents] of Object.entries(stubs)) {
         const filter = new RegExp(pattern);
         bundler.onResolve({filter}, ({path}) => ({
           path,
