gateway: log and count why a request is sent again

The log could not tell the hypotheses of the stream that ran twice apart: the line of a retry says neither whether the request may run more than once nor whether it goes on from a copied KV cache. Each send after the first one now has a line with its reason, the runs before it and the caller's last event, and a counter by reason and by whether the request is repeatable. A send by the connection library would show as an arrival at an endpoint without such a line.

--- a/packages/gateway/src/callers/requestMetrics.ts
+++ b/packages/gateway/src/callers/requestMetrics.ts
@@ -1,6 +1,7 @@
 /** Counters and latency histograms of callers' requests and of endpoints' reports. */
 import type {ErrorKind, Logger, Meter, Metrics} from '@skylarkfield/base';
 import type {QuotaGrant} from '@skylarkfield/traffic';
+import type {SendObservation} from '../forwarding/sendLog.js';
 
 /** Measurements of one request. */
 export interface RequestObservation {
@@ -47,6 +48,7 @@
 export interface RequestMetrics {
   record(observation: RequestObservation): void;
   countReport(kind: ReportKind): void;
+  countSend(observation: SendObservation): void;
   recordQuotaDecision(observation: QuotaObservation): void;
   recordPlacement(observation: PlacementObservation): void;
   /** Returns all metrics in the Prometheus text format. */
@@ -110,6 +112,7 @@
   return {
     record: observation => recordObservation(observation),
     countReport: kind => recordObservation(kind),
+    countSend: observation => recordObservation(observation),
     recordQuotaDecision: observation => recordObservation(observation),
     recordPlacement: observation => recordObservation(observation),
     async render() {
@@ -127,6 +130,7 @@
   | RequestObservation
   | QuotaObservation
   | PlacementObservation
+  | SendObservation
   | ReportKind;
 
 function createRecorder(meter: Meter): (observation: Observation) => void {
@@ -147,6 +151,9 @@
   const reports = meter.createCounter('skylarkfield.gateway.reports', {
     description: 'Endpoints that reported that they leave or want a rest',
   });
+  const sends = meter.createCounter('skylarkfield.gateway.sends.again', {
+    description: 'Sends of requests after their first one, by reason',
+  });
   const losses = meter.createCounter('skylarkfield.gateway.lost', {
     description: 'Requests whose endpoint closed the connection, by progress',
   });
@@ -191,6 +198,11 @@
       reports.add(1, {kind: observation});
       return;
     }
+    if ('sendReason' in observation) {
+      const {service, sendReason, isRepeatable} = observation;
+      sends.add(1, {service, reason: sendReason, repeatable: isRepeatable});
+      return;
+    }
     if ('isLate' in observation) {
       recordPlacement(observation);
       return;
--- a/packages/gateway/src/callers/test/requestMetrics.test.ts
+++ b/packages/gateway/src/callers/test/requestMetrics.test.ts
@@ -17,6 +17,7 @@
   metrics.record(createObservation(30));
   assert.equal(loadCount, 0);
   metrics.countReport('rest');
+  metrics.countSend({service: 's', sendReason: 'rerun', isRepeatable: false});
   metrics.recordQuotaDecision({
     outcome: 'granted',
     reportAgeMs: 290,
@@ -28,6 +29,7 @@
   assert.match(page, /gateway_requests_total\{[^}]*\} 2\b/);
   assert.match(page, /gateway_duration_bucket\{[^}]*le="10"[^}]*\} 1\b/);
   assert.match(page, /gateway_reports_total\{[^}]*kind="rest"[^}]*\} 1\b/);
+  assert.match(page, /sends_again_total\{[^}]*reason="rerun"[^}]*\} 1\b/);
   assert.match(page, /quota_report_age_bucket\{[^}]*le="400"[^}]*\} 1\b/);
   assert.match(page, /quota_wait_bucket\{[^}]*le="5"[^}]*\} 1\b/);
   assert.match(laterPage, /gateway_requests_total\{[^}]*\} 3\b/);
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -34,6 +34,7 @@
 } from '../attempts/hedging.js';
 import {lossFields} from '../callers/requestLog.js';
 import {createProgress, type Progress} from './retryRules.js';
+import type {SendLog} from './sendLog.js';
 import type {Stall} from '../attempts/stallTimer.js';
 
 /** How a call is tried next. */
@@ -60,16 +61,23 @@
   options: Omit<EndpointAttemptOptions, 'crashGuard'> & {
     readonly handovers: Handovers;
     readonly rests: Pick<Rests, 'isResting'>;
+    readonly sendLog: SendLog;
     readonly log: Logger;
   },
 ): Forwarding {
-  const {router, reach, engineObserver, retryRules, handovers, clock, log} =
-    options;
+  const {router, reach, engineObserver, retryRules, handovers} = options;
+  const {sendLog, clock, log} = options;
   const crashGuard = createCrashGuard(options);
   const attempts = createEndpointAttempts({...options, crashGuard});
   const hedging = createHedging({
     runAttempt,
-    chooseHedge,
+    chooseHedge(call, progress, stall) {
+      const destination = chooseHedge(call, progress, stall);
+      if (destination !== undefined) {
+        sendLog.countHedge(call);
+      }
+      return destination;
+    },
     isResponding: async ({service}, destination) =>
       destination.type === 'endpoint' &&
       reach.isResponding(service, destination.target.choice.endpoint),
@@ -371,6 +379,9 @@
           const rejection = withRunState(step.error, progress.runCount);
           return toResult(respondWithError(reply, rejection), progress);
         }
+        if (progress.firstSendAt !== undefined) {
+          sendLog.record(call, progress, step, reply.lastEventId());
+        }
         const {destination, result} = await hedging.run(
           call,
           reply,
--- a/packages/gateway/src/forwarding/gatewayForwarding.ts
+++ b/packages/gateway/src/forwarding/gatewayForwarding.ts
@@ -18,6 +18,7 @@
   type MeasuredCall,
 } from '../rollouts/eventIntervalObserver.js';
 import {createRetryRules} from './retryRules.js';
+import {createSendLog} from './sendLog.js';
 import {createStreamMigrator} from './streamMigration.js';
 import {createUpstreams} from '../attempts/upstream.js';
 
@@ -59,10 +60,11 @@
  * const forwarding = createGatewayForwarding(context, coordination, options);
  */
 export function createGatewayForwarding(
-  {settings, platform, clock, random, log, dumps, inFlight}: GatewayContext,
+  context: GatewayContext,
   {network, membership}: Coordination,
   options: GatewayForwardingOptions,
 ): GatewayForwarding {
+  const {settings, platform, clock, random, log, dumps, inFlight} = context;
   const {router, directory, upstreams, reach, engineEstimates} = options;
   const disposables = createDisposableStore();
   const format = platform.callFormat;
@@ -103,6 +105,7 @@
     ),
     retryRules,
     handovers,
+    sendLog: createSendLog({metrics: context.metrics, log}),
     format,
     clock,
     log,
--- a/packages/gateway/src/rollouts/test/virtualRollout.ts
+++ b/packages/gateway/src/rollouts/test/virtualRollout.ts
@@ -36,7 +36,7 @@
 import {createRetryRules} from '../../forwarding/retryRules.js';
 import {createRolloutController} from '../rolloutController.js';
 import {sampleOf} from '../rolloutSample.js';
-import {noHandovers, noReports} from '../../test/forwardingStubs.js';
+import {noHandovers, noReports, noSendLog} from '../../test/forwardingStubs.js';
 import {createMoveStore, createNetworks} from '../../test/virtualPeers.js';
 import {
   createVirtualReplicas,
@@ -287,6 +287,7 @@
       retryRules: createRetryRules({admission, clock}),
       handovers: noHandovers,
       rests: {isResting: () => false},
+      sendLog: noSendLog,
       upstreams: replicas.upstreams,
       migrator: {
         watch: () => ({
--- a/packages/gateway/src/test/forwardingStubs.ts
+++ b/packages/gateway/src/test/forwardingStubs.ts
@@ -7,6 +7,7 @@
 } from '@skylarkfield/base';
 import {createEndpointReach, type EndpointReach} from '@skylarkfield/routing';
 import type {EndpointReports} from '../endpoints/endpointReports.js';
+import type {SendLog} from '../forwarding/sendLog.js';
 import type {Handovers} from '../handover/handovers.js';
 
 /** There are no entries to hand over to. */
@@ -17,6 +18,12 @@
   dump: () => ({}),
 };
 
+/** A log of repeated sends that nobody reads. */
+export const noSendLog: SendLog = {
+  record() {},
+  countHedge() {},
+};
+
 /** Reports of endpoints that nobody reads. */
 export const noReports: EndpointReports = {
   recordHead() {},
--- a/packages/gateway/src/test/testForwarding.ts
+++ b/packages/gateway/src/test/testForwarding.ts
@@ -25,7 +25,12 @@
 import {createRetryRules} from '../forwarding/retryRules.js';
 import type {StreamMigrator} from '../forwarding/streamMigration.js';
 import {createUpstreams} from '../attempts/upstream.js';
-import {createOpenReach, noHandovers, noReports} from './forwardingStubs.js';
+import {
+  createOpenReach,
+  noHandovers,
+  noReports,
+  noSendLog,
+} from './forwardingStubs.js';
 import {runInTurn, startTestEndpoint, type Behaviour} from './testEndpoint.js';
 
 const format: CallFormat = {
@@ -207,6 +212,7 @@
     }),
     handovers: noHandovers,
     rests: {isResting},
+    sendLog: noSendLog,
     upstreams,
     migrator: streamMigrator,
     engineObserver: createEngineObserver({
