gateway: let all runs of a request decide on its next send

Cause: the decision to send a request again looked at its last attempt only. A stream that is migrated off a draining endpoint has run there; if its target refused the connection (crashed) or began to drain while the stream waited for a connection, the last attempt had not run, and the next endpoint got the request without the copied KV cache and ran it anew. Only a target that declined the stream was asked for the runs before.

Why it works: there is one decision. It first asks whether the request may be run once more, by its route and all its runs, whatever the last attempt tells; the table of attempt ends only says what a permitted send costs. A further run after a migration now takes a retry of the budget, which it did not; a retry that was granted and has reached no endpoint is not charged twice.

--- a/packages/bench/src/handover.ts
+++ b/packages/bench/src/handover.ts
@@ -79,9 +79,9 @@
 };
 
 const retryRules: RetryRules = {
-  mayRerun: () => false,
-  mayResend: () => false,
-  canRerun: () => false,
+  canRun: () => false,
+  maySend: () => false,
+  needsRetry: () => false,
   canHedge: () => false,
   mayHedge: () => false,
   hasSendsLeft: () => false,
--- a/packages/gateway/src/attempts/attemptOutcome.ts
+++ b/packages/gateway/src/attempts/attemptOutcome.ts
@@ -40,6 +40,17 @@
   return result.type !== 'failed' || result.error.run === 'may-have-run';
 }
 
+/**
+ * Whether the endpoint received the request, so that it may have run or declined
+ * it.
+ *
+ * @example
+ * arrivals += isReceived(result) ? 1 : 0;
+ */
+export function isReceived(result: AttemptResult): boolean {
+  return result.type === 'declined' || mayHaveRun(result);
+}
+
 /**
  * Returns the result of an attempt whose connection failed. If the request was
  * not sent, the loss is not reported, since the request cannot have caused it.
@@ -196,6 +207,26 @@
   );
 }
 
+/**
+ * Returns the error for a request whose last attempt brought no response, after
+ * `sendCount` sends.
+ *
+ * @example
+ * reply.sendError(withRunState(errorOf('chat', 2, result), progress.runCount));
+ */
+export function errorOf(
+  service: string,
+  sendCount: number,
+  result: Exclude<AttemptResult, {readonly type: 'answered' | 'streamed'}>,
+): ServingError {
+  if (result.type === 'failed') {
+    return result.error;
+  }
+  return result.type === 'declined'
+    ? allDeclinedError(service, sendCount)
+    : unavailableError(service, 'the chosen one stopped accepting requests');
+}
+
 /**
  * Returns the error for a request whose first event would be delayed by more
  * than `longestMs` by the prompts queued at every endpoint. Retry-After is the
--- a/packages/gateway/src/forwarding/endpointAttempts.ts
+++ b/packages/gateway/src/forwarding/endpointAttempts.ts
@@ -12,6 +12,7 @@
 import {runAttempt, type AttemptResult} from '../attempts/attempt.js';
 import {createAttemptEvidence} from '../attempts/attemptEvidence.js';
 import {
+  isReceived,
   mayHaveRun,
   outcomeOf,
   unavailableError,
@@ -340,7 +341,11 @@
         attempt.beganAt === undefined ? 0 : clock.now() - attempt.beganAt;
       evidence.record(call, choice.endpoint, result, answeredForMs);
     }
-    if (mayHaveRun(result) && kvCache === undefined) {
+    if (kvCache !== undefined) {
+      return;
+    }
+    progress.receivedCount += isReceived(result) ? 1 : 0;
+    if (mayHaveRun(result)) {
       progress.runCount += 1;
       // A call that was lost with the paths has hardly reached its endpoint.
       if (!isStream(call) && !isCutOff(call)) {
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -7,9 +7,8 @@
 import type {Rests} from '@skylarkfield/routing';
 import type {AttemptResult} from '../attempts/attempt.js';
 import {
-  allDeclinedError,
   describeResult,
-  isConnectionRefused,
+  errorOf,
   isServerError,
   lostServiceError,
   quarantinedError,
@@ -26,6 +25,7 @@
 } from './endpointAttempts.js';
 import type {EndpointTarget} from './endpointTargets.js';
 import type {ForwardedCall, ForwardingResult} from './forwardedCall.js';
+import {createFurtherSends} from './furtherSends.js';
 import type {Handovers} from '../handover/handovers.js';
 import {
   createHedging,
@@ -69,6 +69,12 @@
   const {sendLog, clock, log} = options;
   const crashGuard = createCrashGuard(options);
   const attempts = createEndpointAttempts({...options, crashGuard});
+  const furtherSends = createFurtherSends({
+    retryRules,
+    reach,
+    handovers,
+    canHandOver: (call, progress) => choosePeer(call, progress) !== undefined,
+  });
   const hedging = createHedging({
     runAttempt,
     chooseHedge(call, progress, stall) {
@@ -99,71 +105,32 @@
     if (result.type === 'streamed') {
       return {status: 200, responseEnd: result.end};
     }
-    if (result.type === 'answered') {
-      const isFault = isServerError(result.status);
-      if (isFault && retryRules.mayRerun(call, progress)) {
-        return undefined;
-      }
-      if (reply.hasBegun()) {
-        return respondWithError(
-          reply,
-          new ServingError('interrupted', 'the stream could not be resumed'),
-        );
-      }
-      reply.sendResponse(result);
-      return {status: result.status, responseEnd: result.end};
-    }
-    if (result.type === 'withdrawn') {
-      return undefined;
-    }
-    if (result.type === 'declined') {
-      if (retryRules.mayResend(call, progress)) {
-        return undefined;
-      }
-      const {endpoints, runCount} = progress;
-      const error = allDeclinedError(call.service, endpoints.length);
-      return respondWithError(reply, withRunState(error, runCount));
-    }
-    return mayRetryFailed(call, progress, destination, result.error)
-      ? undefined
-      : respondWithError(reply, withRunState(result.error, progress.runCount));
+    const isFinal = result.type === 'answered' && !isServerError(result.status);
+    const isSentAgain =
+      !isFinal &&
+      furtherSends.maySendAgain(call, progress, destination, result);
+    return isSentAgain ? undefined : respond(call, reply, progress, result);
   }
 
-  /**
-   * Whether a call without a response is tried again. The retry budget bounds
-   * what endpoints receive, so a call that none has received needs no retry.
-   */
-  function mayRetryFailed(
+  /** Responds to the caller with what the last attempt has brought. */
+  function respond(
     call: ForwardedCall,
+    reply: CallerReply,
     progress: Progress,
-    destination: Destination,
-    error: ServingError,
-  ): boolean {
-    if (call.signal.aborted) {
-      return false;
-    }
-    if (error.run === 'may-have-run') {
-      return retryRules.mayRerun(call, progress);
+    result: Exclude<AttemptResult, {readonly type: 'streamed'}>,
+  ): Conclusion {
+    if (result.type !== 'answered') {
+      const error = errorOf(call.service, progress.endpoints.length, result);
+      return respondWithError(reply, withRunState(error, progress.runCount));
     }
-    if (destination.type === 'peer') {
-      return handovers.mayHandOn(progress, error);
+    if (reply.hasBegun()) {
+      return respondWithError(
+        reply,
+        new ServingError('interrupted', 'the stream could not be resumed'),
+      );
     }
-    const isUnsent =
-      progress.hasFailedToConnect && retryRules.canRerun(call, progress);
-    return (
-      (isConnectionRefused(error) && retryRules.hasSendsLeft(progress)) ||
-      (isUnsent && mayRetryUnsent(call, progress)) ||
-      retryRules.mayResend(call, progress)
-    );
-  }
-
-  /** Whether a call that could not be sent is tried again, here or elsewhere. */
-  function mayRetryUnsent(call: ForwardedCall, progress: Progress): boolean {
-    const isPathDoubted = reach.stateOf(call.service) !== 'reachable';
-    return (
-      (isPathDoubted && retryRules.hasSendsLeft(progress)) ||
-      choosePeer(call, progress) !== undefined
-    );
+    reply.sendResponse(result);
+    return {status: result.status, responseEnd: result.end};
   }
 
   /** Whether the call cannot be sent over the paths of this entry. */
--- a/packages/gateway/src/forwarding/retryRules.ts
+++ b/packages/gateway/src/forwarding/retryRules.ts
@@ -52,6 +52,13 @@
   tokensAhead: number | undefined;
   /** Number of endpoints that may have run the request. */
   runCount: number;
+  /**
+   * Number of endpoints that have run or declined the request. An endpoint that
+   * goes on with a migrated stream does not count: it is part of the same run.
+   */
+  receivedCount: number;
+  /** Number of retries that the retry budget has granted. */
+  grantedRetries: number;
   /** Monotonic milliseconds of the start of forwarding. */
   startedAt: number;
   /** Monotonic milliseconds of the first send; undefined before that send. */
@@ -73,22 +80,20 @@
 /** Retry and timeout decisions of one entry. */
 export interface RetryRules {
   /**
-   * Whether a request that may already have run may be run again at another
-   * endpoint. Consumes one retry of the service's retry budget if so.
+   * Whether the request may be run by a further endpoint, as far as its route
+   * and all its runs are concerned, whatever its last attempt has told.
    */
-  mayRerun(call: RetryableCall, progress: Progress): boolean;
+  canRun(call: RetryableCall, progress: Progress): boolean;
   /**
-   * Whether a request that was certainly not run by its last endpoint may be
-   * sent to another endpoint. A migrated stream that is declined by its new
-   * endpoint has still run at its first endpoint. Consumes one retry of the
-   * service's retry budget if so.
+   * Whether the request may be sent to a further endpoint. Consumes one retry of
+   * the service's retry budget, unless an earlier one has not been used.
    */
-  mayResend(call: RetryableCall, progress: Progress): boolean;
+  maySend(call: RetryableCall, progress: Progress): boolean;
   /**
-   * Whether the request may be run by a further endpoint, as far as its route
-   * and its runs are concerned.
+   * Whether the request has run and every retry that it was granted has brought
+   * it to an endpoint, so that a further run needs another one.
    */
-  canRerun(call: RetryableCall, progress: Progress): boolean;
+  needsRetry(progress: Progress): boolean;
   /** Whether the request may be sent to a further endpoint at all. */
   hasSendsLeft(progress: Pick<Progress, 'endpoints'>): boolean;
   /**
@@ -149,6 +154,8 @@
     stillEndpoints: [],
     tokensAhead: undefined,
     runCount: 0,
+    receivedCount: 0,
+    grantedRetries: 0,
     startedAt: now,
     firstSendAt: undefined,
     firstByteMs: undefined,
@@ -160,11 +167,19 @@
   };
 }
 
+/**
+ * Whether the request was granted a retry that has not brought it to a further
+ * endpoint yet, since that one could not be reached.
+ */
+function hasUnusedRetry({grantedRetries, receivedCount}: Progress): boolean {
+  return grantedRetries >= Math.max(1, receivedCount);
+}
+
 /**
  * Creates the retry rules of one entry.
  *
  * @example
- * if (rules.mayResend(call, progress)) { return tryTarget(chooseTarget(call,
+ * if (rules.maySend(call, progress)) { return tryTarget(chooseTarget(call,
  *   progress)); }
  */
 export function createRetryRules(options: {
@@ -188,41 +203,43 @@
     if (call.signal.aborted) {
       return 'ended';
     }
-    return admission.tryAcquireRetry(call.service)
+    return hasUnusedRetry(progress) || tryAcquireRetry(call, progress)
       ? undefined
       : 'no-retry-budget';
   }
 
-  function denyRerun(
-    call: RetryableCall,
+  function tryAcquireRetry(
+    {service}: RetryableCall,
     progress: Progress,
+  ): boolean {
+    const isGranted = admission.tryAcquireRetry(service);
+    progress.grantedRetries += isGranted ? 1 : 0;
+    return isGranted;
+  }
+
+  function denyRun(
+    {route}: RetryableCall,
+    {runCount}: Progress,
   ): RetryDenial | undefined {
-    if (!isRepeatable(call.route)) {
-      return 'not-repeatable';
+    if (runCount === 0) {
+      return undefined;
     }
-    if (progress.runCount >= call.route.attempts) {
-      return 'attempts-used';
+    if (!isRepeatable(route)) {
+      return 'not-repeatable';
     }
-    return denySend(call, progress);
+    return runCount < route.attempts ? undefined : 'attempts-used';
   }
 
-  function mayRerun(call: RetryableCall, progress: Progress): boolean {
-    progress.retryDenial = denyRerun(call, progress);
+  function canRun(call: RetryableCall, progress: Progress): boolean {
+    progress.retryDenial = denyRun(call, progress);
     return progress.retryDenial === undefined;
   }
 
-  function mayResend(call: RetryableCall, progress: Progress): boolean {
-    progress.retryDenial =
-      progress.runCount > 0
-        ? denyRerun(call, progress)
-        : denySend(call, progress);
+  function maySend(call: RetryableCall, progress: Progress): boolean {
+    progress.retryDenial = denyRun(call, progress) ?? denySend(call, progress);
     return progress.retryDenial === undefined;
   }
 
-  function canRerun({route}: RetryableCall, {runCount}: Progress): boolean {
-    return runCount === 0 || (isRepeatable(route) && runCount < route.attempts);
-  }
-
   function canHedge(call: RetryableCall, progress: Progress): boolean {
     return (
       isRepeatable(call.route) &&
@@ -233,7 +250,7 @@
   }
 
   function mayHedge(call: RetryableCall, progress: Progress): boolean {
-    return canHedge(call, progress) && admission.tryAcquireRetry(call.service);
+    return canHedge(call, progress) && tryAcquireRetry(call, progress);
   }
 
   function stallTimeoutMs(call: RetryableCall, progress: Progress) {
@@ -253,9 +270,9 @@
   }
 
   return {
-    mayRerun,
-    mayResend,
-    canRerun,
+    canRun,
+    maySend,
+    needsRetry: progress => progress.runCount > 0 && !hasUnusedRetry(progress),
     canHedge,
     mayHedge,
     hasSendsLeft,
--- a/packages/gateway/src/forwarding/test/retryRules.test.ts
+++ b/packages/gateway/src/forwarding/test/retryRules.test.ts
@@ -32,7 +32,7 @@
         signal: new AbortController().signal,
       };
       const isAllowed = [0, 1, 2].map(runCount =>
-        rules.canRerun(call, {...createProgress(0), runCount}),
+        rules.canRun(call, {...createProgress(0), runCount}),
       );
       assert.deepEqual(
         isAllowed,
--- a/packages/gateway/src/handover/handovers.ts
+++ b/packages/gateway/src/handover/handovers.ts
@@ -118,13 +118,15 @@
     peer: Member,
     result: AttemptResult,
   ): void {
+    const isNotTaken = result.type === 'failed' && isUnsent(result.error);
+    progress.receivedCount += isNotTaken ? 0 : 1;
     if (mayHaveRun(result)) {
       progress.runCount += 1;
       // The peer has counted the call.
       progress.isCounted = true;
       return;
     }
-    if (result.type === 'failed' && isUnsent(result.error)) {
+    if (isNotTaken) {
       avoidedUntil.set(peer.id, clock.now() + AVOIDANCE_MS);
     }
   }
