gateway: send migrated streams at once to targets with busy connections

Streams that are migrated off a draining endpoint were broken off although their target held a copy and a slot for them: all 48 connections of the entry to the target were in use, and the target began to drain while they waited for one.

--- a/packages/gateway/src/attempts/attempt.ts
+++ b/packages/gateway/src/attempts/attempt.ts
@@ -23,7 +23,7 @@
 import {MAX_EVENT_BYTES, type EventFrame} from './eventFramer.js';
 import {createStallTimer, type Stall} from './stallTimer.js';
 import {createStreamDelivery, type StreamDelivery} from './streamDelivery.js';
-import type {UpstreamRequest, Upstreams} from './upstream.js';
+import type {ConnectionClass, UpstreamRequest, Upstreams} from './upstream.js';
 
 /** Result of an attempt. */
 export type AttemptResult =
@@ -118,6 +118,8 @@
   readonly request: UpstreamRequest;
   readonly attemptId: string;
   readonly upstreams: Upstreams;
+  /** Connections that the attempt may use; shared ones if absent. */
+  readonly connectionClass?: ConnectionClass;
   readonly format: CallFormat;
   readonly clock: Clock;
   /** Aborted when the caller disconnects or the deadline passes. */
@@ -359,12 +361,17 @@
       return;
     }
     signal.addEventListener('abort', onAbort, {once: true});
-    const exchange = options.upstreams.send(options.address, options.request, {
-      onDidRespond,
-      onDidReceive,
-      onDidEnd,
-      onDidFail: error => settle(resultOfLostConnection(error)),
-    });
+    const exchange = options.upstreams.send(
+      options.address,
+      options.request,
+      {
+        onDidRespond,
+        onDidReceive,
+        onDidEnd,
+        onDidFail: error => settle(resultOfLostConnection(error)),
+      },
+      options.connectionClass,
+    );
     if (!isSettled) {
       subscriptions.add(race.onDidSupersede(onDidSupersede));
       subscribe(options.onDidLosePath, onDidLosePath);
--- a/packages/gateway/src/attempts/test/upstream.test.ts
+++ b/packages/gateway/src/attempts/test/upstream.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {describe, it} from 'node:test';
-import {createUpstreams} from '../upstream.js';
+import {createUpstreams, type ConnectionClass} from '../upstream.js';
 
 /**
  * What the endpoint does with the connection after it has sent its response.
@@ -210,6 +210,42 @@
     assert.deepEqual(new Set(ends), new Set(['whole']));
   });
 
+  // Guards against migrated streams whose target begins to drain while they wait for a connection.
+  it('sends a request with reserved connections while all shared ones are in use', async () => {
+    const server = createServer(socket => {
+      socket.once('data', bytes => {
+        if (String(bytes).startsWith('GET /reserved')) {
+          socket.end(`${HEAD}Content-Length: 0\r\n\r\n`);
+        }
+      });
+      socket.on('error', () => {});
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const {port} = server.address() as AddressInfo;
+    const upstreams = createUpstreams();
+    const send = (path: string, connectionClass: ConnectionClass) =>
+      new Promise<string>(resolve => {
+        upstreams.send(
+          `127.0.0.1:${port}`,
+          {method: 'GET', path, headers: [], body: undefined},
+          {
+            onDidRespond: () => {},
+            onDidReceive: () => {},
+            onDidEnd: () => resolve('whole'),
+            onDidFail: ({run}) => resolve(run),
+          },
+          connectionClass,
+        );
+      });
+    const occupied = Array.from({length: 60}, () => send('/slow', 'shared'));
+    assert.equal(await send('/reserved', 'reserved'), 'whole');
+    upstreams.dispose();
+    server.close();
+    await Promise.all(occupied);
+  });
+
   it('reports a request as not run if the connection is refused', async () => {
     const endpoint = await serveOnce(responseCases[0]!);
     endpoint.close();
--- a/packages/gateway/src/attempts/upstream.ts
+++ b/packages/gateway/src/attempts/upstream.ts
@@ -50,12 +50,20 @@
   resume(): void;
 }
 
+/**
+ * Connections that a request may use. `reserved`: also those set aside for
+ * requests for which the endpoint holds a slot, so that they need not wait until
+ * another request has ended.
+ */
+export type ConnectionClass = 'shared' | 'reserved';
+
 /** Connection pools of all endpoints. */
 export interface Upstreams extends Disposable {
   send(
     address: string,
     request: UpstreamRequest,
     listener: UpstreamListener,
+    connectionClass?: ConnectionClass,
   ): UpstreamExchange;
   /** Closes the pools of all addresses that are not in the set. */
   retainOnly(addresses: ReadonlySet<string>): void;
@@ -87,10 +95,13 @@
 const IDLE_MARGIN_MS = 1_000;
 
 /**
- * Maximum number of connections from this entry to one endpoint; well below the
+ * Maximum numbers of connections from this entry to one endpoint; well below the
  * endpoint's limit divided by the number of entries that share the endpoint.
  */
-const MAX_CONNECTIONS = 48;
+const MAX_CONNECTIONS: Readonly<Record<ConnectionClass, number>> = {
+  shared: 48,
+  reserved: 16,
+};
 
 /** Lowest status of a response; heads with a lower one precede it. */
 const FIRST_FINAL_STATUS = 200;
@@ -139,19 +150,25 @@
 export function createUpstreams(
   connect: EndpointConnector = createTcpConnector(),
 ): Upstreams {
-  const pools = new Map<string, Pool>();
+  const pools: Readonly<Record<ConnectionClass, Map<string, Pool>>> = {
+    shared: new Map(),
+    reserved: new Map(),
+  };
   const watch: ConnectionWatch = {
     ends: createResponseEnds(),
     progress: createResponseProgress(),
   };
 
-  function getOrCreatePool(address: string): Pool {
-    const existingPool = pools.get(address);
+  function getOrCreatePool(
+    address: string,
+    connectionClass: ConnectionClass,
+  ): Pool {
+    const existingPool = pools[connectionClass].get(address);
     if (existingPool !== undefined) {
       return existingPool;
     }
     const pool = new Pool(`http://${address}`, {
-      connections: MAX_CONNECTIONS,
+      connections: MAX_CONNECTIONS[connectionClass],
       pipelining: 1,
       connect: watchConnections(connect, watch),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -159,45 +176,64 @@
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    pools.set(address, pool);
+    pools[connectionClass].set(address, pool);
     return pool;
   }
 
+  /** Returns the reserved pool only if all shared connections are in use. */
+  function choosePool(address: string, connectionClass: ConnectionClass): Pool {
+    const sharedPool = getOrCreatePool(address, 'shared');
+    const isSaturated = sharedPool.stats.size >= MAX_CONNECTIONS.shared;
+    return connectionClass === 'reserved' && isSaturated
+      ? getOrCreatePool(address, 'reserved')
+      : sharedPool;
+  }
+
   /** Closes the pools after their requests in flight have ended. */
   function closePools(addresses: readonly string[]): void {
-    for (const address of addresses) {
-      const pool = pools.get(address);
-      pools.delete(address);
-      pool?.close().catch(() => pool.destroy());
+    for (const poolsOfClass of Object.values(pools)) {
+      for (const address of addresses) {
+        const pool = poolsOfClass.get(address);
+        poolsOfClass.delete(address);
+        pool?.close().catch(() => pool.destroy());
+      }
     }
   }
 
   return {
-    send: (address, request, listener) =>
-      dispatch(getOrCreatePool(address), watch, request, listener),
+    send: (address, request, listener, connectionClass = 'shared') =>
+      dispatch(choosePool(address, connectionClass), watch, request, listener),
     retainOnly: addresses =>
-      closePools([...pools.keys()].filter(address => !addresses.has(address))),
-    renew: closePools,
-    dump: () =>
-      Object.fromEntries(
-        [...pools].map(([address, {stats}]) => [
-          address,
-          {
-            connected: stats.connected,
-            running: stats.running,
-            queued: stats.queued,
-          },
-        ]),
+      closePools(
+        [...pools.shared.keys()].filter(address => !addresses.has(address)),
       ),
+    renew: closePools,
+    dump: () => ({
+      ...dumpPools(pools.shared),
+      ...(pools.reserved.size > 0 && {reserved: dumpPools(pools.reserved)}),
+    }),
     dispose() {
-      for (const pool of pools.values()) {
-        void pool.destroy();
+      for (const poolsOfClass of Object.values(pools)) {
+        poolsOfClass.forEach(pool => void pool.destroy());
+        poolsOfClass.clear();
       }
-      pools.clear();
     },
   };
 }
 
+function dumpPools(pools: ReadonlyMap<string, Pool>): Record<string, unknown> {
+  return Object.fromEntries(
+    [...pools].map(([address, {stats}]) => [
+      address,
+      {
+        connected: stats.connected,
+        running: stats.running,
+        queued: stats.queued,
+      },
+    ]),
+  );
+}
+
 function dispatch(
   pool: Pool,
   {ends, progress}: ConnectionWatch,
--- a/packages/gateway/src/forwarding/endpointAttempts.ts
+++ b/packages/gateway/src/forwarding/endpointAttempts.ts
@@ -239,6 +239,8 @@
       },
       attemptId: call.attemptId,
       upstreams: options.upstreams,
+      // The target of a migration holds a slot for the stream.
+      connectionClass: kvCache === undefined ? 'shared' : 'reserved',
       format,
       clock,
       signal: call.signal,
