platform: give each call to move a stream a connection of its own

A client of a stream got pieces that were made from the memory of another request, in an answer that looked complete (MIXED). Cause: the answer to a move is not named after its call, and the calls of all streams shared kept connections, so that one answer that a faulty replica sent again, late, was taken for that of the next stream's call. It is the class of the streams that ran twice: an answer is used for another state of a request than the one it was asked for.

Why it works: on the connection of a call, no answer to another call can arrive.

--- a/packages/providers/src/httpCalls.ts
+++ b/packages/providers/src/httpCalls.ts
@@ -16,6 +16,11 @@
   readonly body?: string;
   /** Whether an interrupted request may have changed state at the server. */
   readonly isWrite: boolean;
+  /**
+   * Whether the request gets a connection of its own, on which no answer to an
+   * earlier request can arrive.
+   */
+  readonly isIsolated?: boolean;
   readonly signal?: AbortSignal;
 }
 
@@ -63,7 +68,7 @@
   const pathPrefix = pathname.replace(/\/$/, '');
 
   return {
-    async send({method, path, headers, body, isWrite, signal}) {
+    async send({method, path, headers, body, isWrite, isIsolated, signal}) {
       try {
         const response = await dispatcher.request({
           origin,
@@ -71,6 +76,7 @@
           method,
           headers: {'content-type': 'application/json', ...headers},
           body,
+          ...(isIsolated && {reset: true}),
           signal,
         });
         const text = await response.body.text();
