--- a/packages/gateway/src/attempts/hedging.ts
+++ b/packages/gateway/src/attempts/hedging.ts
@@ -86,6 +86,12 @@
  */
 const MAX_OVERLAP_MS = 350;
 
+/**
+ * Time after which an endpoint that has not responded is asked again whether it
+ * responds, in milliseconds.
+ */
+const RESPONSE_CHECK_INTERVAL_MS = 30;
+
 /**
  * Time for which an endpoint's own error is held back while another attempt is
  * silent, in milliseconds.
@@ -163,24 +169,43 @@
       'request hedged',
     );
     const hedgeRunner = start(destination);
-    if (call.route.kind === 'streaming') {
+    if (
+      call.route.kind === 'streaming' &&
+      stalledRunner.destination.type === 'endpoint'
+    ) {
       boundOverlap(stalledRunner, hedgeRunner);
     }
   }
 
-  /** Ends the stalled attempt if its endpoint only leaves this request waiting. */
+  /**
+   * Ends the stalled attempt if its endpoint only leaves this request waiting, at
+   * once or after a silence, while the other attempt runs.
+   */
   function boundOverlap(stalledRunner: Runner, hedgeRunner: Runner): void {
-    let isStalledResponding = false;
-    void isResponding(call, stalledRunner.destination).then(
-      value => (isStalledResponding = value),
-    );
-    timers.add(
-      clock.after(MAX_OVERLAP_MS, () => {
-        if (isStalledResponding && runners.has(hedgeRunner)) {
-          hedgeRunner.entry.lead();
-        }
-      }),
-    );
+    const askedAt = clock.now();
+    const isOver = () =>
+      !runners.has(stalledRunner) || !runners.has(hedgeRunner);
+    void isResponding(call, stalledRunner.destination).then(isAnswered => {
+      if (isOver()) {
+        return;
+      }
+      if (!isAnswered) {
+        timers.add(
+          clock.after(RESPONSE_CHECK_INTERVAL_MS, () =>
+            boundOverlap(stalledRunner, hedgeRunner),
+          ),
+        );
+        return;
+      }
+      const remainingMs = askedAt + MAX_OVERLAP_MS - clock.now();
+      timers.add(
+        clock.after(Math.max(0, remainingMs), () => {
+          if (!isOver()) {
+            hedgeRunner.entry.lead();
+          }
+        }),
+      );
+    });
   }
 
   const pending: Promise<void>[] = [];
--- a/packages/gateway/src/attempts/test/hedging.test.ts
+++ b/packages/gateway/src/attempts/test/hedging.test.ts
@@ -45,7 +45,10 @@
 }
 
 /** Runs a call at endpoint `a`, and at the endpoints of `hedges` if it stalls. */
-function startCall(hedges: readonly string[], {isResponding = false} = {}) {
+function startCall(
+  hedges: readonly string[],
+  {isResponding = false, respondsAt = Infinity} = {},
+) {
   const clock = createVirtualClock();
   const attempts: TestAttempt[] = [];
   const remainingHedges = [...hedges];
@@ -58,7 +61,7 @@
       const endpoint = remainingHedges.shift();
       return endpoint === undefined ? undefined : destinationOf(endpoint);
     },
-    isResponding: async () => isResponding,
+    isResponding: async () => isResponding || clock.now() >= respondsAt,
     clock,
     log: createSilentLogger(),
   });
@@ -157,6 +160,17 @@
     assert.ok(!attempts[1]!.race.isSuperseded());
   });
 
+  // Guards against two endpoints that work on one stream after a silence of one of them.
+  it('supersedes a silent attempt at an endpoint that responds again', async () => {
+    const {attempts, clock} = startCall(['b'], {respondsAt: 1_000});
+    attempts[0]!.onDidStall(STALL);
+    await clock.advance(999);
+    assert.ok(!attempts[0]!.race.isSuperseded());
+    await clock.advance(400);
+    assert.ok(attempts[0]!.race.isSuperseded());
+    assert.ok(!attempts[1]!.race.isSuperseded());
+  });
+
   it('keeps a silent attempt at an endpoint that does not respond', async () => {
     const {attempts, clock} = startCall(['b']);
     attempts[0]!.onDidStall(STALL);
