tools: word failed assertions of libraries without the bundle's source

Cause: the bytes fail an assertion of undici without a message, which its caller catches, but Node.js reads and parses the source at the call to word the error, and the source is a bundle with very long lines.

The binary's bundle gets the same; its own time for such an answer was not measured.

--- a/tools/buildBinary.mjs
+++ b/tools/buildBinary.mjs
@@ -11,7 +11,12 @@
 import {fileURLToPath} from 'node:url';
 import {join} from 'node:path';
 import {build} from 'esbuild';
-import {OPTIONAL_PACKAGES, stubModules, throwingStub} from './leanBundle.mjs';
+import {
+  lazyBuiltins,
+  OPTIONAL_PACKAGES,
+  stubModules,
+  throwingStub,
+} from './leanBundle.mjs';
 import {run} from './run.mjs';
 
 const root = fileURLToPath(new URL('..', import.meta.url));
@@ -68,6 +73,7 @@
   format: 'cjs',
   metafile: true,
   plugins: [
+    lazyBuiltins(['assert']),
     stubModules(
       Object.fromEntries(
         OPTIONAL_PACKAGES.map(name => [`^${name}$`, throwingStub(name)]),
--- a/tools/leanBundle.mjs
+++ b/tools/leanBundle.mjs
@@ -50,13 +50,14 @@
 };
 
 /**
- * Loads rarely used built-in modules only when one of their exports is read.
+ * Loads built-in modules, those that are rarely used by default, only when one of
+ * their exports is read.
  *
  * @example
  * await build({...options, plugins: [lazyBuiltins()]});
  */
-export function lazyBuiltins() {
-  const filter = new RegExp(`^(node:)?(${RARELY_USED_BUILTINS.join('|')})$`);
+export function lazyBuiltins(names = RARELY_USED_BUILTINS) {
+  const filter = new RegExp(`^(node:)?(${names.join('|')})$`);
   return {
     name: LAZY_NAMESPACE,
     setup(bundler) {
@@ -75,7 +76,9 @@
 
 /**
  * Returns the source of a lazy module. If the module is a function, like
- * `assert`, a call with a true value does not load the module.
+ * `assert`, a call with a true value does not load the module. An assertion
+ * without a message gets one: Node.js would parse the source to word it, which
+ * takes many seconds for a bundle.
  */
 function lazyModuleSource(name) {
   const constants = CONSTANT_EXPORTS[name] ?? {};
@@ -84,7 +87,7 @@
   );
   const initialExports =
     typeof require(`node:${name}`) === 'function'
-      ? '(value, ...rest) => { if (!value) load()(value, ...rest); }'
+      ? '(value, message = "assertion failed") => { if (!value) load()(value, message); }'
       : '{}';
   return `
     const load = () => require('node:${name}');
