endpoints: bound the bytes and time of an engine's responses

What callers saw: an engine that sent a load report or an error response without end filled the memory of the entry that had called it, and the requests of other callers ended with that process.

Cause: the client of engines read these bodies with `body.text()`, which keeps all bytes, and its only timeout was that between two bytes.

An event without end was bounded already.

Fix: `readText` and `readLines` in base are the one way to read a body of another party in one piece or in lines. They need a bound of bytes and one of time, and destroy the body at either. An error response without end is `endpoint-failed` with its status, any other `protocol-violation`; both may have run.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -2,6 +2,8 @@
  * Errors, clocks, random numbers, disposables, events, validation, logs,
  * metrics and hashing.
  */
+export * from './boundedRead.js';
+export * from './byteCollector.js';
 export * from './clock.js';
 export * from './connectionReset.js';
 export * from './decisionLog.js';
--- a/packages/endpoints/src/httpEngine.ts
+++ b/packages/endpoints/src/httpEngine.ts
@@ -1,8 +1,11 @@
 /** HTTP client of a model engine; answers are streams of server-sent events. */
 import {
   ServingError,
+  isServingError,
   validateShape,
   parseJson,
+  readText,
+  systemClock,
   type Disposable,
 } from '@skylarkfield/base';
 import {createParser} from 'eventsource-parser';
@@ -22,6 +25,18 @@
 /** Maximum size of one server-sent event, in characters. */
 const MAX_EVENT_CHARACTERS = 64 * 1024;
 
+/**
+ * Maximum size of a response other than an answer, in bytes. The largest ones list
+ * the ids of all attempts at an engine.
+ */
+const MAX_RESPONSE_BYTES = 1024 * 1024;
+
+/** Maximum size of a list of cache events, in bytes; it may name every block. */
+const MAX_CACHE_EVENTS_BYTES = 8 * 1024 * 1024;
+
+/** Maximum size of an error response, in bytes. */
+const MAX_ERROR_BYTES = 64 * 1024;
+
 export interface HttpEngineOptions {
   /** Base URL of the engine, like `http://10.0.0.7:9000`. */
   readonly url: string;
@@ -34,7 +49,7 @@
 /** Engine client whose owner must dispose it to close the connections. */
 export type HttpEngine = Engine & Disposable;
 
-type ResponseBody = Awaited<ReturnType<Pool['request']>>['body'];
+type EngineResponse = Awaited<ReturnType<Pool['request']>>;
 
 /**
  * Creates a client of one engine. It never retries a request: the stream runner
@@ -46,6 +61,7 @@
  */
 export function createHttpEngine(options: HttpEngineOptions): HttpEngine {
   const {connectTimeoutMs = 1000, callTimeoutMs = 5000} = options;
+  const clock = systemClock();
   const pool = new Pool(options.url, {
     connections: null,
     pipelining: 1,
@@ -56,12 +72,30 @@
     headersTimeout: 0,
   });
 
+  /** Reads an error response; one without end becomes `endpoint-failed`. */
+  async function readErrorResponse({
+    statusCode,
+    body,
+  }: EngineResponse): Promise<ServingError> {
+    const bounds = {maxBytes: MAX_ERROR_BYTES, timeoutMs: callTimeoutMs};
+    try {
+      const text = await readText(body, bounds, clock);
+      return parseErrorResponse(statusCode, text);
+    } catch (error) {
+      if (!isServingError(error, 'protocol-violation')) {
+        throw error;
+      }
+      return createStatusError(statusCode, error);
+    }
+  }
+
   async function call<T extends z.ZodType>(
     method: 'GET' | 'POST',
     path: string,
     schema: T,
     body?: unknown,
     signal?: AbortSignal,
+    maxBytes = MAX_RESPONSE_BYTES,
   ): Promise<z.output<T>> {
     const operation = `${method} ${path}`;
     try {
@@ -75,10 +109,11 @@
         signal: signal ?? null,
       });
       if (response.statusCode !== 200) {
-        throw await readErrorResponse(response.statusCode, response.body);
+        throw await readErrorResponse(response);
       }
+      const bounds = {maxBytes, timeoutMs: callTimeoutMs};
       const value = parseJson(
-        await response.body.text(),
+        await readText(response.body, bounds, clock),
         'protocol-violation',
         operation,
       );
@@ -105,7 +140,7 @@
         signal,
       });
       if (response.statusCode !== 200) {
-        throw await readErrorResponse(response.statusCode, response.body);
+        throw await readErrorResponse(response);
       }
       yield* readEvents(response.body);
     } catch (error) {
@@ -127,6 +162,7 @@
         cacheEventsSchema,
         undefined,
         signal,
+        MAX_CACHE_EVENTS_BYTES,
       ),
     exportCache: (attempt, signal) =>
       call('POST', '/v1/export', cacheExportSchema, {attempt}, signal),
@@ -146,26 +182,26 @@
 /** Accepts any object, for responses whose content is ignored. */
 const ignoredResponseSchema = z.object({});
 
-/** Reads an error response; malformed content becomes `endpoint-failed`. */
-async function readErrorResponse(
-  status: number,
-  body: ResponseBody,
-): Promise<ServingError> {
-  const text = await body.text();
+/** Parses an error response; malformed content becomes `endpoint-failed`. */
+function parseErrorResponse(status: number, text: string): ServingError {
   try {
     const {kind, title} = errorResponseSchema.parse(JSON.parse(text));
     return new ServingError(kind, `the engine rejected the request: ${title}`);
   } catch (error) {
-    return new ServingError(
-      'endpoint-failed',
-      `the engine responded with status ${status}`,
-      {cause: error},
-    );
+    return createStatusError(status, error);
   }
 }
 
+function createStatusError(status: number, cause: unknown): ServingError {
+  return new ServingError(
+    'endpoint-failed',
+    `the engine responded with status ${status}`,
+    {cause},
+  );
+}
+
 async function* readEvents(
-  body: ResponseBody,
+  body: EngineResponse['body'],
 ): AsyncGenerator<GenerationEvent> {
   const events: GenerationEvent[] = [];
   const decoder = new TextDecoder();
