providers: bound the answers of the store, the platform and moves

What callers saw: a party that answered a call without end (a read or a write of the store, a call to the platform, a move or release of a KV cache, a line of a stream) filled the memory of the process that had called it, until the deadline of that call.

Cause: the one client below all these calls read bodies with `body.text()` and lines with readline, which both keep all bytes; a listing was read for as long as the store named one more page.

Fix: the client reads with the bounds of base. A write whose answer is too long keeps its meaning, `outcome-unknown`: it may have run. Reads are `platform-unavailable`, as after a lost connection.

--- a/packages/providers/src/httpCalls.ts
+++ b/packages/providers/src/httpCalls.ts
@@ -1,7 +1,15 @@
 /** HTTP client whose errors tell whether a request may have taken effect. */
-import {createInterface} from 'node:readline';
 import {Agent, type Dispatcher} from 'undici';
-import {ServingError, toDisposable, type Disposable} from '@skylarkfield/base';
+import {
+  readLines,
+  readText,
+  ServingError,
+  systemClock,
+  toDisposable,
+  type Clock,
+  type Disposable,
+  type ReadBounds,
+} from '@skylarkfield/base';
 
 export interface HttpResponse {
   readonly status: number;
@@ -35,6 +43,21 @@
 const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_MS = 30_000;
 
+/**
+ * Bounds of a response, and of one line of a stream. The largest responses are
+ * lists of objects of up to 1 MiB each; pages of lists end at about 1 MB.
+ */
+const LISTING_BOUNDS: ReadBounds = {
+  maxBytes: 16 * 1024 * 1024,
+  timeoutMs: 10_000,
+};
+
+/** Bounds of a response that tells only whether a command was accepted. */
+export const COMMAND_RESPONSE_BOUNDS: ReadBounds = {
+  maxBytes: 64 * 1024,
+  timeoutMs: 10_000,
+};
+
 /** Codes of connect errors: no byte of the request was sent. */
 const CONNECT_ERROR_CODES = new Set([
   'ECONNREFUSED',
@@ -51,8 +74,13 @@
  * const client = createHttpClient('http://10.0.0.2:7000');
  * const response = await client.send({method: 'GET', path: '/cloud/offers', isWrite: false});
  */
-export function createHttpClient(url: string): HttpClient {
-  // No timeouts: callers set deadlines, and a watch may be idle indefinitely.
+export function createHttpClient(
+  url: string,
+  bounds = LISTING_BOUNDS,
+): HttpClient {
+  const clock = systemClock();
+  // No timeouts of heads or between bytes: callers set deadlines, and a watch may
+  // be idle indefinitely.
   const dispatcher = new Agent({
     connect: {timeout: CONNECT_TIMEOUT_MS},
     keepAliveTimeout: KEEP_ALIVE_MS,
@@ -73,7 +101,7 @@
           body,
           signal,
         });
-        const text = await response.body.text();
+        const text = await readText(response.body, bounds, clock);
         return {status: response.statusCode, headers: response.headers, text};
       } catch (error) {
         throw transportError(error, isWrite);
@@ -82,7 +110,11 @@
     stream(path, listener) {
       const controller = new AbortController();
       const target = {origin, path: `${pathPrefix}${path}`};
-      void readJsonLines(target, dispatcher, controller.signal, listener);
+      void readJsonLines(
+        {...target, signal: controller.signal},
+        {dispatcher, bounds, clock},
+        listener,
+      );
       return toDisposable(() => controller.abort());
     },
     dispose() {
@@ -92,30 +124,38 @@
 }
 
 async function readJsonLines(
-  target: {readonly origin: string; readonly path: string},
-  dispatcher: Dispatcher,
-  signal: AbortSignal,
+  target: {
+    readonly origin: string;
+    readonly path: string;
+    readonly signal: AbortSignal;
+  },
+  reader: {
+    readonly dispatcher: Dispatcher;
+    readonly bounds: ReadBounds;
+    readonly clock: Clock;
+  },
   listener: JsonLineListener,
 ): Promise<void> {
+  const {signal} = target;
+  const {dispatcher, bounds, clock} = reader;
   let status = 0;
   let retryAfterMs = 0;
+  const headController = new AbortController();
+  const headTimer = clock.after(bounds.timeoutMs, () => headController.abort());
   try {
     const response = await dispatcher.request({
       ...target,
       method: 'GET',
-      signal,
+      signal: AbortSignal.any([signal, headController.signal]),
     });
+    headTimer.dispose();
     status = response.statusCode;
     retryAfterMs = parseRetryAfterMs(response.headers);
     if (status !== 200) {
-      await response.body.dump();
+      await readText(response.body, COMMAND_RESPONSE_BOUNDS, clock);
     } else {
       listener.onDidOpen();
-      const lines = createInterface({
-        input: response.body,
-        crlfDelay: Infinity,
-      });
-      for await (const line of lines) {
+      for await (const line of readLines(response.body, bounds, clock)) {
         if (signal.aborted) {
           break;
         }
@@ -124,6 +164,8 @@
     }
   } catch {
     // Ignores the error: the owner of the stream reopens it on any error.
+  } finally {
+    headTimer.dispose();
   }
   if (!signal.aborted) {
     listener.onDidEnd(status, retryAfterMs);
