gateway: bound the memory of all long answers together

What callers saw: a faulty endpoint that answered each of its requests without end took 16 MiB for each of them, the bound of one answer. 48 requests, as many as one entry sends to one endpoint, took 768 MiB, and a process has 350 MB.

Cause: the bound counted the bytes of one answer. It neither counted the answers, nor the objects that hold the bytes: an endpoint that sends each byte in a chunk of its own takes a hundred times as much. Bodies of callers, plain services and events had the latter fault as well.

Evidence, on the code before: 48 buffers that are filled in turn kept 768 MiB; a body of 4 MB in chunks of one byte ended a heap of 64 MiB (ERR_WORKER_OUT_OF_MEMORY). `endlessAnswers` sends one flood at a time in chunks of 4 KiB and saw neither.

Fix: beyond 1 MiB, answers in one piece draw on 64 MiB that all answers of the endpoints share; one that finds none left fails and may have run. Answers up to 1 MiB never do. All bodies are collected by base's collector, which joins small chunks.

--- a/packages/endpoints/src/plainService.ts
+++ b/packages/endpoints/src/plainService.ts
@@ -1,5 +1,6 @@
 /** HTTP client of a plain service; errors tell whether a call may have run. */
 import {
+  createByteCollector,
   createResponseEnds,
   framingOf,
   ServingError,
@@ -167,8 +168,7 @@
   resolve: (response: ServiceResponse) => void,
   reject: (error: ServingError) => void,
 ): Exchange {
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
+  const collector = createByteCollector();
   let status = 0;
   let framing: ResponseFraming = 'length';
   let headers: Record<string, string> = {};
@@ -228,8 +228,7 @@
         headers = removeHopByHopHeaders(rawHeaders);
       },
       onResponseData(dataController, chunk) {
-        receivedBytes += chunk.byteLength;
-        if (receivedBytes > maxResponseBytes) {
+        if (collector.sizeBytes() + chunk.byteLength > maxResponseBytes) {
           const error = new Error(
             `the response exceeds ${maxResponseBytes} bytes`,
           );
@@ -237,14 +236,14 @@
           dataController.abort(error);
           return;
         }
-        chunks.push(chunk);
+        collector.push(chunk);
       },
       onResponseEnd() {
         if (!ends.isComplete(framing)) {
           fail(new Error('the connection ended in the middle of the response'));
           return;
         }
-        const body = new Uint8Array(Buffer.concat(chunks));
+        const body = new Uint8Array(collector.bytes());
         const isEndUnmarked = framing === 'close';
         settle(() => resolve({status, headers, body, isEndUnmarked}));
       },
--- a/packages/entry/src/callers/requestBody.ts
+++ b/packages/entry/src/callers/requestBody.ts
@@ -1,6 +1,6 @@
 /** Reading of request bodies with a size limit. */
 import type {IncomingMessage} from 'node:http';
-import {ServingError} from '@skylarkfield/base';
+import {createByteCollector, ServingError} from '@skylarkfield/base';
 
 /**
  * Reads a whole body. Rejects with `too-large` as soon as the limit is
@@ -19,18 +19,18 @@
     return Promise.reject(bodyTooLargeError(maxBytes));
   }
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) {
+    const collector = createByteCollector();
+    request.on('data', function onData(chunk: Buffer) {
+      if (collector.sizeBytes() + chunk.length > maxBytes) {
+        request.off('data', onData);
+        collector.clear();
         request.pause();
         reject(bodyTooLargeError(maxBytes));
         return;
       }
-      chunks.push(chunk);
+      collector.push(chunk);
     });
-    request.once('end', () => resolve(Buffer.concat(chunks)));
+    request.once('end', () => resolve(collector.bytes()));
     request.once('error', error => reject(disconnectedError(error)));
     request.once('close', () => reject(disconnectedError(undefined)));
   });
--- a/packages/gateway/src/attempts/attempt.ts
+++ b/packages/gateway/src/attempts/attempt.ts
@@ -12,6 +12,7 @@
   abortReason,
   interruptedError,
   protocolViolationError,
+  excessErrors,
   oversizedError,
   supersededError,
   unreachableError,
@@ -19,7 +20,7 @@
   cancelledBeforeSendError,
 } from './attemptErrors.js';
 import {isServerError, resultOfLostConnection} from './attemptOutcome.js';
-import {createBodyBuffer, MAX_BODY_BYTES} from './bodyBuffer.js';
+import {createBodyBuffer} from './bodyBuffer.js';
 import {MAX_EVENT_BYTES, type EventFrame} from './eventFramer.js';
 import {createStallTimer, type Stall} from './stallTimer.js';
 import {createStreamDelivery, type StreamDelivery} from './streamDelivery.js';
@@ -179,7 +180,7 @@
 export function runAttempt(options: AttemptOptions): Promise<AttemptResult> {
   return new Promise(resolve => {
     const {clock, format, signal, sink, race, stallTimeoutMs} = options;
-    const body = createBodyBuffer();
+    const body = createBodyBuffer(options.upstreams.bodyMemory);
     const resumedId = sink?.lastEventId();
     let delivery: StreamDelivery | undefined;
     let responseHead: StreamHead | undefined;
@@ -203,6 +204,7 @@
         return;
       }
       isSettled = true;
+      body.dispose();
       stallTimer.dispose();
       subscriptions.dispose();
       signal.removeEventListener('abort', onAbort);
@@ -314,8 +316,9 @@
     function onDidReceive(chunk: Buffer): void {
       recordReceived();
       if (delivery === undefined) {
-        if (!body.push(chunk)) {
-          abort(oversizedError('response', MAX_BODY_BYTES));
+        const excess = body.push(chunk);
+        if (excess !== undefined) {
+          abort(excessErrors[excess]());
         }
         return;
       }
--- a/packages/gateway/src/attempts/attemptErrors.ts
+++ b/packages/gateway/src/attempts/attemptErrors.ts
@@ -1,5 +1,10 @@
 /** Errors of attempts. */
 import {ServingError} from '@skylarkfield/base';
+import {
+  MAX_BODY_BYTES,
+  UNSHARED_BODY_BYTES,
+  type BodyExcess,
+} from './bodyBuffer.js';
 
 /**
  * Returns the error that aborted the signal; `cancelled` by default.
@@ -52,6 +57,20 @@
   return protocolViolationError(`the ${part} exceeds ${maxBytes} bytes`);
 }
 
+/**
+ * Errors of attempts whose response is not kept. Both may have run.
+ *
+ * @example
+ * abort(excessErrors['too-long']());
+ */
+export const excessErrors: Readonly<Record<BodyExcess, () => ServingError>> = {
+  'too-long': () => oversizedError('response', MAX_BODY_BYTES),
+  'no-memory': () =>
+    interruptedError(
+      `the response exceeds ${UNSHARED_BODY_BYTES} bytes, and others take the memory for such responses`,
+    ),
+};
+
 /**
  * Returns the error of an attempt that another one of its request has
  * superseded.
--- a/packages/gateway/src/attempts/eventFramer.ts
+++ b/packages/gateway/src/attempts/eventFramer.ts
@@ -6,6 +6,8 @@
  * as a single event, so only complete events are passed on.
  */
 
+import {createByteCollector} from '@skylarkfield/base';
+
 /** One event with its raw bytes, including the terminating empty line. */
 export interface EventFrame {
   readonly bytes: Buffer;
@@ -59,29 +61,19 @@
  * for (const frame of framer.push(chunk)) { response.write(frame.bytes); }
  */
 export function createEventFramer(): EventFramer {
-  /** Bytes after the last complete event, in the chunks that brought them. */
-  let chunks: Buffer[] = [];
-  let bufferedBytes = 0;
+  /** Bytes after the last complete event. */
+  const buffered = createByteCollector();
   /** The last of these bytes, which may belong to the end of an event. */
   let tail: Buffer = NO_BYTES;
   let isFirstEvent = true;
 
   function append(chunk: Buffer): void {
-    chunks.push(chunk);
-    bufferedBytes += chunk.length;
+    buffered.push(chunk);
     const end =
       chunk.length < TAIL_BYTES ? Buffer.concat([tail, chunk]) : chunk;
     tail = end.subarray(-TAIL_BYTES);
   }
 
-  /** Returns all bytes after the last complete event in one piece. */
-  function join(): Buffer {
-    if (chunks.length !== 1) {
-      chunks = [Buffer.concat(chunks)];
-    }
-    return chunks[0]!;
-  }
-
   /** Whether the chunk completes an event. Reads no earlier bytes again. */
   function completesEvent(chunk: Buffer): boolean {
     const text = Buffer.concat([tail, chunk]).toString('latin1');
@@ -102,8 +94,7 @@
       });
       start = end;
     }
-    chunks = [];
-    bufferedBytes = 0;
+    buffered.clear();
     if (start < bytes.length) {
       tail = NO_BYTES;
       append(bytes.subarray(start));
@@ -114,17 +105,17 @@
 
   return {
     push(chunk) {
-      if (bufferedBytes === 0) {
+      if (buffered.sizeBytes() === 0) {
         return takeFrames(chunk);
       }
       const isComplete = completesEvent(chunk);
       append(chunk);
-      return isComplete ? takeFrames(join()) : [];
+      return isComplete ? takeFrames(buffered.bytes()) : [];
     },
-    remainder: join,
-    remainderBytes: () => bufferedBytes,
+    remainder: buffered.bytes,
+    remainderBytes: buffered.sizeBytes,
     isInsideEvent() {
-      const text = join().toString('latin1');
+      const text = buffered.bytes().toString('latin1');
       return FIELD.test(isFirstEvent ? withoutByteOrderMark(text) : text);
     },
   };
--- a/packages/gateway/src/attempts/test/attempt.test.ts
+++ b/packages/gateway/src/attempts/test/attempt.test.ts
@@ -3,7 +3,7 @@
 import {createVirtualClock, ServingError} from '@skylarkfield/base';
 import {runAttempt, type AttemptResult, type EventSink} from '../attempt.js';
 import {createAttemptRace} from '../attemptRace.js';
-import {MAX_BODY_BYTES} from '../bodyBuffer.js';
+import {createBodyMemory, MAX_BODY_BYTES} from '../bodyBuffer.js';
 import type {CallFormat} from '../../contracts.js';
 import {MAX_EVENT_BYTES} from '../eventFramer.js';
 import type {UpstreamListener, Upstreams} from '../upstream.js';
@@ -41,6 +41,7 @@
   let stopAccepting!: () => void;
   let result: AttemptResult | undefined;
   const upstreams = {
+    bodyMemory: createBodyMemory(),
     send(_address: string, _request: unknown, newListener: UpstreamListener) {
       listener = newListener;
       return {
--- a/packages/gateway/src/attempts/test/hedgedAttempts.test.ts
+++ b/packages/gateway/src/attempts/test/hedgedAttempts.test.ts
@@ -7,6 +7,7 @@
   ServingError,
 } from '@skylarkfield/base';
 import {runAttempt} from '../attempt.js';
+import {createBodyMemory} from '../bodyBuffer.js';
 import {createCallerReply} from '../../callers/callerReply.js';
 import type {CallFormat} from '../../contracts.js';
 import type {ForwardedCall} from '../../forwarding/forwardedCall.js';
@@ -65,6 +66,7 @@
     isClosing: () => false,
   });
   const upstreams = {
+    bodyMemory: createBodyMemory(),
     send(_address: string, _request: unknown, listener: UpstreamListener) {
       const index = listeners.push(listener) - 1;
       return {
--- a/packages/gateway/src/attempts/upstream.ts
+++ b/packages/gateway/src/attempts/upstream.ts
@@ -9,6 +9,7 @@
   type ResponseFraming,
 } from '@skylarkfield/base';
 import type {ResponseHeaders} from '../contracts.js';
+import {createBodyMemory, type BodyMemory} from './bodyBuffer.js';
 import {
   createResponseProgress,
   type ResponseProgress,
@@ -52,6 +53,8 @@
 
 /** Connection pools of all endpoints. */
 export interface Upstreams extends Disposable {
+  /** Memory that the responses share. */
+  readonly bodyMemory: BodyMemory;
   send(
     address: string,
     request: UpstreamRequest,
@@ -173,6 +176,7 @@
   }
 
   return {
+    bodyMemory: createBodyMemory(),
     send: (address, request, listener) =>
       dispatch(getOrCreatePool(address), watch, request, listener),
     retainOnly: addresses =>
--- a/packages/gateway/src/callers/callerBody.ts
+++ b/packages/gateway/src/callers/callerBody.ts
@@ -1,6 +1,6 @@
 /** Reads the body of a caller's request. */
 import type {IncomingMessage} from 'node:http';
-import {ServingError} from '@skylarkfield/base';
+import {createByteCollector, ServingError} from '@skylarkfield/base';
 
 /**
  * Reads the whole body; undefined if the request has no body. The body is
@@ -25,17 +25,17 @@
     return Promise.reject(tooLarge(maxBytes));
   }
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let receivedBytes = 0;
-    request.on('data', (chunk: Buffer) => {
-      receivedBytes += chunk.length;
-      if (receivedBytes > maxBytes) {
+    const collector = createByteCollector();
+    request.on('data', function onData(chunk: Buffer) {
+      if (collector.sizeBytes() + chunk.length > maxBytes) {
+        request.off('data', onData);
+        collector.clear();
         reject(tooLarge(maxBytes));
         return;
       }
-      chunks.push(chunk);
+      collector.push(chunk);
     });
-    request.once('end', () => resolve(Buffer.concat(chunks)));
+    request.once('end', () => resolve(collector.bytes()));
     request.once('error', () => reject(callerDisconnected()));
     signal.addEventListener('abort', () => reject(callerDisconnected()), {
       once: true,
--- a/packages/gateway/src/test/virtualReplicas.ts
+++ b/packages/gateway/src/test/virtualReplicas.ts
@@ -1,5 +1,6 @@
 /** Replicas on a virtual clock, which stream events and can stand still. */
 import {ServingError, type Clock, type Random} from '@skylarkfield/base';
+import {createBodyMemory} from '../attempts/bodyBuffer.js';
 import type {UpstreamListener, Upstreams} from '../attempts/upstream.js';
 
 export interface VirtualReplicas {
@@ -106,6 +107,7 @@
 
   return {
     upstreams: {
+      bodyMemory: createBodyMemory(),
       send(address, {path, headers}, listener) {
         let isAborted = false;
         const position = headers.indexOf(LAST_EVENT_HEADER);
