--- a/packages/gateway/src/attempts/upstream.ts
+++ b/packages/gateway/src/attempts/upstream.ts
@@ -9,6 +9,7 @@
   type ResponseFraming,
 } from '@skylarkfield/base';
 import type {ResponseHeaders} from '../contracts.js';
+import {createBodyMemory, type BodyMemory} from './bodyBuffer.js';
 import {
   createResponseProgress,
   type ResponseProgress,
@@ -59,6 +60,8 @@
 
 /** Connection pools of all endpoints. */
 export interface Upstreams extends Disposable {
+  /** Memory that the responses share. */
+  readonly bodyMemory: BodyMemory;
   send(
     address: string,
     request: UpstreamRequest,
@@ -201,6 +204,7 @@
   }
 
   return {
+    bodyMemory: createBodyMemory(),
     send: (address, request, listener, connectionClass = 'shared') =>
       dispatch(choosePool(address, connectionClass), watch, request, listener),
     retainOnly: addresses =>
