providers: reset the connections of commands that are given up

An order of an entry that was cut off arrived 1.7 s after the heal, with a lower fencing token than the next holder had sent (ONE). Cause: a call that times out, or whose lease ends, closed its connection in order, and what the cut held up was delivered later. A command must not take effect once its sender has given it up: its connection is reset, so that held-up bytes are lost.

--- a/packages/base/src/connectionReset.ts
+++ b/packages/base/src/connectionReset.ts
@@ -19,6 +19,22 @@
   socket.resetAndDestroy();
 }
 
+/**
+ * Resets a connection when its socket is destroyed, which else closes it in order:
+ * the bytes that a network partition holds up would arrive after it.
+ *
+ * @example
+ * resetOnDestroy(socket);
+ */
+export function resetOnDestroy(socket: Socket): void {
+  const {destroy} = socket;
+  socket.destroy = () => {
+    socket.destroy = destroy;
+    resetConnection(socket);
+    return socket;
+  };
+}
+
 /** The shutdown of an ended socket begins when all of its bytes are written. */
 function hasShutdownBegun(socket: Socket): boolean {
   return (
--- a/packages/providers/src/httpCalls.ts
+++ b/packages/providers/src/httpCalls.ts
@@ -1,8 +1,9 @@
 /** HTTP client whose errors tell whether a request may have taken effect. */
-import {Agent, type Dispatcher} from 'undici';
+import {Agent, buildConnector, type Dispatcher} from 'undici';
 import {
   readLines,
   readText,
+  resetOnDestroy,
   ServingError,
   systemClock,
   toDisposable,
@@ -49,19 +50,36 @@
 const KEEP_ALIVE_MS = 30_000;
 
 /**
- * Bounds of a response, and of one line of a stream. The largest responses are
- * lists of objects of up to 1 MiB each; pages of lists end at about 1 MB. A call
- * that waits for changes takes up to 30 s, and its head may come before them.
+ * What a client is used for. `objects`: reads and conditional writes, which the
+ * server checks, also if they arrive late. `commands`: calls that must not take
+ * effect once their sender has given them up.
  */
-const LISTING_BOUNDS: ReadBounds = {
-  maxBytes: 16 * 1024 * 1024,
-  timeoutMs: 40_000,
-};
+export type HttpClientPurpose = 'objects' | 'commands';
+
+/** Properties of a client that depend on its purpose. */
+interface ClientTraits {
+  /** Bounds of a response, and of one line of a stream. */
+  readonly bounds: ReadBounds;
+  /**
+   * Whether connections are reset rather than closed in order, so that what a
+   * network partition holds up is lost.
+   */
+  readonly resetsConnections: boolean;
+}
 
-/** Bounds of a response that tells only whether a command was accepted. */
-export const COMMAND_RESPONSE_BOUNDS: ReadBounds = {
-  maxBytes: 64 * 1024,
-  timeoutMs: 10_000,
+const clientTraits: Readonly<Record<HttpClientPurpose, ClientTraits>> = {
+  // The largest responses are lists of objects of up to 1 MiB each; pages of lists
+  // end at about 1 MB. A call that waits for changes takes up to 30 s, and its
+  // head may come before them.
+  objects: {
+    bounds: {maxBytes: 16 * 1024 * 1024, timeoutMs: 40_000},
+    resetsConnections: false,
+  },
+  // Responses tell only whether a command was accepted.
+  commands: {
+    bounds: {maxBytes: 64 * 1024, timeoutMs: 10_000},
+    resetsConnections: true,
+  },
 };
 
 /** Codes of connect errors: no byte of the request was sent. */
@@ -82,13 +100,14 @@
  */
 export function createHttpClient(
   url: string,
-  bounds = LISTING_BOUNDS,
+  purpose: HttpClientPurpose = 'objects',
 ): HttpClient {
+  const {bounds, resetsConnections} = clientTraits[purpose];
   const clock = systemClock();
   // No timeouts of heads or between bytes: callers set deadlines, and a watch may
   // be idle indefinitely.
   const dispatcher = new Agent({
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect: createConnector(resetsConnections),
     keepAliveTimeout: KEEP_ALIVE_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
@@ -130,6 +149,18 @@
   };
 }
 
+function createConnector(resetsConnections: boolean): buildConnector.connector {
+  const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+  return (options, callback) =>
+    connect(options, (...connectResult) => {
+      const [, socket] = connectResult;
+      if (socket && resetsConnections) {
+        resetOnDestroy(socket);
+      }
+      callback(...connectResult);
+    });
+}
+
 async function readJsonLines(
   target: {
     readonly origin: string;
@@ -159,7 +190,7 @@
     status = response.statusCode;
     retryAfterMs = parseRetryAfterMs(response.headers);
     if (status !== 200) {
-      await readText(response.body, COMMAND_RESPONSE_BOUNDS, clock);
+      await readText(response.body, clientTraits.commands.bounds, clock);
     } else {
       listener.onDidOpen();
       for await (const line of readLines(response.body, bounds, clock)) {
