base: hold the timers of time limits that have an owner

After the API for duties was silent for 4 s, its holder reported no usage any more. Cause: the call's signal was AbortSignal.timeout in AbortSignal.any, which holds it weakly; it was collected and never fired, so that the call never ended. withTimeLimit has a timer that holds the signal; all four places that combined the two use it.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -22,4 +22,5 @@
 export * from './responseFraming.js';
 export * from './shapes.js';
 export * from './throttle.js';
+export * from './timeLimit.js';
 export * from './virtualClock.js';
--- a/packages/endpoints/src/plainService.ts
+++ b/packages/endpoints/src/plainService.ts
@@ -4,6 +4,8 @@
   createResponseEnds,
   framingOf,
   ServingError,
+  systemClock,
+  withTimeLimit,
   type Disposable,
   type ResponseEnds,
   type ResponseFraming,
@@ -62,6 +64,7 @@
 export function createHttpPlainService(
   options: HttpPlainServiceOptions,
 ): HttpPlainService {
+  const clock = systemClock();
   const baseUrl = new URL(options.url);
   const basePath = baseUrl.pathname.replace(/\/$/, '');
   const maxResponseBytes =
@@ -127,18 +130,17 @@
   }
 
   async function load(signal?: AbortSignal): Promise<LoadReport> {
-    const timeoutSignal = AbortSignal.timeout(LOAD_TIMEOUT_MS);
-    const combinedSignal = signal
-      ? AbortSignal.any([signal, timeoutSignal])
-      : timeoutSignal;
-    const response = await call(
-      {
-        method: 'GET',
-        path: options.loadPath ?? DEFAULT_LOAD_PATH,
-        headers: {},
-        body: new Uint8Array(),
-      },
-      combinedSignal,
+    const request: ServiceCall = {
+      method: 'GET',
+      path: options.loadPath ?? DEFAULT_LOAD_PATH,
+      headers: {},
+      body: new Uint8Array(),
+    };
+    const response = await withTimeLimit(
+      clock,
+      LOAD_TIMEOUT_MS,
+      signal,
+      callSignal => call(request, callSignal),
     );
     return parseLoadReport(response);
   }
--- a/packages/gateway/src/process/fleetDuty.ts
+++ b/packages/gateway/src/process/fleetDuty.ts
@@ -2,6 +2,7 @@
 import {
   scheduleRepeatedly,
   toServingError,
+  withTimeLimit,
   type Clock,
   type Disposable,
   type Logger,
@@ -249,10 +250,12 @@
       return 'failed';
     }
     issuedOrders.set(key, {count: order.count, issuedAt: clock.now()});
-    const answer = await orders.orderEndpoints(
-      {holder: options.holder, fencing: term.fencing},
-      order,
-      AbortSignal.any([term.signal, AbortSignal.timeout(CALL_TIMEOUT_MS)]),
+    const credentials = {holder: options.holder, fencing: term.fencing};
+    const answer = await withTimeLimit(
+      clock,
+      CALL_TIMEOUT_MS,
+      term.signal,
+      signal => orders.orderEndpoints(credentials, order, signal),
     );
     log.info({...order, answer, fencing: term.fencing}, 'endpoints ordered');
     if (answer === 'unavailable') {
--- a/packages/gateway/src/quotas/usageDuty.ts
+++ b/packages/gateway/src/quotas/usageDuty.ts
@@ -9,10 +9,11 @@
  * counts it may have lost are reported only with the counts reported before.
  */
 import {
-  scheduleRepeatedly,
   isServingError,
+  scheduleRepeatedly,
   ServingError,
   toServingError,
+  withTimeLimit,
   type Clock,
   type Disposable,
   type Logger,
@@ -237,14 +238,11 @@
     }
     reports.record(window, counts);
     const credentials = {holder: options.holder, fencing: term.fencing};
-    const answer = await orders.reportUsage(
-      credentials,
-      window,
-      counts,
-      AbortSignal.any([
-        term.signal,
-        AbortSignal.timeout(USAGE_CALL_TIMEOUT_MS),
-      ]),
+    const answer = await withTimeLimit(
+      clock,
+      USAGE_CALL_TIMEOUT_MS,
+      term.signal,
+      signal => orders.reportUsage(credentials, window, counts, signal),
     );
     log.info({window, counts, answer, fencing: term.fencing}, 'usage reported');
     if (answer !== 'accepted') {
--- a/packages/gateway/src/rollouts/rolloutStateDuty.ts
+++ b/packages/gateway/src/rollouts/rolloutStateDuty.ts
@@ -8,6 +8,7 @@
 import {
   scheduleRepeatedly,
   toServingError,
+  withTimeLimit,
   type Clock,
   type Disposable,
   type Logger,
@@ -74,11 +75,8 @@
     const key = keyOf(name, rollout);
     nextWriteAtByKey.set(key, clock.now() + REWRITE_INTERVAL_MS);
     try {
-      await options.writeRolloutState(
-        name,
-        target,
-        state,
-        AbortSignal.any([term.signal, AbortSignal.timeout(CALL_TIMEOUT_MS)]),
+      await withTimeLimit(clock, CALL_TIMEOUT_MS, term.signal, signal =>
+        options.writeRolloutState(name, target, state, signal),
       );
       log.info({rollout: name, target, state}, 'lost rollout state written');
     } catch (error) {
