streams: keep a migrated answer at the version it began at

What callers would see: while a version is moved, the endpoint of an answer leaves before the first token, and only the incumbent has an endpoint for it. The tokens of one version are followed by those of the other, in one complete answer.

Cause: the target of a migration is picked while no token has been delivered, so it may run the other version. The KV cache is transferred after that, and the source streams on. The pick was then used in a later state of the request than the one it was made for. The cache was also imported by a version that did not make it.

Evidence: the test fails without the change ("not ok 18 - does not continue an answer at another version than it began at"): the engine of the other version received the request with 4 delivered tokens.

Fix: no KV cache is transferred to another version. The stream moves in the turn in which such a target is picked, so no token can come in between.

--- a/packages/entry/src/callers/modelServer.ts
+++ b/packages/entry/src/callers/modelServer.ts
@@ -265,6 +265,7 @@
       endpoint: choice.endpoint,
       url: endpoint.listedEndpoint.url,
       engine,
+      version,
       cachedTokens: choice.cachedTokens,
       leavingSignal: endpoint.leavingSignal,
       goneAtMs: () => endpoint.goneAt?.(),
--- a/packages/streams/src/contracts.ts
+++ b/packages/streams/src/contracts.ts
@@ -26,6 +26,8 @@
   readonly endpoint: string;
   readonly url: string;
   readonly engine: Engine;
+  /** Version of the service that the endpoint runs; undefined if it has none. */
+  readonly version?: string;
   /** Estimated number of prompt tokens cached at the endpoint; 0 if unknown. */
   readonly cachedTokens?: number;
   /** Aborts when the endpoint has to leave, so that the stream must migrate. */
--- a/packages/streams/src/migration.ts
+++ b/packages/streams/src/migration.ts
@@ -15,9 +15,9 @@
 
 /**
  * Picks an endpoint for the stream and transfers the KV cache to that endpoint
- * if a transfer is cheaper than recomputing the tokens. The source keeps
- * streaming meanwhile, so the caller sees no pause. Rejects only when the
- * signal aborts.
+ * if it runs the same version and a transfer is cheaper than recomputing the
+ * tokens. The source keeps streaming meanwhile, so the caller sees no pause.
+ * Rejects only when the signal aborts.
  *
  * @example
  * const target = await prepareMigration({clock, costs, source, ...options});
@@ -57,6 +57,11 @@
   pick: EndpointPick,
 ): Promise<string | undefined> {
   const {clock, costs, source, attemptId, goneAtMs, signal} = options;
+  if (pick.version !== source.version) {
+    // Its KV cache does not fit, and the answer could begin in the meantime,
+    // which must not go on at another version then.
+    return undefined;
+  }
   try {
     const exportedCache = await source.engine.exportCache(attemptId, signal);
     const isTransferCheaper = costs.isTransferCheaper({
--- a/packages/streams/src/test/streamRig.ts
+++ b/packages/streams/src/test/streamRig.ts
@@ -21,6 +21,8 @@
   /** Monotonic milliseconds by which leaving endpoints are gone. */
   readonly goneAtMs?: number;
   readonly deliver?: () => Promise<void> | undefined;
+  /** Versions of the engines; the first one is that of a started answer. */
+  readonly versions?: readonly string[];
 }
 
 export function createRig(options: RigOptions = {}) {
@@ -39,12 +41,22 @@
   const picks: {endpoint: string; outcomes: string[]}[] = [];
   let retriesLeft = options.retryBudget ?? 100;
 
-  function pickEndpoint(excludedEndpoints: ReadonlySet<string>): EndpointPick {
+  /** Whether an answer with these tokens may be run by a version. */
+  function isEligible(version: string | undefined, delivered: number): boolean {
+    return delivered === 0 || version === options.versions?.[0];
+  }
+
+  function pickEndpoint(
+    excludedEndpoints: ReadonlySet<string>,
+    deliveredTokens: readonly string[],
+  ): EndpointPick {
     const index = engines.findIndex(
       (_, i) =>
         !excludedEndpoints.has(`e${i}`) &&
-        !leavingControllers[i]!.signal.aborted,
+        !leavingControllers[i]!.signal.aborted &&
+        isEligible(options.versions?.[i], deliveredTokens.length),
     );
+    const version = options.versions?.[index];
     if (index < 0) {
       throw new ServingError('endpoint-unavailable', 'no endpoint is left');
     }
@@ -54,6 +66,7 @@
       endpoint: pick.endpoint,
       url: `fake://${index}`,
       engine: engines[index]!,
+      ...(version !== undefined && {version}),
       leavingSignal: leavingControllers[index]!.signal,
       goneAtMs: () => options.goneAtMs,
       finish: ({outcome}) => void pick.outcomes.push(outcome),
--- a/packages/streams/src/test/streamRunner.test.ts
+++ b/packages/streams/src/test/streamRunner.test.ts
@@ -87,6 +87,19 @@
     assert.deepEqual(rig.engines[0]!.cancelledAttempts, ['r1#1']);
   });
 
+  // Guards against answers whose first token arrives while another version is prepared to go on with them.
+  it('does not continue an answer at another version than it began at', async () => {
+    const rig = createRig({goneAtMs: 300, versions: ['v2', 'v1', 'v2']});
+    rig.start();
+    await rig.clock.advance(5);
+    rig.leavingControllers[0]!.abort();
+    await rig.clock.advance(DEADLINE_MS);
+    assert.deepEqual(rig.tokens, expectedAnswer());
+    const {receivedRequests} = rig.engines[1]!;
+    assert.ok(receivedRequests.every(({delivered}) => delivered.length === 0));
+    assert.ok(receivedRequests.every(({importedCache}) => !importedCache));
+  });
+
   it('finishes the prepared pick when the caller aborts during a migration', async () => {
     const rig = createRig({maxTokens: 400, goneAtMs: 300});
     rig.start();
