gateway: send no request again that undici restarts

What callers would see: a request that must run once runs twice at one endpoint, without a log line of a second send.

Cause: when a connection is destroyed with an informational error while a request is running, undici puts the request, also a POST, back into the queue and writes it to the next connection, below every decision on further sends. `onRequestStart` took the second start for the first one.

Evidence: with a connection that is destroyed in this way, the endpoint received the POST twice and the send ended as "whole" instead of "may-have-run".

Fix: a request that has been started is not started again; it ends as interrupted, which states that it may have run.

--- a/packages/gateway/src/attempts/test/upstream.test.ts
+++ b/packages/gateway/src/attempts/test/upstream.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {describe, it} from 'node:test';
-import {createUpstreams, type ConnectionClass} from '../upstream.js';
+import {errors} from 'undici';
+import {
+  createTcpConnector,
+  createUpstreams,
+  type ConnectionClass,
+} from '../upstream.js';
 
 /**
  * What the endpoint does with the connection after it has sent its response.
@@ -246,6 +251,50 @@
     await Promise.all(occupied);
   });
 
+  // Guards against second runs of requests that undici sends again after it closed their connection.
+  it('sends a request once if undici takes its connection for an idle one', async () => {
+    const sockets: Socket[] = [];
+    let requestCount = 0;
+    const server = createServer(socket => {
+      socket.once('data', () => {
+        requestCount += 1;
+        if (requestCount > 1) {
+          socket.end(`${HEAD}Content-Length: 0\r\n\r\n`);
+          return;
+        }
+        sockets[0]!.destroy(new errors.InformationalError('idle'));
+      });
+      socket.on('error', () => {});
+    });
+    await new Promise<void>(resolve => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const {port} = server.address() as AddressInfo;
+    const connect = createTcpConnector();
+    const upstreams = createUpstreams((options, callback) =>
+      connect(options, (...result) => {
+        sockets.push(result[1] as Socket);
+        callback(...result);
+      }),
+    );
+    const end = await new Promise<string>(resolve => {
+      upstreams.send(
+        `127.0.0.1:${port}`,
+        {method: 'POST', path: '/', headers: [], body: undefined},
+        {
+          onDidRespond: () => {},
+          onDidReceive: () => {},
+          onDidEnd: () => resolve('whole'),
+          onDidFail: ({run}) => resolve(run),
+        },
+      );
+    });
+    upstreams.dispose();
+    server.close();
+    assert.equal(end, 'may-have-run');
+    assert.equal(requestCount, 1);
+  });
+
   it('reports a request as not run if the connection is refused', async () => {
     const endpoint = await serveOnce(responseCases[0]!);
     endpoint.close();
--- a/packages/gateway/src/attempts/upstream.ts
+++ b/packages/gateway/src/attempts/upstream.ts
@@ -275,9 +275,12 @@
     {
       // After this call, bytes of the request may have been sent.
       onRequestStart(startedController) {
+        // undici starts a request again if it takes the connection for an idle
+        // one, although that connection may have delivered the request.
+        const isRestarted = controller !== undefined;
         controller = startedController;
-        if (isSettled) {
-          startedController.abort(new Error('aborted'));
+        if (isSettled || isRestarted) {
+          startedController.abort(new Error('the connection was lost'));
         }
       },
       onResponseStart(_, status, responseHeaders) {
