gateway: refuse connections in tests at ports that nobody can take

Cause: the test closes the ports of the endpoints that are to refuse, and then opens the caller's server on port 0, which may get one of these ports. The request to the closed endpoint then reached the caller's server itself.

Fix: an endpoint that refuses has an address at which nothing listens, with a port that needs privileges. The check is the same.

--- a/packages/gateway/src/test/testForwarding.ts
+++ b/packages/gateway/src/test/testForwarding.ts
@@ -115,6 +115,14 @@
 
 const ENDPOINT_COUNT = 3;
 
+/**
+ * Returns an address at which nothing listens. Unlike a closed port, a port that
+ * needs privileges cannot become that of another listener.
+ */
+function unusedAddress(index: number): string {
+  return `127.0.0.1:${index + 1}`;
+}
+
 /** Fingerprint of the forwarded request. */
 export const FINGERPRINT = 'f1';
 
@@ -143,7 +151,6 @@
   const endpoints = await Promise.all(
     Array.from({length: ENDPOINT_COUNT}, () => startTestEndpoint(behaviour)),
   );
-  refusing.forEach(index => endpoints[index]!.close());
   const registeredEndpoints = new Map<string, RegisteredEndpoint>(
     endpoints.map(({address}, index) => [
       `e${index}`,
@@ -151,7 +158,7 @@
         id: `e${index}`,
         bornAt: 0,
         service: 's',
-        address,
+        address: refusing.includes(index) ? unusedAddress(index) : address,
         failureDomain: 'a',
         version: 'v1',
         slots: 4,
