gateway: tell the entry that takes a request over whether it has run

What callers would see: a stream that has begun, and that may be resumed, is broken off although an endpoint can go on with it.

Cause: an entry without a path hands the request over, and the receiving entry knows only its own runs. It rejects a request that has not run if its endpoint would be late, and took this one for such a request. The sender hands on only requests that no endpoint has received, so the rejection was final.

Evidence: with a wait that is too long, a request that has run at its sender got 429 instead of 200; the message did not state it (false instead of true).

Fix: the message states whether the request has run, and the receiver rejects only requests that have not, here or at the sender. Entries of the release before omit the field, which means as before that the request has not run.

--- a/packages/gateway/src/forwarding/forwardedCall.ts
+++ b/packages/gateway/src/forwarding/forwardedCall.ts
@@ -56,6 +56,8 @@
   readonly excludedEndpoints: readonly string[];
   /** Whether it has counted the call in the customer's usage. */
   readonly isCounted: boolean;
+  /** Whether an endpoint may have run the call for it. */
+  readonly hasRun: boolean;
 }
 
 /** Result of a forwarded call. */
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -173,7 +173,8 @@
     {choice, kvCache}: EndpointTarget,
   ): ServingError | undefined {
     const isPlaced = call.placement?.endpoint === choice.endpoint;
-    if (progress.runCount > 0 || kvCache !== undefined || isPlaced) {
+    const hasRun = progress.runCount > 0 || call.handover?.hasRun === true;
+    if (hasRun || kvCache !== undefined || isPlaced) {
       return undefined;
     }
     const wait = engineObserver.expectedWait(
--- a/packages/gateway/src/forwarding/test/forwarding.test.ts
+++ b/packages/gateway/src/forwarding/test/forwarding.test.ts
@@ -103,6 +103,30 @@
     }
   });
 
+  // Guards against begun streams that are lost since the entry that takes them over may reject them.
+  it('rejects a long wait unless the request has run, here or at its sender', async () => {
+    const statusOf = async (hasRun: boolean) => {
+      const {status} = await forwardTo(
+        resumableRoute,
+        [streamEvents(1, 3, 'whole')],
+        undefined,
+        undefined,
+        {
+          isWaitTooLong: true,
+          handover: {
+            sender: 'b',
+            excludedEndpoints: [],
+            isCounted: true,
+            hasRun,
+          },
+        },
+      );
+      return status;
+    };
+    assert.equal(await statusOf(false), 429);
+    assert.equal(await statusOf(true), 200);
+  });
+
   it('rejects a request as not run if no endpoint listens at all', async () => {
     const outcome = await forwardTo(
       orderRoute,
--- a/packages/gateway/src/handover/handoverHandler.ts
+++ b/packages/gateway/src/handover/handoverHandler.ts
@@ -222,6 +222,11 @@
     promptKeys: promptKeys(demand?.parts ?? []),
     deadlineAt,
     signal,
-    handover: {sender, excludedEndpoints, isCounted: handover.isCounted},
+    handover: {
+      sender,
+      excludedEndpoints,
+      isCounted: handover.isCounted,
+      hasRun: handover.hasRun ?? false,
+    },
   };
 }
--- a/packages/gateway/src/handover/handovers.ts
+++ b/packages/gateway/src/handover/handovers.ts
@@ -267,6 +267,7 @@
     ...(lastEventId !== undefined && {lastEventId: String(lastEventId)}),
     excludedEndpoints: [...progress.excludedEndpoints],
     isCounted: progress.isCounted,
+    ...(progress.runCount > 0 && {hasRun: true}),
     remainingMs: call.deadlineAt - now,
   };
 }
--- a/packages/gateway/src/handover/test/handoverEnds.test.ts
+++ b/packages/gateway/src/handover/test/handoverEnds.test.ts
@@ -97,6 +97,8 @@
 
 describe('answers between entries', {timeout: 30_000}, () => {
   const disposals: (() => void)[] = [];
+  /** Requests that a receiver took over. */
+  const handedOverCalls: ForwardedCall[] = [];
 
   afterEach(() => disposals.splice(0).forEach(dispose => dispose()));
 
@@ -118,7 +120,8 @@
     let lastSocket: Socket | undefined;
     const handler = createHandoverHandler({
       forwarding: {
-        async forward(_, reply) {
+        async forward(call, reply) {
+          handedOverCalls.push(call);
           run(reply, lastSocket!);
           return {status: 200, firstByteMs: 0, endpoints: [], error: undefined};
         },
@@ -150,7 +153,11 @@
   }
 
   /** Hands a request over; returns its result and what its caller gets. */
-  async function handOver(port: number, kind: 'streaming' | 'idempotent') {
+  async function handOver(
+    port: number,
+    kind: 'streaming' | 'idempotent',
+    runCount = 0,
+  ) {
     const clock = systemClock();
     const peerUpstreams = createUpstreams();
     disposals.push(() => peerUpstreams.dispose());
@@ -194,7 +201,7 @@
         signal: new AbortController().signal,
       } as unknown as ForwardedCall,
       {lastEventId: () => undefined, sink} as unknown as CallerReply,
-      createProgress(clock.now()),
+      {...createProgress(clock.now()), runCount},
       {id: 'receiver', innerUrl: `ws://127.0.0.1:${port}`} as Member,
       {race: createAttemptRace().enter(), onDidStall() {}},
     );
@@ -224,6 +231,16 @@
     });
   }
 
+  // Guards against begun streams that are lost since the entry that takes them over may reject them.
+  it('are asked for with the statement whether the request has run', async () => {
+    const port = await startReceiver(finishStream('chunks'));
+    for (const runCount of [0, 1]) {
+      await handOver(port, 'streaming', runCount);
+      const {handover} = handedOverCalls.at(-1)!;
+      assert.equal(handover?.hasRun, runCount > 0);
+    }
+  });
+
   // Guards against answers in one piece whose callers are told a mark that the endpoint did not set.
   it('in one piece keep their unmarked end', async () => {
     const port = await startReceiver(answerInOnePiece(WHOLE));
--- a/packages/gateway/src/test/testForwarding.ts
+++ b/packages/gateway/src/test/testForwarding.ts
@@ -20,7 +20,10 @@
 import type {CallFormat} from '../contracts.js';
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
 import {createEngineObserver} from '../endpoints/engineObserver.js';
-import type {ForwardingResult} from '../forwarding/forwardedCall.js';
+import type {
+  ForwardingResult,
+  HandoverState,
+} from '../forwarding/forwardedCall.js';
 import {createForwarding} from '../forwarding/forwarding.js';
 import {createRetryRules} from '../forwarding/retryRules.js';
 import type {StreamMigrator} from '../forwarding/streamMigration.js';
@@ -109,6 +112,10 @@
   readonly isUnrouted?: boolean;
   /** Quarantine of the entry; empty by default. */
   readonly crashQuarantine?: CrashQuarantine;
+  /** Whether every endpoint would begin the response too late. */
+  readonly isWaitTooLong?: boolean;
+  /** Set if another entry has handed the request over. */
+  readonly handover?: HandoverState;
   /** Called for data of responses that have begun. */
   readonly onDidReceiveData?: (endpoint: string, sentAt: number) => void;
 }
@@ -140,6 +147,8 @@
     hasRetryBudget = true,
     isUnrouted = false,
     crashQuarantine,
+    isWaitTooLong = false,
+    handover,
     onDidReceiveData = () => {},
   }: ForwardingFaults = {},
 ): Promise<ForwardingOutcome> {
@@ -222,14 +231,17 @@
     sendLog: noSendLog,
     upstreams,
     migrator: streamMigrator,
-    engineObserver: createEngineObserver({
-      model: createEngineModel(clock),
-      clock,
-      estimateFor: () => estimateEngine(undefined, []),
-      tokensPerEvent: () => 1,
-      fitsKvCache: () => true,
-      onDidRecompute: () => {},
-    }),
+    engineObserver: {
+      ...createEngineObserver({
+        model: createEngineModel(clock),
+        clock,
+        estimateFor: () => estimateEngine(undefined, []),
+        tokensPerEvent: () => 1,
+        fitsKvCache: () => true,
+        onDidRecompute: () => {},
+      }),
+      expectedWait: () => ({ms: 9, longestMs: 1, isTooLong: isWaitTooLong}),
+    },
     format,
     clock,
     log,
@@ -271,6 +283,7 @@
           promptKeys: [],
           deadlineAt: clock.now() + 5_000,
           signal: disconnectController.signal,
+          ...(handover && {handover}),
         },
         reply,
       )
--- a/packages/protocol/src/messages/gatewayMessages.ts
+++ b/packages/protocol/src/messages/gatewayMessages.ts
@@ -217,6 +217,8 @@
     readonly excludedEndpoints: readonly string[];
     /** Whether the request is already counted in the customer's usage. */
     readonly isCounted: boolean;
+    /** Whether an endpoint may have run the request; absent if none has. */
+    readonly hasRun?: boolean;
     /** Milliseconds until the deadline of the response. */
     readonly remainingMs: number;
   };
