--- a/packages/gateway/src/test/testForwarding.ts
+++ b/packages/gateway/src/test/testForwarding.ts
@@ -20,7 +20,10 @@
 import type {CallFormat} from '../contracts.js';
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
 import {createEngineObserver} from '../endpoints/engineObserver.js';
-import type {ForwardingResult} from '../forwarding/forwardedCall.js';
+import type {
+  ForwardingResult,
+  HandoverState,
+} from '../forwarding/forwardedCall.js';
 import {createForwarding} from '../forwarding/forwarding.js';
 import {createRetryRules} from '../forwarding/retryRules.js';
 import type {StreamMigrator} from '../forwarding/streamMigration.js';
@@ -109,12 +112,24 @@
   readonly isUnrouted?: boolean;
   /** Quarantine of the entry; empty by default. */
   readonly crashQuarantine?: CrashQuarantine;
+  /** Whether every endpoint would begin the response too late. */
+  readonly isWaitTooLong?: boolean;
+  /** Set if another entry has handed the request over. */
+  readonly handover?: HandoverState;
   /** Called for data of responses that have begun. */
   readonly onDidReceiveData?: (endpoint: string, sentAt: number) => void;
 }
 
 const ENDPOINT_COUNT = 3;
 
+/**
+ * Returns an address at which nothing listens. Unlike a closed port, a port that
+ * needs privileges cannot become that of another listener.
+ */
+function unusedAddress(index: number): string {
+  return `127.0.0.1:${index + 1}`;
+}
+
 /** Fingerprint of the forwarded request. */
 export const FINGERPRINT = 'f1';
 
@@ -132,6 +147,8 @@
     hasRetryBudget = true,
     isUnrouted = false,
     crashQuarantine,
+    isWaitTooLong = false,
+    handover,
     onDidReceiveData = () => {},
   }: ForwardingFaults = {},
 ): Promise<ForwardingOutcome> {
@@ -143,7 +160,6 @@
   const endpoints = await Promise.all(
     Array.from({length: ENDPOINT_COUNT}, () => startTestEndpoint(behaviour)),
   );
-  refusing.forEach(index => endpoints[index]!.close());
   const registeredEndpoints = new Map<string, RegisteredEndpoint>(
     endpoints.map(({address}, index) => [
       `e${index}`,
@@ -151,7 +167,7 @@
         id: `e${index}`,
         bornAt: 0,
         service: 's',
-        address,
+        address: refusing.includes(index) ? unusedAddress(index) : address,
         failureDomain: 'a',
         version: 'v1',
         slots: 4,
@@ -215,14 +231,17 @@
     sendLog: noSendLog,
     upstreams,
     migrator: streamMigrator,
-    engineObserver: createEngineObserver({
-      model: createEngineModel(clock),
-      clock,
-      estimateFor: () => estimateEngine(undefined, []),
-      tokensPerEvent: () => 1,
-      fitsKvCache: () => true,
-      onDidRecompute: () => {},
-    }),
+    engineObserver: {
+      ...createEngineObserver({
+        model: createEngineModel(clock),
+        clock,
+        estimateFor: () => estimateEngine(undefined, []),
+        tokensPerEvent: () => 1,
+        fitsKvCache: () => true,
+        onDidRecompute: () => {},
+      }),
+      expectedWait: () => ({ms: 9, longestMs: 1, isTooLong: isWaitTooLong}),
+    },
     format,
     clock,
     log,
@@ -264,6 +283,7 @@
           promptKeys: [],
           deadlineAt: clock.now() + 5_000,
           signal: disconnectController.signal,
+          ...(handover && {handover}),
         },
         reply,
       )
