base: stop reading from a connection when it is reset

resetOnDestroy began a reset that read on until its shutdown was over, and lost the error: undici then took a response that it had aborted for a complete one, and an assertion of its parser was thrown in a socket event. The socket is destroyed at once, with its error, and reset by that.

--- a/packages/base/src/connectionReset.ts
+++ b/packages/base/src/connectionReset.ts
@@ -27,11 +27,13 @@
  * resetOnDestroy(socket);
  */
 export function resetOnDestroy(socket: Socket): void {
-  const {destroy} = socket;
-  socket.destroy = () => {
-    socket.destroy = destroy;
-    resetConnection(socket);
-    return socket;
+  const destroy = socket.destroy.bind(socket);
+  socket.destroy = error => {
+    if (!(socket instanceof TLSSocket) && !hasShutdownBegun(socket)) {
+      // `resetAndDestroy` would read on until the shutdown that it begins is over.
+      Object.assign(socket, {resetAndClosing: true});
+    }
+    return destroy(error);
   };
 }
 
