cli: bound the answers that commands read

What operators saw: a command whose entry, or what listened in its place, answered without end took all memory of their machine.

Cause: bodies were read with `body.text()`, and the parser of events had no bound.

Fix: the shared read with 64 MiB and 60 s, which dumps of whole entries stay below, and 64 Ki characters for an event.

--- a/packages/cli/src/commands/sendChat.ts
+++ b/packages/cli/src/commands/sendChat.ts
@@ -3,7 +3,7 @@
 import {createParser} from 'eventsource-parser';
 import {request} from 'undici';
 import {callerFlags} from '../callerFlags.js';
-import {requestJson} from '../input.js';
+import {readBody, requestJson} from '../input.js';
 import {printJson, printLine} from '../output.js';
 
 interface ChatChunk {
@@ -11,6 +11,9 @@
   readonly usage?: unknown;
 }
 
+/** Maximum size of one server-sent event, in characters. */
+const MAX_EVENT_CHARACTERS = 64 * 1024;
+
 export class SendChatCommand extends Command {
   static override description =
     'Send one chat request to a model service and print the streamed answer.';
@@ -74,11 +77,17 @@
 ): Promise<void> {
   const response = await openStream(url, headers, body);
   if (response.statusCode !== 200) {
-    const text = await response.body.text();
+    const text = await readBody(response.body);
     throw new ServingError('endpoint-failed', text);
   }
   let hasDoneEvent = false;
   const parser = createParser({
+    maxBufferSize: MAX_EVENT_CHARACTERS,
+    onError({type, message}) {
+      if (type === 'max-buffer-size-exceeded') {
+        throw new ServingError('protocol-violation', message);
+      }
+    },
     onEvent(event) {
       if (event.event === 'error') {
         throw new ServingError('interrupted', event.data);
--- a/packages/cli/src/input.ts
+++ b/packages/cli/src/input.ts
@@ -1,15 +1,31 @@
 /** Reads JSON files and sends HTTP requests for commands. */
 import {readFileSync} from 'node:fs';
+import type {Readable} from 'node:stream';
 import {
   errorResponses,
   parseJson,
+  readText as readBodyText,
   ServingError,
+  systemClock,
   type ErrorKind,
 } from '@skylarkfield/base';
 import {request} from 'undici';
 
 const RESPONSE_TIMEOUT_MS = 10_000;
 
+/** Bounds of a response body; the largest are dumps of a whole entry. */
+const BODY_BOUNDS = {maxBytes: 64 * 1024 * 1024, timeoutMs: 60_000};
+
+/**
+ * Reads the body of a response, within bounds of size and time.
+ *
+ * @example
+ * const text = await readBody(response.body);
+ */
+export function readBody(body: Readable): Promise<string> {
+  return readBodyText(body, BODY_BOUNDS, systemClock());
+}
+
 /**
  * Reads a JSON file, or standard input if the path is `-`. Throws an error of
  * the given kind if the file cannot be read or is not JSON.
@@ -70,7 +86,7 @@
       body: options.body ?? null,
       headersTimeout: RESPONSE_TIMEOUT_MS,
     });
-    const text = await response.body.text();
+    const text = await readBody(response.body);
     return {status: response.statusCode, headers: response.headers, text};
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
