gateway: end bodies of callers that have no end

What callers saw: a caller that sent its body byte by byte was waited for past the deadline of its request, as long as it pleased, and counted as in flight. The rest of a rejected body was read for as long as it came, each byte at the cost of other callers' processor time.

Cause: the bound of a body was one of bytes only, and a rejected request was resumed without a bound.

Fix: a body has until the deadline of its request, then it is rejected as not run. Base's `discardBody` reads as much of a rejected body as a body may have, for 10 s at most, then closes the connection; the caller has 1 s to read the answer, since a reset in the middle of its body would hide it.

--- a/packages/base/src/boundedRead.ts
+++ b/packages/base/src/boundedRead.ts
@@ -102,6 +102,43 @@
   }
 }
 
+/**
+ * Time between the last byte that is read of a discarded body and the close of its
+ * connection, in milliseconds. A sender that gets a reset while it sends may not
+ * read the answer that it already has.
+ */
+const LINGER_MS = 1_000;
+
+/**
+ * Discards the rest of a body that nobody reads, since the next message of its
+ * connection comes only after its end. Destroys the body if it exceeds a bound.
+ *
+ * @example
+ * discardBody(request, {maxBytes: limits.bodyBytes, timeoutMs: 10_000}, clock);
+ */
+export function discardBody(
+  body: Readable,
+  {maxBytes, timeoutMs}: ReadBounds,
+  clock: Clock,
+): void {
+  if (body.readableEnded || body.destroyed) {
+    return;
+  }
+  let discardedBytes = 0;
+  let timer = clock.after(timeoutMs, () => body.destroy());
+  body.once('close', () => timer.dispose());
+  body.on('data', function onData(chunk: Uint8Array) {
+    discardedBytes += chunk.length;
+    if (discardedBytes > maxBytes) {
+      body.off('data', onData);
+      body.pause();
+      timer.dispose();
+      timer = clock.after(LINGER_MS, () => body.destroy());
+    }
+  });
+  body.resume();
+}
+
 function startGuard(
   body: Readable,
   {maxBytes, timeoutMs}: ReadBounds,
--- a/packages/gateway/src/callers/callerBody.ts
+++ b/packages/gateway/src/callers/callerBody.ts
@@ -1,19 +1,25 @@
 /** Reads the body of a caller's request. */
 import type {IncomingMessage} from 'node:http';
-import {createByteCollector, ServingError} from '@skylarkfield/base';
+import {
+  createByteCollector,
+  ServingError,
+  type Clock,
+  type ReadBounds,
+} from '@skylarkfield/base';
 
 /**
  * Reads the whole body; undefined if the request has no body. The body is
  * buffered so that it can be sent again to another endpoint. Throws
- * `too-large`, or `cancelled` if the caller disconnects before the end of the
- * body.
+ * `too-large`, `deadline-exceeded` if the body does not end in time, or
+ * `cancelled` if the caller disconnects before the end of the body.
  *
  * @example
- * const body = await readBody(request, 4_194_304, signal);
+ * const body = await readBody(request, {maxBytes: 4_194_304, timeoutMs: 800}, clock, signal);
  */
 export function readBody(
   request: IncomingMessage,
-  maxBytes: number,
+  {maxBytes, timeoutMs}: ReadBounds,
+  clock: Clock,
   signal: AbortSignal,
 ): Promise<Buffer | undefined> {
   const declaredBytes = Number(request.headers['content-length'] ?? 0);
@@ -26,6 +32,10 @@
   }
   return new Promise((resolve, reject) => {
     const collector = createByteCollector();
+    const timer = clock.after(Math.max(0, timeoutMs), () =>
+      reject(bodyTimeout(timeoutMs)),
+    );
+    request.once('close', () => timer.dispose());
     request.on('data', function onData(chunk: Buffer) {
       if (collector.sizeBytes() + chunk.length > maxBytes) {
         request.off('data', onData);
@@ -35,7 +45,10 @@
       }
       collector.push(chunk);
     });
-    request.once('end', () => resolve(collector.bytes()));
+    request.once('end', () => {
+      timer.dispose();
+      resolve(collector.bytes());
+    });
     request.once('error', () => reject(callerDisconnected()));
     signal.addEventListener('abort', () => reject(callerDisconnected()), {
       once: true,
@@ -47,6 +60,14 @@
   return new ServingError('too-large', `the body exceeds ${maxBytes} bytes`);
 }
 
+function bodyTimeout(timeoutMs: number): ServingError {
+  return new ServingError(
+    'deadline-exceeded',
+    `the body did not end within ${Math.round(timeoutMs)} ms`,
+    {run: 'not-run'},
+  );
+}
+
 function callerDisconnected(): ServingError {
   return new ServingError(
     'cancelled',
--- a/packages/gateway/src/callers/callerHandler.ts
+++ b/packages/gateway/src/callers/callerHandler.ts
@@ -1,6 +1,7 @@
 /** Handles a caller's request from its headers to the end of its response. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
+  discardBody,
   ServingError,
   toServingError,
   type Clock,
@@ -101,6 +102,12 @@
 /** Retry-After of a rejection before this entry is ready, in milliseconds. */
 const NOT_READY_RETRY_MS = 400;
 
+/**
+ * Time for which the rest of a rejected request's body is discarded, in
+ * milliseconds; its connection is closed after that.
+ */
+const DISCARD_TIMEOUT_MS = 10_000;
+
 /**
  * Creates the handler of callers' requests.
  *
@@ -178,7 +185,11 @@
       acceptedRequest;
     const body = await readBody(
       request,
-      policy.limits().bodyBytes,
+      {
+        maxBytes: policy.limits().bodyBytes,
+        timeoutMs: deadlineAt - clock.now(),
+      },
+      clock,
       callerSignal,
     );
     await checkConnected(callerSignal);
@@ -278,8 +289,11 @@
         const error = toServingError(thrownValue);
         const status = reply.sendError(error);
         result = {status, error, firstByteMs: undefined, endpoints: []};
-        // Node discards the rest of an unread body only after `resume`.
-        request.resume();
+        discardBody(
+          request,
+          {maxBytes: policy.limits().bodyBytes, timeoutMs: DISCARD_TIMEOUT_MS},
+          clock,
+        );
       } finally {
         void sent.then(options.inFlight.end);
       }
--- a/packages/gateway/src/callers/test/callerHandler.test.ts
+++ b/packages/gateway/src/callers/test/callerHandler.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import http from 'node:http';
+import {connect} from 'node:net';
 import {describe, it} from 'node:test';
 import {
   createAdmissionController,
@@ -74,6 +75,7 @@
 async function setUp(
   forward: Forwarding['forward'],
   chargeQuota: (admission: AdmissionController) => void = () => {},
+  timeoutMs = ROUTE.timeoutMs,
 ): Promise<HandlerSystem> {
   const clock = systemClock();
   const log = createSilentLogger();
@@ -96,7 +98,7 @@
   };
   const handler = createCallerHandler({
     policy: {
-      routeOf: () => ROUTE,
+      routeOf: () => ({...ROUTE, timeoutMs}),
       customerOf: () => undefined,
       limits: () => ({bodyBytes: 1_000}),
       version: () => 1,
@@ -218,4 +220,38 @@
     assert.ok(isStillInFlight);
     assert.equal(await whenIdle, true);
   });
+
+  const notForwarded = () => Promise.reject(new Error('not used here'));
+
+  // Guards against rejected bodies that are read without end.
+  it('closes the connection of a body that has no end', async () => {
+    const {port} = await setUp(notForwarded);
+    const socket = connect(port.port, '127.0.0.1');
+    const block = `1000\r\n${'x'.repeat(0x1000)}\r\n`;
+    let answer = '';
+    socket.on('error', () => {});
+    socket.on('data', bytes => (answer += bytes.toString('latin1')));
+    socket.write('POST / HTTP/1.1\r\nHost: a\r\n');
+    socket.write('Transfer-Encoding: chunked\r\n\r\n');
+    const send = () => {
+      while (!socket.destroyed && socket.write(block));
+    };
+    socket.on('drain', send);
+    send();
+    await new Promise(resolve => socket.once('close', resolve));
+    assert.match(answer, /^HTTP\/1.1 413 /);
+    port.dispose();
+  });
+
+  // Guards against callers who keep a request open although its time is over.
+  it('rejects a request whose body has not ended at its deadline', async () => {
+    const {port} = await setUp(notForwarded, undefined, 50);
+    const socket = connect(port.port, '127.0.0.1');
+    socket.write('POST / HTTP/1.1\r\nHost: a\r\n');
+    socket.write('Content-Length: 10\r\n\r\nx');
+    const [answer] = (await once(socket, 'data')) as [Buffer];
+    assert.match(answer.toString(), /^HTTP\/1.1 503 [^]*"run":"not-run"/);
+    socket.destroy();
+    port.dispose();
+  });
 });
--- a/packages/gateway/src/handover/handoverHandler.ts
+++ b/packages/gateway/src/handover/handoverHandler.ts
@@ -1,11 +1,13 @@
 /** Runs requests that entries hand over because they cannot reach endpoints. */
 import type {IncomingMessage} from 'node:http';
 import {
+  discardBody,
   ServingError,
   toServingError,
   type Clock,
   type InFlightCounter,
   type Logger,
+  type ReadBounds,
 } from '@skylarkfield/base';
 import {
   decodeFrame,
@@ -37,8 +39,11 @@
 
 type Handover = Messages['handover'];
 
-/** Maximum size of a handed-over request, in bytes. */
-const MAX_HANDOVER_BYTES = 16 * 1024 * 1024;
+/** Bounds of a handed-over request, and of the rest of one that is rejected. */
+const HANDOVER_BOUNDS: ReadBounds = {
+  maxBytes: 16 * 1024 * 1024,
+  timeoutMs: 10_000,
+};
 
 /**
  * Maximum number of handed-over requests in progress per core. Bounds memory
@@ -103,7 +108,7 @@
     callerSignal: AbortSignal,
   ): Promise<void> {
     const startedAt = clock.now();
-    const bytes = await readBody(request, MAX_HANDOVER_BYTES, callerSignal);
+    const bytes = await readBody(request, HANDOVER_BOUNDS, clock, callerSignal);
     const handover = parseHandover(bytes);
     rejectIfUnable(handover);
     const deadlineAt = clock.now() + handover.remainingMs;
@@ -158,8 +163,7 @@
         const {kind, message} = toServingError(error);
         log.info({kind, message}, 'handed-over request rejected');
         reply.sendError(toServingError(error));
-        // Node discards the rest of an unread body only after `resume`.
-        request.resume();
+        discardBody(request, HANDOVER_BOUNDS, clock);
       })
       .finally(() => {
         handoverCount -= 1;
