gateway: end unread bodies on the ports of lookups and checks

What was seen: a request with a body without end on the port of lookups, readiness or status was answered and then read for as long as it came.

Cause: these ports read no bodies, so nothing bounded them; Node discards the rest of an unread body without a bound.

Fix: such bodies are discarded as those of rejected requests, up to 64 KiB and 10 s. The test of the handler opens its port as the process does, so that it sees the bounds of the handler and not those of the port.

--- a/packages/gateway/src/callers/test/callerHandler.test.ts
+++ b/packages/gateway/src/callers/test/callerHandler.test.ts
@@ -138,6 +138,7 @@
   const port = await openPort(
     {host: '127.0.0.1', port: 0},
     (request, response) => void handler.handle(request, response),
+    'limited',
   );
   return {port, admission, inFlight};
 }
--- a/packages/gateway/src/process/listeners.ts
+++ b/packages/gateway/src/process/listeners.ts
@@ -3,9 +3,12 @@
 import type {AddressInfo} from 'node:net';
 import polka from 'polka';
 import {
+  discardBody,
   ServingError,
+  systemClock,
   trackOpenResponses,
   type Disposable,
+  type ReadBounds,
 } from '@skylarkfield/base';
 import type {CallerLimits} from '@skylarkfield/traffic';
 import type {Address} from '../settings.js';
@@ -36,8 +39,14 @@
  */
 const MAX_HEADER_BYTES = 16_384;
 
+/** Bounds of a body on a port whose requests need none. */
+const UNREAD_BODY_BOUNDS: ReadBounds = {
+  maxBytes: 64 * 1024,
+  timeoutMs: 10_000,
+};
+
 /**
- * Opens a port. Throws `bad-settings` if the port cannot be bound.
+ * Opens a port; on a `free` one, bodies are discarded. Throws `bad-settings` if the port cannot be bound.
  *
  * @example
  * const port = await openPort(settings.callers, handler);
@@ -55,6 +64,12 @@
   });
   const openResponses = trackOpenResponses(server);
   keepAnnouncedIdleTimes(server);
+  if (limitMode === 'free') {
+    const clock = systemClock();
+    server.on('request', request =>
+      discardBody(request, UNREAD_BODY_BOUNDS, clock),
+    );
+  }
   const app = polka({server, onNoMatch: handler});
   server.on('request', app.handler as never);
   await listen(server, address);
--- a/packages/gateway/src/process/test/listeners.test.ts
+++ b/packages/gateway/src/process/test/listeners.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import http, {type ServerResponse} from 'node:http';
+import {connect} from 'node:net';
 import {describe, it} from 'node:test';
 import type {CallerLimits} from '@skylarkfield/traffic';
 import {openPort} from '../listeners.js';
@@ -99,4 +100,25 @@
     assert.deepEqual(await second.whenRead, {status: 200, isReused: true});
     close();
   });
+
+  // Guards against bodies that nobody reads and that have no end.
+  it('closes the connection of a request whose unread body has no end', async () => {
+    const port = await openPort({host: '127.0.0.1', port: 0}, (_, response) =>
+      response.end(),
+    );
+    const socket = connect(port.port, '127.0.0.1');
+    const block = Buffer.alloc(4_096);
+    socket.on('error', () => {});
+    socket.write('GET / HTTP/1.1\r\nHost: a\r\n');
+    socket.write('Content-Length: 1000000000000\r\n\r\n');
+    const send = () => {
+      while (!socket.destroyed && socket.write(block));
+    };
+    socket.on('drain', send);
+    send();
+    const [answer] = (await once(socket, 'data')) as [Buffer];
+    assert.match(answer.toString(), /^HTTP\/1.1 200 /);
+    await new Promise(resolve => socket.once('close', resolve));
+    port.dispose();
+  });
 });
