gateway: halve the memory that long answers share

With 64 MiB to share it rose to 273 to 303 MiB in three trials: below the limit, but without much room for anything else.

Change: 32 MiB, two of the longest answers at once.

--- a/packages/gateway/src/attempts/bodyBuffer.ts
+++ b/packages/gateway/src/attempts/bodyBuffer.ts
@@ -31,7 +31,7 @@
  * Memory that all bodies take beyond their unshared sizes, in bytes. A faulty
  * endpoint may answer all requests that it runs without end.
  */
-export const SHARED_BODY_BYTES = 4 * MAX_BODY_BYTES;
+export const SHARED_BODY_BYTES = 2 * MAX_BODY_BYTES;
 
 /**
  * Creates the memory of one process.
