gateway: don't send what can't end before a stopping entry does

What callers saw: in a planned stop, requests on kept connections were passed on late in the grace period and cut off with no answer when it ended, orders among them.

Cause: the state of the process was read once, with the head of a request. A request whose head had come before new requests were refused, and that was then held up (its body was slow, it waited for a slot, an endpoint had declined it), was sent whenever it could be, up to the last moment. At the end the process destroyed all open responses, also those that had not begun.

The lifecycle now knows when the process stops. While it drains, a request that no endpoint has received may begin only if its deadline lies before the stop: this is asked after its body, while it waits for admission, and before each send or handover. Others get 503, not run, with Retry-After, at once. What still runs when the process stops gets a whole 502, which tells that it may have run; only streams that have begun are broken off. The stop counts neither against the endpoint nor against its version.

--- a/packages/admission/src/bulkhead.ts
+++ b/packages/admission/src/bulkhead.ts
@@ -22,7 +22,7 @@
 import {startDeadlineTimer} from './deadlineTimer.js';
 import {createFairQueue} from './fairQueue.js';
 import {
-  cancelledError,
+  abortedError,
   deadlineUnreachableError,
   overloadedError,
   serviceRemovedError,
@@ -280,7 +280,7 @@
         onUnreachable: () =>
           rejectQueued(queuedRequest, recordDeadlineRejection(request)),
       });
-      const onAbort = () => rejectQueued(queuedRequest, cancelledError());
+      const onAbort = () => rejectQueued(queuedRequest, abortedError(signal));
       signal.addEventListener('abort', onAbort, {once: true});
       queue.enqueue(queuedRequest);
       machine.send('queued');
@@ -290,7 +290,7 @@
   return {
     async admit(request, signal) {
       if (signal.aborted) {
-        throw cancelledError();
+        throw abortedError(signal);
       }
       if (machine.state() === 'closed') {
         throw serviceRemovedError(config.name);
--- a/packages/admission/src/rejectionErrors.ts
+++ b/packages/admission/src/rejectionErrors.ts
@@ -1,5 +1,5 @@
 /** Errors of requests that are not admitted. */
-import {ServingError} from '@skylarkfield/base';
+import {errorOfAbort, ServingError} from '@skylarkfield/base';
 
 /**
  * Returns the error of a request that finds the queue full, or is evicted from
@@ -37,17 +37,13 @@
 }
 
 /**
- * Returns the error of a queued request that its caller cancelled.
+ * Returns the error of a queued request whose signal was aborted.
  *
  * @example
- * signal.addEventListener('abort', () => reject(cancelledError()));
+ * signal.addEventListener('abort', () => reject(abortedError(signal)));
  */
-export function cancelledError(): ServingError {
-  return new ServingError(
-    'cancelled',
-    'the caller cancelled the queued request',
-    {run: 'not-run'},
-  );
+export function abortedError(signal: AbortSignal): ServingError {
+  return errorOfAbort(signal, 'the caller cancelled the queued request');
 }
 
 /**
--- a/packages/base/src/errors.ts
+++ b/packages/base/src/errors.ts
@@ -244,3 +244,19 @@
 ): ErrorResponse {
   return {status, title, run, retryable};
 }
+
+/**
+ * Returns the error with which a signal was aborted; `cancelled` with run state
+ * `not-run` by default.
+ *
+ * @example
+ * throw errorOfAbort(signal, 'the caller cancelled the queued request');
+ */
+export function errorOfAbort(
+  {reason}: AbortSignal,
+  message: string,
+): ServingError {
+  return reason instanceof ServingError
+    ? reason
+    : new ServingError('cancelled', message, {run: 'not-run'});
+}
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -6,6 +6,7 @@
 export * from './connectionReset.js';
 export * from './decisionLog.js';
 export * from './disposables.js';
+export * from './drainGuard.js';
 export * from './dumps.js';
 export * from './errors.js';
 export * from './events.js';
--- a/packages/bench/src/handover.ts
+++ b/packages/bench/src/handover.ts
@@ -7,7 +7,9 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {
+  createDrainGuard,
   createInFlightCounter,
+  createProcessLifecycle,
   createSilentLogger,
   seededRandom,
   systemClock,
@@ -230,6 +232,7 @@
       cores: 1,
       clock,
       log,
+      drainGuard: createDrainGuard(createProcessLifecycle(), 0),
       isServing: () => true,
       onDidConclude() {},
     }),
--- a/packages/gateway/src/attempts/attempt.ts
+++ b/packages/gateway/src/attempts/attempt.ts
@@ -217,7 +217,8 @@
     function onAbort(): void {
       const reason = abortReason(signal);
       if (exchange.hasStarted()) {
-        abort(reason, 'silent');
+        // The stop of this process tells nothing about the endpoint.
+        abort(reason, reason.kind === 'leaving' ? undefined : 'silent');
         return;
       }
       abort(notSentError(reason));
--- a/packages/gateway/src/attempts/attemptOutcome.ts
+++ b/packages/gateway/src/attempts/attemptOutcome.ts
@@ -1,7 +1,7 @@
 /**
  * Classifies the result of an attempt for the router, retries and the caller.
  */
-import {ServingError} from '@skylarkfield/base';
+import {ServingError, type ErrorKind} from '@skylarkfield/base';
 import type {Choice, ReachState} from '@skylarkfield/routing';
 import type {AttemptResult} from './attempt.js';
 
@@ -17,6 +17,12 @@
 /** Lowest HTTP status that is a server error. */
 const FIRST_SERVER_ERROR_STATUS = 500;
 
+/** Errors of attempts that the caller or the stop of this process has ended. */
+const ENDPOINT_INDEPENDENT_ERRORS: ReadonlySet<ErrorKind> = new Set([
+  'cancelled',
+  'leaving',
+]);
+
 /**
  * Whether an HTTP status is a server error.
  *
@@ -115,7 +121,7 @@
   if (result.type === 'withdrawn') {
     return 'cancelled';
   }
-  if (result.error.kind === 'cancelled') {
+  if (ENDPOINT_INDEPENDENT_ERRORS.has(result.error.kind)) {
     return 'cancelled';
   }
   return result.error.run === 'not-run' ? 'unreachable' : 'failed';
--- a/packages/gateway/src/callers/callerHandler.ts
+++ b/packages/gateway/src/callers/callerHandler.ts
@@ -4,6 +4,7 @@
   ServingError,
   toServingError,
   type Clock,
+  type DrainGuard,
   type InFlightCounter,
   type Logger,
 } from '@skylarkfield/base';
@@ -59,6 +60,7 @@
   readonly forwarding: Forwarding;
   readonly format: CallFormat;
   readonly servingState: ServingState;
+  readonly drainGuard: DrainGuard;
   readonly inFlight: InFlightCounter;
   /** Counts model requests whose first event is late. */
   readonly outcomeMeter: Pick<OutcomeMeter, 'record'>;
@@ -96,7 +98,7 @@
  * Retry-After of a rejection while this entry is stopping, in milliseconds:
  * another entry can serve the request at once.
  */
-const LEAVING_RETRY_MS = 50;
+export const LEAVING_RETRY_MS = 50;
 
 /** Retry-After of a rejection before this entry is ready, in milliseconds. */
 const NOT_READY_RETRY_MS = 400;
@@ -113,6 +115,7 @@
 ): CallerHandler {
   const {policy, chargeQuota, requestAdmission, forwarding, format, clock} =
     options;
+  const {drainGuard} = options;
   const requestLog = createRequestLog(options);
 
   /** Validates and routes a request; throws the error to respond with. */
@@ -182,6 +185,11 @@
       callerSignal,
     );
     await checkConnected(callerSignal);
+    // The body may have arrived late in the grace period.
+    const rejection = drainGuard.rejectionFor(deadlineAt);
+    if (rejection !== undefined) {
+      throw rejection;
+    }
     const fingerprint = memoize(() =>
       requestFingerprint({
         customer: customer?.name,
@@ -197,10 +205,8 @@
     const watchedOutcome = watchOutcome(acceptedRequest, reply, options);
     let admitted: AdmittedRequest;
     try {
-      admitted = await requestAdmission.admit(
-        acceptedRequest,
-        fingerprint,
-        callerSignal,
+      admitted = await drainGuard.admit(deadlineAt, callerSignal, signal =>
+        requestAdmission.admit(acceptedRequest, fingerprint, signal),
       );
     } catch (error) {
       watchedOutcome.recordEnd(toServingError(error));
@@ -208,7 +214,12 @@
       throw error;
     }
     const admittedAt = clock.now();
-    const deadline = createDeadline(clock, deadlineAt, callerSignal);
+    const deadline = createDeadline(
+      clock,
+      drainGuard,
+      deadlineAt,
+      callerSignal,
+    );
     const {version, placement} = admitted;
     try {
       const result = await forwarding.forward(
--- a/packages/gateway/src/callers/deadline.ts
+++ b/packages/gateway/src/callers/deadline.ts
@@ -1,9 +1,20 @@
 /** Deadlines of requests. */
-import {ServingError, type Clock, type Disposable} from '@skylarkfield/base';
+import {
+  ServingError,
+  type Clock,
+  type Disposable,
+  type DrainGuard,
+} from '@skylarkfield/base';
 
-/** Aborts a request at its deadline; disposed when the request has ended. */
+/**
+ * Aborts a request at its deadline, or when this process stops; disposed when
+ * the request has ended.
+ */
 export interface Deadline extends Disposable {
-  /** Aborted when the caller disconnects or the deadline passes. */
+  /**
+   * Aborted when the caller disconnects, the deadline passes or the process
+   * stops.
+   */
   readonly signal: AbortSignal;
 }
 
@@ -18,10 +29,12 @@
  * Starts the deadline of a request, in monotonic milliseconds.
  *
  * @example
- * const deadline = createDeadline(clock, clock.now() + 800, callerSignal);
+ * const deadline = createDeadline(clock, drainGuard, clock.now() + 800,
+ *   callerSignal);
  */
 export function createDeadline(
   clock: Clock,
+  drainGuard: Pick<DrainGuard, 'onDidStop'>,
   deadlineAt: number,
   callerSignal: AbortSignal,
 ): Deadline {
@@ -29,8 +42,12 @@
   const timer = clock.after(Math.max(0, deadlineAt - clock.now()), () =>
     controller.abort(DEADLINE_EXCEEDED),
   );
+  const subscription = drainGuard.onDidStop(error => controller.abort(error));
   return {
     signal: AbortSignal.any([callerSignal, controller.signal]),
-    dispose: () => timer.dispose(),
+    dispose() {
+      timer.dispose();
+      subscription.dispose();
+    },
   };
 }
--- a/packages/gateway/src/callers/requestAdmission.ts
+++ b/packages/gateway/src/callers/requestAdmission.ts
@@ -3,7 +3,7 @@
  * limits of this entry for other services and while no scheduler answers.
  */
 import type {AdmissionController} from '@skylarkfield/admission';
-import {isServingError, ServingError} from '@skylarkfield/base';
+import {errorOfAbort, isServingError, ServingError} from '@skylarkfield/base';
 import type {Prompt, RejectionReason} from '@skylarkfield/scheduling';
 import {
   countOwnTokens,
@@ -59,8 +59,8 @@
 
 export interface RequestAdmission {
   /**
-   * Admits a request. Throws `overloaded`, `deadline-exceeded` or `cancelled`,
-   * each of which states that the request was not run, or
+   * Admits a request. Throws `overloaded`, `deadline-exceeded` or the error of
+   * the signal, each of which states that the request was not run, or
    * `endpoint-unavailable` if the service was removed.
    */
   admit(
@@ -252,9 +252,7 @@
       );
     }
     if (answer.type === 'cancelled') {
-      throw new ServingError('cancelled', 'the caller has left', {
-        run: 'not-run',
-      });
+      throw errorOfAbort(signal, 'the caller has left');
     }
     return undefined;
   }
--- a/packages/gateway/src/callers/test/callerHandler.test.ts
+++ b/packages/gateway/src/callers/test/callerHandler.test.ts
@@ -8,7 +8,9 @@
 } from '@skylarkfield/admission';
 import {
   createDecisionLog,
+  createDrainGuard,
   createInFlightCounter,
+  createProcessLifecycle,
   createSilentLogger,
   seededRandom,
   systemClock,
@@ -125,6 +127,7 @@
       isReady: () => true,
       isClosing: () => false,
     },
+    drainGuard: createDrainGuard(createProcessLifecycle(), 0),
     inFlight,
     outcomeMeter: {record() {}},
     metrics: {record() {}} as unknown as RequestMetrics,
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -2,6 +2,7 @@
 import type {
   Clock,
   DecisionLog,
+  DrainGuard,
   DumpRegistry,
   InFlightCounter,
   Logger,
@@ -29,6 +30,7 @@
   readonly dumps: DumpRegistry;
   readonly metrics: RequestMetrics;
   readonly lifecycle: ProcessLifecycle;
+  readonly drainGuard: DrainGuard;
   readonly inFlight: InFlightCounter;
   /** Opens connections to endpoints. */
   readonly connectEndpoint: EndpointConnector;
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -2,7 +2,7 @@
  * Forwards an admitted request to an endpoint, or hands it over to an entry that
  * reaches the endpoints, with retries.
  */
-import {ServingError, type Logger} from '@skylarkfield/base';
+import {ServingError, type DrainGuard, type Logger} from '@skylarkfield/base';
 import type {Member} from '@skylarkfield/members';
 import type {Rests} from '@skylarkfield/routing';
 import type {AttemptResult} from '../attempts/attempt.js';
@@ -62,11 +62,12 @@
     readonly handovers: Handovers;
     readonly rests: Pick<Rests, 'isResting'>;
     readonly sendLog: SendLog;
+    readonly drainGuard: Pick<DrainGuard, 'rejectionFor'>;
     readonly log: Logger;
   },
 ): Forwarding {
   const {router, reach, engineObserver, retryRules, handovers} = options;
-  const {sendLog, clock, log} = options;
+  const {sendLog, drainGuard, clock, log} = options;
   const crashGuard = createCrashGuard(options);
   const attempts = createEndpointAttempts({...options, crashGuard});
   const hedging = createHedging({
@@ -277,6 +278,10 @@
     if (progress.continuation !== undefined) {
       return chooseEndpointStep(call, progress);
     }
+    const rejection = drainGuard.rejectionFor(call.deadlineAt);
+    if (rejection !== undefined && progress.runCount === 0) {
+      return {type: 'reject', error: rejection};
+    }
     const peer = choosePeer(call, progress);
     if (peer !== undefined) {
       return {type: 'peer', peer};
--- a/packages/gateway/src/forwarding/gatewayForwarding.ts
+++ b/packages/gateway/src/forwarding/gatewayForwarding.ts
@@ -64,7 +64,8 @@
   {network, membership}: Coordination,
   options: GatewayForwardingOptions,
 ): GatewayForwarding {
-  const {settings, platform, clock, random, log, dumps, inFlight} = context;
+  const {settings, platform, clock, random, log, dumps, inFlight, drainGuard} =
+    context;
   const {router, directory, upstreams, reach, engineEstimates} = options;
   const disposables = createDisposableStore();
   const format = platform.callFormat;
@@ -106,6 +107,7 @@
     retryRules,
     handovers,
     sendLog: createSendLog({metrics: context.metrics, log}),
+    drainGuard,
     format,
     clock,
     log,
@@ -120,6 +122,7 @@
       cores: settings.processor?.cores ?? DEFAULT_CORES,
       clock,
       log,
+      drainGuard,
       isServing: options.isServing,
       onDidConclude: options.onDidConclude,
     }),
--- a/packages/gateway/src/handover/handoverHandler.ts
+++ b/packages/gateway/src/handover/handoverHandler.ts
@@ -4,6 +4,7 @@
   ServingError,
   toServingError,
   type Clock,
+  type DrainGuard,
   type InFlightCounter,
   type Logger,
 } from '@skylarkfield/base';
@@ -64,6 +65,7 @@
   readonly cores: number;
   readonly clock: Clock;
   readonly log: Logger;
+  readonly drainGuard: Pick<DrainGuard, 'onDidStop'>;
   /** Whether this process accepts requests. */
   isServing(): boolean;
   /** Called when a request has ended, with its result. */
@@ -107,7 +109,12 @@
     const handover = parseHandover(bytes);
     rejectIfUnable(handover);
     const deadlineAt = clock.now() + handover.remainingMs;
-    const deadline = createDeadline(clock, deadlineAt, callerSignal);
+    const deadline = createDeadline(
+      clock,
+      options.drainGuard,
+      deadlineAt,
+      callerSignal,
+    );
     const sender = String(request.headers['entry-id'] ?? '');
     const call = toCall(handover, sender, deadlineAt, deadline.signal);
     try {
--- a/packages/gateway/src/handover/test/handoverEnds.test.ts
+++ b/packages/gateway/src/handover/test/handoverEnds.test.ts
@@ -3,7 +3,9 @@
 import type {AddressInfo, Socket} from 'node:net';
 import {afterEach, describe, it} from 'node:test';
 import {
+  createDrainGuard,
   createInFlightCounter,
+  createProcessLifecycle,
   createSilentLogger,
   seededRandom,
   systemClock,
@@ -130,6 +132,7 @@
       cores: 1,
       clock,
       log: createSilentLogger(),
+      drainGuard: createDrainGuard(createProcessLifecycle(), 0),
       isServing: () => true,
       onDidConclude() {},
     });
--- a/packages/gateway/src/process/gatewayProcess.ts
+++ b/packages/gateway/src/process/gatewayProcess.ts
@@ -1,5 +1,6 @@
 /** Startup and graceful shutdown of a gateway process. */
 import {
+  createDrainGuard,
   createDumpRegistry,
   createInFlightCounter,
   createLogger,
@@ -13,6 +14,7 @@
 } from '@skylarkfield/base';
 import {createCoordination} from './coordination.js';
 import {MS_PER_SECOND, type GatewayContext} from '../context.js';
+import {LEAVING_RETRY_MS} from '../callers/callerHandler.js';
 import type {Platform} from '../contracts.js';
 import {competeForClusterDuty} from './clusterDuty.js';
 import {openPorts} from './gatewayPorts.js';
@@ -27,7 +29,8 @@
 export interface GatewayProcess {
   /**
    * Shuts down gracefully: removes the entry from lookups, accepts new requests
-   * for up to `LINGER_MS`, then waits for requests in flight.
+   * for up to `LINGER_MS`, waits for requests in flight, and ends those that are
+   * left with an error.
    */
   stop(): Promise<void>;
   /** Applies the settings that can change at run time: the log level. */
@@ -48,6 +51,12 @@
  */
 const SHUTDOWN_MARGIN_MS = 700;
 
+/**
+ * Time to send the errors of the requests that the stop has ended, in
+ * milliseconds.
+ */
+const LAST_ANSWERS_MS = 200;
+
 /**
  * Starts a gateway. Throws `bad-settings` if a port cannot be opened, after
  * releasing all resources acquired before.
@@ -101,6 +110,7 @@
   connectEndpoint: EndpointConnector,
 ): GatewayContext {
   const clock = systemClock();
+  const lifecycle = createProcessLifecycle();
   const context: GatewayContext = {
     settings,
     platform,
@@ -111,14 +121,15 @@
     decisions: createDecisionLog(clock, log),
     dumps: createDumpRegistry(),
     metrics: createRequestMetrics(() => createMetrics('skylarkfield'), log),
-    lifecycle: createProcessLifecycle(),
+    lifecycle,
+    drainGuard: createDrainGuard(lifecycle, LEAVING_RETRY_MS),
     inFlight: createInFlightCounter(clock),
     connectEndpoint,
   };
   context.dumps.add('process', () => ({
     id: settings.id,
     incarnation: context.incarnation,
-    life: context.lifecycle.state(),
+    life: lifecycle.state(),
     inFlight: context.inFlight.count(),
     memory: process.memoryUsage(),
     cpu: process.cpuUsage(),
@@ -144,6 +155,7 @@
   const graceMs = settings.graceSeconds * MS_PER_SECOND;
   const closeAt = clock.now() + graceMs - SHUTDOWN_MARGIN_MS;
   log.info({inFlight: inFlight.count(), graceMs}, 'stopping');
+  lifecycle.setStopTime(closeAt);
   lifecycle.send('announce');
   const departure = Promise.allSettled([
     membership.leave(),
@@ -163,6 +175,8 @@
   const isIdle = await inFlight.waitUntilIdle(
     Math.max(0, closeAt - clock.now()),
   );
+  const unfinished = inFlight.count();
   lifecycle.send('close');
-  log.info({isIdle, inFlight: inFlight.count()}, 'stopped');
+  await inFlight.waitUntilIdle(LAST_ANSWERS_MS);
+  log.info({isIdle, unfinished, inFlight: inFlight.count()}, 'stopped');
 }
--- a/packages/gateway/src/rollouts/rolloutSample.ts
+++ b/packages/gateway/src/rollouts/rolloutSample.ts
@@ -10,11 +10,12 @@
 import type {RolloutSample} from './rolloutController.js';
 
 /**
- * Errors that are no evidence about the version: the caller disconnected, no
- * endpoint had capacity, or the request was quarantined.
+ * Errors that are no evidence about the version: the caller disconnected, this
+ * entry stopped, no endpoint had capacity, or the request was quarantined.
  */
 const NEUTRAL_ERRORS: ReadonlySet<ErrorKind> = new Set([
   'cancelled',
+  'leaving',
   'overloaded',
   'endpoint-unavailable',
   'quarantined',
--- a/packages/gateway/src/rollouts/test/virtualRollout.ts
+++ b/packages/gateway/src/rollouts/test/virtualRollout.ts
@@ -288,6 +288,7 @@
       handovers: noHandovers,
       rests: {isResting: () => false},
       sendLog: noSendLog,
+      drainGuard: {rejectionFor: () => undefined},
       upstreams: replicas.upstreams,
       migrator: {
         watch: () => ({
--- a/packages/gateway/src/test/testForwarding.ts
+++ b/packages/gateway/src/test/testForwarding.ts
@@ -213,6 +213,7 @@
     handovers: noHandovers,
     rests: {isResting},
     sendLog: noSendLog,
+    drainGuard: {rejectionFor: () => undefined},
     upstreams,
     migrator: streamMigrator,
     engineObserver: createEngineObserver({
--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -390,6 +390,7 @@
       isReady: readiness.isReady,
       isClosing: () => lifecycle.state() !== 'serving',
     },
+    drainGuard: context.drainGuard,
     inFlight: context.inFlight,
     outcomeMeter: withholdLateness(reach, engineEstimates.outcomes),
     metrics: context.metrics,
