entry: don't send what can't end before a stopping entry does

A call or a model request whose body ended while the entry drained was sent, and cut off with no answer after `drainMs`, like all that still ran then.

Cause: as in the gateway, the state of the process was read once, with the head of a request, and the end of the process closed the connections.

Admission asks the lifecycle now, while a request waits too. What still runs when the process stops is answered as `interrupted`, may have run; a stream that has begun ends with an error event, which the caller can tell from a cut. A failure after the head of a response no longer sets headers, which would end the process.

--- a/packages/entry/src/callers/callerServer.ts
+++ b/packages/entry/src/callers/callerServer.ts
@@ -6,6 +6,7 @@
   ServingError,
   toServingError,
   type Clock,
+  type DrainGuard,
   type Logger,
 } from '@skylarkfield/base';
 import type {Customer, Service} from '@skylarkfield/records';
@@ -14,7 +15,7 @@
 import type {ServingContext} from '../servingContext.js';
 import type {EntrySettings} from '../settings.js';
 import type {CustomerKeys} from './customerKeys.js';
-import {createCallerSignal, type Exchange} from './exchange.js';
+import {createCallerSignal, failureOf, type Exchange} from './exchange.js';
 import type {ResponseShape} from './modelResponse.js';
 import {
   parseChatRequest,
@@ -42,6 +43,7 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly inFlightCounter: InFlightCounter;
+  readonly drainGuard: Pick<DrainGuard, 'onDidStop'>;
   readiness(): Readiness;
 }
 
@@ -59,7 +61,7 @@
 > = {chat: parseChatRequest, completion: parseCompletionRequest};
 
 /** Retry delay sent to callers while this entry rejects requests, in ms. */
-const NOT_SERVING_RETRY_MS = 1_000;
+export const NOT_SERVING_RETRY_MS = 1_000;
 
 /**
  * Attaches the routes for callers to the HTTP server in `options`.
@@ -105,6 +107,7 @@
       let result = 'ok';
       options.inFlightCounter.begin();
       endInFlightOnClose(response);
+      const signal = createCallerSignal(response, options.drainGuard);
       metrics.recordStart();
       response.setHeader('X-Request-Id', id);
       try {
@@ -112,13 +115,12 @@
         customer = options.customerKeys.authenticate(
           parseBearerKey(request.headers),
         );
-        const signal = createCallerSignal(response);
         await handler(
           {id, request, response, customer, signal, arrivedAt},
           labels,
         );
       } catch (error) {
-        const failure = toServingError(error);
+        const failure = failureOf(toServingError(error), signal);
         result = failure.kind;
         sendFailure(request, response, failure, id);
       } finally {
@@ -172,10 +174,14 @@
     if (failure.kind === 'internal') {
       log.error({requestId: id, error: failure.cause}, failure.message);
     }
+    if (response.headersSent) {
+      return;
+    }
     const isNotServing =
       failure.kind === 'leaving' || failure.kind === 'not-ready';
     const entries = isNotServing ? serving.lookup({}) : undefined;
-    if (isNotServing || !request.complete) {
+    const isLeaving = options.readiness() === 'leaving';
+    if (isNotServing || isLeaving || !request.complete) {
       // On an open connection, the unread body would be parsed as a request.
       response.setHeader('Connection', 'close');
     }
--- a/packages/entry/src/callers/modelServer.ts
+++ b/packages/entry/src/callers/modelServer.ts
@@ -1,5 +1,10 @@
 /** Model request handling: version, admission, attempts and response. */
-import {ServingError, toServingError, type Clock} from '@skylarkfield/base';
+import {
+  ServingError,
+  toServingError,
+  type Clock,
+  type DrainGuard,
+} from '@skylarkfield/base';
 import type {AdmissionRequest, Permit} from '@skylarkfield/admission';
 import {hashPromptBlocks, tokenizePrompt} from '@skylarkfield/endpoints';
 import type {Service} from '@skylarkfield/records';
@@ -16,7 +21,7 @@
   createVersionFallback,
   type VersionFallback,
 } from './versionFallback.js';
-import type {Exchange} from './exchange.js';
+import {failureOf, type Exchange} from './exchange.js';
 import {
   createStreamedResponse,
   createBufferedResponse,
@@ -52,6 +57,7 @@
 
 interface ModelServerOptions {
   readonly serving: ServingContext;
+  readonly drainGuard: DrainGuard;
   readonly clock: Clock;
   readonly limits: EntrySettings['limits'];
   readonly metrics: RequestMetrics;
@@ -65,15 +71,16 @@
  * await modelServer.serve(exchange, request, service, 'chat');
  */
 export function createModelServer(options: ModelServerOptions): ModelServer {
-  const {serving, clock, metrics} = options;
+  const {serving, drainGuard, clock, metrics} = options;
   const costEstimator = createRequestCostEstimator();
 
   return {
     async serve(exchange, request, service, shape) {
       const plan = planRequest(exchange, request, service);
-      const permit = await serving.admission.admit(
-        plan.admissionRequest,
+      const permit = await drainGuard.admit(
+        plan.admissionRequest.deadline,
         exchange.signal,
+        signal => serving.admission.admit(plan.admissionRequest, signal),
       );
       const modelResponse = createModelResponse(exchange, request, shape);
       const progress = trackProgress(exchange, plan, permit, shape);
@@ -96,7 +103,9 @@
       } catch (error) {
         const failure = toServingError(error);
         progress.fail(failure);
-        modelResponse.failIfStarted(toProblem(failure, exchange.id));
+        modelResponse.failIfStarted(
+          toProblem(failureOf(failure, exchange.signal), exchange.id),
+        );
         throw failure;
       }
     },
--- a/packages/entry/src/callers/plainServer.ts
+++ b/packages/entry/src/callers/plainServer.ts
@@ -1,6 +1,6 @@
 /** Handling of calls to plain services: version, admission and attempts. */
 import {createHash} from 'node:crypto';
-import {toServingError, type Clock} from '@skylarkfield/base';
+import {toServingError, type Clock, type DrainGuard} from '@skylarkfield/base';
 import type {Permit} from '@skylarkfield/admission';
 import type {ServiceCall} from '@skylarkfield/endpoints';
 import type {SubmitResult} from '@skylarkfield/orders';
@@ -30,6 +30,7 @@
 interface PlainServerOptions {
   readonly serving: ServingContext;
   readonly attemptRunner: AttemptRunner;
+  readonly drainGuard: DrainGuard;
   readonly clock: Clock;
 }
 
@@ -40,7 +41,7 @@
  * await plainServer.serve(exchange, service, '/bookings?day=3', body);
  */
 export function createPlainServer(options: PlainServerOptions): PlainServer {
-  const {serving, attemptRunner, clock} = options;
+  const {serving, attemptRunner, drainGuard, clock} = options;
 
   return {
     async serve(exchange, service, path, body) {
@@ -78,7 +79,9 @@
       deadline,
       cost: 1,
     };
-    return serving.admission.admit(admissionRequest, exchange.signal);
+    return drainGuard.admit(deadline, exchange.signal, signal =>
+      serving.admission.admit(admissionRequest, signal),
+    );
   }
 
   async function runWithPermit(
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -1,6 +1,7 @@
 /** An entry process: its ports, startup order and graceful shutdown. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
+  createDrainGuard,
   createDumpRegistry,
   createInFlightCounter,
   createLogger,
@@ -17,7 +18,11 @@
   type LifecycleState,
 } from '@skylarkfield/base';
 import {attachAdminRoutes} from './admin/adminServer.js';
-import {attachCallerRoutes, type Readiness} from './callers/callerServer.js';
+import {
+  attachCallerRoutes,
+  NOT_SERVING_RETRY_MS,
+  type Readiness,
+} from './callers/callerServer.js';
 import {createCustomerKeys} from './callers/customerKeys.js';
 import {createRequestMetrics} from './callers/requestMetrics.js';
 import {sendProblem, toProblem} from './callers/problem.js';
@@ -81,6 +86,7 @@
   const adminKey = resolveSecret(settings.keys.admin, 'keys.admin');
   const innerKey = resolveSecret(settings.keys.inner, 'keys.inner');
   const lifecycle = createProcessLifecycle();
+  const drainGuard = createDrainGuard(lifecycle, NOT_SERVING_RETRY_MS);
   const inFlightCounter = createInFlightCounter(clock);
 
   const callerPort = await openPort(settings.callers);
@@ -147,16 +153,23 @@
       customerKeys: createCustomerKeys(configuration),
       modelServer: createModelServer({
         serving,
+        drainGuard,
         clock,
         limits: settings.limits,
         metrics: requestMetrics,
       }),
-      plainServer: createPlainServer({serving, attemptRunner, clock}),
+      plainServer: createPlainServer({
+        serving,
+        attemptRunner,
+        drainGuard,
+        clock,
+      }),
       metrics: requestMetrics,
       limits: settings.limits,
       clock,
       log,
       inFlightCounter,
+      drainGuard,
       readiness,
     });
   }
@@ -167,8 +180,9 @@
 
   /**
    * Notifies peers first, so that lookups no longer return this entry when it
-   * starts to reject requests, and then drains requests in flight. Closing
-   * earlier would truncate responses that callers are reading.
+   * starts to reject requests, and then drains requests in flight; those that
+   * are left end with an error. Closing earlier would truncate responses that
+   * callers are reading.
    */
   async function stop(): Promise<void> {
     log.info('stopping');
@@ -176,6 +190,7 @@
     await components.membership.leave();
     await components.duties.release();
     await waitForLingerPeriod();
+    lifecycle.setStopTime(clock.now() + settings.drainMs);
     lifecycle.send('refuse');
     await components.serving.ledger.leave();
     const isIdle = await inFlightCounter.waitUntilIdle(settings.drainMs);
--- a/packages/entry/src/test/callerServer.test.ts
+++ b/packages/entry/src/test/callerServer.test.ts
@@ -4,7 +4,9 @@
 import {connect, type AddressInfo} from 'node:net';
 import {afterEach, describe, it} from 'node:test';
 import {
+  createDrainGuard,
   createMetrics,
+  createProcessLifecycle,
   createSilentLogger,
   systemClock,
   toDisposable,
@@ -65,6 +67,7 @@
       clock,
       log: createSilentLogger(),
       inFlightCounter: inFlight,
+      drainGuard: createDrainGuard(createProcessLifecycle(), 0),
       readiness: () => 'ready',
     });
     server.listen(0, '127.0.0.1');
--- a/packages/entry/src/test/modelServer.test.ts
+++ b/packages/entry/src/test/modelServer.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {describe, it} from 'node:test';
-import {ServingError, createVirtualClock} from '@skylarkfield/base';
+import {
+  createDrainGuard,
+  createProcessLifecycle,
+  ServingError,
+  createVirtualClock,
+} from '@skylarkfield/base';
 import type {Engine, GenerationEvent} from '@skylarkfield/endpoints';
 import type {RequestSample} from '@skylarkfield/moves';
 import {createStreamRunner} from '@skylarkfield/streams';
@@ -69,6 +74,7 @@
   };
   const server = createModelServer({
     serving: serving as never,
+    drainGuard: createDrainGuard(createProcessLifecycle(), 0),
     clock,
     limits: {bufferedBytes: 1000, stalledReaderMs: 1000} as never,
     metrics: {
