--- a/packages/gateway/src/callers/test/callerHandler.test.ts
+++ b/packages/gateway/src/callers/test/callerHandler.test.ts
@@ -9,7 +9,9 @@
 } from '@skylarkfield/admission';
 import {
   createDecisionLog,
+  createDrainGuard,
   createInFlightCounter,
+  createProcessLifecycle,
   createSilentLogger,
   seededRandom,
   systemClock,
@@ -127,6 +129,7 @@
       isReady: () => true,
       isClosing: () => false,
     },
+    drainGuard: createDrainGuard(createProcessLifecycle(), 0),
     inFlight,
     outcomeMeter: {record() {}},
     metrics: {record() {}} as unknown as RequestMetrics,
