gateway: fail exchanges with an invalid address instead of throwing

Callers saw: the gateways of a zone ended again and again while one registration had the port 83088, and streams in progress broke off.

Cause: the connection pool of an address is created when it is first used, and undici throws for a URL that it cannot parse. An attempt turned that into an error, but a probe, which must not reject, rejected, and nothing handled it: the process ended.

Evidence: the test of the probe failed before with "Invalid URL" for three of its four addresses and passes now.

Fix: an exchange with such an address fails as one whose endpoint refuses connections, not run and after `send` has returned, so no user of the pools needs a case of its own.

--- a/packages/gateway/src/attempts/upstream.ts
+++ b/packages/gateway/src/attempts/upstream.ts
@@ -35,7 +35,8 @@
   onDidEnd(framing: ResponseFraming): void;
   /**
    * Called with `endpoint-unavailable` if no byte of the request was sent (not
-   * run), else with `interrupted` (may have run).
+   * run), also if the address is invalid, else with `interrupted` (may have
+   * run).
    */
   onDidFail(error: ServingError): void;
 }
@@ -145,11 +146,15 @@
     progress: createResponseProgress(),
   };
 
-  function getOrCreatePool(address: string): Pool {
+  /** Returns undefined if the address is invalid. */
+  function getOrCreatePool(address: string): Pool | undefined {
     const existingPool = pools.get(address);
     if (existingPool !== undefined) {
       return existingPool;
     }
+    if (!URL.canParse(`http://${address}`)) {
+      return undefined;
+    }
     const pool = new Pool(`http://${address}`, {
       connections: MAX_CONNECTIONS,
       pipelining: 1,
@@ -173,8 +178,12 @@
   }
 
   return {
-    send: (address, request, listener) =>
-      dispatch(getOrCreatePool(address), watch, request, listener),
+    send(address, request, listener) {
+      const pool = getOrCreatePool(address);
+      return pool === undefined
+        ? rejectAddress(address, listener)
+        : dispatch(pool, watch, request, listener);
+    },
     retainOnly: addresses =>
       closePools([...pools.keys()].filter(address => !addresses.has(address))),
     renew: closePools,
@@ -198,6 +207,30 @@
   };
 }
 
+/** Returns an exchange that fails without having been sent. */
+function rejectAddress(
+  address: string,
+  listener: UpstreamListener,
+): UpstreamExchange {
+  let isAborted = false;
+  queueMicrotask(() => {
+    if (!isAborted) {
+      listener.onDidFail(
+        new ServingError(
+          'endpoint-unavailable',
+          `${JSON.stringify(address)} is not the address of an endpoint`,
+        ),
+      );
+    }
+  });
+  return {
+    hasStarted: () => false,
+    abort: () => void (isAborted = true),
+    pause() {},
+    resume() {},
+  };
+}
+
 function dispatch(
   pool: Pool,
   {ends, progress}: ConnectionWatch,
