platform: refuse registrations and rollouts with impossible fields

Cause: the shape of a registration took any digits for an address, any number for slots and times, and any name. What uses them later met values that it does not expect: a pool for the port 83088 throws. A configuration of any name could be in force if its version was the highest, and the state `constructor` of a rollout was found in a plain object.

Fix: an address is an IPv4 address and a port from 1 to 65535; slots, remaining times and periods have bounds; times are whole milliseconds since 1970; a name is at most 512 characters long and not that of an inherited property. Only `main` is a configuration. What is refused is treated as absent, as before, and the others hold.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -16,6 +16,7 @@
 export * from './openResponses.js';
 export * from './pausableClock.js';
 export * from './processLifecycle.js';
+export * from './propertyNames.js';
 export * from './random.js';
 export * from './responseFraming.js';
 export * from './shapes.js';
