gateway: answer requests whose handler throws

Callers saw: `GET //` at the lookup port ended the gateway.

Cause: the target of a request was completed to a URL, which throws for some targets, and nothing caught what the handler of a port throws.

A handler that throws fails its own request with 500, or breaks its response off if the head was sent, and is logged with the target; the port goes on. Both tests that open a port pass a logger, which is required now.

--- a/packages/gateway/src/callers/test/callerHandler.test.ts
+++ b/packages/gateway/src/callers/test/callerHandler.test.ts
@@ -136,6 +136,7 @@
   const port = await openPort(
     {host: '127.0.0.1', port: 0},
     (request, response) => void handler.handle(request, response),
+    log,
   );
   return {port, admission, inFlight};
 }
--- a/packages/gateway/src/process/gatewayPorts.ts
+++ b/packages/gateway/src/process/gatewayPorts.ts
@@ -31,7 +31,7 @@
   {membership}: Coordination,
   {policy, readiness, handler}: TrafficPipeline,
 ): Promise<Disposable> {
-  const {settings, platform, lifecycle} = context;
+  const {settings, platform, lifecycle, log} = context;
   const {lookupFormat} = platform;
 
   function isReady(): boolean {
@@ -76,14 +76,15 @@
 
   const disposables = createDisposableStore();
   try {
-    disposables.add(await openPort(settings.lookup, answerLookup));
-    disposables.add(await openPort(settings.readiness, answerReadiness));
+    disposables.add(await openPort(settings.lookup, answerLookup, log));
+    disposables.add(await openPort(settings.readiness, answerReadiness, log));
     disposables.add(
-      await openPort(settings.status, createStatusHandler(context)),
+      await openPort(settings.status, createStatusHandler(context), log),
     );
     const callerPort = await openPort(
       settings.callers,
       (request, response) => void handler.handle(request, response),
+      log,
       'limited',
     );
     disposables.add(callerPort);
--- a/packages/gateway/src/process/listeners.ts
+++ b/packages/gateway/src/process/listeners.ts
@@ -4,8 +4,10 @@
 import polka from 'polka';
 import {
   ServingError,
+  toServingError,
   trackOpenResponses,
   type Disposable,
+  type Logger,
 } from '@skylarkfield/base';
 import type {CallerLimits} from '@skylarkfield/traffic';
 import type {Address} from '../settings.js';
@@ -36,15 +38,19 @@
  */
 const MAX_HEADER_BYTES = 16_384;
 
+const FAILED_STATUS = 500;
+
 /**
- * Opens a port. Throws `bad-settings` if the port cannot be bound.
+ * Opens a port. Throws `bad-settings` if the port cannot be bound. If the
+ * handler throws, its request fails and the port goes on.
  *
  * @example
- * const port = await openPort(settings.callers, handler);
+ * const port = await openPort(settings.callers, handler, log);
  */
 export async function openPort(
   address: Address,
   handler: RequestHandler,
+  log: Logger,
   limitMode: keyof typeof TIMEOUT_CHECK_INTERVAL_MS = 'free',
 ): Promise<Port> {
   const server = http.createServer({
@@ -55,7 +61,7 @@
   });
   const openResponses = trackOpenResponses(server);
   keepAnnouncedIdleTimes(server);
-  const app = polka({server, onNoMatch: handler});
+  const app = polka({server, onNoMatch: containFailures(handler, log)});
   server.on('request', app.handler as never);
   await listen(server, address);
   return {
@@ -72,6 +78,26 @@
   };
 }
 
+/** Returns a handler that answers the request if the given handler throws. */
+function containFailures(handler: RequestHandler, log: Logger): RequestHandler {
+  return (request, response) => {
+    try {
+      handler(request, response);
+    } catch (error) {
+      log.error(
+        {method: request.method, url: request.url, err: toServingError(error)},
+        'request handler failed',
+      );
+      if (response.headersSent) {
+        response.destroy();
+        return;
+      }
+      response.statusCode = FAILED_STATUS;
+      response.end();
+    }
+  };
+}
+
 /**
  * Keeps each connection open for the idle time that its last response has
  * announced, also if the limit has become shorter since: a request that the
--- a/packages/gateway/src/process/test/listeners.test.ts
+++ b/packages/gateway/src/process/test/listeners.test.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import http, {type ServerResponse} from 'node:http';
 import {describe, it} from 'node:test';
+import {createSilentLogger} from '@skylarkfield/base';
 import type {CallerLimits} from '@skylarkfield/traffic';
 import {openPort} from '../listeners.js';
 
@@ -28,8 +29,10 @@
 async function setUp() {
   const responses: ServerResponse[] = [];
   const agent = new http.Agent({keepAlive: true, maxSockets: 1});
-  const port = await openPort({host: '127.0.0.1', port: 0}, (_, response) =>
-    responses.push(response),
+  const port = await openPort(
+    {host: '127.0.0.1', port: 0},
+    (_, response) => responses.push(response),
+    createSilentLogger(),
   );
   port.setLimits(LIMITS);
   return {
@@ -99,4 +102,23 @@
     assert.deepEqual(await second.whenRead, {status: 200, isReused: true});
     close();
   });
+
+  // Guards against processes that end because one request cannot be handled.
+  it('fails only the request whose handler throws', async () => {
+    const port = await openPort(
+      {host: '127.0.0.1', port: 0},
+      ({url}, response) => {
+        if (url === '/odd') {
+          throw new Error('odd request');
+        }
+        response.end();
+      },
+      createSilentLogger(),
+    );
+    const statusOf = async (path: string) =>
+      (await fetch(`http://127.0.0.1:${port.port}${path}`)).status;
+    assert.equal(await statusOf('/odd'), 500);
+    assert.equal(await statusOf('/'), 200);
+    port.dispose();
+  });
 });
