members: ignore odd member objects and updates one by one

One malformed update in a heartbeat kept the rest of the heartbeat from being applied, and an update with an impossible port passed, which ends whoever reads its host.

Cause: the value of a stored object was used without a check, batches were applied in one loop, and the texts of an update were not read as URLs.

Fix: an object is parsed when it is listed or read, and ignored with one log line for each name and a count in the dump. Updates of one batch are applied one by one. URLs are checked, and names must not be those of inherited properties.

--- a/packages/members/src/heartbeats.ts
+++ b/packages/members/src/heartbeats.ts
@@ -55,7 +55,7 @@
       network.broadcast('heartbeat', body, neighbourIds);
     },
     receive(from, body) {
-      body.news.forEach(updateHandler.applyUpdate);
+      updateHandler.applyUpdates(body.news);
       body.changes?.forEach(updateHandler.applyChange);
       const knownMember = table.get(from);
       const isUpToDate =
--- a/packages/members/src/memberObjects.ts
+++ b/packages/members/src/memberObjects.ts
@@ -18,18 +18,15 @@
   type StoredObject,
 } from '@skylarkfield/providers';
 import type {MemberUpdate} from '@skylarkfield/protocol';
+import {
+  MEMBER_KIND,
+  parseMemberObject,
+  type MemberObject,
+} from './memberObject.js';
+import {createMemberReader} from './memberReader.js';
 import type {KnownMember, MemberTable} from './memberTable.js';
 import type {MemberTiming} from './timing.js';
 
-/** Value of a `member` object. */
-export interface MemberObject {
-  readonly incarnation: number;
-  readonly callerUrl: string;
-  readonly innerUrl: string;
-  readonly failureDomain: string;
-  readonly region: string;
-}
-
 /** Maintains this entry's object and discovers members by their objects. */
 export interface MemberObjects extends Disposable {
   /**
@@ -59,7 +56,6 @@
   dump(): unknown;
 }
 
-const MEMBER_KIND = 'member';
 /**
  * Maximum number of objects removed in one sweep; further objects of dead
  * members are left for the next sweep.
@@ -109,6 +105,11 @@
   /** Number of sweeps that failed to contact an unknown member, by its id. */
   const failedSweepsById = new Map<string, number>();
   const abortController = new AbortController();
+  const reader = createMemberReader({
+    store,
+    log,
+    signal: abortController.signal,
+  });
   const timers = new Set<Disposable>();
   let joinRetryMs = MIN_JOIN_RETRY_MS;
   let isJoined = false;
@@ -120,7 +121,6 @@
   /** Latest era in which the store is known to hold this entry's object. */
   let ownObjectEra = 0;
   let isRestoredCheckPending = false;
-
   function schedule(delayMs: number, action: () => Promise<void>) {
     const timer = clock.after(delayMs * (0.75 + random.next() / 2), () => {
       timers.delete(timer);
@@ -159,11 +159,7 @@
    */
   async function tryJoin(): Promise<void> {
     await writeOwnObject();
-    const {objects} = await store.list<MemberObject>(
-      MEMBER_KIND,
-      abortController.signal,
-      'recent',
-    );
+    const objects = await reader.list('recent');
     isJoined = true;
     listedCount = objects.length;
     const {id} = options.localUpdate();
@@ -203,14 +199,14 @@
 
   async function restoreOwnObject(): Promise<void> {
     const {id, incarnation} = options.localUpdate();
-    const storedObject = await store.get<MemberObject>(
+    const storedObject = await store.get(
       MEMBER_KIND,
       id,
       abortController.signal,
     );
     if (
       storedObject === undefined ||
-      storedObject.value.incarnation !== incarnation
+      parseMemberObject(storedObject.value)?.incarnation !== incarnation
     ) {
       await writeOwnObject();
       return;
@@ -291,10 +287,7 @@
       return;
     }
     const {id} = options.localUpdate();
-    const {objects} = await store.list<MemberObject>(
-      MEMBER_KIND,
-      abortController.signal,
-    );
+    const objects = await reader.list();
     let removalCount = 0;
     for (const object of objects) {
       if (object.name === id || removalCount >= MAX_REMOVALS_PER_SWEEP) {
@@ -377,6 +370,7 @@
     dump: () => ({
       isJoined,
       swept: removedCount,
+      unreadable: reader.unreadableCount(),
       unreachable: [...failedSweepsById.keys()],
     }),
     dispose() {
--- a/packages/members/src/membership.ts
+++ b/packages/members/src/membership.ts
@@ -76,6 +76,7 @@
     localMember,
     table,
     gossip,
+    log,
     onDidRefute: () => memberObjects.scheduleOwnObjectCheck(),
   });
   const {applyUpdate} = updateHandler;
@@ -116,7 +117,7 @@
     log,
     timing,
     localUpdate: localMember.baseUpdate,
-    applyUpdate,
+    applyUpdates: updateHandler.applyUpdates,
   });
   const reconnector = createReconnector({
     peerDirectory,
--- a/packages/members/src/reconciler.ts
+++ b/packages/members/src/reconciler.ts
@@ -38,7 +38,7 @@
   readonly log: Logger;
   readonly timing: MemberTiming;
   localUpdate(): MemberUpdate;
-  applyUpdate(update: MemberUpdate): void;
+  applyUpdates(updates: readonly MemberUpdate[]): void;
 }): Reconciler {
   const {table, network, clock, log, timing} = options;
   /**
@@ -56,8 +56,8 @@
       .request(peer, 'membersWanted', {buckets}, timing.probeTimeoutMs)
       .catch(() => undefined);
     try {
-      (response as MembersResponse | undefined)?.news.forEach(
-        options.applyUpdate,
+      options.applyUpdates(
+        (response as MembersResponse | undefined)?.news ?? [],
       );
     } catch (error) {
       log.warn(
--- a/packages/members/src/reconnector.ts
+++ b/packages/members/src/reconnector.ts
@@ -6,7 +6,7 @@
  */
 import type {Clock, Logger, Random} from '@skylarkfield/base';
 import type {PeerNetwork} from '@skylarkfield/protocol';
-import type {MemberObject} from './memberObjects.js';
+import type {MemberObject} from './memberObject.js';
 import type {PeerDirectory} from './peerDirectory.js';
 import type {Reconciler} from './reconciler.js';
 import type {FailureDetector} from './failureDetector.js';
--- a/packages/members/src/updateHandler.ts
+++ b/packages/members/src/updateHandler.ts
@@ -1,10 +1,15 @@
 /** Applies member updates from peers and queues the new ones for gossip. */
+import {createFirstOccurrences, type Logger} from '@skylarkfield/base';
 import type {MemberChange, MemberUpdate} from '@skylarkfield/protocol';
 import type {GossipQueue} from './gossip.js';
+import {MAX_TEXT_LENGTH} from './memberObject.js';
 import type {MemberTable} from './memberTable.js';
 import {validateUpdate} from './updateValidation.js';
 import type {LocalMember} from './localMember.js';
 
+/** Number of malformed updates that are remembered as logged. */
+const MAX_LOGGED_UPDATES = 100;
+
 /** Applies member updates and state changes received from peers. */
 export interface UpdateHandler {
   /**
@@ -12,6 +17,8 @@
    * was applied. Throws `ServingError` if the update is malformed.
    */
   applyUpdate(update: MemberUpdate): boolean;
+  /** Applies a batch of updates; ignores malformed ones. */
+  applyUpdates(updates: readonly MemberUpdate[]): void;
   /**
    * Applies a state change, which has no addresses; ignores unknown members.
    */
@@ -23,16 +30,18 @@
  *
  * @example
  * const updateHandler = createUpdateHandler({localMember, table, ...rest});
- * body.news.forEach(updateHandler.applyUpdate);
+ * updateHandler.applyUpdates(body.news);
  */
 export function createUpdateHandler(options: {
   readonly localMember: LocalMember;
   readonly table: MemberTable;
   readonly gossip: GossipQueue;
+  readonly log: Logger;
   /** Called after this process refuted an update that contradicts its state. */
   onDidRefute(): void;
 }): UpdateHandler {
-  const {localMember, table, gossip} = options;
+  const {localMember, table, gossip, log} = options;
+  const isFirstMention = createFirstOccurrences(MAX_LOGGED_UPDATES);
 
   function refute(update: MemberUpdate) {
     if (localMember.refute(update)) {
@@ -58,8 +67,21 @@
     return true;
   }
 
+  /** Logs a malformed update once for each member. */
+  function tryApplyUpdate(update: MemberUpdate): void {
+    try {
+      applyUpdate(update);
+    } catch (error) {
+      const member = String(update?.id).slice(0, MAX_TEXT_LENGTH);
+      if (isFirstMention(member)) {
+        log.warn({member, reason: String(error)}, 'ignored a member update');
+      }
+    }
+  }
+
   return {
     applyUpdate,
+    applyUpdates: updates => updates.forEach(tryApplyUpdate),
     applyChange(change) {
       const isLocal = change.id === localMember.baseUpdate().id;
       const knownUpdate = isLocal
--- a/packages/members/src/updateValidation.ts
+++ b/packages/members/src/updateValidation.ts
@@ -1,18 +1,12 @@
 /** Validation of member updates before they are stored and gossiped. */
 import {ServingError} from '@skylarkfield/base';
 import type {MemberUpdate} from '@skylarkfield/protocol';
+import {isBoundedText, isName, isUrl} from './memberObject.js';
 
-const TEXT_FIELDS = [
-  'id',
-  'callerUrl',
-  'innerUrl',
-  'failureDomain',
-  'region',
-] as const;
+const URL_FIELDS = ['callerUrl', 'innerUrl'] as const;
+const NAME_FIELDS = ['id', 'failureDomain', 'region'] as const;
 const NUMBER_FIELDS = ['incarnation', 'sequence', 'load'] as const;
 const STATES: readonly unknown[] = ['live', 'suspect', 'leaving', 'gone'];
-/** Maximum length of a text field; bounds the memory used for each member. */
-const MAX_TEXT_LENGTH = 512;
 /** Maximum number of services in an update. */
 const MAX_SERVICES = 64;
 
@@ -27,7 +21,8 @@
 export function validateUpdate(update: MemberUpdate): void {
   const fields: Partial<Record<keyof MemberUpdate, unknown>> = update ?? {};
   const isValid =
-    TEXT_FIELDS.every(field => isBoundedText(fields[field])) &&
+    URL_FIELDS.every(field => isUrl(fields[field])) &&
+    NAME_FIELDS.every(field => isName(fields[field])) &&
     NUMBER_FIELDS.every(field => Number.isFinite(fields[field])) &&
     STATES.includes(fields.state) &&
     (fields.cores === undefined || isPositive(fields.cores)) &&
@@ -49,7 +44,3 @@
     value.every(isBoundedText)
   );
 }
-
-function isBoundedText(value: unknown): boolean {
-  return typeof value === 'string' && value.length <= MAX_TEXT_LENGTH;
-}
