--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -292,6 +292,8 @@
    * value and throws if the value is invalid.
    */
   systemObjects<T>(kind: string, read: (value: unknown) => T): ObjectSource<T>;
+  /** Number of times that objects were refused as undecodable, by kind. */
+  refusedObjects(): Readonly<Record<string, number>>;
   readonly orders: PlatformOrders;
   readonly requestMigrator: RequestMigrator;
   /** Publishes the state of a rollout to the operator. */
--- a/packages/gateway/src/process/gatewayProcess.ts
+++ b/packages/gateway/src/process/gatewayProcess.ts
@@ -123,6 +123,7 @@
     memory: process.memoryUsage(),
     cpu: process.cpuUsage(),
   }));
+  context.dumps.add('refusedObjects', () => platform.refusedObjects());
   return context;
 }
 
