duties: bound the numbers of a stored lease

What could happen: a lease of another writer with a duration of 1e300 kept its duty from being acquired, so that nothing was scaled and no usage reported. A token of 1e300, -5 or 0.5 was continued, so that later tokens did not increase or were lower than those given out. A value that is no lease was free at once, although the holder of the lease that it replaced stops only when that expires: two holders.

Cause: only the types of the fields were checked, and a missing lease and an object that is none were treated alike.

Fix: tokens, sequences and eras are whole numbers from 0 to 2^52, a duration is at most 60 s.

--- a/packages/duties/src/lease.ts
+++ b/packages/duties/src/lease.ts
@@ -50,8 +50,18 @@
   marginMs: 1000,
 };
 
+/** Maximum duration of a lease, in milliseconds. */
+const MAX_DURATION_MS = 60_000;
+
+/**
+ * Upper bound of fencing tokens and eras: far above what stores assign, and low
+ * enough that later tokens remain exact.
+ */
+const MAX_NUMBER = 2 ** 52;
+
 /**
- * Parses a lease object; returns undefined if it is not a valid lease.
+ * Parses a lease object; returns undefined if it is not a valid lease. Another
+ * writer may have stored any value.
  *
  * @example
  * const lease = parseLease(await store.get('lease', 'acceptance'));
@@ -59,26 +69,41 @@
 export function parseLease(
   object: StoredObject | undefined,
 ): Lease | undefined {
-  const value = object?.value as Partial<Lease> | undefined;
+  const value = object?.value as Partial<Lease> | null | undefined;
+  const {holder, fencing, durationMs, sequence, era, firstEra} = value ?? {};
   if (
-    typeof value?.holder !== 'string' ||
-    typeof value.fencing !== 'number' ||
-    typeof value.durationMs !== 'number' ||
-    typeof value.sequence !== 'number'
+    typeof holder !== 'string' ||
+    !isCount(fencing) ||
+    !isDuration(durationMs) ||
+    !isCount(sequence) ||
+    !(era === undefined || isCount(era)) ||
+    !(firstEra === undefined || isCount(firstEra))
   ) {
     return undefined;
   }
   return {
-    holder: value.holder,
-    fencing: value.fencing,
-    durationMs: value.durationMs,
-    sequence: value.sequence,
-    isReleased: value.isReleased === true,
-    ...(typeof value.era === 'number' && {era: value.era}),
-    ...(typeof value.firstEra === 'number' && {firstEra: value.firstEra}),
+    holder,
+    fencing,
+    durationMs,
+    sequence,
+    isReleased: value?.isReleased === true,
+    ...(era !== undefined && {era}),
+    ...(firstEra !== undefined && {firstEra}),
   };
 }
 
+function isCount(value: unknown): value is number {
+  return (
+    Number.isSafeInteger(value) &&
+    Number(value) >= 0 &&
+    Number(value) <= MAX_NUMBER
+  );
+}
+
+function isDuration(value: unknown): value is number {
+  return typeof value === 'number' && value > 0 && value <= MAX_DURATION_MS;
+}
+
 /**
  * Returns whether a lease was written before the given era of the store. It may
  * then be older than a lease that the store has lost.
--- a/packages/duties/src/leaseObserver.ts
+++ b/packages/duties/src/leaseObserver.ts
@@ -81,8 +81,17 @@
     return clock.now() - startedAt >= durationMs + timing.marginMs;
   }
 
-  /** Whether a lease of the store's current history is free. */
-  function isVacant(lease: Lease): boolean {
+  /**
+   * Whether a lease of the store's current history is free. An object that is no
+   * lease may have replaced one, whose holder stops only when it expires.
+   */
+  function isVacant(lease: Lease | undefined): boolean {
+    if (lease === undefined) {
+      return (
+        lastObject === undefined ||
+        hasPassed(versionFirstReadAt, timing.durationMs)
+      );
+    }
     return (
       lease.isReleased ||
       lease.holder === self ||
@@ -94,7 +103,7 @@
     const lease = parseLease(lastObject);
     const returnLearnedAt = returns.learnedAt();
     if (returnLearnedAt === undefined || lease?.era === returns.era()) {
-      return lease === undefined || isVacant(lease);
+      return isVacant(lease);
     }
     const durationMs = Math.max(timing.durationMs, lease?.durationMs ?? 0);
     if (!hasPassed(returnLearnedAt, durationMs)) {
@@ -102,8 +111,7 @@
     }
     // A lease that names no era may have been written since the return.
     return (
-      lease === undefined ||
-      isOfFormerEra(lease, returns.era()) ||
+      (lease !== undefined && isOfFormerEra(lease, returns.era())) ||
       isVacant(lease)
     );
   }
