gateway: skip usage windows whose stored counts are invalid

What could happen: a usage report of another writer was sent to the platform as it was (`null`, a negative number, a text), or, without counts, the window was tried again until it could not be reported any more.

Cause: counts that are stored already are reported instead of this entry's own, without a check.

Fix: stored counts are whole numbers from 0. A window with other ones is skipped, as when the store may have lost a report: no report is better than a second, different one.

--- a/packages/gateway/src/quotas/test/usageDuty.test.ts
+++ b/packages/gateway/src/quotas/test/usageDuty.test.ts
@@ -80,4 +80,38 @@
     await clock.advance(20_000);
     assert.equal(reports.length, 0);
   });
+
+  // Guards against usage that is not reported any more because of one odd object.
+  it('goes on after a window whose stored counts are not its own', async () => {
+    const ODD_COUNTS = [null, 7, [], {chain: -1}, {chain: 'x'}, {chain: 0.5}];
+    const clock = createVirtualClock();
+    const platform = createMemoryPlatform({clock, random: seededRandom(1)});
+    const {reports, orders} = createReportRecorder([]);
+    const firstWindow = Math.floor(clock.wall() / WINDOW_MS);
+    ODD_COUNTS.forEach((value, index) =>
+      platform.table.put(
+        {
+          kind: 'usage-report',
+          name: String(firstWindow + index),
+          writeId: 'odd',
+          condition: {type: 'any'},
+        },
+        value,
+      ),
+    );
+    startHolder({
+      clock,
+      store: platform.createClient('e1'),
+      orders,
+      fencing: 1,
+      ownCount: 7,
+    });
+    await clock.advance((ODD_COUNTS.length + 3) * WINDOW_MS);
+    const reportedWindows = reports.map(({window}) => window - firstWindow);
+    assert.ok(reportedWindows.includes(ODD_COUNTS.length));
+    assert.deepEqual(
+      reportedWindows.filter(w => w >= 0 && w < ODD_COUNTS.length),
+      [],
+    );
+  });
 });
--- a/packages/gateway/src/quotas/usageDuty.ts
+++ b/packages/gateway/src/quotas/usageDuty.ts
@@ -20,6 +20,7 @@
 import type {DutyTerm, StoreReturns} from '@skylarkfield/duties';
 import {eraOf, type ObjectStore} from '@skylarkfield/providers';
 import type {CustomerCounts, UsageWindows} from '@skylarkfield/traffic';
+import * as z from 'zod';
 import type {PlatformOrders} from '../contracts.js';
 import {
   USAGE_CALL_TIMEOUT_MS,
@@ -56,6 +57,9 @@
 /** Interval at which lost counts are looked for, in milliseconds. */
 const REWRITE_POLL_INTERVAL_MS = 1_000;
 
+/** Stored counts, which another writer may have replaced. */
+const countsSchema = z.record(z.string(), z.number().int().min(0));
+
 export interface UsageDutyOptions {
   readonly term: DutyTerm;
   readonly holder: string;
@@ -129,15 +133,27 @@
   async function readCounts(
     window: number,
   ): Promise<CustomerCounts | undefined> {
-    const object = await store.get<CustomerCounts>(
+    const object = await store.get(
       USAGE_REPORT_KIND,
       String(window),
       AbortSignal.timeout(USAGE_CALL_TIMEOUT_MS),
     );
-    if (object !== undefined && eraOf(object.version) !== returns.era()) {
+    if (object === undefined) {
+      return undefined;
+    }
+    if (eraOf(object.version) !== returns.era()) {
       throw restoredStoreError(window);
     }
-    return object?.value;
+    const parsed = countsSchema.safeParse(object.value);
+    if (!parsed.success) {
+      // Another writer may have replaced counts that were reported.
+      skip(window, 'the stored counts are invalid');
+      throw new ServingError(
+        'bad-record',
+        `the stored counts of window ${window} are invalid`,
+      );
+    }
+    return parsed.data;
   }
 
   /**
@@ -157,14 +173,14 @@
       deferredUntil.set(window, clock.now() + REWRITE_POLL_INTERVAL_MS);
       return undefined;
     }
-    skip(window);
+    skip(window, 'the store may have lost a report');
     return undefined;
   }
 
-  function skip(window: number): void {
+  function skip(window: number, reason: string): void {
     deferredUntil.delete(window);
     reportedWindows.add(window);
-    log.warn({window}, 'usage not reported; the store may have lost a report');
+    log.warn({window, reason}, 'usage not reported');
   }
 
   /**
@@ -209,7 +225,7 @@
    * have lost other counts of the window.
    */
   async function discardCounts(window: number, version: number): Promise<void> {
-    skip(window);
+    skip(window, 'the store may have lost a report');
     await store.remove(
       USAGE_REPORT_KIND,
       String(window),
