gateway: check the numbers of stored crashes and measurements

What could happen: a crash with a time of 1e300 or a weight of 1e300 in an object of another writer counted as evidence for ever. Measurements named `constructor`, or whose sums have other lengths than their columns, were added to those of other entries.

Cause: the schemas checked the types of the fields only.

Fix: times are those a `Date` can represent, weights are from 0 to 1, counts are not negative, names are not those of inherited properties, and the number of products follows from that of the columns.

--- a/packages/gateway/src/crashes/crashPersistence.ts
+++ b/packages/gateway/src/crashes/crashPersistence.ts
@@ -28,6 +28,7 @@
 import * as z from 'zod';
 import type {Platform, ObjectSource} from '../contracts.js';
 import type {Mirror} from '../mirrors/mirror.js';
+import {nameSchema} from '../storedNames.js';
 
 /** Kind of the stored reports, each named after the entry that writes it. */
 const OBJECT_KIND = 'endpoint-crashes';
@@ -58,16 +59,21 @@
 /** Interval at which expired crash reports are removed, in milliseconds. */
 const CLEANUP_INTERVAL_MS = 300_000;
 
+/** Latest time that a `Date` can represent, in Unix milliseconds. */
+const MAX_TIME_MS = 8.64e15;
+
+const timeSchema = z.number().min(0).max(MAX_TIME_MS);
+
 const reportSchema = z.object({
   crashes: z.array(
     z.object({
-      request: z.string(),
-      endpoint: z.string(),
-      atMs: z.number(),
-      weight: z.number().optional(),
+      request: nameSchema,
+      endpoint: nameSchema,
+      atMs: timeSchema,
+      weight: z.number().min(0).max(1).optional(),
     }),
   ),
-  served: z.record(z.string(), z.number()),
+  served: z.record(nameSchema, timeSchema),
 });
 
 /**
--- a/packages/gateway/src/endpoints/engineCapacityStore.ts
+++ b/packages/gateway/src/endpoints/engineCapacityStore.ts
@@ -19,6 +19,7 @@
 } from '@skylarkfield/capacity';
 import type {ObjectStore} from '@skylarkfield/providers';
 import * as z from 'zod';
+import {nameSchema} from '../storedNames.js';
 
 /** Kind and name of the stored object. */
 const OBJECT_KIND = 'engine-capacity';
@@ -46,25 +47,32 @@
  */
 const RESTORED_WEIGHT = 0.5;
 
-const regressionSchema = z.object({
-  count: z.number(),
-  weight: z.number(),
-  totals: z.array(z.number()),
-  products: z.array(z.number()),
-});
+/** Sums for a number of columns, and for each pair of these columns. */
+const regressionSchema = z
+  .object({
+    count: z.number().min(0),
+    weight: z.number().min(0),
+    totals: z.array(z.number()),
+    products: z.array(z.number()),
+  })
+  .refine(
+    ({totals, products}) =>
+      products.length === (totals.length * (totals.length + 1)) / 2,
+    'totals and products must have matching lengths',
+  );
 
 const capacitySchema = z.record(
-  z.string(),
+  nameSchema,
   z.object({
     prompts: regressionSchema,
     answers: regressionSchema,
     paces: z.record(
-      z.string(),
+      nameSchema,
       z.object({
-        count: z.number(),
-        tokens: z.number(),
+        count: z.number().min(0),
+        tokens: z.number().min(0),
         total: z.number(),
-        squares: z.number(),
+        squares: z.number().min(0),
       }),
     ),
   }),
--- a/packages/gateway/src/endpoints/test/engineCapacityStore.test.ts
+++ b/packages/gateway/src/endpoints/test/engineCapacityStore.test.ts
@@ -99,4 +99,31 @@
     await waitForStoreCalls();
     assert.deepEqual(capacityStore.restoredStats(), {});
   });
+
+  // Guards against sums that fail whenever they are added to those of other entries.
+  it('starts without measurements if their sums do not match', async () => {
+    const sums = {count: 2, weight: 2, totals: [1, 1], products: [1, 1, 1]};
+    const measured = {prompts: sums, answers: sums, paces: {}};
+    const oddValues: readonly unknown[] = [
+      {constructor: measured},
+      {chat: {...measured, prompts: {...sums, products: [1]}}},
+      {chat: {...measured, prompts: {...sums, weight: -1}}},
+      {chat: {...measured, paces: {toString: {}}}},
+    ];
+    for (const value of [{chat: measured}, ...oddValues]) {
+      const store = createStore();
+      await store.put('engine-capacity', 'learned', value, {type: 'any'});
+      const capacityStore = createEngineCapacityStore({
+        store,
+        clock: createVirtualClock(),
+        log: createSilentLogger(),
+      });
+      await waitForStoreCalls();
+      assert.deepEqual(
+        Object.keys(capacityStore.restoredStats()),
+        oddValues.includes(value) ? [] : ['chat'],
+        JSON.stringify(value),
+      );
+    }
+  });
 });
