duties: hand a duty over if its work cannot be started

What could happen: a holder whose work threw when it started kept the lease and renewed it, and nobody did the work.

Cause: the lease counts as held before the work is started, and the error only ended the round of the election.

Evidence: the new test failed before (no work running after 6 s); all 41 tests of the package pass.

Fix: the error is logged with the duty and its token, and the lease is released as for a holder that is no longer eligible; this process does not take it again for one lease duration.

--- a/packages/duties/src/leaseElection.ts
+++ b/packages/duties/src/leaseElection.ts
@@ -184,7 +184,7 @@
         await releaseLease(fencing);
         return;
       }
-      beginTerm(fencing, previousLease);
+      await beginTerm(fencing, previousLease);
     } catch (error) {
       interpreter.send('fail');
       throw error;
@@ -206,7 +206,10 @@
     }
   }
 
-  function beginTerm(fencing: number, previousLease: Lease | undefined): void {
+  async function beginTerm(
+    fencing: number,
+    previousLease: Lease | undefined,
+  ): Promise<void> {
     const abortController = new AbortController();
     const term: DutyTerm = {
       duty,
@@ -230,11 +233,24 @@
     });
     // Set before `start` is called, as it may check whether the term is valid.
     heldLease = {fencing, term, abortController, work: toDisposable(() => {})};
-    heldLease = {...heldLease, work: options.start(term)};
+    try {
+      heldLease = {...heldLease, work: options.start(term)};
+    } catch (error) {
+      log.error(
+        {err: error, duty, fencing},
+        'failed to start the work of a duty',
+      );
+      await handOver(heldLease, 'its work could not be started');
+    }
   }
 
   async function renewOrHandOver(currentLease: HeldLease): Promise<void> {
-    await (options.mayHold() ? renew(currentLease) : handOver(currentLease));
+    await (options.mayHold()
+      ? renew(currentLease)
+      : handOver(
+          currentLease,
+          'this process is no longer eligible to hold the lease',
+        ));
   }
 
   /**
@@ -243,17 +259,13 @@
    * endpoints that do not check fencing tokens could get commands from two
    * holders alternately.
    */
-  async function handOver({fencing}: HeldLease): Promise<void> {
+  async function handOver({fencing}: HeldLease, reason: string): Promise<void> {
     acquireNotBefore = clock.now() + timing.durationMs + timing.marginMs;
     endTerm();
     interpreter.send('lose');
-    options.decisions?.recordDecision(
-      'duties',
-      duty,
-      'hand over',
-      'this process is no longer eligible to hold the lease',
-      {fencing},
-    );
+    options.decisions?.recordDecision('duties', duty, 'hand over', reason, {
+      fencing,
+    });
     await releaseLease(fencing);
   }
 
