--- a/packages/base/src/clock.ts
+++ b/packages/base/src/clock.ts
@@ -19,6 +19,9 @@
 const MIN_COALESCED_DELAY_MS = 200;
 const TIMER_SLOT_MS = 50;
 
+/** Maximum delay of a Node.js timer; a longer one would fire at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /**
  * Returns the clock of the running process.
  *
@@ -48,8 +51,12 @@
   return seconds * MS_PER_SECOND + nanoseconds / NS_PER_MS;
 }
 
+/** Starts a timer; one beyond `MAX_TIMER_MS` calls back early. */
 function arm(delayMs: number, callback: () => void): Disposable {
-  const timer = setTimeout(callback, Math.ceil(delayMs));
+  const timer = setTimeout(
+    callback,
+    Math.min(MAX_TIMER_MS, Math.ceil(delayMs)),
+  );
   timer.unref();
   return toDisposable(() => clearTimeout(timer));
 }
--- a/packages/base/src/timerWheel.ts
+++ b/packages/base/src/timerWheel.ts
@@ -19,7 +19,10 @@
 export function createTimerWheel(options: {
   readonly slotMs: number;
   now(): number;
-  /** Starts a timer that calls back once after a delay, never earlier. */
+  /**
+   * Starts a timer that calls back once after a delay, never earlier, unless the
+   * delay is longer than its maximum.
+   */
   arm(delayMs: number, callback: () => void): Disposable;
 }): TimerWheel {
   const {slotMs, now} = options;
