routing: count a probe that rejects as unanswered

What could happen: a probe that rejected ended the process, as nothing handles the rounds in which endpoints are probed; and if it had not, the service would have counted as being probed for ever.

Evidence: the new case of the first test failed before with an unhandled rejection; the 22 tests of reach pass.

Fix: the probe counts as one without a response, and a decision is logged. The interval of rounds moves beside the other rules of a service's paths.

--- a/packages/routing/src/reach/endpointReach.ts
+++ b/packages/routing/src/reach/endpointReach.ts
@@ -26,6 +26,7 @@
   isLost,
   MIN_URGENT_INTERVAL_MS,
   QUIET_MS,
+  recoveryDelayMs,
   retainEndpoints,
   roundDueAt,
   type ServicePaths,
@@ -43,15 +44,6 @@
 /** Endpoints probed in each round while the paths are lost. */
 const MAX_RECOVERY_PROBES = 2;
 
-/**
- * Mean interval of probe rounds while this entry is cut off, and while no entry
- * reaches the service and all of them probe it, in milliseconds.
- */
-const RECOVERY_INTERVAL_MS = {'cut-off': 500, gone: 800};
-
-/** Relative jitter of the interval, so that entries do not probe in step. */
-const INTERVAL_JITTER = 0.4;
-
 /** Endpoints to which connections fail in a row before `canConnect` is false. */
 const MAX_CONNECT_FAILURES = 2;
 
@@ -77,7 +69,7 @@
   endpointsOf(service: string): readonly ProbeTarget[];
   /**
    * Returns whether the endpoint responds to a probe over a new connection
-   * within the timeout, in milliseconds. Must not reject.
+   * within the timeout, in milliseconds; rejecting counts as no response.
    */
   probe(endpoint: string, timeoutMs: number): Promise<boolean>;
   /** Asks some other entries whether they reach the service. Must not reject. */
@@ -169,10 +161,17 @@
     paths.timer = undefined;
   }
 
+  function recordFailedProbe({service}: ServicePaths, error: unknown): false {
+    decisions.recordDecision('routing', service, 'probe failed', String(error));
+    return false;
+  }
+
   async function probe(paths: ServicePaths, id: string): Promise<boolean> {
     paths.probedAt.set(id, clock.now());
     totals.probes += 1;
-    const isAnswered = await options.probe(id, PROBE_TIMEOUT_MS);
+    const isAnswered = await options
+      .probe(id, PROBE_TIMEOUT_MS)
+      .catch(error => recordFailedProbe(paths, error));
     if (isAnswered && !isDisposed) {
       paths.unconnectableEndpoints.clear();
       recordBytes(paths, id);
@@ -256,8 +255,7 @@
       scheduleRound(paths);
       return;
     }
-    const jitter = 1 + INTERVAL_JITTER * (random.next() - 0.5);
-    paths.timer = clock.after(RECOVERY_INTERVAL_MS[state] * jitter, () => {
+    paths.timer = clock.after(recoveryDelayMs(state, random), () => {
       if (isLost(paths)) {
         void runRound(paths);
       }
--- a/packages/routing/src/reach/servicePaths.ts
+++ b/packages/routing/src/reach/servicePaths.ts
@@ -1,5 +1,5 @@
 /** Paths from one entry to the endpoints of one service, and what is known. */
-import type {Disposable} from '@skylarkfield/base';
+import type {Disposable, Random} from '@skylarkfield/base';
 import {createReachMachine, type ReachMachine} from './reachMachine.js';
 
 /**
@@ -9,6 +9,15 @@
  */
 export const QUIET_MS = 300;
 
+/**
+ * Mean interval of probe rounds while this entry is cut off, and while no entry
+ * reaches the service and all of them probe it, in milliseconds.
+ */
+const RECOVERY_INTERVAL_MS = {'cut-off': 500, gone: 800};
+
+/** Relative jitter of the interval, so that entries do not probe in step. */
+const INTERVAL_JITTER = 0.4;
+
 /**
  * Minimum interval of rounds that found the endpoints reachable, in
  * milliseconds; bounds the cost of probes for a service whose responses are
@@ -158,3 +167,18 @@
     [...failed].filter(id => !ids.has(id)).forEach(id => failed.delete(id));
   }
 }
+
+/**
+ * Returns the time until the next probe round of a service that is not reached,
+ * in milliseconds.
+ *
+ * @example
+ * clock.after(recoveryDelayMs('cut-off', random), probe);
+ */
+export function recoveryDelayMs(
+  state: keyof typeof RECOVERY_INTERVAL_MS,
+  random: Random,
+): number {
+  const jitter = 1 + INTERVAL_JITTER * (random.next() - 0.5);
+  return RECOVERY_INTERVAL_MS[state] * jitter;
+}
--- a/packages/routing/src/reach/test/endpointReach.test.ts
+++ b/packages/routing/src/reach/test/endpointReach.test.ts
@@ -14,7 +14,7 @@
 /** Time that callers may be served worse after a cut began, in milliseconds. */
 const DETECTION_LIMIT_MS = 3_000;
 
-type PathMode = 'open' | 'hanging' | 'refused';
+type PathMode = 'open' | 'hanging' | 'refused' | 'failing';
 
 /** Paths from one entry to six endpoints in three failure domains. */
 function createPaths() {
@@ -30,6 +30,7 @@
     open: () => wait(2, true),
     hanging: timeoutMs => wait(timeoutMs, false),
     refused: () => wait(2, false),
+    failing: () => Promise.reject(new Error('odd address')),
   };
 
   function wait<T>(delayMs: number, answer: T): Promise<T> {
@@ -68,7 +69,7 @@
 }
 
 describe('reach of endpoints', () => {
-  for (const mode of ['hanging', 'refused'] as const) {
+  for (const mode of ['hanging', 'refused', 'failing'] as const) {
     // Guards against an entry whose only caller waits for an entry that does not notice its cut.
     it(`is lost after one unanswered request if all paths are ${mode}`, async () => {
       const {clock, reach, setMode, state} = createPaths();
