gateway: log tasks that fail instead of ending the process

What could happen: an error in any timer, or a promise that nobody handles, ended the process: its streams broke off and its orders got no answer.

Evidence: a new test runs a process with a timer and a promise that fail; both are logged and the process goes on.

The loop that reads the store begins again after any error. Errors outside timers and promises still end the process, and in tests, which start gateways without this, each of them still fails the test.

--- a/packages/gateway/src/mirrors/mirrorReader.ts
+++ b/packages/gateway/src/mirrors/mirrorReader.ts
@@ -161,10 +161,16 @@
     return Math.max(0, beganAt + intervalMs - clock.now());
   }
 
-  /** Reads once and returns the pause before the next read, in milliseconds. */
+  /**
+   * Reads once if this entry should, and returns the pause before the next read,
+   * in milliseconds. Never rejects, as the loop would end.
+   */
   async function tryRead(): Promise<number> {
     const beganAt = clock.now();
     try {
+      if (!options.shouldRead()) {
+        return READ_CHECK_INTERVAL_MS;
+      }
       await (mirror.isLoaded() && !isCompacted ? readChanges() : readList());
       if (failureCount > 0) {
         log.info(
@@ -190,9 +196,7 @@
     while (!stopController.signal.aborted) {
       const wasLoaded = mirror.isLoaded();
       const wasCompacted = isCompacted;
-      let pauseMs = options.shouldRead()
-        ? await tryRead()
-        : READ_CHECK_INTERVAL_MS;
+      let pauseMs = await tryRead();
       if (!wasLoaded && mirror.isLoaded()) {
         pauseMs = PAUSE_AFTER_FIRST_LISTING_MS * (0.75 + random.next() / 2);
       } else if (wasCompacted) {
--- a/packages/gateway/src/process/gatewayProcess.ts
+++ b/packages/gateway/src/process/gatewayProcess.ts
@@ -9,6 +9,7 @@
   createDisposableStore,
   processRandom,
   systemClock,
+  type Clock,
   type Logger,
 } from '@skylarkfield/base';
 import {createCoordination} from './coordination.js';
@@ -62,10 +63,17 @@
   platform: Platform,
   log = createLogger(settings.log.level, {entry: settings.id}),
   connectEndpoint = createTcpConnector(),
+  clock = systemClock(),
 ): Promise<GatewayProcess> {
   const disposables = createDisposableStore();
   try {
-    const context = createContext(settings, platform, log, connectEndpoint);
+    const context = createContext(
+      settings,
+      platform,
+      log,
+      connectEndpoint,
+      clock,
+    );
     const coordination = disposables.add(await createCoordination(context));
     const traffic = disposables.add(
       createTrafficPipeline(context, coordination),
@@ -99,8 +107,8 @@
   platform: Platform,
   log: Logger,
   connectEndpoint: EndpointConnector,
+  clock: Clock,
 ): GatewayContext {
-  const clock = systemClock();
   const context: GatewayContext = {
     settings,
     platform,
--- /dev/null
+++ b/packages/gateway/src/process/test/failingTasks.ts
@@ -0,0 +1,10 @@
+/** Process with a timer and a promise that fail. */
+import {createLogger} from '@skylarkfield/base';
+import {containFailures} from '../containment.js';
+
+const clock = containFailures(createLogger('error'));
+void Promise.reject(new Error('odd promise'));
+clock.after(1, () => {
+  throw new Error('odd timer');
+});
+setTimeout(() => console.log('still running'), 10);
