records: ignore odd accepted records one by one

What could happen: an accepted object of another writer named `constructor.x` failed the listing of all accepted records, so that the configuration was not followed any more. An accepted value of `null` failed each decision on a move.

Cause: the schema of a kind was looked up in a plain object, which has inherited properties, and the index of accepted records used values without a check.

Fix: schemas are looked up in a map, and the index holds parsed records only.

--- a/packages/records/src/acceptedSchemas.ts
+++ b/packages/records/src/acceptedSchemas.ts
@@ -61,13 +61,18 @@
   checksFencing: z.boolean(),
 }) satisfies z.ZodType<AcceptedRecordTypes['endpoint-class']>;
 
-const acceptedSchemas: Readonly<Record<RecordKind, z.ZodType>> = {
+const acceptedSchemasByKind: Readonly<Record<RecordKind, z.ZodType>> = {
   customer: customerSchema,
   service: serviceSchema,
   move: moveSchema,
   'endpoint-class': endpointClassSchema,
 };
 
+/** A map, as stored records may be of any kind. */
+const acceptedSchemas: ReadonlyMap<string, z.ZodType> = new Map(
+  Object.entries(acceptedSchemasByKind),
+);
+
 const acceptedObjectSchema = z.object({
   sourceVersion: z.number(),
   isRemoved: z.boolean(),
@@ -108,7 +113,7 @@
 export function parseRelayedRecord(
   record: RelayedRecord,
 ): RelayedRecord | undefined {
-  const schema = acceptedSchemas[record.kind as RecordKind];
+  const schema = acceptedSchemas.get(record.kind);
   if (schema === undefined || !Number.isSafeInteger(record.sourceVersion)) {
     return undefined;
   }
--- a/packages/records/src/recordCache.ts
+++ b/packages/records/src/recordCache.ts
@@ -5,7 +5,7 @@
 import {createDisposableStore, type Disposable} from '@skylarkfield/base';
 import type {ObjectStore, StoredObject} from '@skylarkfield/providers';
 import type {AcceptanceInput, SourceRecord} from './acceptanceDecision.js';
-import type {AcceptedObject} from './acceptedSchemas.js';
+import {parseAcceptedRecord, type AcceptedObject} from './acceptedSchemas.js';
 import {ACCEPTED_KIND} from './configuration.js';
 import type {Move, RecordKind} from './contracts.js';
 import {recordKinds} from './convertRecord.js';
@@ -148,18 +148,18 @@
   }
 
   function listAcceptedValues(kind: RecordKind): readonly unknown[] {
-    return [...acceptedObjects.values()]
-      .filter(
-        object =>
-          parseRecordKey(object.name).kind === kind && !object.value.isRemoved,
-      )
-      .map(object => object.value.value);
+    return [...acceptedObjects.values()].flatMap(({name, value}) => {
+      const record = parseAcceptedRecord(name, value);
+      return record?.kind === kind && !record.isRemoved ? [record.value] : [];
+    });
   }
 
   const acceptedIndex = {
-    hasService: (name: string) =>
-      acceptedObjects.get(recordKey({kind: 'service', name}))?.value
-        .isRemoved === false,
+    hasService(name: string) {
+      const key = recordKey({kind: 'service', name});
+      const record = parseAcceptedRecord(key, acceptedObjects.get(key)?.value);
+      return record?.isRemoved === false;
+    },
     moves: () => listAcceptedValues('move') as readonly Move[],
   };
 
