gateway: refuse malformed mirror contents of peers

What could happen: a step, copy or status of a peer with a revision of 1e300 was taken; no later change exceeds it, so that the entry, and those that it told, did not follow the store any more.

Cause: messages of peers are typed, but their values were not checked.

Fix: revisions of steps, copies and statuses are whole numbers from 0, changes have a name and a revision, and a kind is one that is mirrored. What is malformed is refused with the error of the message; the contents hold.

--- a/packages/gateway/src/mirrors/platformView.ts
+++ b/packages/gateway/src/mirrors/platformView.ts
@@ -4,6 +4,7 @@
  */
 import {
   createDisposableStore,
+  ServingError,
   type Clock,
   type Disposable,
   type Logger,
@@ -32,6 +33,11 @@
   type MirrorReader,
   type ReadTiming,
 } from './mirrorReader.js';
+import {
+  isReadableSnapshot,
+  isReadableStatus,
+  isReadableStep,
+} from './peerContents.js';
 import type {RelayPlan} from '../digests/relayPlan.js';
 import {
   retentionRules,
@@ -196,6 +202,9 @@
         {kind},
         COPY_TIMEOUT_MS,
       );
+      if (!isReadableSnapshot(snapshot as MirrorSnapshot)) {
+        throw new ServingError('protocol-violation', 'malformed mirror copy');
+      }
       mirrors[kind].applyCopy(snapshot as MirrorSnapshot);
     } catch (error) {
       log.info(
@@ -237,6 +246,9 @@
 
   disposables.add(
     network.addHandler('mirrorChanges', (from, step) => {
+      if (!Object.hasOwn(mirrors, step.kind) || !isReadableStep(step)) {
+        throw new ServingError('protocol-violation', 'malformed mirror step');
+      }
       const mirror = mirrors[step.kind];
       const previousRevision = mirror.revision();
       if (!mirror.applyStep(step)) {
@@ -272,8 +284,8 @@
       peerStatuses.set(peer, {receivedAt: clock.now(), syncStatuses});
       for (const kind of mirrorKinds) {
         const syncStatus = syncStatuses[kind];
-        if (syncStatus !== undefined) {
-          recordSyncStatus(kind, peer, syncStatus, timestamp);
+        if (isReadableStatus(syncStatus)) {
+          recordSyncStatus(kind, peer, syncStatus!, timestamp);
         }
       }
     },
