providers: refuse odd objects of the object API one by one

What could happen: one object without a readable name or version failed each listing of its kind; one odd line of a watch ended the watch, which was opened again before that line, again and again.

Cause: a listing was validated as a whole, and a line that is refused threw.

Fix: objects and lines are decoded by themselves, and each reason of a refusal is logged once. Versions are whole numbers from 0; names are not those of inherited properties.

--- a/packages/entry/src/components/platformComponent.ts
+++ b/packages/entry/src/components/platformComponent.ts
@@ -27,13 +27,14 @@
 export function createPlatformComponent(
   context: EntryContext,
 ): PlatformComponent {
-  const {settings, clock, random, dumps} = context;
+  const {settings, clock, random, log, dumps} = context;
   const {url, callsPerSecond, timeoutMs} = settings.platform;
   const objectStore = createHttpObjectStore({
     url,
     writer: settings.id,
     clock,
     random,
+    log,
     callDeadlineMs: timeoutMs,
     platformCallsPerSecond: callsPerSecond,
   });
--- a/packages/providers/src/httpObjectStore.ts
+++ b/packages/providers/src/httpObjectStore.ts
@@ -1,11 +1,15 @@
 /** HTTP client of the object API; a watch is a stream of JSON lines. */
 import {
-  validateShape,
+  createFirstOccurrences,
+  createSilentLogger,
+  isInheritedProperty,
   parseJson,
   processRandom,
   ServingError,
   systemClock,
+  validateShape,
   type Clock,
+  type Logger,
   type Random,
 } from '@skylarkfield/base';
 import * as z from 'zod';
@@ -37,27 +41,50 @@
 /** Response header with the store version. */
 export const STORE_VERSION_HEADER = 'x-store-version';
 
+const versionSchema = z.number().int().min(0);
+const nameSchema = z
+  .string()
+  .refine(
+    name => !isInheritedProperty(name),
+    'must not be the name of an inherited property',
+  );
 const objectSchema = z.object({
-  name: z.string(),
-  version: z.number(),
+  name: nameSchema,
+  version: versionSchema,
   writeId: z.string(),
   value: z.unknown(),
 });
 const listingSchema = z.object({
-  version: z.number(),
-  objects: z.array(objectSchema),
+  version: versionSchema,
+  objects: z.array(z.unknown()),
 });
 const watchEventSchema = z.discriminatedUnion('type', [
   objectSchema.extend({type: z.literal('put')}),
   z.object({
     type: z.literal('remove'),
-    name: z.string(),
-    version: z.number(),
+    name: nameSchema,
+    version: versionSchema,
     writeId: z.string(),
   }),
-  z.object({type: z.literal('bookmark'), version: z.number()}),
+  z.object({type: z.literal('bookmark'), version: versionSchema}),
 ]);
-const writeResponseSchema = z.object({version: z.number()});
+const writeResponseSchema = z.object({version: versionSchema});
+
+/** Number of refused objects that are remembered as logged. */
+const MAX_LOGGED_OBJECTS = 100;
+
+/** Maximum length of a logged reason, in characters. */
+const MAX_LOGGED_LENGTH = 300;
+
+/**
+ * Returns the decoded value; undefined, and a log line for the first one of its
+ * kind and reason, if the value is refused.
+ */
+type Decoder = <T extends z.ZodType>(
+  schema: T,
+  kind: string,
+  value: unknown,
+) => z.output<T> | undefined;
 
 /**
  * Creates a client of the object API at a base URL.
@@ -72,18 +99,45 @@
     readonly writer: string;
     readonly clock?: Clock;
     readonly random?: Random;
+    /** Receives a line for each object that is refused; none by default. */
+    readonly log?: Logger;
   } & ObjectStoreSettings,
 ): ObjectStoreClient {
   const {
     clock = systemClock(),
     random = processRandom(),
+    log = createSilentLogger(),
     ...storeSettings
   } = options;
-  const transport = createHttpObjectTransport(createHttpClient(options.url));
+  const transport = createHttpObjectTransport(
+    createHttpClient(options.url),
+    createDecoder(log),
+  );
   return createObjectStore({...storeSettings, clock, random, transport});
 }
 
-function createHttpObjectTransport(client: HttpClient): ObjectTransport {
+function createDecoder(log: Logger): Decoder {
+  const isFirstMention = createFirstOccurrences(MAX_LOGGED_OBJECTS);
+  return (schema, kind, value) => {
+    const parsed = schema.safeParse(value);
+    if (parsed.success) {
+      return parsed.data;
+    }
+    const reason = parsed.error.issues
+      .map(({path, message}) => `${path.map(String).join('.')}: ${message}`)
+      .join('; ')
+      .slice(0, MAX_LOGGED_LENGTH);
+    if (isFirstMention(`${kind} ${reason}`)) {
+      log.warn({kind, reason}, 'refused an object; treating it as absent');
+    }
+    return undefined;
+  };
+}
+
+function createHttpObjectTransport(
+  client: HttpClient,
+  decode: Decoder,
+): ObjectTransport {
   return {
     // This API names no era.
     era: () => 0,
@@ -111,7 +165,10 @@
       const listing = parseBody(listingSchema, response);
       return {
         version: listing.version,
-        objects: listing.objects.map(object => ({kind, ...object})),
+        objects: listing.objects.flatMap(value => {
+          const object = decode(objectSchema, kind, value);
+          return object === undefined ? [] : [{kind, ...object}];
+        }),
       };
     },
     async put(write, value, signal) {
@@ -141,13 +198,14 @@
       checkStatus(response, [200, 204, 404], true);
     },
     watch: (kind, fromVersion, listener) =>
-      watchKind(client, kind, fromVersion, listener),
+      watchKind(client, decode, kind, fromVersion, listener),
     dispose: () => client.dispose(),
   };
 }
 
 function watchKind(
   client: HttpClient,
+  decode: Decoder,
   kind: string,
   fromVersion: number,
   listener: TransportWatchListener,
@@ -157,12 +215,10 @@
     {
       onDidOpen: () => listener.onDidOpen(),
       onDidLine(value) {
-        const event = validateShape(
-          watchEventSchema,
-          value,
-          'protocol-violation',
-          'watch',
-        );
+        const event = decode(watchEventSchema, kind, value);
+        if (event === undefined) {
+          return;
+        }
         if (event.type === 'bookmark') {
           listener.onDidCatchUp(event.version);
           return;
