entry: log tasks that fail instead of ending the process

The entry of the own interface gets the containment of the gateway, which moves to `base`: the command passes it as the clock of the process, so that tests, which start entries without it, still fail with any unhandled error.

--- a/packages/gateway/src/process/containment.ts
+++ b/packages/base/src/containment.ts
@@ -1,11 +1,8 @@
 /** Keeps the failure of one task from ending the process. */
-import {
-  createContainedClock,
-  systemClock,
-  toServingError,
-  type Clock,
-  type Logger,
-} from '@skylarkfield/base';
+import {systemClock, type Clock} from './clock.js';
+import {createContainedClock} from './containedClock.js';
+import {toServingError} from './errors.js';
+import type {Logger} from './logger.js';
 
 /** Where an error was thrown that its task did not handle. */
 type FailedTask = 'timer' | 'promise';
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -5,6 +5,7 @@
 export * from './clock.js';
 export * from './connectionReset.js';
 export * from './containedClock.js';
+export * from './containment.js';
 export * from './decisionLog.js';
 export * from './disposables.js';
 export * from './dumps.js';
--- a/packages/gateway/src/process/test/failingTasks.ts
+++ b/packages/base/src/test/failingTasks.ts
@@ -1,6 +1,6 @@
 /** Process with a timer and a promise that fail. */
-import {createLogger} from '@skylarkfield/base';
 import {containFailures} from '../containment.js';
+import {createLogger} from '../logger.js';
 
 const clock = containFailures(createLogger('error'));
 void Promise.reject(new Error('odd promise'));
--- a/packages/cli/src/commands/entry.ts
+++ b/packages/cli/src/commands/entry.ts
@@ -1,4 +1,5 @@
 import {Command, Flags} from '@oclif/core';
+import {containFailures} from '@skylarkfield/base';
 import {readEntrySettings, startEntry} from '@skylarkfield/entry';
 import {runUntilStopped} from '../longRunning.js';
 
@@ -12,7 +13,10 @@
 
   async run(): Promise<void> {
     const {flags} = await this.parse(EntryCommand);
-    const entry = await startEntry(readEntrySettings(flags.settings));
+    const entry = await startEntry(
+      readEntrySettings(flags.settings),
+      containFailures,
+    );
     await runUntilStopped(entry, entry.addresses);
   }
 }
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -12,9 +12,11 @@
   ServingError,
   systemClock,
   toDisposable,
+  type Clock,
   type Disposable,
   type DisposableStore,
   type LifecycleState,
+  type Logger,
 } from '@skylarkfield/base';
 import {attachAdminRoutes} from './admin/adminServer.js';
 import {attachCallerRoutes, type Readiness} from './callers/callerServer.js';
@@ -52,7 +54,8 @@
 
 /**
  * Starts an entry. Throws `bad-settings` when a port, key or file can't be
- * used, after closing all ports that it has opened.
+ * used, after closing all ports that it has opened. `createClock` is called once
+ * with the log of the process.
  *
  * @example
  * const entry = await startEntry(readEntrySettings('entry-a1.json'));
@@ -60,10 +63,11 @@
  */
 export async function startEntry(
   settings: EntrySettings,
+  createClock: (log: Logger) => Clock = systemClock,
 ): Promise<EntryProcess> {
   const disposables = createDisposableStore();
   try {
-    return await start(settings, disposables);
+    return await start(settings, disposables, createClock);
   } catch (error) {
     disposables.dispose();
     throw error;
@@ -73,10 +77,11 @@
 async function start(
   settings: EntrySettings,
   disposables: DisposableStore,
+  createClock: (log: Logger) => Clock,
 ): Promise<EntryProcess> {
   const metrics = await createMetrics('skylarkfield');
   disposables.add(toDisposable(() => void metrics.shutDown()));
-  const context = createContext(settings, metrics.meter);
+  const context = createContext(settings, metrics.meter, createClock);
   const {clock, log, decisions, dumps} = context;
   const adminKey = resolveSecret(settings.keys.admin, 'keys.admin');
   const innerKey = resolveSecret(settings.keys.inner, 'keys.inner');
@@ -224,9 +229,10 @@
 function createContext(
   settings: EntrySettings,
   meter: EntryContext['meter'],
+  createClock: (log: Logger) => Clock,
 ): EntryContext {
-  const clock = systemClock();
   const log = createLogger(settings.log.level, {entry: settings.id});
+  const clock = createClock(log);
   const dumps = createDumpRegistry();
   const decisions = createDecisionLog(clock, log);
   dumps.add('decisions', () => decisions.list());
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,7 +15,6 @@
   ForwardedCall,
   ForwardingResult,
 } from './forwarding/forwardedCall.js';
-export {containFailures} from './process/containment.js';
 export * from './process/gatewayProcess.js';
 export {createHandoverHandler} from './handover/handoverHandler.js';
 export {createHandovers} from './handover/handovers.js';
