--- a/packages/gateway/src/attempts/upstream.ts
+++ b/packages/gateway/src/attempts/upstream.ts
@@ -36,7 +36,8 @@
   onDidEnd(framing: ResponseFraming): void;
   /**
    * Called with `endpoint-unavailable` if no byte of the request was sent (not
-   * run), else with `interrupted` (may have run).
+   * run), also if the address is invalid, else with `interrupted` (may have
+   * run).
    */
   onDidFail(error: ServingError): void;
 }
@@ -162,14 +163,18 @@
     progress: createResponseProgress(),
   };
 
+  /** Returns undefined if the address is invalid. */
   function getOrCreatePool(
     address: string,
     connectionClass: ConnectionClass,
-  ): Pool {
+  ): Pool | undefined {
     const existingPool = pools[connectionClass].get(address);
     if (existingPool !== undefined) {
       return existingPool;
     }
+    if (!URL.canParse(`http://${address}`)) {
+      return undefined;
+    }
     const pool = new Pool(`http://${address}`, {
       connections: MAX_CONNECTIONS[connectionClass],
       pipelining: 1,
@@ -184,9 +189,14 @@
   }
 
   /** Returns the reserved pool only if all shared connections are in use. */
-  function choosePool(address: string, connectionClass: ConnectionClass): Pool {
+  function choosePool(
+    address: string,
+    connectionClass: ConnectionClass,
+  ): Pool | undefined {
     const sharedPool = getOrCreatePool(address, 'shared');
-    const isSaturated = sharedPool.stats.size >= MAX_CONNECTIONS.shared;
+    const isSaturated =
+      sharedPool !== undefined &&
+      sharedPool.stats.size >= MAX_CONNECTIONS.shared;
     return connectionClass === 'reserved' && isSaturated
       ? getOrCreatePool(address, 'reserved')
       : sharedPool;
@@ -205,8 +215,12 @@
 
   return {
     bodyMemory: createBodyMemory(),
-    send: (address, request, listener, connectionClass = 'shared') =>
-      dispatch(choosePool(address, connectionClass), watch, request, listener),
+    send(address, request, listener, connectionClass = 'shared') {
+      const pool = choosePool(address, connectionClass);
+      return pool === undefined
+        ? rejectAddress(address, listener)
+        : dispatch(pool, watch, request, listener);
+    },
     retainOnly: addresses =>
       closePools(
         [...pools.shared.keys()].filter(address => !addresses.has(address)),
@@ -238,6 +252,30 @@
   );
 }
 
+/** Returns an exchange that fails without having been sent. */
+function rejectAddress(
+  address: string,
+  listener: UpstreamListener,
+): UpstreamExchange {
+  let isAborted = false;
+  queueMicrotask(() => {
+    if (!isAborted) {
+      listener.onDidFail(
+        new ServingError(
+          'endpoint-unavailable',
+          `${JSON.stringify(address)} is not the address of an endpoint`,
+        ),
+      );
+    }
+  });
+  return {
+    hasStarted: () => false,
+    abort: () => void (isAborted = true),
+    pause() {},
+    resume() {},
+  };
+}
+
 function dispatch(
   pool: Pool,
   {ends, progress}: ConnectionWatch,
--- a/packages/gateway/src/process/gatewayProcess.ts
+++ b/packages/gateway/src/process/gatewayProcess.ts
@@ -10,6 +10,7 @@
   createDisposableStore,
   processRandom,
   systemClock,
+  type Clock,
   type Logger,
 } from '@skylarkfield/base';
 import {createCoordination} from './coordination.js';
@@ -71,10 +72,17 @@
   platform: Platform,
   log = createLogger(settings.log.level, {entry: settings.id}),
   connectEndpoint = createTcpConnector(),
+  clock = systemClock(),
 ): Promise<GatewayProcess> {
   const disposables = createDisposableStore();
   try {
-    const context = createContext(settings, platform, log, connectEndpoint);
+    const context = createContext(
+      settings,
+      platform,
+      log,
+      connectEndpoint,
+      clock,
+    );
     const coordination = disposables.add(await createCoordination(context));
     const traffic = disposables.add(
       createTrafficPipeline(context, coordination),
@@ -108,8 +116,8 @@
   platform: Platform,
   log: Logger,
   connectEndpoint: EndpointConnector,
+  clock: Clock,
 ): GatewayContext {
-  const clock = systemClock();
   const lifecycle = createProcessLifecycle();
   const context: GatewayContext = {
     settings,
@@ -134,6 +142,7 @@
     memory: process.memoryUsage(),
     cpu: process.cpuUsage(),
   }));
+  context.dumps.add('refusedObjects', () => platform.refusedObjects());
   return context;
 }
 
--- a/packages/gateway/src/process/test/listeners.test.ts
+++ b/packages/gateway/src/process/test/listeners.test.ts
@@ -3,6 +3,7 @@
 import http, {type ServerResponse} from 'node:http';
 import {connect} from 'node:net';
 import {describe, it} from 'node:test';
+import {createSilentLogger} from '@skylarkfield/base';
 import type {CallerLimits} from '@skylarkfield/traffic';
 import {openPort} from '../listeners.js';
 
@@ -29,8 +30,10 @@
 async function setUp() {
   const responses: ServerResponse[] = [];
   const agent = new http.Agent({keepAlive: true, maxSockets: 1});
-  const port = await openPort({host: '127.0.0.1', port: 0}, (_, response) =>
-    responses.push(response),
+  const port = await openPort(
+    {host: '127.0.0.1', port: 0},
+    (_, response) => responses.push(response),
+    createSilentLogger(),
   );
   port.setLimits(LIMITS);
   return {
@@ -103,8 +106,10 @@
 
   // Guards against bodies that nobody reads and that have no end.
   it('closes the connection of a request whose unread body has no end', async () => {
-    const port = await openPort({host: '127.0.0.1', port: 0}, (_, response) =>
-      response.end(),
+    const port = await openPort(
+      {host: '127.0.0.1', port: 0},
+      (_, response) => response.end(),
+      createSilentLogger(),
     );
     const socket = connect(port.port, '127.0.0.1');
     const block = Buffer.alloc(4_096);
@@ -121,4 +126,23 @@
     await new Promise(resolve => socket.once('close', resolve));
     port.dispose();
   });
+
+  // Guards against processes that end because one request cannot be handled.
+  it('fails only the request whose handler throws', async () => {
+    const port = await openPort(
+      {host: '127.0.0.1', port: 0},
+      ({url}, response) => {
+        if (url === '/odd') {
+          throw new Error('odd request');
+        }
+        response.end();
+      },
+      createSilentLogger(),
+    );
+    const statusOf = async (path: string) =>
+      (await fetch(`http://127.0.0.1:${port.port}${path}`)).status;
+    assert.equal(await statusOf('/odd'), 500);
+    assert.equal(await statusOf('/'), 200);
+    port.dispose();
+  });
 });
