--- a/packages/bench/src/test/outsideShapes.ts
+++ b/packages/bench/src/test/outsideShapes.ts
@@ -31,7 +31,7 @@
   'packages/protocol/src/messages/moveMessages.ts': ['MoveState'],
   'packages/orders/src/shardRecord.ts': ['ShardRecord', 'LedgerEntry'],
   'packages/duties/src/lease.ts': ['Lease'],
-  'packages/members/src/memberObjects.ts': ['MemberObject'],
+  'packages/members/src/memberObject.ts': ['MemberObject'],
   'packages/base/src/decisionLog.ts': ['Decision'],
 };
 
