gateway: free the copies of streams that are not continued

The target of a migrated stream kept memory and a slot for a stream whose caller had left, that another attempt had superseded, or whose target had begun to rest: the choice was given back, the copy was not. The migration now returns how to drop both. Found by reading; the new test checks the call.

--- a/packages/gateway/src/forwarding/endpointAttempts.ts
+++ b/packages/gateway/src/forwarding/endpointAttempts.ts
@@ -412,7 +412,7 @@
   {race}: RacingAttempt,
 ): void {
   if (race.isSuperseded() || progress.continuation !== undefined) {
-    continuation?.choice.finish({outcome: 'cancelled', latencyMs: 0});
+    continuation?.drop();
     return;
   }
   progress.continuation = continuation;
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -219,7 +219,7 @@
     if (result.type === 'failed' && !signal.aborted && !isResting) {
       return true;
     }
-    continuation.choice.finish({outcome: 'cancelled', latencyMs: 0});
+    continuation.drop();
     progress.continuation = undefined;
     return false;
   }
--- a/packages/gateway/src/forwarding/streamMigration.ts
+++ b/packages/gateway/src/forwarding/streamMigration.ts
@@ -21,6 +21,8 @@
 export interface Continuation {
   readonly choice: Choice;
   readonly kvCache: KvCacheReference;
+  /** Gives the target back, and frees the copied KV cache. */
+  drop(): void;
 }
 
 /** A stream while it runs at one endpoint. */
@@ -190,7 +192,15 @@
         state = result?.type === 'refused' ? 'none' : 'stopped';
         logEnd(move, startedAt, result?.type);
         if (result?.type === 'moved') {
-          return {choice, kvCache: result.kvCache};
+          const {kvCache} = result;
+          return {
+            choice,
+            kvCache,
+            drop() {
+              choice.finish({outcome: 'cancelled', latencyMs: 0});
+              void release(move, kvCache);
+            },
+          };
         }
         choice.finish({outcome: 'cancelled', latencyMs: 0});
         if (result?.type === 'refused') {
--- a/packages/gateway/src/forwarding/test/streamMigration.test.ts
+++ b/packages/gateway/src/forwarding/test/streamMigration.test.ts
@@ -162,6 +162,16 @@
   });
 
   // Guards against streams that are moved although they have ended.
+  // Guards against copies that keep memory and a slot although their streams do not go on.
+  it('frees the copy of a stopped stream that is not continued', async () => {
+    const {clock, calls, watchedStream, register} = setUp();
+    register('draining');
+    await clock.advance(NOTICE_MS);
+    const continuation = await watchedStream.continuation();
+    continuation!.drop();
+    assert.deepEqual(calls, [COPY, STOP, RELEASE]);
+  });
+
   it('leaves a stream alone that has ended', async () => {
     const {clock, calls, watchedStream, register} = setUp();
     register('draining');
--- a/packages/gateway/src/test/testForwarding.ts
+++ b/packages/gateway/src/test/testForwarding.ts
@@ -83,7 +83,7 @@
         async continuation() {
           const choice = isMigrated ? choose() : undefined;
           const kvCache = {source: '10.0.0.1:1', handle: 'h'};
-          return choice && {choice, kvCache};
+          return choice && {choice, kvCache, drop: () => {}};
         },
         dispose: () => {},
       };
