--- a/packages/gateway/src/forwarding/furtherSends.ts
+++ b/packages/gateway/src/forwarding/furtherSends.ts
@@ -9,7 +9,7 @@
 import type {Progress, RetryRules} from './retryRules.js';
 
 /** How far an attempt without an answer has come. */
-type AttemptReach =
+type Delivery =
   /** An endpoint received the call, and may have run it or declined it. */
   | 'received'
   /** The endpoint stopped accepting requests before the call was sent. */
@@ -77,7 +77,7 @@
    * The retry budget bounds what endpoints receive, so a call that an endpoint
    * has not received is sent again for free.
    */
-  const costRules: Readonly<Record<AttemptReach, CostRule>> = {
+  const costRules: Readonly<Record<Delivery, CostRule>> = {
     received: () => 'retry',
     withdrawn: () => 'free',
     refused: (call, progress) =>
@@ -99,8 +99,8 @@
         return false;
       }
       const error = result.type === 'failed' ? result.error : undefined;
-      const reachOfAttempt = reachOf(progress, destination, result);
-      const cost = costRules[reachOfAttempt](call, progress, error);
+      const delivery = deliveryOf(progress, destination, result);
+      const cost = costRules[delivery](call, progress, error);
       if (cost === 'free' && !retryRules.needsRetry(progress)) {
         return true;
       }
@@ -109,11 +109,11 @@
   };
 }
 
-function reachOf(
+function deliveryOf(
   progress: Progress,
   destination: Destination,
   result: AttemptResult,
-): AttemptReach {
+): Delivery {
   if (result.type === 'withdrawn') {
     return 'withdrawn';
   }
@@ -122,13 +122,13 @@
   }
   return destination.type === 'peer'
     ? 'not-handed-over'
-    : unsentReachOf(progress, result.error);
+    : unsentDeliveryOf(progress, result.error);
 }
 
-function unsentReachOf(
+function unsentDeliveryOf(
   {hasFailedToConnect}: Progress,
   error: ServingError,
-): AttemptReach {
+): Delivery {
   if (isConnectionRefused(error)) {
     return 'refused';
   }
