gateway: bound the overlap of attempts at two entries

Cause: an attempt at another entry never counted as responding, so that nothing bounded the overlap.

An entry that is live ends the attempt at its endpoint when it is given up, so that its attempt is left like one at an endpoint that responds.

--- a/packages/gateway/src/attempts/hedging.ts
+++ b/packages/gateway/src/attempts/hedging.ts
@@ -169,10 +169,7 @@
       'request hedged',
     );
     const hedgeRunner = start(destination);
-    if (
-      call.route.kind === 'streaming' &&
-      stalledRunner.destination.type === 'endpoint'
-    ) {
+    if (call.route.kind === 'streaming') {
       boundOverlap(stalledRunner, hedgeRunner);
     }
   }
--- a/packages/gateway/src/attempts/test/hedging.test.ts
+++ b/packages/gateway/src/attempts/test/hedging.test.ts
@@ -5,6 +5,7 @@
   createVirtualClock,
   ServingError,
 } from '@skylarkfield/base';
+import type {Member} from '@skylarkfield/members';
 import type {AttemptResult} from '../attempt.js';
 import type {CallerReply} from '../../callers/callerReply.js';
 import type {ForwardedCall} from '../../forwarding/forwardedCall.js';
@@ -47,7 +48,11 @@
 /** Runs a call at endpoint `a`, and at the endpoints of `hedges` if it stalls. */
 function startCall(
   hedges: readonly string[],
-  {isResponding = false, respondsAt = Infinity} = {},
+  {
+    isResponding = false,
+    respondsAt = Infinity,
+    first = destinationOf('a'),
+  } = {},
 ) {
   const clock = createVirtualClock();
   const attempts: TestAttempt[] = [];
@@ -69,7 +74,7 @@
     {attemptId: 'r1', route: {kind: 'streaming'}} as ForwardedCall,
     {hasBegun: () => false} as CallerReply,
     createProgress(0),
-    destinationOf('a'),
+    first,
   );
   return {
     clock,
@@ -171,6 +176,18 @@
     assert.ok(!attempts[1]!.race.isSuperseded());
   });
 
+  // Guards against two entries whose endpoints work on one stream that was handed over to both.
+  it('supersedes a silent attempt at another entry that responds', async () => {
+    const {attempts, clock} = startCall(['b'], {
+      isResponding: true,
+      first: {type: 'peer', peer: {id: 'p1'} as Member},
+    });
+    attempts[0]!.onDidStall(STALL);
+    await clock.advance(350);
+    assert.ok(attempts[0]!.race.isSuperseded());
+    assert.ok(!attempts[1]!.race.isSuperseded());
+  });
+
   it('keeps a silent attempt at an endpoint that does not respond', async () => {
     const {attempts, clock} = startCall(['b']);
     attempts[0]!.onDidStall(STALL);
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -86,8 +86,9 @@
       return destination;
     },
     isResponding: async ({service}, destination) =>
-      destination.type === 'endpoint' &&
-      reach.isResponding(service, destination.target.choice.endpoint),
+      destination.type === 'peer'
+        ? handovers.canEnd(destination.peer)
+        : reach.isResponding(service, destination.target.choice.endpoint),
     clock,
     log,
   });
--- a/packages/gateway/src/handover/handovers.ts
+++ b/packages/gateway/src/handover/handovers.ts
@@ -56,6 +56,11 @@
     peer: Member,
     racingAttempt: RacingAttempt,
   ): Promise<AttemptResult>;
+  /**
+   * Whether the entry responds, so that a call which it has taken over ends at its
+   * endpoint when this entry gives the call up.
+   */
+  canEnd(peer: Member): boolean;
   /** Whether the call may be handed over to a further entry after the error. */
   mayHandOn(progress: Progress, error: ServingError): boolean;
   dump(): unknown;
@@ -227,6 +232,7 @@
         }
       }
     },
+    canEnd: peer => options.liveMembers().some(({id}) => id === peer.id),
     mayHandOn: ({peers}, error) => peers.length < MAX_PEERS && isUnsent(error),
     dump: () => ({
       total: handoverCount,
--- a/packages/gateway/src/test/forwardingStubs.ts
+++ b/packages/gateway/src/test/forwardingStubs.ts
@@ -14,6 +14,7 @@
 export const noHandovers: Handovers = {
   choosePeer: () => undefined,
   run: () => Promise.reject(new Error('not used here')),
+  canEnd: () => false,
   mayHandOn: () => false,
   dump: () => ({}),
 };
