gateway: take an unmarked end before the first event for a broken stream

Callers: a replica that stopped after the head of its answer, without a length or chunks, and closed gave callers of streams a 200 with an empty body, which an HTTP/1.1 client takes for a whole answer; streams that may be resumed were not sent on.

Cause: an unmarked end is passed on as such, since it can't be told from the end of the answer. A stream has events, though, so one without any has been broken off.

A plain answer without a length that ends at its head stays as it was: its body may be empty.

--- a/packages/gateway/src/attempts/streamDelivery.ts
+++ b/packages/gateway/src/attempts/streamDelivery.ts
@@ -84,6 +84,14 @@
           ...(framing === 'close' && {loss: 'closed' as const}),
         };
       }
+      if (framing === 'close' && !sink.hasBegun()) {
+        // A stream has events, so an endpoint without any has broken off.
+        return {
+          type: 'failed',
+          error: interruptedError('the stream ended before its first event'),
+          loss: 'closed',
+        };
+      }
       if (isBehind()) {
         return {
           type: 'failed',
