base: let paused responses end with their connection

Callers: one caller who reads a stream slowly ended the process of its entry, and with it the requests of all others, as soon as the stream's endpoint closed its connection, even in order, or reset it.

Cause: if a response announces that its connection will be closed (an answer without a length, or any answer of an endpoint that leaves), undici takes each end of the connection for a possible end of the response and finishes its parser. The parser asserts that it is not paused, and it is paused while the caller is slow. The assertion fails in a listener of the socket, where nothing can catch it.

Why it works: when the connection ends in order, all of its bytes have been parsed, so the parser is told to go on before undici finishes it; a reset of a paused response becomes an error of the connection, for which undici does not ask the parser. All clients of endpoints and of the platform use this.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -19,6 +19,7 @@
 export * from './logger.js';
 export * from './metrics.js';
 export * from './openResponses.js';
+export * from './pausedResponses.js';
 export * from './pausableClock.js';
 export * from './processLifecycle.js';
 export * from './propertyNames.js';
--- a/packages/base/src/responseFraming.ts
+++ b/packages/base/src/responseFraming.ts
@@ -1,5 +1,6 @@
 /** How the end of an HTTP response is marked, and whether it was received. */
 import type {Socket} from 'node:net';
+import {endPausedResponses} from './pausedResponses.js';
 
 /**
  * Mark of the end of a response: its length, its last chunk, only the close of
@@ -85,6 +86,7 @@
     watch(socket) {
       socket.on('end', () => setEnd(isReset(socket) ? 'failed' : 'closed'));
       socket.on('error', () => setEnd('failed'));
+      endPausedResponses(socket);
     },
     isComplete: framing => isCompleteByFraming[framing](connectionEnd),
   };
--- a/packages/endpoints/src/httpEngine.ts
+++ b/packages/endpoints/src/httpEngine.ts
@@ -1,5 +1,6 @@
 /** HTTP client of a model engine; answers are streams of server-sent events. */
 import {
+  endPausedResponses,
   ServingError,
   isServingError,
   validateShape,
@@ -9,7 +10,7 @@
   type Disposable,
 } from '@skylarkfield/base';
 import {createParser} from 'eventsource-parser';
-import {Pool} from 'undici';
+import {buildConnector, Pool} from 'undici';
 import * as z from 'zod';
 import type {Engine, GenerationRequest, GenerationEvent} from './contracts.js';
 import {
@@ -65,7 +66,7 @@
   const pool = new Pool(options.url, {
     connections: null,
     pipelining: 1,
-    connect: {timeout: connectTimeoutMs},
+    connect: createConnector(connectTimeoutMs),
     // Stalled answers are detected by the stream runner, which measures the
     // token rate of this engine.
     bodyTimeout: 0,
@@ -179,6 +180,18 @@
   };
 }
 
+function createConnector(timeoutMs: number): buildConnector.connector {
+  const connect = buildConnector({timeout: timeoutMs});
+  return (options, callback) =>
+    connect(options, (...result) => {
+      const [, socket] = result;
+      if (socket) {
+        endPausedResponses(socket);
+      }
+      callback(...result);
+    });
+}
+
 /** Accepts any object, for responses whose content is ignored. */
 const ignoredResponseSchema = z.object({});
 
--- a/packages/providers/src/httpCalls.ts
+++ b/packages/providers/src/httpCalls.ts
@@ -1,6 +1,7 @@
 /** HTTP client whose errors tell whether a request may have taken effect. */
 import {Agent, buildConnector, type Dispatcher} from 'undici';
 import {
+  endPausedResponses,
   readLines,
   readText,
   resetOnDestroy,
@@ -154,6 +155,9 @@
   return (options, callback) =>
     connect(options, (...connectResult) => {
       const [, socket] = connectResult;
+      if (socket) {
+        endPausedResponses(socket);
+      }
       if (socket && resetsConnections) {
         resetOnDestroy(socket);
       }
