gateway: pass on no success without its endpoint's signature

Cause: nothing looked at the signature; an answer was checked only for the id of its attempt and for an encoding.

Change: the head of a response tells whether it is signed, and an attempt takes an unsigned success for a violation of the protocol, which may have run: requests that may be repeated are sent on, others get 502.

--- a/packages/bench/src/handover.ts
+++ b/packages/bench/src/handover.ts
@@ -70,6 +70,7 @@
   parseResponseHead: headers => ({
     attemptId: headers[ATTEMPT_HEADER] as string | undefined,
     isNotRun: false,
+    isSigned: true,
     isMisdirected: false,
     load: undefined,
     limitPerSecond: undefined,
--- a/packages/gateway/src/attempts/attempt.ts
+++ b/packages/gateway/src/attempts/attempt.ts
@@ -289,9 +289,13 @@
         abort(protocolViolationError('the response has a content encoding'));
         return;
       }
-      options.onDidRespond(head);
       const isSuccess =
         status >= FIRST_SUCCESS_STATUS && status < FIRST_REDIRECT_STATUS;
+      if (isSuccess && !head.isSigned) {
+        abort(protocolViolationError('the response is not signed'));
+        return;
+      }
+      options.onDidRespond(head);
       if (sink !== undefined && isSuccess) {
         delivery = createStreamDelivery({
           head: responseHead,
--- a/packages/gateway/src/attempts/test/attempt.test.ts
+++ b/packages/gateway/src/attempts/test/attempt.test.ts
@@ -14,6 +14,7 @@
   parseResponseHead: () => ({
     attemptId: 'r1',
     isNotRun: false,
+    isSigned: true,
     isMisdirected: false,
     load: undefined,
     limitPerSecond: undefined,
--- a/packages/gateway/src/attempts/test/hedgedAttempts.test.ts
+++ b/packages/gateway/src/attempts/test/hedgedAttempts.test.ts
@@ -21,7 +21,7 @@
 const STALL_INTERVAL_MS = 200;
 
 const format = {
-  parseResponseHead: () => ({attemptId: 'r1', isNotRun: false}),
+  parseResponseHead: () => ({attemptId: 'r1', isNotRun: false, isSigned: true}),
   buildCallerHeaders: () => ({}),
 } as unknown as CallFormat;
 
--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -118,6 +118,8 @@
   readonly attemptId: string | undefined;
   /** The endpoint guarantees that the request has not run and will not run. */
   readonly isNotRun: boolean;
+  /** Whether the endpoint has signed the response; a success counts only so. */
+  readonly isSigned: boolean;
   /** Whether another process than the expected endpoint has responded. */
   readonly isMisdirected: boolean;
   readonly load: SelfReportedLoad | undefined;
--- a/packages/gateway/src/endpoints/test/endpointReports.test.ts
+++ b/packages/gateway/src/endpoints/test/endpointReports.test.ts
@@ -6,6 +6,7 @@
 const LEAVING: ResponseHead = {
   attemptId: 'r1',
   isNotRun: false,
+  isSigned: true,
   isMisdirected: false,
   load: undefined,
   limitPerSecond: undefined,
--- a/packages/gateway/src/handover/test/handoverEnds.test.ts
+++ b/packages/gateway/src/handover/test/handoverEnds.test.ts
@@ -37,6 +37,7 @@
   parseResponseHead: headers => ({
     attemptId: headers['attempt'] as string | undefined,
     isNotRun: false,
+    isSigned: true,
     isMisdirected: false,
     load: undefined,
     limitPerSecond: undefined,
--- a/packages/gateway/src/rollouts/test/virtualRollout.ts
+++ b/packages/gateway/src/rollouts/test/virtualRollout.ts
@@ -69,6 +69,7 @@
   parseResponseHead: headers => ({
     attemptId: headers['attempt'] as string | undefined,
     isNotRun: false,
+    isSigned: true,
     isMisdirected: false,
     load: undefined,
     limitPerSecond: undefined,
--- a/packages/gateway/src/test/testForwarding.ts
+++ b/packages/gateway/src/test/testForwarding.ts
@@ -48,6 +48,7 @@
   parseResponseHead: headers => ({
     attemptId: headers['attempt'] as string | undefined,
     isNotRun: headers['not-run'] !== undefined,
+    isSigned: true,
     isMisdirected: false,
     load: undefined,
     limitPerSecond: undefined,
