--- a/packages/gateway/src/contracts.ts
+++ b/packages/gateway/src/contracts.ts
@@ -118,7 +118,7 @@
   readonly attemptId: string | undefined;
   /** The endpoint guarantees that the request has not run and will not run. */
   readonly isNotRun: boolean;
-  /** Whether the endpoint has signed the response; a success counts only so. */
+  /** Whether the response is signed; a success without a signature does not count. */
   readonly isSigned: boolean;
   /** Whether another process than the expected endpoint has responded. */
   readonly isMisdirected: boolean;
