--- a/packages/base/src/responseFraming.ts
+++ b/packages/base/src/responseFraming.ts
@@ -40,7 +40,10 @@
 
 /** Tells complete responses from those that their connection broke off. */
 export interface ResponseEnds {
-  /** Watches a connection; to be called before undici adds its listeners. */
+  /**
+   * Watches a connection, whose end also ends a paused response; to be called
+   * before undici adds its listeners.
+   */
   watch(socket: Socket): void;
   /** Whether the response that undici reports as complete is complete. */
   isComplete(framing: ResponseFraming): boolean;
