--- a/packages/gateway/src/attempts/test/truncatedHeads.test.ts
+++ b/packages/gateway/src/attempts/test/truncatedHeads.test.ts
@@ -5,7 +5,7 @@
 import {createUpstreams, type Upstreams} from '../upstream.js';
 
 const HEAD_END = '\r\n\r\n';
-const START = 'HTTP/1.1 200 OK\r\nX-Try-Id: a1\r\n';
+const START = 'HTTP/1.1 200 OK\r\nX-Sender: a1\r\n';
 const INTERIM = `HTTP/1.1 103 Early Hints\r\nConnection: close${HEAD_END}`;
 
 /** Heads by how they delimit the body; the last one follows an interim head. */
