gateway: send streams to callers of HTTP/1.0 with their length

Callers of HTTP/1.0 know no chunks, so the close of the connection was the end of their streams, and that of a killed entry looked the same. Their streams are collected, up to 1 MiB, and sent with a length once they are whole; a broken one closes the connection without an answer. They get the events at the end only: the other way would be to go on letting a killed entry complete their streams.

--- a/packages/gateway/src/callers/callerReply.ts
+++ b/packages/gateway/src/callers/callerReply.ts
@@ -9,6 +9,7 @@
 import type {CallFormat} from '../contracts.js';
 import type {EventFrame} from '../attempts/eventFramer.js';
 import type {CompleteResponse, EventSink} from '../attempts/attempt.js';
+import {createStreamWriter, type OutgoingHeaders} from './streamWriter.js';
 import {isServerError} from '../attempts/attemptOutcome.js';
 
 export interface CallerReply {
@@ -58,13 +59,11 @@
   isClosing(): boolean;
 }): CallerReply {
   const {response, format} = options;
+  const stream = createStreamWriter(response, writeHead);
   let lastEventId: number | undefined;
   let eventCount = 0;
 
-  function writeHead(
-    status: number,
-    headers: Record<string, string | string[]>,
-  ) {
+  function writeHead(status: number, headers: OutgoingHeaders): void {
     if (options.isClosing()) {
       headers['connection'] = 'close';
     }
@@ -72,15 +71,15 @@
   }
 
   return {
-    hasBegun: () => response.headersSent,
+    hasBegun: stream.hasBegun,
     lastEventId: () => lastEventId,
     eventCount: () => eventCount,
     sink: {
-      hasBegun: () => response.headersSent,
+      hasBegun: stream.hasBegun,
       lastEventId: () => lastEventId,
       begin({status, headers}) {
-        if (!response.headersSent) {
-          writeHead(status, format.buildCallerHeaders(headers));
+        if (!stream.hasBegun()) {
+          stream.begin(status, format.buildCallerHeaders(headers));
         }
       },
       write({bytes, id}: EventFrame) {
@@ -92,11 +91,10 @@
           lastEventId = id;
         }
         eventCount += 1;
-        return response.write(bytes);
+        return stream.write(bytes);
       },
       whenDrained: callback => response.once('drain', callback),
-      finish: remainder =>
-        void response.end(remainder.length > 0 ? remainder : undefined),
+      finish: stream.end,
     },
     sendResponse({status, headers, body}) {
       const replyHeaders = format.buildCallerHeaders(headers);
