--- a/tools/runTests.mjs
+++ b/tools/runTests.mjs
@@ -5,11 +5,14 @@
  *   node tools/runTests.mjs orders moves  tests of the given packages
  *   node tools/runTests.mjs --fuzz        longer stateful fuzzing, new seeds
  *
+ * Files named `*.crowd.test.js` run one at a time after all others.
+ *
  * If SKYLARKFIELD_KNOWN_RED is set, as in `.ci/run`, failures of tests that
  * KNOWN-RED.txt lists are printed and ignored; the text before the first `|` of
  * a line is the test's full name. Any other failure, or a run without passed
  * tests, results in exit code 1.
  */
+import {once} from 'node:events';
 import {existsSync, readFileSync, readdirSync, statSync} from 'node:fs';
 import {fileURLToPath} from 'node:url';
 import {join, sep} from 'node:path';
@@ -98,28 +101,51 @@
 /** Timeout of one test file; long fuzzing takes minutes. */
 const FILE_TIMEOUT_MS = isFuzz ? 1_800_000 : 240_000;
 
-const stream = run({files, concurrency: 4, timeout: FILE_TIMEOUT_MS});
-stream.on('test:pass', event => {
-  if (event.details.type !== 'suite') {
-    passedCount += 1;
-  }
-});
-stream.on('test:fail', event => {
-  if (!isOwnFailure(event)) {
+/** Ending of test files that load the machine: they run alone, after all others. */
+const LONE_TEST_SUFFIX = '.crowd.test.js';
+const CONCURRENCY = 4;
+
+/** Runs test files and prints and counts their results. */
+async function runFiles(selectedFiles, concurrency) {
+  if (selectedFiles.length === 0) {
     return;
   }
-  (knownRedNames.has(event.name) ? ignoredFailures : failures).push(event.name);
-});
-stream.compose(new spec()).pipe(process.stdout);
-stream.once('end', () => {
-  for (const line of knownRedLines) {
-    console.log(`KNOWN RED, listed: ${line}`);
-  }
-  for (const name of ignoredFailures) {
-    console.log(`KNOWN RED, failed and ignored: ${name}`);
-  }
-  for (const name of failures) {
-    console.log(`FAILED: ${name}`);
-  }
-  process.exitCode = failures.length > 0 || passedCount === 0 ? 1 : 0;
-});
+  const stream = run({
+    files: selectedFiles,
+    concurrency,
+    timeout: FILE_TIMEOUT_MS,
+  });
+  stream.on('test:pass', event => {
+    if (event.details.type !== 'suite') {
+      passedCount += 1;
+    }
+  });
+  stream.on('test:fail', event => {
+    if (!isOwnFailure(event)) {
+      return;
+    }
+    (knownRedNames.has(event.name) ? ignoredFailures : failures).push(
+      event.name,
+    );
+  });
+  stream.compose(new spec()).pipe(process.stdout);
+  await once(stream, 'end');
+}
+
+const isLone = filePath => filePath.endsWith(LONE_TEST_SUFFIX);
+await runFiles(
+  files.filter(filePath => !isLone(filePath)),
+  CONCURRENCY,
+);
+await runFiles(files.filter(isLone), 1);
+
+for (const line of knownRedLines) {
+  console.log(`KNOWN RED, listed: ${line}`);
+}
+for (const name of ignoredFailures) {
+  console.log(`KNOWN RED, failed and ignored: ${name}`);
+}
+for (const name of failures) {
+  console.log(`FAILED: ${name}`);
+}
+process.exitCode = failures.length > 0 || passedCount === 0 ? 1 : 0;
