gateway: bound the memory of all request bodies together

Clients that send many large bodies at once ended a process: it ran out of memory. Each body was bounded by the operator's limit, but nothing bounded the sum over all connections, and incomplete bodies were kept until the route's timeout.

The bodies of a process now draw on one memory as their bytes arrive, an eighth of the machine's (memoryMb, 350 by default), but at least four times the largest legal body. The first 8 KiB of each body are not counted, so small requests always find room. When the memory is full, the incomplete body that has made no progress for longest is rejected as not run, with Retry-After, and its connection is closed; if only complete bodies are left, the new one is. A body that is rejected so is not read any further. Handed-over requests draw on the memory of the entry that runs them.

--- a/packages/bench/src/handover.ts
+++ b/packages/bench/src/handover.ts
@@ -20,6 +20,7 @@
   createHandoverHandler,
   createHandovers,
   createProgress,
+  createRequestBodies,
   createUpstreams,
   runAttempt,
   type CallFormat,
@@ -32,6 +33,9 @@
 import {createPeerNetwork} from '@skylarkfield/protocol';
 import type {MeasureOptions} from './measurements.js';
 
+/** Memory of the machine, in megabytes. */
+const MACHINE_MB = 350;
+
 type RequestKind = 'plain' | 'stream';
 type Way = 'direct' | 'handed over';
 
@@ -231,6 +235,7 @@
       departures: {report: () => ({})},
       format,
       inFlight: createInFlightCounter(clock),
+      requestBodies: createRequestBodies(MACHINE_MB, clock),
       cores: 1,
       clock,
       log,
--- a/packages/gateway/src/callers/callerBody.ts
+++ b/packages/gateway/src/callers/callerBody.ts
@@ -1,61 +1,110 @@
 /** Reads the body of a caller's request. */
 import type {IncomingMessage} from 'node:http';
 import {
+  bodyMemoryError,
   createByteCollector,
   ServingError,
   type Clock,
+  type Disposable,
   type ReadBounds,
+  type RequestBodyMemory,
 } from '@skylarkfield/base';
 
+/** Body of a request; disposing it returns its memory. */
+export interface RequestBody extends Disposable {
+  /** Undefined if the request has no body. */
+  readonly bytes: Buffer | undefined;
+}
+
+const NO_BODY: RequestBody = {bytes: undefined, dispose() {}};
+
 /**
- * Reads the whole body; undefined if the request has no body. The body is
- * buffered so that it can be sent again to another endpoint. Throws
- * `too-large`, `deadline-exceeded` if the body does not end in time, or
- * `cancelled` if the caller disconnects before the end of the body.
+ * Reads the whole body, which is buffered so that it can be sent again to another
+ * endpoint. Throws `too-large`, `overloaded` if there is no memory for the body,
+ * `deadline-exceeded` if it does not end in time, or `cancelled` if the caller
+ * disconnects before its end. The rest of a body that is too large or has found no
+ * memory is left unread.
  *
  * @example
- * const body = await readBody(request, {maxBytes: 4_194_304, timeoutMs: 800}, clock, signal);
+ * const body = await readBody(request, {maxBytes: 4_194_304, timeoutMs: 800}, memory, clock, signal);
+ * body.dispose();
  */
 export function readBody(
   request: IncomingMessage,
   {maxBytes, timeoutMs}: ReadBounds,
+  memory: RequestBodyMemory,
   clock: Clock,
   signal: AbortSignal,
-): Promise<Buffer | undefined> {
+): Promise<RequestBody> {
   const declaredBytes = Number(request.headers['content-length'] ?? 0);
   const isChunked = request.headers['transfer-encoding'] !== undefined;
   if (declaredBytes === 0 && !isChunked) {
-    return Promise.resolve(undefined);
+    return Promise.resolve(NO_BODY);
   }
   if (declaredBytes > maxBytes) {
     return Promise.reject(tooLarge(maxBytes));
   }
   return new Promise((resolve, reject) => {
     const collector = createByteCollector();
+    let hasEnded = false;
+    const allocation = memory.allocate(() => stopReading(bodyMemoryError()));
     const timer = clock.after(Math.max(0, timeoutMs), () =>
-      reject(bodyTimeout(timeoutMs)),
+      fail(bodyTimeout(timeoutMs)),
     );
     request.once('close', () => timer.dispose());
-    request.on('data', function onData(chunk: Buffer) {
-      if (collector.sizeBytes() + chunk.length > maxBytes) {
-        request.off('data', onData);
-        collector.clear();
-        reject(tooLarge(maxBytes));
-        return;
-      }
-      collector.push(chunk);
-    });
+    request.on('data', onData);
     request.once('end', () => {
+      hasEnded = true;
       timer.dispose();
-      resolve(collector.bytes());
+      allocation.complete();
+      resolve({bytes: collector.bytes(), dispose: allocation.dispose});
     });
-    request.once('error', () => reject(callerDisconnected()));
-    signal.addEventListener('abort', () => reject(callerDisconnected()), {
+    request.once('error', () => fail(callerDisconnected()));
+    signal.addEventListener('abort', () => fail(callerDisconnected()), {
       once: true,
     });
+
+    function onData(chunk: Buffer): void {
+      if (collector.sizeBytes() + chunk.length > maxBytes) {
+        stopReading(tooLarge(maxBytes));
+        return;
+      }
+      if (!allocation.tryGrow(chunk.length)) {
+        stopReading(bodyMemoryError());
+        return;
+      }
+      collector.push(chunk);
+    }
+
+    function stopReading(error: ServingError): void {
+      request.pause();
+      fail(error);
+    }
+
+    function fail(error: ServingError): void {
+      if (hasEnded) {
+        return;
+      }
+      hasEnded = true;
+      timer.dispose();
+      request.off('data', onData);
+      collector.clear();
+      allocation.dispose();
+      reject(error);
+    }
   });
 }
 
+/**
+ * Whether a request was rejected with the rest of its body left unread.
+ *
+ * @example
+ * if (leavesBodyUnread(error)) { lingeringBodies.end(request); }
+ */
+export function leavesBodyUnread({kind}: ServingError): boolean {
+  return kind === 'overloaded';
+}
+
 function tooLarge(maxBytes: number): ServingError {
   return new ServingError('too-large', `the body exceeds ${maxBytes} bytes`);
 }
--- a/packages/gateway/src/callers/callerHandler.ts
+++ b/packages/gateway/src/callers/callerHandler.ts
@@ -13,7 +13,7 @@
 import {requestFingerprint, type CrashQuarantine} from '@skylarkfield/routing';
 import {chooseService, commonRegions, promptKeys} from '@skylarkfield/traffic';
 import {quarantinedError} from '../attempts/attemptOutcome.js';
-import {readBody} from './callerBody.js';
+import {leavesBodyUnread, readBody} from './callerBody.js';
 import {checkConnected, watchDisconnect, whenSent} from './callerPresence.js';
 import {createCallerReply, type CallerReply} from './callerReply.js';
 import type {CallFormat, CallHead} from '../contracts.js';
@@ -32,6 +32,7 @@
   RequestAdmission,
   RequestToAdmit,
 } from './requestAdmission.js';
+import type {RequestBodies} from './requestBodies.js';
 import {createRequestLog} from './requestLog.js';
 import type {RequestMetrics} from './requestMetrics.js';
 import {suspectPartsOf, verdictFor} from '../crashes/crashGuard.js';
@@ -60,6 +61,7 @@
   readonly requestAdmission: RequestAdmission;
   readonly forwarding: Forwarding;
   readonly format: CallFormat;
+  readonly requestBodies: RequestBodies;
   readonly servingState: ServingState;
   readonly drainGuard: DrainGuard;
   readonly inFlight: InFlightCounter;
@@ -184,17 +186,38 @@
     acceptedRequest: AcceptedRequest,
     callerSignal: AbortSignal,
   ): Promise<ForwardingResult> {
-    const {head, attemptId, route, service, customer, priority, deadlineAt} =
-      acceptedRequest;
     const body = await readBody(
       request,
       {
         maxBytes: policy.limits().bodyBytes,
-        timeoutMs: deadlineAt - clock.now(),
+        timeoutMs: acceptedRequest.deadlineAt - clock.now(),
       },
+      options.requestBodies.memory,
       clock,
       callerSignal,
     );
+    try {
+      return await serveWithBody(
+        request,
+        body.bytes,
+        reply,
+        acceptedRequest,
+        callerSignal,
+      );
+    } finally {
+      body.dispose();
+    }
+  }
+
+  async function serveWithBody(
+    request: IncomingMessage,
+    body: Buffer | undefined,
+    reply: CallerReply,
+    acceptedRequest: AcceptedRequest,
+    callerSignal: AbortSignal,
+  ): Promise<ForwardingResult> {
+    const {head, attemptId, route, service, customer, priority, deadlineAt} =
+      acceptedRequest;
     await checkConnected(callerSignal);
     // The body may have arrived late in the grace period.
     const rejection = drainGuard.rejectionFor(deadlineAt);
@@ -280,6 +303,19 @@
     }
   }
 
+  /** Ends the body of a rejected request. */
+  function endBody(request: IncomingMessage, error: ServingError): void {
+    if (leavesBodyUnread(error)) {
+      options.requestBodies.lingering.end(request);
+      return;
+    }
+    discardBody(
+      request,
+      {maxBytes: policy.limits().bodyBytes, timeoutMs: DISCARD_TIMEOUT_MS},
+      clock,
+    );
+  }
+
   return {
     async handle(request, response) {
       const arrivedAt = clock.now();
@@ -300,11 +336,7 @@
         const error = toServingError(thrownValue);
         const status = reply.sendError(error);
         result = {status, error, firstByteMs: undefined, endpoints: []};
-        discardBody(
-          request,
-          {maxBytes: policy.limits().bodyBytes, timeoutMs: DISCARD_TIMEOUT_MS},
-          clock,
-        );
+        endBody(request, error);
       } finally {
         void sent.then(options.inFlight.end);
       }
--- a/packages/gateway/src/callers/test/callerHandler.test.ts
+++ b/packages/gateway/src/callers/test/callerHandler.test.ts
@@ -20,6 +20,7 @@
 import type {Route} from '@skylarkfield/traffic';
 import type {ActivePolicy} from '../../policy/activePolicy.js';
 import {createCallerHandler} from '../callerHandler.js';
+import {createRequestBodies} from '../requestBodies.js';
 import {createRequestAdmission} from '../requestAdmission.js';
 import type {CallFormat} from '../../contracts.js';
 import type {ForwardingResult} from '../../forwarding/forwardedCall.js';
@@ -28,6 +29,9 @@
 import type {QuotaCharge} from '../../quotas/quotaCharge.js';
 import type {RequestMetrics} from '../requestMetrics.js';
 
+/** Memory of the machine, in megabytes. */
+const MACHINE_MB = 350;
+
 const SERVICE = 's';
 
 const ROUTE: Route = {
@@ -124,6 +128,7 @@
     }),
     forwarding: {forward},
     format,
+    requestBodies: createRequestBodies(MACHINE_MB, systemClock()),
     servingState: {
       isServing: () => true,
       isReady: () => true,
--- a/packages/gateway/src/context.ts
+++ b/packages/gateway/src/context.ts
@@ -10,6 +10,7 @@
   Random,
 } from '@skylarkfield/base';
 import type {Platform} from './contracts.js';
+import type {RequestBodies} from './callers/requestBodies.js';
 import type {RequestMetrics} from './callers/requestMetrics.js';
 import type {GatewaySettings} from './settings.js';
 import type {EndpointConnector} from './attempts/upstream.js';
@@ -32,6 +33,7 @@
   readonly lifecycle: ProcessLifecycle;
   readonly drainGuard: DrainGuard;
   readonly inFlight: InFlightCounter;
+  readonly requestBodies: RequestBodies;
   /** Opens connections to endpoints. */
   readonly connectEndpoint: EndpointConnector;
 }
--- a/packages/gateway/src/forwarding/gatewayForwarding.ts
+++ b/packages/gateway/src/forwarding/gatewayForwarding.ts
@@ -129,6 +129,7 @@
       departures: options.departures,
       format,
       inFlight,
+      requestBodies: context.requestBodies,
       cores: settings.processor?.cores ?? DEFAULT_CORES,
       clock,
       log,
--- a/packages/gateway/src/handover/handoverHandler.ts
+++ b/packages/gateway/src/handover/handoverHandler.ts
@@ -22,7 +22,8 @@
 } from '@skylarkfield/routing';
 import {promptKeys} from '@skylarkfield/traffic';
 import {unavailableError} from '../attempts/attemptOutcome.js';
-import {readBody} from '../callers/callerBody.js';
+import {leavesBodyUnread, readBody} from '../callers/callerBody.js';
+import type {RequestBodies} from '../callers/requestBodies.js';
 import {watchDisconnect, whenSent} from '../callers/callerPresence.js';
 import {createCallerReply, type CallerReply} from '../callers/callerReply.js';
 import type {CallFormat} from '../contracts.js';
@@ -65,6 +66,7 @@
   readonly departures: Pick<Departures, 'report'>;
   readonly format: CallFormat;
   readonly inFlight: InFlightCounter;
+  readonly requestBodies: RequestBodies;
   /** Processor cores of this entry. */
   readonly cores: number;
   readonly clock: Clock;
@@ -109,7 +111,27 @@
     callerSignal: AbortSignal,
   ): Promise<void> {
     const startedAt = clock.now();
-    const bytes = await readBody(request, HANDOVER_BOUNDS, clock, callerSignal);
+    const body = await readBody(
+      request,
+      HANDOVER_BOUNDS,
+      options.requestBodies.memory,
+      clock,
+      callerSignal,
+    );
+    try {
+      await runHandover(request, body.bytes, reply, callerSignal, startedAt);
+    } finally {
+      body.dispose();
+    }
+  }
+
+  async function runHandover(
+    request: IncomingMessage,
+    bytes: Buffer | undefined,
+    reply: CallerReply,
+    callerSignal: AbortSignal,
+    startedAt: number,
+  ): Promise<void> {
     const handover = parseHandover(bytes);
     rejectIfUnable(handover);
     const deadlineAt = clock.now() + handover.remainingMs;
@@ -165,9 +187,14 @@
     handoverCount += 1;
     run(request, reply, callerSignal)
       .catch(error => {
-        const {kind, message} = toServingError(error);
+        const servingError = toServingError(error);
+        const {kind, message} = servingError;
         log.info({kind, message}, 'handed-over request rejected');
-        reply.sendError(toServingError(error));
+        reply.sendError(servingError);
+        if (leavesBodyUnread(servingError)) {
+          options.requestBodies.lingering.end(request);
+          return;
+        }
         discardBody(request, HANDOVER_BOUNDS, clock);
       })
       .finally(() => {
--- a/packages/gateway/src/handover/test/handoverEnds.test.ts
+++ b/packages/gateway/src/handover/test/handoverEnds.test.ts
@@ -16,6 +16,7 @@
 import type {EventSink} from '../../attempts/attempt.js';
 import {createAttemptRace} from '../../attempts/attemptRace.js';
 import type {CallerReply} from '../../callers/callerReply.js';
+import {createRequestBodies} from '../../callers/requestBodies.js';
 import type {CallFormat} from '../../contracts.js';
 import type {ForwardedCall} from '../../forwarding/forwardedCall.js';
 import {createHandoverHandler} from '../handoverHandler.js';
@@ -23,6 +24,9 @@
 import {createProgress} from '../../forwarding/retryRules.js';
 import {createUpstreams} from '../../attempts/upstream.js';
 
+/** Memory of the machine, in megabytes. */
+const MACHINE_MB = 350;
+
 const TIMEOUT_MS = 5_000;
 
 /** Headers that describe one connection, as the platform's codec drops them. */
@@ -129,6 +133,7 @@
       departures: {report: () => ({})},
       format,
       inFlight: createInFlightCounter(clock),
+      requestBodies: createRequestBodies(MACHINE_MB, clock),
       cores: 1,
       clock,
       log: createSilentLogger(),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,6 +11,7 @@
 export {runAttempt} from './attempts/attempt.js';
 export {createAttemptRace} from './attempts/attemptRace.js';
 export {createCallerReply, type CallerReply} from './callers/callerReply.js';
+export {createRequestBodies} from './callers/requestBodies.js';
 export type {
   ForwardedCall,
   ForwardingResult,
--- a/packages/gateway/src/process/gatewayPorts.ts
+++ b/packages/gateway/src/process/gatewayPorts.ts
@@ -88,8 +88,12 @@
       'limited',
     );
     disposables.add(callerPort);
-    policy.onDidChange(() => callerPort.setLimits(policy.limits()));
-    callerPort.setLimits(policy.limits());
+    const applyLimits = () => {
+      callerPort.setLimits(policy.limits());
+      context.requestBodies.setLimits(policy.limits());
+    };
+    policy.onDidChange(applyLimits);
+    applyLimits();
     return disposables;
   } catch (error) {
     disposables.dispose();
--- a/packages/gateway/src/process/gatewayProcess.ts
+++ b/packages/gateway/src/process/gatewayProcess.ts
@@ -19,6 +19,7 @@
 import type {Platform} from '../contracts.js';
 import {competeForClusterDuty} from './clusterDuty.js';
 import {openPorts} from './gatewayPorts.js';
+import {createRequestBodies} from '../callers/requestBodies.js';
 import {createRequestMetrics} from '../callers/requestMetrics.js';
 import type {GatewaySettings} from '../settings.js';
 import {createTrafficPipeline} from '../trafficPipeline.js';
@@ -132,6 +133,7 @@
     lifecycle,
     drainGuard: createDrainGuard(lifecycle, LEAVING_RETRY_MS),
     inFlight: createInFlightCounter(clock),
+    requestBodies: createRequestBodies(settings.memoryMb, clock),
     connectEndpoint,
   };
   context.dumps.add('process', () => ({
@@ -142,6 +144,9 @@
     memory: process.memoryUsage(),
     cpu: process.cpuUsage(),
   }));
+  context.dumps.add('requestBodies', () => ({
+    sharedBytes: context.requestBodies.memory.sharedBytes(),
+  }));
   context.dumps.add('refusedObjects', () => platform.refusedObjects());
   return context;
 }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -41,6 +41,11 @@
     })
     .transform(({share, speed}) => ({cores: share * speed}))
     .optional(),
+  /**
+   * Memory of the machine, in megabytes; an eighth of it may hold the bodies
+   * of requests.
+   */
+  memoryMb: z.number().min(64).max(1_048_576).default(350),
   /**
    * `IP:port` of the inner ports of other entries, to find the fleet after a
    * start; some may be outdated.
--- a/packages/gateway/src/trafficPipeline.ts
+++ b/packages/gateway/src/trafficPipeline.ts
@@ -374,6 +374,7 @@
 
   const requestWork = createRequestWork(engineEstimates.work, services);
   const handler = createCallerHandler({
+    ...context,
     policy,
     chargeQuota: gatewayQuotas.charge,
     crashQuarantine,
@@ -390,12 +391,7 @@
       isReady: readiness.isReady,
       isClosing: () => lifecycle.state() !== 'serving',
     },
-    drainGuard: context.drainGuard,
-    inFlight: context.inFlight,
     outcomeMeter: withholdLateness(reach, engineEstimates.outcomes),
-    metrics: context.metrics,
-    clock,
-    log,
     onDidConclude: recordSample,
     onDidAnswer: requestWork.recordAnswer,
   });
