gateway: stop reading a body that is over the limit

A body over the limit was answered with 413, but up to another whole legal body was read after the answer and dropped; a caller could make the process read as long as it liked.

Such a body is now left unread and its connection is closed 1 s after the answer, for at most 128 connections at a time.

--- a/packages/gateway/src/callers/callerBody.ts
+++ b/packages/gateway/src/callers/callerBody.ts
@@ -102,7 +102,7 @@
  * if (leavesBodyUnread(error)) { lingeringBodies.end(request); }
  */
 export function leavesBodyUnread({kind}: ServingError): boolean {
-  return kind === 'overloaded';
+  return kind === 'too-large' || kind === 'overloaded';
 }
 
 function tooLarge(maxBytes: number): ServingError {
