gateway: count the copies of a body that is handed over

The message now takes memory like a body, and the request is rejected as not run if there is none. The receiver uses the bytes of the message.

--- a/packages/bench/src/handover.ts
+++ b/packages/bench/src/handover.ts
@@ -261,6 +261,7 @@
     peerUpstreams,
     key: KEY,
     retryRules,
+    bodyMemory: createRequestBodies(MACHINE_MB, clock).memory,
     departures: {mergeReport() {}},
     format,
     clock,
--- a/packages/gateway/src/forwarding/gatewayForwarding.ts
+++ b/packages/gateway/src/forwarding/gatewayForwarding.ts
@@ -79,6 +79,7 @@
     peerUpstreams: disposables.add(createUpstreams()),
     key: settings.innerKey,
     retryRules,
+    bodyMemory: context.requestBodies.memory,
     departures: options.departures,
     format,
     clock,
--- a/packages/gateway/src/handover/handoverHandler.ts
+++ b/packages/gateway/src/handover/handoverHandler.ts
@@ -221,6 +221,11 @@
   return handover as Handover;
 }
 
+/** Returns the bytes as a buffer, without a copy. */
+function viewOf({buffer, byteOffset, byteLength}: Uint8Array): Buffer {
+  return Buffer.from(buffer, byteOffset, byteLength);
+}
+
 function toCall(
   handover: Handover,
   sender: string,
@@ -229,7 +234,7 @@
 ): ForwardedCall {
   const {customer, authority, method, path, demand, excludedEndpoints} =
     handover;
-  const body = handover.body && Buffer.from(handover.body);
+  const body = handover.body && viewOf(handover.body);
   return {
     head: {
       attemptId: handover.attemptId,
--- a/packages/gateway/src/handover/handovers.ts
+++ b/packages/gateway/src/handover/handovers.ts
@@ -7,11 +7,14 @@
  * concern only that request, unlike on the connection that carries messages.
  */
 import {
+  bodyMemoryError,
   errorResponses,
   ServingError,
+  type BodyAllocation,
   type Clock,
   type ErrorKind,
   type Random,
+  type RequestBodyMemory,
 } from '@skylarkfield/base';
 import type {Member} from '@skylarkfield/members';
 import type {Departures} from '@skylarkfield/routing';
@@ -95,6 +98,7 @@
   /** Secret shared by all entries. */
   readonly key: string;
   readonly retryRules: RetryRules;
+  readonly bodyMemory: RequestBodyMemory;
   readonly departures: Pick<Departures, 'mergeReport'>;
   readonly format: CallFormat;
   readonly clock: Clock;
@@ -193,6 +197,19 @@
       : withoutInnerHeaders(call, result);
   }
 
+  /**
+   * Takes memory for the message, which has a copy of the body; undefined if there
+   * is none.
+   */
+  function allocateMessage({body}: ForwardedCall): BodyAllocation | undefined {
+    const allocation = options.bodyMemory.allocate(() => {});
+    if (!allocation.tryGrow(body?.length ?? 0)) {
+      return undefined;
+    }
+    allocation.complete();
+    return allocation;
+  }
+
   return {
     choosePeer(call, progress) {
       if (progress.peers.length >= MAX_PEERS) {
@@ -213,6 +230,10 @@
     async run(call, reply, progress, peer, racingAttempt) {
       progress.peers.push(peer.id);
       progress.firstSendAt ??= clock.now();
+      const message = allocateMessage(call);
+      if (message === undefined) {
+        return {type: 'failed', error: bodyMemoryError()};
+      }
       handoverCount += 1;
       requestsByPeer.set(peer.id, ownRequestsAt(peer.id) + 1);
       try {
@@ -220,6 +241,7 @@
         recordResult(progress, peer, result);
         return result;
       } finally {
+        message.dispose();
         const remaining = ownRequestsAt(peer.id) - 1;
         if (remaining === 0) {
           requestsByPeer.delete(peer.id);
--- a/packages/gateway/src/handover/test/handoverEnds.test.ts
+++ b/packages/gateway/src/handover/test/handoverEnds.test.ts
@@ -173,6 +173,7 @@
       peerUpstreams,
       key: 'k',
       retryRules: {stallTimeoutMs: () => undefined} as never,
+      bodyMemory: createRequestBodies(MACHINE_MB, clock).memory,
       departures: {mergeReport() {}},
       format,
       clock,
