gateway: refuse answers whose status is none of HTTP's

Callers got answers with statuses like 600 and 999 as their endpoint sent them. With the header that promises that a request has not run, such an answer counted as the promise, so that an order was sent to a second endpoint: it ran twice.

Cause: nothing looked at the status. The HTTP client refuses 000 to 101 and malformed ones, but takes any three digits above.

A head whose status is not 200 to 599 now violates the protocol: the request may have run, is sent on where its route permits that and else answered with 502, and the connection is closed.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -27,6 +27,7 @@
 export * from './random.js';
 export * from './requestBodyMemory.js';
 export * from './responseFraming.js';
+export * from './responseStatus.js';
 export * from './shapes.js';
 export * from './throttle.js';
 export * from './timeLimit.js';
--- /dev/null
+++ b/packages/base/src/responseStatus.ts
@@ -0,0 +1,17 @@
+/** Statuses of HTTP responses. */
+
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
+
+/**
+ * Whether a response with the status ends its request: interim ones (1xx) do not,
+ * and other numbers are no statuses of HTTP (RFC 9110, 15).
+ *
+ * @example
+ * isFinalStatus(404); // true
+ * isFinalStatus(103); // false
+ * isFinalStatus(600); // false
+ */
+export function isFinalStatus(status: number): boolean {
+  return status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
+}
--- a/packages/gateway/src/attempts/attempt.ts
+++ b/packages/gateway/src/attempts/attempt.ts
@@ -1,6 +1,7 @@
 /** A single attempt of a request at one endpoint. */
 import {
   createDisposableStore,
+  isFinalStatus,
   ServingError,
   type Clock,
   type Disposable,
@@ -270,6 +271,10 @@
       recordReceived();
       head = format.parseResponseHead(headers, status);
       responseHead = {status, headers};
+      if (!isFinalStatus(status)) {
+        abort(protocolViolationError(`the response has status ${status}`));
+        return;
+      }
       if (head.attemptId !== options.attemptId) {
         abort(
           protocolViolationError('the response has the id of another attempt'),
