providers: refuse answers whose status is none of HTTP's

An answer of the platform with a status like 600 was returned to the clients of its store, which read headers before they check the status: its era could tell a store restored from a copy.

A status outside 200 to 599 now fails the call as a broken answer does: a read with `platform-unavailable`, a write with `outcome-unknown`.

oddStatuses.test.ts failed before with "Missing expected rejection" for 600, for a read and for a write; 62 tests of endpoints and providers pass.

--- a/packages/providers/src/httpCalls.ts
+++ b/packages/providers/src/httpCalls.ts
@@ -2,6 +2,7 @@
 import {Agent, buildConnector, type Dispatcher} from 'undici';
 import {
   endPausedResponses,
+  isFinalStatus,
   readLines,
   readText,
   resetOnDestroy,
@@ -129,6 +130,9 @@
           signal,
         });
         const text = await readText(response.body, bounds, clock);
+        if (!isFinalStatus(response.statusCode)) {
+          throw new Error(`the response has status ${response.statusCode}`);
+        }
         return {status: response.statusCode, headers: response.headers, text};
       } catch (error) {
         throw transportError(error, isWrite);
