base: bound the requests that a connection sends ahead

Clients that sent many requests ahead on a connection and read nothing ended a process, or nobody else was served beside them.

Cause: Node's HTTP server parses a read of up to 64 KiB at once and makes a request and a response of each head in it, 3,600 of the shortest ones. It pauses the connection only afterwards, and frees the requests only when the connection closes. Requests without a Host are answered without an event.

A guard takes the reads of each connection over, passes them on in slices of at most 28 of the shortest heads, and closes a connection with more than 16 unanswered requests. It counts by the responses that Node makes, so requests that Node answers itself count too. All responses of a closed connection end; Node ended only the one that is being sent.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -5,6 +5,7 @@
 export * from './boundedRead.js';
 export * from './byteCollector.js';
 export * from './clock.js';
+export * from './connectionGuard.js';
 export * from './connectionReset.js';
 export * from './containedClock.js';
 export * from './containment.js';
--- a/packages/entry/src/entryProcess.ts
+++ b/packages/entry/src/entryProcess.ts
@@ -132,7 +132,7 @@
   };
 
   async function openPort(listenerSettings: EntrySettings['callers']) {
-    const server = createServer(listenerSettings, settings.limits);
+    const server = createServer(listenerSettings, settings.limits, log);
     const listener = disposables.add(
       await openListener(server, listenerSettings, clock, log),
     );
--- a/packages/entry/src/listener.ts
+++ b/packages/entry/src/listener.ts
@@ -4,6 +4,7 @@
 import https from 'node:https';
 import type {AddressInfo} from 'node:net';
 import {
+  createConnectionGuard,
   createDisposableStore,
   scheduleRepeatedly,
   ServingError,
@@ -36,13 +37,18 @@
  * `openListener` opens its port.
  *
  * @example
- * const server = createServer(settings.admin, settings.limits);
+ * const server = createServer(settings.admin, settings.limits, log);
  */
 export function createServer(
   settings: ListenerSettings,
   limits: EntrySettings['limits'],
+  log: Logger,
 ): HttpServer {
+  const guard = createConnectionGuard(unansweredCount =>
+    log.warn({port: settings.port, unansweredCount}, 'connection closed'),
+  );
   const options = {
+    ServerResponse: guard.ServerResponse,
     maxHeaderSize: limits.headerBytes,
     headersTimeout: limits.headerMs,
     requestTimeout: limits.requestMs,
@@ -54,6 +60,7 @@
     settings.tls === undefined
       ? http.createServer(options)
       : https.createServer({...options, ...readTls(settings.tls)});
+  guard.attach(server);
   server.maxConnections = limits.connections;
   return server;
 }
--- a/packages/gateway/src/process/listeners.ts
+++ b/packages/gateway/src/process/listeners.ts
@@ -3,6 +3,7 @@
 import type {AddressInfo} from 'node:net';
 import polka from 'polka';
 import {
+  createConnectionGuard,
   discardBody,
   ServingError,
   systemClock,
@@ -63,12 +64,17 @@
   log: Logger,
   limitMode: keyof typeof TIMEOUT_CHECK_INTERVAL_MS = 'free',
 ): Promise<Port> {
+  const guard = createConnectionGuard(unansweredCount =>
+    log.warn({...address, unansweredCount}, 'connection closed'),
+  );
   const server = http.createServer({
+    ServerResponse: guard.ServerResponse,
     maxHeaderSize: MAX_HEADER_BYTES,
     connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS[limitMode],
     // Only reading the headers has a timeout; bodies may take long.
     requestTimeout: 0,
   });
+  guard.attach(server);
   const openResponses = trackOpenResponses(server);
   keepAnnouncedIdleTimes(server);
   if (limitMode === 'free') {
--- a/packages/protocol/src/innerListener.ts
+++ b/packages/protocol/src/innerListener.ts
@@ -5,6 +5,7 @@
 import type {Duplex} from 'node:stream';
 import {WebSocketServer, type WebSocket} from 'ws';
 import {
+  createConnectionGuard,
   ServingError,
   trackOpenResponses,
   type Disposable,
@@ -64,22 +65,29 @@
   onReject(reason: string): void;
 }): Promise<InnerListener> {
   const {limits, tls} = options;
-  // By default, Node checks for timed-out requests only every 30 s.
-  const timeouts = {
+  const guard = createConnectionGuard(unansweredCount =>
+    options.log.warn(
+      {port: options.port, unansweredCount},
+      'connection closed',
+    ),
+  );
+  const serverOptions = {
+    ServerResponse: guard.ServerResponse,
+    // By default, Node checks for timed-out requests only every 30 s.
     headersTimeout: limits.handshakeTimeoutMs,
     requestTimeout: limits.handshakeTimeoutMs,
     connectionsCheckingInterval: limits.handshakeTimeoutMs,
   };
   const server = tls
     ? https.createServer({
-        ...timeouts,
+        ...serverOptions,
         ...tls.current(),
         handshakeTimeout: limits.handshakeTimeoutMs,
         // Mutual TLS: the certificates of both sides must be issued by `ca`.
         requestCert: true,
         minVersion: 'TLSv1.2',
       })
-    : http.createServer(timeouts);
+    : http.createServer(serverOptions);
   const renewalSubscription = tls?.onDidRenew(material =>
     (server as https.Server).setSecureContext(material),
   );
@@ -88,6 +96,7 @@
     maxPayload: limits.maxMessageBytes,
     perMessageDeflate: false,
   });
+  guard.attach(server);
   const openResponses = trackOpenResponses(server);
   server.on('request', (request, response) => {
     const handler =
@@ -126,6 +135,7 @@
   }
 
   server.on('upgrade', (request, stream: Duplex, head) => {
+    guard.release(stream);
     stream.on('error', () => stream.destroy());
     const status = rejectionStatus(request);
     if (status !== undefined) {
