base: close connections whose request is answered before it is sent

Callers got 502, may have run, for orders that no replica had received. Their entry had sent them on a connection that was still sending an upload which its replica had answered; the replica read no more of it and reset the connection, or took the rest of the upload for a request and answered that. The own interface's plain services did the same.

Cause: the HTTP client counts a request as sent once its body is in the buffer of the connection, and uses the connection again after the response.

A connection that still sends when its response is complete is now closed. Kept connections lose nothing else: the whole of a request has been written before a replica that has read it answers.

--- a/packages/base/src/responseFraming.ts
+++ b/packages/base/src/responseFraming.ts
@@ -47,6 +47,12 @@
   watch(socket: Socket): void;
   /** Whether the response that undici reports as complete is complete. */
   isComplete(framing: ResponseFraming): boolean;
+  /**
+   * Closes the connection of the response that undici reports as complete if its
+   * request is still being sent. The endpoint may read no more of it, or take the
+   * rest for the next request.
+   */
+  closeIfSending(): void;
 }
 
 /**
@@ -79,6 +85,8 @@
  */
 export function createResponseEnds(): ResponseEnds {
   let connectionEnd: ConnectionEnd = 'none';
+  /** Connection whose bytes undici processes. */
+  let activeSocket: Socket | undefined;
 
   function setEnd(end: ConnectionEnd): void {
     connectionEnd = end;
@@ -87,11 +95,27 @@
 
   return {
     watch(socket) {
-      socket.on('end', () => setEnd(isReset(socket) ? 'failed' : 'closed'));
-      socket.on('error', () => setEnd('failed'));
+      const read = socket.read.bind(socket);
+      socket.read = size => {
+        activeSocket = socket;
+        return read(size) as unknown;
+      };
+      socket.on('end', () => {
+        activeSocket = socket;
+        setEnd(isReset(socket) ? 'failed' : 'closed');
+      });
+      socket.on('error', () => {
+        activeSocket = socket;
+        setEnd('failed');
+      });
       endPausedResponses(socket);
     },
     isComplete: framing => isCompleteByFraming[framing](connectionEnd),
+    closeIfSending() {
+      if (activeSocket !== undefined && activeSocket.writableLength > 0) {
+        activeSocket.destroy();
+      }
+    },
   };
 }
 
--- a/packages/endpoints/src/plainService.ts
+++ b/packages/endpoints/src/plainService.ts
@@ -253,6 +253,7 @@
           fail(new Error('the connection ended in the middle of the response'));
           return;
         }
+        ends.closeIfSending();
         const body = new Uint8Array(collector.bytes());
         const isEndUnmarked = framing === 'close';
         settle(() => resolve({status, headers, body, isEndUnmarked}));
--- a/packages/endpoints/src/test/plainService.test.ts
+++ b/packages/endpoints/src/test/plainService.test.ts
@@ -182,6 +182,35 @@
     assert.equal(response.isEndUnmarked, true);
   });
 
+  // Guards against a call that is lost since it follows an unfinished one on its connection.
+  it('sends no call on a connection whose last call was answered early', async test => {
+    const url = await listen(
+      test,
+      createServer(socket => {
+        socket.on('error', () => undefined);
+        socket.once('data', bytes => {
+          socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n');
+          if (bytes.includes('/upload')) {
+            socket.pause();
+            setTimeout(() => socket.resetAndDestroy(), 30);
+          }
+        });
+      }),
+    );
+    const service = createClient(test, {url});
+    const upload = {
+      ...bookingCall,
+      path: '/upload',
+      body: new Uint8Array(8 * 1024 * 1024),
+    };
+    for (const call of [upload, bookingCall]) {
+      const {status} = await service.call(call, neverAbortedSignal);
+      assert.equal(status, 200);
+      // Lets the client release the connection.
+      await new Promise(resolve => setImmediate(resolve));
+    }
+  });
+
   it('reports not-run when the connection is refused', async test => {
     const server = createServer();
     const url = await listen(test, server);
--- a/packages/gateway/src/attempts/upstream.ts
+++ b/packages/gateway/src/attempts/upstream.ts
@@ -354,6 +354,7 @@
           fail(new Error('the connection ended in the middle of the response'));
           return;
         }
+        ends.closeIfSending();
         end();
       },
       onResponseError: (_, error) => fail(error),
