entry: bound the memory of all request bodies together

Bodies now draw on one memory, limits.allBodiesBytes (48 MiB by default, at least four times the largest body); the first 8 KiB of each are not counted. When it is full, the incomplete body that has made no progress for longest is rejected as not run, or the new one if all are complete.

--- a/packages/entry/src/callers/callerServer.ts
+++ b/packages/entry/src/callers/callerServer.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import polka from 'polka';
 import {
+  createRequestBodyMemory,
   ServingError,
   toServingError,
   type Clock,
@@ -60,6 +61,9 @@
   (text: string, session: string | undefined) => ModelRequest
 > = {chat: parseChatRequest, completion: parseCompletionRequest};
 
+/** Number of largest legal bodies that find room together. */
+const MIN_LARGEST_BODIES = 4;
+
 /** Retry delay sent to callers while this entry rejects requests, in ms. */
 export const NOT_SERVING_RETRY_MS = 1_000;
 
@@ -71,6 +75,9 @@
  */
 export function attachCallerRoutes(options: CallerServerOptions): void {
   const {serving, clock, log, metrics, limits} = options;
+  const bodyMemory = createRequestBodyMemory(() =>
+    Math.max(limits.allBodiesBytes, limits.bodyBytes * MIN_LARGEST_BODIES),
+  );
 
   const app = polka({
     server: options.server,
@@ -206,19 +213,33 @@
 
   function createModelHandler(shape: ResponseShape): Handler {
     return async (exchange, labels) => {
-      const body = await readBody(exchange.request, limits.bodyBytes);
-      const session = exchange.request.headers['x-session-id'];
-      const request = requestParsers[shape](
-        Buffer.from(body).toString('utf8'),
-        typeof session === 'string' ? session : undefined,
-      );
-      labels.service = request.service;
-      labels.type = 'model';
-      const service = findService(exchange, request.service, 'model');
-      await options.modelServer.serve(exchange, request, service, shape);
+      await withBody(exchange, async body => {
+        const session = exchange.request.headers['x-session-id'];
+        const request = requestParsers[shape](
+          Buffer.from(body).toString('utf8'),
+          typeof session === 'string' ? session : undefined,
+        );
+        labels.service = request.service;
+        labels.type = 'model';
+        const service = findService(exchange, request.service, 'model');
+        await options.modelServer.serve(exchange, request, service, shape);
+      });
     };
   }
 
+  /** Reads the body and keeps its memory until the request has been served. */
+  async function withBody(
+    {request}: Exchange,
+    serve: (bytes: Uint8Array) => Promise<void>,
+  ): Promise<void> {
+    const body = await readBody(request, limits.bodyBytes, bodyMemory);
+    try {
+      await serve(body.bytes);
+    } finally {
+      body.dispose();
+    }
+  }
+
   async function servePlainCall(
     exchange: Exchange,
     labels: RequestLabels,
@@ -227,8 +248,9 @@
     labels.service = name;
     labels.type = 'plain';
     const service = findService(exchange, name, 'plain');
-    const body = await readBody(exchange.request, limits.bodyBytes);
-    await options.plainServer.serve(exchange, service, path, body);
+    await withBody(exchange, body =>
+      options.plainServer.serve(exchange, service, path, body),
+    );
   }
 
   function findService(
--- a/packages/entry/src/callers/requestBody.ts
+++ b/packages/entry/src/callers/requestBody.ts
@@ -1,38 +1,76 @@
-/** Reading of request bodies with a size limit. */
+/** Reading of request bodies within the limits of size and memory. */
 import type {IncomingMessage} from 'node:http';
-import {createByteCollector, ServingError} from '@skylarkfield/base';
+import {
+  bodyMemoryError,
+  createByteCollector,
+  ServingError,
+  type Disposable,
+  type RequestBodyMemory,
+} from '@skylarkfield/base';
+
+/** Body of a request; disposing it returns its memory. */
+export interface RequestBody extends Disposable {
+  readonly bytes: Uint8Array;
+}
 
 /**
  * Reads a whole body. Rejects with `too-large` as soon as the limit is
- * exceeded, and with `cancelled` when the caller disconnects before the end of
- * the body.
+ * exceeded, with `overloaded` when there is no memory for the body, and with
+ * `cancelled` when the caller disconnects before the end of the body.
  *
  * @example
- * const body = await readBody(request, settings.limits.bodyBytes);
+ * const body = await readBody(request, settings.limits.bodyBytes, memory);
+ * body.dispose();
  */
 export function readBody(
   request: IncomingMessage,
   maxBytes: number,
-): Promise<Uint8Array> {
+  memory: RequestBodyMemory,
+): Promise<RequestBody> {
   const contentLength = Number(request.headers['content-length'] ?? 0);
   if (contentLength > maxBytes) {
     return Promise.reject(bodyTooLargeError(maxBytes));
   }
   return new Promise((resolve, reject) => {
     const collector = createByteCollector();
-    request.on('data', function onData(chunk: Buffer) {
+    let hasEnded = false;
+    const allocation = memory.allocate(() => stopReading(bodyMemoryError()));
+    request.on('data', onData);
+    request.once('end', () => {
+      hasEnded = true;
+      allocation.complete();
+      resolve({bytes: collector.bytes(), dispose: allocation.dispose});
+    });
+    request.once('error', error => fail(disconnectedError(error)));
+    request.once('close', () => fail(disconnectedError(undefined)));
+
+    function onData(chunk: Buffer): void {
       if (collector.sizeBytes() + chunk.length > maxBytes) {
-        request.off('data', onData);
-        collector.clear();
-        request.pause();
-        reject(bodyTooLargeError(maxBytes));
+        stopReading(bodyTooLargeError(maxBytes));
+        return;
+      }
+      if (!allocation.tryGrow(chunk.length)) {
+        stopReading(bodyMemoryError());
         return;
       }
       collector.push(chunk);
-    });
-    request.once('end', () => resolve(collector.bytes()));
-    request.once('error', error => reject(disconnectedError(error)));
-    request.once('close', () => reject(disconnectedError(undefined)));
+    }
+
+    function stopReading(error: ServingError): void {
+      request.pause();
+      fail(error);
+    }
+
+    function fail(error: ServingError): void {
+      if (hasEnded) {
+        return;
+      }
+      hasEnded = true;
+      request.off('data', onData);
+      collector.clear();
+      allocation.dispose();
+      reject(error);
+    }
   });
 }
 
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -32,6 +32,16 @@
 const limits = z.strictObject({
   /** Maximum size of a request body, in bytes. */
   bodyBytes: z.number().int().min(1024).max(67_108_864).default(4_194_304),
+  /**
+   * Memory for the bodies of all requests in progress, in bytes, beyond the first
+   * 8 KiB of each; at least four times `bodyBytes`.
+   */
+  allBodiesBytes: z
+    .number()
+    .int()
+    .min(1024)
+    .max(1_099_511_627_776)
+    .default(50_331_648),
   /** Maximum size of the request headers, in bytes. */
   headerBytes: z.number().int().min(1024).max(1_048_576).default(16_384),
   /** Maximum number of open connections per HTTP port. */
