base: share each turn of the event loop among connections

While clients sent bodies in chunks of one byte, nobody else was served.

Cause: Node's parser calls back for each chunk, 10,900 times for a read of 64 KiB, and the reads of all connections are parsed in one turn of the event loop.

In each turn, new reads pass on 64 slices, and so do connections that wait; a connection passes on eight before the others have theirs, and is not read while it waits. Once 16 MiB wait, a connection with more than eight slices is closed.

--- a/packages/base/src/connectionGuard.ts
+++ b/packages/base/src/connectionGuard.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import https from 'node:https';
 import type {Socket} from 'node:net';
+import {createReadSchedule, type ReadSchedule} from './readSchedule.js';
 import {findSliceEnd} from './readSlices.js';
 
 export interface ConnectionGuard {
@@ -45,6 +46,7 @@
   limits = DEFAULT_LIMITS,
 ): ConnectionGuard {
   const connections = new WeakMap<object, GuardedConnection>();
+  const schedule = createReadSchedule(setImmediate);
 
   function createResponse(
     ...parameters: ConstructorParameters<typeof http.ServerResponse>
@@ -60,7 +62,10 @@
       const event =
         server instanceof https.Server ? 'secureConnection' : 'connection';
       server.on(event, (socket: Socket) =>
-        connections.set(socket, guardConnection(socket, limits, onDidClose)),
+        connections.set(
+          socket,
+          guardConnection(socket, schedule, limits, onDidClose),
+        ),
       );
     },
     release: socket => connections.get(socket)?.release(),
@@ -70,6 +75,7 @@
 /** Takes the reads of a connection over from Node's HTTP server. */
 function guardConnection(
   socket: Socket,
+  schedule: ReadSchedule,
   limits: ConnectionLimits,
   onDidClose: (unansweredCount: number) => void,
 ): GuardedConnection {
@@ -80,18 +86,36 @@
   let held: Array<Buffer | null> = [];
   let isReleased = false;
 
+  const reads = {passOn, hasMore, heldBytes, close};
+
   /** Passes on held bytes until the reader pauses. */
-  function passOn(): void {
-    while (held.length > 0 && isFlowing()) {
+  function passOn(maxSlices: number): number {
+    let count = 0;
+    while (hasMore() && (count < maxSlices || isReleased)) {
+      count += 1;
       push(takeSlice());
       if (openResponses.size > limits.unansweredRequests && !isReleased) {
-        onDidClose(openResponses.size);
-        socket.destroy();
-      }
-      if (socket.destroyed) {
-        held = [];
+        close();
       }
     }
+    return count;
+  }
+
+  function hasMore(): boolean {
+    return held.length > 0 && isFlowing() && !socket.destroyed;
+  }
+
+  function heldBytes(): number {
+    return held.reduce(
+      (sum, bytes) => sum + (bytes?.buffer.byteLength ?? 0),
+      0,
+    );
+  }
+
+  function close(): void {
+    onDidClose(openResponses.size);
+    held = [];
+    socket.destroy();
   }
 
   function isFlowing(): boolean {
@@ -114,6 +138,10 @@
     return held.length === 0 && isFlowing();
   }
 
+  function onDidCloseResponse(this: http.ServerResponse): void {
+    openResponses.delete(this);
+  }
+
   /** Node closes only the response that is being sent. */
   function closeResponses(): void {
     for (const response of openResponses) {
@@ -129,7 +157,7 @@
       return push(chunk);
     }
     held.push(chunk);
-    passOn();
+    schedule.passOnReceived(reads);
     return mayRead();
   };
   socket._read = size => {
@@ -138,19 +166,21 @@
     }
   };
   socket.on('resume', () => {
-    passOn();
-    if (mayRead() && !socket.destroyed) {
+    if (hasMore()) {
+      schedule.wait(reads);
+    } else if (mayRead() && !socket.destroyed) {
       read(0);
     }
   });
   socket.once('close', () => {
     held = [];
+    schedule.remove(reads);
     process.nextTick(closeResponses);
   });
   return {
     begin(response) {
       openResponses.add(response);
-      response.once('close', () => openResponses.delete(response));
+      response.on('close', onDidCloseResponse);
     },
     release: () => (isReleased = true),
   };
