gateway: release the slot of a request whose end is being confirmed

Callers got 503 although their endpoint had free slots: a stream without a length and chunks keeps its admission, or its place with the scheduler, for the 100 ms and the question after its last event, and as long as the endpoint leaves the question unanswered, while the endpoint works on it no longer.

The request is released when the connection of its response has closed, before the end is confirmed; a run that follows a denied confirmation goes without, as a resumed stream is not admitted again either.

The router's own count of the endpoint's requests, and its duration of a request, still include the wait.

--- a/packages/gateway/src/callers/callerHandler.ts
+++ b/packages/gateway/src/callers/callerHandler.ts
@@ -279,6 +279,12 @@
           placement,
           deadlineAt,
           signal: deadline.signal,
+          onDidEndWork: (lastEndpoint, firstByteMs) =>
+            admitted.release({
+              outcome: 'ok',
+              latencyMs: firstByteMs ?? clock.now() - admittedAt,
+              lastEndpoint,
+            }),
         },
         reply,
       );
--- a/packages/gateway/src/forwarding/endpointAttempts.ts
+++ b/packages/gateway/src/forwarding/endpointAttempts.ts
@@ -262,12 +262,14 @@
           key => key === choice.endpoint && listener(),
         ),
       isStopRequested: watchedStream.isStopRequested,
-      confirmEnd: signal =>
-        options.endConfirmation.confirm(
+      confirmEnd(signal) {
+        call.onDidEndWork?.(choice.endpoint, progress.firstByteMs);
+        return options.endConfirmation.confirm(
           endpoint.address,
           call.route.kind,
           signal,
-        ),
+        );
+      },
       onDidReceive(mayHaveWaited) {
         exchange.recordContact();
         if (attempt.beganAt !== undefined && !mayHaveWaited) {
--- a/packages/gateway/src/forwarding/forwardedCall.ts
+++ b/packages/gateway/src/forwarding/forwardedCall.ts
@@ -38,6 +38,12 @@
   readonly placement?: CallPlacement | undefined;
   /** Set if another entry handed the call over; it is not handed on. */
   readonly handover?: HandoverState;
+  /**
+   * Called when an endpoint has closed the connection of its response, whose end
+   * is yet to be confirmed: it works on the call no longer. `firstByteMs` is the
+   * time from the start of forwarding to the first byte.
+   */
+  onDidEndWork?(endpoint: string, firstByteMs: number | undefined): void;
 }
 
 /** Endpoint that the scheduler of a service has chosen for a call. */
