--- a/packages/gateway/src/attempts/attempt.ts
+++ b/packages/gateway/src/attempts/attempt.ts
@@ -9,6 +9,12 @@
 } from '@skylarkfield/base';
 import type {CallFormat, ResponseHead, ResponseHeaders} from '../contracts.js';
 import type {RaceEntry, RivalOrder} from './attemptRace.js';
+import type {
+  AttemptResult,
+  ConnectionLoss,
+  EventSink,
+  StreamHead,
+} from './attemptResult.js';
 import {
   abortReason,
   interruptedError,
@@ -22,84 +28,11 @@
 } from './attemptErrors.js';
 import {isServerError, resultOfLostConnection} from './attemptOutcome.js';
 import {createBodyBuffer} from './bodyBuffer.js';
-import {MAX_EVENT_BYTES, type EventFrame} from './eventFramer.js';
+import {MAX_EVENT_BYTES} from './eventFramer.js';
 import {createStallTimer, type Stall} from './stallTimer.js';
 import {createStreamDelivery, type StreamDelivery} from './streamDelivery.js';
 import type {ConnectionClass, UpstreamRequest, Upstreams} from './upstream.js';
 
-/** Result of an attempt. */
-export type AttemptResult =
-  /** The endpoint sent a complete response, of any status. */
-  | (CompleteResponse & {readonly type: 'answered'})
-  /** A stream was delivered to its end. */
-  | {readonly type: 'streamed'; readonly end: ResponseEnd}
-  /**
-   * The request was not sent, since the endpoint has stopped accepting requests
-   * while this one waited for a connection.
-   */
-  | {readonly type: 'withdrawn'}
-  /** The endpoint guarantees that the request has not run and will not run. */
-  | {readonly type: 'declined'; readonly status: number}
-  /**
-   * No complete response; the error states whether the request may have run.
-   */
-  | {
-      readonly type: 'failed';
-      readonly error: ServingError;
-      /**
-       * How the connection was lost; undefined unless the endpoint closed the
-       * connection or sent no data before the attempt was aborted.
-       */
-      readonly loss?: ConnectionLoss;
-    };
-
-/** A response that was received to its end, of any status. */
-export interface CompleteResponse {
-  readonly status: number;
-  readonly headers: ResponseHeaders;
-  readonly body: Buffer;
-  readonly end: ResponseEnd;
-}
-
-/** How a complete response ended. */
-export interface ResponseEnd {
-  readonly framing: ResponseFraming;
-  /** Bytes that followed the last complete event of a stream; else 0. */
-  readonly remainderBytes: number;
-}
-
-/**
- * How an attempt lost its endpoint while the request may have been running.
- * `closed`: the connection ended. `silent`: no data arrived before the attempt
- * was aborted.
- */
-export type ConnectionLoss = 'closed' | 'silent';
-
-/** Receives the events of a stream over all attempts of one request. */
-export interface EventSink {
-  /** Whether a head has been passed on. */
-  hasBegun(): boolean;
-  /** Id of the last event passed on; undefined before any such event. */
-  lastEventId(): number | undefined;
-  /** Passes on status and headers; ignored if they have already been sent. */
-  begin(head: StreamHead): void;
-  /**
-   * Passes on an event. Returns false if the caller reads too slowly; the
-   * attempt then pauses reading from the endpoint.
-   */
-  write(frame: EventFrame): boolean;
-  /** Calls back once, when buffered data has been written to the caller. */
-  whenDrained(callback: () => void): void;
-  /** Ends a stream after the bytes that follow the last event. */
-  finish(remainder: Buffer): void;
-}
-
-/** Head of a stream as passed on to the caller. */
-export interface StreamHead {
-  readonly status: number;
-  readonly headers: ResponseHeaders;
-}
-
 /** An event without a value. */
 type Occurrence = (listener: () => void) => Disposable;
 
--- a/packages/gateway/src/attempts/attemptEvidence.ts
+++ b/packages/gateway/src/attempts/attemptEvidence.ts
@@ -1,6 +1,6 @@
 /** Records what the results of attempts tell about endpoints. */
 import type {EndpointReach, WarmUps} from '@skylarkfield/routing';
-import type {AttemptResult} from './attempt.js';
+import type {AttemptResult} from './attemptResult.js';
 import {outcomeOf} from './attemptOutcome.js';
 import type {CrashGuard} from '../crashes/crashGuard.js';
 import type {ForwardedCall} from '../forwarding/forwardedCall.js';
--- a/packages/gateway/src/attempts/attemptOutcome.ts
+++ b/packages/gateway/src/attempts/attemptOutcome.ts
@@ -3,7 +3,7 @@
  */
 import {ServingError, type ErrorKind} from '@skylarkfield/base';
 import type {Choice, ReachState} from '@skylarkfield/routing';
-import type {AttemptResult} from './attempt.js';
+import type {AttemptResult} from './attemptResult.js';
 
 /** Outcome of an attempt as reported to the router. */
 export type AttemptOutcome = Parameters<Choice['finish']>[0]['outcome'];
--- a/packages/gateway/src/attempts/hedging.ts
+++ b/packages/gateway/src/attempts/hedging.ts
@@ -11,7 +11,7 @@
   type Logger,
 } from '@skylarkfield/base';
 import type {Member} from '@skylarkfield/members';
-import type {AttemptResult} from './attempt.js';
+import type {AttemptResult} from './attemptResult.js';
 import {createAttemptRace, type RaceEntry} from './attemptRace.js';
 import type {CallerReply} from '../callers/callerReply.js';
 import type {EndpointTarget} from '../forwarding/endpointTargets.js';
--- a/packages/gateway/src/attempts/streamDelivery.ts
+++ b/packages/gateway/src/attempts/streamDelivery.ts
@@ -3,7 +3,7 @@
  * same request may run.
  */
 import type {ResponseFraming} from '@skylarkfield/base';
-import type {AttemptResult, EventSink, StreamHead} from './attempt.js';
+import type {AttemptResult, EventSink, StreamHead} from './attemptResult.js';
 import {interruptedError} from './attemptErrors.js';
 import type {RaceEntry} from './attemptRace.js';
 import {createEventFramer, type EventFrame} from './eventFramer.js';
--- a/packages/gateway/src/attempts/test/attempt.test.ts
+++ b/packages/gateway/src/attempts/test/attempt.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createVirtualClock, ServingError} from '@skylarkfield/base';
-import {runAttempt, type AttemptResult, type EventSink} from '../attempt.js';
+import {runAttempt} from '../attempt.js';
+import type {AttemptResult, EventSink} from '../attemptResult.js';
 import {createAttemptRace} from '../attemptRace.js';
 import {createBodyMemory, MAX_BODY_BYTES} from '../bodyBuffer.js';
 import type {CallFormat} from '../../contracts.js';
--- a/packages/gateway/src/attempts/test/hedging.test.ts
+++ b/packages/gateway/src/attempts/test/hedging.test.ts
@@ -6,7 +6,7 @@
   ServingError,
 } from '@skylarkfield/base';
 import type {Member} from '@skylarkfield/members';
-import type {AttemptResult} from '../attempt.js';
+import type {AttemptResult} from '../attemptResult.js';
 import type {CallerReply} from '../../callers/callerReply.js';
 import type {ForwardedCall} from '../../forwarding/forwardedCall.js';
 import {
--- a/packages/gateway/src/callers/callerReply.ts
+++ b/packages/gateway/src/callers/callerReply.ts
@@ -8,7 +8,7 @@
 } from '@skylarkfield/base';
 import type {CallFormat} from '../contracts.js';
 import type {EventFrame} from '../attempts/eventFramer.js';
-import type {CompleteResponse, EventSink} from '../attempts/attempt.js';
+import type {CompleteResponse, EventSink} from '../attempts/attemptResult.js';
 import {createStreamWriter, type OutgoingHeaders} from './streamWriter.js';
 import {isServerError} from '../attempts/attemptOutcome.js';
 
--- a/packages/gateway/src/callers/requestLog.ts
+++ b/packages/gateway/src/callers/requestLog.ts
@@ -1,7 +1,7 @@
 /** Writes the log line and the metrics of a completed request. */
 import type {Clock, Logger} from '@skylarkfield/base';
 import type {CustomerConfig, Route} from '@skylarkfield/traffic';
-import type {ResponseEnd} from '../attempts/attempt.js';
+import type {ResponseEnd} from '../attempts/attemptResult.js';
 import type {CallHead} from '../contracts.js';
 import type {ForwardingResult} from '../forwarding/forwardedCall.js';
 import type {ActivePolicy} from '../policy/activePolicy.js';
--- a/packages/gateway/src/crashes/crashGuard.ts
+++ b/packages/gateway/src/crashes/crashGuard.ts
@@ -8,7 +8,7 @@
   type QuarantineVerdict,
 } from '@skylarkfield/routing';
 import type {ModelDemand} from '@skylarkfield/traffic';
-import type {AttemptResult} from '../attempts/attempt.js';
+import type {AttemptResult} from '../attempts/attemptResult.js';
 import {isServerError, outcomeOf} from '../attempts/attemptOutcome.js';
 import type {EndpointDirectory} from '../endpoints/endpointDirectory.js';
 import type {Progress} from '../forwarding/retryRules.js';
--- a/packages/gateway/src/crashes/test/crashGuard.test.ts
+++ b/packages/gateway/src/crashes/test/crashGuard.test.ts
@@ -8,7 +8,10 @@
 } from '@skylarkfield/base';
 import {createCrashQuarantine} from '@skylarkfield/routing';
 import type {RegisteredEndpoint} from '@skylarkfield/traffic';
-import type {AttemptResult, ConnectionLoss} from '../../attempts/attempt.js';
+import type {
+  AttemptResult,
+  ConnectionLoss,
+} from '../../attempts/attemptResult.js';
 import {createCrashGuard} from '../crashGuard.js';
 
 const CALL = {fingerprint: () => 'f00d', suspectParts: []};
--- a/packages/gateway/src/endpoints/engineObserver.ts
+++ b/packages/gateway/src/endpoints/engineObserver.ts
@@ -10,7 +10,7 @@
   type ModelDemand,
   type Route,
 } from '@skylarkfield/traffic';
-import type {EventSink} from '../attempts/attempt.js';
+import type {EventSink} from '../attempts/attemptResult.js';
 import type {CallHead} from '../contracts.js';
 import {createStepMeter} from './stepMeter.js';
 
--- a/packages/gateway/src/forwarding/endpointAttempts.ts
+++ b/packages/gateway/src/forwarding/endpointAttempts.ts
@@ -9,7 +9,8 @@
   WarmUps,
 } from '@skylarkfield/routing';
 import type {RegisteredEndpoint} from '@skylarkfield/traffic';
-import {runAttempt, type AttemptResult} from '../attempts/attempt.js';
+import {runAttempt} from '../attempts/attempt.js';
+import type {AttemptResult} from '../attempts/attemptResult.js';
 import {createAttemptEvidence} from '../attempts/attemptEvidence.js';
 import {
   isReceived,
--- a/packages/gateway/src/forwarding/forwardedCall.ts
+++ b/packages/gateway/src/forwarding/forwardedCall.ts
@@ -1,7 +1,7 @@
 /** A request that is forwarded, and the result of forwarding it. */
 import type {ServingError} from '@skylarkfield/base';
 import type {Route} from '@skylarkfield/traffic';
-import type {ResponseEnd} from '../attempts/attempt.js';
+import type {ResponseEnd} from '../attempts/attemptResult.js';
 import type {CallHead, SelfReportedLoad} from '../contracts.js';
 import type {VersionGroup} from '../endpoints/endpointDirectory.js';
 import type {RetryDenial} from './retryRules.js';
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -5,7 +5,7 @@
 import {ServingError, type DrainGuard, type Logger} from '@skylarkfield/base';
 import type {Member} from '@skylarkfield/members';
 import type {Rests} from '@skylarkfield/routing';
-import type {AttemptResult} from '../attempts/attempt.js';
+import type {AttemptResult} from '../attempts/attemptResult.js';
 import {
   describeResult,
   errorOf,
--- a/packages/gateway/src/forwarding/furtherSends.ts
+++ b/packages/gateway/src/forwarding/furtherSends.ts
@@ -1,7 +1,7 @@
 /** Decides whether a call whose attempt brought no answer is sent again. */
 import type {ServingError} from '@skylarkfield/base';
 import type {EndpointReach} from '@skylarkfield/routing';
-import type {AttemptResult} from '../attempts/attempt.js';
+import type {AttemptResult} from '../attempts/attemptResult.js';
 import {isConnectionRefused} from '../attempts/attemptOutcome.js';
 import type {Destination} from '../attempts/hedging.js';
 import type {Handovers} from '../handover/handovers.js';
--- a/packages/gateway/src/forwarding/test/furtherSends.test.ts
+++ b/packages/gateway/src/forwarding/test/furtherSends.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {ServingError, systemClock} from '@skylarkfield/base';
-import type {AttemptResult} from '../../attempts/attempt.js';
+import type {AttemptResult} from '../../attempts/attemptResult.js';
 import type {Destination} from '../../attempts/hedging.js';
 import type {ForwardedCall} from '../forwardedCall.js';
 import {createFurtherSends} from '../furtherSends.js';
--- a/packages/gateway/src/handover/handovers.ts
+++ b/packages/gateway/src/handover/handovers.ts
@@ -24,11 +24,8 @@
   HANDOVER_PATH,
   type Messages,
 } from '@skylarkfield/protocol';
-import {
-  runAttempt,
-  type AttemptResult,
-  type EventSink,
-} from '../attempts/attempt.js';
+import {runAttempt} from '../attempts/attempt.js';
+import type {AttemptResult, EventSink} from '../attempts/attemptResult.js';
 import {mayHaveRun} from '../attempts/attemptOutcome.js';
 import type {CallerReply} from '../callers/callerReply.js';
 import type {CallFormat, ResponseHeaders} from '../contracts.js';
--- a/packages/gateway/src/handover/test/handoverEnds.test.ts
+++ b/packages/gateway/src/handover/test/handoverEnds.test.ts
@@ -13,7 +13,7 @@
 import type {Member} from '@skylarkfield/members';
 import {encodeFrame} from '@skylarkfield/protocol';
 import type {Route} from '@skylarkfield/traffic';
-import type {EventSink} from '../../attempts/attempt.js';
+import type {EventSink} from '../../attempts/attemptResult.js';
 import {createAttemptRace} from '../../attempts/attemptRace.js';
 import type {CallerReply} from '../../callers/callerReply.js';
 import {createRequestBodies} from '../../callers/requestBodies.js';
