gateway: log the number of events of every stream

The request line told how many events a stream's caller was sent only if the request declared tokens. Without the count, the line of a stream that its endpoint ended early and that of a whole one were the same: status 200 and framing close.

The line of each request of a streaming route has events now; plain requests with declared tokens no longer log events: 0.

--- a/packages/gateway/src/callers/requestLog.ts
+++ b/packages/gateway/src/callers/requestLog.ts
@@ -98,7 +98,10 @@
             queuedMs: Math.round(firstSendAt - arrivedAt),
           }),
           ...(firstByteMs !== undefined && {firstMs: Math.round(firstByteMs)}),
-          ...demandFields(acceptedRequest?.head, result, eventCount),
+          ...(acceptedRequest?.route.kind === 'streaming' && {
+            events: eventCount,
+          }),
+          ...demandFields(acceptedRequest?.head, result),
           tookMs: Math.round(tookMs),
         },
         'request',
@@ -147,13 +150,11 @@
 function demandFields(
   head: CallHead | undefined,
   {tokensAhead}: ForwardingResult,
-  eventCount: number,
 ) {
   return (
     head?.demand && {
       promptTokens: head.demand.promptTokens,
       mostOutputTokens: head.demand.mostOutputTokens,
-      events: eventCount,
       ...(tokensAhead !== undefined && {tokensAhead: Math.round(tokensAhead)}),
     }
   );
