gateway: share the questions that confirm ends at one endpoint

Each response that waits for its confirmation asked its endpoint over connections of its own, again 50 ms after each one that was reset. An endpoint resets connections when it has too many, so the questions add to what keeps it from answering them.

A question counts for all responses that had ended when it was sent, so those that end while one is in flight share the next one. The new test failed before (41 questions, not 1) and passes 3 of 3.

--- a/packages/gateway/src/attempts/endConfirmation.ts
+++ b/packages/gateway/src/attempts/endConfirmation.ts
@@ -1,5 +1,10 @@
 /** Confirms the unmarked ends of responses by probes of their endpoints. */
-import {confirmEnd, sleep, type Clock} from '@skylarkfield/base';
+import {
+  confirmEnd,
+  sleep,
+  type Clock,
+  type QuestionResult,
+} from '@skylarkfield/base';
 import type {RouteKind} from '@skylarkfield/traffic';
 import type {AddressProbe} from '../reach/addressProbe.js';
 
@@ -26,8 +31,16 @@
 /** Timeout of one question, in milliseconds. */
 const QUESTION_TIMEOUT_MS = 1_000;
 
+/** A question to an endpoint, and the one that is sent once it has ended. */
+interface Question {
+  readonly number: number;
+  readonly result: Promise<QuestionResult>;
+  next?: Promise<QuestionResult>;
+}
+
 /**
- * Creates the confirmation of one entry.
+ * Creates the confirmation of one entry. Responses that end while an endpoint is
+ * being asked share the next question to it.
  *
  * @example
  * const isComplete = await endConfirmation.confirm('10.0.0.7:8000', 'idempotent', signal);
@@ -39,16 +52,43 @@
   readonly probe: AddressProbe;
   readonly clock: Clock;
 }): EndConfirmation {
+  const questions = new Map<string, Question>();
+  let questionCount = 0;
+
+  /** Asks by a question whose number is at least the given one. */
+  function ask(address: string, leastNumber: number): Promise<QuestionResult> {
+    const running = questions.get(address);
+    if (running === undefined) {
+      return send(address);
+    }
+    if (running.number >= leastNumber) {
+      return running.result;
+    }
+    running.next ??= running.result.then(() => send(address));
+    return running.next;
+  }
+
+  function send(address: string): Promise<QuestionResult> {
+    const question: Question = {
+      number: questionCount++,
+      result: probe(address, QUESTION_TIMEOUT_MS),
+    };
+    questions.set(address, question);
+    void question.result.then(() => {
+      if (question.next === undefined) {
+        questions.delete(address);
+      }
+    });
+    return question.result;
+  }
+
   return {
     async confirm(address, kind, signal) {
       if (kind === 'streaming') {
         await sleep(clock, STREAM_SETTLE_MS);
       }
-      return confirmEnd(
-        () => probe(address, QUESTION_TIMEOUT_MS),
-        clock,
-        signal,
-      );
+      const leastNumber = questionCount;
+      return confirmEnd(() => ask(address, leastNumber), clock, signal);
     },
   };
 }
--- a/packages/gateway/src/attempts/test/endConfirmation.test.ts
+++ b/packages/gateway/src/attempts/test/endConfirmation.test.ts
@@ -70,4 +70,33 @@
     assert.equal(await result, false);
     assert.equal(questionCount(), 1);
   });
+
+  // Guards against crowds of connections to an endpoint that resets or ignores them.
+  it('shares its questions with those that wait at the same address', async () => {
+    const clock = createVirtualClock();
+    const resolvers: ((result: QuestionResult) => void)[] = [];
+    const {confirm} = createEndConfirmation({
+      probe: () => new Promise(resolve => resolvers.push(resolve)),
+      clock,
+    });
+    const ask = () =>
+      confirm('10.0.0.1:80', 'at-most-once', new AbortController().signal);
+    const first = ask();
+    const others = Array.from({length: 40}, ask);
+    assert.equal(resolvers.length, 1);
+    resolvers[0]!('answered');
+    assert.equal(await first, true);
+    await clock.advance(1);
+    assert.equal(resolvers.length, 2);
+    resolvers[1]!('unanswered');
+    await clock.advance(1_000);
+    assert.equal(resolvers.length, 3);
+    resolvers[2]!('refused');
+    assert.deepEqual(
+      await Promise.all(others),
+      others.map(() => false),
+    );
+    await clock.advance(1_000);
+    assert.equal(resolvers.length, 3);
+  });
 });
