--- a/packages/routing/src/selection/popularity.ts
+++ b/packages/routing/src/selection/popularity.ts
@@ -13,6 +13,11 @@
 
 /** Requests per window; the current and the previous window are counted. */
 const WINDOW_REQUESTS = 256;
+/**
+ * Number of counted blocks after which a window ends early, since callers declare
+ * how many blocks their prompts have.
+ */
+const MAX_WINDOW_BLOCKS = 128 * 1024;
 /** Only one of this many blocks is counted, to keep decisions cheap. */
 const BLOCK_STRIDE = 4;
 /** Minimum number of requests with a prefix that counts as shared. */
@@ -53,9 +58,16 @@
     return lowerBound / (currentRequestCount + previousRequestCount);
   }
 
+  function isWindowFull(): boolean {
+    return (
+      currentRequestCount >= WINDOW_REQUESTS ||
+      currentCounts.size >= MAX_WINDOW_BLOCKS
+    );
+  }
+
   return {
     recordRequest(blocks) {
-      if (currentRequestCount >= WINDOW_REQUESTS) {
+      if (isWindowFull()) {
         previousCounts = currentCounts;
         previousRequestCount = currentRequestCount;
         currentCounts = new Map();
--- a/packages/routing/src/selection/test/popularity.test.ts
+++ b/packages/routing/src/selection/test/popularity.test.ts
@@ -42,4 +42,17 @@
     popularity.recordRequest(systemPrompt);
     assert.equal(popularity.countSharedBlocks(systemPrompt, 8), 0);
   });
+
+  // Guards against a process without memory, since callers declare how many blocks their prompts have.
+  it('forgets earlier requests once large prompts have filled two windows', () => {
+    const popularity = createPrefixPopularity();
+    for (let index = 0; index < 100; index++) {
+      popularity.recordRequest(systemPrompt);
+    }
+    assert.equal(popularity.countSharedBlocks(systemPrompt, 8), 40);
+    for (let index = 0; index < 150; index++) {
+      popularity.recordRequest(createBlocks(`large${index}-`, 8_000));
+    }
+    assert.equal(popularity.countSharedBlocks(systemPrompt, 8), 0);
+  });
 });
--- a/packages/traffic/src/test/traffic.test.ts
+++ b/packages/traffic/src/test/traffic.test.ts
@@ -108,6 +108,19 @@
     assert.equal(firstKeys.length, 9);
     assert.deepEqual(promptKeys([]), []);
   });
+
+  // Guards against a process without memory, since a key is made for each 64 tokens that a caller declares.
+  it('does not exist for parts larger than the prompts that engines accept', () => {
+    const keyCountOf = (...tokens: number[]) =>
+      promptKeys(
+        [...tokens, 90].map((count, id) => ({id: `${id}`, tokens: count})),
+      ).length;
+    assert.equal(keyCountOf(300_000, 150_000), 7_032);
+    assert.equal(keyCountOf(1_900_000), 0);
+    assert.equal(keyCountOf(64, 1e308, 1e308), 0);
+    assert.equal(keyCountOf(...Array<number>(4_000).fill(100_000)), 0);
+    assert.equal(keyCountOf(...Array<number>(4_000).fill(0)), 4_000);
+  });
 });
 
 describe('confirmation', () => {
