--- a/packages/traffic/src/promptKeys.ts
+++ b/packages/traffic/src/promptKeys.ts
@@ -11,7 +11,7 @@
  * Maximum number of shared tokens of a prompt with keys: more than the KV cache of
  * an engine holds, so that a larger prompt is rejected and none of it is cached.
  */
-export const MAX_KEYED_TOKENS = 512 * 1024;
+const MAX_KEYED_TOKENS = 512 * 1024;
 
 /**
  * Returns the keys of the shared parts, from the start of the prompt: prompts
