base: bound the answers that wait for all readers of a port

Callers that read no answers filled the memory of a gateway.

Cause: an answer in one piece waits whole on its connection until its caller reads it, and nothing bounded the sum over connections.

Over 64 MiB, the connection for which most bytes wait is reset; connections with less than 64 KiB do not count. Connections with too many unanswered requests are reset too: the end of an answer without a length could be taken for its whole.

--- a/packages/base/src/connectionGuard.ts
+++ b/packages/base/src/connectionGuard.ts
@@ -2,8 +2,13 @@
 import http from 'node:http';
 import https from 'node:https';
 import type {Socket} from 'node:net';
+import {resetConnection} from './connectionReset.js';
 import {createReadSchedule, type ReadSchedule} from './readSchedule.js';
 import {findSliceEnd} from './readSlices.js';
+import {
+  createUnreadResponses,
+  type UnreadResponses,
+} from './unreadResponses.js';
 
 export interface ConnectionGuard {
   /**
@@ -28,13 +33,22 @@
   release(): void;
 }
 
+/** What the connections of a server share. */
+interface GuardParts {
+  readonly schedule: ReadSchedule;
+  readonly unreadResponses: UnreadResponses;
+  readonly limits: ConnectionLimits;
+  onDidClose(unansweredCount: number): void;
+}
+
 const DEFAULT_LIMITS: ConnectionLimits = {unansweredRequests: 16};
 
 /**
  * Creates the guard of a server. Node parses all bytes of a read, up to 64 KiB, at
  * once and makes a request of each head in it. A guarded connection passes the
- * bytes on in slices, and is closed after a slice that exceeds its limits.
- * `onDidClose` is called with the number of its unanswered requests then.
+ * bytes on in slices, and is reset after a slice that exceeds its limits, or if too
+ * much waits for the readers of all connections. `onDidClose` is called with the
+ * number of its unanswered requests then.
  *
  * @example
  * const guard = createConnectionGuard(count => log.warn({count}, 'closed'));
@@ -46,7 +60,12 @@
   limits = DEFAULT_LIMITS,
 ): ConnectionGuard {
   const connections = new WeakMap<object, GuardedConnection>();
-  const schedule = createReadSchedule(setImmediate);
+  const parts = {
+    schedule: createReadSchedule(setImmediate),
+    unreadResponses: createUnreadResponses(),
+    limits,
+    onDidClose,
+  };
 
   function createResponse(
     ...parameters: ConstructorParameters<typeof http.ServerResponse>
@@ -62,10 +81,7 @@
       const event =
         server instanceof https.Server ? 'secureConnection' : 'connection';
       server.on(event, (socket: Socket) =>
-        connections.set(
-          socket,
-          guardConnection(socket, schedule, limits, onDidClose),
-        ),
+        connections.set(socket, guardConnection(socket, parts)),
       );
     },
     release: socket => connections.get(socket)?.release(),
@@ -75,9 +91,7 @@
 /** Takes the reads of a connection over from Node's HTTP server. */
 function guardConnection(
   socket: Socket,
-  schedule: ReadSchedule,
-  limits: ConnectionLimits,
-  onDidClose: (unansweredCount: number) => void,
+  {schedule, unreadResponses, limits, onDidClose}: GuardParts,
 ): GuardedConnection {
   const push = socket.push.bind(socket);
   const read = socket._read.bind(socket);
@@ -87,6 +101,7 @@
   let isReleased = false;
 
   const reads = {passOn, hasMore, heldBytes, close};
+  const writes = {unreadBytes, close};
 
   /** Passes on held bytes until the reader pauses. */
   function passOn(maxSlices: number): number {
@@ -115,7 +130,15 @@
   function close(): void {
     onDidClose(openResponses.size);
     held = [];
-    socket.destroy();
+    resetConnection(socket);
+  }
+
+  function unreadBytes(): number {
+    let sumBytes = 0;
+    for (const {writableLength} of openResponses) {
+      sumBytes += writableLength;
+    }
+    return sumBytes;
   }
 
   function isFlowing(): boolean {
@@ -175,12 +198,21 @@
   socket.once('close', () => {
     held = [];
     schedule.remove(reads);
+    unreadResponses.remove(writes);
     process.nextTick(closeResponses);
   });
   return {
     begin(response) {
       openResponses.add(response);
       response.on('close', onDidCloseResponse);
+      const end = response.end.bind(response) as (
+        ...parameters: unknown[]
+      ) => http.ServerResponse;
+      response.end = (...parameters: unknown[]) => {
+        end(...parameters);
+        unreadResponses.record(writes);
+        return response;
+      };
     },
     release: () => (isReleased = true),
   };
