gateway, entry: release the chunks of a body that is complete

A complete body was kept twice until its request ended: in one piece, and in chunks, since the listeners of the request keep the collector. The copy isn't counted in the memory of request bodies. 100 whole bodies of 4 MiB that are handed over took up to 345 MB at the sender, machine of 350 MB.

The collector is emptied once the body is in one piece.

--- a/packages/entry/src/callers/requestBody.ts
+++ b/packages/entry/src/callers/requestBody.ts
@@ -39,7 +39,10 @@
     request.once('end', () => {
       hasEnded = true;
       allocation.complete();
-      resolve({bytes: collector.bytes(), dispose: allocation.dispose});
+      const bytes = collector.bytes();
+      // The listeners keep the collector as long as the request.
+      collector.clear();
+      resolve({bytes, dispose: allocation.dispose});
     });
     request.once('error', error => fail(disconnectedError(error)));
     request.once('close', () => fail(disconnectedError(undefined)));
--- a/packages/gateway/src/callers/callerBody.ts
+++ b/packages/gateway/src/callers/callerBody.ts
@@ -57,7 +57,10 @@
       hasEnded = true;
       timer.dispose();
       allocation.complete();
-      resolve({bytes: collector.bytes(), dispose: allocation.dispose});
+      const bytes = collector.bytes();
+      // The listeners keep the collector as long as the request.
+      collector.clear();
+      resolve({bytes, dispose: allocation.dispose});
     });
     request.once('error', () => fail(callerDisconnected()));
     signal.addEventListener('abort', () => fail(callerDisconnected()), {
