gateway: give request bodies a twelfth of the machine's memory

Dropped buffers go back only at a garbage collection, so that the peak exceeds the memory for bodies by more than its size.

--- a/packages/gateway/src/callers/requestBodies.ts
+++ b/packages/gateway/src/callers/requestBodies.ts
@@ -18,7 +18,7 @@
 const BYTES_PER_MB = 1_000_000;
 
 /** Fraction of the machine's memory that bodies may take. */
-const MACHINE_FRACTION = 1 / 8;
+const MACHINE_FRACTION = 1 / 12;
 
 /** Number of largest legal bodies that find room together. */
 const MIN_LARGEST_BODIES = 4;
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -42,7 +42,7 @@
     .transform(({share, speed}) => ({cores: share * speed}))
     .optional(),
   /**
-   * Memory of the machine, in megabytes; an eighth of it may hold the bodies
+   * Memory of the machine, in megabytes; a twelfth of it may hold the bodies
    * of requests.
    */
   memoryMb: z.number().min(64).max(1_048_576).default(350),
