--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -41,7 +41,7 @@
     .int()
     .min(1024)
     .max(1_099_511_627_776)
-    .default(50_331_648),
+    .default(33_554_432),
   /** Maximum size of the request headers, in bytes. */
   headerBytes: z.number().int().min(1024).max(1_048_576).default(16_384),
   /** Maximum number of open connections per HTTP port. */
